--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+DEPLOYMENT ?= hailmark
+SECONDS ?= 60
+SEED ?= 1
+
+.PHONY: setup test unit lint types demo bench soak fuzz
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements/develop.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements/develop.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	touch $@
+
+test: setup lint types unit
+
+unit: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 .
+
+types: setup
+	$(BIN)/mypy
+
+demo: setup
+	$(BIN)/python -m demo --deployment $(DEPLOYMENT)
+
+bench: setup
+	$(BIN)/python -m benchmarks
+
+soak: setup
+	$(BIN)/python -m benchmarks.soak --seconds $(SECONDS) --seed $(SEED)
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks against real processes on loopback."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: a small fleet on loopback addresses."""
--- /dev/null
+++ b/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Property tests: state machines over the pure decisions."""
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,295 @@
+"""Stand-in of backend servers: one process serves any number of them.
+
+Each listens on an address of its own and runs ``slots`` requests at once;
+more are shed with 503. ``GET /standin/counts`` tells what has run, and
+``POST /standin/faults`` sets what is wrong, on the backend server's own
+address.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+from typing import Any, Final, cast
+
+import httptools
+from msgspec import Struct, convert, field, json, structs
+
+COUNTS_PATH: Final = b'/standin/counts'
+FAULTS_PATH: Final = b'/standin/faults'
+REQUEST_FIELD: Final = b'wagtaildale-request-id'
+KEY_FIELD: Final = b'x-booking'
+MILLISECONDS: Final = 1000
+PHOTO_PREFIX: Final = b'/photos/'
+OK: Final = 200
+SHED: Final = 503
+BACKLOG: Final = 256
+
+
+class BackendFaults(Struct, kw_only=True):
+    """How a backend server behaves; tests set these.
+
+    Attributes:
+        service_ms: time that a request takes.
+        slots: requests that run at once; more are shed.
+        cold_ms: added to each request while the server is cold.
+        cold_requests: requests until it is warm.
+        cut_share: share of answers that are cut in the middle.
+        close_share: share of requests after which it closes the
+            connection without an answer, though the request has run.
+        hang: requests get no answer.
+        draining: new requests are shed.
+    """
+
+    service_ms: float = 1
+    slots: int = 10
+    cold_ms: float = 0
+    cold_requests: int = 0
+    cut_share: float = 0
+    close_share: float = 0
+    hang: bool = False
+    draining: bool = False
+
+
+class BackendCounts(Struct, kw_only=True):
+    """What a backend server has seen.
+
+    Attributes:
+        runs: requests that ran.
+        shed: requests that were refused.
+        cancelled: requests whose caller hung up while they ran.
+        connections: opened to it.
+        by_request: runs by the request id of the mesh.
+        by_key: runs by the caller's own key.
+    """
+
+    runs: int = 0
+    shed: int = 0
+    cancelled: int = 0
+    connections: int = 0
+    by_request: dict[str, int] = field(default_factory=dict)
+    by_key: dict[str, int] = field(default_factory=dict)
+
+
+class BackendSpec(Struct, kw_only=True):
+    """One backend server to serve.
+
+    Attributes:
+        name: goes into its answers.
+        host: IP number.
+        port: to listen on.
+        faults: how it behaves.
+    """
+
+    name: str
+    host: str
+    port: int
+    faults: BackendFaults = field(default_factory=BackendFaults)
+
+
+class BackendStandIn:
+    """One backend server."""
+
+    def __init__(self, spec: BackendSpec) -> None:
+        """Begin cold.
+
+        Args:
+            spec: where and how.
+        """
+        self.spec = spec
+        self.counts = BackendCounts()
+        self.running = 0
+        self._random = random.Random(spec.name)
+
+    async def listen(self) -> None:
+        """Open the port."""
+        loop = asyncio.get_running_loop()
+        await loop.create_server(
+            lambda: _Connection(self),
+            self.spec.host,
+            self.spec.port,
+            backlog=BACKLOG,
+        )
+
+    def draw(self, share: float) -> bool:
+        """Draw whether a fault strikes.
+
+        Args:
+            share: of requests that it strikes.
+
+        Returns:
+            Whether it does.
+        """
+        return share > 0 and self._random.random() < share
+
+    def note_run(self, headers: dict[bytes, bytes]) -> None:
+        """Count a run.
+
+        Args:
+            headers: of the request.
+        """
+        counts = self.counts
+        counts.runs += 1
+        for name, runs in (
+            (REQUEST_FIELD, counts.by_request),
+            (KEY_FIELD, counts.by_key),
+        ):
+            key = headers.get(name)
+            if key is not None:
+                runs.setdefault(key.decode(), 0)
+                runs[key.decode()] += 1
+
+    def change(self, body: bytes) -> None:
+        """Change how the server behaves.
+
+        Args:
+            body: JSON with some of the fields of ``BackendFaults``.
+        """
+        changed = {**structs.asdict(self.spec.faults), **json.decode(body)}
+        self.spec.faults = convert(changed, BackendFaults)
+
+    @property
+    def service_seconds(self) -> float:
+        """Time that the next request takes."""
+        faults = self.spec.faults
+        milliseconds = faults.service_ms
+        if self.counts.runs < faults.cold_requests:
+            milliseconds += faults.cold_ms
+        return milliseconds / MILLISECONDS
+
+
+class _Connection(asyncio.Protocol):
+    """One connection to a backend server; requests run in turn."""
+
+    def __init__(self, backend: BackendStandIn) -> None:
+        self._backend = backend
+        self._parser = httptools.HttpRequestParser(self)
+        self._task: asyncio.Task[None] | None = None
+        self._target = b''
+        self._headers: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast('asyncio.Transport', transport)
+        self._backend.counts.connections += 1
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._task is not None and not self._task.done():
+            self._task.cancel()
+
+    def data_received(self, chunk: bytes) -> None:
+        try:
+            self._parser.feed_data(chunk)
+        except httptools.HttpParserError:
+            self._transport.close()
+
+    def on_message_begin(self) -> None:
+        self._target = b''
+        self._headers = {}
+        self._body = []
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        self._headers[name.lower()] = text
+
+    def on_body(self, piece: bytes) -> None:
+        self._body.append(piece)
+
+    def on_message_complete(self) -> None:
+        if self._target == COUNTS_PATH:
+            self._answer(OK, json.encode(self._backend.counts))
+        elif self._target == FAULTS_PATH:
+            self._backend.change(b''.join(self._body))
+            self._answer(OK, b'{}')
+        else:
+            self._serve()
+
+    def _serve(self) -> None:
+        backend = self._backend
+        faults = backend.spec.faults
+        if faults.draining or backend.running >= faults.slots:
+            backend.counts.shed += 1
+            self._answer(SHED, b'shed', b'retry-after: 1\r\n')
+            return
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(self._run(self._headers))
+
+    async def _run(self, headers: dict[bytes, bytes]) -> None:
+        backend = self._backend
+        backend.running += 1
+        seconds = backend.service_seconds
+        backend.note_run(headers)
+        await self._work(seconds)
+        if backend.draw(backend.spec.faults.close_share):
+            self._transport.close()
+        elif not backend.spec.faults.hang:
+            self._finish()
+
+    async def _work(self, seconds: float) -> None:
+        try:
+            await asyncio.sleep(seconds)
+        except asyncio.CancelledError:
+            self._backend.counts.cancelled += 1
+            raise
+        finally:
+            self._backend.running -= 1
+
+    def _finish(self) -> None:
+        body = b'{"by":"%b","target":"%b","key":"%b","bytes":%d}' % (
+            self._backend.spec.name.encode(),
+            self._target,
+            self._headers.get(KEY_FIELD, b''),
+            sum(map(len, self._body)),
+        )
+        if self._target.startswith(PHOTO_PREFIX):
+            body += b'\xff' * int(self._target.rsplit(b'/', 1)[1])
+        cut = self._backend.draw(self._backend.spec.faults.cut_share)
+        self._answer(OK, body, cut=cut)
+
+    def _answer(
+        self,
+        status: int,
+        body: bytes,
+        extra: bytes = b'',
+        *,
+        cut: bool = False,
+    ) -> None:
+        head = b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n%b\r\n' % (
+            status,
+            len(body),
+            extra,
+        )
+        if self._parser.get_method() == b'HEAD':
+            body = b''
+        if cut:
+            self._transport.write(head + body[: len(body) // 2])
+            self._transport.close()
+        else:
+            self._transport.write(head + body)
+
+
+async def serve(specs: list[BackendSpec]) -> None:
+    """Serve until the process ends.
+
+    Args:
+        specs: one for each backend server.
+    """
+    backends = [BackendStandIn(spec) for spec in specs]
+    await asyncio.gather(*(backend.listen() for backend in backends))
+    sys.stdout.write('listening\n')
+    sys.stdout.flush()
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Serve the backend servers described on standard input."""
+    described: Any = json.decode(sys.stdin.read())
+    specs = convert(described, list[BackendSpec])
+    asyncio.run(serve(specs))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/client.py
@@ -0,0 +1,49 @@
+"""Reads JSON from a node or a stand-in, for tests and the demo."""
+
+from __future__ import annotations
+
+from contextlib import closing
+from http.client import HTTPConnection, HTTPException
+from typing import Final, TypeVar
+
+from msgspec import MsgspecError, json
+
+Shape = TypeVar('Shape')
+
+SECONDS: Final = 3.0
+OK: Final = 200
+
+
+def read_json(
+    address: tuple[str, int],
+    path: str,
+    shape: type[Shape],
+    *,
+    body: bytes | None = None,
+) -> Shape | None:
+    """Read one JSON document.
+
+    Args:
+        address: IP number and port.
+        path: with the query.
+        shape: what it becomes.
+        body: sent by POST if given.
+
+    Returns:
+        The document, or nothing if there is no good answer.
+    """
+    try:
+        text = _fetch(address, path, body)
+    except (OSError, HTTPException):
+        return None
+    try:
+        return json.decode(text, type=shape)
+    except MsgspecError:
+        return None
+
+
+def _fetch(address: tuple[str, int], path: str, body: bytes | None) -> bytes:
+    with closing(HTTPConnection(*address, timeout=SECONDS)) as connection:
+        connection.request('GET' if body is None else 'POST', path, body)
+        response = connection.getresponse()
+        return response.read() if response.status == OK else b''
--- /dev/null
+++ b/wagtaildale/__init__.py
@@ -0,0 +1,1 @@
+"""Wagtaildale: configuration distribution for a service mesh."""
--- /dev/null
+++ b/wagtaildale/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API of one node."""
--- /dev/null
+++ b/wagtaildale/admission/__init__.py
@@ -0,0 +1,1 @@
+"""What the owner admits, queues and refuses."""
--- /dev/null
+++ b/wagtaildale/admission/messages.py
@@ -0,0 +1,72 @@
+"""What the gate before a backend server is told, and what it answers."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+from msgspec import Struct
+
+from wagtaildale.errors.codes import Code
+
+TicketId = NewType('TicketId', int)
+
+
+class Arrived(Struct, frozen=True, kw_only=True, gc=False):
+    """A request asks to run.
+
+    Attributes:
+        ticket: names the request at this gate.
+        within_ms: target of its class.
+        deadline: seconds on the clock.
+    """
+
+    ticket: TicketId
+    within_ms: int
+    deadline: float
+
+
+class Finished(Struct, frozen=True, kw_only=True, gc=False):
+    """A request that ran is done.
+
+    Attributes:
+        ticket: which one.
+        seconds: it spent at the backend server.
+        failed: whether the backend server failed or refused.
+    """
+
+    ticket: TicketId
+    seconds: float
+    failed: bool = False
+
+
+class GaveUp(Struct, frozen=True, kw_only=True, gc=False):
+    """A request that waits is no longer wanted."""
+
+    ticket: TicketId
+
+
+class DrainBegun(Struct, frozen=True, kw_only=True, gc=False):
+    """The instance leaves: nothing new is admitted."""
+
+
+class Admitted(Struct, frozen=True, kw_only=True, gc=False):
+    """A request may run now."""
+
+    ticket: TicketId
+
+
+class Refused(Struct, frozen=True, kw_only=True, gc=False):
+    """A request does not run, and never did.
+
+    Attributes:
+        ticket: which one.
+        code: why.
+        retry_after: seconds after which asking again is worth it.
+    """
+
+    ticket: TicketId
+    code: Code
+    retry_after: float = 0
+
+
+Verdict = Admitted | Refused
--- /dev/null
+++ b/wagtaildale/admission/state.py
@@ -0,0 +1,80 @@
+"""What the gate before a backend server holds."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from msgspec import Struct, field
+
+from wagtaildale.admission.messages import TicketId
+
+FIRST_SECONDS: Final = 0.005
+QUEUE_PER_SLOT: Final = 16
+
+
+class Waiting(Struct, order=True, gc=False):
+    """A request in the queue; the order of fields is the queue's order.
+
+    Attributes:
+        due: when its target would be missed, seconds on the clock.
+        ticket: which one.
+        deadline: when nobody waits for it any more.
+    """
+
+    due: float
+    ticket: TicketId
+    deadline: float
+
+
+class AdmissionState(Struct, kw_only=True):
+    """Slots and queue of one backend server.
+
+    Attributes:
+        slots: requests that it says it runs at once.
+        limit: how many are let through now; at most ``slots``.
+        running: requests that run, with the time each was admitted.
+        queue: requests that wait, the most urgent first.
+        service_seconds: smoothed time of a request at the backend server.
+        draining: whether nothing new is admitted.
+    """
+
+    slots: int
+    limit: float
+    running: dict[TicketId, float] = field(default_factory=dict)
+    queue: list[Waiting] = field(default_factory=list)
+    service_seconds: float = FIRST_SECONDS
+    draining: bool = False
+
+    @property
+    def room(self) -> int:
+        """How many more requests may run now."""
+        return int(self.limit) - len(self.running)
+
+    @property
+    def queue_most(self) -> int:
+        """How many requests may wait."""
+        return self.slots * QUEUE_PER_SLOT
+
+    def estimate_wait(self, ahead: int) -> float:
+        """Estimate how long a request waits for a slot.
+
+        Args:
+            ahead: requests that go before it.
+
+        Returns:
+            Seconds.
+        """
+        turns = (ahead + 1 - self.room) / max(1, int(self.limit))
+        return max(0, turns) * self.service_seconds
+
+
+def make_admission(slots: int) -> AdmissionState:
+    """Make the gate of a backend server.
+
+    Args:
+        slots: requests that it runs at once.
+
+    Returns:
+        An open gate with nothing running.
+    """
+    return AdmissionState(slots=slots, limit=float(slots))
--- /dev/null
+++ b/wagtaildale/calls/__init__.py
@@ -0,0 +1,1 @@
+"""The path of calls: caller, entry, owner, backend server."""
--- /dev/null
+++ b/wagtaildale/calls/failures.py
@@ -0,0 +1,45 @@
+"""How a call fails inside a node, until it becomes an answer.
+
+On the path of calls a failure may come from any of a dozen socket calls.
+One exception type carries the numbered code up to the one place that turns
+it into an answer; a ``Result`` from each socket call would cost more than
+the call itself there.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtaildale.types import Outcome
+
+if TYPE_CHECKING:
+    from wagtaildale.errors.codes import Code
+
+
+class CallFailed(Exception):
+    """A call cannot go on.
+
+    Attributes:
+        code: the numbered result code.
+        outcome: what the caller may conclude.
+        detail: anything more, for a person.
+    """
+
+    def __init__(
+        self,
+        code: Code,
+        *,
+        outcome: Outcome = Outcome.not_run,
+        detail: str = '',
+    ) -> None:
+        """Say why.
+
+        Args:
+            code: the numbered result code.
+            outcome: what the caller may conclude.
+            detail: anything more, for a person.
+        """
+        super().__init__(code.name)
+        self.code = code
+        self.outcome = outcome
+        self.detail = detail
--- /dev/null
+++ b/wagtaildale/calls/heads.py
@@ -0,0 +1,133 @@
+"""Writes the heads of HTTP messages that are passed on."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Final
+
+from wagtaildale.calls.fields import PRIVATE_PREFIX
+from wagtaildale.calls.parsing import UNKNOWN_LENGTH, Header, Message
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+LINE_END: Final = b'\r\n'
+CLOSE: Final = (b'connection', b'close')
+CHUNKED: Final = (b'transfer-encoding', b'chunked')
+LAST_CHUNK: Final = b'0\r\n\r\n'
+CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+HOP_BY_HOP: Final = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    ),
+)
+REASONS: Final = MappingProxyType(
+    {status.value: status.phrase for status in HTTPStatus},
+)
+
+
+def pass_on(message: Message) -> list[Header]:
+    """Choose the headers of a message that go on to the next hop.
+
+    Args:
+        message: as it came.
+
+    Returns:
+        Its headers, less those of the connection and of the system.
+    """
+    named = message.find(b'connection')
+    headers = [
+        header
+        for header in message.headers
+        if header[0] not in HOP_BY_HOP
+        and not header[0].startswith(PRIVATE_PREFIX)
+    ]
+    if named is None or named in {b'keep-alive', b'close'}:
+        return headers
+    listed = {name.strip().lower() for name in named.split(b',')}
+    return [header for header in headers if header[0] not in listed]
+
+
+def write_request_head(
+    method: bytes,
+    *,
+    target: bytes,
+    headers: Iterable[Header],
+) -> bytes:
+    """Write the head of a request.
+
+    Args:
+        method: HTTP method.
+        target: path and query as they came.
+        headers: all of them.
+
+    Returns:
+        Bytes, with the empty line at the end.
+    """
+    lines = [b'%b %b HTTP/1.1' % (method, target)]
+    lines.extend(b'%b: %b' % header for header in headers)
+    return b'\r\n'.join((*lines, b'', b''))
+
+
+def write_response_head(status: int, *, headers: Iterable[Header]) -> bytes:
+    """Write the head of a response.
+
+    Args:
+        status: HTTP status.
+        headers: all of them.
+
+    Returns:
+        Bytes, with the empty line at the end.
+    """
+    reason = REASONS.get(status, '')
+    lines = [f'HTTP/1.1 {status} {reason}'.encode()]
+    lines.extend(b'%b: %b' % header for header in headers)
+    return b'\r\n'.join((*lines, b'', b''))
+
+
+def frame_body(message: Message, *, whole: bytes | None) -> Sequence[Header]:
+    """Choose the header that says where a body ends.
+
+    Args:
+        message: as it came.
+        whole: the body if all of it is here.
+
+    Returns:
+        Content-Length, or chunks, or nothing for a request without a body.
+    """
+    if whole is not None:
+        if not whole and message.method and message.length <= 0:
+            return _frame_empty(message)
+        return ((b'content-length', b'%d' % len(whole)),)
+    if message.length != UNKNOWN_LENGTH:
+        return ((b'content-length', b'%d' % message.length),)
+    return (CHUNKED,)
+
+
+def write_chunk(piece: bytes) -> bytes:
+    """Write one chunk of a body.
+
+    Args:
+        piece: not empty.
+
+    Returns:
+        The piece with its marks.
+    """
+    return b'%x\r\n%b\r\n' % (len(piece), piece)
+
+
+def _frame_empty(message: Message) -> Sequence[Header]:
+    if message.length == UNKNOWN_LENGTH and not message.is_chunked:
+        return ()
+    return ((b'content-length', b'0'),)
--- /dev/null
+++ b/wagtaildale/calls/report.py
@@ -0,0 +1,129 @@
+"""Says how a call ended: to its caller, to the tallies, to the events."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from wagtaildale.errors.codes import Code
+from wagtaildale.telemetry.events import EventKind
+from wagtaildale.timers.service import read_clock
+from wagtaildale.types import Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from wagtaildale.calls.failures import CallFailed
+    from wagtaildale.calls.fields import AnswerFields
+    from wagtaildale.calls.parsing import Header
+    from wagtaildale.routing.table import RouteMatch
+    from wagtaildale.telemetry.events import EventRecorder
+    from wagtaildale.telemetry.tallies import Tallies
+
+NO_CLASS: Final = 'none'
+MILLISECONDS: Final = 1000
+MICROSECONDS_PER_MILLISECOND: Final = 1000
+
+
+class CallReport:
+    """How one call goes, from its arrival on."""
+
+    def __init__(self, tallies: Tallies, recorder: EventRecorder) -> None:
+        """Begin when the request has come.
+
+        Args:
+            tallies: counts of calls.
+            recorder: gets events.
+        """
+        self._tallies = tallies
+        self._recorder = recorder
+        self._started = read_clock()
+        self._name = NO_CLASS
+        self._within = float(0)
+        self._retries = 0
+        self._code = Code.ok
+        self._outcome = Outcome.answered
+        self._answer: AnswerFields | None = None
+
+    def name_class(self, match: RouteMatch) -> None:
+        """Note the class of the call.
+
+        Args:
+            match: its route.
+        """
+        work_class = match.work_class
+        self._name = f'{match.service}/{work_class.name}'
+        self._within = work_class.within_ms / MILLISECONDS
+
+    def note_retry(self, failure: CallFailed) -> None:
+        """Note that another attempt is made.
+
+        Args:
+            failure: of the attempt before.
+        """
+        self._retries += 1
+        self._recorder.record(
+            EventKind.call_retried,
+            code=failure.code,
+            subject=self._name,
+            detail=failure.detail,
+        )
+
+    def note_answer(self, answer: AnswerFields) -> None:
+        """Note what the owner said with its answer.
+
+        Args:
+            answer: its fields.
+        """
+        self._answer = answer
+
+    def note_failure(self, failure: CallFailed) -> None:
+        """Note that the call failed, and count it.
+
+        Args:
+            failure: how.
+        """
+        self._code = failure.code
+        self._outcome = failure.outcome
+        kind = EventKind.call_failed
+        if failure.outcome is Outcome.not_run:
+            kind = EventKind.call_refused
+        self._recorder.record(
+            kind,
+            code=failure.code,
+            subject=self._name,
+            detail=failure.detail,
+        )
+        self.close()
+
+    def close(self) -> None:
+        """Count the call."""
+        seconds = read_clock() - self._started
+        tally = self._tallies.find(self._name)
+        tally.note(self._code, self._outcome, seconds)
+        tally.retried += self._retries
+        if self._outcome is Outcome.answered and seconds <= self._within:
+            tally.in_time += 1
+
+    def describe(self) -> Sequence[Header]:
+        """Describe the call to its caller.
+
+        Returns:
+            Outcome, result code, and the time spent at each step.
+        """
+        total = (read_clock() - self._started) * MILLISECONDS
+        timing = f'entry;dur={total:.2f}'
+        node = ''
+        if self._answer is not None:
+            owner = self._answer.owner_us / MICROSECONDS_PER_MILLISECOND
+            backend = self._answer.backend_us / MICROSECONDS_PER_MILLISECOND
+            timing = (
+                f'{timing}, owner;dur={owner:.2f}, backend;dur={backend:.2f}'
+            )
+            node = self._answer.instance
+        outcome = f'{self._outcome.value}; code={self._code.value}'
+        if node:
+            outcome = f'{outcome}; node={node}'
+        return (
+            (b'wagtaildale-outcome', outcome.encode()),
+            (b'server-timing', timing.encode()),
+        )
--- /dev/null
+++ b/wagtaildale/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators."""
--- /dev/null
+++ b/wagtaildale/cli/admin_client.py
@@ -0,0 +1,99 @@
+"""Asks a node's administration API, by pycurl."""
+
+from __future__ import annotations
+
+from io import BytesIO
+from typing import Final, TypeVar
+from urllib.parse import urlencode
+
+import pycurl
+from msgspec import MsgspecError, Struct, json
+from result import Err, Ok, Result
+
+from wagtaildale.errors.codes import Code
+from wagtaildale.errors.faults import Fault
+
+Shape = TypeVar('Shape')
+
+CONNECT_MS: Final = 1000
+ANSWER_MS: Final = 10_000
+STATUS_OK: Final = 200
+STATUS_UNAUTHORISED: Final = 401
+
+
+class AdminClient(Struct, frozen=True, kw_only=True):
+    """Where a node's API is, and the token for it.
+
+    Attributes:
+        address: host and port.
+        token: nothing if none is set there.
+    """
+
+    address: str
+    token: str | None = None
+
+    def read(
+        self,
+        path: str,
+        *,
+        shape: type[Shape],
+        query: dict[str, str] | None = None,
+    ) -> Result[Shape, Fault]:
+        """Read one document.
+
+        Args:
+            path: of the API.
+            shape: what it becomes.
+            query: parameters.
+
+        Returns:
+            The document, or the fault.
+        """
+        body = BytesIO()
+        curl = self._prepare(f'{path}?{urlencode(query or {})}')
+        curl.setopt(pycurl.WRITEDATA, body)
+        try:
+            curl.perform()
+        except pycurl.error as error:
+            return Err(self._describe(str(error.args[-1])))
+        status = int(curl.getinfo(pycurl.RESPONSE_CODE))
+        curl.close()
+        if status != STATUS_OK:
+            return Err(self._describe_status(status))
+        return self._decode(body.getvalue(), shape)
+
+    def _prepare(self, target: str) -> pycurl.Curl:
+        curl = pycurl.Curl()
+        curl.setopt(pycurl.URL, f'http://{self.address}{target}')
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.PROXY, '')
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_MS)
+        curl.setopt(pycurl.TIMEOUT_MS, ANSWER_MS)
+        if self.token is not None:
+            authorization = f'Authorization: Bearer {self.token}'
+            curl.setopt(pycurl.HTTPHEADER, [authorization])
+        return curl
+
+    def _decode(self, body: bytes, shape: type[Shape]) -> Result[Shape, Fault]:
+        try:
+            return Ok(json.decode(body, type=shape))
+        except MsgspecError as error:
+            return Err(self._describe(str(error)))
+
+    def _describe_status(self, status: int) -> Fault:
+        if status != STATUS_UNAUTHORISED:
+            return self._describe(f'status {status}')
+        return Fault(
+            code=Code.admin_unauthorised,
+            where=self.address,
+            got='no token or a wrong one',
+            expected='the token of that node: --token-file FILE',
+        )
+
+    def _describe(self, got: str) -> Fault:
+        return Fault(
+            code=Code.admin_unreachable,
+            where=self.address,
+            got=got,
+            expected='the admin address of a node: --node HOST:PORT',
+        )
--- /dev/null
+++ b/wagtaildale/cli/errors.py
@@ -0,0 +1,66 @@
+"""``wagtaildale errors``: what each numbered code means."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import click
+
+from wagtaildale.cli.options import output_option
+from wagtaildale.cli.output import Form, print_json, print_table
+from wagtaildale.errors.codes import MEANINGS, Code
+
+
+PAGE_HEAD: Final = """# Result codes
+
+The thousands name the duty that reports a code: 1 settings, 2 operators'
+files, 3 distribution, 4 calls, 5 lifecycle, 6 administration. This page is
+printed by `wagtaildale errors --markdown`; a test keeps the two in step.
+
+| code | name | meaning |
+|---|---|---|
+"""
+
+
+@click.command('errors')
+@click.argument('number', type=int, required=False)
+@click.option('--markdown', is_flag=True, help='Print docs/errors.md.')
+@output_option
+def show_errors(number: int | None, *, markdown: bool, form: Form) -> None:
+    """Explain result codes, all of them or the one with NUMBER.
+
+    \b
+    Example:
+      wagtaildale errors 4012
+    \f
+
+    Args:
+        number: which code.
+        markdown: print the docs' table.
+        form: how to print.
+    """
+    known = [code for code in Code if number in {None, code.value}]
+    if not known:
+        raise click.BadParameter(f'got {number}, expected a code of the table')
+    if markdown:
+        click.echo(write_markdown(), nl=False)
+    elif form is Form.json:
+        print_json([_describe(code) for code in known])
+    else:
+        print_table(('code', 'name', 'meaning'), rows=map(_describe, known))
+
+
+def write_markdown() -> str:
+    """Write the table of ``docs/errors.md``.
+
+    Returns:
+        The whole page.
+    """
+    rows = ''.join(
+        '| {0} | {1} | {2} |\n'.format(*_describe(code)) for code in Code
+    )
+    return PAGE_HEAD + rows
+
+
+def _describe(code: Code) -> tuple[str, str, str]:
+    return str(code.value), code.name, MEANINGS[code]
--- /dev/null
+++ b/wagtaildale/cli/files.py
@@ -0,0 +1,143 @@
+"""Commands on operators' files: check, compile, diff."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import click
+from result import Err
+
+from wagtaildale.cli.options import output_option
+from wagtaildale.cli.output import Form, fail, print_json, print_table
+from wagtaildale.configuration.comparison import compare_meshes
+from wagtaildale.configuration.compiled import (
+    Compiled,
+    compile_mesh,
+    write_compiled,
+)
+from wagtaildale.configuration.files import read_mesh
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from wagtaildale.configuration.model import MeshEntry
+    from wagtaildale.errors.faults import Faults
+
+
+@click.command()
+@click.argument('mesh_file', metavar='FILE', type=click.Path())
+@click.option('--against', type=click.Path(), help='Show what would change.')
+@output_option
+def check(mesh_file: str, against: str | None, form: Form) -> None:
+    """Check an operators' FILE and list every fault of it.
+
+    \b
+    Examples:
+      wagtaildale check mesh.toml
+      wagtaildale check mesh.toml --against in-force.toml
+    \f
+
+    Args:
+        mesh_file: path of the file.
+        against: path of the file in force.
+        form: how to print.
+    """
+    mesh = _expect(read_mesh(mesh_file), form)
+    if against is not None:
+        old = _expect(read_mesh(against), form)
+        _print_changes(old, mesh, form)
+        return
+    classes = sum(len(service.classes) for service in mesh.services)
+    if form is Form.json:
+        print_json({'faults': [], 'name': mesh.name, 'classes': classes})
+        return
+    click.echo(
+        f'{mesh_file}: good; {len(mesh.services)} services, {classes} classes',
+    )
+
+
+@click.command('compile')
+@click.argument('mesh_file', metavar='FILE', type=click.Path())
+@click.option('--version', type=int, required=True, help='Rises each time.')
+@click.option(
+    '--out',
+    type=click.Path(file_okay=False, path_type=Path),
+    required=True,
+    help='Folder for manifest and parts.',
+)
+@output_option
+def compile_file(mesh_file: str, version: int, out: Path, form: Form) -> None:
+    """Compile an operators' FILE to what is published.
+
+    Publish every file of OUT/parts first and OUT/manifest.json last.
+
+    \b
+    Example:
+      wagtaildale compile mesh.toml --version 7 --out out/
+    \f
+
+    Args:
+        mesh_file: path of the file.
+        version: of the manifest.
+        out: folder.
+        form: how to print.
+    """
+    mesh = _expect(read_mesh(mesh_file), form)
+    compiled = _expect(compile_mesh(mesh, version=version), form)
+    write_compiled(compiled, folder=out)
+    _print_compiled(compiled, out, form)
+
+
+@click.command()
+@click.argument('old', type=click.Path())
+@click.argument('new', type=click.Path())
+@output_option
+def diff(old: str, new: str, form: Form) -> None:
+    """Show what changes from the file OLD to the file NEW.
+
+    \b
+    Example:
+      wagtaildale diff in-force.toml proposed.toml
+    \f
+
+    Args:
+        old: path of the file in force.
+        new: path of the proposed file.
+        form: how to print.
+    """
+    before = _expect(read_mesh(old), form)
+    after = _expect(read_mesh(new), form)
+    _print_changes(before, after, form)
+
+
+def _expect(outcome: Result[Any, Faults], form: Form) -> Any:
+    if isinstance(outcome, Err):
+        fail(outcome.err_value, form=form)
+    return outcome.ok_value
+
+
+def _print_changes(old: MeshEntry, new: MeshEntry, form: Form) -> None:
+    changes = compare_meshes(old, new=new)
+    if form is Form.json:
+        print_json({'changes': changes})
+    elif changes:
+        rows = [
+            (change.kind.value, change.subject, change.old, change.new)
+            for change in changes
+        ]
+        print_table(('change', 'of', 'from', 'to'), rows=rows)
+    else:
+        click.echo('nothing changes')
+
+
+def _print_compiled(compiled: Compiled, out: Path, form: Form) -> None:
+    manifest = compiled.manifest
+    if form is Form.json:
+        print_json(manifest)
+        return
+    size = sum(map(len, compiled.parts.values()))
+    click.echo(
+        f'version {manifest.version}: {len(manifest.parts)} parts, '
+        f'{size} bytes, in {out}',
+    )
--- /dev/null
+++ b/wagtaildale/cli/options.py
@@ -0,0 +1,75 @@
+"""Options that several commands share."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import click
+from result import Err
+
+from wagtaildale.cli.admin_client import AdminClient
+from wagtaildale.cli.output import Form, fail
+from wagtaildale.settings.load import read_token
+from wagtaildale.settings.model import AdminSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+TOKEN_VARIABLE: Final = 'WAGTAILDALE_TOKEN'
+
+output_option: Final = click.option(
+    '--output',
+    'form',
+    type=click.Choice(Form),
+    default=Form.text,
+    help='How to print.',
+)
+
+
+def node_options(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the options that name a node and its token.
+
+    Args:
+        command: a click command's function.
+
+    Returns:
+        The function with the options.
+    """
+    token = click.option(
+        '--token-file',
+        type=click.Path(exists=True, dir_okay=False, path_type=Path),
+        help=f'File with the admin token; else ${TOKEN_VARIABLE}.',
+    )
+    node = click.option(
+        '--node',
+        envvar='WAGTAILDALE_NODE',
+        required=True,
+        metavar='HOST:PORT',
+        help="A node's admin address; else $WAGTAILDALE_NODE.",
+    )
+    return node(token(command))
+
+
+def make_client(node: str, token_file: Path | None, form: Form) -> AdminClient:
+    """Make a client from the options.
+
+    Args:
+        node: host and port.
+        token_file: file that holds the token, if given.
+        form: how a fault is printed.
+
+    Returns:
+        The client.
+    """
+    if token_file is None:
+        return AdminClient(address=node, token=_read_variable())
+    found = read_token(AdminSettings(token_file=str(token_file)))
+    if isinstance(found, Err):
+        fail((found.err_value,), form=form)
+    return AdminClient(address=node, token=found.ok_value)
+
+
+def _read_variable() -> str | None:
+    found = read_token(AdminSettings(token_variable=TOKEN_VARIABLE))
+    return None if isinstance(found, Err) else found.ok_value
--- /dev/null
+++ b/wagtaildale/cli/output.py
@@ -0,0 +1,74 @@
+"""How the command line prints: for people, or as JSON for programs."""
+
+from __future__ import annotations
+
+import sys
+from enum import Enum
+from typing import TYPE_CHECKING, Any, Final, NoReturn, final
+
+import click
+from msgspec import json
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from wagtaildale.errors.faults import Fault
+
+EXIT_FAULTS: Final = 1
+EXIT_UNREACHABLE: Final = 3
+GAP: Final = '  '
+
+
+@final
+class Form(Enum):
+    """How results are printed."""
+
+    text = 'text'
+    json = 'json'
+
+
+def print_json(document: Any) -> None:
+    """Print a document for programs.
+
+    Args:
+        document: anything that msgspec encodes.
+    """
+    click.echo(json.format(json.encode(document)).decode())
+
+
+def print_table(head: Sequence[str], *, rows: Iterable[Sequence[str]]) -> None:
+    """Print rows under a head, each column as wide as it must be.
+
+    Args:
+        head: names of the columns.
+        rows: texts, as many as the head has.
+    """
+    lines = [tuple(head), *(tuple(row) for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    for line in lines:
+        cells = (
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        )
+        click.echo(GAP.join(cells).rstrip())
+
+
+def fail(
+    faults: Iterable[Fault],
+    *,
+    form: Form,
+    exit_code: int = EXIT_FAULTS,
+) -> NoReturn:
+    """Print faults and end the program.
+
+    Args:
+        faults: what is wrong.
+        form: how to print.
+        exit_code: for scripts.
+    """
+    listed = list(faults)
+    if form is Form.json:
+        print_json({'faults': listed})
+    else:
+        for fault in listed:
+            click.echo(str(fault), err=True)
+    sys.exit(exit_code)
--- /dev/null
+++ b/wagtaildale/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' files: reading, checking, compiling, comparing."""
--- /dev/null
+++ b/wagtaildale/configuration/files.py
@@ -0,0 +1,123 @@
+"""Reads operators' files and the compiled folders made from them."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err, Ok, Result
+
+from wagtaildale.configuration.meaning import check_meaning
+from wagtaildale.configuration.model import MeshEntry
+from wagtaildale.configuration.positions import KeyPath, find_line
+from wagtaildale.configuration.shapes import Finding, check_shape
+from wagtaildale.errors.codes import Code
+from wagtaildale.errors.faults import Fault, Faults
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+def read_mesh(path: Path | str) -> Result[MeshEntry, Faults]:
+    """Read and check an operators' file.
+
+    Args:
+        path: the TOML file.
+
+    Returns:
+        The mesh, or every fault of the file with its line.
+    """
+    text = read_text(path)
+    if isinstance(text, Err):
+        return text
+    return parse_mesh(text.ok_value, name=str(path))
+
+
+def read_text(path: Path | str) -> Result[str, Faults]:
+    """Read a text file.
+
+    Args:
+        path: the file.
+
+    Returns:
+        Its text, or a fault that says why it cannot be read.
+    """
+    try:
+        return Ok(Path(path).read_text(encoding='utf-8'))
+    except (OSError, UnicodeDecodeError) as error:
+        fault = Fault(
+            code=Code.file_unreadable,
+            where=str(path),
+            got=str(error),
+            expected='a readable file in UTF-8',
+        )
+        return Err((fault,))
+
+
+def parse_mesh(text: str, *, name: str) -> Result[MeshEntry, Faults]:
+    """Parse and check the text of an operators' file.
+
+    Args:
+        text: TOML.
+        name: the file's name, for faults.
+
+    Returns:
+        The mesh, or every fault of the text with its line.
+    """
+    try:
+        table = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        fault = Fault(
+            code=Code.file_malformed,
+            where=name,
+            got=str(error),
+            expected='TOML 1.0',
+        )
+        return Err((fault,))
+    findings = check_shape(table, shape=MeshEntry)
+    if findings:
+        return Err(place_findings(findings, text=text, name=name))
+    mesh = msgspec.convert(table, MeshEntry)
+    findings = check_meaning(mesh)
+    if findings:
+        return Err(place_findings(findings, text=text, name=name))
+    return Ok(mesh)
+
+
+def place_findings(
+    findings: Iterable[Finding],
+    *,
+    text: str,
+    name: str,
+) -> Faults:
+    """Give findings the lines on which they stand.
+
+    Args:
+        findings: faults of shape or meaning.
+        text: the TOML document.
+        name: the file's name.
+
+    Returns:
+        Faults for people.
+    """
+    return tuple(_place(finding, text, name) for finding in findings)
+
+
+def _place(finding: Finding, text: str, name: str) -> Fault:
+    line = find_line(text, path=finding.path)
+    key = _write_path(finding.path)
+    return Fault(
+        code=finding.code,
+        where=f'{name}:{line}: {key}',
+        got=finding.got,
+        expected=finding.expected,
+    )
+
+
+def _write_path(path: KeyPath) -> str:
+    steps = (
+        f'[{step}]' if isinstance(step, int) else f'.{step}' for step in path
+    )
+    return ''.join(steps).lstrip('.') or 'the file'
--- /dev/null
+++ b/wagtaildale/configuration/meaning.py
@@ -0,0 +1,150 @@
+"""Checks what an operators' file means, once its shape is right."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtaildale.configuration.paths import is_rest_last, normalise_template
+from wagtaildale.configuration.shapes import Finding
+from wagtaildale.errors.codes import Code
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from wagtaildale.configuration.model import (
+        ClassEntry,
+        MeshEntry,
+        RouteEntry,
+        ServiceEntry,
+    )
+    from wagtaildale.configuration.positions import KeyPath
+
+
+def check_meaning(mesh: MeshEntry) -> list[Finding]:
+    """Check names, targets and routes of a whole file.
+
+    Args:
+        mesh: the file, right in shape.
+
+    Returns:
+        Every fault found.
+    """
+    return [
+        *_check_names(mesh),
+        *_check_targets(mesh),
+        *_check_resources(mesh),
+        *_check_conflicts(mesh),
+    ]
+
+
+def _list_classes(
+    mesh: MeshEntry,
+) -> Iterator[tuple[KeyPath, ServiceEntry, ClassEntry]]:
+    for place, service in enumerate(mesh.services):
+        for index, entry in enumerate(service.classes):
+            yield ('services', place, 'classes', index), service, entry
+
+
+def _list_routes(
+    mesh: MeshEntry,
+) -> Iterator[tuple[KeyPath, ServiceEntry, RouteEntry]]:
+    for place, service in enumerate(mesh.services):
+        for index, entry in enumerate(service.routes):
+            yield ('services', place, 'routes', index), service, entry
+
+
+def _list_matches(
+    mesh: MeshEntry,
+) -> Iterator[tuple[KeyPath, ServiceEntry, ClassEntry | RouteEntry]]:
+    yield from _list_classes(mesh)
+    yield from _list_routes(mesh)
+
+
+def _check_names(mesh: MeshEntry) -> Iterator[Finding]:
+    seen: set[str] = set()
+    for place, service in enumerate(mesh.services):
+        path: KeyPath = ('services', place, 'name')
+        yield from _note_name(seen, service.name, path)
+    for path, owner, entry in _list_classes(mesh):
+        full = f'{owner.name}/{entry.name}'
+        yield from _note_name(seen, full, (*path, 'name'))
+
+
+def _note_name(seen: set[str], name: str, path: KeyPath) -> Iterator[Finding]:
+    if name in seen:
+        yield Finding(
+            code=Code.name_twice,
+            path=path,
+            got=f'{name} again',
+            expected='a name that is not yet taken',
+        )
+    seen.add(name)
+
+
+def _check_targets(mesh: MeshEntry) -> Iterator[Finding]:
+    for path, _service, entry in _list_classes(mesh):
+        if entry.target.within_ms > entry.deadline_ms:
+            yield Finding(
+                code=Code.field_invalid,
+                path=(*path, 'deadline_ms'),
+                got=str(entry.deadline_ms),
+                expected=f'at least within_ms, {entry.target.within_ms}',
+            )
+
+
+def _check_resources(mesh: MeshEntry) -> Iterator[Finding]:
+    known = {
+        service.name: {entry.name for entry in service.classes}
+        for service in mesh.services
+    }
+    for path, owner, route in _list_routes(mesh):
+        service = route.service or owner.name
+        if service not in known:
+            yield Finding(
+                code=Code.service_missing,
+                path=(*path, 'service'),
+                got=service,
+                expected='one of ' + ', '.join(sorted(known)),
+            )
+        elif route.work_class not in known[service]:
+            yield Finding(
+                code=Code.class_missing,
+                path=(*path, 'work_class'),
+                got=f'{service}/{route.work_class}',
+                expected='one of ' + ', '.join(sorted(known[service])),
+            )
+
+
+def _check_conflicts(mesh: MeshEntry) -> Iterator[Finding]:
+    taken: dict[str, str] = {}
+    for path, owner, entry in _list_matches(mesh):
+        if not is_rest_last(entry.path):
+            yield Finding(
+                code=Code.field_invalid,
+                path=(*path, 'path'),
+                got=entry.path,
+                expected='{name*} as the last segment only',
+            )
+        for match in _list_match_keys(entry):
+            holder = taken.get(match)
+            if holder is not None:
+                yield _describe_conflict(path, match, holder)
+            taken[match] = owner.name
+
+
+def _list_match_keys(entry: ClassEntry | RouteEntry) -> list[str]:
+    template = normalise_template(entry.path)
+    return [f'{method} {template}' for method in entry.methods]
+
+
+def _describe_conflict(
+    path: KeyPath,
+    match: str,
+    holder: str,
+) -> Finding:
+    return Finding(
+        code=Code.route_conflict,
+        path=(*path, 'path'),
+        got=match,
+        expected=f'a path that service {holder} does not match yet',
+    )
--- /dev/null
+++ b/wagtaildale/configuration/shapes.py
@@ -0,0 +1,169 @@
+"""Checks the shape of a table against a Struct, all faults at once.
+
+``msgspec.convert`` stops at the first fault; operators want them all. Here
+each field is converted by itself, so that msgspec still judges every leaf.
+"""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import Any, Final, get_args, get_origin, get_type_hints
+
+from msgspec import Struct, ValidationError, convert, structs
+
+from wagtaildale.configuration.positions import KeyPath
+from wagtaildale.errors.codes import Code
+
+Table = dict[str, Any]
+
+HAND_TUNING: Final = frozenset(
+    (
+        'address',
+        'addresses',
+        'backends',
+        'connections',
+        'endpoints',
+        'host',
+        'hosts',
+        'instances',
+        'limit',
+        'port',
+        'proxy',
+        'retries',
+        'upstreams',
+        'weight',
+        'weights',
+    ),
+)
+WAY_OUT: Final = MappingProxyType(
+    {
+        Code.hand_tuning: (
+            'no such key: the system finds upstreams, weights and limits '
+            'by itself; state a class and its target instead'
+        ),
+        Code.key_missing: 'this key',
+    },
+)
+
+
+class Finding(Struct, frozen=True, kw_only=True):
+    """One fault of shape, before its line is known."""
+
+    code: Code
+    path: KeyPath
+    got: str
+    expected: str
+
+
+def check_shape(
+    table: object,
+    *,
+    shape: type[Struct],
+    path: KeyPath = (),
+) -> list[Finding]:
+    """Compare a table with the Struct it is to become.
+
+    Args:
+        table: what the TOML file holds there.
+        shape: the Struct.
+        path: where the table stands.
+
+    Returns:
+        Every fault found; none if ``msgspec.convert`` would succeed.
+    """
+    if not isinstance(table, dict):
+        return [_describe_invalid(path, table, 'a table')]
+    findings = _check_keys(table, shape, path)
+    hints = get_type_hints(shape, include_extras=True)
+    for name in hints.keys() & table.keys():
+        spot = (*path, name)
+        findings.extend(_check_field(table[name], hints[name], spot))
+    return sorted(findings, key=_find_place)
+
+
+def _find_place(finding: Finding) -> tuple[str, ...]:
+    return tuple(str(step) for step in finding.path)
+
+
+def _check_keys(
+    table: Table,
+    shape: type[Struct],
+    path: KeyPath,
+) -> list[Finding]:
+    known = {field.name: field for field in structs.fields(shape)}
+    findings = [
+        _describe_unknown(path, key, sorted(known))
+        for key in table
+        if key not in known
+    ]
+    findings.extend(
+        Finding(
+            code=Code.key_missing,
+            path=path,
+            got='no ' + name,
+            expected=f'the key {name} here',
+        )
+        for name, field in known.items()
+        if field.required and name not in table
+    )
+    return findings
+
+
+def _check_field(held: Any, hint: Any, path: KeyPath) -> list[Finding]:
+    element = _find_struct(hint)
+    if element is None:
+        return _convert_leaf(held, hint, path)
+    if not _is_sequence(hint):
+        return check_shape(held, shape=element, path=path)
+    if not isinstance(held, list) or not held:
+        return _convert_leaf(held, hint, path)
+    return [
+        finding
+        for index, entry in enumerate(held)
+        for finding in check_shape(entry, shape=element, path=(*path, index))
+    ]
+
+
+def _convert_leaf(held: Any, hint: Any, path: KeyPath) -> list[Finding]:
+    try:
+        convert(held, hint)
+    except ValidationError as error:
+        return [_describe_invalid(path, held, str(error))]
+    return []
+
+
+def _find_struct(hint: Any) -> type[Struct] | None:
+    if isinstance(hint, type) and issubclass(hint, Struct):
+        return hint
+    for part in get_args(hint):
+        found = _find_struct(part)
+        if found is not None:
+            return found
+    return None
+
+
+def _is_sequence(hint: Any) -> bool:
+    if get_origin(hint) is tuple:
+        return True
+    return any(get_origin(part) is tuple for part in get_args(hint))
+
+
+def _describe_unknown(path: KeyPath, key: str, known: list[str]) -> Finding:
+    hand_tuning = key in HAND_TUNING
+    code = Code.hand_tuning if hand_tuning else Code.key_unknown
+    one_of = 'one of ' + ', '.join(known)
+    return Finding(
+        code=code,
+        path=(*path, key),
+        got=f'the key {key}',
+        expected=WAY_OUT.get(code, one_of),
+    )
+
+
+def _describe_invalid(path: KeyPath, held: object, why: str) -> Finding:
+    return Finding(
+        code=Code.field_invalid,
+        path=path,
+        got=repr(held),
+        expected=why,
+    )
--- /dev/null
+++ b/wagtaildale/configuration/tests/test_files.py
@@ -0,0 +1,63 @@
+"""Tests of reading operators' files."""
+
+from __future__ import annotations
+
+import pytest
+
+from wagtaildale.configuration.files import parse_mesh
+from wagtaildale.errors.codes import Code
+from wagtaildale.testing.assertions import assert_codes, assert_err, assert_ok
+from wagtaildale.testing.builders import MESH_TEXT
+
+
+def test_good_file() -> None:
+    mesh = assert_ok(parse_mesh(MESH_TEXT, name='mesh.toml'))
+    assert [service.name for service in mesh.services] == ['casefiles']
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'code', 'line'),
+    [
+        ('team = "field"', 'team = 7', Code.field_invalid, 6),
+        ('team = "field"', 'teem = "field"', Code.key_unknown, 6),
+        ('team = "field"\n', '', Code.key_missing, 4),
+        ('name = "lookup"', 'name = "booking"', Code.name_twice, 17),
+        ('path = "/files/{claim}"', 'path = "x"', Code.field_invalid, 11),
+        ('percent = 99 }', 'percent = 101 }', Code.field_invalid, 13),
+        ('deadline_ms = 1000', 'deadline_ms = 100', Code.field_invalid, 14),
+        ('name = "lookup"', 'weight = 2', Code.hand_tuning, 9),
+    ],
+)
+def test_fault_names_its_line(
+    old: str,
+    new: str,
+    code: Code,
+    line: int,
+) -> None:
+    text = MESH_TEXT.replace(old, new, 1)
+    faults = assert_err(parse_mesh(text, name='mesh.toml'))
+    places = {(fault.code, fault.where.split(':')[1]) for fault in faults}
+    assert (code, str(line)) in places, list(map(str, faults))
+
+
+def test_all_faults_at_once() -> None:
+    text = MESH_TEXT.replace('true', '1').replace('"POST"', '"PRINT"')
+    faults = assert_err(parse_mesh(text, name='mesh.toml'))
+    assert_codes(faults, Code.field_invalid, Code.field_invalid)
+
+
+def test_route_to_missing_service() -> None:
+    text = f"""{MESH_TEXT}
+[[services.routes]]
+methods = ["GET"]
+path = "/old/{{claim}}"
+service = "gone"
+work_class = "lookup"
+"""
+    faults = assert_err(parse_mesh(text, name='mesh.toml'))
+    assert_codes(faults, Code.service_missing)
+
+
+def test_not_toml() -> None:
+    faults = assert_err(parse_mesh('a = = b', name='mesh.toml'))
+    assert_codes(faults, Code.file_malformed)
--- /dev/null
+++ b/wagtaildale/configuration/whole.py
@@ -0,0 +1,106 @@
+"""The check of a whole version: every route has its service and class."""
+
+from __future__ import annotations
+
+from itertools import chain
+from typing import TYPE_CHECKING
+
+from msgspec import MsgspecError, Struct
+from result import Err, Ok, Result
+
+from wagtaildale.configuration.compiled import decode_part
+from wagtaildale.configuration.paths import is_rest_last, normalise_template
+from wagtaildale.errors.codes import Code
+from wagtaildale.errors.faults import Fault
+from wagtaildale.types import ServiceName
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from wagtaildale.configuration.model import Part, Route
+
+
+class Configuration(Struct, frozen=True, kw_only=True):
+    """Every part of one version, checked as a whole."""
+
+    parts: dict[ServiceName, Part]
+
+
+def check_parts(blobs: Mapping[str, bytes]) -> Result[Configuration, Fault]:
+    """Check all parts of a version together.
+
+    Args:
+        blobs: by service name, the part's bytes.
+
+    Returns:
+        The configuration, or the first fault.
+    """
+    parts: dict[ServiceName, Part] = {}
+    for name, blob in blobs.items():
+        part = _decode(name, blob)
+        if isinstance(part, Err):
+            return part
+        parts[ServiceName(name)] = part.ok_value
+    faults = chain(_find_dangling(parts), _find_conflicts(parts))
+    first = next(faults, None)
+    if first is None:
+        return Ok(Configuration(parts=parts))
+    return Err(first)
+
+
+def _decode(name: str, blob: bytes) -> Result[Part, Fault]:
+    try:
+        part = decode_part(blob)
+    except MsgspecError as error:
+        return Err(_describe(Code.part_corrupt, name, str(error), 'a part'))
+    if part.service != name:
+        why = f'the part of {name}'
+        return Err(_describe(Code.part_corrupt, name, part.service, why))
+    return Ok(part)
+
+
+def _list_routes(parts: Mapping[ServiceName, Part]) -> Iterator[Route]:
+    for part in parts.values():
+        yield from part.routes
+
+
+def _find_dangling(parts: Mapping[ServiceName, Part]) -> Iterator[Fault]:
+    classes = {
+        name: {work_class.name for work_class in part.classes}
+        for name, part in parts.items()
+    }
+    for route in _list_routes(parts):
+        known = classes.get(route.service)
+        if known is None:
+            yield _describe(
+                Code.service_missing,
+                route.path,
+                route.service,
+                'a service of this version',
+            )
+        elif route.work_class not in known:
+            yield _describe(
+                Code.class_missing,
+                route.path,
+                route.work_class,
+                f'a class of {route.service}',
+            )
+
+
+def _find_conflicts(parts: Mapping[ServiceName, Part]) -> Iterator[Fault]:
+    taken: set[tuple[str, str]] = set()
+    for route in _list_routes(parts):
+        template = normalise_template(route.path)
+        matches = {(method, template) for method in route.methods}
+        if taken & matches or not is_rest_last(route.path):
+            yield _describe(
+                Code.route_conflict,
+                route.path,
+                f'{route.service}/{route.work_class}',
+                'a path that no other route matches',
+            )
+        taken |= matches
+
+
+def _describe(code: Code, where: str, got: str, expected: str) -> Fault:
+    return Fault(code=code, where=where, got=got, expected=expected)
--- /dev/null
+++ b/wagtaildale/daemon.py
@@ -0,0 +1,141 @@
+"""``wagtaildaled``: one node, beside one backend server."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import sys
+import threading
+from typing import TYPE_CHECKING, Final
+
+import click
+from result import Err
+
+from wagtaildale.errors.codes import Code
+from wagtaildale.node import Node, read_incarnation
+from wagtaildale.settings.load import load_settings
+from wagtaildale.telemetry.events import EventKind, EventRecorder
+from wagtaildale.telemetry.log import open_log
+
+if TYPE_CHECKING:
+    from types import FrameType
+
+    from wagtaildale.errors.faults import Faults
+    from wagtaildale.settings.model import Settings
+
+LOOK_SECONDS: Final = 0.5
+# The default of 5 ms lets one busy thread hold up every call that long.
+SWITCH_SECONDS: Final = 0.0005
+EXIT_SETTINGS: Final = 2
+EXIT_START: Final = 3
+EXIT_CUT: Final = 4
+EXIT_DEFECT: Final = 5
+
+
+class Signals:
+    """Turns signals into what the main thread waits for."""
+
+    def __init__(self, node: Node) -> None:
+        """Take over SIGTERM, SIGINT and SIGHUP.
+
+        Args:
+            node: is told to hurry by a second signal.
+        """
+        self.stopping = threading.Event()
+        self._node = node
+        signal.signal(signal.SIGTERM, self._stop)
+        signal.signal(signal.SIGINT, self._stop)
+        signal.signal(signal.SIGHUP, self._keep)
+
+    def _stop(self, number: int, frame: FrameType | None) -> None:
+        if self.stopping.is_set():
+            self._node.stop.hurry()
+        self.stopping.set()
+
+    def _keep(self, number: int, frame: FrameType | None) -> None:
+        self._node.parts.recorder.record(
+            EventKind.settings_kept,
+            detail='SIGHUP changes nothing: settings are read at the start',
+        )
+
+
+@click.command()
+@click.option(
+    '--settings',
+    'settings_file',
+    required=True,
+    type=click.Path(dir_okay=False),
+    help='TOML file with the settings of this node.',
+)
+@click.option(
+    '--check',
+    is_flag=True,
+    help='Check the settings and exit.',
+)
+def main(settings_file: str, *, check: bool) -> None:
+    """Run one node of the mesh beside its backend server.
+
+    SIGTERM stops it in order: no new work, what is in flight is finished. A
+    second one ends the wait. SIGHUP changes nothing and is noted.
+
+    Args:
+        settings_file: path of the settings.
+        check: only check them.
+    """
+    loaded = load_settings(settings_file)
+    if isinstance(loaded, Err):
+        _complain(loaded.err_value)
+        sys.exit(EXIT_SETTINGS)
+    if not check:
+        sys.exit(run_daemon(loaded.ok_value))
+
+
+def run_daemon(settings: Settings) -> int:
+    """Run a node until a signal stops it.
+
+    Args:
+        settings: checked.
+
+    Returns:
+        Exit code: 0 after a stop that cut nothing.
+    """
+    sys.setswitchinterval(SWITCH_SECONDS)
+    recorder = EventRecorder(
+        settings.instance,
+        read_incarnation(),
+        sink=open_log(level=settings.log.level),
+    )
+    node = Node(settings, recorder=recorder)
+    signals = Signals(node)
+    started = node.start()
+    if isinstance(started, Err):
+        _complain((started.err_value,))
+        return EXIT_START
+    # What was built so far lives as long as the process: leave it out of
+    # every collection, whose pauses would go into the tail of calls.
+    gc.collect()
+    gc.freeze()
+    return _wait(node, signals)
+
+
+def _wait(node: Node, signals: Signals) -> int:
+    while not signals.stopping.wait(LOOK_SECONDS):
+        failure = node.find_failure()
+        if failure is not None:
+            node.parts.recorder.record(
+                EventKind.node_stopped,
+                code=Code.invariant_broken,
+                detail=repr(failure),
+            )
+            node.shut_down()
+            return EXIT_DEFECT
+    return 0 if node.shut_down() else EXIT_CUT
+
+
+def _complain(faults: Faults) -> None:
+    for fault in faults:
+        click.echo(str(fault), err=True)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/wagtaildale/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Spreading documents and membership between nodes."""
--- /dev/null
+++ b/wagtaildale/distribution/bodies.py
@@ -0,0 +1,171 @@
+"""Decides on the body of a message from another node."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Final
+
+from msgspec import Struct
+
+from wagtaildale.distribution.documents import ask_for_delta, take_offer
+from wagtaildale.distribution.messages import Effect, Send
+from wagtaildale.distribution.readers import note_freshness
+from wagtaildale.distribution.state import DistributionState
+from wagtaildale.distribution.wire import (
+    BlobPull,
+    BlobsSent,
+    OutlineSent,
+    Pull,
+    Push,
+    PushSeen,
+    Swap,
+)
+from wagtaildale.document.messages import (
+    BlobsOffered,
+    DeltaOffered,
+    OutlineOffered,
+)
+from wagtaildale.document.model import make_delta, make_outline
+from wagtaildale.types import InstanceId, Kind, NodeState, Version
+
+BLOBS_BYTES: Final = 1_000_000
+
+
+class Context(Struct, frozen=True, kw_only=True):
+    """Around a body: who sent it, when it came, whose state it moves."""
+
+    state: DistributionState
+    sender: InstanceId
+    now: float
+
+
+@singledispatch
+def decide_body(body: object, context: Context) -> list[Effect]:
+    """Decide on one body.
+
+    Args:
+        body: what another node said.
+        context: who said it and when.
+
+    Returns:
+        What to do.
+
+    Raises:
+        TypeError: for a body that no node knows.
+    """
+    raise TypeError(f'got {body!r}, expected the body of a message')
+
+
+@decide_body.register
+def _decide_swap(body: Swap, context: Context) -> list[Effect]:
+    state = context.state
+    effects: list[Effect] = []
+    for holding in body.holdings:
+        note_freshness(state, holding=holding, now=context.now)
+        _clear_push(context, holding.kind, holding.version)
+        if holding.version > state.stores[holding.kind].held.version:
+            ask = ask_for_delta(state, kind=holding.kind, peer=context.sender)
+            effects.append(ask)
+    state.awaiting.pop(context.sender, None)
+    if body.is_reply:
+        _note_joining(context)
+    else:
+        reply = Swap(state.describe_all(context.now), is_reply=True)
+        effects.append(Send(to=context.sender, body=reply))
+    return effects
+
+
+@decide_body.register
+def _decide_push(body: Push, context: Context) -> list[Effect]:
+    kind = body.delta.kind
+    effects = take_offer(
+        context.state,
+        kind=kind,
+        offer=DeltaOffered(delta=body.delta, origin=context.sender),
+        now=context.now,
+        from_tree=True,
+    )
+    note_freshness(context.state, holding=body.holding, now=context.now)
+    seen = PushSeen(kind, body.delta.version)
+    return [Send(to=context.sender, body=seen), *effects]
+
+
+@decide_body.register
+def _decide_seen(body: PushSeen, context: Context) -> list[Effect]:
+    _clear_push(context, body.kind, body.version)
+    return []
+
+
+@decide_body.register
+def _decide_pull(body: Pull, context: Context) -> list[Effect]:
+    state = context.state
+    context.state.pushes.pop((context.sender, body.kind), None)
+    store = state.stores[body.kind]
+    if body.version >= store.held.version:
+        return []
+    base = store.find_version(body.version, body.digest)
+    if base is None:
+        outline = OutlineSent(make_outline(store.held))
+        return [Send(to=context.sender, body=outline)]
+    holding = state.describe_holding(body.kind, context.now)
+    push = Push(make_delta(base, target=store.held), holding)
+    return [Send(to=context.sender, body=push)]
+
+
+@decide_body.register
+def _decide_outline(body: OutlineSent, context: Context) -> list[Effect]:
+    return take_offer(
+        context.state,
+        kind=body.outline.kind,
+        offer=OutlineOffered(outline=body.outline, origin=context.sender),
+        now=context.now,
+    )
+
+
+@decide_body.register
+def _decide_blob_pull(body: BlobPull, context: Context) -> list[Effect]:
+    store = context.state.stores[body.kind]
+    found = [store.find_blob(digest) for digest in body.digests]
+    return [
+        Send(to=context.sender, body=BlobsSent(body.kind, batch))
+        for batch in _batch([blob for blob in found if blob is not None])
+    ]
+
+
+@decide_body.register
+def _decide_blobs(body: BlobsSent, context: Context) -> list[Effect]:
+    return take_offer(
+        context.state,
+        kind=body.kind,
+        offer=BlobsOffered(
+            kind=body.kind,
+            blobs=body.blobs,
+            origin=context.sender,
+        ),
+        now=context.now,
+    )
+
+
+def _clear_push(context: Context, kind: Kind, version: Version) -> None:
+    key = (context.sender, kind)
+    push = context.state.pushes.get(key)
+    if push is not None and push.version <= version:
+        context.state.pushes.pop(key)
+
+
+def _note_joining(context: Context) -> None:
+    state = context.state
+    if state.members.state is NodeState.joining:
+        state.joining.peers.add(context.sender)
+
+
+def _batch(blobs: list[bytes]) -> list[tuple[bytes, ...]]:
+    batches: list[list[bytes]] = [[]]
+    size = 0
+    for blob in blobs:
+        if size + len(blob) > BLOBS_BYTES and batches[-1]:
+            batches.append([])
+            size = 0
+        batches[-1].append(blob)
+        size += len(blob)
+    return [tuple(batch) for batch in batches if batch]
--- /dev/null
+++ b/wagtaildale/distribution/checks.py
@@ -0,0 +1,50 @@
+"""How each kind of document is judged as a whole."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Final
+
+from result import Err, Ok, Result
+
+from wagtaildale.configuration.whole import check_parts
+from wagtaildale.membership.records import check_records
+from wagtaildale.types import Kind
+
+if TYPE_CHECKING:
+    from wagtaildale.document.model import Document
+    from wagtaildale.errors.faults import Fault
+
+
+def check_configuration(document: Document) -> Result[None, Fault]:
+    """Check that every route of a version has its service and class.
+
+    Args:
+        document: all parts.
+
+    Returns:
+        Nothing, or the fault.
+    """
+    checked = check_parts(document.blobs)
+    return checked if isinstance(checked, Err) else Ok(None)
+
+
+def check_instances(document: Document) -> Result[None, Fault]:
+    """Check that every record of a list can be read.
+
+    Args:
+        document: all records.
+
+    Returns:
+        Nothing, or the fault.
+    """
+    checked = check_records(document.blobs)
+    return checked if isinstance(checked, Err) else Ok(None)
+
+
+CHECKS: Final = MappingProxyType(
+    {
+        Kind.configuration: check_configuration,
+        Kind.instances: check_instances,
+    },
+)
--- /dev/null
+++ b/wagtaildale/distribution/decisions.py
@@ -0,0 +1,201 @@
+"""Decides on every message to the distribution task.
+
+Deterministic but for random picks of peers: no clock and no socket is
+touched here. ``task`` carries the effects out.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Final
+
+from wagtaildale.distribution import messages
+from wagtaildale.distribution.bodies import Context, decide_body
+from wagtaildale.distribution.documents import take_offer
+from wagtaildale.distribution.joining import review_ready
+from wagtaildale.distribution.pushes import resend_pushes
+from wagtaildale.distribution.readers import (
+    note_confirmed,
+    read_while_joining,
+    review_appointment,
+)
+from wagtaildale.distribution.state import DistributionState
+from wagtaildale.distribution.swaps import swap_digests, tell_fleet
+from wagtaildale.distribution.wire import Swap
+from wagtaildale.document.messages import BlobsOffered, OutlineOffered
+from wagtaildale.membership.decisions import expire_suspects, merge_news
+from wagtaildale.membership.state import find_topology
+from wagtaildale.timers.messages import Tick, TimerName, WokeLate
+from wagtaildale.types import NodeState
+
+
+LEAVING_TELLS: Final = 8
+
+
+@singledispatch
+def decide(
+    message: object,
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    """Decide on one message.
+
+    Args:
+        message: what has come.
+        state: the node; moved forward in place.
+        now: seconds.
+
+    Returns:
+        What to do.
+
+    Raises:
+        TypeError: for a message that this task does not know.
+    """
+    raise TypeError(f'got {message!r}, expected a message of this task')
+
+
+@decide.register
+def _decide_received(
+    message: messages.Received,
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    envelope = message.envelope
+    taken = merge_news(state.members, heard=envelope.news, now=now)
+    context = Context(state=state, sender=envelope.sender, now=now)
+    effects = decide_body(envelope.body, context)
+    return [*tell_fleet(taken), *effects, *review_ready(state, now=now)]
+
+
+@decide.register
+def _decide_tick(
+    message: Tick,
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    if message.name is TimerName.digest:
+        return swap_digests(state, now=now)
+    taken = expire_suspects(state.members, now=now)
+    return [
+        *tell_fleet(taken),
+        *review_appointment(state, now=now),
+        *read_while_joining(state, now=now),
+        *review_ready(state, now=now),
+    ]
+
+
+@decide.register
+def _decide_woke(
+    message: WokeLate,
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    # Failure: a paused process wakes and acts on what it knew before. What
+    # it was about to send is dropped and nobody is blamed for replies that
+    # this node slept through; the next swap brings its view up to date.
+    state.pushes.clear()
+    state.awaiting.clear()
+    return swap_digests(state, now=now)
+
+
+@decide.register
+def _decide_wake(
+    message: messages.Wake,
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    return resend_pushes(state, now=now)
+
+
+@decide.register
+def _decide_source_read(
+    message: messages.SourceRead,
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    outline = message.outline
+    kind = outline.kind
+    if outline.version >= state.stores[kind].held.version:
+        note_confirmed(state, kind=kind, now=now)
+    effects = take_offer(
+        state,
+        kind=kind,
+        offer=OutlineOffered(outline=outline),
+        now=now,
+    )
+    if message.blobs:
+        offer = BlobsOffered(kind=kind, blobs=message.blobs)
+        effects = [
+            *(each for each in effects if not _is_read(each)),
+            *take_offer(state, kind=kind, offer=offer, now=now),
+        ]
+    return [*effects, *review_ready(state, now=now)]
+
+
+@decide.register
+def _decide_source_confirmed(
+    message: messages.SourceConfirmed,
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    if message.version >= state.stores[message.kind].held.version:
+        note_confirmed(state, kind=message.kind, now=now)
+    return review_ready(state, now=now)
+
+
+@decide.register
+def _decide_source_blobs(
+    message: messages.SourceBlobs,
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    offer = BlobsOffered(kind=message.kind, blobs=message.blobs)
+    effects = take_offer(state, kind=message.kind, offer=offer, now=now)
+    return [*effects, *review_ready(state, now=now)]
+
+
+@decide.register
+def _decide_source_failed(
+    message: messages.SourceFailed,
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    return []
+
+
+@decide.register
+def _decide_leave(
+    message: messages.Leave,
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    if state.members.state is NodeState.leaving:
+        return []
+    state.members.state = NodeState.leaving
+    swap = Swap(state.describe_all(now), is_reply=False)
+    topology = find_topology(state.members)
+    told = dict.fromkeys((*topology.neighbours, *topology.tree))
+    told.pop(state.members.own.instance, None)
+    sends = [
+        messages.Send(to=peer, body=swap)
+        for peer in tuple(told)[:LEAVING_TELLS]
+    ]
+    return [
+        messages.StateChanged(state=NodeState.leaving),
+        *review_appointment(state, now=now),
+        *sends,
+    ]
+
+
+def _is_read(effect: messages.Effect) -> bool:
+    return isinstance(effect, messages.ReadBlobs)
--- /dev/null
+++ b/wagtaildale/distribution/effects.py
@@ -0,0 +1,165 @@
+"""Carries out what was decided: send, swap the view, record."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from types import MappingProxyType
+from typing import Final, Protocol
+
+from wagtaildale.distribution import messages
+from wagtaildale.distribution.around import Surroundings
+from wagtaildale.distribution.state import DistributionState
+from wagtaildale.distribution.wire import Body
+from wagtaildale.invariants import Invariant
+from wagtaildale.telemetry.events import EventKind
+from wagtaildale.types import InstanceId, Kind, NodeState
+
+PEER_EVENTS: Final = MappingProxyType(
+    {
+        NodeState.suspect: EventKind.peer_suspected,
+        NodeState.dead: EventKind.peer_dead,
+        NodeState.leaving: EventKind.peer_leaving,
+    },
+)
+
+
+class Sender(Protocol):
+    """The task whose effects are carried out."""
+
+    state: DistributionState
+    around: Surroundings
+
+    def send(self, instance: InstanceId, body: Body) -> None:
+        """Send a message to an instance.
+
+        Args:
+            instance: the receiver.
+            body: what to say.
+        """
+
+    def send_seed(self, address: str, body: Body) -> None:
+        """Send a message to whoever listens at an address.
+
+        Args:
+            address: from the settings.
+            body: what to say.
+        """
+
+
+@singledispatch
+def carry_out(effect: object, sender: Sender) -> None:
+    """Carry out one effect of a decision.
+
+    Args:
+        effect: what was decided.
+        sender: whose sockets and surroundings are used.
+
+    Raises:
+        TypeError: for an effect that this task does not know.
+    """
+    raise TypeError(f'got {effect!r}, expected an effect')
+
+
+@carry_out.register
+def _send(effect: messages.Send, sender: Sender) -> None:
+    sender.send(effect.to, effect.body)
+
+
+@carry_out.register
+def _send_seed(effect: messages.SendSeed, sender: Sender) -> None:
+    sender.send_seed(effect.address, effect.body)
+
+
+@carry_out.register
+def _watch(effect: messages.Watch, sender: Sender) -> None:
+    sender.around.watches[effect.kind].put(effect)
+    kind = EventKind.reader_stepped_down
+    if effect.appointed:
+        kind = EventKind.reader_appointed
+    sender.around.recorder.record(
+        kind,
+        subject=effect.kind.name,
+        detail=f'rank {effect.rank}',
+    )
+
+
+@carry_out.register
+def _read_source(effect: messages.ReadSource, sender: Sender) -> None:
+    sender.around.fetches.put(effect)
+
+
+@carry_out.register
+def _read_blobs(effect: messages.ReadBlobs, sender: Sender) -> None:
+    sender.around.fetches.put(effect)
+
+
+@carry_out.register
+def _move(effect: messages.Moved, sender: Sender) -> None:
+    document = effect.document
+    around = sender.around
+    around.invariants.hold(
+        Invariant.version_rises,
+        holds=document.version > effect.before.version,
+        detail=f'{effect.before.version} to {document.version}',
+    )
+    if document.kind is Kind.configuration:
+        around.view.take_configuration(document)
+        kind = EventKind.version_applied
+    else:
+        around.view.take_instances(document)
+        around.view.take_away(sender.state.members.list_away())
+        kind = EventKind.instances_applied
+    around.recorder.record(
+        kind,
+        version=document.version,
+        subject=document.digest.hex(),
+    )
+
+
+@carry_out.register
+def _change_fleet(
+    effect: messages.FleetChanged,
+    sender: Sender,
+) -> None:
+    sender.around.view.take_away(sender.state.members.list_away())
+    for taken in effect.taken:
+        kind = PEER_EVENTS.get(taken.news.state)
+        if kind is not None:
+            sender.around.recorder.record(kind, subject=taken.news.instance)
+
+
+@carry_out.register
+def _change_state(
+    effect: messages.StateChanged,
+    sender: Sender,
+) -> None:
+    sender.around.states.append(effect.state)
+    kind = EventKind.node_leaving
+    if effect.state is NodeState.ready:
+        kind = EventKind.node_ready
+    held = sender.state.stores[Kind.configuration].held
+    sender.around.recorder.record(kind, version=held.version)
+
+
+@carry_out.register
+def _refuse(effect: messages.Refused, sender: Sender) -> None:
+    rejected = effect.rejected
+    kind = EventKind.version_ignored
+    if rejected.fresh:
+        kind = EventKind.version_refused
+    sender.around.recorder.record(
+        kind,
+        code=rejected.fault.code,
+        version=rejected.version,
+        subject=rejected.kind.name,
+        detail=str(rejected.fault),
+    )
+
+
+@carry_out.register
+def _note_behind(effect: messages.PeerBehind, sender: Sender) -> None:
+    sender.around.recorder.record(
+        EventKind.push_unseen,
+        version=effect.version,
+        subject=effect.peer,
+    )
--- /dev/null
+++ b/wagtaildale/distribution/messages.py
@@ -0,0 +1,161 @@
+"""What the distribution task is told, and what it does."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from wagtaildale.distribution.wire import Body, Envelope
+from wagtaildale.document.messages import Rejected
+from wagtaildale.document.model import Document, Outline
+from wagtaildale.errors.codes import Code
+from wagtaildale.membership.decisions import NewsTaken
+from wagtaildale.types import Digest, InstanceId, Kind, NodeState, Version
+
+
+class Received(Struct, frozen=True, kw_only=True):
+    """A message from another node."""
+
+    envelope: Envelope
+
+
+class SourceRead(Struct, frozen=True, kw_only=True):
+    """The platform gave a version.
+
+    Attributes:
+        outline: the entries it names.
+        blobs: those that came along.
+    """
+
+    outline: Outline
+    blobs: tuple[bytes, ...] = ()
+
+
+class SourceConfirmed(Struct, frozen=True, kw_only=True):
+    """The platform's watch ended with nothing new.
+
+    Attributes:
+        kind: which document.
+        version: that the platform gave last.
+    """
+
+    kind: Kind
+    version: Version
+
+
+class SourceBlobs(Struct, frozen=True, kw_only=True):
+    """The platform gave blobs that were asked for.
+
+    Attributes:
+        kind: of which document.
+        blobs: what it had.
+        missing: what it did not have.
+    """
+
+    kind: Kind
+    blobs: tuple[bytes, ...]
+    missing: tuple[Digest, ...] = ()
+
+
+class SourceFailed(Struct, frozen=True, kw_only=True):
+    """The platform did not answer, or refused."""
+
+    kind: Kind
+    code: Code
+    detail: str
+
+
+class Leave(Struct, frozen=True, kw_only=True):
+    """This node begins its planned stop."""
+
+
+class Wake(Struct, frozen=True, kw_only=True):
+    """Time has passed: resend what is due."""
+
+
+class Send(Struct, frozen=True, kw_only=True):
+    """Send a message to a node."""
+
+    to: InstanceId
+    body: Body
+
+
+class SendSeed(Struct, frozen=True, kw_only=True):
+    """Send a message to an address from the settings."""
+
+    address: str
+    body: Body
+
+
+class Watch(Struct, frozen=True, kw_only=True):
+    """Watch the platform for one document, or stop watching."""
+
+    kind: Kind
+    appointed: bool
+    rank: int
+
+
+class ReadSource(Struct, frozen=True, kw_only=True):
+    """Read one document from the platform once."""
+
+    kind: Kind
+
+
+class ReadBlobs(Struct, frozen=True, kw_only=True):
+    """Read blobs from the platform.
+
+    Attributes:
+        kind: of which document.
+        digests: which blobs.
+        foremost: whether this node is its data centre's first reader, who
+            reads faster than the others.
+    """
+
+    kind: Kind
+    digests: tuple[Digest, ...]
+    foremost: bool
+
+
+class Moved(Struct, frozen=True, kw_only=True):
+    """A document moved to a later version here."""
+
+    before: Document
+    document: Document
+
+
+class FleetChanged(Struct, frozen=True, kw_only=True):
+    """News changed who is away."""
+
+    taken: tuple[NewsTaken, ...]
+
+
+class StateChanged(Struct, frozen=True, kw_only=True):
+    """This node joined, became ready or leaves."""
+
+    state: NodeState
+
+
+class Refused(Struct, frozen=True, kw_only=True):
+    """An offered version was not taken."""
+
+    rejected: Rejected
+
+
+class PeerBehind(Struct, frozen=True, kw_only=True):
+    """A push was not seen: its receiver's children are served instead."""
+
+    peer: InstanceId
+    version: Version
+
+
+Effect = (
+    Send
+    | SendSeed
+    | Watch
+    | ReadSource
+    | ReadBlobs
+    | Moved
+    | FleetChanged
+    | StateChanged
+    | Refused
+    | PeerBehind
+)
--- /dev/null
+++ b/wagtaildale/distribution/readers.py
@@ -0,0 +1,164 @@
+"""Who watches the platform: by rank, without an election.
+
+The best-ranked nodes of each data centre watch. The next ones appoint
+themselves when nobody has confirmed the platform for long, one rank after
+the other, and step down when a better rank confirms again. Two views that
+differ give too many readers for a while, which is waste and never an error.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Final
+
+from wagtaildale.distribution.messages import ReadSource, Watch
+from wagtaildale.distribution.state import (
+    MILLISECONDS,
+    UNKNOWN_AGE,
+    DistributionState,
+)
+from wagtaildale.membership.state import find_topology
+from wagtaildale.types import NO_VERSION, Kind, NodeState
+
+if TYPE_CHECKING:
+    from wagtaildale.distribution.messages import Effect
+    from wagtaildale.distribution.wire import Holding
+
+ASK_PEERS_FIRST_SECONDS: Final = 1.0
+READ_SPREAD_SECONDS: Final = 3.0
+
+
+def review_appointment(
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[Effect]:
+    """Decide whether this node watches the platform.
+
+    Args:
+        state: the node; moved forward in place.
+        now: seconds.
+
+    Returns:
+        Watches to begin or end.
+    """
+    rank = state.find_own_rank(find_topology(state.members).readers)
+    wanted = _is_wanted(state, rank, now)
+    if wanted == state.appointed:
+        return []
+    state.appointed = wanted
+    return [Watch(kind=kind, appointed=wanted, rank=rank) for kind in Kind]
+
+
+def note_confirmed(
+    state: DistributionState,
+    *,
+    kind: Kind,
+    now: float,
+) -> None:
+    """Note that the platform answered this node.
+
+    Args:
+        state: the node; moved forward in place.
+        kind: which document.
+        now: seconds.
+    """
+    fresh = state.freshness[kind]
+    fresh.confirmed_at = now
+    fresh.rank = state.find_own_rank(find_topology(state.members).readers)
+    state.joining.source.add(kind)
+
+
+def note_freshness(
+    state: DistributionState,
+    *,
+    holding: Holding,
+    now: float,
+) -> None:
+    """Note how lately a peer knows the platform confirmed.
+
+    An older version says nothing of freshness: a stale platform confirms
+    it for ever.
+
+    Args:
+        state: the node; moved forward in place.
+        holding: the peer's.
+        now: seconds.
+    """
+    behind = holding.version < state.stores[holding.kind].held.version
+    if behind or holding.age_ms == UNKNOWN_AGE:
+        return
+    fresh = state.freshness[holding.kind]
+    confirmed_at = now - holding.age_ms / MILLISECONDS
+    if confirmed_at > fresh.confirmed_at:
+        fresh.confirmed_at = confirmed_at
+        fresh.rank = holding.rank
+    own = state.find_own_rank(find_topology(state.members).readers)
+    if holding.rank < own:
+        fresh.better_at = max(fresh.better_at, confirmed_at)
+
+
+def read_while_joining(
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[Effect]:
+    """Ask the platform when no peer has brought a version.
+
+    Failure guarded here: the whole fleet starts at once and every node
+    reads. Peers are asked first, and the reads of nodes that know nothing
+    are spread at random over some seconds.
+
+    Args:
+        state: the node; moved forward in place.
+        now: seconds.
+
+    Returns:
+        Reads, if they are due.
+    """
+    joining = state.joining
+    if state.members.state is not NodeState.joining or state.appointed:
+        return []
+    if now - joining.started_at < ASK_PEERS_FIRST_SECONDS:
+        return []
+    if now < joining.next_read:
+        return []
+    first = joining.next_read < joining.started_at
+    joining.next_read = now + random.uniform(0, READ_SPREAD_SECONDS)
+    if first:
+        return []
+    return [
+        ReadSource(kind=kind)
+        for kind, store in state.stores.items()
+        if store.held.version == NO_VERSION
+    ]
+
+
+def _is_wanted(state: DistributionState, rank: int, now: float) -> bool:
+    tuning = state.tuning
+    if state.members.state is NodeState.leaving:
+        return False
+    if state.stores[Kind.instances].held.version == NO_VERSION:
+        return False
+    if rank < tuning.readers:
+        return True
+    spare = rank < tuning.readers + tuning.spare_readers
+    return spare and _is_stale(state, rank, now)
+
+
+def _is_stale(state: DistributionState, rank: int, now: float) -> bool:
+    patience = state.tuning.stale_seconds
+    if state.appointed:
+        return now - _find_better(state) > patience
+    patience += (rank - state.tuning.readers) * state.tuning.step_seconds
+    return now - _find_confirmed(state) > patience
+
+
+def _find_confirmed(state: DistributionState) -> float:
+    oldest = min(fresh.confirmed_at for fresh in state.freshness.values())
+    return max(oldest, state.joining.started_at)
+
+
+def _find_better(state: DistributionState) -> float:
+    oldest = min(fresh.better_at for fresh in state.freshness.values())
+    return max(oldest, state.joining.started_at)
--- /dev/null
+++ b/wagtaildale/distribution/sockets.py
@@ -0,0 +1,206 @@
+"""The ZeroMQ sockets between nodes; owned by the distribution task alone."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Final
+
+import zmq
+from result import Err, Ok, Result
+
+from wagtaildale.errors.codes import Code
+from wagtaildale.errors.faults import Fault
+from wagtaildale.types import InstanceId
+
+if TYPE_CHECKING:
+    from wagtaildale.timers.inbox import Inbox
+
+MOST_PEERS: Final = 64
+QUEUED_MESSAGES: Final = 64
+RECONNECT_MS: Final = 200
+RECONNECT_MOST_MS: Final = 10_000
+MILLISECONDS: Final = 1000
+
+
+class Arrival:
+    """One frame that has come, and by which way an answer goes back."""
+
+    __slots__ = ('frame', 'route')
+
+    def __init__(self, frame: bytes, route: bytes | None) -> None:
+        """Keep frame and way.
+
+        Args:
+            frame: the message.
+            route: the sender's identity at the listening socket; nothing
+                for an answer on a socket this node opened.
+        """
+        self.frame = frame
+        self.route = route
+
+
+class NodeSockets:
+    """One listening socket, and one to each of a bounded set of peers.
+
+    An answer goes back by the connection on which the question came, so
+    two nodes need one connection between them, and a node that is not yet
+    in anybody's list can be answered.
+    """
+
+    def __init__(self) -> None:
+        """Open nothing yet."""
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._context = zmq.Context(io_threads=1)
+        self._listener = self._context.socket(zmq.ROUTER)
+        self._poller = zmq.Poller()
+        self._peers: OrderedDict[str, zmq.Socket[bytes]] = OrderedDict()
+        self._routes: OrderedDict[InstanceId, bytes] = OrderedDict()
+
+    def bind(self, address: str) -> Result[None, Fault]:
+        """Listen for other nodes.
+
+        Args:
+            address: as ZeroMQ writes it.
+
+        Returns:
+            Nothing, or the fault.
+        """
+        _set_options(self._listener)
+        self._listener.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        try:
+            self._listener.bind(address)
+        except zmq.ZMQError as error:
+            fault = Fault(
+                code=Code.address_in_use,
+                where=address,
+                got=str(error),
+                expected='an address that is free',
+            )
+            return Err(fault)
+        self._poller.register(self._listener, zmq.POLLIN)
+        return Ok(None)
+
+    def watch_inbox(self, inbox: Inbox[object]) -> None:
+        """Let a message in an inbox end the wait too.
+
+        Args:
+            inbox: of the task that owns these sockets.
+        """
+        self._poller.register(inbox.fileno(), zmq.POLLIN)
+
+    def wait(self, seconds: float) -> list[Arrival]:
+        """Wait for messages.
+
+        Args:
+            seconds: at most.
+
+        Returns:
+            What has come; none if the time is up or an inbox woke it.
+        """
+        ready = dict(self._poller.poll(round(seconds * MILLISECONDS)))
+        arrivals: list[Arrival] = []
+        if self._listener in ready:
+            arrivals.extend(self._drain_listener())
+        for peer in tuple(self._peers.values()):
+            if peer in ready:
+                arrivals.extend(_drain_peer(peer))
+        self.received_bytes += sum(len(each.frame) for each in arrivals)
+        return arrivals
+
+    def note_route(self, instance: InstanceId, route: bytes | None) -> None:
+        """Remember by which connection an instance can be answered.
+
+        Args:
+            instance: who sent a message.
+            route: by which way, as its ``Arrival`` says.
+        """
+        if route is None:
+            return
+        self._routes[instance] = route
+        self._routes.move_to_end(instance)
+        if len(self._routes) > MOST_PEERS * 4:
+            self._routes.popitem(last=False)
+
+    def answer(self, instance: InstanceId, frame: bytes) -> bool:
+        """Send by the connection on which an instance last spoke.
+
+        Args:
+            instance: the receiver.
+            frame: the message.
+
+        Returns:
+            Whether there was such a connection.
+        """
+        route = self._routes.get(instance)
+        if route is None:
+            return False
+        try:
+            self._listener.send_multipart((route, frame), zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self._routes.pop(instance)
+            return False
+        self.sent_bytes += len(frame)
+        return True
+
+    def send(self, address: str, frame: bytes) -> bool:
+        """Send to an address, over a connection that is opened if need be.
+
+        Args:
+            address: as ZeroMQ writes it.
+            frame: the message.
+
+        Returns:
+            Whether it was taken; a queue that is full takes nothing more.
+        """
+        peer = self._peers.get(address) or self._open(address)
+        self._peers.move_to_end(address)
+        try:
+            peer.send(frame, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return False
+        self.sent_bytes += len(frame)
+        return True
+
+    def close(self) -> None:
+        """Close everything; what is still queued gets a moment to leave."""
+        for peer in self._peers.values():
+            peer.close()
+        self._listener.close()
+        self._context.term()
+
+    def _open(self, address: str) -> zmq.Socket[bytes]:
+        if len(self._peers) >= MOST_PEERS:
+            oldest = self._peers.popitem(last=False)[1]
+            self._poller.unregister(oldest)
+            oldest.close()
+        peer = self._context.socket(zmq.DEALER)
+        _set_options(peer)
+        peer.connect(address)
+        self._poller.register(peer, zmq.POLLIN)
+        self._peers[address] = peer
+        return peer
+
+    def _drain_listener(self) -> list[Arrival]:
+        arrivals: list[Arrival] = []
+        while self._listener.poll(0):
+            frames = self._listener.recv_multipart()
+            arrivals.append(Arrival(frames[-1], frames[0]))
+        return arrivals
+
+
+def _drain_peer(peer: zmq.Socket[bytes]) -> list[Arrival]:
+    arrivals: list[Arrival] = []
+    while peer.poll(0):
+        arrivals.append(Arrival(peer.recv(), None))
+    return arrivals
+
+
+def _set_options(socket: zmq.Socket[bytes]) -> None:
+    # Failure: a peer that was away comes back and gets minutes of old
+    # messages. The queue to it is short, and versions in a message
+    # that are older than what it holds are ignored there.
+    socket.setsockopt(zmq.SNDHWM, QUEUED_MESSAGES)
+    socket.setsockopt(zmq.LINGER, RECONNECT_MS)
+    socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MOST_MS)
--- /dev/null
+++ b/wagtaildale/distribution/state.py
@@ -0,0 +1,167 @@
+"""What the distribution task of a node holds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from msgspec import Struct, field
+
+from wagtaildale.distribution.checks import CHECKS
+from wagtaildale.distribution.wire import Holding
+from wagtaildale.document.state import StoreState, make_store
+from wagtaildale.membership.state import MembershipState
+from wagtaildale.types import InstanceId, Kind, Version
+
+if TYPE_CHECKING:
+    from wagtaildale.distribution.tuning import Tuning
+
+NEVER: Final = float('-inf')
+NO_RANK: Final = 1_000_000
+MILLISECONDS: Final = 1000
+UNKNOWN_AGE: Final = -1
+
+
+class Freshness(Struct, kw_only=True):
+    """How lately somebody confirmed a document at the platform.
+
+    Attributes:
+        confirmed_at: seconds on this node's clock.
+        rank: of the reader that confirmed it.
+        better_at: when one of a better rank than this node confirmed it.
+    """
+
+    confirmed_at: float = NEVER
+    rank: int = NO_RANK
+    better_at: float = NEVER
+
+
+class PushOut(Struct, kw_only=True):
+    """A push that was not seen yet.
+
+    Attributes:
+        version: that was pushed.
+        due: when it is sent again, seconds.
+        tries: how often it was sent.
+    """
+
+    version: Version
+    due: float
+    tries: int
+
+
+class Joining(Struct, kw_only=True):
+    """What a new node has asked before it calls itself ready.
+
+    Attributes:
+        started_at: seconds.
+        peers: who answered.
+        source: documents that the platform answered for.
+        next_read: when the platform is asked (again), seconds.
+    """
+
+    started_at: float
+    peers: set[InstanceId] = field(default_factory=set)
+    source: set[Kind] = field(default_factory=set)
+    next_read: float = NEVER
+
+
+class DistributionState(Struct, kw_only=True):
+    """Documents, fleet and what is under way.
+
+    Attributes:
+        members: the fleet.
+        tuning: the figures.
+        seeds: control addresses from the settings.
+        joining: what was asked since the start.
+        stores: by kind, the document.
+        freshness: by kind, how lately confirmed.
+        pushes: not seen yet, by peer and kind.
+        awaiting: swaps without a reply yet, by peer, since when.
+        appointed: whether this node watches the platform.
+        turn: counts swaps, to take neighbours in turn.
+    """
+
+    members: MembershipState
+    tuning: Tuning
+    seeds: tuple[str, ...]
+    joining: Joining
+    stores: dict[Kind, StoreState]
+    freshness: dict[Kind, Freshness]
+    pushes: dict[tuple[InstanceId, Kind], PushOut] = field(
+        default_factory=dict,
+    )
+    awaiting: dict[InstanceId, float] = field(default_factory=dict)
+    appointed: bool = False
+    turn: int = 0
+
+    def describe_holding(self, kind: Kind, now: float) -> Holding:
+        """Describe the held version of a document and its freshness.
+
+        Args:
+            kind: which document.
+            now: seconds.
+
+        Returns:
+            What goes to other nodes.
+        """
+        held = self.stores[kind].held
+        fresh = self.freshness[kind]
+        age = UNKNOWN_AGE
+        if fresh.confirmed_at != NEVER:
+            age = max(0, round((now - fresh.confirmed_at) * MILLISECONDS))
+        return Holding(kind, held.version, held.digest, age, fresh.rank)
+
+    def describe_all(self, now: float) -> tuple[Holding, ...]:
+        """Describe every document.
+
+        Args:
+            now: seconds.
+
+        Returns:
+            One holding for each kind.
+        """
+        return tuple(self.describe_holding(kind, now) for kind in self.stores)
+
+    def find_own_rank(self, readers: tuple[InstanceId, ...]) -> int:
+        """Find this node's rank among the readers of its data centre.
+
+        Args:
+            readers: best rank first.
+
+        Returns:
+            Its rank from 0.
+        """
+        own = self.members.own.instance
+        return readers.index(own) if own in readers else NO_RANK
+
+
+def make_state(
+    members: MembershipState,
+    *,
+    tuning: Tuning,
+    seeds: tuple[str, ...],
+    now: float,
+) -> DistributionState:
+    """Make the state of a new node.
+
+    Args:
+        members: the fleet, empty but for this node.
+        tuning: the figures.
+        seeds: control addresses from the settings.
+        now: seconds.
+
+    Returns:
+        A state that holds no version.
+    """
+    return DistributionState(
+        members=members,
+        tuning=tuning,
+        seeds=seeds,
+        joining=Joining(started_at=now),
+        stores=_make_stores(),
+        freshness={kind: Freshness() for kind in Kind},
+    )
+
+
+def _make_stores() -> dict[Kind, StoreState]:
+    return {kind: make_store(kind, check=CHECKS[kind]) for kind in Kind}
--- /dev/null
+++ b/wagtaildale/distribution/task.py
@@ -0,0 +1,169 @@
+"""The distribution task: it alone touches the sockets and the state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+from result import Err
+
+from wagtaildale.distribution import messages
+from wagtaildale.distribution.around import Counts, Surroundings
+from wagtaildale.distribution.decisions import decide
+from wagtaildale.distribution.effects import carry_out
+from wagtaildale.distribution.wire import (
+    Envelope,
+    decode_envelope,
+    encode_envelope,
+)
+from wagtaildale.errors.codes import Code
+from wagtaildale.membership.decisions import pick_news
+from wagtaildale.telemetry.events import EventKind
+from wagtaildale.timers.messages import WokeLate
+from wagtaildale.timers.service import LATE_SECONDS, read_clock
+from wagtaildale.types import InstanceId
+
+if TYPE_CHECKING:
+    from wagtaildale.distribution.sockets import Arrival, NodeSockets
+    from wagtaildale.distribution.state import DistributionState
+    from wagtaildale.distribution.wire import Body
+    from wagtaildale.timers.inbox import Inbox
+
+LONGEST_WAIT: Final = 1.0
+ANYBODY: Final = InstanceId('')
+
+
+def find_wait(state: DistributionState, *, now: float) -> float:
+    """Find how long the task may wait for messages.
+
+    Args:
+        state: the node.
+        now: seconds.
+
+    Returns:
+        Seconds until a push is due again, a second at most.
+    """
+    due = (push.due for push in state.pushes.values())
+    return min(LONGEST_WAIT, max(0, min(due, default=now + 1) - now))
+
+
+class DistributionTask:
+    """Takes messages, decides, and carries the effects out."""
+
+    def __init__(
+        self,
+        state: DistributionState,
+        *,
+        sockets: NodeSockets,
+        inbox: Inbox[Any],
+        around: Surroundings,
+    ) -> None:
+        """Prepare; ``run`` does the work.
+
+        Args:
+            state: of a new node.
+            sockets: bound already.
+            inbox: of this task.
+            around: the parts that it talks to.
+        """
+        self.state = state
+        self.around = around
+        self.counts = Counts()
+        self.sockets = sockets
+        self._inbox = inbox
+        self._running = True
+        sockets.watch_inbox(inbox)
+
+    def run(self) -> None:
+        """Work until stopped, then close the sockets."""
+        while self._running:
+            self._step()
+        for message in self._inbox.take_all():
+            self._take(message)
+        self.sockets.close()
+
+    def stop(self) -> None:
+        """End ``run`` within a second."""
+        self._running = False
+
+    def send(self, instance: InstanceId, body: Body) -> None:
+        """Send a message to an instance.
+
+        Args:
+            instance: the receiver.
+            body: what to say.
+        """
+        frame = self._encode(instance, body)
+        record = self.state.members.records.get(instance)
+        self.counts.messages_out += 1
+        if self.sockets.answer(instance, frame):
+            return
+        if record and self.sockets.send(record.control_address, frame):
+            return
+        self.counts.unsent += 1
+
+    def send_seed(self, address: str, body: Body) -> None:
+        """Send a message to whoever listens at an address.
+
+        Args:
+            address: from the settings.
+            body: what to say.
+        """
+        self.counts.messages_out += 1
+        self.sockets.send(address, self._encode(ANYBODY, body))
+
+    def _step(self) -> None:
+        seconds = find_wait(self.state, now=read_clock())
+        expected = read_clock() + seconds
+        arrivals = self.sockets.wait(seconds)
+        now = read_clock()
+        if now - expected > LATE_SECONDS:
+            self._take(WokeLate(now=now, late_by=now - expected))
+        for message in self._inbox.take_all():
+            self._take(message)
+        for arrival in arrivals:
+            self._receive(arrival)
+        if find_wait(self.state, now=read_clock()) == 0:
+            self._take(messages.Wake())
+
+    def _receive(self, arrival: Arrival) -> None:
+        decoded = decode_envelope(arrival.frame)
+        if isinstance(decoded, Err):
+            self.counts.malformed += 1
+            fault = decoded.err_value
+            self._record_refusal(fault.code, fault.got)
+            return
+        envelope = decoded.ok_value
+        # Failure: an address is reused by another instance, and messages
+        # for the old one reach the new one. Each message names whom it is
+        # for, so such a one is dropped here.
+        if envelope.to not in {ANYBODY, self.state.members.own.instance}:
+            self.counts.misdirected += 1
+            self._record_refusal(Code.message_misdirected, envelope.to)
+            return
+        self.counts.messages_in += 1
+        self.sockets.note_route(envelope.sender, arrival.route)
+        self.around.recorder.clock.observe(envelope.stamp)
+        self._take(messages.Received(envelope=envelope))
+
+    def _take(self, message: object) -> None:
+        if isinstance(message, WokeLate):
+            detail = f'{message.late_by:.1f} s'
+            self.around.recorder.record(EventKind.woke_late, detail=detail)
+        for effect in decide(message, self.state, now=read_clock()):
+            carry_out(effect, self)
+
+    def _encode(self, to: InstanceId, body: Body) -> bytes:
+        envelope = Envelope(
+            to=to,
+            news=pick_news(self.state.members, to=to),
+            stamp=self.around.recorder.clock.tick(),
+            body=body,
+        )
+        return encode_envelope(envelope)
+
+    def _record_refusal(self, code: Code, detail: str) -> None:
+        self.around.recorder.record(
+            EventKind.message_refused,
+            code=code,
+            detail=detail,
+        )
--- /dev/null
+++ b/wagtaildale/distribution/tuning.py
@@ -0,0 +1,64 @@
+"""The figures of distribution, offered to operators as one named choice.
+
+What each figure trades, and the sweep that chose it, is in
+docs/design/distribution.md.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from types import MappingProxyType
+from typing import Final, final
+
+from msgspec import Struct
+
+
+@final
+class Spread(Enum):
+    """What a deployment weighs more: convergence time or control bytes."""
+
+    prompt = 'prompt'
+    frugal = 'frugal'
+
+
+class Tuning(Struct, frozen=True, kw_only=True):
+    """The figures behind a choice.
+
+    Attributes:
+        readers: nodes of a data centre that watch the platform.
+        spare_readers: how many more may appoint themselves.
+        fan_out: children of a node in the push tree.
+        swap_seconds: between two swaps of digests.
+        resend_seconds: until an unseen push is sent again.
+        stale_seconds: age of the last confirmation at which the first
+            spare reader appoints itself.
+        step_seconds: more for each further rank.
+        watch_seconds: how long the platform holds a watch open.
+    """
+
+    readers: int = 3
+    spare_readers: int = 9
+    fan_out: int = 4
+    swap_seconds: float = 1.0
+    resend_seconds: float = 0.25
+    stale_seconds: float = 12.0
+    step_seconds: float = 2.0
+    watch_seconds: float = 5.0
+
+
+FRUGAL_READERS: Final = 2
+FRUGAL_SWAP_SECONDS: Final = 3.0
+FRUGAL_STALE_SECONDS: Final = 25.0
+FRUGAL_WATCH_SECONDS: Final = 15.0
+
+TUNINGS: Final = MappingProxyType(
+    {
+        Spread.prompt: Tuning(),
+        Spread.frugal: Tuning(
+            readers=FRUGAL_READERS,
+            swap_seconds=FRUGAL_SWAP_SECONDS,
+            stale_seconds=FRUGAL_STALE_SECONDS,
+            watch_seconds=FRUGAL_WATCH_SECONDS,
+        ),
+    },
+)
--- /dev/null
+++ b/wagtaildale/distribution/wire.py
@@ -0,0 +1,165 @@
+"""Messages between nodes, as MessagePack.
+
+Arrays without field names keep them small: control bytes are one of the two
+measures of the product.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from msgspec import MsgspecError, Struct, msgpack
+from result import Err, Ok, Result
+
+from wagtaildale.document.model import Delta, Outline
+from wagtaildale.errors.codes import Code
+from wagtaildale.errors.faults import Fault
+from wagtaildale.membership.news import News
+from wagtaildale.types import Digest, InstanceId, Kind, Version
+
+LARGEST_MESSAGE: Final = 16_000_000
+
+
+class Holding(Struct, frozen=True, array_like=True):
+    """Which version of one document a node holds, and how fresh it is.
+
+    Attributes:
+        kind: which document.
+        version: held.
+        digest: of that version.
+        age_ms: milliseconds since somebody last confirmed it at the
+            platform, as far as the sender knows; -1 for never.
+        rank: of the reader that confirmed it, in its data centre.
+    """
+
+    kind: Kind
+    version: Version
+    digest: Digest
+    age_ms: int
+    rank: int
+
+
+class Swap(Struct, frozen=True, array_like=True, tag=1):
+    """A digest of the sender's view, swapped between neighbours.
+
+    Attributes:
+        holdings: one for each document.
+        is_reply: whether it answers a swap; replies are not answered.
+    """
+
+    holdings: tuple[Holding, ...]
+    is_reply: bool
+
+
+class Push(Struct, frozen=True, array_like=True, tag=2):
+    """A later version, as a delta.
+
+    Attributes:
+        delta: what changes.
+        holding: the sender's, with its freshness.
+    """
+
+    delta: Delta
+    holding: Holding
+
+
+class PushSeen(Struct, frozen=True, array_like=True, tag=3):
+    """A push has come; the sender holds this version or a later one."""
+
+    kind: Kind
+    version: Version
+
+
+class Pull(Struct, frozen=True, array_like=True, tag=4):
+    """Asks for what leads from a held version to the receiver's."""
+
+    kind: Kind
+    version: Version
+    digest: Digest
+
+
+class OutlineSent(Struct, frozen=True, array_like=True, tag=5):
+    """A version's entries, for one whose base is not remembered."""
+
+    outline: Outline
+
+
+class BlobPull(Struct, frozen=True, array_like=True, tag=6):
+    """Asks for blobs by content hash."""
+
+    kind: Kind
+    digests: tuple[Digest, ...]
+
+
+class BlobsSent(Struct, frozen=True, array_like=True, tag=7):
+    """Blobs that were asked for, as many as the sender has."""
+
+    kind: Kind
+    blobs: tuple[bytes, ...]
+
+
+Body = Swap | Push | PushSeen | Pull | OutlineSent | BlobPull | BlobsSent
+
+
+class Envelope(Struct, frozen=True, array_like=True):
+    """One message between two nodes.
+
+    Attributes:
+        to: the instance meant; empty where only an address is known.
+        news: the sender's own news first, then some of others.
+        stamp: the sender's hybrid logical clock.
+        body: what it is about.
+    """
+
+    to: InstanceId
+    news: tuple[News, ...]
+    stamp: int
+    body: Body
+
+    @property
+    def sender(self) -> InstanceId:
+        """The instance that sent it."""
+        return self.news[0].instance
+
+
+_encoder = msgpack.Encoder()
+_decoder = msgpack.Decoder(Envelope)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Encode a message.
+
+    Args:
+        envelope: the message.
+
+    Returns:
+        MessagePack.
+    """
+    return _encoder.encode(envelope)
+
+
+def decode_envelope(frame: bytes) -> Result[Envelope, Fault]:
+    """Decode a message.
+
+    Args:
+        frame: what a socket gave.
+
+    Returns:
+        The message, or a fault if it is none of ours.
+    """
+    try:
+        envelope = _decoder.decode(frame)
+    except (MsgspecError, RecursionError) as error:
+        return Err(_describe(str(error)))
+    if not envelope.news:
+        return Err(_describe('no sender'))
+    return Ok(envelope)
+
+
+def _describe(got: str) -> Fault:
+    return Fault(
+        code=Code.message_malformed,
+        where='message from a node',
+        got=got,
+        expected='an envelope',
+    )
--- /dev/null
+++ b/wagtaildale/document/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated documents: content-addressed, applied whole or not at all."""
--- /dev/null
+++ b/wagtaildale/document/decisions.py
@@ -0,0 +1,216 @@
+"""Decides what becomes of an offered version.
+
+Deterministic: no clock, no socket. A version is taken whole or not at all,
+never an older one, and one that failed is not tried again.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from wagtaildale.configuration.compiled import hash_part
+from wagtaildale.document.messages import (
+    Applied,
+    BlobsOffered,
+    BlobsWanted,
+    DeltaOffered,
+    OutlineOffered,
+    OutlineWanted,
+    Origin,
+    Rejected,
+    StoreEffect,
+)
+from wagtaildale.document.model import (
+    Document,
+    apply_delta,
+    assemble_document,
+    digest_outline,
+)
+from wagtaildale.document.state import Pending, StoreState
+from wagtaildale.errors.codes import Code
+from wagtaildale.errors.faults import Fault
+from wagtaildale.types import Digest, Version
+
+if TYPE_CHECKING:
+    from wagtaildale.document.model import Outline
+
+
+@singledispatch
+def decide_offer(message: object, state: StoreState) -> list[StoreEffect]:
+    """Decide on one message to a store.
+
+    Args:
+        message: what was offered.
+        state: the store; moved forward in place.
+
+    Returns:
+        What follows from it.
+
+    Raises:
+        TypeError: for a message that no store knows.
+    """
+    raise TypeError(f'got {message!r}, expected an offer to a store')
+
+
+@decide_offer.register
+def _decide_delta(
+    message: DeltaOffered,
+    state: StoreState,
+) -> list[StoreEffect]:
+    delta = message.delta
+    rejected = _judge(state, delta.version, delta.digest)
+    if rejected is not None:
+        return rejected
+    held = state.held
+    if (held.version, held.digest) != (delta.base_version, delta.base_digest):
+        return [OutlineWanted(kind=held.kind, origin=message.origin)]
+    document = apply_delta(held, delta=delta)
+    if document.digest != delta.digest:
+        return [_reject_corrupt(state, document, message.origin)]
+    return _adopt(state, document)
+
+
+@decide_offer.register
+def _decide_outline(
+    message: OutlineOffered,
+    state: StoreState,
+) -> list[StoreEffect]:
+    outline = message.outline
+    digest = digest_outline(outline)
+    rejected = _judge(state, outline.version, digest)
+    if rejected is not None:
+        return rejected
+    pending = state.pending
+    if pending is not None and pending.outline.version > outline.version:
+        return []
+    if pending is None or pending.digest != digest:
+        state.pending = _open_pending(state, outline, digest)
+    return _complete(state, message.origin)
+
+
+@decide_offer.register
+def _decide_blobs(
+    message: BlobsOffered,
+    state: StoreState,
+) -> list[StoreEffect]:
+    pending = state.pending
+    if pending is None:
+        return []
+    missing = set(pending.list_missing())
+    for blob in message.blobs:
+        digest = hash_part(blob)
+        if digest in missing:
+            pending.found[digest] = blob
+    if len(pending.list_missing()) == len(missing):
+        return []
+    return _complete(state, message.origin)
+
+
+def _judge(
+    state: StoreState,
+    version: Version,
+    digest: Digest,
+) -> list[StoreEffect] | None:
+    held = state.held
+    if version == held.version and digest == held.digest:
+        return []
+    if (version, digest) in state.refused:
+        return [_reject(state, version, Code.version_refused)]
+    if version < held.version:
+        return [_reject(state, version, Code.version_older)]
+    if version == held.version:
+        # Failure: a publisher uses a number twice. It shows as nodes with
+        # one version and different routes. Whichever came first stays, so
+        # no node moves without a rising version.
+        return [_reject(state, version, Code.version_reused)]
+    return None
+
+
+def _reject(state: StoreState, version: Version, code: Code) -> Rejected:
+    held = state.held
+    return Rejected(
+        kind=held.kind,
+        version=version,
+        fault=Fault(
+            code=code,
+            where=f'{held.kind.name} version {version}',
+            got=f'version {version}',
+            expected=f'a version above {held.version}',
+        ),
+        fresh=code is Code.version_reused,
+    )
+
+
+def _reject_corrupt(
+    state: StoreState,
+    document: Document,
+    origin: Origin,
+) -> Rejected:
+    fault = Fault(
+        code=Code.delta_mismatch,
+        where=f'{document.kind.name} from {origin or "the platform"}',
+        got=f'digest {document.digest.hex()}',
+        expected='the digest that the delta names',
+    )
+    return Rejected(
+        kind=state.held.kind,
+        version=document.version,
+        fault=fault,
+        fresh=True,
+    )
+
+
+def _open_pending(
+    state: StoreState,
+    outline: Outline,
+    digest: Digest,
+) -> Pending:
+    wanted = set(outline.entries.values())
+    held = state.held
+    found = {
+        held.entries[name]: blob
+        for name, blob in held.blobs.items()
+        if held.entries[name] in wanted
+    }
+    if state.pending is not None:
+        found.update(state.pending.found)
+    return Pending(outline=outline, digest=digest, found=found)
+
+
+def _complete(state: StoreState, origin: Origin) -> list[StoreEffect]:
+    pending = state.pending
+    if pending is None:
+        return []
+    missing = pending.list_missing()
+    if missing:
+        kind = pending.outline.kind
+        return [BlobsWanted(kind=kind, digests=missing, origin=origin)]
+    blobs = {
+        name: pending.found[digest]
+        for name, digest in pending.outline.entries.items()
+    }
+    return _adopt(state, assemble_document(pending.outline, blobs=blobs))
+
+
+def _adopt(state: StoreState, document: Document) -> list[StoreEffect]:
+    pending = state.pending
+    if pending and pending.outline.version <= document.version:
+        state.pending = None
+    verdict = state.check(document)
+    if isinstance(verdict, Err):
+        state.remember_refused(document, verdict.err_value)
+        return [
+            Rejected(
+                kind=document.kind,
+                version=document.version,
+                fault=verdict.err_value,
+                fresh=True,
+            ),
+        ]
+    before = state.held
+    state.history.appendleft(before)
+    state.held = document
+    return [Applied(before=before, document=document)]
--- /dev/null
+++ b/wagtaildale/errors/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered result codes and the faults that carry them."""
--- /dev/null
+++ b/wagtaildale/errors/codes.py
@@ -0,0 +1,127 @@
+"""The numbered result codes, the one source of ``docs/errors.md``."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from types import MappingProxyType
+from typing import Final, final
+
+
+@final
+class Code(IntEnum):
+    """Every result code; the thousands name the duty that reports it."""
+
+    ok = 0
+
+    settings_unreadable = 1001
+    settings_malformed = 1002
+    settings_impossible = 1003
+    secret_unreadable = 1004
+
+    file_unreadable = 2001
+    file_malformed = 2002
+    key_unknown = 2003
+    key_missing = 2004
+    field_invalid = 2005
+    hand_tuning = 2006
+    name_twice = 2007
+    route_conflict = 2008
+    service_missing = 2009
+    class_missing = 2010
+    too_large = 2011
+    version_invalid = 2012
+
+    part_corrupt = 3001
+    part_missing = 3002
+    version_reused = 3003
+    version_older = 3004
+    version_refused = 3005
+    source_unreachable = 3006
+    source_refused = 3007
+    message_malformed = 3008
+    message_misdirected = 3009
+    delta_mismatch = 3010
+
+    request_malformed = 4001
+    request_too_large = 4002
+    no_route = 4003
+    no_configuration = 4004
+    no_upstream = 4005
+    wrong_instance = 4006
+    draining = 4007
+    past_deadline = 4008
+    overloaded = 4009
+    backend_unreachable = 4010
+    backend_cut = 4011
+    outcome_unknown = 4012
+    timed_out = 4013
+    caller_gone = 4014
+    answer_mismatched = 4015
+    lease_ended = 4016
+    retry_budget_spent = 4017
+    key_repeated = 4018
+
+    address_in_use = 5001
+    drain_bound_passed = 5002
+    invariant_broken = 5003
+
+    admin_unauthorised = 6001
+    admin_unreachable = 6002
+    admin_not_found = 6003
+
+
+MEANINGS: Final = MappingProxyType(
+    {
+        Code.ok: 'done',
+        Code.settings_unreadable: 'the settings file cannot be read',
+        Code.settings_malformed: 'a setting is unknown or of a wrong type',
+        Code.settings_impossible: 'settings that cannot hold together',
+        Code.secret_unreadable: 'a file or variable with a secret is missing',
+        Code.file_unreadable: "an operators' file cannot be read",
+        Code.file_malformed: "an operators' file is not TOML",
+        Code.key_unknown: 'a key that no table of this kind has',
+        Code.key_missing: 'a key that must be given is not there',
+        Code.field_invalid: 'a key holds something of a wrong kind or size',
+        Code.hand_tuning: 'weights, addresses or settings of one proxy',
+        Code.name_twice: 'a name is given twice',
+        Code.route_conflict: 'two classes match the same requests',
+        Code.service_missing: 'a route names a service that is not there',
+        Code.class_missing: 'a route names a class that is not there',
+        Code.too_large: 'a part is over the size the platform holds',
+        Code.version_invalid: 'a version that does not rise',
+        Code.part_corrupt: 'a part does not match its content hash',
+        Code.part_missing: 'a manifest names a part nobody could give',
+        Code.version_reused: 'one version number with two contents',
+        Code.version_older: 'a version older than the one held: ignored',
+        Code.version_refused: 'a version failed its check: not applied',
+        Code.source_unreachable: 'the platform does not answer',
+        Code.source_refused: 'the platform refuses reads for now',
+        Code.message_malformed: 'a message between nodes cannot be read',
+        Code.message_misdirected: 'a message meant for another instance',
+        Code.delta_mismatch: 'a delta that does not give what it names',
+        Code.request_malformed: 'the request is not valid HTTP',
+        Code.request_too_large: 'head or body over the limit',
+        Code.no_route: 'no class matches method and path',
+        Code.no_configuration: 'this node holds no configuration yet',
+        Code.no_upstream: 'no instance of the service takes work',
+        Code.wrong_instance: 'meant for another instance or incarnation',
+        Code.draining: 'the instance is leaving',
+        Code.past_deadline: 'the deadline passed before it could run',
+        Code.overloaded: 'no slot in time',
+        Code.backend_unreachable: 'the backend server takes no connection',
+        Code.backend_cut: 'the backend server cut its answer short',
+        Code.outcome_unknown: 'it may have run: no answer came back',
+        Code.timed_out: 'no answer before the deadline',
+        Code.caller_gone: 'the caller hung up',
+        Code.answer_mismatched: 'an answer to another request: dropped',
+        Code.lease_ended: 'the reservation ended before the run came',
+        Code.retry_budget_spent: 'failed, and the retry budget is spent',
+        Code.key_repeated: 'this idempotency key has run already',
+        Code.address_in_use: 'a listening address cannot be bound',
+        Code.drain_bound_passed: 'work in flight outlived the drain bound',
+        Code.invariant_broken: 'an invariant does not hold: a defect',
+        Code.admin_unauthorised: 'token missing or wrong',
+        Code.admin_unreachable: 'the admin address does not answer',
+        Code.admin_not_found: 'no such page of the admin API',
+    },
+)
--- /dev/null
+++ b/wagtaildale/invariants.py
@@ -0,0 +1,77 @@
+"""What must always hold, asserted inside the running program.
+
+The checks are cheap and always on. A broken one is a defect of this
+program: it is recorded with its own event, counted, and the step that broke
+it is not taken.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, final
+
+from wagtaildale.errors.codes import Code
+from wagtaildale.telemetry.events import EventKind
+
+if TYPE_CHECKING:
+    from wagtaildale.telemetry.events import EventRecorder
+
+
+@final
+class Invariant(Enum):
+    """Which one."""
+
+    version_rises = 'no node returns to an older version'
+    route_has_resource = 'no route without its resource'
+    version_whole = 'a version is applied whole or not at all'
+    answer_matches = 'a caller gets the whole answer to its own request'
+    not_run_is_true = 'what is called not run did not run'
+    runs_once = 'a non-idempotent request runs at most once'
+    leaving_gets_none = 'a leaving server admits no new work'
+
+
+class Invariants:
+    """Checks conditions and records what does not hold.
+
+    Example:
+        >>> from wagtaildale.testing.builders import build_recorder
+        >>> invariants = Invariants(build_recorder())
+        >>> invariants.hold(Invariant.runs_once, holds=True)
+        True
+    """
+
+    def __init__(self, recorder: EventRecorder) -> None:
+        """Begin with none broken.
+
+        Args:
+            recorder: gets an event for each break.
+        """
+        self.broken = 0
+        self._recorder = recorder
+
+    def hold(
+        self,
+        invariant: Invariant,
+        *,
+        holds: bool,
+        detail: str = '',
+    ) -> bool:
+        """Check one condition.
+
+        Args:
+            invariant: which one.
+            holds: the condition.
+            detail: what is known of the case.
+
+        Returns:
+            The condition, so that the caller leaves the step undone.
+        """
+        if not holds:
+            self.broken += 1
+            self._recorder.record(
+                EventKind.invariant_broken,
+                code=Code.invariant_broken,
+                subject=invariant.value,
+                detail=detail,
+            )
+        return holds
--- /dev/null
+++ b/wagtaildale/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start, readiness and the planned stop."""
--- /dev/null
+++ b/wagtaildale/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is in the fleet, who neighbours whom, who is suspected."""
--- /dev/null
+++ b/wagtaildale/membership/decisions.py
@@ -0,0 +1,194 @@
+"""Decides on news of the fleet: merge, suspect, refute, pass on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from msgspec import Struct, structs
+
+from wagtaildale.membership.news import AWAY, News, is_newer
+from wagtaildale.membership.state import MembershipState, NewsEntry
+from wagtaildale.types import Incarnation, InstanceId, NodeState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wagtaildale.membership.records import InstanceRecord
+
+MISSES_TO_SUSPECT: Final = 2
+SUSPECT_SECONDS: Final = 6.0
+NEWS_PER_MESSAGE: Final = 16
+
+
+class NewsTaken(Struct, frozen=True, kw_only=True):
+    """News that changed the view of the fleet.
+
+    Attributes:
+        news: what is held now.
+        before: the state held until now, if any.
+    """
+
+    news: News
+    before: NodeState | None
+
+
+def merge_news(
+    state: MembershipState,
+    *,
+    heard: Iterable[News],
+    now: float,
+) -> list[NewsTaken]:
+    """Merge what another node said.
+
+    Failure guarded here: a node is called dead that only was slow, shown by
+    its neighbours sending it nothing more. When it hears so of itself it
+    raises its sequence, which outranks every suspicion of before. A leaving
+    node does not refute: that state is final for its incarnation.
+
+    Args:
+        state: the fleet; moved forward in place.
+        heard: news from a peer.
+        now: seconds.
+
+    Returns:
+        What changed.
+    """
+    taken: list[NewsTaken] = []
+    for news in heard:
+        if news.instance == state.own.instance:
+            _answer_for_self(state, news)
+            continue
+        known = state.find_news(news.instance)
+        if is_newer(news, than=known):
+            _hold(state, news, now)
+            before = known.state if known else None
+            taken.append(NewsTaken(news=news, before=before))
+    return taken
+
+
+def note_missed(
+    state: MembershipState,
+    *,
+    peer: InstanceId,
+    now: float,
+) -> list[NewsTaken]:
+    """Note that a peer did not reply to a digest.
+
+    Args:
+        state: the fleet; moved forward in place.
+        peer: who did not reply.
+        now: seconds.
+
+    Returns:
+        The suspicion, once enough replies are missing.
+    """
+    state.missed[peer] = state.missed.get(peer, 0) + 1
+    if state.missed[peer] < MISSES_TO_SUSPECT:
+        return []
+    unknown = News(peer, Incarnation(0), 0, NodeState.ready)
+    base = state.find_news(peer) or unknown
+    if base.state in AWAY:
+        return []
+    suspicion = structs.replace(base, state=NodeState.suspect)
+    return merge_news(state, heard=(suspicion,), now=now)
+
+
+def expire_suspects(
+    state: MembershipState,
+    *,
+    now: float,
+) -> list[NewsTaken]:
+    """Call dead whoever stayed suspect, and forget whom the list dropped.
+
+    Args:
+        state: the fleet; moved forward in place.
+        now: seconds.
+
+    Returns:
+        What changed.
+    """
+    due = [
+        structs.replace(suspect.news, state=NodeState.dead)
+        for suspect in state.entries.values()
+        if suspect.news.state is NodeState.suspect
+        and now - suspect.since > SUSPECT_SECONDS
+    ]
+    _forget_unlisted(state, now)
+    return merge_news(state, heard=due, now=now)
+
+
+def take_records(
+    state: MembershipState,
+    *,
+    records: dict[InstanceId, InstanceRecord],
+) -> None:
+    """Take the platform's list as it is now.
+
+    Args:
+        state: the fleet; moved forward in place.
+        records: by instance.
+    """
+    state.records = records
+    state.cached = None
+
+
+def pick_news(
+    state: MembershipState,
+    *,
+    to: InstanceId,
+) -> tuple[News, ...]:
+    """Pick news to send along with a message, the freshest first.
+
+    What is held against the receiver itself always goes along, so that it
+    can refute it.
+
+    Args:
+        state: the fleet; counts what is sent.
+        to: the receiver.
+
+    Returns:
+        This node's own news, then some of others.
+    """
+    fresh = [entry for entry in state.entries.values() if entry.sends_left > 0]
+    fresh.sort(key=_read_sends_left, reverse=True)
+    chosen = fresh[:NEWS_PER_MESSAGE]
+    for passed_on in chosen:
+        passed_on.sends_left -= 1
+    held = state.find_news(to)
+    against = [held] if held and held.state in AWAY else []
+    others = dict.fromkeys((*against, *(entry.news for entry in chosen)))
+    return (state.tell_own(), *others)
+
+
+def _read_sends_left(entry: NewsEntry) -> int:
+    return entry.sends_left
+
+
+def _answer_for_self(state: MembershipState, news: News) -> None:
+    own = state.tell_own()
+    if is_newer(news, than=own) and state.state is not NodeState.leaving:
+        state.incarnation = Incarnation(max(own.incarnation, news.incarnation))
+        state.sequence = news.sequence + 1
+
+
+def _hold(state: MembershipState, news: News, now: float) -> None:
+    state.entries[news.instance] = NewsEntry(
+        news=news,
+        since=now,
+        sends_left=state.count_sends(),
+    )
+    if news.state not in AWAY:
+        state.missed.pop(news.instance, None)
+    state.cached = None
+
+
+def _forget_unlisted(state: MembershipState, now: float) -> None:
+    forgotten = [
+        name
+        for name, entry in state.entries.items()
+        if name not in state.records
+        and now - entry.since > SUSPECT_SECONDS * SUSPECT_SECONDS
+    ]
+    for name in forgotten:
+        state.entries.pop(name)
+        state.missed.pop(name, None)
--- /dev/null
+++ b/wagtaildale/membership/records.py
@@ -0,0 +1,138 @@
+"""An instance as the platform's list gives it."""
+
+from __future__ import annotations
+
+from functools import lru_cache
+from typing import TYPE_CHECKING, Annotated, Final
+
+from msgspec import Meta, MsgspecError, Struct, json
+from result import Err, Ok, Result
+
+from wagtaildale.errors.codes import Code
+from wagtaildale.errors.faults import Fault
+from wagtaildale.types import (
+    DataCentre,
+    InstanceId,
+    ListedState,
+    Region,
+    ServiceName,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+DECODED_RECORDS: Final = 8192
+LARGEST_PORT: Final = 65535
+
+Port = Annotated[int, Meta(ge=1, le=LARGEST_PORT)]
+
+
+class InstanceRecord(Struct, frozen=True, kw_only=True):
+    """One backend server instance and the node beside it.
+
+    Attributes:
+        instance: its id; a replacement has another one.
+        service: which service it runs.
+        data_centre: where it stands.
+        region: of which region that is.
+        host: IP number of instance and node.
+        entry_port: where the node takes callers' requests.
+        owner_port: where the node takes calls from other nodes.
+        control_port: where the node takes control messages.
+        admin_port: where the node's administration API answers.
+        state: live or leaving, as the platform sees it.
+    """
+
+    instance: InstanceId
+    service: ServiceName
+    data_centre: DataCentre
+    region: Region
+    host: str
+    entry_port: Port
+    owner_port: Port
+    control_port: Port
+    admin_port: Port
+    state: ListedState = ListedState.live
+
+    @property
+    def control_address(self) -> str:
+        """Where control messages go, as ZeroMQ writes it."""
+        return f'tcp://{self.host}:{self.control_port}'
+
+
+class InstanceList(Struct, frozen=True, kw_only=True):
+    """The platform's list.
+
+    Attributes:
+        index: its own, increasing.
+        instances: all that are live or leaving.
+    """
+
+    index: Annotated[int, Meta(ge=1)]
+    instances: tuple[InstanceRecord, ...]
+
+
+RecordDecoder = json.Decoder(InstanceRecord)
+
+
+@lru_cache(maxsize=DECODED_RECORDS)
+def decode_record(blob: bytes) -> InstanceRecord:
+    """Decode a record; each content is decoded once.
+
+    Args:
+        blob: the record's bytes.
+
+    Returns:
+        The record.
+
+    Raises:
+        ValidationError: of msgspec, when the bytes are no record.
+    """
+    return RecordDecoder.decode(blob)
+
+
+def encode_list(listing: InstanceList) -> dict[str, bytes]:
+    """Give the entries of the instance document.
+
+    Args:
+        listing: the platform's list.
+
+    Returns:
+        By instance id, the record's bytes.
+    """
+    return {
+        str(record.instance): json.encode(record)
+        for record in listing.instances
+    }
+
+
+def check_records(
+    blobs: Mapping[str, bytes],
+) -> Result[dict[InstanceId, InstanceRecord], Fault]:
+    """Check the entries of an instance document.
+
+    Args:
+        blobs: by instance id, the record's bytes.
+
+    Returns:
+        The records, or the first fault.
+    """
+    records: dict[InstanceId, InstanceRecord] = {}
+    for name, blob in blobs.items():
+        try:
+            record = decode_record(blob)
+        except MsgspecError as error:
+            return Err(_describe(name, str(error)))
+        if record.instance != name:
+            return Err(_describe(name, record.instance))
+        records[record.instance] = record
+    return Ok(records)
+
+
+def _describe(name: str, got: str) -> Fault:
+    return Fault(
+        code=Code.part_corrupt,
+        where=f'instance {name}',
+        got=got,
+        expected=f'the record of {name}',
+    )
--- /dev/null
+++ b/wagtaildale/membership/state.py
@@ -0,0 +1,145 @@
+"""What a node knows of the fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from msgspec import Struct, field
+
+from wagtaildale.membership.news import AWAY, News
+from wagtaildale.membership.topology import Place, Topology, compute_topology
+from wagtaildale.types import (
+    Incarnation,
+    InstanceId,
+    ListedState,
+    NodeState,
+)
+
+if TYPE_CHECKING:
+    from wagtaildale.membership.records import InstanceRecord
+
+SPREAD_FACTOR: Final = 4
+
+
+class NewsEntry(Struct, kw_only=True):
+    """News as a node holds it.
+
+    Attributes:
+        news: the latest.
+        since: when it came, seconds.
+        sends_left: how often it is still passed on.
+    """
+
+    news: News
+    since: float
+    sends_left: int
+
+
+class MembershipState(Struct, kw_only=True):
+    """The fleet as one node sees it.
+
+    Attributes:
+        own: the node's place.
+        incarnation: of this process.
+        sequence: raised to refute what is said of this node.
+        state: of this node.
+        records: the platform's list.
+        entries: news by instance.
+        missed: by peer, digests in a row without a reply.
+        cached: the topology, until records or news change.
+    """
+
+    own: Place
+    incarnation: Incarnation
+    sequence: int = 0
+    state: NodeState = NodeState.joining
+    records: dict[InstanceId, InstanceRecord] = field(default_factory=dict)
+    entries: dict[InstanceId, NewsEntry] = field(default_factory=dict)
+    missed: dict[InstanceId, int] = field(default_factory=dict)
+    cached: Topology | None = None
+
+    def tell_own(self) -> News:
+        """Give the news of this node itself.
+
+        Returns:
+            Its incarnation, sequence and state.
+        """
+        return News(
+            self.own.instance,
+            self.incarnation,
+            self.sequence,
+            self.state,
+        )
+
+    def find_news(self, instance: InstanceId) -> News | None:
+        """Give the latest news of an instance.
+
+        Args:
+            instance: of whom.
+
+        Returns:
+            The news, or nothing if none came yet.
+        """
+        entry = self.entries.get(instance)
+        return entry.news if entry else None
+
+    def list_away(self) -> frozenset[InstanceId]:
+        """List who takes no new work.
+
+        Returns:
+            Those the list calls leaving and those whom news calls away.
+        """
+        listed = (
+            record.instance
+            for record in self.records.values()
+            if record.state is ListedState.leaving
+        )
+        told = (
+            name
+            for name, entry in self.entries.items()
+            if entry.news.state in AWAY
+        )
+        return frozenset((*listed, *told))
+
+    def count_sends(self) -> int:
+        """Tell how often news is passed on.
+
+        Returns:
+            A few times the logarithm of the fleet's size, so that news
+            reaches everyone with high probability.
+        """
+        return SPREAD_FACTOR * max(1, len(self.records).bit_length())
+
+    def list_places(self) -> list[Place]:
+        """List who is there, this node included.
+
+        Returns:
+            The listed instances that are neither suspect nor dead.
+        """
+        gone = {
+            name
+            for name, entry in self.entries.items()
+            if entry.news.state in {NodeState.dead, NodeState.suspect}
+        }
+        places = [
+            Place(record.instance, record.data_centre)
+            for record in self.records.values()
+            if record.instance not in gone
+        ]
+        if self.own not in places:
+            places.append(self.own)
+        return places
+
+
+def find_topology(state: MembershipState) -> Topology:
+    """Give a node's neighbours, computed anew after a change.
+
+    Args:
+        state: the fleet; remembers the topology.
+
+    Returns:
+        The topology over all that are not known to be away.
+    """
+    if state.cached is None:
+        state.cached = compute_topology(state.list_places(), own=state.own)
+    return state.cached
--- /dev/null
+++ b/wagtaildale/membership/topology.py
@@ -0,0 +1,203 @@
+"""Who passes what to whom: pure functions of who is in the fleet.
+
+Every node computes these from its own view. Two nodes with different views
+choose differently for a while; that costs a message, never correctness.
+
+Ways weighed are in docs/design/distribution.md.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from functools import lru_cache
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Final
+
+from msgspec import Struct
+
+from wagtaildale.types import DataCentre, InstanceId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+HASH_BYTES: Final = 8
+HASHES_KEPT: Final = 65536
+LOCAL_RINGS: Final = 3
+FLEET_RING: Final = 'fleet'
+
+
+class Place(Struct, frozen=True, array_like=True):
+    """Where an instance stands."""
+
+    instance: InstanceId
+    data_centre: DataCentre
+
+
+@lru_cache(maxsize=HASHES_KEPT)
+def hash_instance(salt: str, instance: InstanceId) -> int:
+    """Hash an instance for one purpose.
+
+    Args:
+        salt: the purpose.
+        instance: its id.
+
+    Returns:
+        64 bits, the same on every node.
+    """
+    text = f'{salt}\0{instance}'.encode()
+    digest = blake2b(text, digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest)
+
+
+def rank_instances(
+    salt: str,
+    *,
+    instances: Iterable[InstanceId],
+) -> list[InstanceId]:
+    """Rank instances by rendezvous hashing.
+
+    Args:
+        salt: the purpose.
+        instances: candidates.
+
+    Returns:
+        Best rank first.
+    """
+    return sorted(instances, key=lambda name: (hash_instance(salt, name), name))
+
+
+def list_local(
+    places: Iterable[Place],
+    *,
+    data_centre: DataCentre,
+) -> list[InstanceId]:
+    """List the instances of one data centre.
+
+    Args:
+        places: the fleet.
+        data_centre: which.
+
+    Returns:
+        Their ids.
+    """
+    return [
+        place.instance for place in places if place.data_centre == data_centre
+    ]
+
+
+def list_children(
+    order: Sequence[InstanceId],
+    *,
+    instance: InstanceId,
+    fan_out: int,
+) -> list[InstanceId]:
+    """List the children of an instance in the tree of its data centre.
+
+    Args:
+        order: the data centre's instances by rank.
+        instance: whose children.
+        fan_out: children of each inner node.
+
+    Returns:
+        At most ``fan_out`` ids; none for a leaf or an unknown instance.
+
+    Example:
+        >>> list_children(['a', 'b', 'c', 'd'], instance='a', fan_out=2)
+        ['b', 'c']
+    """
+    if instance not in order:
+        return []
+    first = order.index(instance) * fan_out + 1
+    return list(order[first : first + fan_out])
+
+
+def find_successor(
+    ring: Sequence[InstanceId],
+    *,
+    salt: str,
+    instance: InstanceId,
+) -> InstanceId | None:
+    """Find who follows an instance on a ring.
+
+    Args:
+        ring: instances ranked by the ring's salt.
+        salt: the ring.
+        instance: who is followed; need not be on the ring itself.
+
+    Returns:
+        The next one, or nothing if there is no other.
+    """
+    if not ring or list(ring) == [instance]:
+        return None
+    key = (hash_instance(salt, instance), instance)
+    index = bisect_right(
+        ring,
+        key,
+        key=lambda name: (hash_instance(salt, name), name),
+    )
+    return ring[index % len(ring)]
+
+
+class Topology(Struct, frozen=True, kw_only=True):
+    """One node's neighbours.
+
+    Attributes:
+        readers: the data centre's instances, best rank for reading first.
+        tree: the data centre's instances in the order of the push tree.
+        neighbours: with whom digests are swapped.
+        roots: the first of the push trees of the other data centres.
+    """
+
+    readers: tuple[InstanceId, ...]
+    tree: tuple[InstanceId, ...]
+    neighbours: tuple[InstanceId, ...]
+    roots: tuple[InstanceId, ...]
+
+
+def compute_topology(
+    places: Sequence[Place],
+    *,
+    own: Place,
+) -> Topology:
+    """Compute a node's neighbours from the fleet.
+
+    Args:
+        places: who is there and not known to be away, the node included.
+        own: the node itself.
+
+    Returns:
+        Its neighbours.
+    """
+    local = list_local(places, data_centre=own.data_centre)
+    rings = [(f'ring{number}', local) for number in range(LOCAL_RINGS)]
+    rings.append((FLEET_RING, [place.instance for place in places]))
+    found = (
+        find_successor(
+            rank_instances(salt, instances=members),
+            salt=salt,
+            instance=own.instance,
+        )
+        for salt, members in rings
+    )
+    neighbours = dict.fromkeys(name for name in found if name is not None)
+    neighbours.pop(own.instance, None)
+    return Topology(
+        readers=tuple(rank_instances('reader', instances=local)),
+        tree=tuple(rank_instances('tree', instances=local)),
+        neighbours=tuple(neighbours),
+        roots=_find_roots(places, own.data_centre),
+    )
+
+
+def _find_roots(
+    places: Sequence[Place],
+    own: DataCentre,
+) -> tuple[InstanceId, ...]:
+    others = {place.data_centre for place in places} - {own}
+    return tuple(
+        rank_instances(
+            'tree',
+            instances=list_local(places, data_centre=data_centre),
+        )[0]
+        for data_centre in sorted(others)
+    )
--- /dev/null
+++ b/wagtaildale/routing/__init__.py
@@ -0,0 +1,1 @@
+"""From a request to its class of work and its upstream."""
--- /dev/null
+++ b/wagtaildale/routing/table.py
@@ -0,0 +1,174 @@
+"""From method and path to the class of work.
+
+A path is split at its slashes first and each segment decoded after, once,
+at the entry: ``%2F`` is never a slash, and no other node matches the path
+again.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+from urllib.parse import unquote_to_bytes
+
+from msgspec import Struct, field
+
+from wagtaildale.configuration.model import Route, WorkClass
+from wagtaildale.configuration.paths import (
+    SegmentKind,
+    classify_segment,
+    split_template,
+)
+from wagtaildale.types import ServiceName
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from wagtaildale.configuration.whole import Configuration
+
+
+DOT_SEGMENTS: Final = frozenset(('.', '..'))
+
+
+class RouteMatch(Struct, frozen=True, kw_only=True):
+    """The class of a request.
+
+    Attributes:
+        service: whose class it is.
+        work_class: the class.
+        template: the path template that matched.
+    """
+
+    service: ServiceName
+    work_class: WorkClass
+    template: str
+
+
+class _Branch(Struct, kw_only=True):
+    """One level of the tree of templates.
+
+    Attributes:
+        literal: by segment, what follows.
+        one: what follows any one segment.
+        rest: matches that take all segments that are left, by method.
+        ends: matches that end here, by method.
+    """
+
+    literal: dict[str, _Branch] = field(default_factory=dict)
+    one: _Branch | None = None
+    rest: dict[str, RouteMatch] = field(default_factory=dict)
+    ends: dict[str, RouteMatch] = field(default_factory=dict)
+
+
+class RoutingTable:
+    """All routes of one version, ready for look-ups; never changed."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        """Build the tree.
+
+        Args:
+            configuration: checked as a whole.
+        """
+        self._root = _Branch()
+        self._matches: list[RouteMatch] = []
+        for part in configuration.parts.values():
+            for route in part.routes:
+                self._add(route, _build_match(configuration, route))
+
+    def find(self, method: str, path: str) -> RouteMatch | None:
+        """Find the class of a request.
+
+        A literal segment goes before ``{name}``, and that before
+        ``{name*}``.
+
+        Args:
+            method: HTTP method.
+            path: path as it came, percent-encoded, without the query.
+
+        Returns:
+            The match, or nothing.
+        """
+        segments = split_path(path)
+        if segments is None:
+            return None
+        return _search(self._root, segments, method)
+
+    def list_matches(self) -> tuple[RouteMatch, ...]:
+        """List what requests can match.
+
+        Returns:
+            One for each route.
+        """
+        return tuple(self._matches)
+
+    def _add(self, route: Route, match: RouteMatch) -> None:
+        self._matches.append(match)
+        branch = self._root
+        for segment in split_template(route.path):
+            kind = classify_segment(segment)
+            if kind is SegmentKind.rest:
+                branch.rest.update(dict.fromkeys(route.methods, match))
+                return
+            branch = _descend(branch, segment, kind)
+        branch.ends.update(dict.fromkeys(route.methods, match))
+
+
+def split_path(path: str) -> list[str] | None:
+    """Split a request's path and decode its segments.
+
+    Args:
+        path: as it came, without the query.
+
+    Returns:
+        Segments, or nothing for a path that is not plain: no leading
+        slash, a dot segment, or bytes that are no UTF-8.
+    """
+    if not path.startswith('/'):
+        return None
+    raw = path[1:].split('/')
+    try:
+        segments = _decode(raw) if '%' in path else raw
+    except UnicodeDecodeError:
+        return None
+    return None if DOT_SEGMENTS.intersection(segments) else segments
+
+
+def _decode(raw: list[str]) -> list[str]:
+    return [unquote_to_bytes(segment).decode() for segment in raw]
+
+
+def _build_match(configuration: Configuration, route: Route) -> RouteMatch:
+    classes = configuration.parts[route.service].classes
+    found = next(each for each in classes if each.name == route.work_class)
+    return RouteMatch(
+        service=route.service,
+        work_class=found,
+        template=route.path,
+    )
+
+
+def _descend(branch: _Branch, segment: str, kind: SegmentKind) -> _Branch:
+    if kind is SegmentKind.literal:
+        return branch.literal.setdefault(segment, _Branch())
+    if branch.one is None:
+        branch.one = _Branch()
+    return branch.one
+
+
+def _search(
+    branch: _Branch,
+    segments: Sequence[str],
+    method: str,
+) -> RouteMatch | None:
+    if not segments:
+        return branch.ends.get(method)
+    following = segments[1:]
+    literal = branch.literal.get(segments[0])
+    if literal is not None:
+        match = _search(literal, following, method)
+        if match is not None:
+            return match
+    if branch.one is not None and segments[0]:
+        match = _search(branch.one, following, method)
+        if match is not None:
+            return match
+    return branch.rest.get(method)
--- /dev/null
+++ b/wagtaildale/routing/view.py
@@ -0,0 +1,84 @@
+"""The one snapshot by which a node routes calls."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from msgspec import Struct, structs
+
+from wagtaildale.configuration.whole import check_parts
+from wagtaildale.membership.records import check_records
+from wagtaildale.routing.table import RoutingTable
+from wagtaildale.types import NO_VERSION, InstanceId, ServiceName, Version
+
+if TYPE_CHECKING:
+    from wagtaildale.document.model import Document
+    from wagtaildale.membership.records import InstanceRecord
+
+
+class FleetView(Struct, frozen=True, kw_only=True):
+    """Routes and instances at one moment; never changed.
+
+    Attributes:
+        version: of the configuration; 0 before the first.
+        table: its routes; nothing before the first version.
+        list_index: of the instance list.
+        upstreams: by service, the listed instances.
+        away: instances that take no new work.
+    """
+
+    version: Version = NO_VERSION
+    table: RoutingTable | None = None
+    list_index: Version = NO_VERSION
+    upstreams: dict[ServiceName, tuple[InstanceRecord, ...]] = {}
+    away: frozenset[InstanceId] = frozenset()
+
+
+class ViewHolder:
+    """Holds the reference that every call reads and one task swaps.
+
+    A reader takes ``current`` once for a call and keeps to it, so that a
+    call never sees half of one version and half of another.
+    """
+
+    def __init__(self) -> None:
+        """Begin with the empty view."""
+        self.current = FleetView()
+
+    def take_configuration(self, document: Document) -> None:
+        """Swap in the routes of a later configuration.
+
+        Args:
+            document: checked before.
+        """
+        configuration = check_parts(document.blobs).unwrap()
+        self.current = structs.replace(
+            self.current,
+            version=document.version,
+            table=RoutingTable(configuration),
+        )
+
+    def take_instances(self, document: Document) -> None:
+        """Swap in a later instance list.
+
+        Args:
+            document: checked before.
+        """
+        records = check_records(document.blobs).unwrap()
+        upstreams: dict[ServiceName, tuple[InstanceRecord, ...]] = {}
+        for record in records.values():
+            known = upstreams.get(record.service, ())
+            upstreams[record.service] = (*known, record)
+        self.current = structs.replace(
+            self.current,
+            list_index=document.version,
+            upstreams=upstreams,
+        )
+
+    def take_away(self, away: frozenset[InstanceId]) -> None:
+        """Swap in who takes no new work.
+
+        Args:
+            away: by the list and by news.
+        """
+        self.current = structs.replace(self.current, away=away)
--- /dev/null
+++ b/wagtaildale/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's own settings."""
--- /dev/null
+++ b/wagtaildale/settings/load.py
@@ -0,0 +1,136 @@
+"""Reads and checks a daemon's settings."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from msgspec import convert, structs
+from result import Err, Ok, Result
+
+from wagtaildale.configuration.files import place_findings, read_text
+from wagtaildale.configuration.shapes import check_shape
+from wagtaildale.errors.codes import Code
+from wagtaildale.errors.faults import Fault, Faults
+from wagtaildale.settings.model import Settings
+
+if TYPE_CHECKING:
+    from wagtaildale.settings.model import AdminSettings
+
+
+def load_settings(path: Path | str) -> Result[Settings, Faults]:
+    """Read and check a settings file.
+
+    Args:
+        path: the TOML file.
+
+    Returns:
+        The settings, or every fault of the file.
+    """
+    text = read_text(path)
+    if isinstance(text, Err):
+        return Err(_recode(text.err_value, Code.settings_unreadable))
+    return parse_settings(text.ok_value, name=str(path))
+
+
+def parse_settings(text: str, *, name: str) -> Result[Settings, Faults]:
+    """Parse and check the text of a settings file.
+
+    Args:
+        text: TOML.
+        name: the file's name, for faults.
+
+    Returns:
+        The settings, or every fault of the text.
+    """
+    try:
+        table = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        return Err((_describe(name, str(error), 'TOML 1.0'),))
+    findings = check_shape(table, shape=Settings)
+    if findings:
+        faults = place_findings(findings, text=text, name=name)
+        return Err(_recode(faults, Code.settings_malformed))
+    settings = convert(table, Settings)
+    faults = _check_together(settings, name)
+    return Err(faults) if faults else Ok(settings)
+
+
+def read_token(settings: AdminSettings) -> Result[str | None, Fault]:
+    """Read the administration API's token.
+
+    Args:
+        settings: where it is found.
+
+    Returns:
+        The token, nothing if none is set, or a fault. The token itself is
+        in no message.
+    """
+    if settings.token_variable is not None:
+        return _read_variable(settings.token_variable)
+    if settings.token_file is None:
+        return Ok(None)
+    text = read_text(settings.token_file)
+    if isinstance(text, Err):
+        return Err(_miss_secret(settings.token_file))
+    token = text.ok_value.strip()
+    return Ok(token) if token else Err(_miss_secret(settings.token_file))
+
+
+def _read_variable(name: str) -> Result[str | None, Fault]:
+    token = os.environ.get(name)
+    return Ok(token) if token else Err(_miss_secret(f'${name}'))
+
+
+def _miss_secret(where: str) -> Fault:
+    return Fault(
+        code=Code.secret_unreadable,
+        where=where,
+        got='nothing',
+        expected='the token',
+    )
+
+
+def _check_together(settings: Settings, name: str) -> Faults:
+    ports = {
+        'entry_port': settings.entry_port,
+        'owner_port': settings.owner_port,
+        'control_port': settings.control_port,
+        'admin_port': settings.admin_port,
+    }
+    if settings.backend.host == settings.host:
+        ports['backend.port'] = settings.backend.port
+    faults = [
+        _describe_impossible(name, key, f'port {port} a second time')
+        for key, port in ports.items()
+        if list(ports.values()).count(port) > 1
+    ]
+    admin = settings.admin
+    if admin.token_file is not None and admin.token_variable is not None:
+        got = 'token_file and token_variable'
+        faults.append(_describe_impossible(name, 'admin', got))
+    return tuple(faults)
+
+
+def _describe_impossible(name: str, key: str, got: str) -> Fault:
+    return Fault(
+        code=Code.settings_impossible,
+        where=f'{name}: {key}',
+        got=got,
+        expected='ports that differ, and one source for each secret',
+    )
+
+
+def _describe(name: str, got: str, expected: str) -> Fault:
+    return Fault(
+        code=Code.settings_malformed,
+        where=name,
+        got=got,
+        expected=expected,
+    )
+
+
+def _recode(faults: Faults, code: Code) -> Faults:
+    return tuple(structs.replace(fault, code=code) for fault in faults)
--- /dev/null
+++ b/wagtaildale/settings/model.py
@@ -0,0 +1,148 @@
+"""The settings of one daemon, as its TOML file gives them."""
+
+from __future__ import annotations
+
+from typing import Annotated, Final
+
+from msgspec import Meta, Struct
+
+from wagtaildale.distribution.tuning import Spread
+from wagtaildale.membership.records import Port
+from wagtaildale.types import DataCentre, InstanceId, Region, ServiceName
+
+NAME_PATTERN: Final = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
+HOST_PATTERN: Final = r'^[0-9a-fA-F.:]+$'
+SEED_PATTERN: Final = r'^tcp://[0-9a-fA-F.:\[\]]+:[0-9]+$'
+URL_PATTERN: Final = '^https?://[^ ]+$'
+LEVEL_PATTERN: Final = '^(debug|info|warning|error)$'
+MOST_SLOTS: Final = 10_000
+MOST_CONNECTIONS: Final = 10_000
+HEAD_BYTES: Final = 32_768
+LEAST_HEAD_BYTES: Final = 1024
+BODY_BYTES: Final = 67_108_864
+CONNECTIONS: Final = 512
+SLOTS: Final = 10
+DRAIN_SECONDS: Final = 30.0
+LONGEST_DRAIN: Final = 600
+
+Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
+Host = Annotated[str, Meta(pattern=HOST_PATTERN)]
+Seed = Annotated[str, Meta(pattern=SEED_PATTERN)]
+Url = Annotated[str, Meta(pattern=URL_PATTERN)]
+Level = Annotated[str, Meta(pattern=LEVEL_PATTERN)]
+
+
+class BackendSettings(Struct, frozen=True, kw_only=True):
+    """The backend server beside the node.
+
+    Attributes:
+        host: its IP number.
+        port: its HTTP port.
+        slots: requests that it runs at once.
+    """
+
+    host: Host
+    port: Port
+    slots: Annotated[int, Meta(ge=1, le=MOST_SLOTS)] = SLOTS
+
+
+class PlatformSettings(Struct, frozen=True, kw_only=True):
+    """The platform's service that is read and watched.
+
+    Attributes:
+        url: its base address.
+        prefix: under which the configuration's keys stand.
+    """
+
+    url: Url
+    prefix: Name = 'wagtaildale'
+
+
+class DistributionSettings(Struct, frozen=True, kw_only=True):
+    """How configuration spreads.
+
+    Attributes:
+        seeds: control addresses of some nodes, asked at the start.
+        spread: what weighs more, convergence time or control bytes.
+    """
+
+    seeds: tuple[Seed, ...] = ()
+    spread: Spread = Spread.prompt
+
+
+class LimitSettings(Struct, frozen=True, kw_only=True):
+    """Limits on what callers send, and on the planned stop.
+
+    Attributes:
+        head_bytes: largest request head.
+        body_bytes: largest request body.
+        connections: callers' connections open at once.
+        drain_seconds: how long a planned stop waits for work in flight.
+    """
+
+    head_bytes: Annotated[int, Meta(ge=LEAST_HEAD_BYTES)] = HEAD_BYTES
+    body_bytes: Annotated[int, Meta(ge=0)] = BODY_BYTES
+    connections: Annotated[int, Meta(ge=1, le=MOST_CONNECTIONS)] = CONNECTIONS
+    drain_seconds: Annotated[float, Meta(gt=0, le=LONGEST_DRAIN)] = (
+        DRAIN_SECONDS
+    )
+
+
+class AdminSettings(Struct, frozen=True, kw_only=True):
+    """Where the administration API's token is found.
+
+    Attributes:
+        token_file: file that holds it.
+        token_variable: environment variable that holds it.
+    """
+
+    token_file: str | None = None
+    token_variable: str | None = None
+
+
+class LogSettings(Struct, frozen=True, kw_only=True):
+    """The log.
+
+    Attributes:
+        level: lowest level that is written.
+    """
+
+    level: Level = 'info'
+
+
+class Settings(Struct, frozen=True, kw_only=True):
+    """Everything that one daemon is told.
+
+    Attributes:
+        instance: id of the instance; a replacement has another one.
+        service: what the backend server beside it runs.
+        data_centre: where the instance stands.
+        region: of which region that is.
+        host: IP number of the instance.
+        entry_port: where callers' requests come.
+        owner_port: where other nodes' calls come.
+        control_port: where control messages come.
+        admin_port: where the administration API answers.
+        backend: the backend server.
+        platform: the platform's service.
+        distribution: how configuration spreads.
+        limits: on callers and the planned stop.
+        admin: the administration API.
+        log: the log.
+    """
+
+    instance: Annotated[InstanceId, Meta(pattern=NAME_PATTERN)]
+    service: Annotated[ServiceName, Meta(pattern=NAME_PATTERN)]
+    data_centre: Annotated[DataCentre, Meta(pattern=NAME_PATTERN)]
+    region: Annotated[Region, Meta(pattern=NAME_PATTERN)]
+    host: Host
+    entry_port: Port
+    owner_port: Port
+    control_port: Port
+    admin_port: Port
+    backend: BackendSettings
+    platform: PlatformSettings
+    distribution: DistributionSettings = DistributionSettings()
+    limits: LimitSettings = LimitSettings()
+    admin: AdminSettings = AdminSettings()
+    log: LogSettings = LogSettings()
--- /dev/null
+++ b/wagtaildale/source/__init__.py
@@ -0,0 +1,1 @@
+"""Reading and watching the platform's service."""
--- /dev/null
+++ b/wagtaildale/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Events, logs and metrics."""
--- /dev/null
+++ b/wagtaildale/telemetry/events.py
@@ -0,0 +1,149 @@
+"""Typed events and the bounded ring each node keeps of them."""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING, Final, final
+
+from msgspec import Struct
+
+from wagtaildale.telemetry.clock import HybridClock, Stamp
+from wagtaildale.types import Incarnation, InstanceId
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+RING_SIZE: Final = 4096
+
+
+@final
+class EventKind(Enum):
+    """What happened."""
+
+    node_started = 'node-started'
+    node_ready = 'node-ready'
+    node_leaving = 'node-leaving'
+    node_stopped = 'node-stopped'
+    woke_late = 'woke-late'
+    version_learned = 'version-learned'
+    version_applied = 'version-applied'
+    version_refused = 'version-refused'
+    version_ignored = 'version-ignored'
+    instances_applied = 'instances-applied'
+    reader_appointed = 'reader-appointed'
+    reader_stepped_down = 'reader-stepped-down'
+    source_failed = 'source-failed'
+    source_recovered = 'source-recovered'
+    peer_suspected = 'peer-suspected'
+    peer_refuted = 'peer-refuted'
+    peer_dead = 'peer-dead'
+    peer_leaving = 'peer-leaving'
+    push_unseen = 'push-unseen'
+    message_refused = 'message-refused'
+    call_failed = 'call-failed'
+    call_refused = 'call-refused'
+    call_retried = 'call-retried'
+    upstream_ejected = 'upstream-ejected'
+    upstream_restored = 'upstream-restored'
+    limit_changed = 'limit-changed'
+    settings_kept = 'settings-kept'
+    invariant_broken = 'invariant-broken'
+
+
+class Event(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One thing that happened on one node.
+
+    Attributes:
+        stamp: hybrid logical clock.
+        node: the instance the node runs on.
+        incarnation: the node's incarnation.
+        kind: what happened.
+        code: numbered result code, 0 where nothing is wrong.
+        version: configuration version or list index it is about, else 0.
+        subject: request id, peer or service it is about.
+        detail: anything more, for a person.
+    """
+
+    stamp: Stamp
+    node: InstanceId
+    incarnation: Incarnation
+    kind: EventKind
+    code: int = 0
+    version: int = 0
+    subject: str = ''
+    detail: str = ''
+
+
+class EventRecorder:
+    """Keeps the latest events in a ring and hands each to the log.
+
+    Example:
+        >>> recorder = EventRecorder(InstanceId('a'), Incarnation(1))
+        >>> recorder.record(EventKind.node_started)
+        >>> len(recorder.read_since(0))
+        1
+    """
+
+    def __init__(
+        self,
+        node: InstanceId,
+        incarnation: Incarnation,
+        *,
+        sink: Callable[[Event], None] | None = None,
+    ) -> None:
+        """Begin an empty ring.
+
+        Args:
+            node: the instance this node runs on.
+            incarnation: of this process.
+            sink: gets each event, as the log does.
+        """
+        self.clock = HybridClock()
+        self._node = node
+        self.incarnation = incarnation
+        self._sink = sink
+        self._ring: deque[Event] = deque(maxlen=RING_SIZE)
+
+    def record(
+        self,
+        kind: EventKind,
+        *,
+        code: int = 0,
+        version: int = 0,
+        subject: str = '',
+        detail: str = '',
+    ) -> None:
+        """Record one event now.
+
+        Args:
+            kind: what happened.
+            code: numbered result code, if something is wrong.
+            version: the version it is about.
+            subject: the request, peer or service it is about.
+            detail: anything more, for a person.
+        """
+        event = Event(
+            stamp=self.clock.tick(),
+            node=self._node,
+            incarnation=self.incarnation,
+            kind=kind,
+            code=code,
+            version=version,
+            subject=subject,
+            detail=detail,
+        )
+        self._ring.append(event)
+        if self._sink is not None:
+            self._sink(event)
+
+    def read_since(self, stamp: int) -> list[Event]:
+        """Give the events after a stamp, oldest first.
+
+        Args:
+            stamp: the last stamp already known; 0 for all.
+
+        Returns:
+            What the ring still holds of them.
+        """
+        return [event for event in tuple(self._ring) if event.stamp > stamp]
--- /dev/null
+++ b/wagtaildale/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Builders and assertions for the tests."""
--- /dev/null
+++ b/wagtaildale/timers/__init__.py
@@ -0,0 +1,1 @@
+"""One timer service that the other parts subscribe to."""
