--- /dev/null
+++ b/demo/summary.py
@@ -0,0 +1,123 @@
+"""The table at the end of the demonstration, and its time line."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+from msgspec import Struct, json
+
+from demo.deployments import Deployment
+from standins.caller import WorkCounts
+from standins.judge import Verdict
+from wagtaildale.cli.output import print_table
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from wagtaildale.telemetry.events import Event
+
+PERCENT = 100
+
+
+class Figures(Struct, frozen=True, kw_only=True):
+    """What the demonstration measured.
+
+    Attributes:
+        deployment: which one ran.
+        version: published last.
+        held: how many running nodes hold it.
+        running: nodes that run at the end.
+        convergence_ms: for each change, until the last node had applied it.
+        control_bytes: sent and received by a node in a second, on average.
+        counts: of the callers, by class.
+        verdict: on the invariants.
+        stop_code: exit code of the planned stop.
+        timeline: file with all events.
+    """
+
+    deployment: Deployment
+    version: int
+    held: int
+    running: int
+    convergence_ms: list[int]
+    control_bytes: float
+    counts: dict[str, WorkCounts]
+    verdict: Verdict
+    stop_code: int
+    timeline: Path
+
+    @property
+    def is_good(self) -> bool:
+        """Whether all invariants held and the change is everywhere."""
+        everywhere = self.held == self.running
+        return self.verdict.is_good and everywhere and self.stop_code == 0
+
+
+def print_summary(figures: Figures) -> None:
+    """Print the figures as two tables.
+
+    Args:
+        figures: of one run.
+    """
+    click.echo()
+    click.echo(figures.deployment.title)
+    rows = [
+        _describe_work(name, counts)
+        for name, counts in sorted(figures.counts.items())
+    ]
+    print_table(
+        ('class', 'calls', 'in target', 'not run', 'unknown', 'lost'),
+        rows=rows,
+    )
+    click.echo()
+    verdict = figures.verdict
+    times = ', '.join(f'{spent} ms' for spent in figures.convergence_ms)
+    print_table(
+        ('figure', 'this run'),
+        rows=(
+            (
+                f'version {figures.version} in force',
+                f'{figures.held} of {figures.running} running nodes',
+            ),
+            ('convergence time of the changes', times),
+            (
+                'control bytes a node a second',
+                f'{figures.control_bytes:.0f}',
+            ),
+            ('bookings run twice', str(verdict.twice)),
+            ('"not run" that had run', str(verdict.lied)),
+            ('answers cut or crossed', str(verdict.wrong)),
+            ('invariants broken', str(verdict.broken)),
+            ('time line', str(figures.timeline)),
+        ),
+    )
+
+
+def write_timeline(events: Sequence[Event], *, folder: Path) -> Path:
+    """Write all events of a run, one to a line.
+
+    Args:
+        events: in causal order.
+        folder: made where it is missing.
+
+    Returns:
+        The file.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / 'timeline.jsonl'
+    path.write_bytes(b'\n'.join(json.encode(event) for event in events))
+    return path
+
+
+def _describe_work(name: str, counts: WorkCounts) -> list[str]:
+    share = PERCENT * counts.in_time / max(1, counts.sent)
+    return [
+        name,
+        str(counts.sent),
+        f'{share:.2f}%',
+        str(counts.not_run),
+        str(counts.unknown),
+        str(counts.lost),
+    ]
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -62,6 +62,7 @@
         connections: opened to it.
         by_request: runs by the request id of the mesh.
         by_key: runs by the caller's own key.
+        by_single_key: the same for POST alone, which must not run twice.
     """
 
     runs: int = 0
@@ -70,6 +71,7 @@
     connections: int = 0
     by_request: dict[str, int] = field(default_factory=dict)
     by_key: dict[str, int] = field(default_factory=dict)
+    by_single_key: dict[str, int] = field(default_factory=dict)
 
 
 class BackendSpec(Struct, kw_only=True):
@@ -123,22 +125,19 @@
         """
         return share > 0 and self._random.random() < share
 
-    def note_run(self, headers: dict[bytes, bytes]) -> None:
+    def note_run(self, headers: dict[bytes, bytes], method: bytes) -> None:
         """Count a run.
 
         Args:
             headers: of the request.
+            method: of the request.
         """
         counts = self.counts
         counts.runs += 1
-        for name, runs in (
-            (REQUEST_FIELD, counts.by_request),
-            (KEY_FIELD, counts.by_key),
-        ):
-            key = headers.get(name)
-            if key is not None:
-                runs.setdefault(key.decode(), 0)
-                runs[key.decode()] += 1
+        _add_run(counts.by_request, headers.get(REQUEST_FIELD))
+        _add_run(counts.by_key, headers.get(KEY_FIELD))
+        if method == b'POST':
+            _add_run(counts.by_single_key, headers.get(KEY_FIELD))
 
     def change(self, body: bytes) -> None:
         """Change how the server behaves.
@@ -159,6 +158,12 @@
         return milliseconds / MILLISECONDS
 
 
+def _add_run(runs: dict[str, int], key: bytes | None) -> None:
+    if key is not None:
+        runs.setdefault(key.decode(), 0)
+        runs[key.decode()] += 1
+
+
 class _Connection(asyncio.Protocol):
     """One connection to a backend server; requests run in turn."""
 
@@ -221,7 +226,7 @@
         backend = self._backend
         backend.running += 1
         seconds = backend.service_seconds
-        backend.note_run(headers)
+        backend.note_run(headers, self._parser.get_method())
         await self._work(seconds)
         if backend.draw(backend.spec.faults.close_share):
             self._transport.close()
--- /dev/null
+++ b/standins/judge.py
@@ -0,0 +1,136 @@
+"""Judges a run: bookings run twice, refusals that lied, invariants."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+from standins.backend import COUNTS_PATH, BackendCounts
+from standins.client import read_json
+from standins.fleet import BACKEND_PORT, Fleet, NodeProcess
+from wagtaildale.admin.model import Timeline
+from wagtaildale.telemetry.events import Event, EventKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from standins.caller import WorkCounts
+
+
+class Verdict(Struct, frozen=True, kw_only=True):
+    """What a run has shown of the invariants.
+
+    Attributes:
+        twice: keys of callers that ran more than once.
+        lied: requests called not run that ran.
+        wrong: answers that were cut or another's.
+        broken: invariants that nodes found broken.
+    """
+
+    twice: int
+    lied: int
+    wrong: int
+    broken: int
+
+    @property
+    def is_good(self) -> bool:
+        """Whether nothing broke."""
+        return not (self.twice or self.lied or self.wrong or self.broken)
+
+
+def judge(
+    fleet: Fleet,
+    *,
+    counts: dict[str, WorkCounts],
+) -> Verdict:
+    """Judge a run by the backend servers' own counts.
+
+    Args:
+        fleet: still running.
+        counts: of the callers, by class.
+
+    Returns:
+        What was found.
+    """
+    runs = count_runs(fleet)
+    not_run = [key for tally in counts.values() for key in tally.keys_not_run]
+    keys = _list_single_runs(fleet)
+    return Verdict(
+        twice=sum(1 for count in keys if count > 1),
+        lied=sum(1 for key in not_run if key in runs),
+        wrong=sum(tally.wrong for tally in counts.values()),
+        broken=_count_broken(fleet),
+    )
+
+
+def count_runs(fleet: Fleet) -> dict[str, int]:
+    """Count the runs of each caller's key over all backend servers.
+
+    Args:
+        fleet: still running.
+
+    Returns:
+        By key.
+    """
+    runs: dict[str, int] = {}
+    for counts in _read_backends(fleet):
+        for key, count in counts.by_key.items():
+            runs[key] = runs.get(key, 0) + count
+    return runs
+
+
+def gather_events(nodes: Iterable[NodeProcess]) -> list[Event]:
+    """Gather the events of running nodes in causal order.
+
+    Args:
+        nodes: those that do not run are left out.
+
+    Returns:
+        By their stamps.
+    """
+    events: list[Event] = []
+    for node in nodes:
+        address = (node.record.host, node.record.admin_port)
+        timeline = read_json(address, '/v1/timeline', Timeline)
+        if timeline is not None:
+            events.extend(timeline.events)
+    return sorted(events, key=_read_stamp)
+
+
+def _read_stamp(event: Event) -> tuple[int, str]:
+    return event.stamp, event.node
+
+
+def _read_backends(fleet: Fleet) -> list[BackendCounts]:
+    found = (
+        read_json(
+            (record.host, BACKEND_PORT),
+            COUNTS_PATH.decode(),
+            BackendCounts,
+        )
+        for record in fleet.records
+    )
+    return [counts for counts in found if counts is not None]
+
+
+def _list_single_runs(fleet: Fleet) -> list[int]:
+    totals: dict[str, int] = {}
+    for counts in _read_backends(fleet):
+        for key, count in counts.by_single_key.items():
+            totals[key] = totals.get(key, 0) + count
+    return list(totals.values())
+
+
+def _count_broken(fleet: Fleet) -> int:
+    broken = EventKind.invariant_broken
+    logged = sum(
+        node.log.read_text().count(f'kind={broken.value}')
+        for node in fleet.nodes
+        if node.log.exists()
+    )
+    reports = (node.report() for node in fleet.nodes if node.is_running())
+    reported = sum(
+        report.invariants_broken for report in reports if report is not None
+    )
+    return max(logged, reported)
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,102 @@
+"""A load of many callers, each a thread."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor, wait
+from typing import TYPE_CHECKING, Final
+
+from msgspec import Struct
+
+from standins.caller import Caller, Work, WorkCounts, sum_counts
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from standins.caller import Address
+
+
+class LoadPlan(Struct, frozen=True, kw_only=True):
+    """What a load does.
+
+    Attributes:
+        mix: classes of work with their weights.
+        callers: at once.
+        calls_per_second: of all callers together.
+        latency_ms: one way from each caller.
+        seed: of all choices.
+    """
+
+    mix: tuple[Work, ...]
+    callers: int
+    calls_per_second: float
+    latency_ms: float = 0
+    seed: int = 1
+
+
+STOP_SECONDS: Final = 60.0
+
+
+class Load:
+    """Callers at work; starts at once."""
+
+    def __init__(self, plan: LoadPlan, *, entries: Sequence[Address]) -> None:
+        """Start every caller.
+
+        Args:
+            plan: what they do.
+            entries: where nodes take requests; read anew for each
+                connection, so that the list may be changed in place.
+        """
+        self._plan = plan
+        self._stopping = threading.Event()
+        self._callers = [
+            Caller(
+                entries,
+                seed=plan.seed + number,
+                latency_ms=plan.latency_ms,
+            )
+            for number in range(plan.callers)
+        ]
+        self._executor = ThreadPoolExecutor(plan.callers)
+        self._futures = [
+            self._executor.submit(self._work, caller, plan.seed + number)
+            for number, caller in enumerate(self._callers)
+        ]
+
+    def count(self) -> dict[str, WorkCounts]:
+        """Add up the counts so far.
+
+        Returns:
+            By class.
+        """
+        return sum_counts(self._callers)
+
+    def stop(self) -> dict[str, WorkCounts]:
+        """End the load after the calls under way.
+
+        Returns:
+            All counts, by class.
+        """
+        self._stopping.set()
+        wait(self._futures, timeout=STOP_SECONDS)
+        self._executor.shutdown(wait=False)
+        for caller in self._callers:
+            caller.close()
+        for future in self._futures:
+            future.result()
+        return self.count()
+
+    def _work(self, caller: Caller, seed: int) -> None:
+        chooser = random.Random(seed)
+        weights = [work.weight for work in self._plan.mix]
+        gap = self._plan.callers / self._plan.calls_per_second
+        due = time.monotonic() + chooser.uniform(0, gap)
+        while not self._stopping.is_set():
+            pause = due - time.monotonic()
+            if pause > 0:
+                self._stopping.wait(pause)
+            due += gap * chooser.uniform(0, 2)
+            caller.call(chooser.choices(self._plan.mix, weights)[0])
