--- /dev/null
+++ b/benchmarks/spread.py
@@ -0,0 +1,232 @@
+"""How a change spreads: convergence time, control bytes, source reads."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+from msgspec import Struct
+
+from benchmarks.figures import Figure, find_percentile
+from standins.fleet import Fleet, FleetOptions, Placement
+from standins.judge import gather_events
+from wagtaildale.configuration.compiled import Compiled, compile_mesh
+from wagtaildale.configuration.files import parse_mesh
+from wagtaildale.telemetry.clock import read_milliseconds
+from wagtaildale.telemetry.events import EventKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MESH_FILE: Final = Path('examples/hailmark.toml')
+SIZES: Final = (6, 12, 30)
+DATA_CENTRES: Final = ('leicester-a', 'leicester-b', 'coventry')
+CHANGES: Final = 5
+CHANGE_SECONDS: Final = 1.5
+IDLE_SECONDS: Final = 10.0
+SETTLE_SECONDS: Final = 20.0
+MILLISECONDS: Final = 1000
+MEDIAN: Final = 50
+WHOLE: Final = 100
+
+
+class Costs(Struct, frozen=True, kw_only=True):
+    """What control has cost the fleet so far.
+
+    Attributes:
+        at: when, seconds.
+        moved: bytes sent and received by all nodes, those read from the
+            platform included.
+        cpu: processor seconds of all nodes.
+        reads: calls to the platform.
+    """
+
+    at: float
+    moved: int
+    cpu: float
+    reads: int
+
+
+class Rates(Struct, frozen=True, kw_only=True):
+    """What control costs.
+
+    Attributes:
+        bytes_per_second: sent and received by a node.
+        cpu_share: of a core, by a node.
+        reads_per_second: by the whole fleet.
+        resident_mb: of the largest node.
+        convergence_ms: each change's, for each node.
+        bytes_per_change: sent and received by a node, over the idle rate.
+    """
+
+    bytes_per_second: float
+    cpu_share: float
+    reads_per_second: float
+    resident_mb: float
+    convergence_ms: list[float]
+    bytes_per_change: float
+
+
+def measure_spread(
+    *,
+    sizes: tuple[int, ...] = SIZES,
+    spread: str = 'prompt',
+) -> Iterator[Figure]:
+    """Measure fleets of several sizes against our own ``direct`` mode.
+
+    Args:
+        sizes: nodes in each fleet.
+        spread: the distribution setting.
+
+    Yields:
+        Convergence, bytes, reads, processor time and memory, by size.
+    """
+    for nodes in sizes:
+        rates = measure_fleet(nodes, spread=spread)
+        base = measure_fleet(nodes, spread='direct')
+        yield from _compare(nodes, rates, base)
+
+
+def measure_fleet(nodes: int, *, spread: str) -> Rates:
+    """Measure one fleet, idle and while changes are published.
+
+    Args:
+        nodes: how many.
+        spread: the distribution setting.
+
+    Returns:
+        What was measured.
+    """
+    placement = Placement(
+        region='midlands',
+        data_centres=DATA_CENTRES,
+        services={'intake': nodes // 2, 'casefiles': nodes - nodes // 2},
+    )
+    options = FleetOptions(spread=spread, log_level='error')
+    with Fleet(placement, options=options) as fleet:
+        fleet.start(compile_version(1))
+        time.sleep(CHANGE_SECONDS * 2)
+        idle = _read_costs(fleet)
+        time.sleep(IDLE_SECONDS)
+        quiet = _read_costs(fleet)
+        spent = [
+            each
+            for version in range(2, 2 + CHANGES)
+            for each in measure_change(fleet, version)
+        ]
+        changed = _read_costs(fleet)
+        return _sum_up(fleet, (idle, quiet, changed), spent)
+
+
+def compile_version(version: int) -> Compiled:
+    """Compile a version that differs from its neighbours in one target.
+
+    Args:
+        version: its number.
+
+    Returns:
+        What is published.
+    """
+    text = MESH_FILE.read_text(encoding='utf-8')
+    text = text.replace('within_ms = 150', f'within_ms = {100 + version}')
+    mesh = parse_mesh(text, name=MESH_FILE.name).unwrap()
+    return compile_mesh(mesh, version=version).unwrap()
+
+
+def measure_change(fleet: Fleet, version: int) -> list[float]:
+    """Publish a version and measure when each running node applied it.
+
+    Args:
+        fleet: running.
+        version: its number.
+
+    Returns:
+        Milliseconds for each node.
+
+    Raises:
+        TimeoutError: when a node does not apply it in time.
+    """
+    running = [node for node in fleet.nodes if node.is_running()]
+    published = time.time() * MILLISECONDS
+    fleet.platform.publish(compile_version(version))
+    deadline = time.monotonic() + SETTLE_SECONDS
+    applied: dict[str, float] = {}
+    while len(applied) < len(running):
+        if time.monotonic() > deadline:
+            raise TimeoutError(f'{len(applied)} of {len(running)} nodes')
+        time.sleep(CHANGE_SECONDS)
+        applied = {
+            event.node: read_milliseconds(event.stamp) - published
+            for event in gather_events(running)
+            if event.kind is EventKind.version_applied
+            and event.version == version
+        }
+    return list(applied.values())
+
+
+def _read_costs(fleet: Fleet) -> Costs:
+    reports = [node.report() for node in fleet.nodes if node.is_running()]
+    known = [report for report in reports if report is not None]
+    between = 2 * sum(report.control.sent_bytes for report in known)
+    return Costs(
+        at=time.monotonic(),
+        moved=between + fleet.platform.counts.answered_bytes,
+        cpu=sum(report.cpu_seconds for report in known),
+        reads=fleet.platform.counts.reads,
+    )
+
+
+def _sum_up(
+    fleet: Fleet,
+    costs: tuple[Costs, Costs, Costs],
+    spent: list[float],
+) -> Rates:
+    idle, quiet, changed = costs
+    nodes = len(fleet.nodes)
+    seconds = quiet.at - idle.at
+    sent = (quiet.moved - idle.moved) / nodes
+    busy = (changed.moved - quiet.moved) / nodes
+    extra = busy - sent / seconds * (changed.at - quiet.at)
+    reports = (node.report() for node in fleet.nodes)
+    return Rates(
+        bytes_per_second=sent / seconds,
+        cpu_share=(quiet.cpu - idle.cpu) / seconds / nodes,
+        reads_per_second=(quiet.reads - idle.reads) / seconds,
+        resident_mb=max(
+            report.resident_bytes / 1e6 for report in reports if report
+        ),
+        convergence_ms=spent,
+        bytes_per_change=extra / CHANGES,
+    )
+
+
+def _compare(nodes: int, rates: Rates, base: Rates) -> Iterator[Figure]:
+    for percent in (MEDIAN, WHOLE):
+        yield Figure(
+            name=f'convergence_p{percent}_ms',
+            amount=find_percentile(rates.convergence_ms, percent=percent),
+            unit='ms',
+            nodes=nodes,
+            baseline='direct',
+            baseline_amount=find_percentile(
+                base.convergence_ms,
+                percent=percent,
+            ),
+        )
+    units = {
+        'bytes_per_second': ('control_bytes_per_node_second', 'B/s'),
+        'bytes_per_change': ('control_bytes_per_node_change', 'B'),
+        'cpu_share': ('control_cpu_share_per_node', 'core'),
+        'reads_per_second': ('source_reads_per_second', '1/s'),
+        'resident_mb': ('node_resident_mb', 'MB'),
+    }
+    for attribute, (name, unit) in units.items():
+        yield Figure(
+            name=name,
+            amount=getattr(rates, attribute),
+            unit=unit,
+            nodes=nodes,
+            baseline='direct',
+            baseline_amount=getattr(base, attribute),
+        )
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -79,6 +79,10 @@
             stop_code=stop_code,
         )
 
+    def close(self) -> None:
+        """End every process."""
+        self._fleet.close()
+
     def _sum_up(
         self,
         counts: dict[str, WorkCounts],
@@ -104,10 +108,6 @@
             timeline=write_timeline(events, folder=OUT),
         )
 
-    def close(self) -> None:
-        """End every process."""
-        self._fleet.close()
-
     def _publish(self, what: str) -> Change:
         compiled = self._compile_next()
         self._say(f'publishing version {self._version}: {what}')
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from types import TracebackType
 
     from wagtaildale.configuration.compiled import Compiled
 
@@ -170,6 +171,29 @@
         self.list_index = 0
         self._backends: list[subprocess.Popen[Any]] = []
 
+    def __enter__(self) -> Fleet:
+        """Use the fleet.
+
+        Returns:
+            Itself.
+        """
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End every process.
+
+        Args:
+            kind: of an error, if one ended the use.
+            error: the error.
+            trace: where it arose.
+        """
+        self.close()
+
     def start(self, compiled: Compiled) -> None:
         """Publish, start everything and wait until every node is ready.
 
--- a/wagtaildale/distribution/bodies.py
+++ b/wagtaildale/distribution/bodies.py
@@ -60,7 +60,8 @@
 def _decide_swap(body: Swap, context: Context) -> list[Effect]:
     state = context.state
     effects: list[Effect] = []
-    for holding in body.holdings:
+    holdings = body.holdings if state.tuning.passes_on else ()
+    for holding in holdings:
         note_freshness(state, holding=holding, now=context.now)
         _clear_push(context, holding.kind, holding.version)
         if holding.version > state.stores[holding.kind].held.version:
--- a/wagtaildale/distribution/pushes.py
+++ b/wagtaildale/distribution/pushes.py
@@ -44,6 +44,8 @@
     Returns:
         What to send.
     """
+    if not state.tuning.passes_on:
+        return []
     own = state.members.own.instance
     targets = _list_children(state, own)
     if not from_tree:
--- a/wagtaildale/distribution/tuning.py
+++ b/wagtaildale/distribution/tuning.py
@@ -15,10 +15,15 @@
 
 @final
 class Spread(Enum):
-    """What a deployment weighs more: convergence time or control bytes."""
+    """What a deployment weighs more: convergence time or control bytes.
+
+    ``direct`` is the baseline of the benchmarks: every node watches the
+    platform for itself and nothing is passed on. It is not for production.
+    """
 
     prompt = 'prompt'
     frugal = 'frugal'
+    direct = 'direct'
 
 
 class Tuning(Struct, frozen=True, kw_only=True):
@@ -34,6 +39,7 @@
             spare reader appoints itself.
         step_seconds: more for each further rank.
         watch_seconds: how long the platform holds a watch open.
+        passes_on: whether nodes tell each other of versions at all.
     """
 
     readers: int = 3
@@ -44,8 +50,10 @@
     stale_seconds: float = 12.0
     step_seconds: float = 2.0
     watch_seconds: float = 5.0
+    passes_on: bool = True
 
 
+EVERY_NODE: Final = 1_000_000
 FRUGAL_READERS: Final = 2
 FRUGAL_SWAP_SECONDS: Final = 3.0
 FRUGAL_STALE_SECONDS: Final = 25.0
@@ -54,6 +62,7 @@
 TUNINGS: Final = MappingProxyType(
     {
         Spread.prompt: Tuning(),
+        Spread.direct: Tuning(readers=EVERY_NODE, passes_on=False),
         Spread.frugal: Tuning(
             readers=FRUGAL_READERS,
             swap_seconds=FRUGAL_SWAP_SECONDS,
