--- /dev/null
+++ b/benchmarks/faulty_node.py
@@ -0,0 +1,76 @@
+"""A node whose sockets lose messages to other nodes, for the soak."""
+
+from __future__ import annotations
+
+import os
+import random
+import sys
+from typing import TYPE_CHECKING, Final
+
+import click
+
+from wagtaildale.daemon import run_daemon
+from wagtaildale.distribution.sockets import NodeSockets
+from wagtaildale.settings.load import load_settings
+
+if TYPE_CHECKING:
+    from wagtaildale.keys.pairs import KeyPair
+    from wagtaildale.types import InstanceId
+
+LOSS_VARIABLE: Final = 'WAGTAILDALE_BENCH_LOSS'
+
+
+class LossySockets(NodeSockets):
+    """Loses a share of all messages that are sent."""
+
+    def __init__(self, keys: tuple[KeyPair, ...] = ()) -> None:
+        """Open nothing yet.
+
+        Args:
+            keys: of the fleet.
+        """
+        super().__init__(keys)
+        self._share = float(os.environ.get(LOSS_VARIABLE, '0'))
+
+    def answer(self, instance: InstanceId, frame: bytes) -> bool:
+        """Send by the connection on which an instance last spoke.
+
+        Args:
+            instance: the receiver.
+            frame: the message.
+
+        Returns:
+            Whether it was taken, as far as the node can tell.
+        """
+        return self._is_lost() or super().answer(instance, frame)
+
+    def send(self, address: str, frame: bytes) -> bool:
+        """Send to an address.
+
+        Args:
+            address: as ZeroMQ writes it.
+            frame: the message.
+
+        Returns:
+            Whether it was taken, as far as the node can tell.
+        """
+        return self._is_lost() or super().send(address, frame)
+
+    def _is_lost(self) -> bool:
+        return random.random() < self._share
+
+
+@click.command()
+@click.option('--settings', 'settings_file', required=True)
+def main(settings_file: str) -> None:
+    """Run one node with lossy sockets.
+
+    Args:
+        settings_file: path of the settings.
+    """
+    settings = load_settings(settings_file).unwrap()
+    sys.exit(run_daemon(settings, make_sockets=LossySockets))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,271 @@
+"""``make soak``: real processes under random faults from a seed.
+
+Invariants are asserted inside the nodes; the backend servers count runs;
+callers check every answer. Exits non-zero on a break and keeps the time
+line.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import sys
+import time
+from functools import partial
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+import click
+from msgspec import Struct, json
+
+from benchmarks.faulty_node import LOSS_VARIABLE
+from benchmarks.spread import compile_version
+from demo.deployments import HAILMARK
+from demo.summary import write_timeline
+from standins.backend import FAULTS_PATH, BackendFaults
+from standins.caller import WorkCounts
+from standins.client import read_json
+from standins.fleet import BACKEND_PORT, Fleet, FleetOptions, NodeProcess
+from standins.judge import Verdict, gather_events, judge
+from standins.load import Load, LoadPlan
+from wagtaildale.configuration.compiled import Compiled, hash_part
+from wagtaildale.configuration.model import Manifest
+from wagtaildale.testing.builders import build_part
+from wagtaildale.types import ServiceName
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CALLERS: Final = 16
+CALLS_PER_SECOND: Final = 120.0
+LOSS: Final = '0.05'
+GAP_SECONDS: Final = 1.5
+LONGEST_PAUSE: Final = 6.0
+SETTLE_SECONDS: Final = 30.0
+OUT: Final = Path('out/soak')
+
+
+class Outcome(Struct, frozen=True, kw_only=True):
+    """What a soak has shown.
+
+    Attributes:
+        verdict: on the invariants.
+        converged: whether a last change reached every node.
+        stops_failed: planned stops that cut work.
+        faults: how many were caused.
+        counts: of the callers.
+    """
+
+    verdict: Verdict
+    converged: bool
+    stops_failed: int
+    faults: int
+    counts: dict[str, WorkCounts]
+
+    @property
+    def is_good(self) -> bool:
+        """Whether nothing broke."""
+        return self.verdict.is_good and self.converged and not self.stops_failed
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, fleet: Fleet, *, seed: int) -> None:
+        """Prepare.
+
+        Args:
+            fleet: started.
+            seed: of all choices.
+        """
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._version = 1
+        self._faults = 0
+        self._stops_failed = 0
+        self._paused: dict[NodeProcess, float] = {}
+
+    def run(self, seconds: float) -> Outcome:
+        """Cause faults for a time, then heal and judge.
+
+        Args:
+            seconds: of faults.
+
+        Returns:
+            What was shown.
+        """
+        plan = LoadPlan(
+            mix=HAILMARK.mix,
+            callers=CALLERS,
+            calls_per_second=CALLS_PER_SECOND,
+        )
+        entries = [
+            (record.host, record.entry_port) for record in self._fleet.records
+        ]
+        load = Load(plan, entries=entries)
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            self._cause_one()
+            time.sleep(self._random.uniform(0, GAP_SECONDS))
+            self._wake_due(time.monotonic())
+        self._heal()
+        counts = load.stop()
+        return Outcome(
+            verdict=judge(self._fleet, counts=counts),
+            converged=self._converges(),
+            stops_failed=self._stops_failed,
+            faults=self._faults,
+            counts=counts,
+        )
+
+    def _cause_one(self) -> None:
+        faults: tuple[Callable[[], None], ...] = (
+            self._kill,
+            self._pause,
+            self._stop_and_start,
+            self._change_platform,
+            self._publish,
+            self._publish_bad,
+            self._change_backend,
+        )
+        self._faults += 1
+        fault = self._random.choice(faults)
+        click.echo(f'fault {self._faults}: {fault.__name__.strip("_")}')
+        fault()
+
+    def _pick(self) -> NodeProcess:
+        return self._random.choice(self._fleet.nodes)
+
+    def _kill(self) -> None:
+        node = self._pick()
+        if node not in self._paused:
+            node.kill()
+            node.start(self._fleet.options)
+
+    def _pause(self) -> None:
+        node = self._pick()
+        if node.is_running() and node not in self._paused:
+            node.signal(signal.SIGSTOP)
+            pause = self._random.uniform(1, LONGEST_PAUSE)
+            self._paused[node] = time.monotonic() + pause
+
+    def _stop_and_start(self) -> None:
+        node = self._pick()
+        if node.is_running() and node not in self._paused:
+            node.terminate()
+            self._stops_failed += node.wait() != 0
+            node.start(self._fleet.options)
+
+    def _change_platform(self) -> None:
+        platform = self._fleet.platform
+        faults = platform.faults
+        changes: tuple[Callable[[], None], ...] = (
+            partial(setattr, faults, 'down', not faults.down),
+            partial(setattr, faults, 'frozen', not faults.frozen),
+            partial(setattr, faults, 'half', not faults.half),
+            platform.restart_index,
+        )
+        self._random.choice(changes)()
+
+    def _publish(self) -> None:
+        self._version += 1
+        self._fleet.platform.publish(compile_version(self._version))
+
+    def _publish_bad(self) -> None:
+        self._version += 1
+        part = build_part('casefiles', routed_to='gone')
+        manifest = Manifest(
+            version=self._version,
+            name='bad',
+            parts={'casefiles': hash_part(part).hex()},
+        )
+        parts = {ServiceName('casefiles'): part}
+        self._fleet.platform.publish(Compiled(manifest=manifest, parts=parts))
+
+    def _change_backend(self) -> None:
+        shares = (0, 0, 0.02, 0.2)
+        faults = BackendFaults(
+            service_ms=self._random.choice((0.5, 2, 20)),
+            cut_share=self._random.choice(shares),
+            close_share=self._random.choice(shares),
+        )
+        self._set_backend(self._pick(), faults)
+
+    def _set_backend(self, node: NodeProcess, faults: BackendFaults) -> None:
+        address = (node.record.host, BACKEND_PORT)
+        path = FAULTS_PATH.decode()
+        read_json(address, path, object, body=json.encode(faults))
+
+    def _wake_due(self, now: float) -> None:
+        due = [node for node, until in self._paused.items() if until <= now]
+        for node in due:
+            self._paused.pop(node)
+            node.signal(signal.SIGCONT)
+
+    def _heal(self) -> None:
+        self._wake_due(float('inf'))
+        faults = self._fleet.platform.faults
+        faults.down = False
+        faults.frozen = False
+        faults.half = False
+        for node in self._fleet.nodes:
+            self._set_backend(node, BackendFaults())
+            if not node.is_running():
+                node.start(self._fleet.options)
+        self._fleet.wait_ready(self._fleet.nodes)
+
+    def _converges(self) -> bool:
+        self._publish()
+        deadline = time.monotonic() + SETTLE_SECONDS
+        while time.monotonic() < deadline:
+            reports = [node.report() for node in self._fleet.nodes]
+            held = {
+                report.documents['configuration'].version if report else 0
+                for report in reports
+            }
+            if held == {self._version}:
+                return True
+        return False
+
+
+@click.command()
+@click.option('--seconds', type=float, default=60)
+@click.option('--seed', type=int, default=1)
+def main(seconds: float, seed: int) -> None:
+    """Soak a small fleet and print one summary line.
+
+    \f
+
+    Args:
+        seconds: of faults.
+        seed: of all choices.
+    """
+    os.environ[LOSS_VARIABLE] = LOSS
+    options = FleetOptions(
+        program='benchmarks.faulty_node',
+        backend=BackendFaults(service_ms=2),
+    )
+    with Fleet(HAILMARK.placement, options=options) as fleet:
+        fleet.start(compile_version(1))
+        outcome = Soak(fleet, seed=seed).run(seconds)
+        timeline = write_timeline(gather_events(fleet.nodes), folder=OUT)
+    _print(outcome, seed, timeline)
+    sys.exit(0 if outcome.is_good else 1)
+
+
+def _print(outcome: Outcome, seed: int, timeline: Path) -> None:
+    sent = sum(counts.sent for counts in outcome.counts.values())
+    unknown = sum(counts.unknown for counts in outcome.counts.values())
+    verdict = outcome.verdict
+    click.echo(
+        f'soak seed={seed} good={outcome.is_good} faults={outcome.faults} '
+        f'calls={sent} unknown={unknown} twice={verdict.twice} '
+        f'lied={verdict.lied} wrong={verdict.wrong} broken={verdict.broken} '
+        f'converged={outcome.converged} stops_cut={outcome.stops_failed} '
+        f'timeline={timeline}',
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -117,6 +117,15 @@
         if self.process is not None:
             self.process.terminate()
 
+    def signal(self, number: int) -> None:
+        """Send a signal to the process.
+
+        Args:
+            number: of the signal.
+        """
+        if self.process is not None:
+            self.process.send_signal(number)
+
     def kill(self) -> None:
         """End the process at once."""
         if self.process is not None:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -33,7 +33,7 @@
 MISSING: Final = 404
 TOO_MANY: Final = 429
 DOWN: Final = 503
-SECOND: Final = 1.0
+POLL_SECONDS: Final = 0.02
 
 
 class Entry(Struct, frozen=True, kw_only=True):
@@ -113,6 +113,7 @@
         self._server.standin = self
         self._thread = threading.Thread(
             target=self._server.serve_forever,
+            args=(POLL_SECONDS,),
             daemon=True,
         )
         self._thread.start()
--- a/wagtaildale/admin/model.py
+++ b/wagtaildale/admin/model.py
@@ -33,6 +33,7 @@
         received: messages.
         malformed: frames that were no message.
         misdirected: messages meant for another instance.
+        refused_peers: connections refused for want of a key.
     """
 
     sent_bytes: int
@@ -41,6 +42,7 @@
     received: int
     malformed: int
     misdirected: int
+    refused_peers: int
 
 
 class ClassState(Struct, frozen=True, kw_only=True):
--- a/wagtaildale/admin/reports.py
+++ b/wagtaildale/admin/reports.py
@@ -195,6 +195,7 @@
         received=counts.messages_in,
         malformed=counts.malformed,
         misdirected=counts.misdirected,
+        refused_peers=sockets.refused_peers,
     )
 
 
--- a/wagtaildale/cli/main.py
+++ b/wagtaildale/cli/main.py
@@ -6,6 +6,7 @@
 
 from wagtaildale.cli.errors import show_errors
 from wagtaildale.cli.files import check, compile_file, diff
+from wagtaildale.cli.keys import keys
 from wagtaildale.cli.nodes import explain, status, timeline
 
 
@@ -31,6 +32,7 @@
 main.add_command(explain)
 main.add_command(timeline)
 main.add_command(show_errors)
+main.add_command(keys)
 
 
 if __name__ == '__main__':
--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -11,16 +11,20 @@
 import click
 from result import Err
 
+from wagtaildale.distribution.sockets import NodeSockets
 from wagtaildale.errors.codes import Code
+from wagtaildale.keys.pairs import read_pairs
 from wagtaildale.node import Node, read_incarnation
 from wagtaildale.settings.load import load_settings
 from wagtaildale.telemetry.events import EventKind, EventRecorder
 from wagtaildale.telemetry.log import open_log
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from types import FrameType
 
     from wagtaildale.errors.faults import Faults
+    from wagtaildale.keys.pairs import KeyPair
     from wagtaildale.settings.model import Settings
 
 LOOK_SECONDS: Final = 0.5
@@ -90,11 +94,17 @@
         sys.exit(run_daemon(loaded.ok_value))
 
 
-def run_daemon(settings: Settings) -> int:
+def run_daemon(
+    settings: Settings,
+    *,
+    make_sockets: Callable[[tuple[KeyPair, ...]], NodeSockets] = NodeSockets,
+) -> int:
     """Run a node until a signal stops it.
 
     Args:
         settings: checked.
+        make_sockets: makes the sockets to other nodes; the soak gives ones
+            that lose messages.
 
     Returns:
         Exit code: 0 after a stop that cut nothing.
@@ -105,7 +115,12 @@
         read_incarnation(),
         sink=open_log(level=settings.log.level),
     )
-    node = Node(settings, recorder=recorder)
+    keys = read_pairs(settings.keys.secret_files)
+    if isinstance(keys, Err):
+        _complain(keys.err_value)
+        return EXIT_SETTINGS
+    sockets = make_sockets(keys.ok_value)
+    node = Node(settings, recorder=recorder, sockets=sockets)
     signals = Signals(node)
     started = node.start()
     if isinstance(started, Err):
--- /dev/null
+++ b/wagtaildale/distribution/guard.py
@@ -0,0 +1,80 @@
+"""Decides which peers may connect (ZAP, RFC 27 of ZeroMQ).
+
+Failure guarded here: a stranger connects to a node and feeds it a
+configuration, or reads one. With keys in the settings every connection is
+encrypted by CURVE; a peer whose public key is none of the fleet's is
+refused before any of its messages is read, and counted.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import zmq
+from msgspec import Struct
+from zmq.utils import z85
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from wagtaildale.keys.pairs import KeyPair
+
+ZAP_ADDRESS: Final = 'inproc://zeromq.zap.01'
+ZAP_VERSION: Final = b'1.0'
+CURVE: Final = b'CURVE'
+ACCEPTED: Final = b'200'
+REFUSED: Final = b'400'
+ZAP_FRAMES: Final = 7
+
+
+class ZapRequest(Struct, frozen=True):
+    """The frames of a request for a verdict, in the protocol's order."""
+
+    version: bytes
+    request_id: bytes
+    domain: bytes
+    address: bytes
+    identity: bytes
+    mechanism: bytes
+    credential: bytes = b''
+
+
+class Guard:
+    """Answers the library's questions about peers that connect."""
+
+    def __init__(
+        self,
+        context: zmq.Context[zmq.Socket[bytes]],
+        *,
+        accepted: Collection[KeyPair],
+    ) -> None:
+        """Begin to answer.
+
+        Args:
+            context: of the sockets that are guarded.
+            accepted: pairs of the fleet.
+        """
+        self.refused = 0
+        self.socket = context.socket(zmq.REP)
+        self.socket.bind(ZAP_ADDRESS)
+        self._accepted = {z85.decode(pair.public) for pair in accepted}
+
+    def answer(self) -> None:
+        """Answer every question that waits."""
+        while self.socket.poll(0):
+            frames = self.socket.recv_multipart()
+            request = ZapRequest(*frames[:ZAP_FRAMES])
+            self.socket.send_multipart(self._judge(request))
+
+    def close(self) -> None:
+        """End answering."""
+        self.socket.close()
+
+    def _judge(self, request: ZapRequest) -> tuple[bytes, ...]:
+        good = request.mechanism == CURVE
+        verdict = ACCEPTED
+        if not good or request.credential not in self._accepted:
+            self.refused += 1
+            verdict = REFUSED
+        head = (ZAP_VERSION, request.request_id, verdict)
+        return (*head, b'', b'', b'')
--- a/wagtaildale/distribution/sockets.py
+++ b/wagtaildale/distribution/sockets.py
@@ -8,15 +8,18 @@
 import zmq
 from result import Err, Ok, Result
 
+from wagtaildale.distribution.guard import Guard
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
 from wagtaildale.types import InstanceId
 
 if TYPE_CHECKING:
+    from wagtaildale.keys.pairs import KeyPair
     from wagtaildale.timers.inbox import Inbox
 
 MOST_PEERS: Final = 64
 QUEUED_MESSAGES: Final = 64
+SILENT_MESSAGES: Final = 2
 RECONNECT_MS: Final = 200
 RECONNECT_MOST_MS: Final = 10_000
 MILLISECONDS: Final = 1000
@@ -39,6 +42,64 @@
         self.route = route
 
 
+class Peer:
+    """A socket to one peer.
+
+    Attributes:
+        socket: connected.
+        key: which of the fleet's keys the peer is taken to have.
+    """
+
+    def __init__(self, socket: zmq.Socket[bytes], *, key: int) -> None:
+        """Take a connected socket.
+
+        Args:
+            socket: a DEALER.
+            key: number of the key that it was opened with.
+        """
+        self.socket = socket
+        self.key = key
+        self._unanswered = 0
+
+    def send(self, frame: bytes) -> None:
+        """Send a message.
+
+        Args:
+            frame: the message.
+
+        Raises:
+            ZMQError: when the queue to the peer is full.
+        """
+        self._unanswered += 1
+        self.socket.send(frame, zmq.NOBLOCK)
+
+    def seems_refused(self, keys: int) -> bool:
+        """Tell whether to try the peer with another key.
+
+        While a key is rotated, some peers have the old one and some the
+        new one; nothing but silence tells which.
+
+        Args:
+            keys: how many the fleet has.
+
+        Returns:
+            Whether several messages in a row had no answer.
+        """
+        return keys > 1 and self._unanswered > SILENT_MESSAGES
+
+    def drain(self) -> list[Arrival]:
+        """Take every message that has come.
+
+        Returns:
+            Oldest first.
+        """
+        arrivals: list[Arrival] = []
+        while self.socket.poll(0):
+            self._unanswered = 0
+            arrivals.append(Arrival(self.socket.recv(), None))
+        return arrivals
+
+
 class NodeSockets:
     """One listening socket, and one to each of a bounded set of peers.
 
@@ -47,14 +108,24 @@
     in anybody's list can be answered.
     """
 
-    def __init__(self) -> None:
-        """Open nothing yet."""
+    def __init__(self, keys: tuple[KeyPair, ...] = ()) -> None:
+        """Open nothing yet.
+
+        Args:
+            keys: of the fleet, this node's own first; none for connections
+                that are neither encrypted nor checked.
+        """
         self.sent_bytes = 0
         self.received_bytes = 0
+        self._keys = keys
         self._context = zmq.Context(io_threads=1)
         self._listener = self._context.socket(zmq.ROUTER)
         self._poller = zmq.Poller()
-        self._peers: OrderedDict[str, zmq.Socket[bytes]] = OrderedDict()
+        self._guard: Guard | None = None
+        if keys:
+            self._guard = Guard(self._context, accepted=keys)
+            self._poller.register(self._guard.socket, zmq.POLLIN)
+        self._peers: OrderedDict[str, Peer] = OrderedDict()
         self._routes: OrderedDict[InstanceId, bytes] = OrderedDict()
 
     def bind(self, address: str) -> Result[None, Fault]:
@@ -67,6 +138,10 @@
             Nothing, or the fault.
         """
         _set_options(self._listener)
+        if self._keys:
+            self._listener.curve_server = True
+            self._listener.curve_secretkey = self._keys[0].secret
+            self._listener.curve_publickey = self._keys[0].public
         self._listener.setsockopt(zmq.ROUTER_HANDOVER, 1)
         try:
             self._listener.bind(address)
@@ -100,11 +175,13 @@
         """
         ready = dict(self._poller.poll(round(seconds * MILLISECONDS)))
         arrivals: list[Arrival] = []
+        if self._guard is not None:
+            self._guard.answer()
         if self._listener in ready:
             arrivals.extend(self._drain_listener())
         for peer in tuple(self._peers.values()):
-            if peer in ready:
-                arrivals.extend(_drain_peer(peer))
+            if peer.socket in ready:
+                arrivals.extend(peer.drain())
         self.received_bytes += sum(len(each.frame) for each in arrivals)
         return arrivals
 
@@ -153,10 +230,13 @@
         Returns:
             Whether it was taken; a queue that is full takes nothing more.
         """
-        peer = self._peers.get(address) or self._open(address)
+        peer = self._peers.get(address) or self._open(address, 0)
+        if peer.seems_refused(len(self._keys)):
+            self._close(address)
+            peer = self._open(address, peer.key + 1)
         self._peers.move_to_end(address)
         try:
-            peer.send(frame, zmq.NOBLOCK)
+            peer.send(frame)
         except zmq.ZMQError:
             return False
         self.sent_bytes += len(frame)
@@ -165,21 +245,36 @@
     def close(self) -> None:
         """Close everything; what is still queued gets a moment to leave."""
         for peer in self._peers.values():
-            peer.close()
+            peer.socket.close()
+        if self._guard is not None:
+            self._guard.close()
         self._listener.close()
         self._context.term()
 
-    def _open(self, address: str) -> zmq.Socket[bytes]:
+    @property
+    def refused_peers(self) -> int:
+        """How many connections were refused for want of a key."""
+        return self._guard.refused if self._guard else 0
+
+    def _open(self, address: str, key: int) -> Peer:
         if len(self._peers) >= MOST_PEERS:
-            oldest = self._peers.popitem(last=False)[1]
-            self._poller.unregister(oldest)
-            oldest.close()
-        peer = self._context.socket(zmq.DEALER)
-        _set_options(peer)
-        peer.connect(address)
-        self._poller.register(peer, zmq.POLLIN)
-        self._peers[address] = peer
-        return peer
+            self._close(next(iter(self._peers)))
+        socket = self._context.socket(zmq.DEALER)
+        _set_options(socket)
+        number = key % max(1, len(self._keys))
+        if self._keys:
+            socket.curve_serverkey = self._keys[number].public
+            socket.curve_secretkey = self._keys[0].secret
+            socket.curve_publickey = self._keys[0].public
+        socket.connect(address)
+        self._poller.register(socket, zmq.POLLIN)
+        self._peers[address] = Peer(socket, key=number)
+        return self._peers[address]
+
+    def _close(self, address: str) -> None:
+        peer = self._peers.pop(address)
+        self._poller.unregister(peer.socket)
+        peer.socket.close()
 
     def _drain_listener(self) -> list[Arrival]:
         arrivals: list[Arrival] = []
@@ -189,13 +284,6 @@
         return arrivals
 
 
-def _drain_peer(peer: zmq.Socket[bytes]) -> list[Arrival]:
-    arrivals: list[Arrival] = []
-    while peer.poll(0):
-        arrivals.append(Arrival(peer.recv(), None))
-    return arrivals
-
-
 def _set_options(socket: zmq.Socket[bytes]) -> None:
     # Failure: a peer that was away comes back and gets minutes of old
     # messages. The queue to it is short, and versions in a message
--- /dev/null
+++ b/wagtaildale/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Keys of the fleet, for CURVE between nodes."""
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -94,21 +94,21 @@
         settings: Settings,
         *,
         recorder: EventRecorder,
-        sockets: NodeSockets | None = None,
+        sockets: NodeSockets,
     ) -> None:
         """Build every part; ``start`` opens the ports.
 
         Args:
             settings: checked.
             recorder: gets events.
-            sockets: to other nodes; tests give ones that lose messages.
+            sockets: to other nodes, with the fleet's keys.
         """
         self.parts = _make_parts(settings, recorder)
         self._executor = ThreadPoolExecutor(
             max_workers=2 * settings.limits.connections + OWN_TASKS,
             thread_name_prefix='wagtaildale',
         )
-        self._sockets = sockets or NodeSockets()
+        self._sockets = sockets
         self._timers = TimerService()
         self._watches = _make_watches(self.parts)
         self._fetch = FetchTask(
--- a/wagtaildale/settings/model.py
+++ b/wagtaildale/settings/model.py
@@ -24,6 +24,7 @@
 SLOTS: Final = 10
 DRAIN_SECONDS: Final = 30.0
 LONGEST_DRAIN: Final = 600
+MOST_KEYS: Final = 3
 
 Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
 Host = Annotated[str, Meta(pattern=HOST_PATTERN)]
@@ -100,6 +101,17 @@
     token_variable: str | None = None
 
 
+class KeySettings(Struct, frozen=True, kw_only=True):
+    """Keys for the connections between nodes.
+
+    Attributes:
+        secret_files: this node's own key first, then others it accepts;
+            none for connections that are neither encrypted nor checked.
+    """
+
+    secret_files: Annotated[tuple[str, ...], Meta(max_length=MOST_KEYS)] = ()
+
+
 class LogSettings(Struct, frozen=True, kw_only=True):
     """The log.
 
@@ -128,6 +140,7 @@
         distribution: how configuration spreads.
         limits: on callers and the planned stop.
         admin: the administration API.
+        keys: for connections between nodes.
         log: the log.
     """
 
@@ -145,4 +158,5 @@
     distribution: DistributionSettings = DistributionSettings()
     limits: LimitSettings = LimitSettings()
     admin: AdminSettings = AdminSettings()
+    keys: KeySettings = KeySettings()
     log: LogSettings = LogSettings()
