--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -88,23 +88,34 @@
         yield from _compare(nodes, rates, base)
 
 
-def measure_fleet(nodes: int, *, spread: str) -> Rates:
-    """Measure one fleet, idle and while changes are published.
+def place_nodes(nodes: int) -> Placement:
+    """Place a number of nodes.
 
     Args:
         nodes: how many.
-        spread: the distribution setting.
 
     Returns:
-        What was measured.
+        Two services in three data centres.
     """
-    placement = Placement(
+    return Placement(
         region='midlands',
         data_centres=DATA_CENTRES,
         services={'intake': nodes // 2, 'casefiles': nodes - nodes // 2},
     )
+
+
+def measure_fleet(nodes: int, *, spread: str) -> Rates:
+    """Measure one fleet, idle and while changes are published.
+
+    Args:
+        nodes: how many.
+        spread: the distribution setting.
+
+    Returns:
+        What was measured.
+    """
     options = FleetOptions(spread=spread, log_level='error')
-    with Fleet(placement, options=options) as fleet:
+    with Fleet(place_nodes(nodes), options=options) as fleet:
         fleet.start(compile_version(1))
         time.sleep(CHANGE_SECONDS * 2)
         idle = _read_costs(fleet)
--- /dev/null
+++ b/benchmarks/spread_faults.py
@@ -0,0 +1,132 @@
+"""How a change spreads under faults, and what a mass restart reads."""
+
+from __future__ import annotations
+
+import os
+import time
+from typing import TYPE_CHECKING, Final
+
+from benchmarks.faulty_node import LOSS_VARIABLE
+from benchmarks.figures import Figure, find_percentile
+from benchmarks.spread import compile_version, measure_change, place_nodes
+from standins.fleet import Fleet, FleetOptions
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+LOSS: Final = 0.05
+LOSSY_CHANGES: Final = 4
+KILLS: Final = 2
+SETTLE_SECONDS: Final = 3.0
+WHOLE: Final = 100
+
+
+def measure_faults(nodes: int, *, spread: str = 'prompt') -> Iterator[Figure]:
+    """Measure one fleet size under each fault.
+
+    Args:
+        nodes: in the fleet.
+        spread: the distribution setting.
+
+    Yields:
+        Convergence with lost messages and with all readers killed, and the
+        platform's reads at a mass restart; against ``direct``.
+    """
+    lossy = measure_loss(nodes, spread=spread)
+    yield _make_figure(
+        'convergence_p100_ms_loss_5pct',
+        find_percentile(lossy, percent=WHOLE),
+        nodes,
+        find_percentile(measure_loss(nodes, spread='direct'), percent=WHOLE),
+    )
+    options = FleetOptions(spread=spread, log_level='error')
+    with Fleet(place_nodes(nodes), options=options) as fleet:
+        fleet.start(compile_version(1))
+        time.sleep(SETTLE_SECONDS)
+        killed = max(_measure_kill(fleet, kill) for kill in range(KILLS))
+        peak, ready = measure_restart(fleet)
+    direct = FleetOptions(spread='direct', log_level='error')
+    with Fleet(place_nodes(nodes), options=direct) as fleet:
+        fleet.start(compile_version(1))
+        time.sleep(SETTLE_SECONDS)
+        base_peak, base_ready = measure_restart(fleet)
+    yield _make_figure('convergence_p100_ms_readers_killed', killed, nodes, 0)
+    yield _make_figure('restart_reads_peak_per_second', peak, nodes, base_peak)
+    yield _make_figure('restart_seconds_to_ready', ready, nodes, base_ready)
+
+
+def measure_loss(nodes: int, *, spread: str) -> list[float]:
+    """Measure changes while messages between nodes are lost.
+
+    Args:
+        nodes: in the fleet.
+        spread: the distribution setting.
+
+    Returns:
+        Milliseconds, of every change at every node.
+    """
+    os.environ[LOSS_VARIABLE] = str(LOSS)
+    options = FleetOptions(
+        spread=spread,
+        log_level='error',
+        program='benchmarks.faulty_node',
+    )
+    with Fleet(place_nodes(nodes), options=options) as fleet:
+        fleet.start(compile_version(1))
+        time.sleep(SETTLE_SECONDS)
+        return [
+            each
+            for version in range(2, 2 + LOSSY_CHANGES)
+            for each in measure_change(fleet, version)
+        ]
+
+
+def measure_restart(fleet: Fleet) -> tuple[float, float]:
+    """Kill every node at once, start all and count the platform's reads.
+
+    Args:
+        fleet: running.
+
+    Returns:
+        Most reads in a second, and seconds until all were ready.
+    """
+    for node in fleet.nodes:
+        node.kill()
+    began = time.monotonic()
+    for node in fleet.nodes:
+        node.start(fleet.options)
+    fleet.wait_ready(fleet.nodes)
+    seconds = time.monotonic() - began
+    reads = fleet.platform.counts.by_second
+    peak = max(count for second, count in reads.items() if second >= int(began))
+    return float(peak), seconds
+
+
+def _measure_kill(fleet: Fleet, number: int) -> float:
+    running = [(node, node.report()) for node in fleet.nodes]
+    readers = [node for node, report in running if report and report.reader]
+    for reader in readers:
+        reader.kill()
+    spent = max(measure_change(fleet, number + 2))
+    for reader in readers:
+        reader.start(fleet.options)
+    fleet.wait_ready(readers)
+    time.sleep(SETTLE_SECONDS)
+    return spent
+
+
+def _make_figure(
+    name: str,
+    amount: float,
+    nodes: int,
+    baseline: float,
+) -> Figure:
+    unit = 'ms' if '_ms' in name else '1/s'
+    return Figure(
+        name=name,
+        amount=amount,
+        unit='s' if 'seconds' in name else unit,
+        nodes=nodes,
+        baseline='direct',
+        baseline_amount=baseline,
+    )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -238,6 +238,9 @@
     request_queue_size = 512
     standin: PlatformStandIn
 
+    def handle_error(self, *_request: Any) -> None:
+        """Say nothing: readers are killed in the middle of reads."""
+
 
 class _Reader(BaseHTTPRequestHandler):
     """Answers one connection's reads."""
