--- a/wagtaildale/admission/decisions.py
+++ b/wagtaildale/admission/decisions.py
@@ -10,20 +10,23 @@
 from functools import singledispatch
 from typing import Final
 
+from wagtaildale.admission.limits import adjust_limit
 from wagtaildale.admission.messages import (
     Admitted,
     Arrived,
     DrainBegun,
     Finished,
     GaveUp,
+    LeaseGiven,
     Refused,
+    RunCame,
     TicketId,
+    TimePassed,
     Verdict,
 )
 from wagtaildale.admission.state import AdmissionState, Waiting
 from wagtaildale.errors.codes import Code
 
-SMOOTHING: Final = 0.1
 MILLISECONDS: Final = 1000
 
 
@@ -57,12 +60,8 @@
     *,
     now: float,
 ) -> list[Verdict]:
-    code = Code.draining if state.draining else Code.past_deadline
-    if state.draining or message.deadline <= now:
-        return [Refused(ticket=message.ticket, code=code)]
-    if state.room > 0 and not state.queue:
-        return [_admit(state, message, now)]
-    return _enqueue(state, message, now)
+    verdicts = _end_leases(state, now)
+    return [*verdicts, *_judge(state, message, now)]
 
 
 @decide_admission.register
@@ -74,12 +73,55 @@
 ) -> list[Verdict]:
     if state.running.pop(message.ticket, None) is None:
         return []
-    if not message.failed:
-        gain = message.seconds - state.service_seconds
-        state.service_seconds += gain * SMOOTHING
+    state.leases.pop(message.ticket, None)
+    adjust_limit(
+        state,
+        ending=message.ending,
+        seconds=message.seconds,
+        now=now,
+    )
     return _admit_waiting(state, now)
 
 
+@decide_admission.register
+def _decide_lease_given(
+    message: LeaseGiven,
+    state: AdmissionState,
+    *,
+    now: float,
+) -> list[Verdict]:
+    if message.ticket in state.running:
+        state.leases[message.ticket] = message.ends_at
+    return []
+
+
+@decide_admission.register
+def _decide_run_came(
+    message: RunCame,
+    state: AdmissionState,
+    *,
+    now: float,
+) -> list[Verdict]:
+    # Failure: an entry is paused between its reservation and its run
+    # message, and wakes when the slot has long been given to another. The
+    # lease ends by this owner's own clock; a run after that is refused.
+    verdicts = _end_leases(state, now)
+    if state.leases.pop(message.ticket, None) is None:
+        refused = Refused(ticket=message.ticket, code=Code.lease_ended)
+        return [refused, *verdicts]
+    return [Admitted(ticket=message.ticket), *verdicts]
+
+
+@decide_admission.register
+def _decide_time_passed(
+    message: TimePassed,
+    state: AdmissionState,
+    *,
+    now: float,
+) -> list[Verdict]:
+    return _end_leases(state, now)
+
+
 @decide_admission.register
 def _decide_gave_up(
     message: GaveUp,
@@ -131,6 +173,19 @@
     return [_shed(state, state.queue.pop().ticket)]
 
 
+def _judge(
+    state: AdmissionState,
+    message: Arrived,
+    now: float,
+) -> list[Verdict]:
+    code = Code.draining if state.draining else Code.past_deadline
+    if state.draining or message.deadline <= now:
+        return [Refused(ticket=message.ticket, code=code)]
+    if state.room > 0 and not state.queue:
+        return [_admit(state, message, now)]
+    return _enqueue(state, message, now)
+
+
 def _admit(
     state: AdmissionState,
     request: Arrived | Waiting,
@@ -140,6 +195,16 @@
     return Admitted(ticket=request.ticket)
 
 
+def _end_leases(state: AdmissionState, now: float) -> list[Verdict]:
+    ended = [
+        ticket for ticket, ends_at in state.leases.items() if ends_at <= now
+    ]
+    for ticket in ended:
+        state.leases.pop(ticket)
+        state.running.pop(ticket, None)
+    return _admit_waiting(state, now) if ended else []
+
+
 def _admit_waiting(state: AdmissionState, now: float) -> list[Verdict]:
     verdicts: list[Verdict] = []
     while state.queue and state.room > 0:
--- a/wagtaildale/admission/gate.py
+++ b/wagtaildale/admission/gate.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import threading
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from wagtaildale.admission.decisions import decide_admission
 from wagtaildale.admission.messages import (
@@ -18,17 +18,24 @@
     DrainBegun,
     Finished,
     GaveUp,
+    LeaseGiven,
     Refused,
+    RunCame,
     TicketId,
+    TimePassed,
 )
 from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from wagtaildale.admission.messages import Verdict
+    from wagtaildale.admission.limits import Ending
+    from wagtaildale.admission.messages import GateMessage, Verdict
     from wagtaildale.admission.state import AdmissionState
 
 
+NO_TICKET: Final = TicketId(0)
+
+
 class _Place:
     """Where a worker waits for the verdict on its request."""
 
@@ -53,74 +60,113 @@
         self._places: dict[TicketId, _Place] = {}
         self._last = 0
 
-    def enter(self, *, within_ms: int, deadline: float) -> Verdict:
+    def enter(
+        self,
+        *,
+        within_ms: int,
+        deadline: float,
+        lease_seconds: float | None = None,
+    ) -> Verdict:
         """Ask for a slot and wait for it if need be.
 
         Args:
             within_ms: target of the request's class.
             deadline: seconds on the clock.
+            lease_seconds: how long the slot is held for a run message;
+                nothing if the request runs at once.
 
         Returns:
             ``Admitted``, after which ``leave`` is due, or ``Refused``.
         """
-        place = _Place()
         with self._lock:
             self._last += 1
             ticket = TicketId(self._last)
-            self._places[ticket] = place
             arrived = Arrived(
                 ticket=ticket,
                 within_ms=within_ms,
                 deadline=deadline,
             )
-            self._spread(arrived)
-        if place.verdict is None:
+            verdict = self._tell(arrived, ticket)
+            if verdict is None:
+                place = _Place()
+                self._places[ticket] = place
+        if verdict is None:
             place.event.wait(max(0, deadline - read_clock()))
-        return self._close(ticket, place)
+            verdict = self._close(ticket, place)
+        if lease_seconds is not None and isinstance(verdict, Admitted):
+            ends_at = read_clock() + lease_seconds
+            self._spread(LeaseGiven(ticket=ticket, ends_at=ends_at))
+        return verdict
+
+    def redeem(self, ticket: TicketId) -> Verdict:
+        """Begin the run for which a slot is held.
+
+        Args:
+            ticket: of the lease.
+
+        Returns:
+            ``Admitted``, after which ``leave`` is due, or ``Refused``.
+        """
+        with self._lock:
+            verdict = self._tell(RunCame(ticket=ticket), ticket)
+        assert verdict is not None
+        return verdict
 
     def leave(
         self,
         admitted: Admitted,
         *,
         seconds: float,
-        failed: bool,
+        ending: Ending,
     ) -> None:
         """Give the slot back.
 
         Args:
             admitted: as ``enter`` gave it.
             seconds: the request spent at the backend server.
-            failed: whether the backend server failed or refused it.
+            ending: how it ended there.
         """
         finished = Finished(
             ticket=admitted.ticket,
             seconds=seconds,
-            failed=failed,
+            ending=ending,
         )
-        with self._lock:
-            self._spread(finished)
+        self._spread(finished)
+
+    def end_leases(self) -> None:
+        """Give back the slots whose run message did not come in time."""
+        if self.state.leases:
+            self._spread(TimePassed())
 
     def drain(self) -> None:
         """Admit nothing more; what waits is refused."""
-        with self._lock:
-            self._spread(DrainBegun())
+        self._spread(DrainBegun())
 
     def _close(self, ticket: TicketId, place: _Place) -> Verdict:
         with self._lock:
             self._places.pop(ticket)
             if place.verdict is None:
-                self._spread(GaveUp(ticket=ticket))
+                self._tell(GaveUp(ticket=ticket), ticket)
         if place.verdict is None:
             return Refused(ticket=ticket, code=Code.past_deadline)
         return place.verdict
 
-    def _spread(
+    def _spread(self, message: GateMessage) -> None:
+        with self._lock:
+            self._tell(message, NO_TICKET)
+
+    def _tell(
         self,
-        message: Arrived | Finished | GaveUp | DrainBegun,
-    ) -> None:
+        message: GateMessage,
+        own: TicketId,
+    ) -> Verdict | None:
+        mine: Verdict | None = None
         verdicts = decide_admission(message, self.state, now=read_clock())
         for verdict in verdicts:
             place = self._places.get(verdict.ticket)
             if place is not None:
                 place.verdict = verdict
                 place.event.set()
+            elif verdict.ticket == own:
+                mine = verdict
+        return mine
--- a/wagtaildale/admission/ledger.py
+++ b/wagtaildale/admission/ledger.py
@@ -42,3 +42,12 @@
             if len(self._runs) > REMEMBERED:
                 self._runs.popitem(last=False)
             return True
+
+    def forget(self, request_id: RequestId) -> None:
+        """Forget a request that was let through and yet did not run.
+
+        Args:
+            request_id: of a request whose refusal says "not run".
+        """
+        with self._lock:
+            self._runs.pop(request_id, None)
--- a/wagtaildale/admission/messages.py
+++ b/wagtaildale/admission/messages.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.limits import Ending
 from wagtaildale.errors.codes import Code
 
 TicketId = NewType('TicketId', int)
@@ -31,12 +32,34 @@
     Attributes:
         ticket: which one.
         seconds: it spent at the backend server.
-        failed: whether the backend server failed or refused.
+        ending: how it ended there.
     """
 
     ticket: TicketId
     seconds: float
-    failed: bool = False
+    ending: Ending = Ending.good
+
+
+class LeaseGiven(Struct, frozen=True, kw_only=True, gc=False):
+    """A request that was admitted has yet to send its run message.
+
+    Attributes:
+        ticket: which one.
+        ends_at: when the slot goes back unless the run has come, seconds.
+    """
+
+    ticket: TicketId
+    ends_at: float
+
+
+class RunCame(Struct, frozen=True, kw_only=True, gc=False):
+    """The run message for a lease has come."""
+
+    ticket: TicketId
+
+
+class TimePassed(Struct, frozen=True, kw_only=True, gc=False):
+    """Leases may have ended."""
 
 
 class GaveUp(Struct, frozen=True, kw_only=True, gc=False):
@@ -70,3 +93,6 @@
 
 
 Verdict = Admitted | Refused
+GateMessage = (
+    Arrived | Finished | LeaseGiven | RunCame | TimePassed | GaveUp | DrainBegun
+)
--- /dev/null
+++ b/wagtaildale/admission/replays.py
@@ -0,0 +1,104 @@
+"""Answers that are kept for callers who repeat an ``Idempotency-Key``.
+
+What this promises is in docs/operators/idempotency-keys.md: as long as this
+process lives, has room, and the repeat reaches it. There is no shared state
+that could promise more.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections import OrderedDict
+from enum import Enum
+from typing import Final, final
+
+from msgspec import Struct
+
+ANSWERS_KEPT: Final = 1024
+LARGEST_ANSWER: Final = 65_536
+
+
+@final
+class KeyState(Enum):
+    """What is known of a key."""
+
+    fresh = 'fresh'
+    running = 'running'
+    answered = 'answered'
+
+
+class KeptAnswer(Struct, frozen=True, kw_only=True):
+    """An answer of the backend server.
+
+    Attributes:
+        status: HTTP status.
+        headers: those that went on.
+        body: all of it.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+class KeyEntry(Struct, frozen=True, kw_only=True):
+    """A key and what became of its request."""
+
+    state: KeyState
+    answer: KeptAnswer | None = None
+
+
+class Replays:
+    """Keys seen by one owner, the latest ones.
+
+    Example:
+        >>> replays = Replays()
+        >>> replays.begin('k').state is KeyState.fresh
+        True
+        >>> replays.begin('k').state is KeyState.running
+        True
+    """
+
+    def __init__(self) -> None:
+        """Begin with no key."""
+        self._entries: OrderedDict[str, KeyEntry] = OrderedDict()
+        self._lock = threading.Lock()
+
+    def begin(self, key: str) -> KeyEntry:
+        """Begin a request with a key.
+
+        Args:
+            key: the caller's.
+
+        Returns:
+            What is known of the key; ``fresh`` means that it may run, and
+            it counts as running from here on.
+        """
+        with self._lock:
+            known = self._entries.get(key)
+            if known is not None:
+                return known
+            self._entries[key] = KeyEntry(state=KeyState.running)
+            if len(self._entries) > ANSWERS_KEPT:
+                self._entries.popitem(last=False)
+        return KeyEntry(state=KeyState.fresh)
+
+    def keep(self, key: str, answer: KeptAnswer | None) -> None:
+        """Keep the answer of a request that ran.
+
+        Args:
+            key: the caller's.
+            answer: nothing if it was too large to keep.
+        """
+        with self._lock:
+            entry = KeyEntry(state=KeyState.answered, answer=answer)
+            self._entries[key] = entry
+
+    def forget(self, key: str) -> None:
+        """Forget a key whose request did not run.
+
+        Args:
+            key: the caller's.
+        """
+        with self._lock:
+            self._entries.pop(key, None)
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -34,7 +34,10 @@
         limit: how many are let through now; at most ``slots``.
         running: requests that run, with the time each was admitted.
         queue: requests that wait, the most urgent first.
+        leases: slots that are held for a run message, until when.
         service_seconds: smoothed time of a request at the backend server.
+        usual_seconds: the same over a long time.
+        shrunk_at: when the limit was lowered last, seconds.
         draining: whether nothing new is admitted.
     """
 
@@ -42,7 +45,10 @@
     limit: float
     running: dict[TicketId, float] = field(default_factory=dict)
     queue: list[Waiting] = field(default_factory=list)
+    leases: dict[TicketId, float] = field(default_factory=dict)
     service_seconds: float = FIRST_SECONDS
+    usual_seconds: float = FIRST_SECONDS
+    shrunk_at: float = 0
     draining: bool = False
 
     @property
--- a/wagtaildale/calls/answers.py
+++ b/wagtaildale/calls/answers.py
@@ -33,6 +33,7 @@
         Code.outcome_unknown: 502,
         Code.answer_mismatched: 502,
         Code.key_repeated: 409,
+        Code.too_deep: 508,
         Code.wrong_instance: 421,
     },
 )
--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -1,33 +1,40 @@
-"""One attempt of a call: choose an upstream, send, check, deliver."""
+"""One attempt of a call: send, race a hedge, check, deliver."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.exchange import exchange
+from msgspec import structs
+
+from wagtaildale.calls.bodies import NoBody
+from wagtaildale.calls.exchange import Call
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.fields import (
     ANSWER_FIELD,
-    CALL_FIELD,
+    ASK_LEASE,
     AnswerFields,
     CallFields,
     read_answer,
-    write_call,
 )
+from wagtaildale.calls.hedges import HedgeClocks
+from wagtaildale.calls.races import Flight, Racer
+from wagtaildale.calls.targets import Target, Targets
 from wagtaildale.errors.codes import Code
-from wagtaildale.routing.choice import choose_upstream, list_candidates
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
+    from wagtaildale.calls.keyed import Deliverable
+    from wagtaildale.admission.messages import TicketId
     from wagtaildale.calls.attempts import Attempts
     from wagtaildale.calls.connections import Pool
     from wagtaildale.calls.responses import Response
     from wagtaildale.calls.routed import EntryParts, Routed
-    from wagtaildale.membership.records import InstanceRecord
 
-MILLISECONDS: Final = 1000
+SHED_STATUS: Final = 503
+# An owner refuses at the deadline what still waits there; its word that
+# nothing has run is worth waiting for.
+GRACE_SECONDS: Final = 0.02
 
 
 class Attempter:
@@ -40,8 +47,12 @@
             parts: of the node.
             pool: idle connections to other owners.
         """
-        self._parts = parts
-        self._pool = pool
+        self._owner = parts.owner
+        self._reserves = parts.reserves
+        self._hedges = parts.hedges
+        self._targets = Targets(parts)
+        self._racer = Racer(self._targets, pool=pool)
+        self._clocks = HedgeClocks()
 
     def attempt(self, routed: Routed, attempts: Attempts) -> None:
         """Make one attempt.
@@ -54,67 +65,99 @@
             CallFailed: when it ends without an answer.
             StreamCut: when the response broke after its head was sent.
         """
-        record = choose_upstream(
-            list_candidates(
-                routed.view,
-                service=routed.match.service,
-                tried=attempts.tried,
-            ),
-            book=self._parts.book,
-            data_centre=self._parts.data_centre,
-        )
-        if record is None:
-            raise CallFailed(
-                Code.no_upstream,
-                detail=f'service {routed.match.service}',
-            )
-        attempts.tried.append(record.instance)
-        fields = self._describe(routed, record, len(attempts.tried))
-        notes = self._parts.book.find(record.instance)
-        with notes:
-            self._send(routed, record, fields)
+        target = self._targets.pick(routed, attempts)
+        with target.notes:
+            try:
+                self._send(routed, target, attempts)
+            except CallFailed as failure:
+                self._targets.note_failure(target, failure)
+                raise
 
-    def _describe(
+    def _send(
         self,
         routed: Routed,
-        record: InstanceRecord,
-        attempt: int,
-    ) -> CallFields:
-        work_class = routed.match.work_class
-        rest = routed.call.deadline - read_clock()
-        return CallFields(
-            request_id=routed.request_id,
-            attempt=attempt,
-            work_class=f'{routed.match.service}/{work_class.name}',
-            idempotent=work_class.idempotent,
-            within_ms=work_class.within_ms,
-            remaining_ms=max(0, int(rest * MILLISECONDS)),
-            instance=record.instance,
-            incarnation=self._parts.book.find(record.instance).incarnation,
+        target: Target,
+        attempts: Attempts,
+    ) -> None:
+        if target.fields.instance == self._owner.identity.instance:
+            # The upstream is the backend server beside this node: one hop.
+            self._owner.run(
+                routed.call,
+                fields=target.fields,
+                deliver=_DeliverTo(routed),
+            )
+        elif attempts.idempotent:
+            self._send_idempotent(routed, target, attempts)
+        else:
+            self._send_once(routed, target)
+
+    def _send_once(self, routed: Routed, target: Target) -> None:
+        """Reserve a slot, then send the run message, once.
+
+        Failure guarded here: a booking waits in a queue, its entry gives
+        up, and nobody knows whether it ran. While only a reservation is
+        out nothing has run, and it is safe to go elsewhere. The run
+        message follows on the connection that has just answered, and is
+        never sent again.
+        """
+        if self._reserves:
+            lease = self._reserve(routed, target)
+            fields = structs.replace(target.fields, lease=lease)
+            target = structs.replace(target, fields=fields)
+        flight = self._racer.begin(routed.call, target)
+        self._finish(routed, flight)
+
+    def _reserve(self, routed: Routed, target: Target) -> TicketId:
+        asking = structs.replace(target.fields, lease=ASK_LEASE)
+        call = Call(
+            caller=routed.call.caller,
+            method=b'POST',
+            target=b'/reserve',
+            headers=(),
+            body=NoBody(),
+            deadline=routed.call.deadline,
         )
+        try:
+            with self._racer.begin(
+                call,
+                structs.replace(target, fields=asking),
+            ).sent.finish() as response:
+                answer = _check_answer(response, asking)
+        except CallFailed as failure:
+            # Only a reservation was out: nothing has run.
+            failure.outcome = Outcome.not_run
+            raise
+        self._targets.note_answer(target, answer)
+        if answer.code is not Code.ok:
+            raise CallFailed(answer.code, outcome=Outcome.not_run)
+        return answer.lease
 
-    def _send(
+    def _send_idempotent(
         self,
         routed: Routed,
-        record: InstanceRecord,
-        fields: CallFields,
+        target: Target,
+        attempts: Attempts,
     ) -> None:
-        owner = self._parts.owner
-        if record.instance == owner.identity.instance:
-            # The upstream is the backend server beside this node: one hop.
-            owner.run(routed.call, fields=fields, deliver=_DeliverTo(routed))
-            return
-        address = Address(record.host, record.owner_port)
-        response = exchange(
-            routed.call,
-            pool=self._pool,
-            address=address,
-            extra=((CALL_FIELD, write_call(fields)),),
-        )
-        with response:
-            answer = _check_answer(response, fields)
-            self._parts.book.find(record.instance).note_answer(answer)
+        clock = self._clocks.find(target.fields.work_class)
+        began = read_clock()
+        flight = self._racer.begin(routed.call, target)
+        delay = clock.find_delay() if self._hedges else None
+        if delay is not None and attempts.may_hedge(began + delay):
+            flight = self._racer.race(
+                routed,
+                flight,
+                attempts=attempts,
+                until=began + delay,
+            )
+        self._finish(routed, flight)
+        clock.note(read_clock() - began)
+
+    def _finish(self, routed: Routed, flight: Flight) -> None:
+        with flight.sent.finish() as response:
+            answer = _check_answer(response, flight.target.fields)
+            self._targets.note_answer(flight.target, answer)
             if answer.code is Code.ok:
+                _check_shed(response, flight.target.fields)
                 _DeliverTo(routed)(response, answer)
         if answer.code is not Code.ok:
             raise CallFailed(answer.code, outcome=answer.outcome)
@@ -126,7 +169,7 @@
     def __init__(self, routed: Routed) -> None:
         self._routed = routed
 
-    def __call__(self, response: Response, answer: AnswerFields) -> None:
+    def __call__(self, response: Deliverable, answer: AnswerFields) -> None:
         routed = self._routed
         routed.report.note_answer(answer)
         response.write_to(
@@ -146,3 +189,12 @@
         if answer.attempt == fields.attempt:
             return answer
     raise CallFailed(Code.answer_mismatched, outcome=Outcome.unknown)
+
+
+def _check_shed(response: Response, fields: CallFields) -> None:
+    if response.message.status == SHED_STATUS and fields.idempotent:
+        raise CallFailed(
+            Code.overloaded,
+            outcome=Outcome.unknown,
+            detail='shed by the backend server',
+        )
--- a/wagtaildale/calls/attempts.py
+++ b/wagtaildale/calls/attempts.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from wagtaildale.calls.failures import CallFailed
 
-ATTEMPTS_MOST: Final = 4
+RETRIES_MOST: Final = 3
 BUDGET_SHARE: Final = 0.2
 BUDGET_MOST: Final = 20.0
 # Refusals that cost the upstream nothing: the call is only steered elsewhere.
@@ -69,12 +69,15 @@
         idempotent: whether running it twice does no harm.
         deadline: seconds on the clock.
         budget: of the service.
+        retries_left: attempts beyond the first that the call, and the
+            calls that it leads to, may still make.
         tried: the upstreams that attempts went to.
     """
 
     idempotent: bool
     deadline: float
     budget: RetryBudget
+    retries_left: int = RETRIES_MOST
     tried: list[InstanceId] = field(default_factory=list)
 
     def may_retry(
@@ -96,12 +99,27 @@
         """
         if not replayable or now >= self.deadline:
             return False
-        if len(self.tried) >= ATTEMPTS_MOST or failure.code not in RETRIED:
+        if not self.retries_left or failure.code not in RETRIED:
             return False
         # A non-idempotent request that may have run is never sent again.
         if failure.outcome is not Outcome.not_run and not self.idempotent:
             return False
-        return failure.code in STEERED or self.budget.spend()
+        if failure.code not in STEERED and not self.budget.spend():
+            return False
+        self.retries_left -= 1
+        return True
+
+    def may_hedge(self, at: float) -> bool:
+        """Decide whether a second attempt may be begun beside the first.
+
+        Args:
+            at: when it would begin, seconds.
+
+        Returns:
+            Whether the call may be run twice and there is time for it.
+        """
+        first = len(self.tried) == 1
+        return self.idempotent and first and at < self.deadline
 
 
 def conclude(failure: CallFailed, *, idempotent: bool) -> Code:
@@ -114,6 +132,5 @@
     Returns:
         ``outcome_unknown`` where a non-idempotent request may have run.
     """
-    if failure.outcome is Outcome.unknown and not idempotent:
-        return Code.outcome_unknown
-    return failure.code
+    lost = failure.outcome is Outcome.unknown and failure.code in RETRIED
+    return Code.outcome_unknown if lost and not idempotent else failure.code
--- a/wagtaildale/calls/bodies.py
+++ b/wagtaildale/calls/bodies.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, Protocol
 
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.heads import (
@@ -23,6 +23,51 @@
 REPLAY_BYTES: Final = 65_536
 
 
+class Body(Protocol):
+    """What an exchange needs of a request's body."""
+
+    @property
+    def is_replayable(self) -> bool:
+        """Whether all that was sent so far can be sent again."""
+
+    @property
+    def framing(self) -> Sequence[Header]:
+        """The header that says where the body ends."""
+
+    @property
+    def first(self) -> bytes:
+        """What is sent along with the head."""
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether nothing more is to come."""
+
+    def pass_rest(self, sink: Connection, *, deadline: float) -> None:
+        """Read the rest and send it on.
+
+        Args:
+            sink: to the next hop.
+            deadline: seconds on the clock.
+        """
+
+
+class NoBody:
+    """The body of a message between nodes that has none."""
+
+    is_replayable = True
+    framing: Sequence[Header] = ((b'content-length', b'0'),)
+    first = b''
+    is_complete = True
+
+    def pass_rest(self, sink: Connection, *, deadline: float) -> None:
+        """Send nothing.
+
+        Args:
+            sink: to the next hop.
+            deadline: seconds on the clock.
+        """
+
+
 class RequestBody:
     """A body that is passed on as it comes.
 
--- a/wagtaildale/calls/entry.py
+++ b/wagtaildale/calls/entry.py
@@ -79,6 +79,7 @@
             idempotent=match.work_class.idempotent,
             deadline=routed.call.deadline,
             budget=budget,
+            retries_left=routed.retries,
         )
         done = False
         while not done:
--- a/wagtaildale/calls/exchange.py
+++ b/wagtaildale/calls/exchange.py
@@ -4,7 +4,7 @@
 
 import select
 import socket
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeVar
 
 from msgspec import Struct
 
@@ -22,12 +22,14 @@
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from wagtaildale.calls.addresses import Address
-    from wagtaildale.calls.bodies import RequestBody
+    from wagtaildale.calls.bodies import Body
     from wagtaildale.calls.parsing import Header
 
+Given = TypeVar('Given')
+
 MILLISECONDS: Final = 1000
 
 
@@ -47,10 +49,114 @@
     method: bytes
     target: bytes
     headers: Sequence[Header]
-    body: RequestBody
+    body: Body
     deadline: float
 
 
+class Exchange:
+    """A request that was sent on, once, and has no response yet.
+
+    Attributes:
+        connection: on which it was sent.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        *,
+        pool: Pool,
+        address: Address,
+        extra: Sequence[Header],
+    ) -> None:
+        """Send the request.
+
+        Args:
+            call: the request.
+            pool: idle connections.
+            address: of the next hop.
+            extra: headers that this hop adds.
+
+        Raises:
+            CallFailed: with outcome ``not_run`` if nothing was sent, else
+                ``unknown``.
+        """
+        self._call = call
+        self._pool = pool
+        self._address = address
+        connection = pool.take(address)
+        if connection is None:
+            connection = open_connection(address, deadline=call.deadline)
+        self.connection = connection
+        # Failure: a paused process wakes and sends what nobody waits for
+        # any more. The deadline is looked at last thing before the send.
+        if read_clock() >= call.deadline:
+            pool.give(address, connection)
+            raise CallFailed(Code.past_deadline)
+        self._guard(lambda: self._send(extra))
+
+    def finish(self) -> Response:
+        """Wait for the response and read it ahead.
+
+        Returns:
+            The response; leaving it as a context gives its connection back
+            to the pool.
+
+        Raises:
+            CallFailed: with outcome ``unknown``.
+        """
+        response = self._guard(self._receive)
+        return response.kept_in(self._pool, self._address)
+
+    def cancel(self) -> None:
+        """Give up: the closed connection tells the next hop."""
+        self.connection.close()
+
+    def _send(self, extra: Sequence[Header]) -> None:
+        call = self._call
+        body = call.body
+        head = write_request_head(
+            call.method,
+            target=call.target,
+            headers=(*call.headers, *body.framing, *extra),
+        )
+        self.connection.send(head + body.first, deadline=call.deadline)
+        if not body.is_complete:
+            body.pass_rest(self.connection, deadline=call.deadline)
+
+    def _receive(self) -> Response:
+        call = self._call
+        connection = self.connection
+        wait_for_one((self,), caller=call.caller, deadline=call.deadline)
+        message = read_response(
+            connection,
+            method=call.method,
+            deadline=call.deadline,
+        )
+        response = Response(connection, message=message, method=call.method)
+        response.read_ahead(deadline=call.deadline)
+        return response
+
+    def _guard(self, step: Callable[[], Given]) -> Given:
+        try:
+            return step()
+        except CallFailed:
+            self.cancel()
+            raise
+        except TimeoutError:
+            self.cancel()
+            raise CallFailed(
+                Code.timed_out,
+                outcome=Outcome.unknown,
+            ) from None
+        except OSError as error:
+            self.cancel()
+            raise CallFailed(
+                Code.backend_cut,
+                outcome=Outcome.unknown,
+                detail=str(error),
+            ) from None
+
+
 def exchange(
     call: Call,
     *,
@@ -58,7 +164,7 @@
     address: Address,
     extra: Sequence[Header],
 ) -> Response:
-    """Send a request on, once, and read the head of its response.
+    """Send a request on, once, and read its response ahead.
 
     Args:
         call: the request.
@@ -67,89 +173,61 @@
         extra: headers that this hop adds.
 
     Returns:
-        The response, read ahead; leaving it as a context gives its
-        connection back to the pool.
+        The response.
 
     Raises:
         CallFailed: with outcome ``not_run`` if nothing was sent, else
             ``unknown``.
     """
-    connection = pool.take(address)
-    if connection is None:
-        connection = open_connection(address, deadline=call.deadline)
-    try:
-        return _run(call, connection, extra).kept_in(pool, address)
-    except CallFailed:
-        connection.close()
-        raise
-    except TimeoutError:
-        connection.close()
-        raise CallFailed(
-            Code.timed_out,
-            outcome=Outcome.unknown,
-        ) from None
-    except OSError as error:
-        connection.close()
-        raise CallFailed(
-            Code.backend_cut,
-            outcome=Outcome.unknown,
-            detail=str(error),
-        ) from None
-
-
-def _run(
-    call: Call,
-    connection: Connection,
-    extra: Sequence[Header],
-) -> Response:
-    body = call.body
-    head = write_request_head(
-        call.method,
-        target=call.target,
-        headers=(*call.headers, *body.framing, *extra),
-    )
-    connection.send(head + body.first, deadline=call.deadline)
-    if not body.is_complete:
-        body.pass_rest(connection, deadline=call.deadline)
-    _wait_watching(connection.sock, call.caller.sock, call.deadline)
-    message = read_response(
-        connection,
-        method=call.method,
-        deadline=call.deadline,
-    )
-    response = Response(connection, message=message, method=call.method)
-    response.read_ahead(deadline=call.deadline)
-    return response
-
-
-def _wait_watching(
-    sock: socket.socket,
-    caller: socket.socket,
+    sent = Exchange(call, pool=pool, address=address, extra=extra)
+    return sent.finish()
+
+
+def wait_for_one(
+    exchanges: Sequence[Exchange],
+    *,
+    caller: Connection,
     deadline: float,
-) -> None:
-    """Wait for a response, and see when the caller hangs up.
+) -> Exchange:
+    """Wait until one of several responses comes, watching the caller.
 
     Failure guarded here: a caller gives up and its request still holds a
-    slot at the backend server. Closing the connection to the next hop
+    slot at the backend server. Closing the connections to the next hop
     passes the cancellation on.
+
+    Args:
+        exchanges: sent already.
+        caller: who waits for the answer.
+        deadline: seconds on the clock.
+
+    Returns:
+        The first of which the response can be read.
+
+    Raises:
+        TimeoutError: when the time is up.
+        CallFailed: when the caller has hung up.
     """
     poller = select.poll()
-    poller.register(sock, select.POLLIN)
-    poller.register(caller, select.POLLIN)
+    by_number = {each.connection.sock.fileno(): each for each in exchanges}
+    for number in (*by_number, caller.sock.fileno()):
+        poller.register(number, select.POLLIN)
     while True:
-        seconds = deadline - read_clock()
-        ready = {
-            entry[0] for entry in poller.poll(max(0, seconds) * MILLISECONDS)
-        }
-        if sock.fileno() in ready:
-            return
-        if not ready:
-            raise TimeoutError
-        if _has_hung_up(caller):
-            raise CallFailed(Code.caller_gone, outcome=Outcome.unknown)
-        # Another request is waiting behind this one: look at the response
+        seconds = max(0, deadline - read_clock())
+        ready = {event[0] for event in poller.poll(seconds * MILLISECONDS)}
+        answered = ready & by_number.keys()
+        if answered:
+            return by_number[answered.pop()]
+        _check_caller(caller.sock, ready)
+        # Another request is waiting behind this one: look at the responses
         # alone from here on.
-        poller.unregister(caller)
+        poller.unregister(caller.sock)
+
+
+def _check_caller(caller: socket.socket, ready: set[int]) -> None:
+    if not ready:
+        raise TimeoutError
+    if _has_hung_up(caller):
+        raise CallFailed(Code.caller_gone, outcome=Outcome.unknown)
 
 
 def _has_hung_up(caller: socket.socket) -> bool:
--- a/wagtaildale/calls/fields.py
+++ b/wagtaildale/calls/fields.py
@@ -10,6 +10,7 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.messages import TicketId
 from wagtaildale.errors.codes import Code
 from wagtaildale.types import (
     Incarnation,
@@ -21,6 +22,8 @@
 CALL_FIELD: Final = b'wagtaildale-call'
 ANSWER_FIELD: Final = b'wagtaildale-answer'
 PRIVATE_PREFIX: Final = b'wagtaildale-'
+NO_LEASE: Final = TicketId(0)
+ASK_LEASE: Final = TicketId(-1)
 ANY_INCARNATION: Final = Incarnation(0)
 
 
@@ -36,6 +39,10 @@
         remaining_ms: until the deadline.
         instance: for whom it is meant.
         incarnation: of that instance; 0 if the entry does not know it yet.
+        lease: which slot is held for it; 0 if none, ``ASK_LEASE`` in a
+            reservation.
+        depth: how many calls led to this one.
+        retries: attempts beyond the first that are left to calls below.
     """
 
     request_id: RequestId
@@ -46,6 +53,9 @@
     remaining_ms: int
     instance: InstanceId
     incarnation: Incarnation
+    lease: TicketId = NO_LEASE
+    depth: int = 0
+    retries: int = 0
 
 
 class AnswerFields(Struct, frozen=True, kw_only=True, gc=False):
@@ -63,6 +73,7 @@
         queued: requests that wait there.
         owner_us: microseconds spent at the owner, waiting included.
         backend_us: microseconds spent at the backend server.
+        lease: the slot that is held, in the answer to a reservation.
     """
 
     request_id: RequestId
@@ -76,6 +87,7 @@
     queued: int
     owner_us: int = 0
     backend_us: int = 0
+    lease: TicketId = NO_LEASE
 
 
 def write_call(fields: CallFields) -> bytes:
@@ -91,6 +103,7 @@
         f'{fields.request_id} {fields.attempt} {fields.work_class}'
         f' {int(fields.idempotent)} {fields.within_ms}'
         f' {fields.remaining_ms} {fields.instance} {fields.incarnation}'
+        f' {fields.lease} {fields.depth} {fields.retries}'
     ).encode()
 
 
@@ -114,6 +127,9 @@
             remaining_ms=int(parts[5]),
             instance=InstanceId(parts[6]),
             incarnation=Incarnation(int(parts[7])),
+            lease=TicketId(int(parts[8])),
+            depth=int(parts[9]),
+            retries=int(parts[10]),
         )
     except (IndexError, ValueError):
         return None
@@ -132,7 +148,7 @@
         f'{fields.request_id} {fields.attempt} {fields.code.value}'
         f' {fields.outcome.value} {fields.instance} {fields.incarnation}'
         f' {fields.in_flight} {fields.limit} {fields.queued}'
-        f' {fields.owner_us} {fields.backend_us}'
+        f' {fields.owner_us} {fields.backend_us} {fields.lease}'
     ).encode()
 
 
@@ -159,6 +175,7 @@
             queued=int(parts[8]),
             owner_us=int(parts[9]),
             backend_us=int(parts[10]),
+            lease=TicketId(int(parts[11])),
         )
     except (IndexError, ValueError):
         return None
--- /dev/null
+++ b/wagtaildale/calls/hedges.py
@@ -0,0 +1,86 @@
+"""When a second attempt is begun beside one that is slow to answer.
+
+The delay follows the round-trip estimator of TCP, smoothed time plus four
+times its deviation. MONET (Andersen et al., NSDI 2005, section 2.2.2) paces
+its further attempts alike; the measurement that supports it here is in
+docs/design/calls.md.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+GAIN: Final = 0.125
+DEVIATION_GAIN: Final = 0.25
+DEVIATIONS: Final = 4
+LEAST_DELAY: Final = 0.002
+SAMPLES_TO_TRUST: Final = 20
+
+
+class HedgeClock:
+    """Estimates the time of one class's answers.
+
+    Workers update it without a lock: a lost sample does no harm.
+
+    Example:
+        >>> clock = HedgeClock()
+        >>> clock.find_delay() is None
+        True
+    """
+
+    __slots__ = ('_deviation', '_samples', '_smoothed')
+
+    def __init__(self) -> None:
+        """Begin with no sample."""
+        self._smoothed = float(0)
+        self._deviation = float(0)
+        self._samples = 0
+
+    def note(self, seconds: float) -> None:
+        """Note how long an answer took.
+
+        Args:
+            seconds: from sending to the head of the answer.
+        """
+        if self._samples:
+            error = seconds - self._smoothed
+            self._smoothed += GAIN * error
+            gain = abs(error) - self._deviation
+            self._deviation += DEVIATION_GAIN * gain
+        else:
+            self._smoothed = seconds
+            self._deviation = seconds / 2
+        self._samples += 1
+
+    def find_delay(self) -> float | None:
+        """Find how long to wait before a second attempt.
+
+        Returns:
+            Seconds, or nothing while there are too few samples.
+        """
+        if self._samples < SAMPLES_TO_TRUST:
+            return None
+        delay = self._smoothed + DEVIATIONS * self._deviation
+        return max(LEAST_DELAY, delay)
+
+
+class HedgeClocks:
+    """The clocks of all classes of an entry."""
+
+    def __init__(self) -> None:
+        """Begin with none."""
+        self._clocks: dict[str, HedgeClock] = {}
+
+    def find(self, work_class: str) -> HedgeClock:
+        """Find the clock of a class.
+
+        Args:
+            work_class: service and class.
+
+        Returns:
+            Its clock, a new one for a new class.
+        """
+        clock = self._clocks.get(work_class)
+        if clock is None:
+            clock = self._clocks.setdefault(work_class, HedgeClock())
+        return clock
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from wagtaildale.admission.gate import Gate
-from wagtaildale.admission.messages import Admitted, Refused
+from wagtaildale.admission.messages import Refused
 from wagtaildale.admission.ledger import RunLedger
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.connections import Pool
@@ -18,20 +19,27 @@
     AnswerFields,
     CallFields,
 )
+from wagtaildale.calls.keyed import Deliverable, KeyedRuns
+from wagtaildale.calls.slots import Slot
 from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariant, Invariants
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import Incarnation, InstanceId, Outcome
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from types import TracebackType
+    from collections.abc import Sequence
 
+    from wagtaildale.calls.parsing import Header
     from wagtaildale.calls.responses import Response
 
-SERVER_ERROR: Final = 500
 MICROSECONDS: Final = 1_000_000
 MILLISECONDS: Final = 1000
+# Long enough for a run message over a slow line, short enough that a slot
+# whose entry died is soon free again.
+LEASE_SECONDS: Final = 0.5
+
+
+Deliver = Callable[[Deliverable, AnswerFields], None]
 
 
 class Identity(Struct, frozen=True, kw_only=True):
@@ -41,49 +49,6 @@
     incarnation: Incarnation
 
 
-class Slot:
-    """A slot at the backend server, given back when left."""
-
-    def __init__(self, gate: Gate, admitted: Admitted) -> None:
-        """Take the slot.
-
-        Args:
-            gate: where it goes back.
-            admitted: the verdict.
-        """
-        self.failed = True
-        self._gate = gate
-        self._admitted = admitted
-        self._since = read_clock()
-
-    def __enter__(self) -> Slot:
-        """Hold the slot.
-
-        Returns:
-            Itself; ``failed`` is to be cleared on success.
-        """
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Give the slot back.
-
-        Args:
-            kind: of an error, if one ended the work.
-            error: the error.
-            trace: where it arose.
-        """
-        self._gate.leave(
-            self._admitted,
-            seconds=read_clock() - self._since,
-            failed=self.failed,
-        )
-
-
 class Owner:
     """Runs admitted requests at the backend server."""
 
@@ -108,6 +73,7 @@
         self._backend = backend
         self._pool = Pool()
         self._ledger = RunLedger()
+        self._keyed = KeyedRuns()
         self._invariants = invariants
 
     def run(
@@ -115,7 +81,7 @@
         call: Call,
         *,
         fields: CallFields,
-        deliver: Callable[[Response, AnswerFields], None],
+        deliver: Deliver,
     ) -> None:
         """Admit a request, run it and deliver its response.
 
@@ -129,26 +95,40 @@
             StreamCut: when the response breaks under way.
         """
         started = read_clock()
-        slot = self._admit(call, fields)
-        with slot:
-            running = read_clock()
-            response = exchange(
-                call,
-                pool=self._pool,
-                address=self._backend,
-                extra=(
-                    (b'wagtaildale-request-id', fields.request_id.encode()),
-                    (b'wagtaildale-deadline-ms', _write_rest(call)),
-                ),
-            )
-            answer = self.describe(
-                fields,
-                owner_seconds=read_clock() - started,
-                backend_seconds=read_clock() - running,
-            )
-            with response:
-                deliver(response, answer)
-            slot.failed = response.message.status >= SERVER_ERROR
+        if fields.idempotent:
+            self._run_admitted(call, fields, deliver, started)
+            return
+        self._keyed.run(
+            call,
+            work=lambda: self._run_once(call, fields, deliver, started),
+            replay=lambda kept: deliver(kept, self.describe(fields)),
+        )
+
+    def reserve(self, fields: CallFields, *, deadline: float) -> AnswerFields:
+        """Hold a slot for a run message that is to come.
+
+        Nothing runs by this, so whoever asked may still go elsewhere.
+
+        Args:
+            fields: what the entry told of the request.
+            deadline: seconds on the clock.
+
+        Returns:
+            What goes along with the answer, the lease in it.
+
+        Raises:
+            CallFailed: with outcome ``not_run`` for every refusal.
+        """
+        self._check_target(fields)
+        verdict = self.gate.enter(
+            within_ms=fields.within_ms,
+            deadline=deadline,
+            lease_seconds=LEASE_SECONDS,
+        )
+        if isinstance(verdict, Refused):
+            raise CallFailed(verdict.code)
+        answer = self.describe(fields)
+        return structs.replace(answer, lease=verdict.ticket)
 
     def describe(
         self,
@@ -186,12 +166,54 @@
             backend_us=round(backend_seconds * MICROSECONDS),
         )
 
+    def _run_once(
+        self,
+        call: Call,
+        fields: CallFields,
+        deliver: Deliver,
+        started: float,
+    ) -> Response:
+        try:
+            return self._run_admitted(call, fields, deliver, started)
+        except CallFailed as failure:
+            if failure.outcome is Outcome.not_run:
+                self._ledger.forget(fields.request_id)
+            raise
+
+    def _run_admitted(
+        self,
+        call: Call,
+        fields: CallFields,
+        deliver: Deliver,
+        started: float,
+    ) -> Response:
+        with self._admit(call, fields) as slot:
+            running = read_clock()
+            response = exchange(
+                call,
+                pool=self._pool,
+                address=self._backend,
+                extra=_write_context(call, fields),
+            )
+            answer = self.describe(
+                fields,
+                owner_seconds=read_clock() - started,
+                backend_seconds=read_clock() - running,
+            )
+            with response:
+                deliver(response, answer)
+            slot.note_status(response.message.status)
+            return response
+
     def _admit(self, call: Call, fields: CallFields) -> Slot:
         self._check_target(fields)
-        verdict = self.gate.enter(
-            within_ms=fields.within_ms,
-            deadline=call.deadline,
-        )
+        if fields.lease:
+            verdict = self.gate.redeem(fields.lease)
+        else:
+            verdict = self.gate.enter(
+                within_ms=fields.within_ms,
+                deadline=call.deadline,
+            )
         if isinstance(verdict, Refused):
             raise CallFailed(verdict.code, outcome=Outcome.not_run)
         slot = Slot(self.gate, verdict)
@@ -218,6 +240,16 @@
             raise CallFailed(Code.wrong_instance)
 
 
-def _write_rest(call: Call) -> bytes:
-    seconds = max(0, call.deadline - read_clock())
-    return b'%d' % round(seconds * MILLISECONDS)
+def _write_context(call: Call, fields: CallFields) -> Sequence[Header]:
+    """Write what a backend server copies onto the calls that it makes.
+
+    Returns:
+        The remaining time, the depth, and the retries left below.
+    """
+    rest = max(0, call.deadline - read_clock()) * MILLISECONDS
+    return (
+        (b'wagtaildale-request-id', fields.request_id.encode()),
+        (b'wagtaildale-deadline-ms', b'%d' % rest),
+        (b'wagtaildale-depth', b'%d' % (fields.depth + 1)),
+        (b'wagtaildale-retries', b'%d' % fields.retries),
+    )
--- a/wagtaildale/calls/owner_port.py
+++ b/wagtaildale/calls/owner_port.py
@@ -10,23 +10,25 @@
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.fields import (
     ANSWER_FIELD,
+    ASK_LEASE,
     CALL_FIELD,
     AnswerFields,
     CallFields,
     read_call,
     write_answer,
 )
-from wagtaildale.calls.heads import pass_on
+from wagtaildale.calls.heads import pass_on, write_response_head
 from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
+    from wagtaildale.calls.keyed import Deliverable
     from wagtaildale.calls.connections import Connection
     from wagtaildale.calls.owner import Owner
     from wagtaildale.calls.parsing import Message
-    from wagtaildale.calls.responses import Response
 
 MILLISECONDS: Final = 1000
+OK: Final = 200
 
 
 class OwnerPort:
@@ -80,6 +82,10 @@
         fields: CallFields,
     ) -> None:
         deadline = read_clock() + fields.remaining_ms / MILLISECONDS
+        if fields.lease == ASK_LEASE:
+            answer = self._owner.reserve(fields, deadline=deadline)
+            _send_lease(caller, answer)
+            return
         call = Call(
             caller=caller,
             method=message.method,
@@ -101,7 +107,7 @@
     def __init__(self, caller: Connection) -> None:
         self._caller = caller
 
-    def __call__(self, response: Response, answer: AnswerFields) -> None:
+    def __call__(self, response: Deliverable, answer: AnswerFields) -> None:
         response.write_to(
             self._caller,
             extra=((ANSWER_FIELD, write_answer(answer)),),
@@ -109,5 +115,14 @@
         )
 
 
+def _send_lease(caller: Connection, answer: AnswerFields) -> None:
+    headers = (
+        (b'content-length', b'0'),
+        (ANSWER_FIELD, write_answer(answer)),
+    )
+    head = write_response_head(OK, headers=headers)
+    caller.send(head, deadline=_soon())
+
+
 def _soon() -> float:
     return read_clock() + 1
--- a/wagtaildale/calls/report.py
+++ b/wagtaildale/calls/report.py
@@ -40,6 +40,7 @@
         self._name = NO_CLASS
         self._within = float(0)
         self._retries = 0
+        self._hedges = 0
         self._code = Code.ok
         self._outcome = Outcome.answered
         self._answer: AnswerFields | None = None
@@ -68,6 +69,10 @@
             detail=failure.detail,
         )
 
+    def note_hedge(self) -> None:
+        """Note that a second attempt was begun beside the first."""
+        self._hedges += 1
+
     def note_answer(self, answer: AnswerFields) -> None:
         """Note what the owner said with its answer.
 
@@ -101,6 +106,7 @@
         tally = self._tallies.find(self._name)
         tally.note(self._code, self._outcome, seconds)
         tally.retried += self._retries
+        tally.hedged += self._hedges
         if self._outcome is Outcome.answered and seconds <= self._within:
             tally.in_time += 1
 
--- a/wagtaildale/calls/routed.py
+++ b/wagtaildale/calls/routed.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from wagtaildale.calls.attempts import RETRIES_MOST
 from wagtaildale.calls.bodies import RequestBody
 from wagtaildale.calls.exchange import Call
 from wagtaildale.calls.failures import CallFailed
@@ -14,6 +15,7 @@
 from wagtaildale.calls.owner import Owner
 from wagtaildale.calls.report import CallReport
 from wagtaildale.errors.codes import Code
+from wagtaildale.routing.choice import Chooser
 from wagtaildale.routing.book import UpstreamBook
 from wagtaildale.routing.table import RouteMatch
 from wagtaildale.routing.view import FleetView, ViewHolder
@@ -29,6 +31,12 @@
 REQUEST_ID_BYTES: Final = 16
 MILLISECONDS: Final = 1000
 DEADLINE_FIELD: Final = b'wagtaildale-deadline-ms'
+DEPTH_FIELD: Final = b'wagtaildale-depth'
+RETRIES_FIELD: Final = b'wagtaildale-retries'
+KEY_FIELD: Final = b'idempotency-key'
+LONGEST_KEY: Final = 200
+LONGEST_NUMBER: Final = 9
+DEPTH_MOST: Final = 16
 
 
 class EntryParts(Struct, frozen=True, kw_only=True):
@@ -42,6 +50,9 @@
         tallies: counts of calls.
         recorder: gets events.
         body_bytes: largest request body.
+        chooser: of upstreams.
+        reserves: whether a non-idempotent request reserves a slot first.
+        hedges: whether slow idempotent requests get a second attempt.
     """
 
     data_centre: DataCentre
@@ -51,6 +62,9 @@
     tallies: Tallies
     recorder: EventRecorder
     body_bytes: int
+    chooser: Chooser
+    reserves: bool = True
+    hedges: bool = True
 
 
 class Routed(Struct, frozen=True, kw_only=True):
@@ -62,6 +76,9 @@
         view: the snapshot that the whole call goes by.
         request_id: 128 random bits, hexadecimal.
         report: says how it ended.
+        idempotency_key: the caller's own, of a non-idempotent request.
+        depth: how many calls led to this one.
+        retries: that are left to this call and those below.
     """
 
     call: Call
@@ -69,6 +86,9 @@
     view: FleetView
     request_id: RequestId
     report: CallReport
+    idempotency_key: str = ''
+    depth: int = 0
+    retries: int = RETRIES_MOST
 
 
 def route_call(
@@ -101,6 +121,10 @@
     if match is None:
         raise CallFailed(Code.no_route, detail=f'{method} {path}')
     report.name_class(match)
+    depth = _find_number(message, DEPTH_FIELD, default=0)
+    if depth > DEPTH_MOST:
+        # Failure: services call each other in a circle.
+        raise CallFailed(Code.too_deep, detail=f'{depth} calls deep')
     call = Call(
         caller=caller,
         method=message.method,
@@ -119,6 +143,9 @@
         view=view,
         request_id=RequestId(os.urandom(REQUEST_ID_BYTES).hex()),
         report=report,
+        idempotency_key=_find_key(message, match),
+        depth=depth,
+        retries=_find_number(message, RETRIES_FIELD, default=RETRIES_MOST),
     )
 
 
@@ -130,8 +157,23 @@
 
 
 def _find_deadline(message: Message, match: RouteMatch) -> float:
-    milliseconds = match.work_class.deadline_ms
-    given = message.find(DEADLINE_FIELD)
-    if given is not None and given.isdigit():
-        milliseconds = min(milliseconds, int(given))
-    return read_clock() + milliseconds / MILLISECONDS
+    most = match.work_class.deadline_ms
+    given = _find_number(message, DEADLINE_FIELD, default=most)
+    return read_clock() + given / MILLISECONDS
+
+
+def _find_key(message: Message, match: RouteMatch) -> str:
+    if match.work_class.idempotent:
+        return ''
+    key = message.find(KEY_FIELD) or b''
+    return key[:LONGEST_KEY].decode('latin-1')
+
+
+def _find_number(message: Message, name: bytes, *, default: int) -> int:
+    # What a caller asks for only ever narrows what the class allows; the
+    # depth of a call is the one number that a caller may raise.
+    given = message.find(name)
+    if given is None or not given.isdigit():
+        return default
+    number = int(given[:LONGEST_NUMBER])
+    return number if name == DEPTH_FIELD else min(default, number)
--- /dev/null
+++ b/wagtaildale/calls/tests/pairs.py
@@ -0,0 +1,69 @@
+"""An entry node and an owner node over real sockets, for tests of calls."""
+
+from __future__ import annotations
+
+import socket
+import time
+from http.client import HTTPConnection, HTTPResponse
+from typing import TYPE_CHECKING
+
+from msgspec import json
+
+from standins.hosted import HostedBackend
+from wagtaildale.errors.codes import Code
+from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode, build_pair
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+OUTCOME = 'wagtaildale-outcome'
+PATIENCE = 5.0
+
+
+class Pair:
+    """An entry node ``a`` and the owner node ``b`` of the only upstream."""
+
+    def __init__(self) -> None:
+        here, there = build_pair()
+        self.backend = HostedBackend('b', host=there.host, port=BACKEND_PORT)
+        self.near = MeshNode(here)
+        self.far = MeshNode(there)
+        self.near.show(there)
+
+    def close(self) -> None:
+        self.near.close()
+        self.far.close()
+        self.backend.close()
+
+    def ask(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[HTTPResponse, bytes]:
+        connection = HTTPConnection(*self.near.entry, timeout=PATIENCE)
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        text = response.read()
+        connection.close()
+        return response, text
+
+    def talk(self, request: bytes) -> bytes:
+        with socket.create_connection(self.near.entry, PATIENCE) as sock:
+            sock.sendall(request)
+            answer = b''
+            while piece := sock.recv(65536):
+                answer += piece
+        return answer
+
+
+def read_code(text: bytes) -> Code:
+    return Code(json.decode(text)['code'])
+
+
+def wait_until(condition: Callable[[], bool]) -> None:
+    deadline = time.monotonic() + PATIENCE
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.005)
--- /dev/null
+++ b/wagtaildale/calls/tests/test_safety.py
@@ -0,0 +1,252 @@
+"""Tests of what must never happen to a call, each with its story."""
+
+from __future__ import annotations
+
+import threading
+
+import pytest
+from msgspec import json
+
+from standins.hosted import HostedBackend
+from wagtaildale.admission.messages import Admitted
+from wagtaildale.calls.attempts import RETRIES_MOST, Attempts, RetryBudget
+from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.hedges import HedgeClock
+from wagtaildale.calls.tests.pairs import (
+    OUTCOME,
+    Pair,
+    read_code,
+    wait_until,
+)
+from wagtaildale.errors.codes import Code
+from wagtaildale.testing.builders import build_record
+from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
+from wagtaildale.types import Outcome
+
+KEY = 'idempotency-key'
+
+
+def build_attempts(*, idempotent: bool, tokens: float = 10) -> Attempts:
+    budget = RetryBudget(tokens=tokens)
+    return Attempts(idempotent=idempotent, deadline=10, budget=budget)
+
+
+@pytest.mark.parametrize(
+    ('code', 'outcome', 'idempotent', 'expected'),
+    [
+        (Code.draining, Outcome.not_run, False, True),
+        (Code.backend_cut, Outcome.unknown, True, True),
+        (Code.backend_cut, Outcome.unknown, False, False),
+        (Code.timed_out, Outcome.unknown, False, False),
+        (Code.timed_out, Outcome.not_run, False, True),
+        (Code.no_route, Outcome.not_run, True, False),
+        (Code.key_repeated, Outcome.unknown, True, False),
+    ],
+)
+def test_retry_only_what_is_safe(
+    code: Code,
+    outcome: Outcome,
+    idempotent: bool,
+    expected: bool,
+) -> None:
+    attempts = build_attempts(idempotent=idempotent)
+    failure = CallFailed(code, outcome=outcome)
+    assert attempts.may_retry(failure, now=1, replayable=True) is expected
+    assert not attempts.may_retry(failure, now=11, replayable=True)
+    assert not attempts.may_retry(failure, now=1, replayable=False)
+
+
+def test_retries_are_bounded_along_the_call() -> None:
+    attempts = build_attempts(idempotent=True)
+    failure = CallFailed(Code.draining)
+    granted = [
+        attempts.may_retry(failure, now=1, replayable=True)
+        for _attempt in range(RETRIES_MOST + 1)
+    ]
+    assert granted == [*(RETRIES_MOST * (True,)), False]
+
+
+def test_brownout_is_not_multiplied() -> None:
+    """Every call of a service fails, and retries double the load.
+
+    Over many calls the retries stay a fixed share of them.
+    """
+    budget = RetryBudget()
+    spent = 0
+    for _call in range(1000):
+        budget.earn()
+        spent += budget.spend()
+    assert spent <= 20 + 1000 * 0.2
+
+
+def test_hedge_waits_for_usual_time_and_deviation() -> None:
+    clock = HedgeClock()
+    for _sample in range(50):
+        clock.note(0.01)
+    delay = clock.find_delay()
+    assert delay is not None
+    assert 0.01 <= delay < 0.02
+
+
+def test_slow_upstream_is_hedged(pair: Pair) -> None:
+    """A field lookup meets a server that hangs.
+
+    The second attempt goes elsewhere, and the first is cancelled.
+    """
+    other = build_record('c', host='127.0.9.3')
+    backend = HostedBackend('c', host=other.host, port=BACKEND_PORT)
+    with backend, MeshNode(other):
+        pair.near.show(pair.far.record, other)
+        for claim in range(40):
+            pair.ask('GET', f'/files/{claim}')
+        pair.backend.faults.service_ms = 60_000
+        tally = pair.near.tallies.sum_up()['casefiles/lookup']
+        while not tally.hedged:
+            response, text = pair.ask('GET', '/files/7')
+            assert response.status == 200
+            assert json.decode(text)['by'] == 'c'
+            tally = pair.near.tallies.sum_up()['casefiles/lookup']
+        wait_until(
+            lambda: pair.backend.counts.cancelled >= tally.hedged,
+        )
+
+
+def test_failing_upstream_is_left_out(pair: Pair) -> None:
+    """A server that fails at once looks idle and draws all calls."""
+    other = build_record('c', host='127.0.9.3')
+    backend = HostedBackend('c', host=other.host, port=BACKEND_PORT)
+    with backend, MeshNode(other):
+        pair.near.show(pair.far.record, other)
+        pair.backend.faults.close_share = 1
+        for claim in range(20):
+            response, _text = pair.ask('GET', f'/files/{claim}')
+            assert response.status == 200
+        runs = pair.backend.counts.runs
+        assert runs <= 6
+
+
+def test_reservation_that_is_never_run_gives_its_slot_back(
+    pair: Pair,
+) -> None:
+    """Entries die after reserving, and every slot is held for nobody."""
+    gate = pair.far.owner.gate
+    verdicts = [
+        gate.enter(within_ms=100, deadline=1e12, lease_seconds=0)
+        for _slot in range(4)
+    ]
+    assert all(isinstance(verdict, Admitted) for verdict in verdicts)
+    response, _text = pair.ask('POST', '/bookings', b'x')
+    assert response.status == 200
+
+
+def test_run_after_its_lease_is_refused(pair: Pair) -> None:
+    """An entry is paused between reserving and running a booking.
+
+    When it wakes the slot belongs to another; the run is refused, and
+    "not run" is true.
+    """
+    gate = pair.far.owner.gate
+    verdict = gate.enter(within_ms=100, deadline=1e12, lease_seconds=0)
+    refused = gate.redeem(verdict.ticket)
+    assert not isinstance(refused, Admitted)
+    assert refused.code is Code.lease_ended
+
+
+def test_lease_is_redeemed_once(pair: Pair) -> None:
+    """The network doubles a run message."""
+    gate = pair.far.owner.gate
+    verdict = gate.enter(within_ms=100, deadline=1e12, lease_seconds=60)
+    assert isinstance(gate.redeem(verdict.ticket), Admitted)
+    assert not isinstance(gate.redeem(verdict.ticket), Admitted)
+
+
+def test_waiting_booking_that_gives_up_has_not_run(pair: Pair) -> None:
+    """A booking waits for a slot until its deadline.
+
+    Only a reservation was out, so the caller hears "not run", and the
+    backend server has not seen it.
+    """
+    gate = pair.far.owner.gate
+    held = [
+        gate.enter(within_ms=100, deadline=1e12, lease_seconds=60)
+        for _slot in range(4)
+    ]
+    response, text = pair.ask(
+        'POST',
+        '/bookings',
+        b'x',
+        {'wagtaildale-deadline-ms': '100', 'x-booking': 'late'},
+    )
+    assert response.headers[OUTCOME].startswith('not-run')
+    assert read_code(text) in {Code.past_deadline, Code.timed_out}
+    assert 'late' not in pair.backend.counts.by_key
+    assert len(held) == 4
+
+
+def test_repeated_key_gets_the_first_answer(pair: Pair) -> None:
+    """A homeowner presses the button twice."""
+    first = pair.ask('POST', '/bookings', b'x', {KEY: 'k', 'x-booking': 'b'})
+    again = pair.ask('POST', '/bookings', b'x', {KEY: 'k', 'x-booking': 'b'})
+    assert first[1] == again[1]
+    assert again[0].headers['idempotency-replayed'] == 'true'
+    assert pair.backend.counts.by_single_key['b'] == 1
+
+
+def test_repeated_key_while_the_first_runs(pair: Pair) -> None:
+    pair.backend.faults.service_ms = 300
+    headers = {KEY: 'k', 'x-booking': 'b'}
+    worker = threading.Thread(
+        target=pair.ask,
+        args=('POST', '/bookings', b'x', headers),
+    )
+    worker.start()
+    wait_until(lambda: pair.backend.counts.runs == 1)
+    response, text = pair.ask('POST', '/bookings', b'x', headers)
+    worker.join()
+    assert response.status == 409
+    assert read_code(text) is Code.key_repeated
+    assert pair.backend.counts.by_single_key['b'] == 1
+
+
+def test_repeated_key_after_an_unknown_outcome(pair: Pair) -> None:
+    """The first answer was lost; the repeat must not book again."""
+    pair.backend.faults.close_share = 1
+    headers = {KEY: 'k', 'x-booking': 'b'}
+    pair.ask('POST', '/bookings', b'x', headers)
+    pair.backend.faults.close_share = 0
+    _response, text = pair.ask('POST', '/bookings', b'x', headers)
+    assert read_code(text) is Code.key_repeated
+    assert pair.backend.counts.by_single_key['b'] == 1
+
+
+def test_same_key_for_another_request_is_another_request(pair: Pair) -> None:
+    pair.ask('POST', '/bookings', b'x', {KEY: 'k'})
+    response, _text = pair.ask('POST', '/bookings?day=2', b'x', {KEY: 'k'})
+    assert 'idempotency-replayed' not in response.headers
+
+
+def test_deadline_and_depth_go_along(pair: Pair) -> None:
+    """Calls that lead to calls in a circle never end."""
+    headers = {'wagtaildale-depth': '17'}
+    response, text = pair.ask('GET', '/files/1', headers=headers)
+    assert response.status == 508
+    assert read_code(text) is Code.too_deep
+
+
+def test_shed_lookup_goes_elsewhere(pair: Pair) -> None:
+    other = build_record('c', host='127.0.9.3')
+    backend = HostedBackend('c', host=other.host, port=BACKEND_PORT)
+    with backend, MeshNode(other):
+        pair.near.show(pair.far.record, other)
+        pair.backend.faults.draining = True
+        statuses = {
+            pair.ask('GET', f'/files/{claim}')[0].status for claim in range(10)
+        }
+    assert statuses == {200}
+
+
+def test_limit_shrinks_when_the_backend_server_sheds(pair: Pair) -> None:
+    state = pair.far.owner.gate.state
+    pair.backend.faults.draining = True
+    pair.ask('POST', '/bookings', b'x')
+    wait_until(lambda: state.limit < state.slots)
--- a/wagtaildale/errors/codes.py
+++ b/wagtaildale/errors/codes.py
@@ -60,6 +60,7 @@
     lease_ended = 4016
     retry_budget_spent = 4017
     key_repeated = 4018
+    too_deep = 4019
 
     address_in_use = 5001
     drain_bound_passed = 5002
@@ -117,6 +118,7 @@
         Code.lease_ended: 'the reservation ended before the run came',
         Code.retry_budget_spent: 'failed, and the retry budget is spent',
         Code.key_repeated: 'this idempotency key has run already',
+        Code.too_deep: 'calls lead to calls without end',
         Code.address_in_use: 'a listening address cannot be bound',
         Code.drain_bound_passed: 'work in flight outlived the drain bound',
         Code.invariant_broken: 'an invariant does not hold: a defect',
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -28,9 +28,11 @@
 from wagtaildale.membership.state import MembershipState
 from wagtaildale.membership.topology import Place
 from wagtaildale.routing.book import UpstreamBook
+from wagtaildale.routing.choosers import make_chooser
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.source.http import HttpPlatform
 from wagtaildale.source.tasks import FetchTask, WatchTask
+from wagtaildale.settings.model import MOST_SLOTS
 from wagtaildale.telemetry.events import EventKind, EventRecorder
 from wagtaildale.telemetry.tallies import Tallies
 from wagtaildale.timers.inbox import Inbox
@@ -295,9 +297,12 @@
 
 def _make_owner(parts: Parts) -> Owner:
     backend = parts.settings.backend
+    slots = backend.slots
+    if not parts.settings.calls.admits:
+        slots = MOST_SLOTS
     return Owner(
         parts.identity,
-        gate=Gate(make_admission(backend.slots)),
+        gate=Gate(make_admission(slots)),
         backend=Address(backend.host, backend.port),
         invariants=parts.invariants,
     )
@@ -312,4 +317,7 @@
         tallies=parts.tallies,
         recorder=parts.recorder,
         body_bytes=parts.settings.limits.body_bytes,
+        chooser=make_chooser(parts.settings.calls.choice),
+        reserves=parts.settings.calls.reserves,
+        hedges=parts.settings.calls.hedges,
     )
--- a/wagtaildale/routing/book.py
+++ b/wagtaildale/routing/book.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.fields import ANY_INCARNATION
+from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
@@ -15,6 +16,88 @@
     from wagtaildale.types import InstanceId
 
 FIRST_LIMIT: Final = 10
+WARM_SECONDS: Final = 10.0
+COLD_LOAD: Final = 0.5
+FAILURES_TO_EJECT: Final = 3
+FIRST_EJECTION: Final = 1.0
+LONGEST_EJECTION: Final = 30.0
+PROBE_SECONDS: Final = 1.0
+# What speaks against an upstream itself, not against one request.
+UPSTREAM_FAULTS: Final = frozenset(
+    (
+        Code.backend_cut,
+        Code.backend_unreachable,
+        Code.timed_out,
+        Code.answer_mismatched,
+        Code.wrong_instance,
+    ),
+)
+
+
+class Ejection:
+    """Whether an upstream is left out for its failures.
+
+    Failure guarded here: a server that fails quickly looks idle and draws
+    ever more calls. After a few failures in a row it is left out, for
+    longer each time, and comes back by a probe: one call at a time until
+    one is answered.
+    """
+
+    __slots__ = ('_failures', '_seconds', '_until')
+
+    def __init__(self) -> None:
+        """Begin in good standing."""
+        self._failures = 0
+        self._seconds = FIRST_EJECTION
+        self._until = float(0)
+
+    def is_out(self, now: float) -> bool:
+        """Tell whether the upstream is left out now.
+
+        Args:
+            now: seconds.
+
+        Returns:
+            Whether to choose others.
+        """
+        return self._until > now
+
+    def note_failure(self, now: float) -> bool:
+        """Note a failure of the upstream.
+
+        Args:
+            now: seconds.
+
+        Returns:
+            Whether it is left out from now on.
+        """
+        self._failures += 1
+        if self._failures < FAILURES_TO_EJECT or self.is_out(now):
+            return False
+        self._until = now + self._seconds
+        self._seconds = min(LONGEST_EJECTION, self._seconds * 2)
+        return True
+
+    def note_chosen(self, now: float) -> None:
+        """Note that the upstream gets a call; a probe if it was out.
+
+        Args:
+            now: seconds.
+        """
+        if self._failures >= FAILURES_TO_EJECT and not self.is_out(now):
+            self._until = now + PROBE_SECONDS
+
+    def note_answer(self) -> bool:
+        """Note an answer of the upstream.
+
+        Returns:
+            Whether it was left out and is back.
+        """
+        was_out = self._failures >= FAILURES_TO_EJECT
+        self._failures = 0
+        self._seconds = FIRST_EJECTION
+        self._until = float(0)
+        return was_out
 
 
 class UpstreamNotes:
@@ -27,22 +110,24 @@
     Attributes:
         instance: the upstream.
         incarnation: of its node's process, as last answered.
+        ejection: whether it is left out for its failures.
         pending: requests that this entry has under way there.
         in_flight: requests at its backend server, as last answered.
         limit: how many may be.
         queued: requests that wait there.
-        reported_at: when that was answered, seconds on the clock.
+        known_since: when this entry first heard of this incarnation.
     """
 
     __slots__ = (
         '_lock',
+        'ejection',
         'in_flight',
         'incarnation',
         'instance',
+        'known_since',
         'limit',
         'pending',
         'queued',
-        'reported_at',
     )
 
     def __init__(self, instance: InstanceId) -> None:
@@ -53,15 +138,17 @@
         """
         self.instance = instance
         self.incarnation = ANY_INCARNATION
+        self.ejection = Ejection()
         self.pending = 0
         self._lock = threading.Lock()
         self.in_flight = 0
         self.limit = FIRST_LIMIT
         self.queued = 0
-        self.reported_at = read_clock()
+        self.known_since = read_clock()
 
     def __enter__(self) -> None:
         """Count a request that goes there."""
+        self.ejection.note_chosen(read_clock())
         with self._lock:
             self.pending += 1
 
@@ -81,25 +168,39 @@
         with self._lock:
             self.pending -= 1
 
-    def note_answer(self, fields: AnswerFields) -> None:
+    def note_answer(self, fields: AnswerFields) -> bool:
         """Note what an answer said of its owner.
 
         Args:
             fields: the answer's.
+
+        Returns:
+            Whether the upstream was left out and is back.
         """
-        self.incarnation = fields.incarnation
+        if fields.incarnation != self.incarnation:
+            self.incarnation = fields.incarnation
+            self.known_since = read_clock()
         self.in_flight = fields.in_flight
         self.limit = max(1, fields.limit)
         self.queued = fields.queued
-        self.reported_at = read_clock()
+        if fields.code in UPSTREAM_FAULTS:
+            return False
+        return self.ejection.note_answer()
 
     def measure_load(self) -> float:
         """Measure how full the upstream is.
 
+        A new one counts as half full at first and less so by the second:
+        it starts cold, and is not to be drowned by everybody at once.
+
         Returns:
             Requests there or on their way, as a share of its limit.
         """
-        return (self.in_flight + self.queued + self.pending) / self.limit
+        load = (self.in_flight + self.queued + self.pending) / self.limit
+        age = read_clock() - self.known_since
+        if age < WARM_SECONDS:
+            load += COLD_LOAD * (1 - age / WARM_SECONDS)
+        return load
 
 
 class UpstreamBook:
--- /dev/null
+++ b/wagtaildale/routing/candidates.py
@@ -0,0 +1,99 @@
+"""Which upstreams may take an attempt."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from wagtaildale.membership.topology import hash_instance
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Sequence
+
+    from wagtaildale.membership.records import InstanceRecord
+    from wagtaildale.routing.book import UpstreamBook
+    from wagtaildale.routing.view import FleetView
+    from wagtaildale.types import InstanceId, ServiceName
+
+# Upstreams of one service that an entry keeps connections to. With 7
+# upstreams a service (2,500 in 360) nearly all; it bounds the rare large
+# service.
+SUBSET_SIZE: Final = 12
+
+
+def list_candidates(
+    view: FleetView,
+    *,
+    service: ServiceName,
+    tried: Collection[InstanceId],
+) -> list[InstanceRecord]:
+    """List the upstreams that may take an attempt.
+
+    Args:
+        view: the snapshot that the call goes by.
+        service: whose upstreams.
+        tried: instances that earlier attempts of the call went to.
+
+    Returns:
+        Those that are not away; those tried before only if no other is.
+    """
+    present = [
+        record
+        for record in view.upstreams.get(service, ())
+        if record.instance not in view.away
+    ]
+    fresh = [record for record in present if record.instance not in tried]
+    return fresh or present
+
+
+def leave_out_ejected(
+    candidates: Sequence[InstanceRecord],
+    *,
+    book: UpstreamBook,
+    now: float,
+) -> Sequence[InstanceRecord]:
+    """Leave out the upstreams that failed of late, at most half of all.
+
+    Failure guarded here: everything fails for a moment (a cut line at this
+    entry) and it leaves out the whole service, or puts all load on what is
+    left. When more than half are out, none is left out.
+
+    Args:
+        candidates: that may take the attempt.
+        book: what is known of them.
+        now: seconds.
+
+    Returns:
+        Those in good standing.
+    """
+    good = [
+        record
+        for record in candidates
+        if not book.find(record.instance).ejection.is_out(now)
+    ]
+    return good if 2 * len(good) >= len(candidates) else candidates
+
+
+def take_subset(
+    candidates: Sequence[InstanceRecord],
+    *,
+    entry: InstanceId,
+) -> Sequence[InstanceRecord]:
+    """Take this entry's subset of a large service's upstreams.
+
+    Rendezvous hashing gives every entry another subset, each upstream is in
+    about as many, and a change of the list moves few.
+
+    Args:
+        candidates: that may take the attempt.
+        entry: instance of the node that chooses.
+
+    Returns:
+        At most ``SUBSET_SIZE`` of them.
+    """
+    if len(candidates) <= SUBSET_SIZE:
+        return candidates
+    ranked = sorted(
+        candidates,
+        key=lambda record: hash_instance(entry, record.instance),
+    )
+    return ranked[:SUBSET_SIZE]
--- /dev/null
+++ b/wagtaildale/routing/least_loaded.py
@@ -0,0 +1,66 @@
+"""The less loaded of two drawn upstreams, the near ones first."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Final
+
+from wagtaildale.routing.choice import Chooser
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from wagtaildale.membership.records import InstanceRecord
+    from wagtaildale.routing.book import UpstreamBook
+    from wagtaildale.types import DataCentre
+
+FULL: Final = 1.0
+
+
+class LeastLoaded(Chooser):
+    """Power of two choices on what owners report with each answer."""
+
+    def choose(
+        self,
+        candidates: Sequence[InstanceRecord],
+        *,
+        book: UpstreamBook,
+        data_centre: DataCentre,
+    ) -> InstanceRecord:
+        """Choose one; see ``Chooser``.
+
+        The entry's own data centre goes first; others come in when both
+        drawn ones there are full.
+
+        Args:
+            candidates: at least one.
+            book: what is known of them.
+            data_centre: the entry's own.
+
+        Returns:
+            The one that takes the attempt.
+        """
+        near = [
+            record for record in candidates if record.data_centre == data_centre
+        ]
+        if near:
+            chosen = _choose_of_two(near, book)
+            if _measure(chosen, book) < FULL:
+                return chosen
+        return _choose_of_two(candidates, book)
+
+
+def _choose_of_two(
+    candidates: Sequence[InstanceRecord],
+    book: UpstreamBook,
+) -> InstanceRecord:
+    if len(candidates) == 1:
+        return candidates[0]
+    first, second = random.sample(candidates, 2)
+    if _measure(second, book) < _measure(first, book):
+        return second
+    return first
+
+
+def _measure(record: InstanceRecord, book: UpstreamBook) -> float:
+    return book.find(record.instance).measure_load()
--- a/wagtaildale/settings/model.py
+++ b/wagtaildale/settings/model.py
@@ -8,6 +8,7 @@
 
 from wagtaildale.distribution.tuning import Spread
 from wagtaildale.membership.records import Port
+from wagtaildale.routing.choice import ChoiceName
 from wagtaildale.types import DataCentre, InstanceId, Region, ServiceName
 
 NAME_PATTERN: Final = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
@@ -101,6 +102,22 @@
     token_variable: str | None = None
 
 
+class CallSettings(Struct, frozen=True, kw_only=True):
+    """How calls are carried; all but the defaults are to measure against.
+
+    Attributes:
+        choice: how an upstream is chosen.
+        admits: whether slots bound what runs at the backend server.
+        reserves: whether a non-idempotent request reserves a slot first.
+        hedges: whether slow idempotent requests get a second attempt.
+    """
+
+    choice: ChoiceName = ChoiceName.least_loaded
+    admits: bool = True
+    reserves: bool = True
+    hedges: bool = True
+
+
 class KeySettings(Struct, frozen=True, kw_only=True):
     """Keys for the connections between nodes.
 
@@ -140,6 +157,7 @@
         distribution: how configuration spreads.
         limits: on callers and the planned stop.
         admin: the administration API.
+        calls: how calls are carried.
         keys: for connections between nodes.
         log: the log.
     """
@@ -158,5 +176,6 @@
     distribution: DistributionSettings = DistributionSettings()
     limits: LimitSettings = LimitSettings()
     admin: AdminSettings = AdminSettings()
+    calls: CallSettings = CallSettings()
     keys: KeySettings = KeySettings()
     log: LogSettings = LogSettings()
--- a/wagtaildale/testing/mesh.py
+++ b/wagtaildale/testing/mesh.py
@@ -16,6 +16,7 @@
 from wagtaildale.document.model import make_document
 from wagtaildale.invariants import Invariants
 from wagtaildale.routing.book import UpstreamBook
+from wagtaildale.routing.least_loaded import LeastLoaded
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.telemetry.tallies import Tallies
 from wagtaildale.testing.builders import (
@@ -142,6 +143,7 @@
             tallies=self.tallies,
             recorder=self.recorder,
             body_bytes=BODY_BYTES,
+            chooser=LeastLoaded(),
         )
 
     def _listen(self, answerer: Answerer, port: int) -> Listener:
