--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import Final
 
 import click
 
 from benchmarks.calls import measure_calls
+from benchmarks.hops import measure_hops
+from benchmarks.policy import measure_policy, measure_rolling_restart
+from benchmarks.spread import measure_spread
+from benchmarks.spread_faults import measure_faults
 
 SECONDS: Final = 5.0
+FAULTS_NODES: Final = 30
 
 
 @click.command()
@@ -21,7 +27,15 @@
     Args:
         seconds: for each step of a benchmark.
     """
-    for figure in measure_calls(seconds=seconds):
+    figures = chain(
+        measure_hops(),
+        measure_calls(seconds=seconds),
+        measure_policy(seconds=seconds),
+        measure_rolling_restart(),
+        measure_spread(),
+        measure_faults(FAULTS_NODES),
+    )
+    for figure in figures:
         figure.print_line()
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -69,6 +69,7 @@
         program: module that runs a node.
         log_level: of the nodes.
         arguments: more arguments for each node.
+        more_settings: TOML that is added to each node's settings.
     """
 
     spread: str = 'prompt'
@@ -76,6 +77,7 @@
     program: str = 'wagtaildale.daemon'
     log_level: str = 'info'
     arguments: tuple[str, ...] = ()
+    more_settings: str = ''
 
 
 class NodeProcess:
@@ -321,6 +323,7 @@
 
 [log]
 level = "{self.options.log_level}"
+{self.options.more_settings}
 """,
         )
 
