The last slots are kept for what cannot wait

Cause: at doubled load reports held slots that lookups missed their target for. Change: a request whose target leaves it time is let through only while more than a quarter of the slots is free, until its own time grows short.

--- a/wagtaildale/admission/decisions.py
+++ b/wagtaildale/admission/decisions.py
@@ -181,7 +181,9 @@
     code = Code.draining if state.draining else Code.past_deadline
     if state.draining or message.deadline <= now:
         return [Refused(ticket=message.ticket, code=code)]
-    if state.room > 0 and not state.queue:
+    due = now + message.within_ms / MILLISECONDS
+    first = not state.queue or due < state.queue[0].due
+    if first and state.has_room_for(due, now):
         return [_admit(state, message, now)]
     return _enqueue(state, message, now)
 
@@ -207,7 +209,7 @@
 
 def _admit_waiting(state: AdmissionState, now: float) -> list[Verdict]:
     verdicts: list[Verdict] = []
-    while state.queue and state.room > 0:
+    while state.queue and state.has_room_for(state.queue[0].due, now):
         waiting = state.queue.pop(0)
         if waiting.deadline <= now:
             code = Code.past_deadline
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -10,6 +10,8 @@
 
 FIRST_SECONDS: Final = 0.005
 QUEUE_PER_SLOT: Final = 16
+HEADROOM_SHARE: Final = 4
+URGENT_TIMES: Final = 5
 
 
 class Waiting(Struct, order=True, gc=False):
@@ -56,6 +58,28 @@
         """How many more requests may run now."""
         return int(self.limit) - len(self.running)
 
+    @property
+    def headroom(self) -> int:
+        """How many slots are kept for what cannot wait."""
+        return int(self.limit) // HEADROOM_SHARE
+
+    def has_room_for(self, due: float, now: float) -> bool:
+        """Tell whether a request may run now.
+
+        The last slots are kept for requests that cannot wait: one whose
+        target leaves it time lets them be until its time grows short.
+
+        Args:
+            due: when its target would be missed, seconds.
+            now: seconds.
+
+        Returns:
+            Whether there is a slot for it.
+        """
+        if due - now < URGENT_TIMES * self.service_seconds:
+            return self.room > 0
+        return self.room > self.headroom
+
     @property
     def queue_most(self) -> int:
         """How many requests may wait."""
