--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,8 @@
 bench: setup
 	$(BIN)/python -m benchmarks
 
+fuzz: setup
+	WAGTAILDALE_FUZZ_EXAMPLES=3000 $(BIN)/python -m pytest properties/test_inputs.py
+
 soak: setup
 	$(BIN)/python -m benchmarks.soak --seconds $(SECONDS) --seed $(SEED)
--- a/wagtaildale/cli/admin_client.py
+++ b/wagtaildale/admin/client.py
@@ -49,8 +49,39 @@
         Returns:
             The document, or the fault.
         """
-        body = BytesIO()
         curl = self._prepare(f'{path}?{urlencode(query or {})}')
+        return self._perform(curl, shape)
+
+    def send(
+        self,
+        path: str,
+        *,
+        shape: type[Shape],
+        body: bytes = b'',
+    ) -> Result[Shape, Fault]:
+        """Send something by POST.
+
+        Args:
+            path: of the API.
+            shape: what the answer becomes.
+            body: what is sent.
+
+        Returns:
+            The answer, or the fault.
+        """
+        curl = self._prepare(path)
+        # libcurl repeats a request on a reused connection that dies; this
+        # handle has a connection of its own.
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.POSTFIELDS, body)
+        return self._perform(curl, shape)
+
+    def _perform(
+        self,
+        curl: pycurl.Curl,
+        shape: type[Shape],
+    ) -> Result[Shape, Fault]:
+        body = BytesIO()
         curl.setopt(pycurl.WRITEDATA, body)
         try:
             curl.perform()
--- a/wagtaildale/admin/model.py
+++ b/wagtaildale/admin/model.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from wagtaildale.configuration.comparison import Change
+from wagtaildale.errors.faults import Fault
 from wagtaildale.telemetry.events import Event
 
 
@@ -158,3 +160,72 @@
     percent: float = 0
     deadline_ms: int = 0
     upstreams: tuple[str, ...] = ()
+
+
+class ReportPart(Struct, frozen=True, kw_only=True):
+    """One node's report within a fleet's.
+
+    Attributes:
+        age_ms: since the node said so.
+        report: what it said.
+    """
+
+    age_ms: int
+    report: NodeReport
+
+
+class FleetReport(Struct, frozen=True, kw_only=True):
+    """The fleet as one node could find out.
+
+    Attributes:
+        asked: the node that answers.
+        parts: every node that is known, each with its age.
+        unknown: listed instances that could not be asked, or not yet.
+    """
+
+    asked: str
+    parts: tuple[ReportPart, ...]
+    unknown: tuple[str, ...]
+
+
+class ProposalReport(Struct, frozen=True, kw_only=True):
+    """What came of checking a proposed file.
+
+    Attributes:
+        version: in force, which it was compared with.
+        faults: what is wrong with it.
+        changes: what it would change.
+    """
+
+    version: int
+    faults: tuple[Fault, ...] = ()
+    changes: tuple[Change, ...] = ()
+
+
+class InstanceAddress(Struct, frozen=True, kw_only=True):
+    """Where an instance's node is administered."""
+
+    instance: str
+    admin: str
+
+
+class InstanceAddresses(Struct, frozen=True, kw_only=True):
+    """All listed instances."""
+
+    instances: tuple[InstanceAddress, ...]
+
+
+class ReadyReport(Struct, frozen=True, kw_only=True):
+    """Whether a node is ready."""
+
+    state: str
+
+
+class DrainReport(Struct, frozen=True, kw_only=True):
+    """A planned stop has begun.
+
+    Attributes:
+        in_flight: requests that are still under way.
+    """
+
+    in_flight: int
--- a/wagtaildale/admin/server.py
+++ b/wagtaildale/admin/server.py
@@ -2,22 +2,24 @@
 
 from __future__ import annotations
 
-import hmac
 import logging
 from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct, json
 from result import Err, Ok, Result
-from werkzeug.exceptions import HTTPException, Unauthorized
+from werkzeug.exceptions import Forbidden, HTTPException, Unauthorized
 from werkzeug.routing import Map, Rule
 from werkzeug.serving import BaseWSGIServer, make_server
 from werkzeug.wrappers import Request, Response
 
-from wagtaildale.admin.model import Timeline
-from wagtaildale.admin.reports import explain_request, report_node
+from wagtaildale.admin.fleet import FleetReporter
+from wagtaildale.admin.model import ReadyReport
+from wagtaildale.admin.openapi import write_api
+from wagtaildale.admin.pages import PAGES, Context, show_ready
+from wagtaildale.admin.scopes import Doorkeeper, Scope, make_doorkeeper
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
-from wagtaildale.settings.load import read_token
+from wagtaildale.types import NodeState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,18 +28,21 @@
     from wagtaildale.node import Node
 
 JSON: Final = 'application/json'
-BEARER: Final = 'Bearer '
-READY_STATE: Final = 'ready'
+METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
+METRICS: Final = 'metrics'
+OPENAPI: Final = 'openapi'
 OK: Final = 200
 UNREADY_STATUS: Final = 503
 ERROR_STATUS: Final = 500
 
 ROUTES: Final = Map(
     [
-        Rule('/v1/node', endpoint='node', methods=['GET']),
-        Rule('/v1/timeline', endpoint='timeline', methods=['GET']),
-        Rule('/v1/explain', endpoint='explain', methods=['GET']),
-        Rule('/v1/ready', endpoint='ready', methods=['GET']),
+        *(
+            Rule(page.path, endpoint=page, methods=[page.method])
+            for page in PAGES
+        ),
+        Rule('/metrics', endpoint=METRICS, methods=['GET']),
+        Rule('/v1/openapi.json', endpoint=OPENAPI, methods=['GET']),
     ],
 )
 
@@ -52,7 +57,8 @@
             node: that is administered.
         """
         self._node = node
-        self._token: str | None = None
+        self._fleet = FleetReporter(node)
+        self._doorkeeper = Doorkeeper({})
         self._server: BaseWSGIServer | None = None
 
     def __call__(
@@ -77,16 +83,16 @@
         return response(environ, start_response)
 
     def bind(self) -> Result[None, Fault]:
-        """Read the token and open the port.
+        """Read the tokens and open the port.
 
         Returns:
             Nothing, or the fault.
         """
         settings = self._node.parts.settings
-        token = read_token(settings.admin)
-        if isinstance(token, Err):
-            return token
-        self._token = token.ok_value
+        doorkeeper = make_doorkeeper(settings.admin)
+        if isinstance(doorkeeper, Err):
+            return doorkeeper
+        self._doorkeeper = doorkeeper.ok_value
         logging.getLogger('werkzeug').setLevel(logging.ERROR)
         try:
             self._server = make_server(
@@ -117,56 +123,46 @@
 
     def _answer(self, request: Request) -> Response:
         adapter = ROUTES.bind_to_environ(request.environ)
-        endpoint = adapter.match()[0]
-        if endpoint == 'ready':
-            return self._write_ready()
-        self._check_token(request)
-        if endpoint == 'node':
-            return _write(report_node(self._node))
-        if endpoint == 'timeline':
-            return self._write_timeline(request)
-        return _write(
-            explain_request(
-                self._node,
-                method=request.args.get('method', 'GET'),
-                path=request.args.get('path', '/'),
-            ),
-        )
-
-    def _check_token(self, request: Request) -> None:
-        if self._token is None:
-            return
-        given = request.headers.get('Authorization', '')
-        if not hmac.compare_digest(given, BEARER + self._token):
+        page = adapter.match()[0]
+        scope = self._find_scope(request)
+        needs_token = page == METRICS or getattr(page, 'make', 0) != show_ready
+        if scope is None and needs_token:
             raise Unauthorized
+        if page == METRICS:
+            body = self._node.metrics.write_page()
+            return Response(body, content_type=METRICS_TYPE)
+        if page == OPENAPI:
+            return Response(write_api(), mimetype=JSON)
+        context = Context(
+            node=self._node,
+            fleet=self._fleet,
+            request=request,
+            scope=scope or Scope(),
+        )
+        return self._write(page.make(context))
 
-    def _write_timeline(self, request: Request) -> Response:
-        since = request.args.get('since', 0, type=int)
-        events = self._node.parts.recorder.read_since(since)
-        return _write(Timeline(events=tuple(events)))
+    def _find_scope(self, request: Request) -> Scope | None:
+        header = request.headers.get('Authorization', '')
+        return self._doorkeeper.find_scope(header)
 
-    def _write_ready(self) -> Response:
+    def _write(self, document: Struct) -> Response:
         states = self._node.parts.states
-        state = states[-1].value
+        unready = states[-1] is not NodeState.ready
+        asks_ready = isinstance(document, ReadyReport)
         return Response(
-            json.encode({'state': state}),
-            status=OK if state == READY_STATE else UNREADY_STATUS,
+            json.encode(document),
+            status=UNREADY_STATUS if unready and asks_ready else OK,
             mimetype=JSON,
         )
 
 
-def _write(body: Struct) -> Response:
-    return Response(json.encode(body), mimetype=JSON)
-
-
 def _write_error(error: HTTPException) -> Response:
-    unauthorised = isinstance(error, Unauthorized)
-    code = Code.admin_unauthorised if unauthorised else Code.admin_not_found
+    closed = isinstance(error, Unauthorized | Forbidden)
     fault = Fault(
-        code=code,
+        code=Code.admin_unauthorised if closed else Code.admin_not_found,
         where='admin API',
         got=error.name,
-        expected='a path of docs/operators/admin-api.md, with a token',
+        expected='a page of docs/openapi.json, with a token that opens it',
     )
     return Response(
         json.encode(fault),
--- a/wagtaildale/cli/files.py
+++ b/wagtaildale/cli/files.py
@@ -10,10 +10,11 @@
 
 from wagtaildale.cli.options import output_option
 from wagtaildale.cli.output import Form, fail, print_json, print_table
-from wagtaildale.configuration.comparison import compare_meshes
+from wagtaildale.configuration.comparison import compare_parts
 from wagtaildale.configuration.compiled import (
     Compiled,
     compile_mesh,
+    decode_parts,
     write_compiled,
 )
 from wagtaildale.configuration.files import read_mesh
@@ -118,7 +119,9 @@
 
 
 def _print_changes(old: MeshEntry, new: MeshEntry, form: Form) -> None:
-    changes = compare_meshes(old, new=new)
+    before = decode_parts(_expect(compile_mesh(old, version=1), form))
+    after = decode_parts(_expect(compile_mesh(new, version=1), form))
+    changes = compare_parts(before, new=after)
     if form is Form.json:
         print_json({'changes': changes})
     elif changes:
--- a/wagtaildale/cli/main.py
+++ b/wagtaildale/cli/main.py
@@ -7,7 +7,9 @@
 from wagtaildale.cli.errors import show_errors
 from wagtaildale.cli.files import check, compile_file, diff
 from wagtaildale.cli.keys import keys
-from wagtaildale.cli.nodes import explain, status, timeline
+from wagtaildale.cli.nodes import drain, explain
+from wagtaildale.cli.status import status
+from wagtaildale.cli.timeline import timeline
 
 
 @click.group(context_settings={'max_content_width': 100})
@@ -30,6 +32,7 @@
 main.add_command(diff)
 main.add_command(status)
 main.add_command(explain)
+main.add_command(drain)
 main.add_command(timeline)
 main.add_command(show_errors)
 main.add_command(keys)
--- a/wagtaildale/cli/options.py
+++ b/wagtaildale/cli/options.py
@@ -8,7 +8,7 @@
 import click
 from result import Err
 
-from wagtaildale.cli.admin_client import AdminClient
+from wagtaildale.admin.client import AdminClient
 from wagtaildale.cli.output import Form, fail
 from wagtaildale.settings.load import read_token
 from wagtaildale.settings.model import AdminSettings
--- /dev/null
+++ b/wagtaildale/cli/status.py
@@ -0,0 +1,181 @@
+"""``wagtaildale status``: is each class in its target, fleet-wide?"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, Final
+
+import click
+from msgspec import structs
+from result import Err
+
+from wagtaildale.admin.model import ClassState, FleetReport, NodeReport
+from wagtaildale.cli.options import make_client, node_options, output_option
+from wagtaildale.cli.output import (
+    EXIT_UNREACHABLE,
+    Form,
+    fail,
+    print_json,
+    print_table,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from pathlib import Path
+
+    from wagtaildale.admin.client import AdminClient
+
+PERCENT: Final = 100
+WATCH_SECONDS: Final = 2.0
+NAMED_MOST: Final = 12
+SILENT_MS: Final = 3000
+CONFIGURATION: Final = 'configuration'
+
+
+@click.command()
+@click.option('--watch', is_flag=True, help='Print anew every 2 s.')
+@node_options
+@output_option
+def status(
+    node: str,
+    token_file: Path | None,
+    *,
+    watch: bool,
+    form: Form,
+) -> None:
+    """Show whether each class is in its target, and which version is where.
+
+    Any node answers for the whole fleet.
+
+    \b
+    Examples:
+      wagtaildale status --node 127.0.1.1:8083
+      wagtaildale status --node 127.0.1.1:8083 --watch
+    \f
+
+    Args:
+        node: admin address.
+        token_file: file with the token.
+        watch: print anew.
+        form: how to print.
+    """
+    client = make_client(node, token_file, form)
+    _show(client, form)
+    while watch:
+        time.sleep(WATCH_SECONDS)
+        click.clear()
+        _show(client, form)
+
+
+def sum_classes(reports: Iterable[NodeReport]) -> list[ClassState]:
+    """Add up every class over nodes.
+
+    Args:
+        reports: of nodes.
+
+    Returns:
+        One for each class, by name.
+    """
+    totals: dict[str, ClassState] = {}
+    for report in reports:
+        for state in report.classes:
+            known = totals.get(state.name)
+            added = state if known is None else _add(known, state)
+            totals[state.name] = added
+    return [totals[name] for name in sorted(totals)]
+
+
+def _show(client: AdminClient, form: Form) -> None:
+    found = client.read('/v1/fleet', shape=FleetReport)
+    if isinstance(found, Err):
+        fail((found.err_value,), form=form, exit_code=EXIT_UNREACHABLE)
+    if form is Form.json:
+        print_json(found.ok_value)
+    else:
+        _print_fleet(found.ok_value)
+
+
+def _print_fleet(fleet: FleetReport) -> None:
+    reports = [part.report for part in fleet.parts]
+    states = Counter(report.state for report in reports)
+    listed = ', '.join(f'{count} {name}' for name, count in states.items())
+    oldest = max((part.age_ms for part in fleet.parts), default=0)
+    click.echo(
+        f'{len(reports)} nodes known to {fleet.asked}: {listed}; '
+        f'oldest news {oldest} ms',
+    )
+    silent = [
+        part.report.instance for part in fleet.parts if part.age_ms > SILENT_MS
+    ]
+    missing = (*fleet.unknown, *silent)
+    if missing:
+        click.echo(f'not reached of late: {_name_some(missing)}')
+    _print_versions(reports)
+    click.echo()
+    print_table(
+        ('class', 'target', 'in time', 'calls', 'not run', 'unknown'),
+        rows=map(_describe_class, sum_classes(reports)),
+    )
+
+
+def _print_versions(reports: list[NodeReport]) -> None:
+    held = Counter(
+        report.documents[CONFIGURATION].version for report in reports
+    )
+    latest = max(held, default=0)
+    click.echo(f'version {latest} in force on {held[latest]} nodes')
+    for behind in reports:
+        document = behind.documents[CONFIGURATION]
+        if document.version < latest:
+            why = document.refused.get(str(latest), 'has not come yet')
+            click.echo(
+                f'behind: {behind.instance} holds {document.version}; '
+                f'{latest}: {why}',
+            )
+    broken = sum(report.invariants_broken for report in reports)
+    if broken:
+        click.echo(f'INVARIANTS BROKEN: {broken}; please report this defect')
+
+
+def _name_some(names: tuple[str, ...]) -> str:
+    named = ', '.join(names[:NAMED_MOST])
+    more = len(names) - NAMED_MOST
+    return f'{named} and {more} more' if more > 0 else named
+
+
+def _add(one: ClassState, other: ClassState) -> ClassState:
+    summed = {
+        name: getattr(one, name) + getattr(other, name)
+        for name in (
+            'total',
+            'answered',
+            'in_time',
+            'not_run',
+            'unknown',
+            'retried',
+            'hedged',
+        )
+    }
+    codes = Counter(one.codes)
+    codes.update(other.codes)
+    return structs.replace(
+        one,
+        **summed,
+        codes=dict(codes),
+        within_ms=one.within_ms or other.within_ms,
+        percent=one.percent or other.percent,
+    )
+
+
+def _describe_class(state: ClassState) -> list[str]:
+    share = PERCENT * state.in_time / state.total if state.total else PERCENT
+    met = 'met' if share >= state.percent else 'MISSED'
+    return [
+        state.name,
+        f'{state.percent:g}% in {state.within_ms} ms',
+        f'{share:.2f}% {met}' if state.total else 'no calls',
+        str(state.total),
+        str(state.not_run),
+        str(state.unknown),
+    ]
--- /dev/null
+++ b/wagtaildale/cli/tests/test_fleet.py
@@ -0,0 +1,113 @@
+"""Tests of the commands that ask nodes, against one real node."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import pytest
+from click.testing import CliRunner
+from msgspec import json
+
+from standins.fleet import Fleet, Placement
+from wagtaildale.cli.main import main
+from wagtaildale.testing.builders import MESH_TEXT, build_compiled
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from click.testing import Result
+
+NODE = '127.0.1.1:8083'
+PLACEMENT = Placement(
+    region='midlands',
+    data_centres=('derby',),
+    services={'casefiles': 2},
+)
+
+
+@pytest.fixture(scope='module')
+def fleet() -> Iterator[Fleet]:
+    with Fleet(PLACEMENT) as started:
+        started.start(build_compiled(1))
+        yield started
+
+
+def run(*arguments: str) -> Result:
+    return CliRunner().invoke(main, [*arguments, '--node', NODE])
+
+
+def test_status_of_the_fleet(fleet: Fleet) -> None:
+    outcome = run('status')
+    assert outcome.exit_code == 0, outcome.output
+    assert 'version 1 in force on 2 nodes' in outcome.stdout
+    assert 'casefiles/lookup' in outcome.stdout
+    parts = json.decode(run('status', '--output', 'json').stdout)['parts']
+    assert len(parts) == 2
+
+
+def test_explain(fleet: Fleet) -> None:
+    outcome = run('explain', 'GET', '/files/7')
+    assert outcome.exit_code == 0
+    assert 'casefiles/lookup by /files/{claim}' in outcome.stdout
+    assert run('explain', 'GET', '/nope').exit_code == 1
+
+
+def test_timeline_is_merged_and_filtered(fleet: Fleet, tmp_path: Path) -> None:
+    text = run('timeline', '--output', 'json').stdout
+    events = json.decode(text)['events']
+    stamps = [event['stamp'] for event in events]
+    assert stamps == sorted(stamps)
+    assert {event['node'] for event in events} == {
+        'casefiles-1',
+        'casefiles-2',
+    }
+    shown = run('timeline', '--kind', 'version-applied').stdout
+    assert shown.count('version-applied') == 2
+    page = tmp_path / 'page.html'
+    assert run('timeline', '--page', str(page)).exit_code == 0
+    assert '<svg' in page.read_text()
+
+
+def test_log_is_one_line_of_pairs_an_event(fleet: Fleet) -> None:
+    lines = fleet.nodes[0].log.read_text().splitlines()
+    assert lines
+    assert all(line.startswith('at_ms=') for line in lines)
+    assert any('kind=node-ready' in line for line in lines)
+
+
+def test_hup_changes_nothing_and_is_noted(fleet: Fleet) -> None:
+    node = fleet.nodes[0]
+    node.signal(signal.SIGHUP)
+    deadline = time.monotonic() + 5
+    while 'settings-kept' not in node.log.read_text():
+        assert time.monotonic() < deadline
+        time.sleep(0.02)
+    assert node.is_running()
+
+
+def test_drain_ends_the_node_in_order(fleet: Fleet) -> None:
+    node = fleet.nodes[1]
+    address = f'{node.record.host}:{node.record.admin_port}'
+    outcome = CliRunner().invoke(main, ['drain', '--node', address])
+    assert outcome.exit_code == 0, outcome.output
+    assert node.wait() == 0
+
+
+def test_bad_settings_end_the_daemon_with_a_code(tmp_path: Path) -> None:
+    path = tmp_path / 'bad.toml'
+    path.write_text(MESH_TEXT)
+    outcome = subprocess.run(
+        [sys.executable, '-m', 'wagtaildale.daemon', '--settings', str(path)],
+        capture_output=True,
+        text=True,
+        env=dict(os.environ),
+        check=False,
+    )
+    assert outcome.returncode == 2
+    assert 'E1002' in outcome.stderr
--- /dev/null
+++ b/wagtaildale/cli/timeline.py
@@ -0,0 +1,185 @@
+"""``wagtaildale timeline``: events of all nodes in causal order."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+import click
+from msgspec import Struct
+from result import Err, Ok
+
+from wagtaildale.admin.client import AdminClient
+from wagtaildale.admin.model import InstanceAddresses, Timeline
+from wagtaildale.cli.options import make_client, node_options, output_option
+from wagtaildale.cli.output import (
+    EXIT_UNREACHABLE,
+    Form,
+    fail,
+    print_json,
+    print_table,
+)
+from wagtaildale.telemetry.clock import read_milliseconds
+from wagtaildale.telemetry.page import write_page
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wagtaildale.telemetry.events import Event
+
+WORKERS: Final = 16
+FOLLOW_SECONDS: Final = 1.0
+
+
+class Filter(Struct, frozen=True, kw_only=True):
+    """Which events are wanted; empty fields let all pass.
+
+    Attributes:
+        about: version, or text of the subject: request, class or peer.
+        kind: of event.
+        instance: the node's.
+    """
+
+    about: str | None = None
+    kind: str | None = None
+    instance: str | None = None
+
+    def passes(self, event: Event) -> bool:
+        """Tell whether an event is wanted.
+
+        Args:
+            event: any.
+
+        Returns:
+            Whether every field that is set matches.
+        """
+        texts = (str(event.version), event.subject, event.detail)
+        if self.about and not any(self.about in text for text in texts):
+            return False
+        if self.kind and event.kind.value != self.kind:
+            return False
+        return not self.instance or event.node == self.instance
+
+
+@click.command()
+@click.option('--about', help='Version, request, class or peer.')
+@click.option('--kind', help='Kind of event, such as version-applied.')
+@click.option('--instance', help='Events of this node only.')
+@click.option('--follow', is_flag=True, help='Go on printing new events.')
+@click.option(
+    '--page',
+    type=click.Path(dir_okay=False, path_type=Path),
+    help='Write a page with a plot to this file.',
+)
+@node_options
+@output_option
+def timeline(
+    node: str,
+    token_file: Path | None,
+    *,
+    form: Form,
+    follow: bool,
+    page: Path | None,
+    **wanted: str | None,
+) -> None:
+    """Gather the events of all nodes and merge them in causal order.
+
+    \b
+    Examples:
+      wagtaildale timeline --node 127.0.1.1:8083 --kind version-applied
+      wagtaildale timeline --node 127.0.1.1:8083 --page timeline.html
+    \f
+
+    Args:
+        node: admin address of any node.
+        token_file: file with the token.
+        form: how to print.
+        follow: go on.
+        page: file for the plot.
+        wanted: the filter's fields.
+    """
+    client = make_client(node, token_file, form)
+    chosen = Filter(**wanted)
+    clients = _find_clients(client, form)
+    events = gather_events(clients, since=0)
+    passed = [event for event in events if chosen.passes(event)]
+    if page is not None:
+        page.write_text(write_page(passed), encoding='utf-8')
+        click.echo(f'{len(passed)} events in {page}')
+        return
+    _print(passed, form)
+    while follow:
+        time.sleep(FOLLOW_SECONDS)
+        since = max((event.stamp for event in events), default=0)
+        events = gather_events(clients, since=since) or events
+        _print([each for each in events if each.stamp > since], form)
+
+
+def gather_events(
+    clients: Iterable[AdminClient],
+    *,
+    since: int,
+) -> list[Event]:
+    """Gather events from nodes and merge them.
+
+    Args:
+        clients: one for each node; those that do not answer are left out.
+        since: stamp of the last event already known.
+
+    Returns:
+        By stamp: causal order.
+    """
+    query = {'since': str(since)}
+    with ThreadPoolExecutor(WORKERS) as executor:
+        found = executor.map(
+            lambda client: client.read(
+                '/v1/timeline',
+                shape=Timeline,
+                query=query,
+            ),
+            clients,
+        )
+    events = [
+        event
+        for timeline_read in found
+        if isinstance(timeline_read, Ok)
+        for event in timeline_read.ok_value.events
+    ]
+    return sorted(events, key=_read_order)
+
+
+def _read_order(event: Event) -> tuple[int, str]:
+    return event.stamp, event.node
+
+
+def _find_clients(client: AdminClient, form: Form) -> list[AdminClient]:
+    found = client.read('/v1/instances', shape=InstanceAddresses)
+    if isinstance(found, Err):
+        fail((found.err_value,), form=form, exit_code=EXIT_UNREACHABLE)
+    return [
+        AdminClient(address=instance.admin, token=client.token)
+        for instance in found.ok_value.instances
+    ]
+
+
+def _print(events: list[Event], form: Form) -> None:
+    if form is Form.json:
+        print_json(Timeline(events=tuple(events)))
+    elif events:
+        head = ('at_ms', 'node', 'kind', 'code', 'about')
+        print_table(head, rows=map(_describe_event, events))
+
+
+def _describe_event(event: Event) -> tuple[str, ...]:
+    about = [event.subject, event.detail]
+    if event.version:
+        about.insert(0, f'version {event.version}')
+    return (
+        str(read_milliseconds(event.stamp)),
+        event.node,
+        event.kind.value,
+        str(event.code or ''),
+        ' '.join(text for text in about if text),
+    )
--- a/wagtaildale/configuration/comparison.py
+++ b/wagtaildale/configuration/comparison.py
@@ -1,14 +1,17 @@
-"""What changes between two operators' files, in operators' words."""
+"""What changes between two versions, in operators' words."""
 
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING, Any, final
+from typing import TYPE_CHECKING, final
 
 from msgspec import Struct, structs
 
 if TYPE_CHECKING:
-    from wagtaildale.configuration.model import MeshEntry
+    from collections.abc import Mapping
+
+    from wagtaildale.configuration.model import Part
+    from wagtaildale.types import ServiceName
 
 
 @final
@@ -36,12 +39,16 @@
     new: str = ''
 
 
-def compare_meshes(old: MeshEntry, *, new: MeshEntry) -> list[Change]:
-    """List what changes from one file to another.
+def compare_parts(
+    old: Mapping[ServiceName, Part],
+    *,
+    new: Mapping[ServiceName, Part],
+) -> list[Change]:
+    """List what changes from one version to another.
 
     Args:
-        old: as in force.
-        new: as proposed.
+        old: parts in force.
+        new: parts as proposed.
 
     Returns:
         Changes, ordered by subject; none if nothing changes.
@@ -53,32 +60,37 @@
         for subject in sorted(before.keys() | after.keys())
         if before.get(subject) != after.get(subject)
     ]
-    return [change for change in changes if not _is_implied(change, changes)]
+    whole = {
+        (change.subject, change.kind)
+        for change in changes
+        if change.kind is not ChangeKind.changed
+    }
+    return [
+        change
+        for change in changes
+        if (change.subject.rpartition('.')[0], change.kind) not in whole
+    ]
 
 
-def _flatten(mesh: MeshEntry) -> dict[str, str]:
+def _flatten(parts: Mapping[ServiceName, Part]) -> dict[str, str]:
     flat: dict[str, str] = {}
-    for service in mesh.services:
-        flat[service.name] = 'service'
-        flat[f'{service.name}.team'] = service.team
-        flat[f'{service.name}.routes'] = repr(service.routes)
-        for entry in service.classes:
-            subject = f'{service.name}/{entry.name}'
+    for name, part in parts.items():
+        flat[name] = 'service'
+        flat[f'{name}.team'] = part.team
+        for work_class in part.classes:
+            subject = f'{name}/{work_class.name}'
             flat[subject] = 'class'
-            _flatten_fields(flat, subject, structs.asdict(entry))
+            for key, held in structs.asdict(work_class).items():
+                flat[f'{subject}.{key}'] = str(held)
+        _flatten_routes(flat, part)
     return flat
 
 
-def _flatten_fields(
-    flat: dict[str, str],
-    subject: str,
-    fields: dict[str, Any],
-) -> None:
-    for key, held in fields.items():
-        if isinstance(held, Struct):
-            _flatten_fields(flat, subject, structs.asdict(held))
-        elif key != 'name':
-            flat[f'{subject}.{key}'] = str(held)
+def _flatten_routes(flat: dict[str, str], part: Part) -> None:
+    for route in part.routes:
+        target = f'{route.service}/{route.work_class}'
+        methods = ' '.join(route.methods)
+        flat[f'{part.service}.route {methods} {route.path}'] = target
 
 
 def _compare_subject(subject: str, old: str | None, new: str | None) -> Change:
@@ -87,12 +99,3 @@
     if new is None:
         return Change(kind=ChangeKind.removed, subject=subject, old=old)
     return Change(kind=ChangeKind.changed, subject=subject, old=old, new=new)
-
-
-def _is_implied(change: Change, changes: list[Change]) -> bool:
-    owner = change.subject.rpartition('.')[0]
-    return any(
-        other.subject == owner and other.kind is change.kind
-        for other in changes
-        if other.kind is not ChangeKind.changed
-    )
--- a/wagtaildale/configuration/compiled.py
+++ b/wagtaildale/configuration/compiled.py
@@ -106,6 +106,18 @@
     return Ok(Compiled(manifest=manifest, parts=parts))
 
 
+def decode_parts(compiled: Compiled) -> dict[ServiceName, Part]:
+    """Decode what was compiled.
+
+    Args:
+        compiled: manifest and parts.
+
+    Returns:
+        The parts by service.
+    """
+    return {name: decode_part(blob) for name, blob in compiled.parts.items()}
+
+
 def write_compiled(compiled: Compiled, *, folder: Path) -> None:
     """Write a manifest and its parts, the manifest last.
 
--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -135,6 +135,8 @@
 
 def _wait(node: Node, signals: Signals) -> int:
     while not signals.stopping.wait(LOOK_SECONDS):
+        if node.drain_asked.is_set():
+            break
         failure = node.find_failure()
         if failure is not None:
             node.parts.recorder.record(
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
+from functools import partial
 from typing import TYPE_CHECKING, Any, Final, Protocol
 
 from msgspec import Struct
@@ -34,6 +36,7 @@
 from wagtaildale.source.tasks import FetchTask, WatchTask
 from wagtaildale.settings.model import MOST_SLOTS
 from wagtaildale.telemetry.events import EventKind, EventRecorder
+from wagtaildale.telemetry.metrics import Metrics
 from wagtaildale.telemetry.tallies import Tallies
 from wagtaildale.timers.inbox import Inbox
 from wagtaildale.timers.messages import TimerName
@@ -130,6 +133,8 @@
             inbox=self.parts.inbox,
             recorder=recorder,
         )
+        self.drain_asked = threading.Event()
+        self.metrics = _make_metrics(self)
         self._admin = AdminServer(self)
         self._futures: list[Future[None]] = []
 
@@ -256,6 +261,55 @@
             )
 
 
+def _make_metrics(node: Node) -> Metrics:
+    parts = node.parts
+    metrics = Metrics(parts.tallies, instance=parts.identity.instance)
+    state = node.distribution.state
+    for kind in Kind:
+        metrics.add_gauge(
+            f'wagtaildale.{kind.name}.version',
+            partial(_read_version, node, kind),
+            unit='1',
+            description='Version in force on this node.',
+        )
+    metrics.add_gauge(
+        'wagtaildale.control.sent',
+        lambda: node.distribution.sockets.sent_bytes,
+        unit='By',
+        description='Bytes sent to other nodes for control.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.backend.running',
+        lambda: len(node.owner.gate.state.running),
+        unit='{request}',
+        description='Requests at the backend server.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.backend.limit',
+        lambda: node.owner.gate.state.limit,
+        unit='{request}',
+        description='Requests that may run at the backend server.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.reader',
+        lambda: state.appointed,
+        unit='1',
+        description='Whether this node watches the platform.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.invariants.broken',
+        lambda: parts.invariants.broken,
+        unit='1',
+        description='Invariants found broken: anything but 0 is a defect.',
+    )
+    return metrics
+
+
+def _read_version(node: Node, kind: Kind) -> float:
+    stores = node.distribution.state.stores
+    return stores[kind].held.version
+
+
 def read_incarnation() -> Incarnation:
     """Read the incarnation of a process that starts now.
 
--- a/wagtaildale/routing/view.py
+++ b/wagtaildale/routing/view.py
@@ -6,12 +6,15 @@
 
 from msgspec import Struct, structs
 
+from wagtaildale.configuration.model import Part
 from wagtaildale.configuration.whole import check_parts
 from wagtaildale.membership.records import check_records
 from wagtaildale.routing.table import RoutingTable
 from wagtaildale.types import NO_VERSION, InstanceId, ServiceName, Version
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from wagtaildale.document.model import Document
     from wagtaildale.membership.records import InstanceRecord
 
@@ -21,6 +24,7 @@
 
     Attributes:
         version: of the configuration; 0 before the first.
+        parts: the configuration by service.
         table: its routes; nothing before the first version.
         list_index: of the instance list.
         upstreams: by service, the listed instances.
@@ -28,11 +32,21 @@
     """
 
     version: Version = NO_VERSION
+    parts: dict[ServiceName, Part] = {}
     table: RoutingTable | None = None
     list_index: Version = NO_VERSION
     upstreams: dict[ServiceName, tuple[InstanceRecord, ...]] = {}
     away: frozenset[InstanceId] = frozenset()
 
+    def list_records(self) -> Iterator[InstanceRecord]:
+        """List every listed instance.
+
+        Yields:
+            Its record.
+        """
+        for records in self.upstreams.values():
+            yield from records
+
 
 class ViewHolder:
     """Holds the reference that every call reads and one task swaps.
@@ -55,6 +69,7 @@
         self.current = structs.replace(
             self.current,
             version=document.version,
+            parts=configuration.parts,
             table=RoutingTable(configuration),
         )
 
--- a/wagtaildale/settings/load.py
+++ b/wagtaildale/settings/load.py
@@ -17,7 +17,7 @@
 from wagtaildale.settings.model import Settings
 
 if TYPE_CHECKING:
-    from wagtaildale.settings.model import AdminSettings
+    from wagtaildale.settings.model import AdminSettings, TeamToken
 
 
 def load_settings(path: Path | str) -> Result[Settings, Faults]:
@@ -58,7 +58,9 @@
     return Err(faults) if faults else Ok(settings)
 
 
-def read_token(settings: AdminSettings) -> Result[str | None, Fault]:
+def read_token(
+    settings: AdminSettings | TeamToken,
+) -> Result[str | None, Fault]:
     """Read the administration API's token.
 
     Args:
--- a/wagtaildale/settings/model.py
+++ b/wagtaildale/settings/model.py
@@ -9,7 +9,13 @@
 from wagtaildale.distribution.tuning import Spread
 from wagtaildale.membership.records import Port
 from wagtaildale.routing.choice import ChoiceName
-from wagtaildale.types import DataCentre, InstanceId, Region, ServiceName
+from wagtaildale.types import (
+    DataCentre,
+    InstanceId,
+    Region,
+    ServiceName,
+    TeamName,
+)
 
 NAME_PATTERN: Final = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
 HOST_PATTERN: Final = r'^[0-9a-fA-F.:]+$'
@@ -90,16 +96,32 @@
     )
 
 
-class AdminSettings(Struct, frozen=True, kw_only=True):
-    """Where the administration API's token is found.
+class TeamToken(Struct, frozen=True, kw_only=True):
+    """Where one team's token is found.
 
     Attributes:
+        team: sees and checks its own services with it.
         token_file: file that holds it.
         token_variable: environment variable that holds it.
     """
 
+    team: Annotated[TeamName, Meta(pattern=NAME_PATTERN)]
+    token_file: str | None = None
+    token_variable: str | None = None
+
+
+class AdminSettings(Struct, frozen=True, kw_only=True):
+    """Where the administration API's tokens are found.
+
+    Attributes:
+        token_file: file that holds the operators' token.
+        token_variable: environment variable that holds it.
+        teams: tokens of teams.
+    """
+
     token_file: str | None = None
     token_variable: str | None = None
+    teams: tuple[TeamToken, ...] = ()
 
 
 class CallSettings(Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/wagtaildale/telemetry/metrics.py
@@ -0,0 +1,142 @@
+"""Metrics by OpenTelemetry, scraped in the Prometheus format.
+
+Nothing is recorded on the path of calls: every instrument is observable and
+reads the workers' own tallies when it is scraped.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from prometheus_client import REGISTRY, generate_latest
+from prometheus_client.core import HistogramMetricFamily
+
+from wagtaildale.telemetry.tallies import BOUNDS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Iterator
+
+    from wagtaildale.telemetry.tallies import ClassTally, Tallies
+
+SCOPE: Final = 'wagtaildale'
+DURATION_NAME: Final = 'wagtaildale_call_duration_seconds'
+CLASS_LABEL: Final = 'work_class'
+
+
+class DurationCollector:
+    """Gives the workers' histograms of call durations to a scrape."""
+
+    def __init__(self, tallies: Tallies) -> None:
+        """Read from tallies.
+
+        Args:
+            tallies: of all workers.
+        """
+        self._tallies = tallies
+
+    def collect(self) -> Iterator[HistogramMetricFamily]:
+        """Collect one histogram for each class.
+
+        Yields:
+            The family of all classes.
+        """
+        family = HistogramMetricFamily(
+            DURATION_NAME,
+            'Time from the arrival of a call at its entry to its answer.',
+            labels=[CLASS_LABEL],
+        )
+        for name, tally in self._tallies.sum_up().items():
+            family.add_metric([name], _sum_buckets(tally), tally.seconds)
+        yield family
+
+
+class Metrics:
+    """The instruments of one node."""
+
+    def __init__(self, tallies: Tallies, *, instance: str) -> None:
+        """Create the instruments of calls.
+
+        Args:
+            tallies: of all workers.
+            instance: the node's, a resource attribute.
+        """
+        self._tallies = tallies
+        resource = Resource.create({'service.instance.id': instance})
+        provider = MeterProvider(
+            metric_readers=[PrometheusMetricReader()],
+            resource=resource,
+        )
+        self._meter = provider.get_meter(SCOPE)
+        REGISTRY.register(DurationCollector(tallies))
+        self._meter.create_observable_counter(
+            'wagtaildale.calls',
+            callbacks=[self._observe_calls],
+            unit='{call}',
+            description='Calls by class and outcome.',
+        )
+
+    def add_gauge(
+        self,
+        name: str,
+        read: Callable[[], float],
+        *,
+        unit: str,
+        description: str,
+    ) -> None:
+        """Add a gauge that is read when scraped.
+
+        Args:
+            name: in OpenTelemetry's form.
+            read: gives the amount.
+            unit: in UCUM.
+            description: for people.
+        """
+        self._meter.create_observable_gauge(
+            name,
+            callbacks=[_Observer(read)],
+            unit=unit,
+            description=description,
+        )
+
+    def write_page(self) -> bytes:
+        """Write what a scrape gets.
+
+        Returns:
+            The Prometheus text format.
+        """
+        return generate_latest(REGISTRY)
+
+    def _observe_calls(
+        self,
+        options: CallbackOptions,
+    ) -> Iterable[Observation]:
+        for name, tally in self._tallies.sum_up().items():
+            for outcome in ('answered', 'in_time', 'not_run', 'unknown'):
+                yield Observation(
+                    getattr(tally, outcome),
+                    {CLASS_LABEL: name, 'outcome': outcome},
+                )
+
+
+class _Observer:
+    """Reads one gauge."""
+
+    def __init__(self, read: Callable[[], float]) -> None:
+        self._read = read
+
+    def __call__(self, options: CallbackOptions) -> Iterable[Observation]:
+        return (Observation(self._read()),)
+
+
+def _sum_buckets(tally: ClassTally) -> list[tuple[str, float]]:
+    total = 0
+    buckets: list[tuple[str, float]] = []
+    bounds = [*(str(bound) for bound in BOUNDS), '+Inf']
+    for bound, count in zip(bounds, tally.buckets, strict=True):
+        total += count
+        buckets.append((bound, total))
+    return buckets
