Wait once for an answer that was raced for

Cause: an idempotent request waited in poll for its first attempt and then again before reading. Change: the second wait is left out.

--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -153,7 +153,7 @@
         clock.note(read_clock() - began)
 
     def _finish(self, routed: Routed, flight: Flight) -> None:
-        with flight.sent.finish() as response:
+        with flight.sent.finish(is_ready=flight.is_ready) as response:
             answer = _check_answer(response, flight.target.fields)
             self._targets.note_answer(flight.target, answer)
             if answer.code is Code.ok:
--- a/wagtaildale/calls/exchange.py
+++ b/wagtaildale/calls/exchange.py
@@ -4,6 +4,7 @@
 
 import select
 import socket
+from functools import partial
 from typing import TYPE_CHECKING, Final, TypeVar
 
 from msgspec import Struct
@@ -94,9 +95,12 @@
             raise CallFailed(Code.past_deadline)
         self._guard(lambda: self._send(extra))
 
-    def finish(self) -> Response:
+    def finish(self, *, is_ready: bool = False) -> Response:
         """Wait for the response and read it ahead.
 
+        Args:
+            is_ready: whether it was waited for already.
+
         Returns:
             The response; leaving it as a context gives its connection back
             to the pool.
@@ -104,7 +108,7 @@
         Raises:
             CallFailed: with outcome ``unknown``.
         """
-        response = self._guard(self._receive)
+        response = self._guard(partial(self._receive, is_ready))
         return response.kept_in(self._pool, self._address)
 
     def cancel(self) -> None:
@@ -123,10 +127,11 @@
         if not body.is_complete:
             body.pass_rest(self.connection, deadline=call.deadline)
 
-    def _receive(self) -> Response:
+    def _receive(self, is_ready: bool) -> Response:
         call = self._call
         connection = self.connection
-        wait_for_one((self,), caller=call.caller, deadline=call.deadline)
+        if not is_ready:
+            wait_for_one((self,), caller=call.caller, deadline=call.deadline)
         message = read_response(
             connection,
             method=call.method,
--- a/wagtaildale/calls/races.py
+++ b/wagtaildale/calls/races.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from wagtaildale.calls.exchange import Call, Exchange, wait_for_one
 from wagtaildale.calls.failures import CallFailed
@@ -18,10 +18,17 @@
 
 
 class Flight(Struct, frozen=True, kw_only=True):
-    """An attempt that was sent and has no answer yet."""
+    """An attempt that was sent.
+
+    Attributes:
+        sent: the request.
+        target: where it went.
+        is_ready: whether its answer has begun to come.
+    """
 
     sent: Exchange
     target: Target
+    is_ready: bool = False
 
 
 class Racer:
@@ -88,7 +95,7 @@
         except CallFailed:
             first.sent.cancel()
             raise
-        return first
+        return structs.replace(first, is_ready=True)
 
     def _hedge(
         self,
