Leases end by the timer; node put together in smaller modules

Cause: a slot whose entry had died went back only when something arrived, so a booking could wait for it until its deadline. Change: the gate subscribes to the timer service.

--- /dev/null
+++ b/benchmarks/experiment.py
@@ -0,0 +1,317 @@
+"""``wagtaildale-bench``: runs a described experiment on real processes.
+
+Not shipped to nodes and no simulator: it starts a fleet on loopback, sends a
+load, causes the faults at their times and writes what callers saw.
+
+    python -m benchmarks.experiment run benchmarks/experiments/kill.toml
+    python -m benchmarks.experiment compare out/a.json out/b.json
+"""
+
+from __future__ import annotations
+
+import signal
+import tomllib
+import time
+from enum import Enum
+from pathlib import Path
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Final, final
+
+import click
+from matplotlib.figure import Figure as Plot
+from msgspec import Struct, convert, json
+
+from benchmarks.figures import find_percentile
+from benchmarks.spread import compile_version
+from demo.deployments import DEPLOYMENTS
+from standins.fleet import Fleet, FleetOptions
+from standins.judge import Verdict, judge
+from standins.load import Load, LoadPlan
+from wagtaildale.cli.output import print_table
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from standins.caller import WorkCounts
+
+MILLISECONDS: Final = 1000
+MEDIAN: Final = 50
+TAIL: Final = 99
+PERCENT: Final = 100
+OUT: Final = Path('out/experiments')
+LOOK_SECONDS: Final = 0.05
+
+
+@final
+class FaultKind(Enum):
+    """What can be caused."""
+
+    kill = 'kill'
+    start = 'start'
+    stop = 'stop'
+    pause = 'pause'
+    wake = 'wake'
+    publish = 'publish'
+    platform_down = 'platform-down'
+    platform_up = 'platform-up'
+
+
+class FaultEntry(Struct, frozen=True, kw_only=True):
+    """One fault.
+
+    Attributes:
+        at: seconds after the load began.
+        kind: what is caused.
+        node: to which instance, where it concerns one.
+    """
+
+    at: float
+    kind: FaultKind
+    node: str = ''
+
+
+class Experiment(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What an experiment's file says.
+
+    Attributes:
+        name: goes into the results.
+        deployment: one of the demo's.
+        seconds: of load.
+        calls_per_second: of all callers.
+        callers: at once.
+        seed: of all choices.
+        settings: TOML that is added to each node's settings.
+        faults: in any order.
+    """
+
+    name: str
+    deployment: str
+    seconds: float
+    calls_per_second: float
+    callers: int = 24
+    seed: int = 1
+    settings: str = ''
+    faults: tuple[FaultEntry, ...] = ()
+
+
+class ClassResult(Struct, frozen=True, kw_only=True):
+    """How the calls of one class went."""
+
+    sent: int
+    in_target_percent: float
+    not_run: int
+    unknown: int
+    lost: int
+    p50_ms: float
+    p99_ms: float
+
+
+class Report(Struct, frozen=True, kw_only=True):
+    """What an experiment has shown."""
+
+    name: str
+    seed: int
+    verdict: Verdict
+    classes: dict[str, ClassResult]
+
+
+class Runner:
+    """Runs one experiment."""
+
+    def __init__(self, experiment: Experiment, *, fleet: Fleet) -> None:
+        """Prepare.
+
+        Args:
+            experiment: what to do.
+            fleet: started.
+        """
+        self._experiment = experiment
+        self._fleet = fleet
+        self._version = 1
+
+    def run(self) -> dict[str, WorkCounts]:
+        """Send the load and cause the faults.
+
+        Returns:
+            What callers counted.
+        """
+        experiment = self._experiment
+        deployment = DEPLOYMENTS[experiment.deployment]
+        plan = LoadPlan(
+            mix=deployment.mix,
+            callers=experiment.callers,
+            calls_per_second=experiment.calls_per_second,
+            latency_ms=deployment.latency_ms,
+            seed=experiment.seed,
+        )
+        entries = [
+            (record.host, record.entry_port) for record in self._fleet.records
+        ]
+        load = Load(plan, entries=entries)
+        began = time.monotonic()
+        for fault in sorted(experiment.faults, key=_read_time):
+            _sleep_until(began + fault.at)
+            self._cause(fault)
+        _sleep_until(began + experiment.seconds)
+        return load.stop()
+
+    def _cause(self, fault: FaultEntry) -> None:
+        click.echo(f'{fault.at:.1f} s: {fault.kind.value} {fault.node}')
+        if fault.kind is FaultKind.publish:
+            self._version += 1
+            self._fleet.platform.publish(compile_version(self._version))
+        elif fault.node:
+            self._cause_at_node(fault)
+        else:
+            down = fault.kind is FaultKind.platform_down
+            self._fleet.platform.faults.down = down
+
+    def _cause_at_node(self, fault: FaultEntry) -> None:
+        node = next(
+            each
+            for each in self._fleet.nodes
+            if each.record.instance == fault.node
+        )
+        actions: MappingProxyType[FaultKind, Callable[[], object]]
+        actions = MappingProxyType(
+            {
+                FaultKind.kill: node.kill,
+                FaultKind.stop: node.terminate,
+                FaultKind.start: lambda: node.start(self._fleet.options),
+                FaultKind.pause: lambda: node.signal(signal.SIGSTOP),
+                FaultKind.wake: lambda: node.signal(signal.SIGCONT),
+            },
+        )
+        actions[fault.kind]()
+
+
+@click.group()
+def main() -> None:
+    """Run described experiments and compare their results."""
+
+
+@main.command()
+@click.argument('path', type=click.Path(exists=True, path_type=Path))
+@click.option('--out', type=click.Path(path_type=Path), default=OUT)
+def run(path: Path, out: Path) -> None:
+    """Run the experiment in the file PATH; write results and a plot.
+
+    \f
+
+    Args:
+        path: TOML.
+        out: folder.
+    """
+    table = tomllib.loads(path.read_text(encoding='utf-8'))
+    experiment = convert(table, Experiment)
+    options = FleetOptions(more_settings=experiment.settings)
+    placement = DEPLOYMENTS[experiment.deployment].placement
+    with Fleet(placement, options=options) as fleet:
+        fleet.start(compile_version(1))
+        counts = Runner(experiment, fleet=fleet).run()
+        verdict = judge(fleet, counts=counts)
+    report = _sum_up(experiment, counts, verdict)
+    out.mkdir(parents=True, exist_ok=True)
+    (out / f'{path.stem}.json').write_bytes(json.encode(report))
+    _plot(counts, out / f'{path.stem}.png')
+    _print((report,))
+    click.echo(f'results and plot in {out}')
+
+
+@main.command()
+@click.argument('paths', type=click.Path(path_type=Path), nargs=2)
+def compare(paths: tuple[Path, Path]) -> None:
+    """Compare the results in two files.
+
+    \f
+
+    Args:
+        paths: of results.
+    """
+    _print([json.decode(path.read_bytes(), type=Report) for path in paths])
+
+
+def _read_time(fault: FaultEntry) -> float:
+    return fault.at
+
+
+def _sleep_until(moment: float) -> None:
+    time.sleep(max(0, moment - time.monotonic()))
+
+
+def _sum_up(
+    experiment: Experiment,
+    counts: dict[str, WorkCounts],
+    verdict: Verdict,
+) -> Report:
+    return Report(
+        name=experiment.name,
+        seed=experiment.seed,
+        verdict=verdict,
+        classes={name: _measure(each) for name, each in counts.items()},
+    )
+
+
+def _measure(counts: WorkCounts) -> ClassResult:
+    seconds = counts.seconds or [0]
+    return ClassResult(
+        sent=counts.sent,
+        in_target_percent=PERCENT * counts.in_time / max(1, counts.sent),
+        not_run=counts.not_run,
+        unknown=counts.unknown,
+        lost=counts.lost,
+        p50_ms=find_percentile(seconds, percent=MEDIAN) * MILLISECONDS,
+        p99_ms=find_percentile(seconds, percent=TAIL) * MILLISECONDS,
+    )
+
+
+def _plot(counts: dict[str, WorkCounts], path: Path) -> None:
+    plot = Plot(figsize=(8, 5))
+    axes = plot.subplots()
+    for name, each in sorted(counts.items()):
+        ordered = sorted(second * MILLISECONDS for second in each.seconds)
+        shares = [
+            PERCENT * (place + 1) / len(ordered)
+            for place in range(len(ordered))
+        ]
+        axes.plot(ordered, shares, label=name)
+    axes.set_xscale('log')
+    axes.set_xlabel('time of an answer, ms')
+    axes.set_ylabel('share of answers, %')
+    axes.legend()
+    axes.grid(visible=True, alpha=0.3)
+    plot.savefig(path)
+
+
+def _print(runs: Sequence[Report]) -> None:
+    rows = [
+        [
+            report.name,
+            name,
+            str(each.sent),
+            f'{each.in_target_percent:.2f}%',
+            f'{each.p50_ms:.1f}',
+            f'{each.p99_ms:.1f}',
+            f'{each.not_run}/{each.unknown}/{each.lost}',
+        ]
+        for report in runs
+        for name, each in sorted(report.classes.items())
+    ]
+    print_table(
+        (
+            'experiment',
+            'class',
+            'calls',
+            'in target',
+            'p50 ms',
+            'p99 ms',
+            'not run/unknown/lost',
+        ),
+        rows=rows,
+    )
+    for report in runs:
+        click.echo(f'{report.name}: {report.verdict}')
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -19,6 +19,7 @@
 from standins.platform import PlatformStandIn
 from wagtaildale.admin.model import NodeReport
 from wagtaildale.membership.records import InstanceRecord
+from wagtaildale.testing.closing import Closing
 from wagtaildale.types import (
     DataCentre,
     InstanceId,
@@ -29,8 +30,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
-    from types import TracebackType
-
     from wagtaildale.configuration.compiled import Compiled
 
 ENTRY_PORT: Final = 8080
@@ -157,7 +156,7 @@
         return read_json(address, '/v1/node', NodeReport)
 
 
-class Fleet:
+class Fleet(Closing):
     """Stand-ins of platform and backend servers, and nodes beside them."""
 
     def __init__(
@@ -182,29 +181,6 @@
         self.list_index = 0
         self._backends: list[subprocess.Popen[Any]] = []
 
-    def __enter__(self) -> Fleet:
-        """Use the fleet.
-
-        Returns:
-            Itself.
-        """
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """End every process.
-
-        Args:
-            kind: of an error, if one ended the use.
-            error: the error.
-            trace: where it arose.
-        """
-        self.close()
-
     def start(self, compiled: Compiled) -> None:
         """Publish, start everything and wait until every node is ready.
 
--- a/standins/hosted.py
+++ b/standins/hosted.py
@@ -4,17 +4,15 @@
 
 import asyncio
 import threading
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from standins.backend import BackendFaults, BackendSpec, BackendStandIn
-
-if TYPE_CHECKING:
-    from types import TracebackType
+from wagtaildale.testing.closing import Closing
 
 START_SECONDS: Final = 5.0
 
 
-class HostedBackend:
+class HostedBackend(Closing):
     """One backend server on a thread of its own.
 
     Example:
@@ -53,29 +51,6 @@
         self._thread.start()
         assert self._listening.wait(START_SECONDS)
 
-    def __enter__(self) -> HostedBackend:
-        """Use it.
-
-        Returns:
-            Itself.
-        """
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """End it.
-
-        Args:
-            kind: of an error, if one ended the use.
-            error: the error.
-            trace: where it arose.
-        """
-        self.close()
-
     @property
     def faults(self) -> BackendFaults:
         """How it behaves; may be changed."""
--- a/wagtaildale/admission/gate.py
+++ b/wagtaildale/admission/gate.py
@@ -133,8 +133,16 @@
         )
         self._spread(finished)
 
-    def end_leases(self) -> None:
-        """Give back the slots whose run message did not come in time."""
+    def put(self, tick: object) -> None:
+        """Give back the slots whose run message did not come in time.
+
+        The gate subscribes to the timer service like a task's inbox;
+        without ticks a slot whose entry died would stay held while others
+        wait and nothing new arrives.
+
+        Args:
+            tick: of the timer service.
+        """
         if self.state.leases:
             self._spread(TimePassed())
 
--- a/wagtaildale/calls/tests/test_safety.py
+++ b/wagtaildale/calls/tests/test_safety.py
@@ -250,3 +250,20 @@
     pair.backend.faults.draining = True
     pair.ask('POST', '/bookings', b'x')
     wait_until(lambda: state.limit < state.slots)
+
+
+def test_ended_lease_lets_the_next_one_in(pair: Pair) -> None:
+    """An entry dies after reserving, and a booking waits for its slot.
+
+    Nothing new arrives that would look at the leases; the timer does.
+    """
+    gate = pair.far.owner.gate
+    for _slot in range(4):
+        gate.enter(within_ms=1, deadline=1e12, lease_seconds=0.05)
+    worker = threading.Thread(target=pair.ask, args=('POST', '/bookings', b'x'))
+    worker.start()
+    wait_until(lambda: bool(gate.state.queue))
+    while worker.is_alive():
+        gate.put('tick')
+        worker.join(0.01)
+    assert pair.backend.counts.runs == 1
--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -14,7 +14,8 @@
 from wagtaildale.distribution.sockets import NodeSockets
 from wagtaildale.errors.codes import Code
 from wagtaildale.keys.pairs import read_pairs
-from wagtaildale.node import Node, read_incarnation
+from wagtaildale.assembly import read_incarnation
+from wagtaildale.node import Node
 from wagtaildale.settings.load import load_settings
 from wagtaildale.telemetry.events import EventKind, EventRecorder
 from wagtaildale.telemetry.log import open_log
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -3,84 +3,51 @@
 from __future__ import annotations
 
 import threading
-import time
 from concurrent.futures import Future, ThreadPoolExecutor
-from functools import partial
-from typing import TYPE_CHECKING, Any, Final, Protocol
+from typing import TYPE_CHECKING, Final, Protocol
 
-from msgspec import Struct
 from result import Err, Ok, Result
 
 from wagtaildale.admin.server import AdminServer
-from wagtaildale.admission.gate import Gate
-from wagtaildale.admission.state import make_admission
+from wagtaildale.assembly import (
+    make_entry_parts,
+    make_owner,
+    make_parts,
+    make_watches,
+)
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.entry import Entry
 from wagtaildale.calls.listener import Listener
-from wagtaildale.calls.owner import Identity, Owner
 from wagtaildale.calls.owner_port import OwnerPort
-from wagtaildale.calls.routed import EntryParts
 from wagtaildale.distribution.around import Surroundings
 from wagtaildale.distribution.sockets import NodeSockets
 from wagtaildale.distribution.state import make_state
 from wagtaildale.distribution.task import DistributionTask
 from wagtaildale.distribution.tuning import TUNINGS
-from wagtaildale.invariants import Invariants
 from wagtaildale.lifecycle.stop import Stop
 from wagtaildale.membership.state import MembershipState
 from wagtaildale.membership.topology import Place
-from wagtaildale.routing.book import UpstreamBook
-from wagtaildale.routing.choosers import make_chooser
-from wagtaildale.routing.view import ViewHolder
 from wagtaildale.source.http import HttpPlatform
-from wagtaildale.source.tasks import FetchTask, WatchTask
-from wagtaildale.settings.model import MOST_SLOTS
+from wagtaildale.source.tasks import FetchTask
 from wagtaildale.telemetry.events import EventKind, EventRecorder
-from wagtaildale.telemetry.metrics import Metrics
-from wagtaildale.telemetry.tallies import Tallies
-from wagtaildale.timers.inbox import Inbox
+from wagtaildale.telemetry.gauges import make_metrics
 from wagtaildale.timers.messages import TimerName
 from wagtaildale.timers.service import (
     Subscription,
     TimerService,
     read_clock,
 )
-from wagtaildale.types import Incarnation, Kind, NodeState
 
 if TYPE_CHECKING:
     from wagtaildale.errors.faults import Fault
     from wagtaildale.settings.model import Settings
 
-MILLISECONDS: Final = 1000
 RANK_SECONDS: Final = 1.0
 JITTER: Final = 0.2
+LEASE_LOOK_SECONDS: Final = 0.25
 OWN_TASKS: Final = 16
 
 
-class Parts(Struct, kw_only=True):
-    """What several parts of a node share.
-
-    Attributes:
-        settings: of this daemon.
-        identity: of this process.
-        recorder: gets events.
-        invariants: are checked everywhere.
-        view: what calls are routed by.
-        tallies: counts of calls.
-        inbox: of the distribution task.
-        states: the node's state, the latest last.
-    """
-
-    settings: Settings
-    identity: Identity
-    recorder: EventRecorder
-    invariants: Invariants
-    view: ViewHolder
-    tallies: Tallies
-    inbox: Inbox[Any]
-    states: list[NodeState]
-
-
 class Task(Protocol):
     """What runs for as long as the node does."""
 
@@ -108,21 +75,21 @@
             recorder: gets events.
             sockets: to other nodes, with the fleet's keys.
         """
-        self.parts = _make_parts(settings, recorder)
+        self.parts = make_parts(settings, recorder=recorder)
         self._executor = ThreadPoolExecutor(
             max_workers=2 * settings.limits.connections + OWN_TASKS,
             thread_name_prefix='wagtaildale',
         )
         self._sockets = sockets
         self._timers = TimerService()
-        self._watches = _make_watches(self.parts)
+        self._watches = make_watches(self.parts)
         self._fetch = FetchTask(
             platform=HttpPlatform(settings.platform),
             outbox=self.parts.inbox,
         )
         self.distribution = self._make_distribution()
-        self.owner = _make_owner(self.parts)
-        self.entry_parts = _make_entry_parts(self.parts, self.owner)
+        self.owner = make_owner(self.parts)
+        self.entry_parts = make_entry_parts(self.parts, owner=self.owner)
         self.entry_listener = self._make_listener(Entry(self.entry_parts))
         self.owner_listener = self._make_listener(
             OwnerPort(self.owner, body_bytes=settings.limits.body_bytes),
@@ -134,7 +101,7 @@
             recorder=recorder,
         )
         self.drain_asked = threading.Event()
-        self.metrics = _make_metrics(self)
+        self.metrics = make_metrics(self)
         self._admin = AdminServer(self)
         self._futures: list[Future[None]] = []
 
@@ -259,119 +226,10 @@
                     jitter=JITTER,
                 ),
             )
-
-
-def _make_metrics(node: Node) -> Metrics:
-    parts = node.parts
-    metrics = Metrics(parts.tallies, instance=parts.identity.instance)
-    state = node.distribution.state
-    for kind in Kind:
-        metrics.add_gauge(
-            f'wagtaildale.{kind.name}.version',
-            partial(_read_version, node, kind),
-            unit='1',
-            description='Version in force on this node.',
-        )
-    metrics.add_gauge(
-        'wagtaildale.control.sent',
-        lambda: node.distribution.sockets.sent_bytes,
-        unit='By',
-        description='Bytes sent to other nodes for control.',
-    )
-    metrics.add_gauge(
-        'wagtaildale.backend.running',
-        lambda: len(node.owner.gate.state.running),
-        unit='{request}',
-        description='Requests at the backend server.',
-    )
-    metrics.add_gauge(
-        'wagtaildale.backend.limit',
-        lambda: node.owner.gate.state.limit,
-        unit='{request}',
-        description='Requests that may run at the backend server.',
-    )
-    metrics.add_gauge(
-        'wagtaildale.reader',
-        lambda: state.appointed,
-        unit='1',
-        description='Whether this node watches the platform.',
-    )
-    metrics.add_gauge(
-        'wagtaildale.invariants.broken',
-        lambda: parts.invariants.broken,
-        unit='1',
-        description='Invariants found broken: anything but 0 is a defect.',
-    )
-    return metrics
-
-
-def _read_version(node: Node, kind: Kind) -> float:
-    stores = node.distribution.state.stores
-    return stores[kind].held.version
-
-
-def read_incarnation() -> Incarnation:
-    """Read the incarnation of a process that starts now.
-
-    Returns:
-        Milliseconds since the epoch: it rises with each start.
-    """
-    return Incarnation(round(time.time() * MILLISECONDS))
-
-
-def _make_parts(settings: Settings, recorder: EventRecorder) -> Parts:
-    return Parts(
-        settings=settings,
-        identity=Identity(
-            instance=settings.instance,
-            incarnation=recorder.incarnation,
-        ),
-        recorder=recorder,
-        invariants=Invariants(recorder),
-        view=ViewHolder(),
-        tallies=Tallies(),
-        inbox=Inbox(),
-        states=[NodeState.joining],
-    )
-
-
-def _make_watches(parts: Parts) -> dict[Kind, WatchTask]:
-    settings = parts.settings
-    tuning = TUNINGS[settings.distribution.spread]
-    return {
-        kind: WatchTask(
-            kind,
-            platform=HttpPlatform(settings.platform),
-            outbox=parts.inbox,
-            wait=tuning.watch_seconds,
+        self._timers.subscribe(
+            Subscription(
+                name=TimerName.limits,
+                inbox=self.owner.gate,
+                interval=LEASE_LOOK_SECONDS,
+            ),
         )
-        for kind in Kind
-    }
-
-
-def _make_owner(parts: Parts) -> Owner:
-    backend = parts.settings.backend
-    slots = backend.slots
-    if not parts.settings.calls.admits:
-        slots = MOST_SLOTS
-    return Owner(
-        parts.identity,
-        gate=Gate(make_admission(slots)),
-        backend=Address(backend.host, backend.port),
-        invariants=parts.invariants,
-    )
-
-
-def _make_entry_parts(parts: Parts, owner: Owner) -> EntryParts:
-    return EntryParts(
-        data_centre=parts.settings.data_centre,
-        owner=owner,
-        view=parts.view,
-        book=UpstreamBook(),
-        tallies=parts.tallies,
-        recorder=parts.recorder,
-        body_bytes=parts.settings.limits.body_bytes,
-        chooser=make_chooser(parts.settings.calls.choice),
-        reserves=parts.settings.calls.reserves,
-        hedges=parts.settings.calls.hedges,
-    )
--- /dev/null
+++ b/wagtaildale/telemetry/gauges.py
@@ -0,0 +1,69 @@
+"""The gauges of a node."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from wagtaildale.telemetry.metrics import Metrics
+from wagtaildale.types import Kind
+
+if TYPE_CHECKING:
+    from wagtaildale.node import Node
+
+
+def make_metrics(node: Node) -> Metrics:
+    """Make the instruments of a node.
+
+    Args:
+        node: that is measured.
+
+    Returns:
+        Its metrics, read when they are scraped.
+    """
+    parts = node.parts
+    metrics = Metrics(parts.tallies, instance=parts.identity.instance)
+    state = node.distribution.state
+    for kind in Kind:
+        metrics.add_gauge(
+            f'wagtaildale.{kind.name}.version',
+            partial(_read_version, node, kind),
+            unit='1',
+            description='Version in force on this node.',
+        )
+    metrics.add_gauge(
+        'wagtaildale.control.sent',
+        lambda: node.distribution.sockets.sent_bytes,
+        unit='By',
+        description='Bytes sent to other nodes for control.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.backend.running',
+        lambda: len(node.owner.gate.state.running),
+        unit='{request}',
+        description='Requests at the backend server.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.backend.limit',
+        lambda: node.owner.gate.state.limit,
+        unit='{request}',
+        description='Requests that may run at the backend server.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.reader',
+        lambda: state.appointed,
+        unit='1',
+        description='Whether this node watches the platform.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.invariants.broken',
+        lambda: parts.invariants.broken,
+        unit='1',
+        description='Invariants found broken: anything but 0 is a defect.',
+    )
+    return metrics
+
+
+def _read_version(node: Node, kind: Kind) -> float:
+    stores = node.distribution.state.stores
+    return stores[kind].held.version
--- a/wagtaildale/telemetry/page.py
+++ b/wagtaildale/telemetry/page.py
@@ -20,6 +20,7 @@
 LANE: Final = 22
 LEFT: Final = 150
 WIDTH: Final = 1100
+RIGHT: Final = 80
 TOP: Final = 30
 TICKS: Final = 8
 RADIUS: Final = 4
@@ -34,6 +35,14 @@
         EventKind.instances_applied,
     ),
 )
+FAULT_KINDS: Final = frozenset(
+    (
+        EventKind.peer_suspected,
+        EventKind.peer_dead,
+        EventKind.woke_late,
+        EventKind.source_failed,
+    ),
+)
 STYLE: Final = """
 body { font: 14px sans-serif; margin: 2em; color: #222; }
 svg text { font-size: 11px; fill: #444; }
@@ -77,8 +86,8 @@
 def _write_key() -> str:
     meanings = (
         (VERSION_COLOUR, 'a version came into force'),
-        (FLEET_COLOUR, 'a node came, left or is suspected'),
-        (FAULT_COLOUR, 'a fault, with its code'),
+        (FLEET_COLOUR, 'a node came or left'),
+        (FAULT_COLOUR, 'a fault or suspicion'),
         (OTHER_COLOUR, 'anything else'),
     )
     return ''.join(
@@ -98,7 +107,7 @@
         _write_mark(event, first, span, nodes.index(event.node))
         for event in events
     ]
-    head = f'<svg width="{LEFT + WIDTH + LANE}" height="{height}" role="img">'
+    head = f'<svg width="{LEFT + WIDTH + RIGHT}" height="{height}" role="img">'
     return ''.join((head, _write_scale(span, height), lanes, *marks, '</svg>'))
 
 
@@ -147,7 +156,7 @@
 
 
 def _find_colour(event: Event) -> str:
-    if event.code:
+    if event.code or event.kind in FAULT_KINDS:
         return FAULT_COLOUR
     if event.kind in VERSION_KINDS:
         return VERSION_COLOUR
--- a/wagtaildale/testing/mesh.py
+++ b/wagtaildale/testing/mesh.py
@@ -26,11 +26,10 @@
     build_record,
     build_recorder,
 )
+from wagtaildale.testing.closing import Closing
 from wagtaildale.types import Incarnation, Kind, Version
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from wagtaildale.membership.records import InstanceRecord
 
 BACKEND_PORT: Final = 8090
@@ -41,7 +40,7 @@
 SLOTS: Final = 4
 
 
-class MeshNode:
+class MeshNode(Closing):
     """Entry and owner of one node, in front of a backend server.
 
     Example:
@@ -92,29 +91,6 @@
         )
         self.view.take_configuration(document)
 
-    def __enter__(self) -> MeshNode:
-        """Use the node.
-
-        Returns:
-            Itself.
-        """
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Close the ports.
-
-        Args:
-            kind: of an error, if one ended the use.
-            error: the error.
-            trace: where it arose.
-        """
-        self.close()
-
     @property
     def entry(self) -> tuple[str, int]:
         """Where callers connect."""
--- a/wagtaildale/timers/service.py
+++ b/wagtaildale/timers/service.py
@@ -14,15 +14,12 @@
 import heapq
 import random
 import time
-from typing import TYPE_CHECKING, Any, Final
+from typing import Final, Protocol
 
 from msgspec import Struct
 
 from wagtaildale.timers.messages import Tick, TimerName, WokeLate
 
-if TYPE_CHECKING:
-    from wagtaildale.timers.inbox import Inbox
-
 LATE_SECONDS: Final = 2.0
 LONGEST_SLEEP: Final = 0.5
 
@@ -37,6 +34,17 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class TickTaker(Protocol):
+    """Whoever can be told the time: an inbox, or a part with a lock."""
+
+    def put(self, message: Tick | WokeLate, /) -> None:
+        """Take a message of the timer service.
+
+        Args:
+            message: a tick, or that this process woke late.
+        """
+
+
 class Subscription(Struct, kw_only=True):
     """One subscriber's wish.
 
@@ -48,7 +56,7 @@
     """
 
     name: TimerName
-    inbox: Inbox[Any]
+    inbox: TickTaker
     interval: float
     jitter: float = 0
 
