--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -69,6 +69,7 @@
         log_level: of the nodes.
         arguments: more arguments for each node.
         more_settings: TOML that is added to each node's settings.
+        network: third part of the first instance's IP number.
     """
 
     spread: str = 'prompt'
@@ -77,6 +78,7 @@
     log_level: str = 'info'
     arguments: tuple[str, ...] = ()
     more_settings: str = ''
+    network: int = 1
 
 
 class NodeProcess:
@@ -174,7 +176,7 @@
         self.options = options or FleetOptions()
         self.folder = Path(tempfile.mkdtemp(prefix='wagtaildale-'))
         self.platform = PlatformStandIn('127.0.0.1', 0)
-        self.records = _place(placement)
+        self.records = _place(placement, self.options.network)
         self.nodes = [
             NodeProcess(record, self.folder) for record in self.records
         ]
@@ -308,7 +310,7 @@
         return report is not None and report.state == 'ready'
 
 
-def _place(placement: Placement) -> list[InstanceRecord]:
+def _place(placement: Placement, network: int) -> list[InstanceRecord]:
     records: list[InstanceRecord] = []
     for service, count in placement.services.items():
         for number in range(count):
@@ -320,7 +322,7 @@
                     service=ServiceName(service),
                     data_centre=DataCentre(names[place % len(names)]),
                     region=Region(placement.region),
-                    host=_find_host(place),
+                    host=_find_host(place, network),
                     entry_port=ENTRY_PORT,
                     owner_port=OWNER_PORT,
                     control_port=CONTROL_PORT,
@@ -330,9 +332,9 @@
     return records
 
 
-def _find_host(place: int) -> str:
+def _find_host(place: int, first: int) -> str:
     network, number = divmod(place, NODES_PER_NETWORK)
-    return f'127.0.{network + 1}.{number + 1}'
+    return f'127.0.{first + network}.{number + 1}'
 
 
 def _feed(stream: IO[Any] | None, text: bytes) -> None:
--- a/wagtaildale/cli/tests/test_fleet.py
+++ b/wagtaildale/cli/tests/test_fleet.py
@@ -14,7 +14,7 @@
 from click.testing import CliRunner
 from msgspec import json
 
-from standins.fleet import Fleet, Placement
+from standins.fleet import Fleet, FleetOptions, Placement
 from wagtaildale.cli.main import main
 from wagtaildale.testing.builders import MESH_TEXT, build_compiled
 
@@ -23,7 +23,8 @@
 
     from click.testing import Result
 
-NODE = '127.0.1.1:8083'
+NETWORK = 41
+NODE = f'127.0.{NETWORK}.1:8083'
 PLACEMENT = Placement(
     region='midlands',
     data_centres=('derby',),
@@ -33,7 +34,7 @@
 
 @pytest.fixture(scope='module')
 def fleet() -> Iterator[Fleet]:
-    with Fleet(PLACEMENT) as started:
+    with Fleet(PLACEMENT, options=FleetOptions(network=NETWORK)) as started:
         started.start(build_compiled(1))
         yield started
 
