A planned stop waits for idle callers; leaving owners are left out at once

A caller sent on an idle connection just when its node's port closed. Ruled out: work in flight (the stop waits for it). Change: callers' idle connections get up to 4 s in which their next answer says close.

--- a/benchmarks/hops.py
+++ b/benchmarks/hops.py
@@ -27,6 +27,7 @@
 )
 from wagtaildale.calls.heads import write_request_head, write_response_head
 from wagtaildale.calls.listener import Listener
+from wagtaildale.testing.builders import build_recorder
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
@@ -80,6 +81,7 @@
         executor=executor,
         connections=8,
         head_bytes=4096,
+        recorder=build_recorder(),
     )
     listener.bind(Address(HOST, HTTP_PORT)).unwrap()
     executor.submit(listener.run)
--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -32,9 +32,6 @@
     from wagtaildale.calls.routed import EntryParts, Routed
 
 SHED_STATUS: Final = 503
-# An owner refuses at the deadline what still waits there; its word that
-# nothing has run is worth waiting for.
-GRACE_SECONDS: Final = 0.02
 
 
 class Attempter:
--- a/wagtaildale/calls/keyed.py
+++ b/wagtaildale/calls/keyed.py
@@ -6,7 +6,7 @@
 
 from wagtaildale.admission.replays import KeptAnswer, KeyState, Replays
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.heads import pass_on, write_response_head
+from wagtaildale.calls.heads import CLOSE, pass_on, write_response_head
 from wagtaildale.errors.codes import Code
 from wagtaildale.types import Outcome
 
@@ -68,7 +68,9 @@
         """
         kept = self._kept
         length = (b'content-length', b'%d' % len(kept.body))
-        headers = (*kept.headers, length, REPLAYED, *extra)
+        headers = [*kept.headers, length, REPLAYED, *extra]
+        if sink.closing:
+            headers.append(CLOSE)
         head = write_response_head(kept.status, headers=headers)
         sink.send(head + kept.body, deadline=deadline)
 
--- a/wagtaildale/calls/listener.py
+++ b/wagtaildale/calls/listener.py
@@ -14,13 +14,15 @@
 from wagtaildale.calls.responses import StreamCut
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
+from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from concurrent.futures import Executor
+    from concurrent.futures import Executor, Future
 
     from wagtaildale.calls.addresses import Address
     from wagtaildale.calls.parsing import Message
+    from wagtaildale.telemetry.events import EventRecorder
 
 BACKLOG: Final = 512
 LOOK_MS: Final = 1000
@@ -49,6 +51,7 @@
         executor: Executor,
         connections: int,
         head_bytes: int,
+        recorder: EventRecorder,
     ) -> None:
         """Prepare; ``bind`` opens the port.
 
@@ -57,8 +60,11 @@
             executor: runs a worker for each connection.
             connections: open at once at most.
             head_bytes: largest request head.
+            recorder: gets an event if a worker fails in a way that no
+                caller or server can cause.
         """
         self._answerer = answerer
+        self._recorder = recorder
         self._executor = executor
         self._connections = connections
         self._head_bytes = head_bytes
@@ -120,6 +126,11 @@
         """Whether connections are to be closed after their answer."""
         return self._draining
 
+    @property
+    def open(self) -> int:
+        """How many connections are open."""
+        return len(self._open)
+
     @property
     def busy(self) -> int:
         """How many connections have a request under way."""
@@ -133,6 +144,17 @@
         """
         self._open.discard(worker)
 
+    def _note_defect(self, future: Future[None]) -> None:
+        # Failure: a defect ends a worker; its caller sees a closed
+        # connection and nobody else anything.
+        error = None if future.cancelled() else future.exception()
+        if error is not None:
+            self._recorder.record(
+                EventKind.invariant_broken,
+                code=Code.invariant_broken,
+                detail=repr(error),
+            )
+
     def _accept(self) -> None:
         try:
             sock, _peer = self._sock.accept()
@@ -148,7 +170,8 @@
             return
         worker = Worker(connection, listener=self, answerer=self._answerer)
         self._open.add(worker)
-        self._executor.submit(worker.run)
+        future = self._executor.submit(worker.run)
+        future.add_done_callback(self._note_defect)
 
 
 class Worker:
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -29,6 +29,8 @@
     from wagtaildale.membership.records import InstanceRecord
 
 MILLISECONDS: Final = 1000
+GRACE_SECONDS: Final = 0.02
+GRACE_SHARE: Final = 4
 
 
 class Target(Struct, frozen=True, kw_only=True):
@@ -152,6 +154,11 @@
 ) -> CallFields:
     work_class = routed.match.work_class
     rest = routed.call.deadline - read_clock()
+    if rest > GRACE_SECONDS * GRACE_SHARE:
+        # Failure: at the deadline the entry gives up a moment before the
+        # owner's word comes that nothing has run, and the caller hears
+        # "unknown". The owner's deadline is a little earlier.
+        rest -= GRACE_SECONDS
     return CallFields(
         request_id=routed.request_id,
         attempt=len(attempts.tried),
--- a/wagtaildale/lifecycle/stop.py
+++ b/wagtaildale/lifecycle/stop.py
@@ -11,8 +11,6 @@
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from wagtaildale.admission.gate import Gate
     from wagtaildale.calls.listener import Listener
     from wagtaildale.telemetry.events import EventRecorder
@@ -20,6 +18,7 @@
 
 LOOK_SECONDS: Final = 0.05
 QUIET_SECONDS: Final = 1.0
+LINGER_SECONDS: Final = 4.0
 
 
 class Stop:
@@ -28,13 +27,19 @@
     In order: other nodes are told, the gate admits nothing more, every
     answer asks its caller to close, and when no request has been under way
     for ``QUIET_SECONDS`` the ports close.
+
+    Failure guarded here: a caller sends on a connection that was idle just
+    when the port closes, and its request is lost. Idle connections of
+    callers are given ``LINGER_SECONDS`` in which their next answer tells
+    them to go elsewhere.
     """
 
     def __init__(
         self,
         *,
         gate: Gate,
-        listeners: Sequence[Listener],
+        callers: Listener,
+        nodes: Listener,
         inbox: Inbox[object],
         recorder: EventRecorder,
     ) -> None:
@@ -42,12 +47,14 @@
 
         Args:
             gate: in front of the backend server.
-            listeners: all ports that take requests.
+            callers: takes callers' requests.
+            nodes: takes other nodes' calls.
             inbox: of the distribution task.
             recorder: gets events.
         """
         self._gate = gate
-        self._listeners = listeners
+        self._callers = callers
+        self._listeners = (callers, nodes)
         self._inbox = inbox
         self._recorder = recorder
         self._hurried = False
@@ -72,12 +79,14 @@
         Returns:
             Whether all work was done in time.
         """
-        bound = read_clock() + seconds
-        quiet_since = read_clock()
-        while read_clock() < bound and not self._hurried:
+        began = read_clock()
+        quiet_since = began
+        while read_clock() < began + seconds and not self._hurried:
+            now = read_clock()
             if self.count_in_flight():
-                quiet_since = read_clock()
-            if read_clock() - quiet_since > QUIET_SECONDS:
+                quiet_since = now
+            lingered = now - began > LINGER_SECONDS or not self._callers.open
+            if lingered and now - quiet_since > QUIET_SECONDS:
                 return True
             time.sleep(LOOK_SECONDS)
         left = self.count_in_flight()
--- /dev/null
+++ b/wagtaildale/lifecycle/tests/test_stop.py
@@ -0,0 +1,91 @@
+"""Tests of the planned stop."""
+
+from __future__ import annotations
+
+import threading
+from http.client import HTTPConnection
+
+from wagtaildale.calls.tests.pairs import PATIENCE, Pair, wait_until
+from wagtaildale.distribution.messages import Leave
+from wagtaildale.lifecycle.stop import Stop
+from wagtaildale.timers.inbox import Inbox
+
+
+class Stopping:
+    """A planned stop of the entry node of a pair."""
+
+    def __init__(self) -> None:
+        self.pair = Pair()
+        self.inbox: Inbox[object] = Inbox()
+        near = self.pair.near
+        self.stop = Stop(
+            gate=near.owner.gate,
+            callers=near.entry_listener,
+            nodes=near.owner_listener,
+            inbox=self.inbox,
+            recorder=near.recorder,
+        )
+
+
+def test_work_in_flight_is_finished() -> None:
+    """A photo set breaks off because its node is being replaced."""
+    stopping = Stopping()
+    stopping.pair.backend.faults.service_ms = 300
+    answers: list[int] = []
+    worker = threading.Thread(
+        target=lambda: answers.append(
+            stopping.pair.ask('GET', '/files/1')[0].status,
+        ),
+    )
+    worker.start()
+    wait_until(lambda: stopping.pair.backend.counts.runs == 1)
+    stopping.stop.begin()
+    assert stopping.stop.wait(seconds=PATIENCE)
+    worker.join()
+    assert answers == [200]
+    assert isinstance(stopping.inbox.take_all()[0], Leave)
+    stopping.pair.close()
+
+
+def test_idle_caller_is_told_to_go_before_the_port_closes() -> None:
+    """A booking is lost between two nodes of a rolling restart.
+
+    Its caller had an idle connection and sent just when the port closed.
+    While it is open the stop waits, and the next answer says close.
+    """
+    stopping = Stopping()
+    connection = HTTPConnection(*stopping.pair.near.entry, timeout=PATIENCE)
+    connection.request('GET', '/files/1')
+    connection.getresponse().read()
+    stopping.stop.begin()
+    done: list[bool] = []
+    waiter = threading.Thread(
+        target=lambda: done.append(stopping.stop.wait(seconds=PATIENCE)),
+    )
+    waiter.start()
+    connection.request('GET', '/files/2')
+    response = connection.getresponse()
+    assert response.status == 200
+    assert response.headers['connection'] == 'close'
+    response.read()
+    connection.close()
+    waiter.join()
+    assert done == [True]
+    stopping.pair.close()
+
+
+def test_bound_and_hurry_end_the_wait() -> None:
+    stopping = Stopping()
+    stopping.pair.backend.faults.hang = True
+    worker = threading.Thread(
+        target=stopping.pair.ask,
+        args=('GET', '/files/1'),
+    )
+    worker.start()
+    wait_until(lambda: stopping.pair.backend.counts.runs == 1)
+    stopping.stop.begin()
+    assert not stopping.stop.wait(seconds=0.05)
+    stopping.stop.hurry()
+    assert not stopping.stop.wait(seconds=1e9)
+    worker.join()
+    stopping.pair.close()
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -96,7 +96,8 @@
         )
         self.stop = Stop(
             gate=self.owner.gate,
-            listeners=(self.entry_listener, self.owner_listener),
+            callers=self.entry_listener,
+            nodes=self.owner_listener,
             inbox=self.parts.inbox,
             recorder=recorder,
         )
@@ -180,6 +181,7 @@
             executor=self._executor,
             connections=limits.connections,
             head_bytes=limits.head_bytes,
+            recorder=self.parts.recorder,
         )
 
     def _make_distribution(self) -> DistributionTask:
--- a/wagtaildale/routing/book.py
+++ b/wagtaildale/routing/book.py
@@ -22,6 +22,7 @@
 FIRST_EJECTION: Final = 1.0
 LONGEST_EJECTION: Final = 30.0
 PROBE_SECONDS: Final = 1.0
+LEAVING_SECONDS: Final = 3.0
 # What speaks against an upstream itself, not against one request.
 UPSTREAM_FAULTS: Final = frozenset(
     (
@@ -34,6 +35,9 @@
 )
 
 
+NO_PRAISE: Final = UPSTREAM_FAULTS | {Code.draining}
+
+
 class Ejection:
     """Whether an upstream is left out for its failures.
 
@@ -78,6 +82,17 @@
         self._seconds = min(LONGEST_EJECTION, self._seconds * 2)
         return True
 
+    def note_leaving(self, now: float) -> None:
+        """Note that the upstream says it is leaving.
+
+        News of it may take seconds to come round; its own refusal is as
+        good. Should it come back under the same id, it is asked again soon.
+
+        Args:
+            now: seconds.
+        """
+        self._until = now + LEAVING_SECONDS
+
     def note_chosen(self, now: float) -> None:
         """Note that the upstream gets a call; a probe if it was out.
 
@@ -183,7 +198,9 @@
         self.in_flight = fields.in_flight
         self.limit = max(1, fields.limit)
         self.queued = fields.queued
-        if fields.code in UPSTREAM_FAULTS:
+        if fields.code is Code.draining:
+            self.ejection.note_leaving(read_clock())
+        if fields.code in NO_PRAISE:
             return False
         return self.ejection.note_answer()
 
--- /dev/null
+++ b/wagtaildale/routing/tests/test_book.py
@@ -0,0 +1,170 @@
+"""Tests of what an entry knows of upstreams, and of choosing by it."""
+
+from __future__ import annotations
+
+import pytest
+
+from wagtaildale.calls.fields import AnswerFields
+from wagtaildale.errors.codes import Code
+from wagtaildale.routing.book import Ejection, UpstreamBook
+from wagtaildale.routing.candidates import (
+    SUBSET_SIZE,
+    leave_out_ejected,
+    list_candidates,
+    take_subset,
+)
+from wagtaildale.routing.choice import ChoiceName
+from wagtaildale.routing.choosers import make_chooser
+from wagtaildale.routing.view import ViewHolder
+from wagtaildale.testing.builders import build_instances, build_record
+from wagtaildale.timers.service import read_clock
+from wagtaildale.types import (
+    DataCentre,
+    Incarnation,
+    InstanceId,
+    ListedState,
+    Outcome,
+    RequestId,
+    ServiceName,
+)
+
+DERBY = DataCentre('derby')
+FIELD = ServiceName('casefiles')
+
+
+def build_answer(
+    code: Code = Code.ok,
+    *,
+    in_flight: int = 0,
+    incarnation: int = 1,
+) -> AnswerFields:
+    return AnswerFields(
+        request_id=RequestId('r'),
+        attempt=1,
+        code=code,
+        outcome=Outcome.answered,
+        instance=InstanceId('a'),
+        incarnation=Incarnation(incarnation),
+        in_flight=in_flight,
+        limit=10,
+        queued=0,
+    )
+
+
+def test_ejection_takes_several_failures_and_ends_with_a_probe() -> None:
+    ejection = Ejection()
+    outs = [ejection.note_failure(0) for _failure in range(4)]
+    assert outs == [False, False, True, False]
+    assert (ejection.is_out(0.5), ejection.is_out(1.5)) == (True, False)
+    ejection.note_chosen(1.5)
+    assert ejection.is_out(1.6), 'one probe at a time'
+    assert ejection.note_answer()
+    assert not ejection.is_out(1.7)
+
+
+def test_ejection_grows_longer() -> None:
+    ejection = Ejection()
+    for moment in (0, 0, 0, 2):
+        ejection.note_failure(moment)
+    assert ejection.is_out(3.5)
+
+
+def test_never_more_than_half_are_left_out() -> None:
+    """An entry loses its line for a moment and leaves out the whole service."""
+    records = [build_record(name) for name in 'abcd']
+    book = UpstreamBook()
+    for record in records[:2]:
+        for _failure in range(3):
+            book.find(record.instance).ejection.note_failure(0)
+    good = leave_out_ejected(records, book=book, now=0)
+    assert [record.instance for record in good] == ['c', 'd']
+    for _failure in range(3):
+        book.find(InstanceId('c')).ejection.note_failure(0)
+    assert leave_out_ejected(records, book=book, now=0) == records
+
+
+def test_leaving_upstream_is_left_out_at_once() -> None:
+    book = UpstreamBook()
+    notes = book.find(InstanceId('a'))
+    notes.note_answer(build_answer(Code.draining))
+    assert notes.ejection.is_out(read_clock())
+
+
+def test_new_incarnation_counts_as_cold() -> None:
+    notes = UpstreamBook().find(InstanceId('a'))
+    notes.known_since -= 60
+    notes.note_answer(build_answer(incarnation=1))
+    notes.known_since -= 60
+    warm = notes.measure_load()
+    notes.note_answer(build_answer(incarnation=2))
+    assert notes.measure_load() > warm + 0.4
+
+
+def test_away_and_leaving_instances_are_no_candidates() -> None:
+    holder = ViewHolder()
+    holder.take_instances(
+        build_instances(
+            build_record('a'),
+            build_record('b', state=ListedState.leaving),
+            build_record('c'),
+        ),
+    )
+    holder.take_away(frozenset((InstanceId('b'), InstanceId('c'))))
+    found = list_candidates(holder.current, service=FIELD, tried=())
+    assert [record.instance for record in found] == ['a']
+
+
+def test_tried_upstreams_come_last() -> None:
+    holder = ViewHolder()
+    holder.take_instances(build_instances(build_record('a'), build_record('b')))
+    tried = (InstanceId('a'),)
+    found = list_candidates(holder.current, service=FIELD, tried=tried)
+    assert [record.instance for record in found] == ['b']
+    both = (InstanceId('a'), InstanceId('b'))
+    again = list_candidates(holder.current, service=FIELD, tried=both)
+    assert len(again) == 2
+
+
+@pytest.mark.parametrize('name', list(ChoiceName))
+def test_every_chooser_gives_a_candidate(name: ChoiceName) -> None:
+    records = [build_record(name) for name in 'abc']
+    chooser = make_chooser(name)
+    chosen = {
+        chooser.choose(
+            records,
+            book=UpstreamBook(),
+            data_centre=DERBY,
+        ).instance
+        for _call in range(100)
+    }
+    assert chosen == {'a', 'b', 'c'}
+
+
+def test_loaded_data_centre_spills_over() -> None:
+    near = build_record('near')
+    far = build_record('far', data_centre='coventry')
+    book = UpstreamBook()
+    for record in (near, far):
+        book.find(record.instance).known_since -= 60
+    chooser = make_chooser(ChoiceName.least_loaded)
+    args = {'book': book, 'data_centre': DERBY}
+    assert chooser.choose((near, far), **args) is near  # type: ignore[arg-type]
+    book.find(near.instance).note_answer(build_answer(in_flight=9))
+    book.find(near.instance).known_since -= 60
+    chosen = {
+        chooser.choose((near, far), **args).instance  # type: ignore[arg-type]
+        for _call in range(50)
+    }
+    assert 'far' in chosen
+
+
+def test_subsets_spread_over_a_large_service() -> None:
+    records = [build_record(f'i{number}') for number in range(100)]
+    used: dict[str, int] = {}
+    for entry in range(200):
+        subset = take_subset(records, entry=InstanceId(f'e{entry}'))
+        assert len(subset) == SUBSET_SIZE
+        for record in subset:
+            used[record.instance] = used.get(record.instance, 0) + 1
+    assert len(used) == 100
+    assert max(used.values()) < 3 * 200 * SUBSET_SIZE / 100
--- a/wagtaildale/testing/mesh.py
+++ b/wagtaildale/testing/mesh.py
@@ -128,6 +128,7 @@
             executor=self._executor,
             connections=CONNECTIONS,
             head_bytes=HEAD_BYTES,
+            recorder=self.recorder,
         )
         listener.bind(Address(self.record.host, port)).unwrap()
         self._executor.submit(listener.run)
