--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
 import click
 
 from benchmarks.calls import measure_calls
+from benchmarks.gates import measure_gates
 from benchmarks.hops import measure_hops
 from benchmarks.policy import measure_policy, measure_rolling_restart
 from benchmarks.spread import measure_spread
@@ -29,6 +30,7 @@
     """
     figures = chain(
         measure_hops(),
+        measure_gates(),
         measure_calls(seconds=seconds),
         measure_policy(seconds=seconds),
         measure_rolling_restart(),
