--- a/benchmarks/faulty_node.py
+++ b/benchmarks/faulty_node.py
@@ -1,4 +1,4 @@
-"""A node whose sockets lose messages to other nodes, for the soak."""
+"""A node with lossy sockets or other figures, for soak and sweep."""
 
 from __future__ import annotations
 
@@ -8,9 +8,11 @@
 from typing import TYPE_CHECKING, Final
 
 import click
+from msgspec import json
 
 from wagtaildale.daemon import run_daemon
 from wagtaildale.distribution.sockets import NodeSockets
+from wagtaildale.distribution.tuning import Tuning
 from wagtaildale.settings.load import load_settings
 
 if TYPE_CHECKING:
@@ -18,6 +20,7 @@
     from wagtaildale.types import InstanceId
 
 LOSS_VARIABLE: Final = 'WAGTAILDALE_BENCH_LOSS'
+TUNING_VARIABLE: Final = 'WAGTAILDALE_BENCH_TUNING'
 
 
 class LossySockets(NodeSockets):
@@ -69,7 +72,11 @@
         settings_file: path of the settings.
     """
     settings = load_settings(settings_file).unwrap()
-    sys.exit(run_daemon(settings, make_sockets=LossySockets))
+    given = os.environ.get(TUNING_VARIABLE)
+    tuning = json.decode(given, type=Tuning) if given else None
+    sys.exit(
+        run_daemon(settings, make_sockets=LossySockets, tuning=tuning),
+    )
 
 
 if __name__ == '__main__':
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -115,6 +115,19 @@
         What was measured.
     """
     options = FleetOptions(spread=spread, log_level='error')
+    return measure_options(nodes, options=options)
+
+
+def measure_options(nodes: int, *, options: FleetOptions) -> Rates:
+    """Measure one fleet with any options.
+
+    Args:
+        nodes: how many.
+        options: how it is started.
+
+    Returns:
+        What was measured.
+    """
     with Fleet(place_nodes(nodes), options=options) as fleet:
         fleet.start(compile_version(1))
         time.sleep(CHANGE_SECONDS * 2)
--- /dev/null
+++ b/benchmarks/sweep.py
@@ -0,0 +1,84 @@
+"""Sweeps the figures of distribution: what each one trades.
+
+python -m benchmarks.sweep
+"""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING, Final
+
+import click
+from msgspec import json, structs
+
+from benchmarks.faulty_node import LOSS_VARIABLE, TUNING_VARIABLE
+from benchmarks.figures import find_percentile
+from benchmarks.spread import measure_options
+from standins.fleet import FleetOptions
+from wagtaildale.cli.output import print_table
+from wagtaildale.distribution.tuning import Tuning
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+NODES: Final = 30
+LOSS: Final = '0.05'
+WHOLE: Final = 100
+USUAL: Final = Tuning()
+
+
+def list_tunings() -> Iterator[tuple[str, Tuning]]:
+    """List what is tried: one figure changed at a time.
+
+    Yields:
+        What was changed, and the figures.
+    """
+    yield 'as it is', USUAL
+    for fan_out in (2, 8):
+        yield f'fan_out={fan_out}', structs.replace(USUAL, fan_out=fan_out)
+    for seconds in (0.5, 3.0):
+        tuning = structs.replace(USUAL, swap_seconds=seconds)
+        yield f'swap_seconds={seconds}', tuning
+    yield 'readers=1', structs.replace(USUAL, readers=1)
+
+
+def measure_row(name: str, tuning: Tuning) -> list[str]:
+    """Measure one set of figures with 5% of messages lost.
+
+    Args:
+        name: what was changed.
+        tuning: the figures.
+
+    Returns:
+        Cells of one row.
+    """
+    os.environ[LOSS_VARIABLE] = LOSS
+    os.environ[TUNING_VARIABLE] = json.encode(tuning).decode()
+    options = FleetOptions(
+        program='benchmarks.faulty_node',
+        log_level='error',
+    )
+    rates = measure_options(NODES, options=options)
+    slowest = find_percentile(rates.convergence_ms, percent=WHOLE)
+    return [
+        name,
+        f'{find_percentile(rates.convergence_ms, percent=50):.0f}',
+        f'{slowest:.0f}',
+        f'{rates.bytes_per_second:.0f}',
+        f'{rates.bytes_per_change:.0f}',
+        f'{rates.reads_per_second:.1f}',
+    ]
+
+
+@click.command()
+def main() -> None:
+    """Print one row for each set of figures."""
+    rows = [measure_row(name, tuning) for name, tuning in list_tunings()]
+    print_table(
+        ('changed', 'p50 ms', 'p100 ms', 'idle B/s', 'B/change', 'reads/s'),
+        rows=rows,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/wagtaildale/assembly.py
+++ b/wagtaildale/assembly.py
@@ -12,7 +12,7 @@
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.owner import Identity, Owner
 from wagtaildale.calls.routed import EntryParts
-from wagtaildale.distribution.tuning import TUNINGS
+from wagtaildale.distribution.tuning import TUNINGS, Tuning
 from wagtaildale.invariants import Invariants
 from wagtaildale.routing.book import UpstreamBook
 from wagtaildale.routing.choosers import make_chooser
@@ -42,6 +42,7 @@
         tallies: counts of calls.
         inbox: of the distribution task.
         states: the node's state, the latest last.
+        tuning: the figures of distribution.
     """
 
     settings: Settings
@@ -52,6 +53,7 @@
     tallies: Tallies
     inbox: Inbox[Any]
     states: list[NodeState]
+    tuning: Tuning
 
 
 def read_incarnation() -> Incarnation:
@@ -63,12 +65,19 @@
     return Incarnation(round(time.time() * MILLISECONDS))
 
 
-def make_parts(settings: Settings, *, recorder: EventRecorder) -> Parts:
+def make_parts(
+    settings: Settings,
+    *,
+    recorder: EventRecorder,
+    tuning: Tuning | None = None,
+) -> Parts:
     """Make what the parts of a node share.
 
     Args:
         settings: checked.
         recorder: gets events.
+        tuning: the figures of distribution; those that the settings name
+            if left out.
 
     Returns:
         The parts.
@@ -85,6 +94,7 @@
         tallies=Tallies(),
         inbox=Inbox(),
         states=[NodeState.joining],
+        tuning=tuning or TUNINGS[settings.distribution.spread],
     )
 
 
@@ -98,13 +108,12 @@
         By kind of document.
     """
     settings = parts.settings
-    tuning = TUNINGS[settings.distribution.spread]
     return {
         kind: WatchTask(
             kind,
             platform=HttpPlatform(settings.platform),
             outbox=parts.inbox,
-            wait=tuning.watch_seconds,
+            wait=parts.tuning.watch_seconds,
         )
         for kind in Kind
     }
--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -24,6 +24,7 @@
     from collections.abc import Callable
     from types import FrameType
 
+    from wagtaildale.distribution.tuning import Tuning
     from wagtaildale.errors.faults import Faults
     from wagtaildale.keys.pairs import KeyPair
     from wagtaildale.settings.model import Settings
@@ -99,6 +100,7 @@
     settings: Settings,
     *,
     make_sockets: Callable[[tuple[KeyPair, ...]], NodeSockets] = NodeSockets,
+    tuning: Tuning | None = None,
 ) -> int:
     """Run a node until a signal stops it.
 
@@ -106,6 +108,7 @@
         settings: checked.
         make_sockets: makes the sockets to other nodes; the soak gives ones
             that lose messages.
+        tuning: the figures of distribution, if not the settings' own.
 
     Returns:
         Exit code: 0 after a stop that cut nothing.
@@ -121,7 +124,12 @@
         _complain(keys.err_value)
         return EXIT_SETTINGS
     sockets = make_sockets(keys.ok_value)
-    node = Node(settings, recorder=recorder, sockets=sockets)
+    node = Node(
+        settings,
+        recorder=recorder,
+        sockets=sockets,
+        tuning=tuning,
+    )
     signals = Signals(node)
     started = node.start()
     if isinstance(started, Err):
--- a/wagtaildale/distribution/wire.py
+++ b/wagtaildale/distribution/wire.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Final
 
 from msgspec import MsgspecError, Struct, msgpack
@@ -18,6 +19,8 @@
 from wagtaildale.types import Digest, InstanceId, Kind, Version
 
 LARGEST_MESSAGE: Final = 16_000_000
+WORTH_COMPRESSING: Final = 300
+ZLIB_MARK: Final = b'\x78'
 
 
 class Holding(Struct, frozen=True, array_like=True):
@@ -133,9 +136,13 @@
         envelope: the message.
 
     Returns:
-        MessagePack.
+        MessagePack, compressed where that is worth it.
     """
-    return _encoder.encode(envelope)
+    frame = _encoder.encode(envelope)
+    if len(frame) < WORTH_COMPRESSING:
+        return frame
+    compressed = zlib.compress(frame)
+    return compressed if len(compressed) < len(frame) else frame
 
 
 def decode_envelope(frame: bytes) -> Result[Envelope, Fault]:
@@ -148,14 +155,23 @@
         The message, or a fault if it is none of ours.
     """
     try:
-        envelope = _decoder.decode(frame)
-    except (MsgspecError, RecursionError) as error:
+        envelope = _decoder.decode(_decompress(frame))
+    except (MsgspecError, RecursionError, zlib.error) as error:
         return Err(_describe(str(error)))
     if not envelope.news:
         return Err(_describe('no sender'))
     return Ok(envelope)
 
 
+def _decompress(frame: bytes) -> bytes:
+    # An envelope is an array of four: its first byte is never that of a
+    # zlib stream. What a frame may grow to is bounded, so that a small one
+    # cannot fill the memory.
+    if not frame.startswith(ZLIB_MARK):
+        return frame
+    return zlib.decompressobj().decompress(frame, LARGEST_MESSAGE)
+
+
 def _describe(got: str) -> Fault:
     return Fault(
         code=Code.message_malformed,
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -23,7 +23,6 @@
 from wagtaildale.distribution.sockets import NodeSockets
 from wagtaildale.distribution.state import make_state
 from wagtaildale.distribution.task import DistributionTask
-from wagtaildale.distribution.tuning import TUNINGS
 from wagtaildale.lifecycle.stop import Stop
 from wagtaildale.membership.state import MembershipState
 from wagtaildale.membership.topology import Place
@@ -39,6 +38,7 @@
 )
 
 if TYPE_CHECKING:
+    from wagtaildale.distribution.tuning import Tuning
     from wagtaildale.errors.faults import Fault
     from wagtaildale.settings.model import Settings
 
@@ -67,6 +67,7 @@
         *,
         recorder: EventRecorder,
         sockets: NodeSockets,
+        tuning: Tuning | None = None,
     ) -> None:
         """Build every part; ``start`` opens the ports.
 
@@ -74,8 +75,13 @@
             settings: checked.
             recorder: gets events.
             sockets: to other nodes, with the fleet's keys.
+            tuning: the figures of distribution, if not the settings' own.
         """
-        self.parts = make_parts(settings, recorder=recorder)
+        self.parts = make_parts(
+            settings,
+            recorder=recorder,
+            tuning=tuning,
+        )
         self._executor = ThreadPoolExecutor(
             max_workers=2 * settings.limits.connections + OWN_TASKS,
             thread_name_prefix='wagtaildale',
@@ -204,7 +210,7 @@
         return DistributionTask(
             make_state(
                 members,
-                tuning=TUNINGS[settings.distribution.spread],
+                tuning=parts.tuning,
                 seeds=settings.distribution.seeds,
                 now=read_clock(),
             ),
