--- a/wagtaildale/calls/listener.py
+++ b/wagtaildale/calls/listener.py
@@ -114,12 +114,17 @@
         """
         self._draining = True
 
-    def stop(self) -> None:
-        """Close the port and what is still open."""
+    def stop(self, *, ways: int = socket.SHUT_RD) -> None:
+        """Close the port and what is still open.
+
+        Args:
+            ways: in which connections are shut; both cuts answers under
+                way, as the end of the process would.
+        """
         self._running = False
-        _shut(self._sock)
+        _shut(self._sock, socket.SHUT_RD)
         for worker in tuple(self._open):
-            worker.shut()
+            worker.shut(ways)
 
     @property
     def is_draining(self) -> bool:
@@ -210,9 +215,13 @@
             self._connection.close()
             self._listener.release(self)
 
-    def shut(self) -> None:
-        """End the wait for another request."""
-        _shut(self._connection.sock)
+    def shut(self, ways: int) -> None:
+        """End the wait for another request, or the connection itself.
+
+        Args:
+            ways: in which the connection is shut.
+        """
+        _shut(self._connection.sock, ways)
 
     def _serve(self) -> None:
         while True:
@@ -238,9 +247,9 @@
             return None
 
 
-def _shut(sock: socket.socket) -> None:
+def _shut(sock: socket.socket, ways: int) -> None:
     try:
-        sock.shutdown(socket.SHUT_RD)
+        sock.shutdown(ways)
     except OSError:
         return
 
--- /dev/null
+++ b/wagtaildale/calls/tests/test_faults.py
@@ -0,0 +1,181 @@
+"""Tests of what nodes and lines do at the worst moment."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+import pytest
+
+from wagtaildale.calls.addresses import Address
+from wagtaildale.calls.bodies import NoBody
+from wagtaildale.calls.connections import Connection, Pool
+from wagtaildale.calls.exchange import Call, Exchange
+from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.fields import (
+    ANSWER_FIELD,
+    CALL_FIELD,
+    AnswerFields,
+    read_call,
+    write_answer,
+)
+from wagtaildale.calls.heads import write_response_head
+from wagtaildale.calls.parsing import MessageParser
+from wagtaildale.calls.tests.pairs import OUTCOME, Pair, read_code, wait_until
+from wagtaildale.errors.codes import Code
+from wagtaildale.timers.service import read_clock
+from wagtaildale.types import Incarnation, InstanceId, Outcome, RequestId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class ImpostorOwner:
+    """Answers every call with an answer to another request or attempt."""
+
+    def __init__(self, address: tuple[str, int], *, attempt_off: int) -> None:
+        self._listener = socket.create_server(address)
+        self._attempt_off = attempt_off
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self._thread.join(5)
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                sock, _peer = self._listener.accept()
+            except OSError:
+                return
+            with sock:
+                self._answer(sock)
+
+    def _answer(self, sock: socket.socket) -> None:
+        parser = MessageParser(of_requests=True, head_bytes=9999)
+        while parser.peek() is None:
+            parser.feed(sock.recv(9999))
+        message = parser.peek()
+        assert message is not None
+        fields = read_call(message.find(CALL_FIELD) or b'')
+        assert fields is not None
+        request_id = fields.request_id
+        if not self._attempt_off:
+            request_id = RequestId('another')
+        answer = AnswerFields(
+            request_id=request_id,
+            attempt=fields.attempt + self._attempt_off,
+            code=Code.ok,
+            outcome=Outcome.answered,
+            instance=InstanceId('b'),
+            incarnation=Incarnation(1),
+            in_flight=0,
+            limit=1,
+            queued=0,
+        )
+        headers = (
+            (b'content-length', b'6'),
+            (ANSWER_FIELD, write_answer(answer)),
+        )
+        sock.sendall(write_response_head(200, headers=headers) + b'secret')
+
+
+@pytest.fixture
+def silent_pair() -> Iterator[Pair]:
+    """A pair whose owner's port is free for an impostor."""
+    made = Pair()
+    made.far.close()
+    yield made
+    made.near.close()
+    made.backend.close()
+
+
+@pytest.mark.parametrize('attempt_off', [0, 1])
+def test_crossed_answer_reaches_nobody(
+    silent_pair: Pair,
+    attempt_off: int,
+) -> None:
+    """A dispatcher sees another dispatcher's gate.
+
+    Answers come late or crossed: one names another request, or another
+    attempt of this one. Neither is passed on.
+    """
+    record = silent_pair.far.record
+    impostor = ImpostorOwner(
+        (record.host, record.owner_port),
+        attempt_off=attempt_off,
+    )
+    response, text = silent_pair.ask('GET', '/files/1')
+    impostor.close()
+    assert response.status == 502
+    assert read_code(text) is Code.answer_mismatched
+    assert b'secret' not in text
+
+
+def test_owner_dies_while_a_booking_runs(pair: Pair) -> None:
+    """The owner is killed after the run message: nobody knows if it ran.
+
+    The caller hears "unknown" and the booking is sent to nobody else.
+    """
+    pair.backend.faults.service_ms = 60_000
+    heard: list[tuple[str, Code]] = []
+
+    def book() -> None:
+        response, text = pair.ask('POST', '/bookings', b'x', {'x-booking': 'k'})
+        heard.append((response.headers[OUTCOME], read_code(text)))
+
+    worker = threading.Thread(target=book)
+    worker.start()
+    wait_until(lambda: pair.backend.counts.runs == 1)
+    pair.far.kill()
+    worker.join()
+    assert heard[0][0].startswith('unknown')
+    assert heard[0][1] is Code.outcome_unknown
+    assert pair.backend.counts.by_single_key == {'k': 1}
+
+
+def test_owner_dies_while_a_booking_waits(pair: Pair) -> None:
+    """The owner is killed before the run message: it has not run."""
+    gate = pair.far.owner.gate
+    for _slot in range(4):
+        gate.enter(within_ms=1, deadline=1e12, lease_seconds=60)
+    heard: list[str] = []
+
+    def book() -> None:
+        response, _text = pair.ask('POST', '/bookings', b'x')
+        heard.append(response.headers[OUTCOME])
+
+    worker = threading.Thread(target=book)
+    worker.start()
+    wait_until(lambda: bool(gate.state.queue))
+    pair.far.kill()
+    worker.join()
+    assert heard[0].startswith('not-run')
+    assert pair.backend.counts.runs == 0
+
+
+def test_woken_process_sends_nothing_old() -> None:
+    """A paused owner wakes and runs a booking that was given up long ago.
+
+    The deadline is looked at last thing before the send.
+    """
+    with (
+        socket.create_server(('127.0.9.9', 0)) as server,
+        socket.create_connection(server.getsockname()) as sock,
+    ):
+        call = Call(
+            caller=Connection(sock, of_requests=True),
+            method=b'POST',
+            target=b'/bookings',
+            headers=(),
+            body=NoBody(),
+            deadline=read_clock() - 1,
+        )
+        host, port = server.getsockname()
+        with pytest.raises(CallFailed) as raised:
+            Exchange(call, pool=Pool(), address=Address(host, port), extra=())
+    assert raised.value.code is Code.past_deadline
+    assert raised.value.outcome is Outcome.not_run
--- a/wagtaildale/testing/mesh.py
+++ b/wagtaildale/testing/mesh.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Final
 
@@ -104,6 +105,11 @@
         """
         self.view.take_instances(build_instances(*records))
 
+    def kill(self) -> None:
+        """Cut every connection, as the end of the process would."""
+        self.entry_listener.stop(ways=socket.SHUT_RDWR)
+        self.owner_listener.stop(ways=socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close the ports and what is open on them."""
         self.entry_listener.stop()
