--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -11,6 +11,7 @@
 from benchmarks.gates import measure_gates
 from benchmarks.hops import measure_hops
 from benchmarks.policy import measure_policy, measure_rolling_restart
+from benchmarks.size import measure_size
 from benchmarks.spread import measure_spread
 from benchmarks.spread_faults import measure_faults
 
@@ -31,6 +32,7 @@
     figures = chain(
         measure_hops(),
         measure_gates(),
+        measure_size(),
         measure_calls(seconds=seconds),
         measure_policy(seconds=seconds),
         measure_rolling_restart(),
