--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -24,7 +24,7 @@
 from demo.deployments import HAILMARK
 from demo.summary import write_timeline
 from standins.backend import FAULTS_PATH, BackendFaults
-from standins.caller import WorkCounts
+from standins.caller import Work, WorkCounts
 from standins.client import read_json
 from standins.fleet import BACKEND_PORT, Fleet, FleetOptions, NodeProcess
 from standins.judge import Verdict, gather_events, judge
@@ -37,8 +37,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-CALLERS: Final = 16
-CALLS_PER_SECOND: Final = 120.0
+CALLERS: Final = 24
+CALLS_PER_SECOND: Final = 200.0
 LOSS: Final = '0.05'
 GAP_SECONDS: Final = 1.5
 LONGEST_PAUSE: Final = 6.0
@@ -72,13 +72,21 @@
 class Soak:
     """One run."""
 
-    def __init__(self, fleet: Fleet, *, seed: int) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        *,
+        seed: int,
+        mix: tuple[Work, ...],
+    ) -> None:
         """Prepare.
 
         Args:
             fleet: started.
             seed: of all choices.
+            mix: what callers ask for.
         """
+        self._mix = mix
         self._fleet = fleet
         self._random = random.Random(seed)
         self._version = 1
@@ -96,7 +104,7 @@
             What was shown.
         """
         plan = LoadPlan(
-            mix=HAILMARK.mix,
+            mix=self._mix,
             callers=CALLERS,
             calls_per_second=CALLS_PER_SECOND,
         )
@@ -232,7 +240,8 @@
 @click.command()
 @click.option('--seconds', type=float, default=60)
 @click.option('--seed', type=int, default=1)
-def main(seconds: float, seed: int) -> None:
+@click.option('--bookings', is_flag=True, help='Send nothing but bookings.')
+def main(seconds: float, seed: int, *, bookings: bool) -> None:
     """Soak a small fleet and print one summary line.
 
     \f
@@ -240,7 +249,11 @@
     Args:
         seconds: of faults.
         seed: of all choices.
+        bookings: send nothing but what must not run twice.
     """
+    mix = tuple(
+        work for work in HAILMARK.mix if not (bookings and work.idempotent)
+    )
     os.environ[LOSS_VARIABLE] = LOSS
     options = FleetOptions(
         program='benchmarks.faulty_node',
@@ -248,7 +261,7 @@
     )
     with Fleet(HAILMARK.placement, options=options) as fleet:
         fleet.start(compile_version(1))
-        outcome = Soak(fleet, seed=seed).run(seconds)
+        outcome = Soak(fleet, seed=seed, mix=mix).run(seconds)
         timeline = write_timeline(gather_events(fleet.nodes), folder=OUT)
     _print(outcome, seed, timeline)
     sys.exit(0 if outcome.is_good else 1)
