Not run is true of a body that grows over the limit; refusals arrive

Cause: a chunked body that passed the limit after its head and half of it had gone on was answered 413 with outcome not-run, though the backend server might have begun; and the answer itself was lost to a reset, as the connection closed with bytes unread. Shown by a test that failed on both. Change: once anything was sent an exchange never says not run; a connection with unread bytes lingers for a second. All seven invariants are now asserted where they matter, not two.

--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -20,6 +20,7 @@
 from wagtaildale.calls.races import Flight, Racer
 from wagtaildale.calls.targets import Target, Targets
 from wagtaildale.errors.codes import Code
+from wagtaildale.invariants import Invariant
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import Outcome
 
@@ -30,6 +31,7 @@
     from wagtaildale.calls.connections import Pool
     from wagtaildale.calls.responses import Response
     from wagtaildale.calls.routed import EntryParts, Routed
+    from wagtaildale.invariants import Invariants
 
 SHED_STATUS: Final = 503
 
@@ -45,6 +47,7 @@
             pool: idle connections to other owners.
         """
         self._owner = parts.owner
+        self._invariants = parts.owner.invariants
         self._reserves = parts.reserves
         self._hedges = parts.hedges
         self._targets = Targets(parts)
@@ -81,7 +84,7 @@
             self._owner.run(
                 routed.call,
                 fields=target.fields,
-                deliver=_DeliverTo(routed),
+                deliver=_DeliverTo(routed, self._invariants),
             )
         elif attempts.idempotent:
             self._send_idempotent(routed, target, attempts)
@@ -155,7 +158,7 @@
             self._targets.note_answer(flight.target, answer)
             if answer.code is Code.ok:
                 _check_shed(response, flight.target.fields)
-                _DeliverTo(routed)(response, answer)
+                _DeliverTo(routed, self._invariants)(response, answer)
         if answer.code is not Code.ok:
             raise CallFailed(answer.code, outcome=answer.outcome)
 
@@ -163,11 +166,19 @@
 class _DeliverTo:
     """Passes an upstream's response on to the caller."""
 
-    def __init__(self, routed: Routed) -> None:
+    def __init__(self, routed: Routed, invariants: Invariants) -> None:
         self._routed = routed
+        self._invariants = invariants
 
     def __call__(self, response: Deliverable, answer: AnswerFields) -> None:
         routed = self._routed
+        matches = answer.request_id == routed.request_id
+        if not self._invariants.hold(
+            Invariant.answer_matches,
+            holds=matches,
+            detail=routed.request_id,
+        ):
+            raise CallFailed(Code.answer_mismatched, outcome=Outcome.unknown)
         routed.report.note_answer(answer)
         response.write_to(
             routed.call.caller,
--- a/wagtaildale/calls/connections.py
+++ b/wagtaildale/calls/connections.py
@@ -26,6 +26,7 @@
 HEAD_BYTES: Final = 65_536
 CONNECT_SECONDS: Final = 1.0
 LEAST_TIMEOUT: Final = 0.001
+LINGER_SECONDS: Final = 1.0
 MILLISECONDS: Final = 1000
 IDLE_SECONDS: Final = 20.0
 IDLE_MOST: Final = 64
@@ -133,10 +134,30 @@
         poller.register(self.sock, select.POLLIN)
         return not poller.poll(0)
 
+    def linger(self) -> None:
+        """Let the other side read the answer before the end.
+
+        Failure guarded here: a caller is still sending when its request is
+        refused; closing with bytes unread resets the connection, and the
+        refusal is lost with it. What comes is thrown away for a moment.
+        """
+        try:
+            self._throw_away(read_clock() + LINGER_SECONDS)
+        except OSError:
+            return
+
     def close(self) -> None:
         """Close at once."""
         self.sock.close()
 
+    def _throw_away(self, deadline: float) -> None:
+        self.sock.shutdown(socket.SHUT_WR)
+        chunk = self._try_read()
+        while chunk != b'' and read_clock() < deadline:
+            if chunk is None:
+                self._await(select.POLLIN, deadline)
+            chunk = self._try_read()
+
     # The socket never blocks: what can be sent or read at once costs one
     # system call, where a socket with a timeout costs three.
 
--- a/wagtaildale/calls/exchange.py
+++ b/wagtaildale/calls/exchange.py
@@ -144,8 +144,13 @@
     def _guard(self, step: Callable[[], Given]) -> Given:
         try:
             return step()
-        except CallFailed:
+        except CallFailed as failure:
             self.cancel()
+            # Failure: a body grows over the limit in the middle, and its
+            # caller hears "not run" of what the backend server has begun.
+            # Once anything was sent, nobody can say so.
+            if failure.outcome is Outcome.not_run:
+                failure.outcome = Outcome.unknown
             raise
         except TimeoutError:
             self.cancel()
--- a/wagtaildale/calls/listener.py
+++ b/wagtaildale/calls/listener.py
@@ -233,7 +233,10 @@
             self._connection.closing = draining or not message.keep_alive
             self._answerer.answer(self._connection, message)
             self.is_busy = False
-            if self._connection.closing or not message.is_complete:
+            if not message.is_complete:
+                self._connection.linger()
+                return
+            if self._connection.closing:
                 return
             self._connection.parser.drop()
 
@@ -244,6 +247,7 @@
         except CallFailed as failure:
             self._connection.closing = True
             send_problem(self._connection, failure=failure)
+            self._connection.linger()
             return None
 
 
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -8,7 +8,7 @@
 from msgspec import Struct, structs
 
 from wagtaildale.admission.gate import Gate
-from wagtaildale.admission.messages import Refused
+from wagtaildale.admission.messages import Refused, Verdict
 from wagtaildale.admission.ledger import RunLedger
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.connections import Pool
@@ -37,7 +37,10 @@
 # Long enough for a run message over a slow line, short enough that a slot
 # whose entry died is soon free again.
 LEASE_SECONDS: Final = 0.5
-
+# What ends an exchange before anything of it is sent.
+BEFORE_SENDING: Final = frozenset(
+    (Code.backend_unreachable, Code.past_deadline),
+)
 
 Deliver = Callable[[Deliverable, AnswerFields], None]
 
@@ -74,7 +77,7 @@
         self._pool = Pool()
         self._ledger = RunLedger()
         self._keyed = KeyedRuns()
-        self._invariants = invariants
+        self.invariants = invariants
 
     def run(
         self,
@@ -189,12 +192,7 @@
     ) -> Response:
         with self._admit(call, fields) as slot:
             running = read_clock()
-            response = exchange(
-                call,
-                pool=self._pool,
-                address=self._backend,
-                extra=_write_context(call, fields),
-            )
+            response = self._exchange(call, fields)
             answer = self.describe(
                 fields,
                 owner_seconds=read_clock() - started,
@@ -205,15 +203,26 @@
             slot.note_status(response.message.status)
             return response
 
+    def _exchange(self, call: Call, fields: CallFields) -> Response:
+        try:
+            return exchange(
+                call,
+                pool=self._pool,
+                address=self._backend,
+                extra=_write_context(call, fields),
+            )
+        except CallFailed as failure:
+            claims_not_run = failure.outcome is Outcome.not_run
+            self.invariants.hold(
+                Invariant.not_run_is_true,
+                holds=not claims_not_run or failure.code in BEFORE_SENDING,
+                detail=f'{fields.request_id} {failure.code.name}',
+            )
+            raise
+
     def _admit(self, call: Call, fields: CallFields) -> Slot:
         self._check_target(fields)
-        if fields.lease:
-            verdict = self.gate.redeem(fields.lease)
-        else:
-            verdict = self.gate.enter(
-                within_ms=fields.within_ms,
-                deadline=call.deadline,
-            )
+        verdict = self._ask_gate(call, fields)
         if isinstance(verdict, Refused):
             raise CallFailed(verdict.code, outcome=Outcome.not_run)
         slot = Slot(self.gate, verdict)
@@ -222,13 +231,28 @@
         # Failure: a run message comes twice and a booking is made twice.
         # The second one stops here; its outcome is that of the first.
         with slot:
-            self._invariants.hold(
+            self.invariants.hold(
                 Invariant.runs_once,
                 holds=False,
                 detail=fields.request_id,
             )
         raise CallFailed(Code.key_repeated, outcome=Outcome.unknown)
 
+    def _ask_gate(self, call: Call, fields: CallFields) -> Verdict:
+        if fields.lease:
+            return self.gate.redeem(fields.lease)
+        was_draining = self.gate.state.draining
+        verdict = self.gate.enter(
+            within_ms=fields.within_ms,
+            deadline=call.deadline,
+        )
+        self.invariants.hold(
+            Invariant.leaving_gets_none,
+            holds=not was_draining or isinstance(verdict, Refused),
+            detail=fields.request_id,
+        )
+        return verdict
+
     def _check_target(self, fields: CallFields) -> None:
         # Failure: an address is reused by another instance, or this process
         # was replaced, and a call for the one that was there comes here.
--- a/wagtaildale/calls/tests/test_entry.py
+++ b/wagtaildale/calls/tests/test_entry.py
@@ -105,6 +105,19 @@
     assert b'connection: close' in answer
 
 
+def test_body_that_grows_over_the_limit_may_have_run(pair: Pair) -> None:
+    """A caller hears "not run" of a booking that has begun.
+
+    Its body comes in chunks and passes the limit when the head and half of
+    it have gone on: nobody can say that it has not run.
+    """
+    chunk = b'10000\r\n' + bytes(0x10000) + b'\r\n'
+    head = b'POST /bookings HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n'
+    answer = pair.talk(head + 70 * chunk)
+    assert b'413' in answer.split(b'\r\n')[0]
+    assert b'wagtaildale-outcome: unknown' in answer
+
+
 def test_head_over_the_limit(pair: Pair) -> None:
     request = b'GET /files/1 HTTP/1.1\r\nx: %b\r\n\r\n' % bytes(b'y' * 9000)
     answer = pair.talk(request)
--- a/wagtaildale/distribution/effects.py
+++ b/wagtaildale/distribution/effects.py
@@ -8,6 +8,7 @@
 
 from wagtaildale.distribution import messages
 from wagtaildale.distribution.around import Surroundings
+from wagtaildale.distribution.checks import CHECKS
 from wagtaildale.distribution.state import DistributionState
 from wagtaildale.distribution.wire import Body
 from wagtaildale.invariants import Invariant
@@ -97,11 +98,8 @@
 def _move(effect: messages.Moved, sender: Sender) -> None:
     document = effect.document
     around = sender.around
-    around.invariants.hold(
-        Invariant.version_rises,
-        holds=document.version > effect.before.version,
-        detail=f'{effect.before.version} to {document.version}',
-    )
+    if not _may_move(effect, around):
+        return
     if document.kind is Kind.configuration:
         around.view.take_configuration(document)
         kind = EventKind.version_applied
@@ -116,6 +114,27 @@
     )
 
 
+def _may_move(effect: messages.Moved, around: Surroundings) -> bool:
+    document = effect.document
+    moves = f'{effect.before.version} to {document.version}'
+    rises = around.invariants.hold(
+        Invariant.version_rises,
+        holds=document.version > effect.before.version,
+        detail=moves,
+    )
+    whole = around.invariants.hold(
+        Invariant.version_whole,
+        holds=document.entries.keys() == document.blobs.keys(),
+        detail=moves,
+    )
+    resources = around.invariants.hold(
+        Invariant.route_has_resource,
+        holds=CHECKS[document.kind](document).is_ok(),
+        detail=moves,
+    )
+    return rises and whole and resources
+
+
 @carry_out.register
 def _change_fleet(
     effect: messages.FleetChanged,
