--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -23,6 +23,7 @@
 from wagtaildale.distribution.state import DistributionState
 from wagtaildale.distribution.swaps import swap_digests, tell_fleet
 from wagtaildale.distribution.wire import Swap
+from wagtaildale.errors.codes import Code
 from wagtaildale.document.messages import BlobsOffered, OutlineOffered
 from wagtaildale.membership.decisions import expire_suspects, merge_news
 from wagtaildale.membership.state import find_topology
@@ -122,6 +123,7 @@
 ) -> list[messages.Effect]:
     outline = message.outline
     kind = outline.kind
+    recovered = _note_answer(state, kind)
     if outline.version >= state.stores[kind].held.version:
         note_confirmed(state, kind=kind, now=now)
     effects = take_offer(
@@ -136,7 +138,7 @@
             *(each for each in effects if not _is_read(each)),
             *take_offer(state, kind=kind, offer=offer, now=now),
         ]
-    return [*effects, *review_ready(state, now=now)]
+    return [*recovered, *effects, *review_ready(state, now=now)]
 
 
 @decide.register
@@ -148,9 +150,9 @@
 ) -> list[messages.Effect]:
     if message.version >= state.stores[message.kind].held.version:
         note_confirmed(state, kind=message.kind, now=now)
-    shared = []
+    shared = _note_answer(state, message.kind)
     if message.kind is Kind.configuration:
-        shared = share_confirmation(state, now=now)
+        shared.extend(share_confirmation(state, now=now))
     return [*shared, *review_ready(state, now=now)]
 
 
@@ -163,6 +165,14 @@
 ) -> list[messages.Effect]:
     offer = BlobsOffered(kind=message.kind, blobs=message.blobs)
     effects = take_offer(state, kind=message.kind, offer=offer, now=now)
+    if message.missing:
+        names = ' '.join(digest.hex() for digest in message.missing)
+        missing = messages.SourceChanged(
+            kind=message.kind,
+            code=Code.part_missing,
+            detail=names,
+        )
+        effects.append(missing)
     return [*effects, *review_ready(state, now=now)]
 
 
@@ -173,7 +183,18 @@
     *,
     now: float,
 ) -> list[messages.Effect]:
-    return []
+    # A platform that is down for hours is said to be so once, not with
+    # every read.
+    if message.kind in state.failing:
+        return []
+    state.failing.add(message.kind)
+    return [
+        messages.SourceChanged(
+            kind=message.kind,
+            code=message.code,
+            detail=message.detail,
+        ),
+    ]
 
 
 @decide.register
@@ -201,5 +222,15 @@
     ]
 
 
+def _note_answer(
+    state: DistributionState,
+    kind: Kind,
+) -> list[messages.Effect]:
+    if kind not in state.failing:
+        return []
+    state.failing.remove(kind)
+    return [messages.SourceChanged(kind=kind, code=Code.ok, detail='')]
+
+
 def _is_read(effect: messages.Effect) -> bool:
     return isinstance(effect, messages.ReadBlobs)
--- a/wagtaildale/distribution/effects.py
+++ b/wagtaildale/distribution/effects.py
@@ -11,6 +11,7 @@
 from wagtaildale.distribution.checks import CHECKS
 from wagtaildale.distribution.state import DistributionState
 from wagtaildale.distribution.wire import Body
+from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariant
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.types import InstanceId, Kind, NodeState
@@ -175,6 +176,19 @@
     )
 
 
+@carry_out.register
+def _change_source(effect: messages.SourceChanged, sender: Sender) -> None:
+    kind = EventKind.source_failed
+    if effect.code is Code.ok:
+        kind = EventKind.source_recovered
+    sender.around.recorder.record(
+        kind,
+        code=effect.code,
+        subject=effect.kind.name,
+        detail=effect.detail,
+    )
+
+
 @carry_out.register
 def _note_behind(effect: messages.PeerBehind, sender: Sender) -> None:
     sender.around.recorder.record(
--- a/wagtaildale/distribution/messages.py
+++ b/wagtaildale/distribution/messages.py
@@ -140,6 +140,20 @@
     rejected: Rejected
 
 
+class SourceChanged(Struct, frozen=True, kw_only=True):
+    """The platform began to fail, answers again, or lacks a part.
+
+    Attributes:
+        kind: of the document that was read.
+        code: ``ok`` when it answers again.
+        detail: for a person.
+    """
+
+    kind: Kind
+    code: Code
+    detail: str
+
+
 class PeerBehind(Struct, frozen=True, kw_only=True):
     """A push was not seen: its receiver's children are served instead."""
 
@@ -158,4 +172,5 @@
     | StateChanged
     | Refused
     | PeerBehind
+    | SourceChanged
 )
--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -78,6 +78,7 @@
         pushes: not seen yet, by peer and kind.
         awaiting: swaps without a reply yet, by peer, since when.
         appointed: whether this node watches the platform.
+        failing: documents of which the last read failed.
         turn: counts swaps, to take neighbours in turn.
     """
 
@@ -92,6 +93,7 @@
     )
     awaiting: dict[InstanceId, float] = field(default_factory=dict)
     appointed: bool = False
+    failing: set[Kind] = field(default_factory=set)
     turn: int = 0
 
     def describe_holding(self, kind: Kind, now: float) -> Holding:
