--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -26,7 +26,6 @@
 
 if TYPE_CHECKING:
     from wagtaildale.calls.keyed import Deliverable
-    from wagtaildale.admission.messages import TicketId
     from wagtaildale.calls.attempts import Attempts
     from wagtaildale.calls.connections import Pool
     from wagtaildale.calls.responses import Response
@@ -101,13 +100,19 @@
         never sent again.
         """
         if self._reserves:
-            lease = self._reserve(routed, target)
-            fields = structs.replace(target.fields, lease=lease)
+            answer = self._reserve(routed, target)
+            # A lease holds in the process that gave it, in no other: the
+            # run message names its incarnation.
+            fields = structs.replace(
+                target.fields,
+                lease=answer.lease,
+                incarnation=answer.incarnation,
+            )
             target = structs.replace(target, fields=fields)
         flight = self._racer.begin(routed.call, target)
         self._finish(routed, flight)
 
-    def _reserve(self, routed: Routed, target: Target) -> TicketId:
+    def _reserve(self, routed: Routed, target: Target) -> AnswerFields:
         asking = structs.replace(target.fields, lease=ASK_LEASE)
         call = Call(
             caller=routed.call.caller,
@@ -130,7 +135,7 @@
         self._targets.note_answer(target, answer)
         if answer.code is not Code.ok:
             raise CallFailed(answer.code, outcome=Outcome.not_run)
-        return answer.lease
+        return answer
 
     def _send_idempotent(
         self,
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -8,7 +8,7 @@
 
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.fields import CallFields
+from wagtaildale.calls.fields import ANY_INCARNATION, CallFields
 from wagtaildale.errors.codes import Code
 from wagtaildale.membership.topology import rank_instances
 from wagtaildale.routing.book import UPSTREAM_FAULTS, UpstreamNotes
@@ -167,7 +167,7 @@
         within_ms=work_class.within_ms,
         remaining_ms=max(0, int(rest * MILLISECONDS)),
         instance=notes.instance,
-        incarnation=notes.incarnation,
+        incarnation=ANY_INCARNATION,
         depth=routed.depth,
         retries=attempts.retries_left,
     )
--- a/wagtaildale/calls/tests/test_safety.py
+++ b/wagtaildale/calls/tests/test_safety.py
@@ -5,12 +5,13 @@
 import threading
 
 import pytest
-from msgspec import json
+from msgspec import json, structs
 
 from standins.hosted import HostedBackend
 from wagtaildale.admission.messages import Admitted
 from wagtaildale.calls.attempts import RETRIES_MOST, Attempts, RetryBudget
 from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.fields import CallFields
 from wagtaildale.calls.hedges import HedgeClock
 from wagtaildale.calls.tests.pairs import (
     OUTCOME,
@@ -21,7 +22,7 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.testing.builders import build_record
 from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
-from wagtaildale.types import Outcome
+from wagtaildale.types import Incarnation, Outcome, RequestId
 
 KEY = 'idempotency-key'
 
@@ -267,3 +268,47 @@
         gate.put('tick')
         worker.join(0.01)
     assert pair.backend.counts.runs == 1
+
+
+def test_run_with_a_lease_of_another_process_is_refused(pair: Pair) -> None:
+    """An owner is replaced between a reservation and its run message.
+
+    The new process has given out a lease with the same number; only the
+    incarnation tells them apart.
+    """
+    gate = pair.far.owner.gate
+    verdict = gate.enter(within_ms=1, deadline=1e12, lease_seconds=60)
+    fields = CallFields(
+        request_id=RequestId('r'),
+        attempt=1,
+        work_class='casefiles/booking',
+        idempotent=False,
+        within_ms=100,
+        remaining_ms=1000,
+        instance=pair.far.record.instance,
+        incarnation=Incarnation(99),
+        lease=verdict.ticket,
+    )
+    with pytest.raises(CallFailed) as raised:
+        pair.far.owner.reserve(fields, deadline=1e12)
+    assert raised.value.code is Code.wrong_instance
+    assert raised.value.outcome is Outcome.not_run
+
+
+def test_replaced_owner_is_asked_without_a_refusal(pair: Pair) -> None:
+    """Every entry's first call to a new process is refused.
+
+    In a rolling restart such refusals used up a call's attempts. A call
+    names an incarnation only when it comes with a lease.
+    """
+    pair.ask('GET', '/files/1')
+    identity = pair.far.owner.identity
+    pair.far.owner.identity = structs.replace(
+        identity,
+        incarnation=Incarnation(2),
+    )
+    pair.ask('GET', '/files/1')
+    pair.ask('POST', '/bookings', b'x')
+    tally = pair.near.tallies.sum_up()
+    assert tally['casefiles/lookup'].retried == 0
+    assert tally['casefiles/booking'].retried == 0
--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -7,12 +7,11 @@
 from __future__ import annotations
 
 from functools import singledispatch
-from typing import Final
 
 from wagtaildale.distribution import messages
 from wagtaildale.distribution.bodies import Context, decide_body
 from wagtaildale.distribution.documents import take_offer
-from wagtaildale.distribution.joining import review_ready
+from wagtaildale.distribution.joining import announce, review_ready
 from wagtaildale.distribution.pushes import resend_pushes
 from wagtaildale.distribution.readers import (
     note_confirmed,
@@ -22,18 +21,13 @@
 )
 from wagtaildale.distribution.state import DistributionState
 from wagtaildale.distribution.swaps import swap_digests, tell_fleet
-from wagtaildale.distribution.wire import Swap
 from wagtaildale.errors.codes import Code
 from wagtaildale.document.messages import BlobsOffered, OutlineOffered
 from wagtaildale.membership.decisions import expire_suspects, merge_news
-from wagtaildale.membership.state import find_topology
 from wagtaildale.timers.messages import Tick, TimerName, WokeLate
 from wagtaildale.types import Kind, NodeState
 
 
-LEAVING_TELLS: Final = 8
-
-
 @singledispatch
 def decide(
     message: object,
@@ -207,18 +201,10 @@
     if state.members.state is NodeState.leaving:
         return []
     state.members.state = NodeState.leaving
-    swap = Swap(state.describe_all(now), is_reply=False)
-    topology = find_topology(state.members)
-    told = dict.fromkeys((*topology.neighbours, *topology.tree))
-    told.pop(state.members.own.instance, None)
-    sends = [
-        messages.Send(to=peer, body=swap)
-        for peer in tuple(told)[:LEAVING_TELLS]
-    ]
     return [
         messages.StateChanged(state=NodeState.leaving),
         *review_appointment(state, now=now),
-        *sends,
+        *announce(state, now=now),
     ]
 
 
--- a/wagtaildale/distribution/effects.py
+++ b/wagtaildale/distribution/effects.py
@@ -157,6 +157,8 @@
     kind = EventKind.node_leaving
     if effect.state is NodeState.ready:
         kind = EventKind.node_ready
+    away = sender.state.members.list_away()
+    sender.around.view.take_away(away)
     held = sender.state.stores[Kind.configuration].held
     sender.around.recorder.record(kind, version=held.version)
 
--- a/wagtaildale/distribution/joining.py
+++ b/wagtaildale/distribution/joining.py
@@ -4,15 +4,17 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.distribution.messages import StateChanged
+from wagtaildale.distribution.messages import Effect, Send, StateChanged
+from wagtaildale.distribution.wire import Swap
+from wagtaildale.membership.state import find_topology
 from wagtaildale.types import NO_VERSION, NodeState
 
 if TYPE_CHECKING:
-    from wagtaildale.distribution.messages import Effect
     from wagtaildale.distribution.state import DistributionState
 
 PEERS_TO_HEAR: Final = 2
 ALONE_SECONDS: Final = 2.0
+TOLD_AT_ONCE: Final = 8
 
 
 def review_ready(state: DistributionState, *, now: float) -> list[Effect]:
@@ -30,7 +32,25 @@
     ):
         return []
     state.members.state = NodeState.ready
-    return [StateChanged(state=NodeState.ready)]
+    return [StateChanged(state=NodeState.ready), *announce(state, now=now)]
+
+
+def announce(state: DistributionState, *, now: float) -> list[Effect]:
+    """Tell some others at once what this node's state is.
+
+    Args:
+        state: the node.
+        now: seconds.
+
+    Returns:
+        Messages to neighbours and to some of the data centre, who pass it
+        on.
+    """
+    swap = Swap(state.describe_all(now), is_reply=False)
+    topology = find_topology(state.members)
+    told = dict.fromkeys((*topology.neighbours, *topology.tree))
+    told.pop(state.members.own.instance, None)
+    return [Send(to=peer, body=swap) for peer in tuple(told)[:TOLD_AT_ONCE]]
 
 
 def _is_ready(state: DistributionState, now: float) -> bool:
--- a/wagtaildale/membership/state.py
+++ b/wagtaildale/membership/state.py
@@ -87,7 +87,8 @@
         """List who takes no new work.
 
         Returns:
-            Those the list calls leaving and those whom news calls away.
+            Those the list calls leaving, those whom news calls away, and
+            this node itself once it leaves.
         """
         listed = (
             record.instance
@@ -99,7 +100,9 @@
             for name, entry in self.entries.items()
             if entry.news.state in AWAY
         )
-        return frozenset((*listed, *told))
+        own = (self.own.instance,)
+        leaving = self.state is NodeState.leaving
+        return frozenset((*listed, *told, *(own if leaving else ())))
 
     def count_sends(self) -> int:
         """Tell how often news is passed on.
--- a/wagtaildale/routing/candidates.py
+++ b/wagtaildale/routing/candidates.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.membership.topology import hash_instance
+from wagtaildale.types import ListedState
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -33,16 +34,20 @@
         service: whose upstreams.
         tried: instances that earlier attempts of the call went to.
 
+    Failure guarded here: in a rolling restart the news that an instance is
+    back comes a moment after that the last other one leaves, and a call is
+    refused though a server is there. Who is away by news alone is asked
+    before any is asked a second time: a wrong guess costs a refusal.
+
     Returns:
-        Those that are not away; those tried before only if no other is.
+        Those not away and not tried; else those away by news and not tried;
+        else all.
     """
-    present = [
-        record
-        for record in view.upstreams.get(service, ())
-        if record.instance not in view.away
-    ]
-    fresh = [record for record in present if record.instance not in tried]
-    return fresh or present
+    listed = view.upstreams.get(service, ())
+    fresh = [record for record in listed if record.instance not in tried]
+    present = [record for record in fresh if record.instance not in view.away]
+    back = [record for record in fresh if record.state is ListedState.live]
+    return present or back or list(listed)
 
 
 def leave_out_ejected(
--- a/wagtaildale/routing/tests/test_book.py
+++ b/wagtaildale/routing/tests/test_book.py
@@ -120,6 +120,9 @@
     tried = (InstanceId('a'),)
     found = list_candidates(holder.current, service=FIELD, tried=tried)
     assert [record.instance for record in found] == ['b']
+    holder.take_away(frozenset((InstanceId('b'),)))
+    guess = list_candidates(holder.current, service=FIELD, tried=tried)
+    assert [record.instance for record in guess] == ['b']
     both = (InstanceId('a'), InstanceId('b'))
     again = list_candidates(holder.current, service=FIELD, tried=both)
     assert len(again) == 2
