--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -44,6 +44,7 @@
 LONGEST_PAUSE: Final = 6.0
 SETTLE_SECONDS: Final = 30.0
 OUT: Final = Path('out/soak')
+ONE_STEP: Final = '[calls]\nreserves = false\n'
 
 
 class Outcome(Struct, frozen=True, kw_only=True):
@@ -241,7 +242,14 @@
 @click.option('--seconds', type=float, default=60)
 @click.option('--seed', type=int, default=1)
 @click.option('--bookings', is_flag=True, help='Send nothing but bookings.')
-def main(seconds: float, seed: int, *, bookings: bool) -> None:
+@click.option('--one-step', is_flag=True, help='Run without reserving.')
+def main(
+    seconds: float,
+    seed: int,
+    *,
+    bookings: bool,
+    one_step: bool,
+) -> None:
     """Soak a small fleet and print one summary line.
 
     \f
@@ -250,6 +258,7 @@
         seconds: of faults.
         seed: of all choices.
         bookings: send nothing but what must not run twice.
+        one_step: send it at once, without a reservation.
     """
     mix = tuple(
         work for work in HAILMARK.mix if not (bookings and work.idempotent)
@@ -258,6 +267,7 @@
     options = FleetOptions(
         program='benchmarks.faulty_node',
         backend=BackendFaults(service_ms=2),
+        more_settings=ONE_STEP if one_step else '',
     )
     with Fleet(HAILMARK.placement, options=options) as fleet:
         fleet.start(compile_version(1))
