Refusals say when to come back; pulled versions go to the tree's root

Cause: Retry-After was always 1, though the owner knows how long its queue is; and a version that came by a pull was passed to children only, so after a cut the rest of a data centre caught up swap by swap. Change: the owner's estimate goes along to the caller; what was pulled goes to the root too. Both shown by a test that failed before.

--- a/properties/test_inputs.py
+++ b/properties/test_inputs.py
@@ -112,7 +112,7 @@
 @example(text=b'a 1 x/y 1 1 1 b 1 9 9 9')
 def test_fields_between_nodes(text: bytes) -> None:
     assert read_call(text) is None or text.count(b' ') >= 7
-    assert read_answer(text) is None or text.count(b' ') >= 10
+    assert read_answer(text) is None or text.count(b' ') >= 12
 
 
 @fuzzing
--- a/wagtaildale/calls/answers.py
+++ b/wagtaildale/calls/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import ceil
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
@@ -21,6 +22,8 @@
 
 SEND_SECONDS: Final = 1.0
 DEFAULT_STATUS: Final = 503
+# The field holds whole seconds.
+LEAST_RETRY_SECONDS: Final = 1
 STATUSES: Final = MappingProxyType(
     {
         Code.request_malformed: 400,
@@ -120,5 +123,6 @@
         *extra,
     ]
     if failure.code in RETRY_LATER:
-        headers.append((b'retry-after', b'1'))
+        seconds = max(LEAST_RETRY_SECONDS, ceil(failure.retry_after))
+        headers.append((b'retry-after', b'%d' % seconds))
     return write_response_head(status, headers=headers), body
--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -33,6 +33,7 @@
     from wagtaildale.invariants import Invariants
 
 SHED_STATUS: Final = 503
+MILLISECONDS: Final = 1000
 
 
 class Attempter:
@@ -134,7 +135,7 @@
             raise
         self._targets.note_answer(target, answer)
         if answer.code is not Code.ok:
-            raise CallFailed(answer.code, outcome=Outcome.not_run)
+            raise _describe_refusal(answer, Outcome.not_run)
         return answer
 
     def _send_idempotent(
@@ -165,7 +166,7 @@
                 _check_shed(response, flight.target.fields)
                 _DeliverTo(routed, self._invariants)(response, answer)
         if answer.code is not Code.ok:
-            raise CallFailed(answer.code, outcome=answer.outcome)
+            raise _describe_refusal(answer, answer.outcome)
 
 
 class _DeliverTo:
@@ -204,6 +205,14 @@
     raise CallFailed(Code.answer_mismatched, outcome=Outcome.unknown)
 
 
+def _describe_refusal(answer: AnswerFields, outcome: Outcome) -> CallFailed:
+    return CallFailed(
+        answer.code,
+        outcome=outcome,
+        retry_after=answer.retry_ms / MILLISECONDS,
+    )
+
+
 def _check_shed(response: Response, fields: CallFields) -> None:
     if response.message.status == SHED_STATUS and fields.idempotent:
         raise CallFailed(
--- a/wagtaildale/calls/failures.py
+++ b/wagtaildale/calls/failures.py
@@ -23,6 +23,7 @@
         code: the numbered result code.
         outcome: what the caller may conclude.
         detail: anything more, for a person.
+        retry_after: seconds after which asking again is worth it, if known.
     """
 
     def __init__(
@@ -31,6 +32,7 @@
         *,
         outcome: Outcome = Outcome.not_run,
         detail: str = '',
+        retry_after: float = 0,
     ) -> None:
         """Say why.
 
@@ -38,8 +40,10 @@
             code: the numbered result code.
             outcome: what the caller may conclude.
             detail: anything more, for a person.
+            retry_after: seconds after which asking again is worth it.
         """
         super().__init__(code.name)
         self.code = code
         self.outcome = outcome
         self.detail = detail
+        self.retry_after = retry_after
--- a/wagtaildale/calls/fields.py
+++ b/wagtaildale/calls/fields.py
@@ -74,6 +74,7 @@
         owner_us: microseconds spent at the owner, waiting included.
         backend_us: microseconds spent at the backend server.
         lease: the slot that is held, in the answer to a reservation.
+        retry_ms: after which asking again is worth it, in a refusal.
     """
 
     request_id: RequestId
@@ -88,6 +89,7 @@
     owner_us: int = 0
     backend_us: int = 0
     lease: TicketId = NO_LEASE
+    retry_ms: int = 0
 
 
 def write_call(fields: CallFields) -> bytes:
@@ -144,12 +146,12 @@
     Returns:
         The field's text.
     """
-    return (
-        f'{fields.request_id} {fields.attempt} {fields.code.value}'
-        f' {fields.outcome.value} {fields.instance} {fields.incarnation}'
-        f' {fields.in_flight} {fields.limit} {fields.queued}'
-        f' {fields.owner_us} {fields.backend_us} {fields.lease}'
-    ).encode()
+    who = f'{fields.request_id} {fields.attempt} {fields.code.value}'
+    where = f'{fields.outcome.value} {fields.instance} {fields.incarnation}'
+    load = f'{fields.in_flight} {fields.limit} {fields.queued}'
+    spent = f'{fields.owner_us} {fields.backend_us}'
+    rest = f'{fields.lease} {fields.retry_ms}'
+    return f'{who} {where} {load} {spent} {rest}'.encode()
 
 
 def read_answer(text: bytes) -> AnswerFields | None:
@@ -176,6 +178,7 @@
             owner_us=int(parts[9]),
             backend_us=int(parts[10]),
             lease=TicketId(int(parts[11])),
+            retry_ms=int(parts[12]),
         )
     except (IndexError, ValueError):
         return None
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -129,7 +129,7 @@
             lease_seconds=LEASE_SECONDS,
         )
         if isinstance(verdict, Refused):
-            raise CallFailed(verdict.code)
+            raise _describe_refusal(verdict)
         answer = self.describe(fields)
         return structs.replace(answer, lease=verdict.ticket)
 
@@ -224,7 +224,7 @@
         self._check_target(fields)
         verdict = self._ask_gate(call, fields)
         if isinstance(verdict, Refused):
-            raise CallFailed(verdict.code, outcome=Outcome.not_run)
+            raise _describe_refusal(verdict)
         slot = Slot(self.gate, verdict)
         if fields.idempotent or self._ledger.note_run(fields.request_id):
             return slot
@@ -264,6 +264,10 @@
             raise CallFailed(Code.wrong_instance)
 
 
+def _describe_refusal(refused: Refused) -> CallFailed:
+    return CallFailed(refused.code, retry_after=refused.retry_after)
+
+
 def _write_context(call: Call, fields: CallFields) -> Sequence[Header]:
     """Write what a backend server copies onto the calls that it makes.
 
--- a/wagtaildale/calls/owner_port.py
+++ b/wagtaildale/calls/owner_port.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import TYPE_CHECKING, Final
 
+from msgspec import structs
+
 from wagtaildale.calls.answers import send_problem
 from wagtaildale.calls.bodies import RequestBody
 from wagtaildale.calls.exchange import Call
@@ -72,6 +75,8 @@
                 code=failure.code,
                 outcome=failure.outcome,
             )
+            retry_ms = ceil(failure.retry_after * MILLISECONDS)
+            answer = structs.replace(answer, retry_ms=retry_ms)
             extra = ((ANSWER_FIELD, write_answer(answer)),)
             send_problem(caller, failure=failure, extra=extra)
 
--- a/wagtaildale/calls/tests/test_safety.py
+++ b/wagtaildale/calls/tests/test_safety.py
@@ -312,3 +312,19 @@
     tally = pair.near.tallies.sum_up()
     assert tally['casefiles/lookup'].retried == 0
     assert tally['casefiles/booking'].retried == 0
+
+
+def test_refusal_says_when_to_come_back(pair: Pair) -> None:
+    """Callers of an overloaded service ask again all at once, too early.
+
+    The refusal comes at once, with the time after which a slot is likely.
+    """
+    gate = pair.far.owner.gate
+    gate.state.usual_seconds = 2.5
+    gate.state.service_seconds = 2.5
+    for _slot in range(4):
+        gate.enter(within_ms=1, deadline=1e12, lease_seconds=60)
+    response, text = pair.ask('GET', '/files/1')
+    assert read_code(text) is Code.overloaded
+    assert int(response.headers['retry-after']) >= 3
+    assert response.headers[OUTCOME].startswith('not-run')
--- a/wagtaildale/distribution/bodies.py
+++ b/wagtaildale/distribution/bodies.py
@@ -84,7 +84,9 @@
         kind=kind,
         offer=DeltaOffered(delta=body.delta, origin=context.sender),
         now=context.now,
-        from_tree=True,
+        # What was pulled has come past the tree: its root may not have it
+        # yet, as after a partition.
+        from_tree=not body.was_pulled,
     )
     note_freshness(context.state, holding=body.holding, now=context.now)
     seen = PushSeen(kind, body.delta.version)
@@ -109,7 +111,8 @@
         outline = OutlineSent(make_outline(store.held))
         return [Send(to=context.sender, body=outline)]
     holding = state.describe_holding(body.kind, context.now)
-    push = Push(make_delta(base, target=store.held), holding)
+    delta = make_delta(base, target=store.held)
+    push = Push(delta, holding, was_pulled=True)
     return [Send(to=context.sender, body=push)]
 
 
--- a/wagtaildale/distribution/swaps.py
+++ b/wagtaildale/distribution/swaps.py
@@ -74,7 +74,7 @@
     away = [
         name
         for name in state.members.list_away()
-        if name in state.members.records
+        if name in state.members.records and name != state.members.own.instance
     ]
     return [random.choice(away)] if away else []
 
--- a/wagtaildale/distribution/tests/test_decisions.py
+++ b/wagtaildale/distribution/tests/test_decisions.py
@@ -425,3 +425,24 @@
     )
     network.tell(A, read)
     assert list_source_changes(network) == [Code.part_missing]
+
+
+def test_version_that_was_pulled_goes_to_the_root() -> None:
+    """After a cut is mended a data centre catches up node by node.
+
+    Whoever is first to pull the version tells the root of its tree, which
+    tells all.
+    """
+    network = build_network(8, tuning=Tuning(fan_out=2))
+    tree = find_topology(network.nodes[A].state.members).tree
+    leaf, root = tree[-1], tree[0]
+    target = build_configuration(2)
+    holding = network.nodes[leaf].state.describe_holding(
+        Kind.configuration,
+        network.now,
+    )
+    delta = make_delta(build_configuration(1), target=target)
+    body = Push(delta, holding, was_pulled=True)
+    network.tell(leaf, network.wrap(root, to=leaf, body=body))
+    network.flush()
+    assert_held(network, 2)
--- a/wagtaildale/distribution/wire.py
+++ b/wagtaildale/distribution/wire.py
@@ -60,10 +60,12 @@
     Attributes:
         delta: what changes.
         holding: the sender's, with its freshness.
+        was_pulled: whether the receiver had asked for it.
     """
 
     delta: Delta
     holding: Holding
+    was_pulled: bool = False
 
 
 class PushSeen(Struct, frozen=True, array_like=True, tag=3):
