A planned stop ends though callers keep coming

Ruled out: a request that hangs (none was in flight for long). Change: the callers' port closes a second after the stop began, whoever has connected is still answered, and the stop ends when nothing is under way. Shown by a test that did not end before.

--- a/wagtaildale/calls/listener.py
+++ b/wagtaildale/calls/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import select
 import socket
 from typing import TYPE_CHECKING, Final, Protocol
@@ -25,7 +26,6 @@
     from wagtaildale.telemetry.events import EventRecorder
 
 BACKLOG: Final = 512
-LOOK_MS: Final = 1000
 IDLE_SECONDS: Final = 60.0
 
 
@@ -42,7 +42,11 @@
 
 
 class Listener:
-    """One listening port; accepting runs as a task."""
+    """One listening port; accepting runs as a task.
+
+    Attributes:
+        draining: whether connections are to be closed after their answer.
+    """
 
     def __init__(
         self,
@@ -69,8 +73,9 @@
         self._connections = connections
         self._head_bytes = head_bytes
         self._open: set[Worker] = set()
-        self._running = True
-        self._draining = False
+        self._accepting = True
+        self._wake = os.eventfd(0, os.EFD_NONBLOCK)
+        self.draining = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
 
     def bind(self, address: Address) -> Result[None, Fault]:
@@ -98,12 +103,16 @@
         return Ok(None)
 
     def run(self) -> None:
-        """Accept connections until stopped."""
+        """Accept connections until the port is closed."""
         poller = select.poll()
         poller.register(self._sock, select.POLLIN)
-        while self._running:
-            if poller.poll(LOOK_MS):
-                self._accept()
+        poller.register(self._wake, select.POLLIN)
+        while self._accepting:
+            poller.poll()
+            # Whoever has connected before the port closes is answered.
+            accepted = True
+            while accepted:
+                accepted = self._accept()
         self._sock.close()
 
     def drain(self) -> None:
@@ -112,7 +121,12 @@
         Connections are still accepted: whoever has not heard yet that this
         node leaves gets an answer, and is told to close.
         """
-        self._draining = True
+        self.draining = True
+
+    def close_port(self) -> None:
+        """Accept nothing more; what is open stays open."""
+        self._accepting = False
+        os.eventfd_write(self._wake, 1)
 
     def stop(self, *, ways: int = socket.SHUT_RD) -> None:
         """Close the port and what is still open.
@@ -121,16 +135,10 @@
             ways: in which connections are shut; both cuts answers under
                 way, as the end of the process would.
         """
-        self._running = False
-        _shut(self._sock, socket.SHUT_RD)
+        self.close_port()
         for worker in tuple(self._open):
             worker.shut(ways)
 
-    @property
-    def is_draining(self) -> bool:
-        """Whether connections are to be closed after their answer."""
-        return self._draining
-
     @property
     def open(self) -> int:
         """How many connections are open."""
@@ -160,11 +168,11 @@
                 detail=repr(error),
             )
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
         try:
             sock, _peer = self._sock.accept()
         except OSError:
-            return
+            return False
         connection = Connection(
             sock,
             of_requests=True,
@@ -172,11 +180,12 @@
         )
         if len(self._open) >= self._connections:
             _refuse(connection)
-            return
+            return True
         worker = Worker(connection, listener=self, answerer=self._answerer)
         self._open.add(worker)
         future = self._executor.submit(worker.run)
         future.add_done_callback(self._note_defect)
+        return True
 
 
 class Worker:
@@ -229,7 +238,7 @@
             if message is None:
                 return
             self.is_busy = True
-            draining = self._listener.is_draining
+            draining = self._listener.draining
             self._connection.closing = draining or not message.keep_alive
             self._answerer.answer(self._connection, message)
             self.is_busy = False
--- a/wagtaildale/lifecycle/stop.py
+++ b/wagtaildale/lifecycle/stop.py
@@ -17,7 +17,7 @@
     from wagtaildale.timers.inbox import Inbox
 
 LOOK_SECONDS: Final = 0.05
-QUIET_SECONDS: Final = 1.0
+ANNOUNCE_SECONDS: Final = 1.0
 LINGER_SECONDS: Final = 4.0
 
 
@@ -25,13 +25,14 @@
     """The planned stop: nothing in flight is cut.
 
     In order: other nodes are told, the gate admits nothing more, every
-    answer asks its caller to close, and when no request has been under way
-    for ``QUIET_SECONDS`` the ports close.
-
-    Failure guarded here: a caller sends on a connection that was idle just
-    when the port closes, and its request is lost. Idle connections of
-    callers are given ``LINGER_SECONDS`` in which their next answer tells
-    them to go elsewhere.
+    answer asks its caller to close; after ``ANNOUNCE_SECONDS`` the callers'
+    port takes no new connection; when nothing is under way the rest closes.
+
+    Failures guarded here: a caller sends on a connection that was idle just
+    when it is closed, and its request is lost; idle connections are given
+    ``LINGER_SECONDS`` in which their next answer tells them to go
+    elsewhere. And callers that do not know of the stop keep connecting, so
+    that it never ends; a port that is closed refuses them before they send.
     """
 
     def __init__(
@@ -80,13 +81,11 @@
             Whether all work was done in time.
         """
         began = read_clock()
-        quiet_since = began
         while read_clock() < began + seconds and not self._hurried:
-            now = read_clock()
-            if self.count_in_flight():
-                quiet_since = now
-            lingered = now - began > LINGER_SECONDS or not self._callers.open
-            if lingered and now - quiet_since > QUIET_SECONDS:
+            elapsed = read_clock() - began
+            if elapsed > ANNOUNCE_SECONDS:
+                self._callers.close_port()
+            if self._is_done(elapsed):
                 return True
             time.sleep(LOOK_SECONDS)
         left = self.count_in_flight()
@@ -102,6 +101,12 @@
         """Count the requests under way.
 
         Returns:
-            Over all ports.
+            Over all ports, and at the backend server.
         """
-        return sum(listener.busy for listener in self._listeners)
+        busy = sum(listener.busy for listener in self._listeners)
+        return max(busy, len(self._gate.state.running))
+
+    def _is_done(self, elapsed: float) -> bool:
+        if elapsed < ANNOUNCE_SECONDS or self.count_in_flight():
+            return False
+        return not self._callers.open or elapsed > LINGER_SECONDS
--- a/wagtaildale/lifecycle/tests/test_stop.py
+++ b/wagtaildale/lifecycle/tests/test_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from http.client import HTTPConnection
 
 from wagtaildale.calls.tests.pairs import PATIENCE, Pair, wait_until
@@ -89,3 +90,36 @@
     assert not stopping.stop.wait(seconds=1e9)
     worker.join()
     stopping.pair.close()
+
+
+def test_callers_that_keep_coming_do_not_hold_up_the_stop() -> None:
+    """A planned stop goes on until its bound and then cuts work.
+
+    Callers that have not heard of it connect anew all the time, so there is
+    never a quiet second; the port closes and they go elsewhere unsent.
+    """
+    stopping = Stopping()
+    ended = threading.Event()
+    lost: list[Exception] = []
+
+    def call_again_and_again() -> None:
+        while not ended.is_set():
+            try:
+                stopping.pair.ask('GET', '/files/1')
+            except ConnectionRefusedError:
+                time.sleep(0.01)
+            except OSError as error:
+                lost.append(error)
+
+    callers = [
+        threading.Thread(target=call_again_and_again) for _caller in range(4)
+    ]
+    for caller in callers:
+        caller.start()
+    stopping.stop.begin()
+    assert stopping.stop.wait(seconds=3 * PATIENCE)
+    ended.set()
+    for caller in callers:
+        caller.join()
+    assert not lost
+    stopping.pair.close()
