--- a/wagtaildale/calls/tests/test_safety.py
+++ b/wagtaildale/calls/tests/test_safety.py
@@ -22,7 +22,7 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.testing.builders import build_record
 from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
-from wagtaildale.types import Incarnation, Outcome, RequestId
+from wagtaildale.types import DataCentre, Incarnation, Outcome, RequestId
 
 KEY = 'idempotency-key'
 
@@ -328,3 +328,39 @@
     assert read_code(text) is Code.overloaded
     assert int(response.headers['retry-after']) >= 3
     assert response.headers[OUTCOME].startswith('not-run')
+
+
+def test_drain_during_a_reservation(pair: Pair) -> None:
+    """A planned stop begins between a reservation and its run message.
+
+    The slot was given before: the booking runs, and the stop waits for it;
+    what comes after is refused.
+    """
+    gate = pair.far.owner.gate
+    verdict = gate.enter(within_ms=1, deadline=1e12, lease_seconds=60)
+    gate.drain()
+    assert isinstance(gate.redeem(verdict.ticket), Admitted)
+    response, text = pair.ask('POST', '/bookings', b'x')
+    assert read_code(text) is Code.draining
+    assert response.headers[OUTCOME].startswith('not-run')
+
+
+def test_data_centre_cut_off(pair: Pair) -> None:
+    """A data centre is gone and its instances are still listed.
+
+    Connections to it are refused; calls go to the other one, and after a
+    few failures no longer try the first.
+    """
+    gone = [
+        build_record(f'gone{number}', host=f'127.0.9.{100 + number}')
+        for number in range(3)
+    ]
+    far = structs.replace(
+        pair.far.record,
+        data_centre=DataCentre('coventry'),
+    )
+    pair.near.show(*gone, far)
+    statuses = [
+        pair.ask('GET', f'/files/{claim}')[0].status for claim in range(30)
+    ]
+    assert set(statuses) == {200}
--- a/wagtaildale/distribution/tests/test_decisions.py
+++ b/wagtaildale/distribution/tests/test_decisions.py
@@ -446,3 +446,63 @@
     network.tell(leaf, network.wrap(root, to=leaf, body=body))
     network.flush()
     assert_held(network, 2)
+
+
+def test_reader_dies_between_reading_and_pushing() -> None:
+    """A change is read by one node, which dies with it.
+
+    The readers of the data centre read the same change at the same time;
+    the death of one loses nothing.
+    """
+    network = build_network(6)
+    readers = find_topology(network.nodes[A].state.members).readers
+    network.source.show(build_configuration(2))
+    network.read_source(readers[0])
+    network.flying.clear()
+    network.nodes[readers[0]].running = False
+    network.settle()
+    assert network.is_converged()
+
+
+def test_partition_with_a_platform_on_each_side() -> None:
+    """Both sides of a cut go on taking changes, and agree after it."""
+    network = build_network(6, data_centres=('derby', 'coventry'))
+    sides = find_sides(network)
+    for one in sides[0]:
+        for other in sides[1]:
+            network.cut(one, other)
+    for version in (2, 3):
+        network.source.show(build_configuration(version))
+        for _second in range(30):
+            network.pass_round()
+        assert_held(network, version)
+    network.heal()
+    network.source.show(build_configuration(4))
+    network.settle()
+    assert_held(network, 4)
+
+
+def test_parts_of_two_versions_are_never_mixed() -> None:
+    """Half of the routes are of today and half of yesterday.
+
+    While the parts of version 2 are being read, version 3 is published;
+    parts are asked for by content, so what is applied is 2 or 3 whole.
+    """
+    network = build_network(1)
+    second = build_configuration(2, services=('casefiles', 'intake'))
+    third = build_configuration(
+        3,
+        services=('casefiles', 'intake'),
+        within_ms=99,
+    )
+    hidden = second.blobs['intake']
+    network.source.show(second)
+    network.source.blobs.pop(second.entries['intake'])
+    network.read_source(A)
+    network.source.show(third)
+    network.read_source(A)
+    late = messages.SourceBlobs(kind=Kind.configuration, blobs=(hidden,))
+    network.tell(A, late)
+    held = network.nodes[A].state.stores[Kind.configuration].held
+    assert held.digest == third.digest
+    assert network.nodes[A].seen[Kind.configuration] == [1, 3]
--- /dev/null
+++ b/wagtaildale/source/tests/test_tasks.py
@@ -0,0 +1,135 @@
+"""Tests of the tasks that read the platform."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from standins.platform import PlatformStandIn
+from wagtaildale.configuration.compiled import hash_part
+from wagtaildale.distribution.messages import (
+    ReadBlobs,
+    SourceBlobs,
+    SourceFailed,
+    SourceRead,
+    Watch,
+)
+from wagtaildale.settings.model import PlatformSettings
+from wagtaildale.source.http import HttpPlatform
+from wagtaildale.source.tasks import FetchTask, WatchTask
+from wagtaildale.testing.builders import build_compiled
+from wagtaildale.timers.inbox import Inbox
+from wagtaildale.types import Digest, Kind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+PATIENCE = 5.0
+WAIT = 0.2
+
+
+class Watching:
+    """A watch task at work against a platform."""
+
+    def __init__(self) -> None:
+        self.platform = PlatformStandIn('127.0.0.1', 0)
+        self.outbox: Inbox[Any] = Inbox()
+        settings = PlatformSettings(url=self.platform.url)
+        self.watch = WatchTask(
+            Kind.configuration,
+            platform=HttpPlatform(settings),
+            outbox=self.outbox,
+            wait=WAIT,
+        )
+        self.fetch = FetchTask(
+            platform=HttpPlatform(settings),
+            outbox=self.outbox,
+        )
+        self._threads = [
+            threading.Thread(target=task.run, daemon=True)
+            for task in (self.watch, self.fetch)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def close(self) -> None:
+        self.watch.stop()
+        self.fetch.stop()
+        for thread in self._threads:
+            thread.join(PATIENCE)
+        self.platform.close()
+
+    def appoint(self) -> None:
+        self.watch.inbox.put(
+            Watch(kind=Kind.configuration, appointed=True, rank=0),
+        )
+
+    def expect(self, shape: type[Any]) -> Any:
+        deadline = time.monotonic() + PATIENCE
+        while time.monotonic() < deadline:
+            message = self.outbox.take(timeout=PATIENCE)
+            if isinstance(message, shape):
+                return message
+        raise AssertionError(f'no {shape}')
+
+    def expect_version(self, version: int) -> None:
+        deadline = time.monotonic() + PATIENCE
+        while self.expect(SourceRead).outline.version != version:
+            assert time.monotonic() < deadline
+
+
+@pytest.fixture
+def watching() -> Iterator[Watching]:
+    made = Watching()
+    yield made
+    made.close()
+
+
+def test_watch_tells_of_each_version(watching: Watching) -> None:
+    watching.platform.publish(build_compiled(1))
+    watching.appoint()
+    watching.expect_version(1)
+    watching.platform.publish(build_compiled(2))
+    watching.expect_version(2)
+
+
+def test_index_that_jumps_back_is_followed(watching: Watching) -> None:
+    """The platform restarts and no node hears of a change again.
+
+    Its index begins anew below the watch's cursor; a watch from the old
+    cursor would wait for ever.
+    """
+    for version in (1, 2, 3):
+        watching.platform.publish(build_compiled(version))
+    watching.appoint()
+    watching.expect_version(3)
+    watching.platform.restart_index()
+    watching.platform.publish(build_compiled(4))
+    watching.expect_version(4)
+
+
+def test_failure_is_told_and_survived(watching: Watching) -> None:
+    watching.platform.publish(build_compiled(1))
+    watching.platform.faults.down = True
+    watching.appoint()
+    watching.expect(SourceFailed)
+    watching.platform.faults.down = False
+    watching.expect_version(1)
+
+
+def test_fetch_says_what_is_missing(watching: Watching) -> None:
+    compiled = build_compiled(1)
+    watching.platform.publish(compiled)
+    blob = next(iter(compiled.parts.values()))
+    order = ReadBlobs(
+        kind=Kind.configuration,
+        digests=(hash_part(blob), Digest(bytes(16))),
+        foremost=True,
+    )
+    watching.fetch.inbox.put(order)
+    found = watching.expect(SourceBlobs)
+    assert found.blobs == (blob,)
+    assert found.missing == (Digest(bytes(16)),)
