--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
 import click
 
 from benchmarks.calls import measure_calls
+from benchmarks.deep import measure_deep
 from benchmarks.gates import measure_gates
 from benchmarks.hops import measure_hops
 from benchmarks.policy import measure_policy, measure_rolling_restart
@@ -34,6 +35,7 @@
         measure_gates(),
         measure_size(),
         measure_calls(seconds=seconds),
+        measure_deep(),
         measure_policy(seconds=seconds),
         measure_rolling_restart(),
         measure_spread(),
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -162,8 +162,15 @@
     def _stop_and_start(self) -> None:
         node = self._pick()
         if node.is_running() and node not in self._paused:
+            # A process that has not yet come to its signal handlers is
+            # ended by the signal at once; that is no planned stop.
+            self._fleet.wait_ready([node])
             node.terminate()
-            self._stops_failed += node.wait() != 0
+            exit_code = node.wait()
+            if exit_code:
+                self._stops_failed += 1
+                name = node.record.instance
+                click.echo(f'planned stop of {name} ended with {exit_code}')
             node.start(self._fleet.options)
 
     def _change_platform(self) -> None:
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -16,6 +16,8 @@
 import httptools
 from msgspec import Struct, convert, field, json, structs
 
+from standins.onward import Onward, find_left
+
 COUNTS_PATH: Final = b'/standin/counts'
 FAULTS_PATH: Final = b'/standin/faults'
 REQUEST_FIELD: Final = b'wagtaildale-request-id'
@@ -81,12 +83,14 @@
         name: goes into its answers.
         host: IP number.
         port: to listen on.
+        entry_port: of the node beside it, for calls that it makes.
         faults: how it behaves.
     """
 
     name: str
     host: str
     port: int
+    entry_port: int = 0
     faults: BackendFaults = field(default_factory=BackendFaults)
 
 
@@ -102,6 +106,7 @@
         self.spec = spec
         self.counts = BackendCounts()
         self.running = 0
+        self.onward = Onward(spec.host, spec.entry_port)
         self.transports: set[asyncio.Transport] = set()
         self._server: asyncio.Server | None = None
         self._random = random.Random(spec.name)
@@ -238,7 +243,10 @@
         backend.running += 1
         seconds = backend.service_seconds
         backend.note_run(headers, self._parser.get_method())
+        left = find_left(self._target)
         await self._work(seconds)
+        if left:
+            await backend.onward.call(left - 1, headers)
         if backend.draw(backend.spec.faults.close_share):
             self._transport.close()
         elif not backend.spec.faults.hang:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -222,6 +222,7 @@
                 name=record.instance,
                 host=record.host,
                 port=BACKEND_PORT,
+                entry_port=record.entry_port,
                 faults=self.options.backend,
             )
             for record in self.records
--- /dev/null
+++ b/standins/onward.py
@@ -0,0 +1,78 @@
+"""Calls that a backend server's stand-in makes in its turn."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+CHAIN_PREFIX: Final = b'/chain/'
+LENGTH: Final = b'content-length:'
+HEAD_END: Final = b'\r\n\r\n'
+# A backend server copies these onto the calls that it makes.
+CONTEXT: Final = (
+    b'wagtaildale-deadline-ms',
+    b'wagtaildale-depth',
+    b'wagtaildale-retries',
+)
+
+Line = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+def find_left(target: bytes) -> int:
+    """Find how many calls are still to follow.
+
+    Args:
+        target: of the request.
+
+    Returns:
+        The number in ``/chain/N``; 0 for any other target.
+    """
+    if not target.startswith(CHAIN_PREFIX):
+        return 0
+    return int(target.removeprefix(CHAIN_PREFIX))
+
+
+class Onward:
+    """Kept-alive connections to the node beside a backend server."""
+
+    def __init__(self, host: str, port: int) -> None:
+        """Prepare; nothing is open yet.
+
+        Args:
+            host: IP number of the node.
+            port: where it takes callers' requests.
+        """
+        self._host = host
+        self._port = port
+        self._idle: list[Line] = []
+
+    async def call(self, left: int, headers: dict[bytes, bytes]) -> None:
+        """Make the next call of a chain.
+
+        Args:
+            left: calls that follow it.
+            headers: of the request that leads to it.
+        """
+        line = self._idle.pop() if self._idle else await self._open()
+        reader, writer = line
+        context = b''.join(
+            b'%b: %b\r\n' % (name, headers[name])
+            for name in CONTEXT
+            if name in headers
+        )
+        writer.write(
+            b'GET /chain/%d HTTP/1.1\r\nhost: mesh\r\n%b\r\n' % (left, context),
+        )
+        head = await reader.readuntil(HEAD_END)
+        await reader.readexactly(_find_length(head))
+        self._idle.append(line)
+
+    async def _open(self) -> Line:
+        return await asyncio.open_connection(self._host, self._port)
+
+
+def _find_length(head: bytes) -> int:
+    for field in head.lower().split(b'\r\n'):
+        if field.startswith(LENGTH):
+            return int(field.removeprefix(LENGTH))
+    return 0
