A stopping process does not wait for its backoff

Its log shows the stop over after 1.0 s with nothing cut; a task slept in its backoff (up to 30 s) from a platform that was down, and the process waited for it. Change: every wait of the source's tasks ends with the stop; shown by a test.

--- a/wagtaildale/source/pacing.py
+++ b/wagtaildale/source/pacing.py
@@ -59,13 +59,20 @@
     drawn evenly from nothing up to a cap that doubles.
     """
 
-    def __init__(self, *, last_cap: float = LAST_CAP) -> None:
+    def __init__(
+        self,
+        *,
+        first_cap: float = FIRST_CAP,
+        last_cap: float = LAST_CAP,
+    ) -> None:
         """Begin with the smallest cap.
 
         Args:
+            first_cap: longest delay after one failure, seconds.
             last_cap: longest delay, seconds.
         """
-        self._cap = FIRST_CAP
+        self._first_cap = first_cap
+        self._cap = first_cap
         self._last_cap = last_cap
 
     def draw(self) -> float:
@@ -80,4 +87,4 @@
 
     def reset(self) -> None:
         """Begin anew after a success."""
-        self._cap = FIRST_CAP
+        self._cap = self._first_cap
--- a/wagtaildale/source/tasks.py
+++ b/wagtaildale/source/tasks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import time
+import threading
 from typing import TYPE_CHECKING, Any, Final
 
 from result import Err, Ok, Result
@@ -102,7 +102,12 @@
 
 
 class WatchTask:
-    """Watches one document while this node is appointed a reader."""
+    """Watches one document while this node is appointed a reader.
+
+    Failure guarded here: a planned stop is over and the process stays for
+    half a minute, since a task sleeps in its backoff from a platform that
+    is down. Every wait of these tasks ends with ``stop``.
+    """
 
     def __init__(
         self,
@@ -125,29 +130,29 @@
         self._platform = platform
         self._outbox = outbox
         self._wait = wait
+        self.backoff = Backoff()
         self._appointed = False
         self._version = NO_VERSION
-        self._running = True
+        self._stopping = threading.Event()
 
     def run(self) -> None:
         """Watch whenever appointed, until stopped."""
-        backoff = Backoff()
         bucket = TokenBucket(
             rate=WATCH_RATE,
             burst=WATCH_BURST,
             now=read_clock(),
         )
         index = 0
-        while self._running:
+        while not self._stopping.is_set():
             if not self._take_orders():
                 index = 0
                 continue
-            time.sleep(bucket.take(now=read_clock()))
-            index = self._watch(index, backoff)
+            self._stopping.wait(bucket.take(now=read_clock()))
+            index = self._watch(index)
 
     def stop(self) -> None:
         """End ``run`` when the watch under way returns."""
-        self._running = False
+        self._stopping.set()
 
     def _take_orders(self) -> bool:
         timeout = 0 if self._appointed else IDLE_SECONDS
@@ -156,7 +161,7 @@
             self._appointed = order.appointed
         return self._appointed
 
-    def _watch(self, index: int, backoff: Backoff) -> int:
+    def _watch(self, index: int) -> int:
         read = read_document(
             self._platform,
             kind=self._kind,
@@ -165,12 +170,12 @@
         )
         if isinstance(read, Err):
             _report(self._outbox, self._kind, read.err_value)
-            time.sleep(backoff.draw())
+            self._stopping.wait(self.backoff.draw())
             # Failure: the platform restarts with a lower index, and a watch
             # from the old one would wait for ever. After any failure the
             # cursor starts anew.
             return 0
-        backoff.reset()
+        self.backoff.reset()
         reading = read.ok_value
         if reading.payload is not None:
             self._version = reading.payload.outline.version
@@ -195,7 +200,7 @@
         self.inbox: Inbox[ReadBlobs | ReadSource] = Inbox()
         self._platform = platform
         self._outbox = outbox
-        self._running = True
+        self._stopping = threading.Event()
         now = read_clock()
         self._buckets = {
             True: TokenBucket(
@@ -209,7 +214,7 @@
 
     def run(self) -> None:
         """Carry out orders until stopped."""
-        while self._running:
+        while not self._stopping.is_set():
             order = self.inbox.take(timeout=IDLE_SECONDS)
             if isinstance(order, ReadBlobs):
                 self._fetch(order)
@@ -218,10 +223,10 @@
 
     def stop(self) -> None:
         """End ``run`` after the order under way."""
-        self._running = False
+        self._stopping.set()
 
     def _read(self, kind: Kind) -> None:
-        time.sleep(self._buckets[False].take(now=read_clock()))
+        self._stopping.wait(self._buckets[False].take(now=read_clock()))
         read = read_document(self._platform, kind=kind, index=0, wait=0)
         if isinstance(read, Err):
             _report(self._outbox, kind, read.err_value)
@@ -235,7 +240,7 @@
             blob = self._fetch_one(order, digest)
             if isinstance(blob, Err):
                 _report(self._outbox, order.kind, blob.err_value)
-                time.sleep(self._backoff.draw())
+                self._stopping.wait(self._backoff.draw())
                 break
             if blob.ok_value is None:
                 missing.append(digest)
@@ -253,10 +258,12 @@
         order: ReadBlobs,
         digest: Digest,
     ) -> Result[bytes | None, ReadFailure]:
-        if not self._running:
+        if self._stopping.is_set():
             detail = 'this node stops'
             return Err(ReadFailure(code=Code.draining, detail=detail))
-        time.sleep(self._buckets[order.foremost].take(now=read_clock()))
+        self._stopping.wait(
+            self._buckets[order.foremost].take(now=read_clock())
+        )
         read = self._platform.read_part(digest.hex())
         if isinstance(read, Ok):
             self._backoff.reset()
--- a/wagtaildale/source/tests/test_tasks.py
+++ b/wagtaildale/source/tests/test_tasks.py
@@ -19,6 +19,7 @@
 )
 from wagtaildale.settings.model import PlatformSettings
 from wagtaildale.source.http import HttpPlatform
+from wagtaildale.source.pacing import Backoff
 from wagtaildale.source.tasks import FetchTask, WatchTask
 from wagtaildale.testing.builders import build_compiled
 from wagtaildale.timers.inbox import Inbox
@@ -48,17 +49,17 @@
             platform=HttpPlatform(settings),
             outbox=self.outbox,
         )
-        self._threads = [
+        self.threads = [
             threading.Thread(target=task.run, daemon=True)
             for task in (self.watch, self.fetch)
         ]
-        for thread in self._threads:
+        for thread in self.threads:
             thread.start()
 
     def close(self) -> None:
         self.watch.stop()
         self.fetch.stop()
-        for thread in self._threads:
+        for thread in self.threads:
             thread.join(PATIENCE)
         self.platform.close()
 
@@ -133,3 +134,18 @@
     found = watching.expect(SourceBlobs)
     assert found.blobs == (blob,)
     assert found.missing == (Digest(bytes(16)),)
+
+
+def test_stop_ends_a_long_backoff(watching: Watching) -> None:
+    """A planned stop is over and its process stays for half a minute.
+
+    The platform is down and its tasks sleep in their backoff; the stop
+    ends the sleep.
+    """
+    watching.platform.faults.down = True
+    watching.watch.backoff = Backoff(first_cap=1e6, last_cap=1e6)
+    watching.appoint()
+    watching.expect(SourceFailed)
+    watching.watch.stop()
+    watching.threads[0].join(PATIENCE)
+    assert not watching.threads[0].is_alive()
