--- a/wagtaildale/calls/heads.py
+++ b/wagtaildale/calls/heads.py
@@ -12,7 +12,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-LINE_END: Final = b'\r\n'
 CLOSE: Final = (b'connection', b'close')
 CHUNKED: Final = (b'transfer-encoding', b'chunked')
 LAST_CHUNK: Final = b'0\r\n\r\n'
--- a/wagtaildale/calls/tests/test_entry.py
+++ b/wagtaildale/calls/tests/test_entry.py
@@ -158,10 +158,7 @@
         if response.status == 200:
             assert json.decode(text)['target'] == f'/files/{claim}'
         else:
-            assert read_code(text) in {
-                Code.backend_cut,
-                Code.retry_budget_spent,
-            }
+            assert read_code(text) is Code.backend_cut
 
 
 def test_hung_backend_is_answered_at_deadline(pair: Pair) -> None:
--- a/wagtaildale/distribution/effects.py
+++ b/wagtaildale/distribution/effects.py
@@ -14,6 +14,7 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariant
 from wagtaildale.telemetry.events import EventKind
+from wagtaildale.membership.news import AWAY
 from wagtaildale.types import InstanceId, Kind, NodeState
 
 PEER_EVENTS: Final = MappingProxyType(
@@ -144,6 +145,8 @@
     sender.around.view.take_away(sender.state.members.list_away())
     for taken in effect.taken:
         kind = PEER_EVENTS.get(taken.news.state)
+        if kind is None and taken.before in AWAY:
+            kind = EventKind.peer_refuted
         if kind is not None:
             sender.around.recorder.record(kind, subject=taken.news.instance)
 
--- a/wagtaildale/errors/codes.py
+++ b/wagtaildale/errors/codes.py
@@ -58,7 +58,6 @@
     caller_gone = 4014
     answer_mismatched = 4015
     lease_ended = 4016
-    retry_budget_spent = 4017
     key_repeated = 4018
     too_deep = 4019
 
@@ -116,7 +115,6 @@
         Code.caller_gone: 'the caller hung up',
         Code.answer_mismatched: 'an answer to another request: dropped',
         Code.lease_ended: 'the reservation ended before the run came',
-        Code.retry_budget_spent: 'failed, and the retry budget is spent',
         Code.key_repeated: 'this idempotency key has run already',
         Code.too_deep: 'calls lead to calls without end',
         Code.address_in_use: 'a listening address cannot be bound',
--- a/wagtaildale/telemetry/events.py
+++ b/wagtaildale/telemetry/events.py
@@ -26,7 +26,6 @@
     node_leaving = 'node-leaving'
     node_stopped = 'node-stopped'
     woke_late = 'woke-late'
-    version_learned = 'version-learned'
     version_applied = 'version-applied'
     version_refused = 'version-refused'
     version_ignored = 'version-ignored'
@@ -46,7 +45,6 @@
     call_retried = 'call-retried'
     upstream_ejected = 'upstream-ejected'
     upstream_restored = 'upstream-restored'
-    limit_changed = 'limit-changed'
     settings_kept = 'settings-kept'
     invariant_broken = 'invariant-broken'
 
--- a/wagtaildale/telemetry/page.py
+++ b/wagtaildale/telemetry/page.py
@@ -31,7 +31,6 @@
 VERSION_KINDS: Final = frozenset(
     (
         EventKind.version_applied,
-        EventKind.version_learned,
         EventKind.instances_applied,
     ),
 )
