--- a/wagtaildale/calls/heads.py
+++ b/wagtaildale/calls/heads.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+KEY_FIELD: Final = b'idempotency-key'
 CLOSE: Final = (b'connection', b'close')
 CHUNKED: Final = (b'transfer-encoding', b'chunked')
 LAST_CHUNK: Final = b'0\r\n\r\n'
--- a/wagtaildale/calls/keyed.py
+++ b/wagtaildale/calls/keyed.py
@@ -6,7 +6,12 @@
 
 from wagtaildale.admission.replays import KeptAnswer, KeyState, Replays
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.heads import CLOSE, pass_on, write_response_head
+from wagtaildale.calls.heads import (
+    CLOSE,
+    KEY_FIELD,
+    pass_on,
+    write_response_head,
+)
 from wagtaildale.errors.codes import Code
 from wagtaildale.types import Outcome
 
@@ -18,7 +23,6 @@
     from wagtaildale.calls.parsing import Header
     from wagtaildale.calls.responses import Response
 
-KEY_FIELD: Final = b'idempotency-key'
 REPLAYED: Final = (b'idempotency-replayed', b'true')
 
 
--- a/wagtaildale/calls/routed.py
+++ b/wagtaildale/calls/routed.py
@@ -11,7 +11,7 @@
 from wagtaildale.calls.bodies import RequestBody
 from wagtaildale.calls.exchange import Call
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.heads import pass_on
+from wagtaildale.calls.heads import KEY_FIELD, pass_on
 from wagtaildale.calls.owner import Owner
 from wagtaildale.calls.report import CallReport
 from wagtaildale.errors.codes import Code
@@ -33,7 +33,6 @@
 DEADLINE_FIELD: Final = b'wagtaildale-deadline-ms'
 DEPTH_FIELD: Final = b'wagtaildale-depth'
 RETRIES_FIELD: Final = b'wagtaildale-retries'
-KEY_FIELD: Final = b'idempotency-key'
 LONGEST_KEY: Final = 200
 LONGEST_NUMBER: Final = 9
 DEPTH_MOST: Final = 16
