--- a/wagtaildale/admin/reports.py
+++ b/wagtaildale/admin/reports.py
@@ -124,7 +124,7 @@
     view: FleetView,
     record: InstanceRecord,
 ) -> str:
-    notes = node.entry_parts.book.find(record.instance)
+    notes = node.calls.entry.parts.book.find(record.instance)
     away = 'away' if record.instance in view.away else 'takes work'
     near = record.data_centre == node.parts.settings.data_centre
     place = 'own data centre' if near else record.data_centre
@@ -200,7 +200,7 @@
 
 
 def _report_backend(node: Node) -> BackendState:
-    state = node.owner.gate.state
+    state = node.calls.owner.gate.state
     return BackendState(
         slots=state.slots,
         limit=int(state.limit),
--- a/wagtaildale/admission/decisions.py
+++ b/wagtaildale/admission/decisions.py
@@ -157,13 +157,17 @@
     now: float,
 ) -> list[Verdict]:
     waiting = Waiting(
+        rank=message.rank,
         due=now + message.within_ms / MILLISECONDS,
         ticket=message.ticket,
         deadline=message.deadline,
     )
     ahead = bisect_left(state.queue, waiting)
     wait = state.estimate_wait(ahead)
-    if now + wait + state.service_seconds > message.deadline:
+    latest = message.deadline
+    if not message.patient:
+        latest = min(latest, waiting.due)
+    if now + wait + state.service_seconds > latest:
         # An answer that cannot be in time is refused now, not late.
         return [_shed(state, message.ticket)]
     insort(state.queue, waiting)
@@ -182,7 +186,8 @@
     if state.draining or message.deadline <= now:
         return [Refused(ticket=message.ticket, code=code)]
     due = now + message.within_ms / MILLISECONDS
-    first = not state.queue or due < state.queue[0].due
+    place = (message.rank, due)
+    first = not state.queue or place < state.queue[0].place
     if first and state.has_room_for(due, now):
         return [_admit(state, message, now)]
     return _enqueue(state, message, now)
--- a/wagtaildale/admission/gate.py
+++ b/wagtaildale/admission/gate.py
@@ -1,102 +1,120 @@
-"""The gate that call workers pass on the way to the backend server.
+"""The gate that calls pass on the way to the backend server.
 
-The decisions are those of ``decisions``; here a lock makes them one at a
-time, and a worker whose request waits sleeps until its verdict. The house
-style would have a task with an inbox here; docs/design/path-of-calls.md has
-the figures of both.
+The decisions are those of ``decisions``; here each request is given a
+ticket, and whoever asked is told its verdict, at once or when a slot is
+free. The gate belongs to the task that carries the calls.
 """
 
 from __future__ import annotations
 
-import threading
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.admission.decisions import decide_admission
 from wagtaildale.admission.messages import (
-    Admitted,
+    MIDDLE_RANK,
     Arrived,
     DrainBegun,
     Finished,
     GaveUp,
     LeaseGiven,
-    Refused,
     RunCame,
     TicketId,
     TimePassed,
 )
-from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wagtaildale.admission.limits import Ending
     from wagtaildale.admission.messages import GateMessage, Verdict
     from wagtaildale.admission.state import AdmissionState
-
+    from wagtaildale.timers.alarms import Alarms
 
 NO_TICKET: Final = TicketId(0)
 
 
-class _Place:
-    """Where a worker waits for the verdict on its request."""
-
-    __slots__ = ('event', 'verdict')
-
-    def __init__(self) -> None:
-        self.event = threading.Event()
-        self.verdict: Verdict | None = None
-
-
 class Gate:
-    """Admits, queues and refuses requests for one backend server."""
+    """Admits, queues and refuses requests for one backend server.
 
-    def __init__(self, state: AdmissionState) -> None:
+    Attributes:
+        state: slots and queue.
+    """
+
+    def __init__(self, state: AdmissionState, *, alarms: Alarms) -> None:
         """Open the gate.
 
         Args:
             state: slots and queue.
+            alarms: of the task that the gate belongs to.
         """
         self.state = state
-        self._lock = threading.Lock()
-        self._places: dict[TicketId, _Place] = {}
+        self._alarms = alarms
+        self._waiting: dict[TicketId, Callable[[Verdict], None]] = {}
         self._last = 0
 
     def enter(
         self,
+        on_verdict: Callable[[Verdict], None],
         *,
         within_ms: int,
         deadline: float,
-        lease_seconds: float | None = None,
-    ) -> Verdict:
-        """Ask for a slot and wait for it if need be.
+        rank: int = MIDDLE_RANK,
+        patient: bool = True,
+    ) -> TicketId:
+        """Ask for a slot.
 
         Args:
-            within_ms: target of the request's class.
+            on_verdict: is told ``Admitted``, after which ``leave`` is due,
+                or ``Refused``; perhaps before this returns.
+            within_ms: milliseconds left of the class's target.
             deadline: seconds on the clock.
-            lease_seconds: how long the slot is held for a run message;
-                nothing if the request runs at once.
+            rank: of the class; 0 goes first.
+            patient: whether it may wait past its target.
 
         Returns:
-            ``Admitted``, after which ``leave`` is due, or ``Refused``.
+            Names the request here.
         """
-        with self._lock:
-            self._last += 1
-            ticket = TicketId(self._last)
-            arrived = Arrived(
-                ticket=ticket,
-                within_ms=within_ms,
-                deadline=deadline,
-            )
-            verdict = self._tell(arrived, ticket)
-            if verdict is None:
-                place = _Place()
-                self._places[ticket] = place
-        if verdict is None:
-            place.event.wait(max(0, deadline - read_clock()))
-            verdict = self._close(ticket, place)
-        if lease_seconds is not None and isinstance(verdict, Admitted):
-            ends_at = read_clock() + lease_seconds
-            self._spread(LeaseGiven(ticket=ticket, ends_at=ends_at))
-        return verdict
+        self._last += 1
+        ticket = TicketId(self._last)
+        self._waiting[ticket] = on_verdict
+        arrived = Arrived(
+            ticket=ticket,
+            within_ms=within_ms,
+            deadline=deadline,
+            rank=rank,
+            patient=patient,
+        )
+        self._tell(arrived)
+        return ticket
+
+    def give_up(self, ticket: TicketId) -> None:
+        """Wait no longer.
+
+        Args:
+            ticket: of a request that waits.
+        """
+        if self._waiting.pop(ticket, None) is not None:
+            self._tell(GaveUp(ticket=ticket))
+
+    def lease(self, ticket: TicketId, *, seconds: float) -> None:
+        """Hold an admitted request's slot for a run message.
+
+        Failure guarded here: an entry dies after it has reserved, and the
+        slot stays held while others wait; an alarm gives it back.
+
+        Args:
+            ticket: of the request.
+            seconds: until the slot goes back.
+        """
+        ends_at = read_clock() + seconds
+        self._tell(LeaseGiven(ticket=ticket, ends_at=ends_at))
+        self._alarms.set_at(ends_at, self.end_leases)
+
+    def end_leases(self) -> None:
+        """Give back the slots whose run message did not come in time."""
+        if self.state.leases:
+            self._tell(TimePassed())
 
     def redeem(self, ticket: TicketId) -> Verdict:
         """Begin the run for which a slot is held.
@@ -107,14 +125,13 @@
         Returns:
             ``Admitted``, after which ``leave`` is due, or ``Refused``.
         """
-        with self._lock:
-            verdict = self._tell(RunCame(ticket=ticket), ticket)
+        verdict = self._tell(RunCame(ticket=ticket), own=ticket)
         assert verdict is not None
         return verdict
 
     def leave(
         self,
-        admitted: Admitted,
+        ticket: TicketId,
         *,
         seconds: float,
         ending: Ending,
@@ -122,59 +139,27 @@
         """Give the slot back.
 
         Args:
-            admitted: as ``enter`` gave it.
-            seconds: the request spent at the backend server.
+            ticket: of an admitted request.
+            seconds: it spent at the backend server.
             ending: how it ended there.
         """
-        finished = Finished(
-            ticket=admitted.ticket,
-            seconds=seconds,
-            ending=ending,
-        )
-        self._spread(finished)
-
-    def put(self, tick: object) -> None:
-        """Give back the slots whose run message did not come in time.
-
-        The gate subscribes to the timer service like a task's inbox;
-        without ticks a slot whose entry died would stay held while others
-        wait and nothing new arrives.
-
-        Args:
-            tick: of the timer service.
-        """
-        if self.state.leases:
-            self._spread(TimePassed())
+        self._tell(Finished(ticket=ticket, seconds=seconds, ending=ending))
 
     def drain(self) -> None:
         """Admit nothing more; what waits is refused."""
-        self._spread(DrainBegun())
-
-    def _close(self, ticket: TicketId, place: _Place) -> Verdict:
-        with self._lock:
-            self._places.pop(ticket)
-            if place.verdict is None:
-                self._tell(GaveUp(ticket=ticket), ticket)
-        if place.verdict is None:
-            return Refused(ticket=ticket, code=Code.past_deadline)
-        return place.verdict
-
-    def _spread(self, message: GateMessage) -> None:
-        with self._lock:
-            self._tell(message, NO_TICKET)
+        self._tell(DrainBegun())
 
     def _tell(
         self,
         message: GateMessage,
-        own: TicketId,
+        own: TicketId = NO_TICKET,
     ) -> Verdict | None:
         mine: Verdict | None = None
         verdicts = decide_admission(message, self.state, now=read_clock())
         for verdict in verdicts:
-            place = self._places.get(verdict.ticket)
-            if place is not None:
-                place.verdict = verdict
-                place.event.set()
+            on_verdict = self._waiting.pop(verdict.ticket, None)
+            if on_verdict is not None:
+                on_verdict(verdict)
             elif verdict.ticket == own:
                 mine = verdict
         return mine
--- a/wagtaildale/admission/ledger.py
+++ b/wagtaildale/admission/ledger.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import threading
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
@@ -24,7 +23,6 @@
     def __init__(self) -> None:
         """Begin with none."""
         self._runs: OrderedDict[RequestId, None] = OrderedDict()
-        self._lock = threading.Lock()
 
     def note_run(self, request_id: RequestId) -> bool:
         """Note that a request is about to run.
@@ -35,13 +33,12 @@
         Returns:
             Whether it is the first time; if not, it must not run.
         """
-        with self._lock:
-            if request_id in self._runs:
-                return False
-            self._runs[request_id] = None
-            if len(self._runs) > REMEMBERED:
-                self._runs.popitem(last=False)
-            return True
+        if request_id in self._runs:
+            return False
+        self._runs[request_id] = None
+        if len(self._runs) > REMEMBERED:
+            self._runs.popitem(last=False)
+        return True
 
     def forget(self, request_id: RequestId) -> None:
         """Forget a request that was let through and yet did not run.
@@ -49,5 +46,4 @@
         Args:
             request_id: of a request whose refusal says "not run".
         """
-        with self._lock:
-            self._runs.pop(request_id, None)
+        self._runs.pop(request_id, None)
--- a/wagtaildale/admission/messages.py
+++ b/wagtaildale/admission/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NewType
+from typing import Final, NewType
 
 from msgspec import Struct
 
@@ -11,19 +11,26 @@
 
 TicketId = NewType('TicketId', int)
 
+MIDDLE_RANK: Final = 1
+
 
 class Arrived(Struct, frozen=True, kw_only=True, gc=False):
     """A request asks to run.
 
     Attributes:
         ticket: names the request at this gate.
-        within_ms: target of its class.
+        within_ms: milliseconds left of its class's target.
         deadline: seconds on the clock.
+        rank: of its class; 0 goes first.
+        patient: whether it may wait past its target; if not, it is refused
+            when it would, and can be asked for elsewhere.
     """
 
     ticket: TicketId
     within_ms: int
     deadline: float
+    rank: int = MIDDLE_RANK
+    patient: bool = True
 
 
 class Finished(Struct, frozen=True, kw_only=True, gc=False):
--- a/wagtaildale/admission/replays.py
+++ b/wagtaildale/admission/replays.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import threading
 from collections import OrderedDict
 from enum import Enum
 from typing import Final, final
@@ -62,7 +61,6 @@
     def __init__(self) -> None:
         """Begin with no key."""
         self._entries: OrderedDict[str, KeyEntry] = OrderedDict()
-        self._lock = threading.Lock()
 
     def begin(self, key: str) -> KeyEntry:
         """Begin a request with a key.
@@ -74,13 +72,12 @@
             What is known of the key; ``fresh`` means that it may run, and
             it counts as running from here on.
         """
-        with self._lock:
-            known = self._entries.get(key)
-            if known is not None:
-                return known
-            self._entries[key] = KeyEntry(state=KeyState.running)
-            if len(self._entries) > ANSWERS_KEPT:
-                self._entries.popitem(last=False)
+        known = self._entries.get(key)
+        if known is not None:
+            return known
+        self._entries[key] = KeyEntry(state=KeyState.running)
+        if len(self._entries) > ANSWERS_KEPT:
+            self._entries.popitem(last=False)
         return KeyEntry(state=KeyState.fresh)
 
     def keep(self, key: str, answer: KeptAnswer | None) -> None:
@@ -90,9 +87,8 @@
             key: the caller's.
             answer: nothing if it was too large to keep.
         """
-        with self._lock:
-            entry = KeyEntry(state=KeyState.answered, answer=answer)
-            self._entries[key] = entry
+        entry = KeyEntry(state=KeyState.answered, answer=answer)
+        self._entries[key] = entry
 
     def forget(self, key: str) -> None:
         """Forget a key whose request did not run.
@@ -100,5 +96,4 @@
         Args:
             key: the caller's.
         """
-        with self._lock:
-            self._entries.pop(key, None)
+        self._entries.pop(key, None)
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -18,15 +18,22 @@
     """A request in the queue; the order of fields is the queue's order.
 
     Attributes:
+        rank: of its class; 0 goes first.
         due: when its target would be missed, seconds on the clock.
         ticket: which one.
         deadline: when nobody waits for it any more.
     """
 
+    rank: int
     due: float
     ticket: TicketId
     deadline: float
 
+    @property
+    def place(self) -> tuple[int, float]:
+        """What the queue is ordered by."""
+        return self.rank, self.due
+
 
 class AdmissionState(Struct, kw_only=True):
     """Slots and queue of one backend server.
--- a/wagtaildale/assembly.py
+++ b/wagtaildale/assembly.py
@@ -7,22 +7,24 @@
 
 from msgspec import Struct
 
-from wagtaildale.admission.gate import Gate
-from wagtaildale.admission.state import make_admission
 from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.owner import Identity, Owner
-from wagtaildale.calls.routed import EntryParts
+from wagtaildale.calls.callers import CallerLimits
+from wagtaildale.calls.owner import Identity
+from wagtaildale.calls.task import CallFigures, CallsTask, CallSurroundings
 from wagtaildale.distribution.tuning import TUNINGS, Tuning
+from wagtaildale.integration import (
+    OWN_INTEGRATION,
+    Integration,
+    make_part_reader,
+)
 from wagtaildale.invariants import Invariants
-from wagtaildale.routing.book import UpstreamBook
 from wagtaildale.routing.choosers import make_chooser
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.settings.model import MOST_SLOTS, Settings
-from wagtaildale.source.http import HttpPlatform
-from wagtaildale.source.tasks import WatchTask
+from wagtaildale.source.tasks import FetchTask, WatchTask
 from wagtaildale.telemetry.tallies import Tallies
 from wagtaildale.timers.inbox import Inbox
-from wagtaildale.types import Incarnation, Kind, NodeState
+from wagtaildale.types import Incarnation, NodeState
 
 if TYPE_CHECKING:
     from wagtaildale.telemetry.events import EventRecorder
@@ -43,6 +45,7 @@
         inbox: of the distribution task.
         states: the node's state, the latest last.
         tuning: the figures of distribution.
+        integration: how the platform is met.
     """
 
     settings: Settings
@@ -54,6 +57,7 @@
     inbox: Inbox[Any]
     states: list[NodeState]
     tuning: Tuning
+    integration: Integration
 
 
 def read_incarnation() -> Incarnation:
@@ -70,6 +74,7 @@
     *,
     recorder: EventRecorder,
     tuning: Tuning | None = None,
+    integration: Integration = OWN_INTEGRATION,
 ) -> Parts:
     """Make what the parts of a node share.
 
@@ -78,6 +83,7 @@
         recorder: gets events.
         tuning: the figures of distribution; those that the settings name
             if left out.
+        integration: how the platform is met.
 
     Returns:
         The parts.
@@ -95,70 +101,86 @@
         inbox=Inbox(),
         states=[NodeState.joining],
         tuning=tuning or TUNINGS[settings.distribution.spread],
+        integration=integration,
     )
 
 
-def make_watches(parts: Parts) -> dict[Kind, WatchTask]:
+def make_watches(parts: Parts) -> tuple[WatchTask, ...]:
     """Make the tasks that watch the platform.
 
     Args:
         parts: of the node.
 
     Returns:
-        By kind of document.
+        One for each feed.
     """
-    settings = parts.settings
-    return {
-        kind: WatchTask(
-            kind,
-            platform=HttpPlatform(settings.platform),
+    return tuple(
+        WatchTask(
+            feed,
             outbox=parts.inbox,
             wait=parts.tuning.watch_seconds,
+            first_cap=parts.tuning.backoff_seconds,
         )
-        for kind in Kind
-    }
+        for feed in parts.integration.make_feeds(parts.settings)
+    )
 
 
-def make_owner(parts: Parts) -> Owner:
-    """Make the owner of the backend server beside the node.
+def make_fetch(parts: Parts) -> FetchTask:
+    """Make the task that reads the platform when asked.
 
     Args:
         parts: of the node.
 
     Returns:
-        The owner, its gate open.
+        The task.
     """
-    backend = parts.settings.backend
-    slots = backend.slots
-    if not parts.settings.calls.admits:
-        slots = MOST_SLOTS
-    return Owner(
-        parts.identity,
-        gate=Gate(make_admission(slots)),
-        backend=Address(backend.host, backend.port),
-        invariants=parts.invariants,
+    settings = parts.settings
+    return FetchTask(
+        parts.integration.make_feeds(settings),
+        platform=make_part_reader(settings, parts.integration),
+        outbox=parts.inbox,
     )
 
 
-def make_entry_parts(parts: Parts, *, owner: Owner) -> EntryParts:
-    """Make what the entry works with.
+def make_calls(parts: Parts) -> CallsTask:
+    """Make the task that carries calls.
 
     Args:
         parts: of the node.
-        owner: of the backend server beside it.
 
     Returns:
-        The entry's parts.
+        The task, its ports not yet open.
     """
-    return EntryParts(
-        data_centre=parts.settings.data_centre,
-        owner=owner,
-        view=parts.view,
-        book=UpstreamBook(),
-        tallies=parts.tallies,
-        recorder=parts.recorder,
-        body_bytes=parts.settings.limits.body_bytes,
-        chooser=make_chooser(parts.settings.calls.choice),
-        reserves=parts.settings.calls.reserves,
-        hedges=parts.settings.calls.hedges,
+    settings = parts.settings
+    host = settings.host
+    backend = settings.backend
+    limits = settings.limits
+    ready = settings.ready_port
+    return CallsTask(
+        CallFigures(
+            service=settings.service,
+            data_centre=settings.data_centre,
+            entry=Address(host, settings.entry_port),
+            owner=Address(host, settings.owner_port),
+            ready=None if ready is None else Address(host, ready),
+            backend=Address(backend.host, backend.port),
+            slots=backend.slots if settings.calls.admits else MOST_SLOTS,
+            limits=CallerLimits(
+                head_bytes=limits.head_bytes,
+                body_bytes=limits.body_bytes,
+                connections=limits.connections,
+            ),
+            chooser=make_chooser(settings.calls.choice),
+            dialect=parts.integration.dialect,
+            reserves=settings.calls.reserves,
+            hedges=settings.calls.hedges,
+        ),
+        around=CallSurroundings(
+            identity=parts.identity,
+            view=parts.view,
+            tallies=parts.tallies,
+            recorder=parts.recorder,
+            invariants=parts.invariants,
+            states=parts.states,
+        ),
     )
--- a/wagtaildale/calls/answers.py
+++ b/wagtaildale/calls/answers.py
@@ -8,26 +8,27 @@
 
 from msgspec import Struct, json
 
-from wagtaildale.calls.heads import CLOSE, write_response_head
+from wagtaildale.calls.dialect import OWN_DIALECT
+from wagtaildale.calls.responses import ResponseHead
 from wagtaildale.errors.codes import MEANINGS, Code
-from wagtaildale.timers.service import read_clock
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from wagtaildale.calls.connections import Connection
+    from wagtaildale.calls.dialect import Dialect
     from wagtaildale.calls.failures import CallFailed
     from wagtaildale.calls.parsing import Header
 
-SEND_SECONDS: Final = 1.0
 DEFAULT_STATUS: Final = 503
-# The field holds whole seconds.
+# Whole seconds are what the field holds in plain HTTP.
 LEAST_RETRY_SECONDS: Final = 1
+LEAST_FRACTION: Final = 0.01
 STATUSES: Final = MappingProxyType(
     {
         Code.request_malformed: 400,
         Code.request_too_large: 413,
+        Code.head_timed_out: 408,
         Code.no_route: 404,
         Code.past_deadline: 504,
         Code.timed_out: 504,
@@ -37,15 +38,24 @@
         Code.answer_mismatched: 502,
         Code.key_repeated: 409,
         Code.too_deep: 508,
-        Code.wrong_instance: 421,
     },
 )
+# Statuses that leave open whether the request has run; for one that has
+# not, the status that says so is given in their place.
+UNCERTAIN: Final = frozenset((502, 504))
 RETRY_LATER: Final = frozenset(
     (
         Code.no_configuration,
         Code.no_upstream,
-        Code.overloaded,
+        Code.wrong_instance,
         Code.draining,
+        Code.past_deadline,
+        Code.overloaded,
+        Code.backend_unreachable,
+        Code.backend_shed,
+        Code.timed_out,
+        Code.lease_ended,
+        Code.peer_lost,
     ),
 )
 
@@ -68,47 +78,41 @@
     detail: str
 
 
-def find_status(code: Code) -> int:
-    """Find the HTTP status of a result code.
+def find_status(failure: CallFailed) -> int:
+    """Find the HTTP status of a failed call.
 
     Args:
-        code: why the call failed.
+        failure: why it failed, and whether the request may have run.
 
     Returns:
-        The status.
+        The status; 503 in place of 502 and 504 where it has not run.
     """
-    return STATUSES.get(code, DEFAULT_STATUS)
+    status = STATUSES.get(failure.code, DEFAULT_STATUS)
+    if status in UNCERTAIN and failure.outcome is Outcome.not_run:
+        return DEFAULT_STATUS
+    if status == DEFAULT_STATUS and failure.outcome is Outcome.unknown:
+        # Callers take 503 for a promise that nothing has run.
+        return STATUSES[Code.outcome_unknown]
+    return status
 
 
-def send_problem(
-    connection: Connection,
-    *,
+def describe_problem(
     failure: CallFailed,
+    *,
     extra: Sequence[Header] = (),
-    method: bytes = b'',
-) -> None:
-    """Send the whole answer of a failed call.
+    dialect: Dialect = OWN_DIALECT,
+) -> tuple[ResponseHead, bytes]:
+    """Describe the whole answer of a failed call.
 
     Args:
-        connection: to whoever asked.
         failure: why it failed.
         extra: headers that go along.
-        method: of the request; HEAD gets no body.
+        dialect: how callers are spoken to.
 
-    Raises:
-        OSError: when the other side is gone.
+    Returns:
+        Head and body.
     """
-    headers = [*extra, CLOSE] if connection.closing else extra
-    head, body = _write_problem(failure, headers)
-    answer = head if method == b'HEAD' else head + body
-    connection.send(answer, deadline=read_clock() + SEND_SECONDS)
-
-
-def _write_problem(
-    failure: CallFailed,
-    extra: Sequence[Header],
-) -> tuple[bytes, bytes]:
-    status = find_status(failure.code)
+    status = find_status(failure)
     problem = Problem(
         title=MEANINGS[failure.code],
         status=status,
@@ -116,13 +120,14 @@
         outcome=failure.outcome,
         detail=failure.detail,
     )
-    body = json.encode(problem)
-    headers = [
-        (b'content-type', b'application/problem+json'),
-        (b'content-length', b'%d' % len(body)),
-        *extra,
-    ]
-    if failure.code in RETRY_LATER:
-        seconds = max(LEAST_RETRY_SECONDS, ceil(failure.retry_after))
-        headers.append((b'retry-after', b'%d' % seconds))
-    return write_response_head(status, headers=headers), body
+    headers = [(b'content-type', b'application/problem+json'), *extra]
+    if failure.code in RETRY_LATER and status == DEFAULT_STATUS:
+        headers.append((b'retry-after', _write_retry(failure, dialect)))
+    head = ResponseHead(status=status, headers=headers)
+    return head, json.encode(problem)
+
+
+def _write_retry(failure: CallFailed, dialect: Dialect) -> bytes:
+    if dialect.fractional_retry:
+        return b'%.3f' % max(LEAST_FRACTION, failure.retry_after)
+    return b'%d' % max(LEAST_RETRY_SECONDS, ceil(failure.retry_after))
--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -1,222 +1,322 @@
-"""One attempt of a call: send, race a hedge, check, deliver."""
+"""One attempt of a call at one upstream, as its entry sees it."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from enum import Enum
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Final, Protocol, final
 
 from msgspec import structs
 
-from wagtaildale.calls.bodies import NoBody
-from wagtaildale.calls.exchange import Call
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.fields import (
-    ANSWER_FIELD,
-    ASK_LEASE,
-    AnswerFields,
-    CallFields,
-    read_answer,
+from wagtaildale.calls.frames import (
+    Answered,
+    Cut,
+    Failed,
+    Granted,
+    Piece,
+    Reserve,
+    Run,
+    Taken,
 )
-from wagtaildale.calls.hedges import HedgeClocks
-from wagtaildale.calls.races import Flight, Racer
-from wagtaildale.calls.targets import Target, Targets
+from wagtaildale.calls.windows import SendWindow
 from wagtaildale.errors.codes import Code
-from wagtaildale.invariants import Invariant
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.keyed import Deliverable
-    from wagtaildale.calls.attempts import Attempts
-    from wagtaildale.calls.connections import Pool
-    from wagtaildale.calls.responses import Response
-    from wagtaildale.calls.routed import EntryParts, Routed
-    from wagtaildale.invariants import Invariants
-
-SHED_STATUS: Final = 503
+    from wagtaildale.calls.bodies import RequestBody
+    from wagtaildale.calls.fields import AnswerFields, CallFields
+    from wagtaildale.calls.frames import HeaderPairs, ToEntry
+    from wagtaildale.calls.peers import Peer
+    from wagtaildale.calls.targets import Target
+
 MILLISECONDS: Final = 1000
 
 
-class Attempter:
-    """Makes attempts from this node."""
+@final
+class AttemptState(Enum):
+    """Where an attempt stands."""
 
-    def __init__(self, parts: EntryParts, *, pool: Pool) -> None:
-        """Prepare.
+    reserving = 'reserving'
+    running = 'running'
+    answering = 'answering'
+    over = 'over'
+
+
+class AttemptOwner(Protocol):
+    """The call that an attempt belongs to."""
+
+    deadline: float
+
+    @property
+    def request(self) -> RequestParts:
+        """What is sent."""
+
+    def note_answer(self, attempt: Attempt, answer: AnswerFields) -> None:
+        """Take what an owner says of itself with an answer.
 
         Args:
-            parts: of the node.
-            pool: idle connections to other owners.
+            attempt: that was answered.
+            answer: the owner's word.
         """
-        self._owner = parts.owner
-        self._invariants = parts.owner.invariants
-        self._reserves = parts.reserves
-        self._hedges = parts.hedges
-        self._targets = Targets(parts)
-        self._racer = Racer(self._targets, pool=pool)
-        self._clocks = HedgeClocks()
 
-    def attempt(self, routed: Routed, attempts: Attempts) -> None:
-        """Make one attempt.
+    def on_answer(self, attempt: Attempt, frame: Answered) -> None:
+        """Take the upstream's response.
 
         Args:
-            routed: the call.
-            attempts: those before; this one is added.
+            attempt: whose.
+            frame: head and body, or its beginning.
+        """
 
-        Raises:
-            CallFailed: when it ends without an answer.
-            StreamCut: when the response broke after its head was sent.
+    def on_piece(self, attempt: Attempt, frame: Piece) -> None:
+        """Take more of the response's body.
+
+        Args:
+            attempt: whose.
+            frame: the piece.
+        """
+
+    def on_attempt_failed(self, attempt: Attempt, failure: CallFailed) -> None:
+        """Learn that an attempt ends without a whole response.
+
+        Args:
+            attempt: which.
+            failure: with outcome ``not_run`` only where that is certain.
         """
-        target = self._targets.pick(routed, attempts)
-        with target.notes:
-            try:
-                self._send(routed, target, attempts)
-            except CallFailed as failure:
-                self._targets.note_failure(target, failure)
-                raise
-
-    def _send(
+
+
+class RequestParts:
+    """What every attempt of a call sends."""
+
+    def __init__(
         self,
-        routed: Routed,
+        *,
+        method: bytes,
+        target: bytes,
+        headers: HeaderPairs,
+        body: RequestBody,
+        reserves: bool,
+    ) -> None:
+        """Gather the parts.
+
+        Args:
+            method: HTTP method.
+            target: path and query as they came.
+            headers: those that go on.
+            body: of the request.
+            reserves: whether a slot is reserved before the request runs.
+        """
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.reserves = reserves
+
+
+class Attempt:
+    """Speaks to one owner for one call; a ``PeerHandler``.
+
+    While only a reservation is out, giving up is safe and the request has
+    not run. The run message goes out once. Whatever ends the attempt after
+    it leaves the outcome unknown, unless the owner says that nothing ran.
+
+    Attributes:
+        target: where it goes.
+        state: where it stands.
+        started_at: seconds on the clock.
+        was_run: whether the run message went out.
+    """
+
+    def __init__(
+        self,
+        call: AttemptOwner,
+        *,
         target: Target,
-        attempts: Attempts,
+        peer: Peer,
     ) -> None:
-        if target.fields.instance == self._owner.identity.instance:
-            # The upstream is the backend server beside this node: one hop.
-            self._owner.run(
-                routed.call,
-                fields=target.fields,
-                deliver=_DeliverTo(routed, self._invariants),
-            )
-        elif attempts.idempotent:
-            self._send_idempotent(routed, target, attempts)
+        """Prepare.
+
+        Args:
+            call: that it belongs to.
+            target: where it goes.
+            peer: the owner there.
+        """
+        self.target = target
+        self.state = AttemptState.running
+        self.started_at = read_clock()
+        self.was_run = False
+        self._call = call
+        self._peer = peer
+        self._number = peer.open(self)
+        self._window = SendWindow()
+
+    def begin(self) -> None:
+        """Send the first message."""
+        self.target.notes.note_begun()
+        if self._call.request.reserves:
+            self.state = AttemptState.reserving
+            self._peer.send(Reserve(self._number, self.target.fields))
         else:
-            self._send_once(routed, target)
+            self._run(self.target.fields)
+
+    def cancel(self) -> None:
+        """Give up: the owner stops what it does for the call."""
+        self._end(cancelled=True)
 
-    def _send_once(self, routed: Routed, target: Target) -> None:
-        """Reserve a slot, then send the run message, once.
+    def send_body(self) -> None:
+        """Send what has come of the body, as far as the owner takes it."""
+        body = self._call.request.body
+        if self.state is not AttemptState.running or body.is_replayable:
+            return
+        if not self._window.is_open:
+            return
+        piece = body.take()
+        if piece or body.is_complete:
+            self._window.note_sent(len(piece))
+            more = not body.is_complete
+            self._peer.send(Piece(self._number, piece, more))
 
-        Failure guarded here: a booking waits in a queue, its entry gives
-        up, and nobody knows whether it ran. While only a reservation is
-        out nothing has run, and it is safe to go elsewhere. The run
-        message follows on the connection that has just answered, and is
-        never sent again.
+    def note_taken(self, size: int) -> None:
+        """Tell the owner that the caller has taken a part of the response.
+
+        Args:
+            size: of it, bytes.
         """
-        if self._reserves:
-            answer = self._reserve(routed, target)
-            # A lease holds in the process that gave it, in no other: the
-            # run message names its incarnation.
-            fields = structs.replace(
-                target.fields,
-                lease=answer.lease,
-                incarnation=answer.incarnation,
-            )
-            target = structs.replace(target, fields=fields)
-        flight = self._racer.begin(routed.call, target)
-        self._finish(routed, flight)
-
-    def _reserve(self, routed: Routed, target: Target) -> AnswerFields:
-        asking = structs.replace(target.fields, lease=ASK_LEASE)
-        call = Call(
-            caller=routed.call.caller,
-            method=b'POST',
-            target=b'/reserve',
-            headers=(),
-            body=NoBody(),
-            deadline=routed.call.deadline,
+        if self.state is AttemptState.answering:
+            self._peer.send(Taken(self._number, size))
+
+    @singledispatchmethod
+    def on_frame(self, frame: ToEntry) -> None:
+        """Take a message of the owner; see ``PeerHandler``.
+
+        Args:
+            frame: the message.
+
+        Raises:
+            TypeError: for a message that no attempt knows.
+        """
+        raise TypeError(f'got {frame!r}, expected a message of an owner')
+
+    @on_frame.register
+    def _on_granted(self, frame: Granted) -> None:
+        if self.state is not AttemptState.reserving:
+            return
+        if not self._is_mine(frame.answer):
+            return
+        self._call.note_answer(self, frame.answer)
+        # A lease holds in the process that gave it, in no other: the run
+        # message names its incarnation.
+        self._run(
+            structs.replace(
+                self.target.fields,
+                lease=frame.answer.lease,
+                incarnation=frame.answer.incarnation,
+                remaining_ms=self._find_remaining(),
+            ),
+        )
+
+    @on_frame.register
+    def _on_failed(self, frame: Failed) -> None:
+        if not self._is_mine(frame.answer):
+            return
+        answer = frame.answer
+        self._call.note_answer(self, answer)
+        failure = CallFailed(
+            answer.code,
+            outcome=answer.outcome,
+            detail=frame.detail,
+            retry_after=answer.retry_ms / MILLISECONDS,
         )
-        try:
-            with self._racer.begin(
-                call,
-                structs.replace(target, fields=asking),
-            ).sent.finish() as response:
-                answer = _check_answer(response, asking)
-        except CallFailed as failure:
-            # Only a reservation was out: nothing has run.
+        self._fail(failure, cancelled=False)
+
+    @on_frame.register
+    def _on_answered(self, frame: Answered) -> None:
+        if self.state is not AttemptState.running:
+            return
+        if not self._is_mine(frame.answer):
+            return
+        self._call.note_answer(self, frame.answer)
+        self.state = AttemptState.answering
+        if not frame.more:
+            self._end(cancelled=False)
+        self._call.on_answer(self, frame)
+
+    @on_frame.register
+    def _on_piece(self, frame: Piece) -> None:
+        if self.state is not AttemptState.answering:
+            return
+        if not frame.more:
+            self._end(cancelled=False)
+        self._call.on_piece(self, frame)
+
+    @on_frame.register
+    def _on_taken(self, frame: Taken) -> None:
+        self._window.note_taken(frame.count)
+        self.send_body()
+
+    @on_frame.register
+    def _on_cut(self, frame: Cut) -> None:
+        failure = CallFailed(Code.backend_cut, outcome=Outcome.unknown)
+        self._fail(failure, cancelled=False)
+
+    def on_peer_lost(self, failure: CallFailed) -> None:
+        """Learn that no further message comes; see ``PeerHandler``.
+
+        Args:
+            failure: why.
+        """
+        if self.state is AttemptState.reserving:
             failure.outcome = Outcome.not_run
-            raise
-        self._targets.note_answer(target, answer)
-        if answer.code is not Code.ok:
-            raise _describe_refusal(answer, Outcome.not_run)
-        return answer
+        self._fail(failure, cancelled=False)
 
-    def _send_idempotent(
-        self,
-        routed: Routed,
-        target: Target,
-        attempts: Attempts,
-    ) -> None:
-        clock = self._clocks.find(target.fields.work_class)
-        began = read_clock()
-        flight = self._racer.begin(routed.call, target)
-        delay = clock.find_delay() if self._hedges else None
-        if delay is not None and attempts.may_hedge(began + delay):
-            flight = self._racer.race(
-                routed,
-                flight,
-                attempts=attempts,
-                until=began + delay,
-            )
-        self._finish(routed, flight)
-        clock.note(read_clock() - began)
-
-    def _finish(self, routed: Routed, flight: Flight) -> None:
-        with flight.sent.finish(is_ready=flight.is_ready) as response:
-            answer = _check_answer(response, flight.target.fields)
-            self._targets.note_answer(flight.target, answer)
-            if answer.code is Code.ok:
-                _check_shed(response, flight.target.fields)
-                _DeliverTo(routed, self._invariants)(response, answer)
-        if answer.code is not Code.ok:
-            raise _describe_refusal(answer, answer.outcome)
-
-
-class _DeliverTo:
-    """Passes an upstream's response on to the caller."""
-
-    def __init__(self, routed: Routed, invariants: Invariants) -> None:
-        self._routed = routed
-        self._invariants = invariants
-
-    def __call__(self, response: Deliverable, answer: AnswerFields) -> None:
-        routed = self._routed
-        matches = answer.request_id == routed.request_id
-        if not self._invariants.hold(
-            Invariant.answer_matches,
-            holds=matches,
-            detail=routed.request_id,
-        ):
-            raise CallFailed(Code.answer_mismatched, outcome=Outcome.unknown)
-        routed.report.note_answer(answer)
-        response.write_to(
-            routed.call.caller,
-            extra=routed.report.describe(),
-            deadline=max(routed.call.deadline, read_clock() + 1),
+    def _run(self, fields: CallFields) -> None:
+        request = self._call.request
+        self.state = AttemptState.running
+        self.was_run = True
+        body = request.body.take()
+        self._window.note_sent(len(body))
+        self._peer.send(
+            Run(
+                self._number,
+                fields,
+                request.method,
+                request.target,
+                request.headers,
+                body,
+                more=not request.body.is_complete,
+                length=request.body.length,
+            ),
         )
-        routed.report.close()
-
-
-def _check_answer(response: Response, fields: CallFields) -> AnswerFields:
-    # Failure: answers come late or crossed, and a caller gets another's. An
-    # answer counts only if it names this request and this attempt.
-    text = response.message.find(ANSWER_FIELD)
-    answer = read_answer(text) if text else None
-    if answer is not None and answer.request_id == fields.request_id:
-        if answer.attempt == fields.attempt:
-            return answer
-    raise CallFailed(Code.answer_mismatched, outcome=Outcome.unknown)
-
-
-def _describe_refusal(answer: AnswerFields, outcome: Outcome) -> CallFailed:
-    return CallFailed(
-        answer.code,
-        outcome=outcome,
-        retry_after=answer.retry_ms / MILLISECONDS,
-    )
-
-
-def _check_shed(response: Response, fields: CallFields) -> None:
-    if response.message.status == SHED_STATUS and fields.idempotent:
-        raise CallFailed(
-            Code.overloaded,
-            outcome=Outcome.unknown,
-            detail='shed by the backend server',
+
+    def _is_mine(self, answer: AnswerFields) -> bool:
+        # Failure: answers come late or crossed, and a caller gets another's.
+        # An answer counts only if it names this request and this attempt.
+        fields = self.target.fields
+        if answer.request_id == fields.request_id:
+            if answer.attempt == fields.attempt:
+                return True
+        reserving = self.state is AttemptState.reserving
+        failure = CallFailed(
+            Code.answer_mismatched,
+            outcome=Outcome.not_run if reserving else Outcome.unknown,
         )
+        self._fail(failure, cancelled=True)
+        return False
+
+    def _find_remaining(self) -> int:
+        rest = self._call.deadline - read_clock()
+        return max(0, int(rest * MILLISECONDS))
+
+    def _fail(self, failure: CallFailed, *, cancelled: bool) -> None:
+        if self.state is AttemptState.over:
+            return
+        self._end(cancelled=cancelled)
+        self._call.on_attempt_failed(self, failure)
+
+    def _end(self, *, cancelled: bool) -> None:
+        if self.state is AttemptState.over:
+            return
+        self.state = AttemptState.over
+        self.target.notes.note_ended()
+        self._peer.close_call(self._number, cancelled=cancelled)
--- a/wagtaildale/calls/attempts.py
+++ b/wagtaildale/calls/attempts.py
@@ -7,30 +7,39 @@
 from msgspec import Struct, field
 
 from wagtaildale.errors.codes import Code
+from wagtaildale.routing.table import RETRIES_MOST
 from wagtaildale.types import InstanceId, Outcome
 
 if TYPE_CHECKING:
     from wagtaildale.calls.failures import CallFailed
 
-RETRIES_MOST: Final = 3
 BUDGET_SHARE: Final = 0.2
 BUDGET_MOST: Final = 20.0
+# Upstreams that a call may be refused by, unrun, before its caller is told:
+# with the least loaded asked first, a fourth one seldom has room.
+REFUSALS_MOST: Final = 3
 # Refusals that cost the upstream nothing: the call is only steered elsewhere.
 STEERED: Final = frozenset(
     (
         Code.wrong_instance,
         Code.draining,
         Code.backend_unreachable,
+        Code.lease_ended,
+        Code.peer_lost,
     ),
 )
 RETRIED: Final = STEERED | frozenset(
     (
         Code.overloaded,
+        Code.backend_shed,
         Code.backend_cut,
         Code.answer_mismatched,
         Code.timed_out,
+        Code.service_error,
     ),
 )
+# Refusals by the owner itself: nothing has reached a backend server.
+BY_OWNER: Final = STEERED | {Code.overloaded}
 
 
 class RetryBudget(Struct, kw_only=True):
@@ -38,17 +47,21 @@
 
     Failure guarded here: a brownout makes calls fail, the retries double
     the load and the brownout. The guard holds since over time there are
-    never more retries than ``BUDGET_SHARE`` of the calls.
+    never more retries than ``share`` of the calls.
 
     Attributes:
         tokens: retries that may be spent now.
+        share: retries earned by a fresh call.
+        most: retries that can be saved up.
     """
 
     tokens: float = BUDGET_MOST
+    share: float = BUDGET_SHARE
+    most: float = BUDGET_MOST
 
     def earn(self) -> None:
         """Count a fresh call."""
-        self.tokens = min(BUDGET_MOST, self.tokens + BUDGET_SHARE)
+        self.tokens = min(self.most, self.tokens + self.share)
 
     def spend(self) -> bool:
         """Spend one retry.
@@ -71,6 +84,7 @@
         budget: of the service.
         retries_left: attempts beyond the first that the call, and the
             calls that it leads to, may still make.
+        refusals_left: upstreams that may yet refuse the call unrun.
         tried: the upstreams that attempts went to.
     """
 
@@ -78,6 +92,7 @@
     deadline: float
     budget: RetryBudget
     retries_left: int = RETRIES_MOST
+    refusals_left: int = REFUSALS_MOST
     tried: list[InstanceId] = field(default_factory=list)
 
     def may_retry(
@@ -109,6 +124,27 @@
         self.retries_left -= 1
         return True
 
+    def may_ask_elsewhere(self, failure: CallFailed, *, now: float) -> bool:
+        """Decide after an owner refused the call unrun.
+
+        No backend server has seen the request, so asking another owner
+        repeats nothing and costs no retry.
+
+        Args:
+            failure: the refusal.
+            now: seconds.
+
+        Returns:
+            Whether another owner may be asked.
+        """
+        unrun = failure.outcome is Outcome.not_run
+        if not unrun or failure.code not in BY_OWNER or now >= self.deadline:
+            return False
+        if not self.refusals_left:
+            return False
+        self.refusals_left -= 1
+        return True
+
     def may_hedge(self, at: float) -> bool:
         """Decide whether a second attempt may be begun beside the first.
 
@@ -118,8 +154,8 @@
         Returns:
             Whether the call may be run twice and there is time for it.
         """
-        first = len(self.tried) == 1
-        return self.idempotent and first and at < self.deadline
+        left = self.retries_left > 0
+        return self.idempotent and left and at < self.deadline
 
 
 def conclude(failure: CallFailed, *, idempotent: bool) -> Code:
--- /dev/null
+++ b/wagtaildale/calls/backends.py
@@ -0,0 +1,416 @@
+"""Connections to the backend server beside this node.
+
+One request runs on a connection at a time. Bytes that come when nothing is
+asked, or behind a whole response, belong to no request: the connection is
+closed. A response that names another request is thrown away and the right
+one waited for.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, Protocol
+
+from msgspec import Struct
+
+from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.heads import (
+    CHUNKED,
+    LAST_CHUNK,
+    write_chunk,
+    write_request_head,
+)
+from wagtaildale.calls.parsing import UNKNOWN_LENGTH, Message, MessageParser
+from wagtaildale.calls.responses import BODILESS
+from wagtaildale.errors.codes import Code
+from wagtaildale.reactor.stream import open_stream
+from wagtaildale.timers.service import read_clock
+from wagtaildale.types import Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from wagtaildale.calls.addresses import Address
+    from wagtaildale.calls.parsing import Header
+    from wagtaildale.reactor.loop import Loop
+
+HEAD_BYTES: Final = 65_536
+# The backend server is on the same machine: an open connection takes a
+# round trip on loopback, and one that takes this long is not coming.
+CONNECT_SECONDS: Final = 0.4
+# How long an idle connection is kept if the server does not say.
+IDLE_SECONDS: Final = 4.0
+# Before the time that the server says, so that a request does not cross
+# its close.
+IDLE_MARGIN_SECONDS: Final = 1.0
+# A request that must not run twice goes out only on a connection that was
+# used this lately: servers forget idle ones, and a reset then leaves open
+# whether the request was read.
+FRESH_SECONDS: Final = 0.5
+FIRST_FINAL_STATUS: Final = 200
+KEEP_ALIVE: Final = b'keep-alive'
+TIMEOUT_MARK: Final = b'timeout='
+
+
+class BackendRequest(Struct, frozen=True, kw_only=True):
+    """A request as it goes to the backend server.
+
+    Attributes:
+        request_id: that the response must name; empty if servers do not.
+        method: HTTP method.
+        target: path and query.
+        headers: all but the body's framing.
+        body: all of it, or its beginning.
+        more: whether pieces follow.
+        length: of the body where it was announced, else -1.
+        idempotent: whether running it twice does no harm.
+    """
+
+    request_id: bytes
+    method: bytes
+    target: bytes
+    headers: Sequence[Header]
+    body: bytes
+    more: bool
+    length: int
+    idempotent: bool
+
+
+class BackendHandler(Protocol):
+    """Whoever asked the backend server."""
+
+    def on_head(self, message: Message) -> None:
+        """Take the head of the response.
+
+        Args:
+            message: its body is taken from it as it comes.
+        """
+
+    def on_body(self) -> None:
+        """Learn that more of the body is here, or its end."""
+
+    def on_failed(self, failure: CallFailed) -> None:
+        """Learn that no response comes, or not all of it.
+
+        Args:
+            failure: with outcome ``not_run`` if nothing was sent.
+        """
+
+    def on_room(self) -> None:
+        """Learn that the server has taken what was sent of the body."""
+
+
+class BackendConnection:
+    """One connection; a ``StreamHandler``."""
+
+    def __init__(self, pool: BackendPool, address: Address) -> None:
+        """Begin to open it.
+
+        Args:
+            pool: takes it back when idle.
+            address: of the backend server.
+        """
+        self.idle_until = float(0)
+        self.used_at = read_clock()
+        self._pool = pool
+        self._parser = MessageParser(of_requests=False, head_bytes=HEAD_BYTES)
+        self._request: BackendRequest | None = None
+        self._handler: BackendHandler | None = None
+        self._message: Message | None = None
+        self._stray: Message | None = None
+        self._is_open = False
+        self._chunked = False
+        self._stream = open_stream(
+            pool.loop,
+            (address.host, address.port),
+            self,
+        )
+        self._connecting = pool.loop.alarms.set(
+            CONNECT_SECONDS,
+            self._give_up_connecting,
+        )
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the server has yet to take what was sent."""
+        return self._stream.is_full
+
+    def ask(self, request: BackendRequest, handler: BackendHandler) -> None:
+        """Send a request.
+
+        Args:
+            request: what to send.
+            handler: gets the response.
+        """
+        self._request = request
+        self._handler = handler
+        self._stream.send(self._write_request(request))
+
+    def add(self, piece: bytes, *, more: bool) -> None:
+        """Send more of the request's body.
+
+        Args:
+            piece: may be empty where only the end is told.
+            more: whether pieces follow.
+        """
+        if self._chunked:
+            piece = write_chunk(piece) if piece else b''
+            piece = piece if more else piece + LAST_CHUNK
+        self._stream.send(piece)
+
+    def read_more(self, *, wanted: bool) -> None:
+        """Read on, or leave what comes with the server for now.
+
+        Args:
+            wanted: whether to read.
+        """
+        if wanted:
+            self._stream.resume()
+        else:
+            self._stream.pause()
+
+    def close(self) -> None:
+        """Close at once: the server drops the request that runs on it."""
+        self._connecting.cancel()
+        self._handler = None
+        self._stream.close()
+        self._pool.forget(self)
+
+    def on_open(self) -> None:
+        """Learn that the connection stands."""
+        self._is_open = True
+        self._connecting.cancel()
+
+    def on_bytes(self, chunk: bytes) -> None:
+        """Take bytes of a response.
+
+        Args:
+            chunk: as read.
+        """
+        if self._handler is None:
+            self.close()
+            return
+        try:
+            self._parser.feed(chunk)
+        except CallFailed as failure:
+            self._fail(Code.backend_cut, failure.detail)
+            return
+        self._take_messages()
+
+    def on_end(self) -> None:
+        """Learn that the server sends no more."""
+        message = self._message
+        unframed = (
+            message is not None
+            and message.length == UNKNOWN_LENGTH
+            and not message.is_chunked
+        )
+        if self._handler is None or message is None or not unframed:
+            self._fail(Code.backend_cut, 'closed')
+            return
+        # Such a body ends where the connection does.
+        message.is_complete = True
+        message.keep_alive = False
+        self._finish()
+
+    def on_lost(self, error: OSError) -> None:
+        """Learn that the connection is gone.
+
+        Args:
+            error: why.
+        """
+        self._fail(Code.backend_cut, str(error))
+
+    def on_drained(self) -> None:
+        """Learn that the server has taken what was sent."""
+        if self._handler is not None:
+            self._handler.on_room()
+
+    def _give_up_connecting(self) -> None:
+        self._fail(Code.backend_unreachable, 'connecting took too long')
+
+    def _take_messages(self) -> None:
+        while self._handler is not None:
+            message = self._parser.peek()
+            if message is None:
+                return
+            if self._message is None and not self._accept(message):
+                message.take_body()
+                if not message.is_complete:
+                    return
+                self._parser.drop()
+                continue
+            if message.is_complete:
+                self._finish()
+                return
+            self._handler.on_body()
+            return
+
+    def _accept(self, message: Message) -> bool:
+        # Failure: a response comes twice, the second one late, and the next
+        # request on the connection gets an answer that is not its own.
+        request = self._request
+        assert request is not None
+        assert self._handler is not None
+        if message.status < FIRST_FINAL_STATUS or message is self._stray:
+            return False
+        named = message.find(self._pool.request_id_field)
+        if request.request_id and named != request.request_id:
+            self._stray = message
+            self._pool.note_stray()
+            return False
+        self._message = message
+        if request.method == b'HEAD' or message.status in BODILESS:
+            # The parser would wait for a body that does not come.
+            message.is_complete = True
+            message.keep_alive = False
+        self._handler.on_head(message)
+        return True
+
+    def _finish(self) -> None:
+        handler, self._handler = self._handler, None
+        message, self._message = self._message, None
+        assert handler is not None
+        assert message is not None
+        self._parser.drop()
+        request = self._request
+        assert request is not None
+        # A connection that has given a stray response, or has not taken all
+        # of a request, is not used again: what comes next on it is unsure.
+        clean = self._stray is None and not self._parser.has_more()
+        whole = not request.more and not self._stream.unsent
+        if message.keep_alive and clean and whole:
+            self.used_at = read_clock()
+            self.idle_until = self.used_at + _find_idle_seconds(message)
+            self._pool.take_back(self)
+        else:
+            self.close()
+        handler.on_body()
+
+    def _fail(self, code: Code, detail: str) -> None:
+        handler, self._handler = self._handler, None
+        sent = self._is_open
+        self.close()
+        if handler is None:
+            return
+        failure = CallFailed(
+            code if sent else Code.backend_unreachable,
+            outcome=Outcome.unknown if sent else Outcome.not_run,
+            detail=detail,
+        )
+        handler.on_failed(failure)
+
+    def _write_request(self, request: BackendRequest) -> bytes:
+        framing: Sequence[Header] = ()
+        self._chunked = False
+        if request.more and request.length == UNKNOWN_LENGTH:
+            self._chunked = True
+            framing = (CHUNKED,)
+        elif request.more:
+            framing = ((b'content-length', b'%d' % request.length),)
+        elif request.body or request.length != UNKNOWN_LENGTH:
+            framing = ((b'content-length', b'%d' % len(request.body)),)
+        head = write_request_head(
+            request.method,
+            target=request.target,
+            headers=(*request.headers, *framing),
+        )
+        body = request.body
+        if self._chunked and body:
+            body = write_chunk(body)
+        return head + body
+
+
+class BackendPool:
+    """Connections to one backend server, the one used last taken first."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        *,
+        address: Address,
+        request_id_field: bytes,
+        note_stray: Callable[[], None],
+    ) -> None:
+        """Begin with none.
+
+        Args:
+            loop: carries the connections.
+            address: of the backend server.
+            request_id_field: by which responses name their request.
+            note_stray: is told of a response to another request.
+        """
+        self.loop = loop
+        self.request_id_field = request_id_field
+        self.note_stray = note_stray
+        self.opened = 0
+        self._address = address
+        self._idle: list[BackendConnection] = []
+        self._all: set[BackendConnection] = set()
+
+    def ask(
+        self,
+        request: BackendRequest,
+        handler: BackendHandler,
+    ) -> BackendConnection:
+        """Send a request on an idle connection or a new one.
+
+        Args:
+            request: what to send.
+            handler: gets the response.
+
+        Returns:
+            The connection; closing it cancels the request.
+        """
+        connection = self._take(request)
+        connection.ask(request, handler)
+        return connection
+
+    def take_back(self, connection: BackendConnection) -> None:
+        """Keep an idle connection.
+
+        Args:
+            connection: of this pool.
+        """
+        self._idle.append(connection)
+
+    def forget(self, connection: BackendConnection) -> None:
+        """Forget a connection that is closed.
+
+        Args:
+            connection: of this pool.
+        """
+        self._all.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for connection in tuple(self._all):
+            connection.close()
+
+    def _take(self, request: BackendRequest) -> BackendConnection:
+        now = read_clock()
+        self._close_stale(now)
+        if self._idle:
+            latest = self._idle[-1]
+            if request.idempotent or now - latest.used_at < FRESH_SECONDS:
+                return self._idle.pop()
+        self.opened += 1
+        connection = BackendConnection(self, self._address)
+        self._all.add(connection)
+        return connection
+
+    def _close_stale(self, now: float) -> None:
+        stale = [each for each in self._idle if each.idle_until <= now]
+        for connection in stale:
+            connection.close()
+
+
+def _find_idle_seconds(message: Message) -> float:
+    named = message.find(KEEP_ALIVE) or b''
+    mark = named.find(TIMEOUT_MARK)
+    if mark < 0:
+        return IDLE_SECONDS
+    digits = named[mark + len(TIMEOUT_MARK) :].split(b',')[0].strip()
+    seconds = int(digits) if digits.isdigit() else 0
+    return max(0, seconds - IDLE_MARGIN_SECONDS)
--- a/wagtaildale/calls/bodies.py
+++ b/wagtaildale/calls/bodies.py
@@ -1,175 +1,88 @@
-"""The body of a request on its way through a node, in bounded memory."""
+"""The body of a request at the entry, in bounded memory."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final, Protocol
+from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.heads import (
-    CONTINUE,
-    LAST_CHUNK,
-    frame_body,
-    write_chunk,
-)
-from wagtaildale.calls.parsing import UNKNOWN_LENGTH, Header, Message
 from wagtaildale.errors.codes import Code
-from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
-    from wagtaildale.calls.connections import Connection
+    from wagtaildale.calls.exchanges import Exchange
 
+# A body up to this size is whole before the first attempt and can be sent
+# to another upstream; a larger one is passed on as it comes, once.
 REPLAY_BYTES: Final = 65_536
-
-
-class Body(Protocol):
-    """What an exchange needs of a request's body."""
-
-    @property
-    def is_replayable(self) -> bool:
-        """Whether all that was sent so far can be sent again."""
-
-    @property
-    def framing(self) -> Sequence[Header]:
-        """The header that says where the body ends."""
-
-    @property
-    def first(self) -> bytes:
-        """What is sent along with the head."""
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether nothing more is to come."""
-
-    def pass_rest(self, sink: Connection, *, deadline: float) -> None:
-        """Read the rest and send it on.
-
-        Args:
-            sink: to the next hop.
-            deadline: seconds on the clock.
-        """
-
-
-class NoBody:
-    """The body of a message between nodes that has none."""
-
-    is_replayable = True
-    framing: Sequence[Header] = ((b'content-length', b'0'),)
-    first = b''
-    is_complete = True
-
-    def pass_rest(self, sink: Connection, *, deadline: float) -> None:
-        """Send nothing.
-
-        Args:
-            sink: to the next hop.
-            deadline: seconds on the clock.
-        """
+# Above this much that has not been passed on the caller has to wait.
+HELD_MOST: Final = 262_144
 
 
 class RequestBody:
-    """A body that is passed on as it comes.
-
-    The first ``REPLAY_BYTES`` are kept, so that a small body can be sent
-    to another upstream; a larger one can be sent once only.
-    """
-
-    def __init__(
-        self,
-        connection: Connection,
-        *,
-        message: Message,
-        limit: int,
-    ) -> None:
+    """A body that is kept while it is small, and else passed on."""
+
+    def __init__(self, exchange: Exchange, *, limit: int) -> None:
         """Take what has come with the head.
 
         Args:
-            connection: on which the rest comes.
-            message: the request.
+            exchange: of the request.
             limit: largest body, bytes.
 
         Raises:
             CallFailed: when the head announces more than the limit.
         """
-        self._connection = connection
-        self._message = message
+        self._exchange = exchange
         self._limit = limit
-        self._kept = b''
-        self._taken = 0
-        self._overflowed = False
-        if message.length > limit:
+        self._held = bytearray()
+        self._size = 0
+        self.is_replayable = True
+        if exchange.message.length > limit:
             raise _describe_large(limit)
-        self._take()
-
-    @property
-    def is_replayable(self) -> bool:
-        """Whether all that was sent so far can be sent again."""
-        return not self._overflowed
+        self.read()
 
     @property
-    def framing(self) -> Sequence[Header]:
-        """The header that says where the body ends."""
-        whole = self._message.is_complete and not self._overflowed
-        return frame_body(self._message, whole=self._kept if whole else None)
+    def is_complete(self) -> bool:
+        """Whether nothing more is to come."""
+        return self._exchange.message.is_complete
 
     @property
-    def first(self) -> bytes:
-        """What is sent along with the head."""
-        if self._message.is_complete or not self._is_chunked:
-            return self._kept
-        return write_chunk(self._kept) if self._kept else b''
+    def is_ready(self) -> bool:
+        """Whether an attempt may begin."""
+        return self.is_complete or not self.is_replayable
 
     @property
-    def is_complete(self) -> bool:
-        """Whether nothing more is to come."""
-        return self._message.is_complete
+    def length(self) -> int:
+        """Of the whole body where it was announced, else -1."""
+        return self._exchange.message.length
 
-    def pass_rest(self, sink: Connection, *, deadline: float) -> None:
-        """Read the rest and send it on, piece by piece.
-
-        Args:
-            sink: to the next hop; the head has been sent.
-            deadline: seconds on the clock.
+    def read(self) -> None:
+        """Take what has come since.
 
         Raises:
-            OSError: when the next hop fails.
-            CallFailed: when the caller does, or sends too much.
+            CallFailed: when it is over the limit.
         """
-        chunked = self._is_chunked
-        if self._message.find(b'expect') is not None:
-            self._connection.send(CONTINUE, deadline=deadline)
-        while not self._message.is_complete:
-            piece = self._read_piece(deadline)
-            if piece:
-                framed = write_chunk(piece) if chunked else piece
-                sink.send(framed, deadline=deadline)
-        if chunked:
-            sink.send(LAST_CHUNK, deadline=deadline)
-
-    @property
-    def _is_chunked(self) -> bool:
-        return self._message.length == UNKNOWN_LENGTH
-
-    def _read_piece(self, deadline: float) -> bytes:
-        try:
-            alive = self._connection.read(deadline=deadline)
-        except OSError:
-            alive = False
-        if not alive:
-            raise CallFailed(Code.caller_gone, outcome=Outcome.unknown)
-        return self._take()
-
-    def _take(self) -> bytes:
-        piece = self._message.take_body()
-        self._taken += len(piece)
-        if self._taken > self._limit:
+        piece = self._exchange.message.take_body()
+        self._size += len(piece)
+        if self._size > self._limit:
             raise _describe_large(self._limit)
-        if self._taken > REPLAY_BYTES:
-            self._overflowed = True
-        else:
-            self._kept += piece
-        return piece
+        self._held += piece
+        if self._size > REPLAY_BYTES:
+            self.is_replayable = False
+        if len(self._held) > HELD_MOST:
+            self._exchange.read_more(wanted=False)
+
+    def take(self) -> bytes:
+        """Give what is to be passed on now.
+
+        Returns:
+            All of a body that can be sent again; of a larger one what has
+            not been given before.
+        """
+        given = bytes(self._held)
+        if not self.is_replayable:
+            self._held.clear()
+            if not self.is_complete:
+                self._exchange.read_more(wanted=True)
+        return given
 
 
 def _describe_large(limit: int) -> CallFailed:
--- /dev/null
+++ b/wagtaildale/calls/callers.py
@@ -0,0 +1,368 @@
+"""Callers' connections, and the port on which they come."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Final
+
+from msgspec import Struct
+
+from wagtaildale.calls.answers import describe_problem
+from wagtaildale.calls.exchanges import Exchange
+from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.parsing import MessageParser
+from wagtaildale.calls.responses import ResponseWriter
+from wagtaildale.errors.codes import Code
+from wagtaildale.reactor.acceptor import Acceptor
+from wagtaildale.reactor.stream import Stream
+from wagtaildale.timers.service import read_clock
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
+    from result import Result
+
+    from wagtaildale.calls.addresses import Address
+    from wagtaildale.calls.exchanges import Answerer
+    from wagtaildale.calls.parsing import Message
+    from wagtaildale.errors.faults import Fault
+    from wagtaildale.reactor.loop import Loop
+
+# Requests of one connection that are under way at once; more wait unread.
+PIPELINED_MOST: Final = 16
+# Between two looks at what has been idle or half a head for too long.
+LOOK_SECONDS: Final = 0.5
+
+
+class CallerLimits(Struct, frozen=True, kw_only=True):
+    """What callers may send, and how long they may take.
+
+    Attributes:
+        head_bytes: largest request head.
+        body_bytes: largest request body.
+        head_seconds: from the first byte of a head to its last.
+        idle_seconds: that a connection may stay open without a request.
+        connections: open at once at most.
+    """
+
+    head_bytes: int
+    body_bytes: int
+    head_seconds: float = 10.0
+    idle_seconds: float = 60.0
+    connections: int = 512
+
+
+class CallerPort:
+    """The port on which callers' requests come.
+
+    Attributes:
+        draining: whether connections close after what is under way on them.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        *,
+        answerer: Answerer,
+        read_limits: Callable[[], CallerLimits],
+    ) -> None:
+        """Prepare; ``bind`` opens the port.
+
+        Args:
+            loop: carries the connections.
+            answerer: answers requests.
+            read_limits: gives what is in force for callers now.
+        """
+        self.loop = loop
+        self.answerer = answerer
+        self.read_limits = read_limits
+        self.draining = False
+        self._connections: set[CallerConnection] = set()
+        self._acceptor = Acceptor(loop, on_accept=self._accept)
+
+    @property
+    def open(self) -> int:
+        """How many connections are open."""
+        return len(self._connections)
+
+    @property
+    def busy(self) -> int:
+        """How many requests are under way."""
+        return sum(each.busy for each in tuple(self._connections))
+
+    def bind(self, address: Address) -> Result[None, Fault]:
+        """Open the port.
+
+        Args:
+            address: to listen on.
+
+        Returns:
+            Nothing, or the fault.
+        """
+        return self._acceptor.bind(address.host, address.port)
+
+    def start(self) -> None:
+        """Accept connections; in the loop's thread."""
+        self._acceptor.start()
+        self._look()
+
+    def drain(self) -> None:
+        """Close each connection after what is under way on it.
+
+        Connections are still accepted: whoever has not heard yet that this
+        node leaves gets an answer, and is told to close.
+        """
+        self.draining = True
+
+    def close_port(self) -> None:
+        """Accept nothing more; what is open stays open."""
+        self._acceptor.close()
+
+    def stop(self) -> None:
+        """Close the port and everything on it, as a process that ends."""
+        self._acceptor.close_now()
+        for connection in tuple(self._connections):
+            connection.abandon()
+
+    def forget(self, connection: CallerConnection) -> None:
+        """Forget a connection that is closed.
+
+        Args:
+            connection: of this port.
+        """
+        self._connections.discard(connection)
+
+    def _accept(self, sock: socket.socket) -> None:
+        connection = CallerConnection(self, sock)
+        self._connections.add(connection)
+        if len(self._connections) > self.read_limits().connections:
+            connection.refuse(
+                CallFailed(Code.overloaded, detail='too many connections'),
+            )
+
+    def _look(self) -> None:
+        now = read_clock()
+        for connection in tuple(self._connections):
+            connection.look(now)
+        self.loop.alarms.set(LOOK_SECONDS, self._look)
+
+
+class CallerConnection:
+    """One connection of a caller.
+
+    Requests that come behind one another are answered side by side, and
+    their responses go out in order.
+    """
+
+    def __init__(self, port: CallerPort, sock: socket.socket) -> None:
+        """Take a connection.
+
+        Args:
+            port: that accepted it.
+            sock: the socket.
+        """
+        self._port = port
+        self._stream = Stream(port.loop, sock, self)
+        self._parser = MessageParser(
+            of_requests=True,
+            head_bytes=port.read_limits().head_bytes,
+        )
+        self._exchanges: deque[Exchange] = deque()
+        self._incoming: Exchange | None = None
+        self._failure: CallFailed | None = None
+        self._since = read_clock()
+
+    @property
+    def busy(self) -> int:
+        """How many requests are under way."""
+        return len(self._exchanges)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the caller has yet to take what was written."""
+        return self._stream.is_full
+
+    def closes_after(self, exchange: Exchange) -> bool:
+        """Tell whether a response is the connection's last one.
+
+        With others behind it the connection stays: they are under way, and
+        closing would lose their answers.
+
+        Args:
+            exchange: whose response is written.
+
+        Returns:
+            Whether to tell the caller so.
+        """
+        message = exchange.message
+        wanted = self._port.draining or not message.keep_alive
+        return self._exchanges[-1] is exchange and (
+            wanted or not message.is_complete or self._failure is not None
+        )
+
+    def read_more(self, *, wanted: bool) -> None:
+        """Read on, or leave what comes with the caller for now.
+
+        Args:
+            wanted: whether to read.
+        """
+        if wanted:
+            self._stream.resume()
+        else:
+            self._stream.pause()
+
+    def send_for(self, exchange: Exchange, written: bytes) -> None:
+        """Send a part of a response, or keep it until its turn.
+
+        Args:
+            exchange: whose response it is.
+            written: the bytes.
+        """
+        if self._exchanges and self._exchanges[0] is exchange:
+            self._stream.send(written)
+        else:
+            exchange.keep(written)
+
+    def advance(self) -> None:
+        """Go on to the next response once the first is done."""
+        while self._exchanges and self._exchanges[0].is_done:
+            done = self._exchanges.popleft()
+            self._since = read_clock()
+            if done.closes or done.is_broken:
+                self._finish(broken=done.is_broken)
+                return
+            if self._exchanges:
+                self._stream.send(self._exchanges[0].take_kept())
+        if self._failure is not None and not self._exchanges:
+            self._send_failure(self._failure)
+        elif len(self._exchanges) == PIPELINED_MOST - 1:
+            self._stream.resume()
+            self._take_messages()
+
+    def refuse(self, failure: CallFailed) -> None:
+        """Answer with a failure after what is under way, and close.
+
+        Args:
+            failure: what is wrong.
+        """
+        if self._failure is not None:
+            return
+        self._failure = failure
+        if not self._exchanges:
+            self._send_failure(failure)
+
+    def look(self, now: float) -> None:
+        """Look whether the connection has been idle for too long.
+
+        Args:
+            now: seconds on the clock.
+        """
+        if self._exchanges or self._failure is not None:
+            return
+        limits = self._port.read_limits()
+        if self._parser.has_more():
+            if now - self._since > limits.head_seconds:
+                self.refuse(CallFailed(Code.head_timed_out))
+        elif now - self._since > limits.idle_seconds:
+            self._finish()
+
+    def abandon(self) -> None:
+        """Close at once."""
+        self._stream.close()
+        self._leave()
+
+    def on_open(self) -> None:
+        """Do nothing: it was open from the start."""
+
+    def on_bytes(self, chunk: bytes) -> None:
+        """Take bytes of requests.
+
+        Args:
+            chunk: as read.
+        """
+        if self._failure is not None:
+            return
+        if not self._parser.has_more():
+            self._since = read_clock()
+        try:
+            self._parser.feed(chunk)
+        except CallFailed as failure:
+            self._take_messages()
+            self.refuse(failure)
+            return
+        self._take_messages()
+
+    def on_end(self) -> None:
+        """Learn that the caller sends no more: it counts as gone."""
+        if not self._exchanges and self._failure is None:
+            self._finish()
+            return
+        self.on_lost(OSError('the caller hung up'))
+
+    def on_lost(self, error: OSError) -> None:
+        """Learn that the caller is gone.
+
+        Args:
+            error: why.
+        """
+        self._stream.close()
+        self._leave()
+
+    def on_drained(self) -> None:
+        """Learn that the caller has taken what was written."""
+        if self._exchanges and self._exchanges[0].handler is not None:
+            self._exchanges[0].handler.on_room()
+
+    def _take_messages(self) -> None:
+        while not self._is_ending():
+            message = self._parser.peek()
+            if message is None:
+                return
+            if self._incoming is None and self.busy >= PIPELINED_MOST:
+                self._stream.pause()
+                return
+            self._take(message)
+            if not message.is_complete:
+                return
+            self._parser.drop()
+            self._incoming = None
+
+    def _take(self, message: Message) -> None:
+        if self._incoming is None:
+            exchange = Exchange(message, connection=self)
+            self._exchanges.append(exchange)
+            self._incoming = exchange
+            self._port.answerer.answer(exchange)
+        elif self._incoming.handler is not None:
+            self._incoming.handler.on_body()
+
+    def _is_ending(self) -> bool:
+        # Whatever comes behind a request that asks to close, or behind one
+        # whose answer has announced the end, belongs to nobody.
+        if self._stream.is_closed:
+            return True
+        if self._incoming is not None or not self._exchanges:
+            return False
+        last = self._exchanges[-1]
+        return last.closes or not last.message.keep_alive
+
+    def _send_failure(self, failure: CallFailed) -> None:
+        head, body = describe_problem(failure)
+        writer = ResponseWriter(b'GET', closing=True)
+        self._stream.send(writer.begin(head, body=body, more=False))
+        self._finish()
+
+    def _finish(self, *, broken: bool = False) -> None:
+        if broken:
+            self._stream.close()
+        else:
+            self._stream.finish()
+        self._leave()
+
+    def _leave(self) -> None:
+        self._port.forget(self)
+        left, self._exchanges = self._exchanges, deque()
+        for exchange in left:
+            if exchange.handler is not None:
+                exchange.handler.on_gone()
--- a/wagtaildale/calls/entry.py
+++ b/wagtaildale/calls/entry.py
@@ -1,26 +1,33 @@
-"""The entry: takes a caller's request to an upstream of its class."""
+"""The entry: takes callers' requests to upstreams of their classes."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.answers import send_problem
-from wagtaildale.calls.attempt import Attempter
-from wagtaildale.calls.attempts import Attempts, RetryBudget, conclude
-from wagtaildale.calls.connections import Connection, Pool
-from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.report import CallReport
-from wagtaildale.calls.routed import EntryParts, Routed, route_call
-from wagtaildale.errors.codes import Code
-from wagtaildale.timers.service import read_clock
+from wagtaildale.calls.addresses import Address
+from wagtaildale.calls.attempts import RetryBudget
+from wagtaildale.calls.entry_call import EntryCall
+from wagtaildale.calls.hedges import HedgeClocks
+from wagtaildale.calls.targets import Targets
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.parsing import Message
+    from wagtaildale.calls.exchanges import Exchange
+    from wagtaildale.calls.routed import EntryParts
     from wagtaildale.types import ServiceName
 
+# How soon after a change of the list connections follow; a call that comes
+# before opens its own.
+LOOK_SECONDS: Final = 0.25
+
 
 class Entry:
-    """Answers callers' requests."""
+    """Answers callers' requests.
+
+    Attributes:
+        parts: of the node.
+        targets: chooses upstreams.
+        clocks: tell when an attempt is slow.
+    """
 
     def __init__(self, parts: EntryParts) -> None:
         """Prepare.
@@ -28,75 +35,54 @@
         Args:
             parts: of the node.
         """
-        self._parts = parts
-        self._attempter = Attempter(parts, pool=Pool())
+        self.parts = parts
+        self.targets = Targets(parts)
+        self.clocks = HedgeClocks()
         self._budgets: dict[ServiceName, RetryBudget] = {}
 
-    def answer(self, caller: Connection, message: Message) -> None:
-        """Answer one request, by an upstream's response or a failure.
+    def answer(self, exchange: Exchange) -> None:
+        """Begin to answer a request; see ``Answerer``.
 
         Args:
-            caller: on which the request came.
-            message: the request, its body perhaps still coming.
-
-        Raises:
-            CallFailed: when the caller is gone.
-            StreamCut: when the response broke after its head was sent.
+            exchange: the request.
         """
-        report = CallReport(self._parts.tallies, self._parts.recorder)
-        try:
-            self._serve(caller, message, report)
-        except CallFailed as failure:
-            report.note_failure(failure)
-            if failure.code is Code.caller_gone:
-                raise
-            # What is left of the body was not read: nothing more can be
-            # understood on this connection.
-            caller.closing = caller.closing or not message.is_complete
-            send_problem(
-                caller,
-                failure=failure,
-                extra=report.describe(),
-                method=message.method,
-            )
+        call = EntryCall(self, exchange)
+        exchange.handler = call
+        call.start()
 
-    def _serve(
-        self,
-        caller: Connection,
-        message: Message,
-        report: CallReport,
-    ) -> None:
-        routed = route_call(
-            self._parts,
-            caller=caller,
-            message=message,
-            report=report,
-        )
-        match = routed.match
-        budget = self._budgets.setdefault(match.service, RetryBudget())
-        budget.earn()
-        attempts = Attempts(
-            idempotent=match.work_class.idempotent,
-            deadline=routed.call.deadline,
-            budget=budget,
-            retries_left=routed.retries,
+    def look(self) -> None:
+        """Keep connections and budgets in step with the view; again soon."""
+        view = self.parts.view.current
+        self.parts.peers.keep_only(
+            frozenset(
+                Address(record.host, record.owner_port)
+                for records in view.upstreams.values()
+                for record in self.targets.narrow(records)
+                if record.host != self.parts.own_host
+            ),
         )
-        done = False
-        while not done:
-            done = self._try_once(routed, attempts)
-
-    def _try_once(self, routed: Routed, attempts: Attempts) -> bool:
-        try:
-            self._attempter.attempt(routed, attempts)
-        except CallFailed as failure:
-            if attempts.may_retry(
-                failure,
-                now=read_clock(),
-                replayable=routed.call.body.is_replayable,
-            ):
-                routed.report.note_retry(failure)
-                return False
-            idempotent = attempts.idempotent
-            failure.code = conclude(failure, idempotent=idempotent)
-            raise
-        return True
+        share = self.parts.read_retries()
+        for budget in self._budgets.values():
+            budget.share = share.per_request
+            budget.most = share.saved_most
+        self.parts.loop.alarms.set(LOOK_SECONDS, self.look)
+
+    def find_budget(self, service: ServiceName) -> RetryBudget:
+        """Find the retries that may be spent on a service.
+
+        Args:
+            service: that is called.
+
+        Returns:
+            Its budget.
+        """
+        budget = self._budgets.get(service)
+        if budget is None:
+            share = self.parts.read_retries()
+            budget = RetryBudget(
+                tokens=share.saved_most,
+                share=share.per_request,
+                most=share.saved_most,
+            )
+            self._budgets[service] = budget
+        return budget
--- /dev/null
+++ b/wagtaildale/calls/frames.py
@@ -0,0 +1,240 @@
+"""The messages of calls between two nodes, as MessagePack in frames.
+
+One connection carries all calls from one node to another; each call has a
+number on it. A frame is four bytes of length and one message.
+"""
+
+from __future__ import annotations
+
+import struct
+from typing import Final
+
+from msgspec import MsgspecError, Struct, msgpack
+
+from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.fields import AnswerFields, CallFields
+from wagtaildale.errors.codes import Code
+from wagtaildale.types import CallNumber, InstanceId
+
+LENGTH: Final = struct.Struct('>I')
+# A piece of a body is at most what one read gives; heads are far smaller.
+LARGEST_FRAME: Final = 1_000_000
+
+HeaderPairs = tuple[tuple[bytes, bytes], ...]
+
+
+class Reserve(Struct, frozen=True, array_like=True, tag=1, gc=False):
+    """Asks for a slot; nothing runs by it."""
+
+    call: CallNumber
+    fields: CallFields
+
+
+class Run(Struct, frozen=True, array_like=True, tag=2, gc=False):
+    """Runs a request: the one message by which anything is ever run.
+
+    Attributes:
+        call: its number on this connection.
+        fields: what the entry tells of it.
+        method: HTTP method.
+        target: path and query as they came.
+        headers: those that go on.
+        body: all of it, or its beginning.
+        more: whether pieces follow.
+        length: of the body where it was announced, else -1.
+    """
+
+    call: CallNumber
+    fields: CallFields
+    method: bytes
+    target: bytes
+    headers: HeaderPairs
+    body: bytes
+    more: bool
+    length: int
+
+
+class Piece(Struct, frozen=True, array_like=True, tag=3, gc=False):
+    """More of a body, either way.
+
+    Attributes:
+        call: its number on this connection.
+        body: the bytes; none where only the end is told.
+        more: whether pieces follow.
+    """
+
+    call: CallNumber
+    body: bytes
+    more: bool
+
+
+class Taken(Struct, frozen=True, array_like=True, tag=4, gc=False):
+    """The receiver of pieces has passed so many bytes on."""
+
+    call: CallNumber
+    count: int
+
+
+class Cancel(Struct, frozen=True, array_like=True, tag=5, gc=False):
+    """Nobody waits for the call any more."""
+
+    call: CallNumber
+
+
+class Granted(Struct, frozen=True, array_like=True, tag=6, gc=False):
+    """A slot is held for a run message."""
+
+    call: CallNumber
+    answer: AnswerFields
+
+
+class Failed(Struct, frozen=True, array_like=True, tag=7, gc=False):
+    """The call ends without a response; ``answer.outcome`` tells if it ran."""
+
+    call: CallNumber
+    answer: AnswerFields
+    detail: str = ''
+
+
+class Answered(Struct, frozen=True, array_like=True, tag=8, gc=False):
+    """The backend server's response.
+
+    Attributes:
+        call: its number on this connection.
+        answer: what the owner tells along with it.
+        status: HTTP status.
+        headers: those that go on.
+        body: all of it, or its beginning.
+        more: whether pieces follow.
+        length: of the body where the response announces it, else -1.
+    """
+
+    call: CallNumber
+    answer: AnswerFields
+    status: int
+    headers: HeaderPairs
+    body: bytes
+    more: bool
+    length: int
+
+
+class Cut(Struct, frozen=True, array_like=True, tag=9, gc=False):
+    """A response broke off after its beginning was sent."""
+
+    call: CallNumber
+
+
+class Ping(Struct, frozen=True, array_like=True, tag=10, gc=False):
+    """Asks whether the other side is there."""
+
+
+class Pong(Struct, frozen=True, array_like=True, tag=11, gc=False):
+    """The answer to a ping."""
+
+
+class Load(Struct, frozen=True, array_like=True, tag=12, gc=False):
+    """How full an owner's backend server is, told without being asked.
+
+    Attributes:
+        instance: the backend server.
+        in_flight: requests that run there.
+        limit: how many may.
+        queued: requests that wait.
+        is_up: whether it takes connections.
+    """
+
+    instance: InstanceId
+    in_flight: int
+    limit: int
+    queued: int
+    is_up: bool
+
+
+ToOwner = Reserve | Run | Piece | Taken | Cancel | Ping | Pong
+ToEntry = Granted | Failed | Answered | Piece | Taken | Cut | Ping | Pong | Load
+Frame = (
+    Reserve
+    | Run
+    | Piece
+    | Taken
+    | Cancel
+    | Granted
+    | Failed
+    | Answered
+    | Cut
+    | Ping
+    | Pong
+    | Load
+)
+
+_encoder = msgpack.Encoder()
+_decoder: msgpack.Decoder[Frame] = msgpack.Decoder(Frame)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame.
+
+    Args:
+        frame: the message.
+
+    Returns:
+        Its length and its bytes.
+    """
+    encoded = _encoder.encode(frame)
+    return LENGTH.pack(len(encoded)) + encoded
+
+
+class FrameReader:
+    """Takes frames out of the bytes of a connection."""
+
+    def __init__(self) -> None:
+        """Begin at the start of a connection."""
+        self._buffer = bytearray()
+
+    def feed(self, chunk: bytes) -> list[Frame]:
+        """Take the frames that are whole now.
+
+        Args:
+            chunk: as read.
+
+        Returns:
+            In the order they were sent.
+
+        Raises:
+            CallFailed: when the bytes are no frames of ours.
+        """
+        self._buffer += chunk
+        frames: list[Frame] = []
+        at = 0
+        while len(self._buffer) - at >= LENGTH.size:
+            size = LENGTH.unpack_from(self._buffer, at)[0]
+            if size > LARGEST_FRAME:
+                raise CallFailed(Code.message_malformed, detail='frame size')
+            end = at + LENGTH.size + size
+            if len(self._buffer) < end:
+                break
+            frames.append(decode_frame(self._buffer[end - size : end]))
+            at = end
+        self._buffer = self._buffer[at:]
+        return frames
+
+
+def decode_frame(encoded: bytes | bytearray) -> Frame:
+    """Decode one frame.
+
+    Args:
+        encoded: without its length.
+
+    Returns:
+        The message.
+
+    Raises:
+        CallFailed: when it is none of ours.
+    """
+    try:
+        return _decoder.decode(encoded)
+    except (MsgspecError, RecursionError) as error:
+        raise CallFailed(
+            Code.message_malformed,
+            detail=str(error),
+        ) from None
--- a/wagtaildale/calls/hedges.py
+++ b/wagtaildale/calls/hedges.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Final
 
 GAIN: Final = 0.125
@@ -15,13 +16,12 @@
 DEVIATIONS: Final = 4
 LEAST_DELAY: Final = 0.002
 SAMPLES_TO_TRUST: Final = 20
+MILLISECONDS: Final = 1000
 
 
 class HedgeClock:
     """Estimates the time of one class's answers.
 
-    Workers update it without a lock: a lost sample does no harm.
-
     Example:
         >>> clock = HedgeClock()
         >>> clock.find_delay() is None
@@ -52,16 +52,24 @@
             self._deviation = seconds / 2
         self._samples += 1
 
-    def find_delay(self) -> float | None:
+    def find_delay(self, *, within_ms: float = inf) -> float | None:
         """Find how long to wait before a second attempt.
 
+        Failure guarded here: on a busy machine the deviation grows until
+        the delay is past what anybody waits for, and a hung server is met
+        by no second attempt. Once the target is missed an attempt counts
+        as slow whatever is usual.
+
+        Args:
+            within_ms: target of the class, milliseconds.
+
         Returns:
             Seconds, or nothing while there are too few samples.
         """
         if self._samples < SAMPLES_TO_TRUST:
             return None
         delay = self._smoothed + DEVIATIONS * self._deviation
-        return max(LEAST_DELAY, delay)
+        return max(LEAST_DELAY, min(delay, within_ms / MILLISECONDS))
 
 
 class HedgeClocks:
@@ -82,5 +90,6 @@
         """
         clock = self._clocks.get(work_class)
         if clock is None:
-            clock = self._clocks.setdefault(work_class, HedgeClock())
+            clock = HedgeClock()
+            self._clocks[work_class] = clock
         return clock
--- /dev/null
+++ b/wagtaildale/calls/owned.py
@@ -0,0 +1,538 @@
+"""One call at its owner: from the message that brings it to its answer."""
+
+from __future__ import annotations
+
+from enum import Enum
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Final, Protocol, final
+
+from msgspec import structs
+
+from wagtaildale.admission.limits import Ending
+from wagtaildale.admission.messages import Refused
+from wagtaildale.admission.replays import KeptAnswer
+from wagtaildale.calls.backends import BackendRequest
+from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.fields import CallFields
+from wagtaildale.calls.frames import (
+    Answered,
+    Cut,
+    Failed,
+    Granted,
+    Piece,
+    Reserve,
+    Run,
+    Taken,
+)
+from wagtaildale.calls.heads import pass_on
+from wagtaildale.calls.keyed import REPLAYED, KeyedRun
+from wagtaildale.calls.owner import Owner
+from wagtaildale.calls.windows import SendWindow
+from wagtaildale.errors.codes import Code
+from wagtaildale.invariants import Invariant
+from wagtaildale.timers.service import read_clock
+from wagtaildale.types import CallNumber, Outcome
+
+if TYPE_CHECKING:
+    from wagtaildale.admission.messages import TicketId, Verdict
+    from wagtaildale.calls.backends import BackendConnection
+    from wagtaildale.calls.frames import HeaderPairs, ToEntry
+    from wagtaildale.calls.parsing import Header, Message
+    from wagtaildale.timers.alarms import Alarm
+
+MILLISECONDS: Final = 1000
+# Long enough for a run message over a slow connection, short enough that a
+# slot whose entry died is soon free again.
+LEASE_SECONDS: Final = 0.5
+# A response up to this size is whole before any of it goes on: one that is
+# cut is then an error of its own, and never a short answer.
+WHOLE_BYTES: Final = 65_536
+# After the deadline the entry gives up by itself; an owner that still holds
+# the call this much later has lost its entry.
+OVERTIME_SECONDS: Final = 0.05
+SHED_STATUS: Final = 503
+MISDIRECTED_STATUS: Final = 421
+BACKEND_FAULTS: Final = frozenset(
+    (Code.backend_cut, Code.backend_unreachable, Code.timed_out),
+)
+
+
+@final
+class CallState(Enum):
+    """Where a call stands at its owner."""
+
+    waiting = 'waiting'
+    reserved = 'reserved'
+    running = 'running'
+    over = 'over'
+
+
+class Entrance(Protocol):
+    """The way back to the entry that a call came from."""
+
+    def reply(self, frame: ToEntry) -> None:
+        """Send a message to the entry.
+
+        Args:
+            frame: the message.
+        """
+
+    def forget(self, number: CallNumber) -> None:
+        """Learn that a call is over.
+
+        Args:
+            number: the call.
+        """
+
+
+class OwnedCall:
+    """One call; a ``BackendHandler``.
+
+    Attributes:
+        state: where it stands.
+    """
+
+    def __init__(
+        self,
+        owner: Owner,
+        number: CallNumber,
+        *,
+        entrance: Entrance,
+    ) -> None:
+        """Begin with nothing known of it.
+
+        Args:
+            owner: of the backend server.
+            number: of the call, on the entry's connection.
+            entrance: the way back.
+        """
+        self.state = CallState.waiting
+        self._owner = owner
+        self._number = number
+        self._entrance = entrance
+        self._fields: CallFields | None = None
+        self._ticket: TicketId | None = None
+        self._run: Run | None = None
+        self._keyed: KeyedRun | None = None
+        self._connection: BackendConnection | None = None
+        self._alarm: Alarm | None = None
+        self._response: _Response | None = None
+        self._since = read_clock()
+        self._running_since = self._since
+        self._deadline = self._since
+        self._owed = 0
+
+    @property
+    def fields(self) -> CallFields:
+        """What the entry told of the call."""
+        assert self._fields is not None
+        return self._fields
+
+    @singledispatchmethod
+    def take(self, frame: object) -> None:
+        """Take a message of the entry.
+
+        Args:
+            frame: the message.
+
+        Raises:
+            TypeError: for a message that no call knows.
+        """
+        raise TypeError(f'got {frame!r}, expected a message of a call')
+
+    @take.register
+    def _take_reserve(self, frame: Reserve) -> None:
+        self._enter(frame.fields)
+
+    @take.register
+    def _take_run(self, frame: Run) -> None:
+        self._run = frame
+        if frame.fields.lease:
+            self._redeem(frame)
+        else:
+            self._enter(frame.fields)
+
+    @take.register
+    def _take_piece(self, frame: Piece) -> None:
+        if self._connection is not None:
+            self._connection.add(frame.body, more=frame.more)
+            self._owed += len(frame.body)
+            if not self._connection.is_full:
+                self.on_room()
+
+    @take.register
+    def _take_taken(self, frame: Taken) -> None:
+        if self._response is not None:
+            self._response.window.note_taken(frame.count)
+            self._pass_on()
+
+    def cancel(self) -> None:
+        """Stop whatever is done for the call: nobody waits for it."""
+        state = self.state
+        self._close()
+        if state is CallState.waiting and self._ticket is not None:
+            self._owner.gate.give_up(self._ticket)
+        elif state in {CallState.reserved, CallState.running}:
+            self._settle(Ending.abandoned)
+
+    def on_head(self, message: Message) -> None:
+        """Take the head of the backend server's response.
+
+        Args:
+            message: the response.
+        """
+        self._response = _Response(message)
+
+    def on_body(self) -> None:
+        """Take what has come of the response."""
+        response = self._response
+        if response is None:
+            return
+        response.held += response.message.take_body()
+        whole = response.message.is_complete
+        if whole:
+            # The connection is free for another request, or closed.
+            self._connection = None
+        if whole or response.is_begun or len(response.held) > WHOLE_BYTES:
+            self._pass_on()
+
+    def on_failed(self, failure: CallFailed) -> None:
+        """End the call: the backend server gives no whole response.
+
+        Args:
+            failure: why.
+        """
+        self._connection = None
+        self._owner.invariants.hold(
+            Invariant.not_run_is_true,
+            holds=failure.outcome is not Outcome.not_run
+            or failure.code is Code.backend_unreachable,
+            detail=f'{self.fields.request_id} {failure.code.name}',
+        )
+        self._fail(failure)
+
+    def on_room(self) -> None:
+        """Learn that the backend server has taken what was sent."""
+        if self._owed:
+            self._reply(Taken(self._number, self._owed))
+            self._owed = 0
+
+    # Admission
+
+    def _enter(self, fields: CallFields) -> None:
+        self._fields = fields
+        owner = self._owner
+        self._deadline = self._since + fields.remaining_ms / MILLISECONDS
+        try:
+            owner.check_target(fields)
+        except CallFailed as failure:
+            self._fail(failure)
+            return
+        was_draining = owner.gate.state.draining
+        self._alarm = owner.loop.alarms.set_at(
+            self._deadline + OVERTIME_SECONDS,
+            self._time_out,
+        )
+        ticket = owner.gate.enter(
+            self._judge,
+            within_ms=fields.within_ms,
+            deadline=self._deadline,
+            rank=fields.rank,
+            patient=fields.patient,
+        )
+        if self.state is CallState.waiting:
+            self._ticket = ticket
+        owner.invariants.hold(
+            Invariant.leaving_gets_none,
+            holds=not was_draining or self.state is CallState.over,
+            detail=fields.request_id,
+        )
+
+    def _judge(self, verdict: Verdict) -> None:
+        if isinstance(verdict, Refused):
+            self._fail(
+                CallFailed(verdict.code, retry_after=verdict.retry_after),
+            )
+            return
+        self._ticket = verdict.ticket
+        if self._run is not None:
+            self._start()
+            return
+        self.state = CallState.reserved
+        self._owner.gate.lease(verdict.ticket, seconds=LEASE_SECONDS)
+        answer = structs.replace(
+            self._owner.describe(self.fields),
+            lease=verdict.ticket,
+        )
+        self._reply(Granted(self._number, answer))
+
+    def _redeem(self, frame: Run) -> None:
+        # The fields of the run message count: they name the incarnation
+        # that gave the lease.
+        self._fields = frame.fields
+        self._deadline = read_clock() + frame.fields.remaining_ms / MILLISECONDS
+        try:
+            self._owner.check_target(frame.fields)
+        except CallFailed as failure:
+            self._ticket = None
+            self._fail(failure)
+            return
+        verdict = self._owner.gate.redeem(frame.fields.lease)
+        if isinstance(verdict, Refused):
+            self._ticket = None
+            self._fail(CallFailed(verdict.code))
+            return
+        self._ticket = verdict.ticket
+        self._start()
+
+    # Running
+
+    def _start(self) -> None:
+        self.state = CallState.running
+        run = self._run
+        assert run is not None
+        fields = self.fields
+        self._keyed = KeyedRun(run, self._owner.replays)
+        try:
+            kept = self._keyed.begin()
+        except CallFailed as failure:
+            self._fail(failure)
+            return
+        if kept is not None:
+            self._replay(kept)
+            return
+        if read_clock() >= self._deadline:
+            # Failure: a paused process wakes and sends what nobody waits
+            # for. The deadline is looked at last thing before the send.
+            self._fail(CallFailed(Code.past_deadline))
+            return
+        first = fields.idempotent or self._owner.ledger.note_run(
+            fields.request_id,
+        )
+        if not self._owner.invariants.hold(
+            Invariant.runs_once,
+            holds=first,
+            detail=fields.request_id,
+        ):
+            # Failure: a run message comes twice and a booking is made
+            # twice. The second one stops here; its outcome is the first's.
+            self._fail(
+                CallFailed(Code.key_repeated, outcome=Outcome.unknown),
+                ran=True,
+            )
+            return
+        self._running_since = read_clock()
+        self._connection = self._owner.pool.ask(
+            _build_request(self._owner, run, self._deadline),
+            self,
+        )
+
+    def _pass_on(self) -> None:
+        response = self._response
+        if response is None or self.state is not CallState.running:
+            return
+        message = response.message
+        if not response.is_begun:
+            if _find_not_run(self._owner, message) is not None:
+                self._pass_refusal(message)
+                return
+            response.is_begun = True
+            self._begin_answer(response)
+        elif response.window.is_open and (response.held or message.is_complete):
+            self._reply(
+                Piece(
+                    self._number,
+                    response.take_held(),
+                    more=not message.is_complete,
+                ),
+            )
+        if message.is_complete and not response.held:
+            self._finish(message)
+        elif self._connection is not None:
+            self._connection.read_more(wanted=response.window.is_open)
+
+    def _begin_answer(self, response: _Response) -> None:
+        message = response.message
+        now = read_clock()
+        answer = self._owner.describe(
+            self.fields,
+            owner_seconds=now - self._since,
+            backend_seconds=now - self._running_since,
+        )
+        body = response.take_held()
+        headers = tuple(pass_on(message))
+        if message.is_complete and self._keyed is not None:
+            self._keyed.end(
+                KeptAnswer(status=message.status, headers=headers, body=body),
+            )
+        elif self._keyed is not None:
+            self._keyed.end(None)
+        self._reply(
+            Answered(
+                self._number,
+                answer,
+                message.status,
+                headers,
+                body,
+                more=not message.is_complete,
+                length=message.length,
+            ),
+        )
+
+    def _replay(self, kept: KeptAnswer) -> None:
+        self._reply(
+            Answered(
+                self._number,
+                self._owner.describe(self.fields),
+                kept.status,
+                (*kept.headers, REPLAYED),
+                kept.body,
+                more=False,
+                length=len(kept.body),
+            ),
+        )
+        self._close()
+        self._settle(Ending.abandoned)
+
+    def _finish(self, message: Message) -> None:
+        shed = message.status == SHED_STATUS
+        self._connection = None
+        self._close()
+        self._settle(Ending.failed if shed else Ending.good)
+
+    def _pass_refusal(self, message: Message) -> None:
+        code = Code.backend_shed
+        if message.status == MISDIRECTED_STATUS:
+            code = Code.wrong_instance
+        if not message.is_complete and self._connection is not None:
+            self._connection.close()
+        self._connection = None
+        self._fail(CallFailed(code, detail=f'status {message.status}'))
+
+    # Ends
+
+    def _time_out(self) -> None:
+        ran = self.state is CallState.running
+        self._fail(
+            CallFailed(
+                Code.timed_out,
+                outcome=Outcome.unknown if ran else Outcome.not_run,
+            ),
+        )
+
+    def _fail(self, failure: CallFailed, *, ran: bool = False) -> None:
+        state = self.state
+        if state is CallState.over:
+            return
+        response = self._response
+        if response is not None and response.is_begun:
+            self._reply(Cut(self._number))
+        else:
+            self._reply(self._describe_failure(failure))
+        self._close()
+        if state is CallState.waiting and self._ticket is not None:
+            self._owner.gate.give_up(self._ticket)
+        if state in {CallState.reserved, CallState.running}:
+            faulty = failure.code in BACKEND_FAULTS | {Code.backend_shed}
+            self._settle(Ending.failed if faulty else Ending.abandoned)
+        if state is CallState.running and not ran:
+            self._settle_claims(failure)
+
+    def _settle_claims(self, failure: CallFailed) -> None:
+        if failure.outcome is Outcome.not_run:
+            self._owner.ledger.forget(self.fields.request_id)
+            if self._keyed is not None:
+                self._keyed.forget()
+        elif self._keyed is not None:
+            self._keyed.end(None)
+
+    def _describe_failure(self, failure: CallFailed) -> Failed:
+        answer = self._owner.describe(
+            self.fields,
+            code=failure.code,
+            outcome=failure.outcome,
+            owner_seconds=read_clock() - self._since,
+            retry_ms=round(failure.retry_after * MILLISECONDS),
+        )
+        return Failed(self._number, answer, failure.detail)
+
+    def _settle(self, ending: Ending) -> None:
+        if self._ticket is None:
+            return
+        self._owner.gate.leave(
+            self._ticket,
+            seconds=read_clock() - self._running_since,
+            ending=ending,
+        )
+
+    def _close(self) -> None:
+        self.state = CallState.over
+        if self._alarm is not None:
+            self._alarm.cancel()
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            # The backend server drops a request whose connection closes.
+            connection.close()
+        self._entrance.forget(self._number)
+
+    def _reply(self, frame: ToEntry) -> None:
+        self._entrance.reply(frame)
+
+
+class _Response:
+    """A response as far as it has come and gone on."""
+
+    def __init__(self, message: Message) -> None:
+        self.message = message
+        self.held = bytearray()
+        self.is_begun = False
+        self.window = SendWindow()
+
+    def take_held(self) -> bytes:
+        taken = bytes(self.held)
+        self.held.clear()
+        self.window.note_sent(len(taken))
+        return taken
+
+
+def _find_not_run(owner: Owner, message: Message) -> bytes | None:
+    field = owner.dialect.not_run
+    if field is None:
+        return None
+    if message.status == MISDIRECTED_STATUS:
+        return field
+    return message.find(field)
+
+
+def _build_request(owner: Owner, run: Run, deadline: float) -> BackendRequest:
+    dialect = owner.dialect
+    named = run.fields.request_id.encode('latin-1')
+    return BackendRequest(
+        request_id=named if dialect.echoes_request_id else b'',
+        method=run.method,
+        target=run.target,
+        headers=(*run.headers, *_write_context(owner, run, deadline)),
+        body=run.body,
+        more=run.more,
+        length=run.length,
+        idempotent=run.fields.idempotent,
+    )
+
+
+def _write_context(owner: Owner, run: Run, deadline: float) -> HeaderPairs:
+    """Write what a backend server is told, and copies onto its own calls."""
+    dialect = owner.dialect
+    fields = run.fields
+    rest = max(1, int((deadline - read_clock()) * MILLISECONDS))
+    context: list[Header] = [(dialect.deadline_ms, b'%d' % rest)]
+    if not dialect.takes_request_id:
+        name = fields.request_id.encode('latin-1')
+        context.append((dialect.request_id, name))
+    if dialect.depth is not None:
+        context.append((dialect.depth, b'%d' % (fields.depth + 1)))
+    if dialect.retries is not None:
+        context.append((dialect.retries, b'%d' % fields.retries))
+    if dialect.expected_instance is not None:
+        meant = fields.instance.encode('latin-1')
+        context.append((dialect.expected_instance, meant))
+    return tuple(context)
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -2,47 +2,29 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
-from msgspec import Struct, structs
+from msgspec import Struct
 
-from wagtaildale.admission.gate import Gate
-from wagtaildale.admission.messages import Refused, Verdict
 from wagtaildale.admission.ledger import RunLedger
-from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.connections import Pool
-from wagtaildale.calls.exchange import Call, exchange
+from wagtaildale.admission.replays import Replays
+from wagtaildale.calls.backends import BackendPool
+from wagtaildale.calls.dialect import OWN_DIALECT, Dialect
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.fields import (
-    ANY_INCARNATION,
-    AnswerFields,
-    CallFields,
-)
-from wagtaildale.calls.keyed import Deliverable, KeyedRuns
-from wagtaildale.calls.slots import Slot
+from wagtaildale.calls.fields import ANY_INCARNATION, AnswerFields, CallFields
 from wagtaildale.errors.codes import Code
-from wagtaildale.invariants import Invariant, Invariants
-from wagtaildale.timers.service import read_clock
-from wagtaildale.types import Incarnation, InstanceId, Outcome
+from wagtaildale.types import Incarnation, InstanceId, ListedState, Outcome
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable
 
-    from wagtaildale.calls.parsing import Header
-    from wagtaildale.calls.responses import Response
+    from wagtaildale.admission.gate import Gate
+    from wagtaildale.calls.addresses import Address
+    from wagtaildale.invariants import Invariants
+    from wagtaildale.membership.records import InstanceRecord
+    from wagtaildale.reactor.loop import Loop
 
 MICROSECONDS: Final = 1_000_000
-MILLISECONDS: Final = 1000
-# Long enough for a run message over a slow line, short enough that a slot
-# whose entry died is soon free again.
-LEASE_SECONDS: Final = 0.5
-# What ends an exchange before anything of it is sent.
-BEFORE_SENDING: Final = frozenset(
-    (Code.backend_unreachable, Code.past_deadline),
-)
-
-Deliver = Callable[[Deliverable, AnswerFields], None]
 
 
 class Identity(Struct, frozen=True, kw_only=True):
@@ -53,85 +35,81 @@
 
 
 class Owner:
-    """Runs admitted requests at the backend server."""
+    """What all calls to one backend server share.
+
+    Attributes:
+        identity: of this process.
+        gate: in front of the backend server.
+        pool: connections to it.
+        ledger: non-idempotent requests that were let through.
+        replays: answers kept for repeated idempotency keys.
+        invariants: are checked on each call.
+        dialect: how the backend server is spoken to.
+        loop: carries the calls.
+        strays: responses that named another request.
+    """
 
     def __init__(
         self,
         identity: Identity,
         *,
+        loop: Loop,
         gate: Gate,
         backend: Address,
         invariants: Invariants,
+        dialect: Dialect = OWN_DIALECT,
+        find_record: Callable[[InstanceId], InstanceRecord | None],
     ) -> None:
         """Take charge of a backend server.
 
         Args:
             identity: of this process.
+            loop: carries the calls.
             gate: in front of the backend server.
             backend: where it listens.
             invariants: are checked on each call.
+            dialect: how it is spoken to.
+            find_record: gives what is listed of an instance.
         """
         self.identity = identity
+        self.loop = loop
         self.gate = gate
-        self._backend = backend
-        self._pool = Pool()
-        self._ledger = RunLedger()
-        self._keyed = KeyedRuns()
         self.invariants = invariants
-
-    def run(
-        self,
-        call: Call,
-        *,
-        fields: CallFields,
-        deliver: Deliver,
-    ) -> None:
-        """Admit a request, run it and deliver its response.
-
-        Args:
-            call: the request.
-            fields: what the entry told of it.
-            deliver: passes the response on while the slot is held.
-
-        Raises:
-            CallFailed: with outcome ``not_run`` for every refusal.
-            StreamCut: when the response breaks under way.
-        """
-        started = read_clock()
-        if fields.idempotent:
-            self._run_admitted(call, fields, deliver, started)
-            return
-        self._keyed.run(
-            call,
-            work=lambda: self._run_once(call, fields, deliver, started),
-            replay=lambda kept: deliver(kept, self.describe(fields)),
+        self.dialect = dialect
+        self.ledger = RunLedger()
+        self.replays = Replays()
+        self.strays = 0
+        self.pool = BackendPool(
+            loop,
+            address=backend,
+            request_id_field=dialect.request_id,
+            note_stray=self._note_stray,
         )
+        self._find_record = find_record
 
-    def reserve(self, fields: CallFields, *, deadline: float) -> AnswerFields:
-        """Hold a slot for a run message that is to come.
+    def check_target(self, fields: CallFields) -> None:
+        """Check that a call is meant for this owner.
 
-        Nothing runs by this, so whoever asked may still go elsewhere.
+        Failure guarded here: an address is reused by another instance, or
+        this process was replaced, and a call for the one that was there
+        comes here. Or an entry has not heard yet that the instance leaves,
+        and sends it new work; its owner has.
 
         Args:
-            fields: what the entry told of the request.
-            deadline: seconds on the clock.
-
-        Returns:
-            What goes along with the answer, the lease in it.
+            fields: what the entry told.
 
         Raises:
-            CallFailed: with outcome ``not_run`` for every refusal.
+            CallFailed: with outcome ``not_run``, when it is not.
         """
-        self._check_target(fields)
-        verdict = self.gate.enter(
-            within_ms=fields.within_ms,
-            deadline=deadline,
-            lease_seconds=LEASE_SECONDS,
-        )
-        if isinstance(verdict, Refused):
-            raise _describe_refusal(verdict)
-        answer = self.describe(fields)
-        return structs.replace(answer, lease=verdict.ticket)
+        known = fields.incarnation in {
+            ANY_INCARNATION,
+            self.identity.incarnation,
+        }
+        if not known or not self._serves(fields.instance):
+            raise CallFailed(Code.wrong_instance)
+        record = self._find_record(fields.instance)
+        if record is not None and record.state is ListedState.leaving:
+            raise CallFailed(Code.draining)
 
     def describe(
         self,
@@ -141,6 +119,7 @@
         outcome: Outcome = Outcome.answered,
         owner_seconds: float = 0,
         backend_seconds: float = 0,
+        retry_ms: int = 0,
     ) -> AnswerFields:
         """Describe this owner in an answer.
 
@@ -150,6 +129,7 @@
             outcome: whether the request ran.
             owner_seconds: spent here, waiting included.
             backend_seconds: spent at the backend server.
+            retry_ms: after which asking again is worth it.
 
         Returns:
             What goes along with the answer.
@@ -160,124 +140,23 @@
             attempt=fields.attempt,
             code=code,
             outcome=outcome,
-            instance=self.identity.instance,
+            instance=fields.instance,
             incarnation=self.identity.incarnation,
             in_flight=len(state.running),
             limit=int(state.limit),
             queued=len(state.queue),
             owner_us=round(owner_seconds * MICROSECONDS),
             backend_us=round(backend_seconds * MICROSECONDS),
+            retry_ms=retry_ms,
         )
 
-    def _run_once(
-        self,
-        call: Call,
-        fields: CallFields,
-        deliver: Deliver,
-        started: float,
-    ) -> Response:
-        try:
-            return self._run_admitted(call, fields, deliver, started)
-        except CallFailed as failure:
-            if failure.outcome is Outcome.not_run:
-                self._ledger.forget(fields.request_id)
-            raise
-
-    def _run_admitted(
-        self,
-        call: Call,
-        fields: CallFields,
-        deliver: Deliver,
-        started: float,
-    ) -> Response:
-        with self._admit(call, fields) as slot:
-            running = read_clock()
-            response = self._exchange(call, fields)
-            answer = self.describe(
-                fields,
-                owner_seconds=read_clock() - started,
-                backend_seconds=read_clock() - running,
-            )
-            with response:
-                deliver(response, answer)
-            slot.note_status(response.message.status)
-            return response
-
-    def _exchange(self, call: Call, fields: CallFields) -> Response:
-        try:
-            return exchange(
-                call,
-                pool=self._pool,
-                address=self._backend,
-                extra=_write_context(call, fields),
-            )
-        except CallFailed as failure:
-            claims_not_run = failure.outcome is Outcome.not_run
-            self.invariants.hold(
-                Invariant.not_run_is_true,
-                holds=not claims_not_run or failure.code in BEFORE_SENDING,
-                detail=f'{fields.request_id} {failure.code.name}',
-            )
-            raise
+    def _serves(self, instance: InstanceId) -> bool:
+        if self.dialect.expected_instance is None:
+            return instance == self.identity.instance
+        # The backend server itself refuses what is meant for another; this
+        # process learns who is beside it from the list alone, and late.
+        record = self._find_record(instance)
+        return record is None or record.node_id == self.identity.instance
 
-    def _admit(self, call: Call, fields: CallFields) -> Slot:
-        self._check_target(fields)
-        verdict = self._ask_gate(call, fields)
-        if isinstance(verdict, Refused):
-            raise _describe_refusal(verdict)
-        slot = Slot(self.gate, verdict)
-        if fields.idempotent or self._ledger.note_run(fields.request_id):
-            return slot
-        # Failure: a run message comes twice and a booking is made twice.
-        # The second one stops here; its outcome is that of the first.
-        with slot:
-            self.invariants.hold(
-                Invariant.runs_once,
-                holds=False,
-                detail=fields.request_id,
-            )
-        raise CallFailed(Code.key_repeated, outcome=Outcome.unknown)
-
-    def _ask_gate(self, call: Call, fields: CallFields) -> Verdict:
-        if fields.lease:
-            return self.gate.redeem(fields.lease)
-        was_draining = self.gate.state.draining
-        verdict = self.gate.enter(
-            within_ms=fields.within_ms,
-            deadline=call.deadline,
-        )
-        self.invariants.hold(
-            Invariant.leaving_gets_none,
-            holds=not was_draining or isinstance(verdict, Refused),
-            detail=fields.request_id,
-        )
-        return verdict
-
-    def _check_target(self, fields: CallFields) -> None:
-        # Failure: an address is reused by another instance, or this process
-        # was replaced, and a call for the one that was there comes here.
-        meant = fields.incarnation in {
-            ANY_INCARNATION,
-            self.identity.incarnation,
-        }
-        if fields.instance != self.identity.instance or not meant:
-            raise CallFailed(Code.wrong_instance)
-
-
-def _describe_refusal(refused: Refused) -> CallFailed:
-    return CallFailed(refused.code, retry_after=refused.retry_after)
-
-
-def _write_context(call: Call, fields: CallFields) -> Sequence[Header]:
-    """Write what a backend server copies onto the calls that it makes.
-
-    Returns:
-        The remaining time, the depth, and the retries left below.
-    """
-    rest = max(0, call.deadline - read_clock()) * MILLISECONDS
-    return (
-        (b'wagtaildale-request-id', fields.request_id.encode()),
-        (b'wagtaildale-deadline-ms', b'%d' % rest),
-        (b'wagtaildale-depth', b'%d' % (fields.depth + 1)),
-        (b'wagtaildale-retries', b'%d' % fields.retries),
-    )
+    def _note_stray(self) -> None:
+        self.strays += 1
--- /dev/null
+++ b/wagtaildale/calls/ready.py
@@ -0,0 +1,50 @@
+"""Tells whoever asks over HTTP whether this node takes callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from wagtaildale.calls.responses import ResponseHead
+from wagtaildale.types import NodeState
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from wagtaildale.calls.exchanges import Exchange
+
+READY_TARGET: Final = b'/ready'
+READY_STATUS: Final = 200
+UNREADY_STATUS: Final = 503
+UNKNOWN_STATUS: Final = 404
+
+
+class ReadyAnswerer:
+    """Answers ``GET /ready``; an ``Answerer``.
+
+    It runs in the loop that carries the calls, so that a node whose calls
+    stand still does not say it is ready.
+    """
+
+    def __init__(self, states: Sequence[NodeState]) -> None:
+        """Tell what the node's state says.
+
+        Args:
+            states: the node's, the latest last.
+        """
+        self._states = states
+
+    def answer(self, exchange: Exchange) -> None:
+        """Answer one question; see ``Answerer``.
+
+        Args:
+            exchange: the question.
+        """
+        state = self._states[-1]
+        status = UNREADY_STATUS
+        if exchange.message.target.partition(b'?')[0] != READY_TARGET:
+            status = UNKNOWN_STATUS
+        elif state is NodeState.ready:
+            status = READY_STATUS
+        headers = ((b'content-type', b'text/plain'),)
+        head = ResponseHead(status=status, headers=headers)
+        exchange.begin(head, body=state.value.encode())
--- a/wagtaildale/calls/report.py
+++ b/wagtaildale/calls/report.py
@@ -15,7 +15,7 @@
     from wagtaildale.calls.failures import CallFailed
     from wagtaildale.calls.fields import AnswerFields
     from wagtaildale.calls.parsing import Header
-    from wagtaildale.routing.table import RouteMatch
+    from wagtaildale.calls.routed import Routed
     from wagtaildale.telemetry.events import EventRecorder
     from wagtaildale.telemetry.tallies import Tallies
 
@@ -40,19 +40,20 @@
         self._name = NO_CLASS
         self._within = float(0)
         self._retries = 0
+        self._refusals = 0
         self._hedges = 0
         self._code = Code.ok
         self._outcome = Outcome.answered
         self._answer: AnswerFields | None = None
 
-    def name_class(self, match: RouteMatch) -> None:
-        """Note the class of the call.
+    def name_call(self, routed: Routed) -> None:
+        """Note the request and its class.
 
         Args:
-            match: its route.
+            routed: the call.
         """
-        work_class = match.work_class
-        self._name = f'{match.service}/{work_class.name}'
+        work_class = routed.match.work_class
+        self._name = f'{routed.match.service}/{work_class.name}'
         self._within = work_class.within_ms / MILLISECONDS
 
     def note_retry(self, failure: CallFailed) -> None:
@@ -69,6 +70,14 @@
             detail=failure.detail,
         )
 
+    def note_refusal(self, failure: CallFailed) -> None:
+        """Note that an owner refused the call unrun and another is asked.
+
+        Args:
+            failure: the refusal.
+        """
+        self._refusals += 1
+
     def note_hedge(self) -> None:
         """Note that a second attempt was begun beside the first."""
         self._hedges += 1
--- a/wagtaildale/calls/routed.py
+++ b/wagtaildale/calls/routed.py
@@ -3,37 +3,38 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct
 
 from wagtaildale.calls.attempts import RETRIES_MOST
-from wagtaildale.calls.bodies import RequestBody
-from wagtaildale.calls.exchange import Call
+from wagtaildale.calls.callers import CallerLimits
+from wagtaildale.calls.dialect import Dialect
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.heads import KEY_FIELD, pass_on
 from wagtaildale.calls.owner import Owner
-from wagtaildale.calls.report import CallReport
+from wagtaildale.calls.peers import LocalPeer, PeerPool
 from wagtaildale.errors.codes import Code
-from wagtaildale.routing.choice import Chooser
+from wagtaildale.reactor.loop import Loop
 from wagtaildale.routing.book import UpstreamBook
+from wagtaildale.routing.choice import Chooser
 from wagtaildale.routing.table import RouteMatch
-from wagtaildale.routing.view import FleetView, ViewHolder
+from wagtaildale.routing.view import FleetView, RetryShare, ViewHolder
 from wagtaildale.telemetry.events import EventRecorder
 from wagtaildale.telemetry.tallies import Tallies
 from wagtaildale.timers.service import read_clock
-from wagtaildale.types import DataCentre, RequestId
+from wagtaildale.types import DataCentre, RequestId, ServiceName
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.connections import Connection
+    from wagtaildale.calls.frames import HeaderPairs
     from wagtaildale.calls.parsing import Message
 
 REQUEST_ID_BYTES: Final = 16
 MILLISECONDS: Final = 1000
-DEADLINE_FIELD: Final = b'wagtaildale-deadline-ms'
-DEPTH_FIELD: Final = b'wagtaildale-depth'
-RETRIES_FIELD: Final = b'wagtaildale-retries'
+HOST_FIELD: Final = b'host'
 LONGEST_KEY: Final = 200
+LONGEST_ID: Final = 200
 LONGEST_NUMBER: Final = 9
 DEPTH_MOST: Final = 16
 
@@ -42,26 +43,40 @@
     """The parts of the node that the entry works with.
 
     Attributes:
+        service: of the backend server beside the node.
+        own_host: IP number of the node.
         data_centre: the node's own.
+        loop: carries the calls.
         owner: of the backend server beside it.
+        local: that owner, as an entry speaks to it.
+        peers: connections to the other owners.
         view: what calls are routed by.
         book: what is known of upstreams.
         tallies: counts of calls.
         recorder: gets events.
-        body_bytes: largest request body.
         chooser: of upstreams.
+        dialect: how callers are spoken to.
+        read_limits: gives what callers may send.
+        read_retries: gives how many retries the entry may make.
         reserves: whether a non-idempotent request reserves a slot first.
         hedges: whether slow idempotent requests get a second attempt.
     """
 
+    service: ServiceName
+    own_host: str
     data_centre: DataCentre
+    loop: Loop
     owner: Owner
+    local: LocalPeer
+    peers: PeerPool
     view: ViewHolder
     book: UpstreamBook
     tallies: Tallies
     recorder: EventRecorder
-    body_bytes: int
     chooser: Chooser
+    dialect: Dialect
+    read_limits: Callable[[], CallerLimits]
+    read_retries: Callable[[], RetryShare]
     reserves: bool = True
     hedges: bool = True
 
@@ -70,40 +85,36 @@
     """A call with its class.
 
     Attributes:
-        call: the request.
         match: its class.
+        service: that it goes to.
         view: the snapshot that the whole call goes by.
-        request_id: 128 random bits, hexadecimal.
-        report: says how it ended.
+        request_id: by which logs find it.
+        headers: of the request, those that go on.
+        deadline: seconds on the clock.
+        due: when its target is missed, seconds on the clock.
         idempotency_key: the caller's own, of a non-idempotent request.
         depth: how many calls led to this one.
         retries: that are left to this call and those below.
     """
 
-    call: Call
     match: RouteMatch
+    service: ServiceName
     view: FleetView
     request_id: RequestId
-    report: CallReport
+    headers: HeaderPairs
+    deadline: float
+    due: float
     idempotency_key: str = ''
     depth: int = 0
     retries: int = RETRIES_MOST
 
 
-def route_call(
-    parts: EntryParts,
-    *,
-    caller: Connection,
-    message: Message,
-    report: CallReport,
-) -> Routed:
+def route_call(parts: EntryParts, message: Message) -> Routed:
     """Find the class of a request and prepare its call.
 
     Args:
         parts: of the node.
-        caller: on which the request came.
         message: the request.
-        report: is told the class.
 
     Returns:
         The call with its class.
@@ -114,40 +125,48 @@
     view = parts.view.current
     if view.table is None:
         raise CallFailed(Code.no_configuration)
-    method = message.method.decode()
-    path = _find_path(message.target)
-    match = view.table.find(method, path)
-    if match is None:
-        raise CallFailed(Code.no_route, detail=f'{method} {path}')
-    report.name_class(match)
-    depth = _find_number(message, DEPTH_FIELD, default=0)
+    match = _find_match(view, message)
+    dialect = parts.dialect
+    depth = _find_number(message, dialect.depth, default=0, narrows=False)
     if depth > DEPTH_MOST:
         # Failure: services call each other in a circle.
         raise CallFailed(Code.too_deep, detail=f'{depth} calls deep')
-    call = Call(
-        caller=caller,
-        method=message.method,
-        target=message.target,
-        headers=pass_on(message),
-        body=RequestBody(
-            caller,
-            message=message,
-            limit=parts.body_bytes,
-        ),
-        deadline=_find_deadline(message, match),
+    now = read_clock()
+    work_class = match.work_class
+    rest = _find_number(
+        message,
+        dialect.deadline_ms,
+        default=work_class.deadline_ms,
     )
     return Routed(
-        call=call,
         match=match,
+        service=match.choose_service(),
         view=view,
-        request_id=RequestId(os.urandom(REQUEST_ID_BYTES).hex()),
-        report=report,
+        request_id=_find_request_id(message, dialect),
+        headers=_write_headers(parts, message),
+        deadline=now + rest / MILLISECONDS,
+        due=now + work_class.within_ms / MILLISECONDS,
         idempotency_key=_find_key(message, match),
         depth=depth,
-        retries=_find_number(message, RETRIES_FIELD, default=RETRIES_MOST),
+        retries=_find_number(
+            message,
+            dialect.retries,
+            default=match.retries,
+        ),
     )
 
 
+def _find_match(view: FleetView, message: Message) -> RouteMatch:
+    method = message.method.decode()
+    path = _find_path(message.target)
+    host = (message.find(HOST_FIELD) or b'').decode('latin-1')
+    assert view.table is not None
+    match = view.table.find(method, path, host=host)
+    if match is None:
+        raise CallFailed(Code.no_route, detail=f'{method} {host} {path}')
+    return match
+
+
 def _find_path(target: bytes) -> str:
     path = target.partition(b'?')[0].decode('latin-1')
     if path.startswith('/') or '://' not in path:
@@ -155,10 +174,20 @@
     return '/{0}'.format(path.partition('://')[2].partition('/')[2])
 
 
-def _find_deadline(message: Message, match: RouteMatch) -> float:
-    most = match.work_class.deadline_ms
-    given = _find_number(message, DEADLINE_FIELD, default=most)
-    return read_clock() + given / MILLISECONDS
+def _find_request_id(message: Message, dialect: Dialect) -> RequestId:
+    given = message.find(dialect.request_id)
+    if dialect.takes_request_id and given:
+        return RequestId(given[:LONGEST_ID].decode('latin-1'))
+    return RequestId(os.urandom(REQUEST_ID_BYTES).hex())
+
+
+def _write_headers(parts: EntryParts, message: Message) -> HeaderPairs:
+    dialect = parts.dialect
+    own = dialect.own_fields
+    headers = [each for each in pass_on(message) if each[0] not in own]
+    if dialect.caller_service is not None:
+        headers.append((dialect.caller_service, parts.service.encode()))
+    return tuple(headers)
 
 
 def _find_key(message: Message, match: RouteMatch) -> str:
@@ -168,11 +197,17 @@
     return key[:LONGEST_KEY].decode('latin-1')
 
 
-def _find_number(message: Message, name: bytes, *, default: int) -> int:
+def _find_number(
+    message: Message,
+    name: bytes | None,
+    *,
+    default: int,
+    narrows: bool = True,
+) -> int:
     # What a caller asks for only ever narrows what the class allows; the
     # depth of a call is the one number that a caller may raise.
-    given = message.find(name)
+    given = None if name is None else message.find(name)
     if given is None or not given.isdigit():
         return default
     number = int(given[:LONGEST_NUMBER])
-    return number if name == DEPTH_FIELD else min(default, number)
+    return min(default, number) if narrows else number
--- /dev/null
+++ b/wagtaildale/calls/sessions.py
@@ -0,0 +1,250 @@
+"""The owner's side of the connections between nodes."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Final
+
+from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.frames import (
+    Cancel,
+    FrameReader,
+    Piece,
+    Ping,
+    Pong,
+    Reserve,
+    Run,
+    Taken,
+    encode_frame,
+)
+from wagtaildale.calls.owned import OwnedCall
+from wagtaildale.reactor.acceptor import Acceptor
+from wagtaildale.reactor.stream import Stream
+from wagtaildale.telemetry.events import EventKind
+from wagtaildale.types import CallNumber
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
+    from result import Result
+
+    from wagtaildale.calls.addresses import Address
+    from wagtaildale.calls.frames import ToEntry
+    from wagtaildale.calls.owner import Owner
+    from wagtaildale.errors.faults import Fault
+    from wagtaildale.telemetry.events import EventRecorder
+
+# Calls of one entry that an owner holds at once; the queue in front of its
+# backend server is far shorter.
+CALLS_MOST: Final = 4096
+
+
+class PeerPort:
+    """The port on which other nodes' calls come to this node's owner."""
+
+    def __init__(self, owner: Owner, *, recorder: EventRecorder) -> None:
+        """Prepare; ``bind`` opens the port.
+
+        Args:
+            owner: of the backend server.
+            recorder: gets an event for bytes that are no frames.
+        """
+        self.owner = owner
+        self.recorder = recorder
+        self._sessions: set[PeerSession] = set()
+        self._acceptor = Acceptor(owner.loop, on_accept=self._accept)
+
+    @property
+    def open(self) -> int:
+        """How many connections are open."""
+        return len(self._sessions)
+
+    @property
+    def busy(self) -> int:
+        """How many calls are under way."""
+        return sum(session.busy for session in tuple(self._sessions))
+
+    def bind(self, address: Address) -> Result[None, Fault]:
+        """Open the port.
+
+        Args:
+            address: to listen on.
+
+        Returns:
+            Nothing, or the fault.
+        """
+        return self._acceptor.bind(address.host, address.port)
+
+    def start(self) -> None:
+        """Accept connections; in the loop's thread."""
+        self._acceptor.start()
+
+    def stop(self) -> None:
+        """Close the port and everything on it."""
+        self._acceptor.close_now()
+        for session in tuple(self._sessions):
+            session.close()
+
+    def forget(self, session: PeerSession) -> None:
+        """Forget a connection that is closed.
+
+        Args:
+            session: of this port.
+        """
+        self._sessions.discard(session)
+
+    def _accept(self, sock: socket.socket) -> None:
+        self._sessions.add(PeerSession(self, sock))
+
+
+class CallTable:
+    """The calls of one entry at this owner, by their numbers.
+
+    Attributes:
+        owner: of the backend server.
+    """
+
+    def __init__(
+        self,
+        owner: Owner,
+        *,
+        reply: Callable[[ToEntry], None],
+    ) -> None:
+        """Begin with none.
+
+        Args:
+            owner: of the backend server.
+            reply: sends a message to the entry.
+        """
+        self.owner = owner
+        self.reply = reply
+        self._calls: dict[CallNumber, OwnedCall] = {}
+
+    @property
+    def busy(self) -> int:
+        """How many calls are under way."""
+        return len(self._calls)
+
+    def forget(self, number: CallNumber) -> None:
+        """Forget a call that is over.
+
+        Args:
+            number: the call.
+        """
+        self._calls.pop(number, None)
+
+    def cancel_all(self) -> None:
+        """Stop every call: the entry is gone."""
+        for call in tuple(self._calls.values()):
+            call.cancel()
+
+    @singledispatchmethod
+    def take(self, frame: object) -> None:
+        """Take a message of the entry.
+
+        Args:
+            frame: the message.
+
+        Raises:
+            CallFailed: for a message that no owner takes.
+        """
+        raise TypeError(f'got {frame!r}, expected a message to an owner')
+
+    @take.register(Reserve)
+    @take.register(Run)
+    def _take_first(self, frame: Reserve | Run) -> None:
+        call = self._calls.get(frame.call)
+        if call is None and len(self._calls) < CALLS_MOST:
+            call = OwnedCall(self.owner, frame.call, entrance=self)
+            self._calls[frame.call] = call
+        if call is not None:
+            call.take(frame)
+
+    @take.register(Piece)
+    @take.register(Taken)
+    def _take_further(self, frame: Piece | Taken) -> None:
+        call = self._calls.get(frame.call)
+        if call is not None:
+            call.take(frame)
+
+    @take.register
+    def _take_cancel(self, frame: Cancel) -> None:
+        call = self._calls.get(frame.call)
+        if call is not None:
+            call.cancel()
+
+    @take.register
+    def _take_ping(self, frame: Ping) -> None:
+        self.reply(Pong())
+
+    @take.register
+    def _take_pong(self, frame: Pong) -> None:
+        """Do nothing: that it came is all it says."""
+
+
+class PeerSession:
+    """One connection of another node; a ``StreamHandler``."""
+
+    def __init__(self, port: PeerPort, sock: socket.socket) -> None:
+        """Take a connection.
+
+        Args:
+            port: that accepted it.
+            sock: the socket.
+        """
+        self._port = port
+        self._stream = Stream(port.owner.loop, sock, self)
+        self._reader = FrameReader()
+        self._calls = CallTable(port.owner, reply=self._send)
+
+    @property
+    def busy(self) -> int:
+        """How many calls are under way."""
+        return self._calls.busy
+
+    def close(self) -> None:
+        """Close at once; every call of the entry is cancelled."""
+        self._stream.close()
+        self._port.forget(self)
+        self._calls.cancel_all()
+
+    def on_open(self) -> None:
+        """Do nothing: it was open from the start."""
+
+    def on_bytes(self, chunk: bytes) -> None:
+        """Take frames.
+
+        Args:
+            chunk: as read.
+        """
+        try:
+            frames = self._reader.feed(chunk)
+            for frame in frames:
+                self._calls.take(frame)
+        except (CallFailed, TypeError) as error:
+            # Failure: something that is no node of ours connects, or one of
+            # another build; nothing it sends is guessed at.
+            self._port.recorder.record(
+                EventKind.message_refused,
+                detail=str(error),
+            )
+            self.close()
+
+    def on_end(self) -> None:
+        """Learn that the entry has closed."""
+        self.close()
+
+    def on_lost(self, error: OSError) -> None:
+        """Learn that the entry is gone.
+
+        Args:
+            error: why.
+        """
+        self.close()
+
+    def on_drained(self) -> None:
+        """Do nothing: windows bound what is sent."""
+
+    def _send(self, frame: ToEntry) -> None:
+        self._stream.send(encode_frame(frame))
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -25,6 +25,7 @@
 
     from wagtaildale.calls.attempts import Attempts
     from wagtaildale.calls.fields import AnswerFields
+    from wagtaildale.calls.peers import Peer
     from wagtaildale.calls.routed import EntryParts, Routed
     from wagtaildale.membership.records import InstanceRecord
 
@@ -38,11 +39,13 @@
 
     Attributes:
         address: of the owner.
+        is_local: whether the owner is in this process.
         fields: what the owner is told.
         notes: what is known of the upstream.
     """
 
     address: Address
+    is_local: bool
     fields: CallFields
     notes: UpstreamNotes
 
@@ -71,23 +74,70 @@
         Raises:
             CallFailed: when no instance takes work.
         """
-        candidates = list_candidates(
-            routed.view,
-            service=routed.match.service,
-            tried=attempts.tried,
-        )
+        candidates = self._list(routed, attempts)
         if not candidates:
-            detail = f'service {routed.match.service}'
+            detail = f'service {routed.service}'
             raise CallFailed(Code.no_upstream, detail=detail)
         record = self._choose(routed, candidates)
+        again = record.instance in attempts.tried
         attempts.tried.append(record.instance)
         notes = self._parts.book.find(record.instance)
+        others = len(candidates) > 1 and attempts.refusals_left > 0
         return Target(
             address=Address(record.host, record.owner_port),
-            fields=_describe(routed, notes, attempts),
+            is_local=record.host == self._parts.own_host,
+            fields=_describe(
+                routed,
+                notes,
+                attempts,
+                patient=again or not others,
+            ),
             notes=notes,
         )
 
+    def narrow(
+        self,
+        records: Sequence[InstanceRecord],
+    ) -> Sequence[InstanceRecord]:
+        """Narrow the upstreams of a large service to this entry's subset.
+
+        Args:
+            records: of one service.
+
+        Returns:
+            Those that this entry calls.
+        """
+        return take_subset(records, entry=self._parts.owner.identity.instance)
+
+    def has_another(self, routed: Routed, attempts: Attempts) -> bool:
+        """Tell whether an upstream is left that was not tried yet.
+
+        Args:
+            routed: the call.
+            attempts: those before.
+
+        Returns:
+            Whether a second attempt would go to another one.
+        """
+        tried = set(attempts.tried)
+        return any(
+            record.instance not in tried
+            for record in self._list(routed, attempts)
+        )
+
+    def find_peer(self, target: Target) -> Peer:
+        """Find the owner at a target.
+
+        Args:
+            target: of an attempt.
+
+        Returns:
+            By whom the attempt speaks to it.
+        """
+        if target.is_local:
+            return self._parts.local
+        return self._parts.peers.find(target.address)
+
     def note_answer(self, target: Target, answer: AnswerFields) -> None:
         """Note an answer of a target's owner.
 
@@ -117,6 +167,17 @@
                 subject=target.fields.instance,
             )
 
+    def _list(
+        self,
+        routed: Routed,
+        attempts: Attempts,
+    ) -> list[InstanceRecord]:
+        return list_candidates(
+            self._parts.view.current,
+            service=routed.service,
+            tried=attempts.tried,
+        )
+
     def _choose(
         self,
         routed: Routed,
@@ -131,7 +192,7 @@
             now=read_clock(),
         )
         return parts.chooser.choose(
-            take_subset(good, entry=parts.owner.identity.instance),
+            self.narrow(good),
             book=parts.book,
             data_centre=parts.data_centre,
         )
@@ -151,9 +212,12 @@
     routed: Routed,
     notes: UpstreamNotes,
     attempts: Attempts,
+    *,
+    patient: bool,
 ) -> CallFields:
     work_class = routed.match.work_class
-    rest = routed.call.deadline - read_clock()
+    now = read_clock()
+    rest = routed.deadline - now
     if rest > GRACE_SECONDS * GRACE_SHARE:
         # Failure: at the deadline the entry gives up a moment before the
         # owner's word comes that nothing has run, and the caller hears
@@ -162,12 +226,14 @@
     return CallFields(
         request_id=routed.request_id,
         attempt=len(attempts.tried),
-        work_class=f'{routed.match.service}/{work_class.name}',
+        work_class=f'{routed.service}/{work_class.name}',
         idempotent=work_class.idempotent,
-        within_ms=work_class.within_ms,
+        within_ms=max(0, int((routed.due - now) * MILLISECONDS)),
         remaining_ms=max(0, int(rest * MILLISECONDS)),
         instance=notes.instance,
         incarnation=ANY_INCARNATION,
         depth=routed.depth,
         retries=attempts.retries_left,
+        rank=work_class.rank,
+        patient=patient,
     )
--- /dev/null
+++ b/wagtaildale/calls/task.py
@@ -0,0 +1,267 @@
+"""The task that carries all calls of a node: its ports and its loop."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from msgspec import Struct
+from result import Ok
+
+from wagtaildale.admission.gate import Gate
+from wagtaildale.admission.state import make_admission
+from wagtaildale.calls.addresses import Address
+from wagtaildale.calls.callers import CallerLimits, CallerPort
+from wagtaildale.calls.dialect import OWN_DIALECT, Dialect
+from wagtaildale.calls.entry import Entry
+from wagtaildale.calls.owner import Identity, Owner
+from wagtaildale.calls.peers import LocalPeer, PeerPool
+from wagtaildale.calls.ready import ReadyAnswerer
+from wagtaildale.calls.routed import EntryParts
+from wagtaildale.calls.sessions import PeerPort
+from wagtaildale.errors.codes import Code
+from wagtaildale.invariants import Invariants
+from wagtaildale.reactor.loop import Loop
+from wagtaildale.routing.book import UpstreamBook
+from wagtaildale.routing.choice import Chooser
+from wagtaildale.routing.view import RetryShare, ViewHolder
+from wagtaildale.telemetry.events import EventKind, EventRecorder
+from wagtaildale.telemetry.tallies import Tallies
+from wagtaildale.types import DataCentre, NodeState, ServiceName
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from wagtaildale.calls.frames import Load
+    from wagtaildale.errors.faults import Fault
+    from wagtaildale.membership.records import InstanceRecord
+    from wagtaildale.types import InstanceId
+
+MILLISECONDS: Final = 1000
+READY_HEAD_BYTES: Final = 8192
+READY_CONNECTIONS: Final = 64
+READY_LIMITS: Final = CallerLimits(
+    head_bytes=READY_HEAD_BYTES,
+    body_bytes=0,
+    connections=READY_CONNECTIONS,
+)
+
+
+class CallSurroundings(Struct, frozen=True, kw_only=True):
+    """What the task that carries calls shares with the rest of the node.
+
+    Attributes:
+        identity: of this process.
+        view: what calls are routed by.
+        tallies: counts of calls.
+        recorder: gets events.
+        invariants: are checked on each call.
+        states: the node's state, the latest last.
+    """
+
+    identity: Identity
+    view: ViewHolder
+    tallies: Tallies
+    recorder: EventRecorder
+    invariants: Invariants
+    states: list[NodeState]
+
+
+class CallFigures(Struct, frozen=True, kw_only=True):
+    """Where a node's calls come and go, and how they are carried.
+
+    Attributes:
+        service: of the backend server beside the node.
+        data_centre: the node's own.
+        entry: where callers' requests come.
+        owner: where other nodes' calls come.
+        ready: where the node tells whether it takes callers, if anywhere.
+        backend: the backend server.
+        slots: requests that it runs at once, until the list tells.
+        limits: on callers, until a configuration has others.
+        retries: that an entry may make.
+        chooser: of upstreams.
+        dialect: how callers and backend servers are spoken to.
+        reserves: whether a non-idempotent request reserves a slot first.
+        hedges: whether slow idempotent requests get a second attempt.
+    """
+
+    service: ServiceName
+    data_centre: DataCentre
+    entry: Address
+    owner: Address
+    ready: Address | None = None
+    backend: Address
+    slots: int
+    limits: CallerLimits
+    retries: RetryShare = RetryShare()
+    chooser: Chooser
+    dialect: Dialect = OWN_DIALECT
+    reserves: bool = True
+    hedges: bool = True
+
+
+class CallsTask:
+    """Carries callers' requests and other nodes' calls in one loop.
+
+    Attributes:
+        loop: carries the connections.
+        owner: of the backend server beside the node.
+        entry: takes callers' requests to upstreams.
+        callers: the port on which they come.
+        nodes: the port on which other nodes' calls come.
+        local: calls of this entry to this owner.
+    """
+
+    def __init__(
+        self,
+        figures: CallFigures,
+        *,
+        around: CallSurroundings,
+    ) -> None:
+        """Build the parts; ``bind`` opens the ports.
+
+        Args:
+            figures: where calls come and go.
+            around: what is shared with the rest of the node.
+        """
+        self._figures = figures
+        self._around = around
+        self.loop = Loop(on_defect=self._note_defect, on_late=self._note_late)
+        self.owner = Owner(
+            around.identity,
+            loop=self.loop,
+            gate=Gate(make_admission(figures.slots), alarms=self.loop.alarms),
+            backend=figures.backend,
+            invariants=around.invariants,
+            dialect=figures.dialect,
+            find_record=self._find_record,
+        )
+        self.local = LocalPeer(self.owner)
+        self.entry = Entry(self._make_parts())
+        self.callers = CallerPort(
+            self.loop,
+            answerer=self.entry,
+            read_limits=self.read_limits,
+        )
+        self.nodes = PeerPort(self.owner, recorder=around.recorder)
+        self._ready = CallerPort(
+            self.loop,
+            answerer=ReadyAnswerer(around.states),
+            read_limits=lambda: READY_LIMITS,
+        )
+
+    @property
+    def busy(self) -> int:
+        """How many requests are under way."""
+        owned = self.nodes.busy + self.local.busy
+        return max(self.callers.busy, owned, len(self.owner.gate.state.running))
+
+    def bind(self) -> Result[None, Fault]:
+        """Open the ports.
+
+        Returns:
+            Nothing, or the fault.
+        """
+        figures = self._figures
+        bound = self.callers.bind(figures.entry).and_then(
+            lambda _none: self.nodes.bind(figures.owner),
+        )
+        if figures.ready is None:
+            return bound
+        ready = figures.ready
+        return bound.and_then(lambda _none: self._ready.bind(ready))
+
+    def run(self) -> None:
+        """Carry calls until stopped, then close everything."""
+        self._start()
+        self.loop.run()
+        self.callers.stop()
+        self.nodes.stop()
+        self._ready.stop()
+        self.entry.parts.peers.close()
+        self.owner.pool.close()
+        self.loop.close()
+
+    def stop(self) -> None:
+        """End ``run``."""
+        self.loop.stop()
+
+    def drain(self) -> None:
+        """Take no new work; may be called from another thread."""
+        self.loop.submit(self._drain).result()
+
+    def close_port(self) -> None:
+        """Accept no more callers; may be called from another thread."""
+        self.loop.submit(self.callers.close_port).result()
+
+    def read_limits(self) -> CallerLimits:
+        """Give what callers may send now.
+
+        Returns:
+            The configuration's limits, or the settings'.
+        """
+        usual = self._figures.limits
+        published = self._around.view.current.limits
+        if published is None:
+            return usual
+        return CallerLimits(
+            head_bytes=published.head_bytes,
+            body_bytes=min(published.body_bytes, usual.body_bytes),
+            head_seconds=published.head_ms / MILLISECONDS,
+            idle_seconds=published.idle_ms / MILLISECONDS,
+            connections=usual.connections,
+        )
+
+    def _start(self) -> None:
+        self.callers.start()
+        self.nodes.start()
+        if self._figures.ready is not None:
+            self._ready.start()
+        self.entry.look()
+
+    def _drain(self) -> None:
+        self.callers.drain()
+        self.owner.gate.drain()
+
+    def _make_parts(self) -> EntryParts:
+        figures = self._figures
+        around = self._around
+        return EntryParts(
+            service=figures.service,
+            own_host=figures.owner.host,
+            data_centre=figures.data_centre,
+            loop=self.loop,
+            owner=self.owner,
+            local=self.local,
+            peers=PeerPool(self.loop, on_load=self._note_load),
+            view=around.view,
+            book=UpstreamBook(),
+            tallies=around.tallies,
+            recorder=around.recorder,
+            chooser=figures.chooser,
+            dialect=figures.dialect,
+            read_limits=self.read_limits,
+            read_retries=lambda: figures.retries,
+            reserves=figures.reserves,
+            hedges=figures.hedges,
+        )
+
+    def _find_record(self, instance: InstanceId) -> InstanceRecord | None:
+        return self._around.view.current.records.get(instance)
+
+    def _note_load(self, load: Load) -> None:
+        self.entry.parts.book.find(load.instance).note_load(load)
+
+    def _note_defect(self, error: BaseException) -> None:
+        self._around.recorder.record(
+            EventKind.invariant_broken,
+            code=Code.invariant_broken,
+            detail=repr(error),
+        )
+
+    def _note_late(self, seconds: float) -> None:
+        self._around.recorder.record(
+            EventKind.woke_late,
+            subject='calls',
+            detail=f'{seconds:.1f} s',
+        )
--- a/wagtaildale/configuration/model.py
+++ b/wagtaildale/configuration/model.py
@@ -21,6 +21,11 @@
 LONGEST_PATH: Final = 512
 LONGEST_TITLE: Final = 200
 
+MIDDLE_RANK: Final = 1
+# The entry of a configuration that holds limits instead of a service's
+# part: no service has such a name.
+LIMITS_ENTRY: Final = '@limits'
+
 DIGEST_PATTERN: Final = '^[0-9a-f]{32}$'
 
 HexDigest = Annotated[str, Meta(pattern=DIGEST_PATTERN)]
@@ -118,6 +123,8 @@
         within_ms: milliseconds in which an answer is in time.
         percent: how many of 100 answers are to be in time.
         deadline_ms: milliseconds after which nobody waits for an answer.
+        rank: which classes go first where there is not room for all; 0 is
+            the first.
     """
 
     name: ClassName
@@ -125,24 +132,91 @@
     within_ms: int
     percent: float
     deadline_ms: int
+    rank: int = MIDDLE_RANK
+
+
+class Share(Struct, frozen=True, kw_only=True):
+    """The part of a route's requests that goes to one service.
+
+    Attributes:
+        service: that gets it.
+        weight: its part of the sum of all weights.
+    """
+
+    service: ServiceName
+    weight: Annotated[int, Meta(ge=0)]
 
 
 class Route(Struct, frozen=True, kw_only=True):
-    """From methods and a path template to a class of a service."""
+    """From a request to a class of a service.
+
+    Operators' own files give methods and a path template. A platform may
+    also publish routes by host and path prefix, and split them; nobody
+    writes those here.
+
+    Attributes:
+        methods: that it matches; none stands for all.
+        path: path template, or a prefix that begins and ends with a slash.
+        service: whose class it is.
+        work_class: the class's name.
+        host: that it matches, in lower case; empty for a template.
+        split: among which services requests are divided; none if all go
+            to ``service``.
+        attempts: upstreams that one request may be sent to; 0 for the
+            product's own bound.
+    """
 
     methods: tuple[str, ...]
     path: str
     service: ServiceName
     work_class: ClassName
+    host: str = ''
+    split: tuple[Share, ...] = ()
+    attempts: Annotated[int, Meta(ge=0)] = 0
+
+    def list_services(self) -> tuple[ServiceName, ...]:
+        """List the services that requests may go to.
+
+        Returns:
+            Those of the split, or the one service.
+        """
+        if not self.split:
+            return (self.service,)
+        return tuple(share.service for share in self.split)
 
 
 class Part(Struct, frozen=True, kw_only=True):
-    """What is published of one service; content-addressed."""
+    """What is published of one service; content-addressed.
+
+    Attributes:
+        service: its name.
+        team: who owns it.
+        classes: its classes of work.
+        routes: to classes of this or other services.
+        connections: that one of its backend servers takes; 0 if unknown.
+    """
 
     service: ServiceName
     team: TeamName
     classes: tuple[WorkClass, ...]
     routes: tuple[Route, ...]
+    connections: int = 0
+
+
+class PublishedLimits(Struct, frozen=True, kw_only=True):
+    """What callers may send, where a platform publishes it.
+
+    Attributes:
+        head_bytes: largest request head.
+        body_bytes: largest request body.
+        head_ms: milliseconds from a head's first byte to its last.
+        idle_ms: milliseconds that a connection may stay idle.
+    """
+
+    head_bytes: Annotated[int, Meta(ge=1)]
+    body_bytes: Annotated[int, Meta(ge=0)]
+    head_ms: Annotated[int, Meta(ge=1)]
+    idle_ms: Annotated[int, Meta(ge=1)]
 
 
 class Manifest(Struct, frozen=True, kw_only=True):
--- a/wagtaildale/configuration/whole.py
+++ b/wagtaildale/configuration/whole.py
@@ -5,10 +5,15 @@
 from itertools import chain
 from typing import TYPE_CHECKING
 
-from msgspec import MsgspecError, Struct
+from msgspec import MsgspecError, Struct, json
 from result import Err, Ok, Result
 
 from wagtaildale.configuration.compiled import decode_part
+from wagtaildale.configuration.model import (
+    LIMITS_ENTRY,
+    Part,
+    PublishedLimits,
+)
 from wagtaildale.configuration.paths import is_rest_last, normalise_template
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
@@ -17,13 +22,19 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
-    from wagtaildale.configuration.model import Part, Route
+    from wagtaildale.configuration.model import Route
 
 
 class Configuration(Struct, frozen=True, kw_only=True):
-    """Every part of one version, checked as a whole."""
+    """Every part of one version, checked as a whole.
+
+    Attributes:
+        parts: by service.
+        limits: on callers, if the version has them.
+    """
 
     parts: dict[ServiceName, Part]
+    limits: PublishedLimits | None = None
 
 
 def check_parts(blobs: Mapping[str, bytes]) -> Result[Configuration, Fault]:
@@ -36,7 +47,12 @@
         The configuration, or the first fault.
     """
     parts: dict[ServiceName, Part] = {}
+    limits = _decode_limits(blobs.get(LIMITS_ENTRY))
+    if isinstance(limits, Err):
+        return limits
     for name, blob in blobs.items():
+        if name == LIMITS_ENTRY:
+            continue
         part = _decode(name, blob)
         if isinstance(part, Err):
             return part
@@ -44,7 +60,7 @@
     faults = chain(_find_dangling(parts), _find_conflicts(parts))
     first = next(faults, None)
     if first is None:
-        return Ok(Configuration(parts=parts))
+        return Ok(Configuration(parts=parts, limits=limits.ok_value))
     return Err(first)
 
 
@@ -59,6 +75,24 @@
     return Ok(part)
 
 
+def _decode_limits(
+    blob: bytes | None,
+) -> Result[PublishedLimits | None, Fault]:
+    if blob is None:
+        return Ok(None)
+    try:
+        return Ok(json.decode(blob, type=PublishedLimits))
+    except MsgspecError as error:
+        return Err(
+            _describe(
+                Code.part_corrupt,
+                LIMITS_ENTRY,
+                str(error),
+                'limits on callers',
+            ),
+        )
+
+
 def _list_routes(parts: Mapping[ServiceName, Part]) -> Iterator[Route]:
     for part in parts.values():
         yield from part.routes
@@ -70,12 +104,13 @@
         for name, part in parts.items()
     }
     for route in _list_routes(parts):
+        missing = [name for name in route.list_services() if name not in parts]
         known = classes.get(route.service)
-        if known is None:
+        if missing or known is None:
             yield _describe(
                 Code.service_missing,
                 route.path,
-                route.service,
+                ', '.join(missing) or route.service,
                 'a service of this version',
             )
         elif route.work_class not in known:
@@ -90,8 +125,7 @@
 def _find_conflicts(parts: Mapping[ServiceName, Part]) -> Iterator[Fault]:
     taken: set[tuple[str, str]] = set()
     for route in _list_routes(parts):
-        template = normalise_template(route.path)
-        matches = {(method, template) for method in route.methods}
+        matches = _list_matches(route)
         if taken & matches or not is_rest_last(route.path):
             yield _describe(
                 Code.route_conflict,
@@ -102,5 +136,12 @@
         taken |= matches
 
 
+def _list_matches(route: Route) -> set[tuple[str, str]]:
+    if route.host:
+        return {(route.host, route.path)}
+    template = normalise_template(route.path)
+    return {(method, template) for method in route.methods}
+
+
 def _describe(code: Code, where: str, got: str, expected: str) -> Fault:
     return Fault(code=code, where=where, got=got, expected=expected)
--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -15,6 +15,7 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.keys.pairs import read_pairs
 from wagtaildale.assembly import read_incarnation
+from wagtaildale.integration import OWN_INTEGRATION, Integration
 from wagtaildale.node import Node
 from wagtaildale.settings.load import load_settings
 from wagtaildale.telemetry.events import EventKind, EventRecorder
@@ -101,6 +102,7 @@
     *,
     make_sockets: Callable[[tuple[KeyPair, ...]], NodeSockets] = NodeSockets,
     tuning: Tuning | None = None,
+    integration: Integration = OWN_INTEGRATION,
 ) -> int:
     """Run a node until a signal stops it.
 
@@ -109,6 +111,7 @@
         make_sockets: makes the sockets to other nodes; the soak gives ones
             that lose messages.
         tuning: the figures of distribution, if not the settings' own.
+        integration: how the platform is met.
 
     Returns:
         Exit code: 0 after a stop that cut nothing.
@@ -129,6 +132,7 @@
         recorder=recorder,
         sockets=sockets,
         tuning=tuning,
+        integration=integration,
     )
     signals = Signals(node)
     started = node.start()
--- a/wagtaildale/distribution/documents.py
+++ b/wagtaildale/distribution/documents.py
@@ -90,7 +90,7 @@
     document = outcome.document
     if document.kind is Kind.instances:
         records = {
-            record.instance: record
+            record.node_id: record
             for record in map(decode_record, document.blobs.values())
         }
         take_records(state.members, records=records)
--- a/wagtaildale/distribution/joining.py
+++ b/wagtaildale/distribution/joining.py
@@ -66,5 +66,8 @@
     if len(joining.peers) >= min(PEERS_TO_HEAR, max(1, len(state.seeds))):
         return True
     asked = len(joining.source) == len(state.stores)
-    alone = now - joining.started_at > ALONE_SECONDS
+    # A node without seeds can ask nobody: the peers that the list names get
+    # its first digest, and whoever knows better answers that.
+    patience = ALONE_SECONDS if state.seeds else 0
+    alone = now - joining.started_at > patience
     return alone and (asked or bool(joining.peers))
--- a/wagtaildale/distribution/readers.py
+++ b/wagtaildale/distribution/readers.py
@@ -26,7 +26,6 @@
     from wagtaildale.distribution.wire import Holding
 
 ASK_PEERS_FIRST_SECONDS: Final = 1.0
-READ_SPREAD_SECONDS: Final = 3.0
 
 
 def review_appointment(
@@ -149,13 +148,16 @@
     joining = state.joining
     if state.members.state is not NodeState.joining or state.appointed:
         return []
-    if now - joining.started_at < ASK_PEERS_FIRST_SECONDS:
+    # With no seeds in the settings there is nobody to ask first.
+    patience = ASK_PEERS_FIRST_SECONDS if state.seeds else 0
+    if now - joining.started_at < patience:
         return []
     if now < joining.next_read:
         return []
     first = joining.next_read < joining.started_at
-    joining.next_read = now + random.uniform(0, READ_SPREAD_SECONDS)
-    if first:
+    spread = state.tuning.first_read_seconds
+    joining.next_read = now + random.uniform(0, spread)
+    if first and state.seeds:
         return []
     return [
         ReadSource(kind=kind)
--- a/wagtaildale/distribution/tuning.py
+++ b/wagtaildale/distribution/tuning.py
@@ -39,6 +39,9 @@
             spare reader appoints itself.
         step_seconds: more for each further rank.
         watch_seconds: how long the platform holds a watch open.
+        look_seconds: between two looks at who is to watch.
+        first_read_seconds: over which new nodes spread their first reads.
+        backoff_seconds: longest delay after one failed read.
         passes_on: whether nodes tell each other of versions at all.
     """
 
@@ -50,10 +53,22 @@
     stale_seconds: float = 3.5
     step_seconds: float = 1.0
     watch_seconds: float = 1.5
+    look_seconds: float = 1.0
+    first_read_seconds: float = 3.0
+    backoff_seconds: float = 0.5
     passes_on: bool = True
 
 
 EVERY_NODE: Final = 1_000_000
+# Of the time in which a version must be in force. The watch and the read
+# after it stay under half; a spare reader has the rest to notice that
+# nothing was confirmed, read by itself, and try again once.
+WATCH_SHARE: Final = 0.4
+STALE_SHARE: Final = 0.5
+LOOK_SHARE: Final = 0.05
+STEP_SHARE: Final = 0.02
+FIRST_READ_SHARE: Final = 0.05
+BACKOFF_SHARE: Final = 0.1
 FRUGAL_READERS: Final = 2
 FRUGAL_SWAP_SECONDS: Final = 3.0
 FRUGAL_STALE_SECONDS: Final = 8.0
@@ -71,3 +86,28 @@
         ),
     },
 )
+
+
+def make_tuning(*, apply_seconds: float) -> Tuning:
+    """Make the figures that keep a bound on the time to apply a version.
+
+    One reader in each data centre: on a platform that is paid by the call,
+    a second one costs more than the seconds that it would save when the
+    first one dies. Every other node is a spare.
+
+    Args:
+        apply_seconds: in which a version must be in force everywhere.
+
+    Returns:
+        The figures.
+    """
+    return Tuning(
+        readers=1,
+        spare_readers=EVERY_NODE,
+        stale_seconds=STALE_SHARE * apply_seconds,
+        step_seconds=STEP_SHARE * apply_seconds,
+        watch_seconds=WATCH_SHARE * apply_seconds,
+        look_seconds=LOOK_SHARE * apply_seconds,
+        first_read_seconds=FIRST_READ_SHARE * apply_seconds,
+        backoff_seconds=BACKOFF_SHARE * apply_seconds,
+    )
--- a/wagtaildale/errors/codes.py
+++ b/wagtaildale/errors/codes.py
@@ -41,6 +41,7 @@
     message_malformed = 3008
     message_misdirected = 3009
     delta_mismatch = 3010
+    history_gone = 3011
 
     request_malformed = 4001
     request_too_large = 4002
@@ -60,6 +61,10 @@
     lease_ended = 4016
     key_repeated = 4018
     too_deep = 4019
+    head_timed_out = 4020
+    backend_shed = 4021
+    peer_lost = 4022
+    service_error = 4023
 
     address_in_use = 5001
     drain_bound_passed = 5002
@@ -99,6 +104,7 @@
         Code.message_malformed: 'a message between nodes cannot be read',
         Code.message_misdirected: 'a message meant for another instance',
         Code.delta_mismatch: 'a delta that does not give what it names',
+        Code.history_gone: 'the platform has dropped the changes asked for',
         Code.request_malformed: 'the request is not valid HTTP',
         Code.request_too_large: 'head or body over the limit',
         Code.no_route: 'no class matches method and path',
@@ -117,6 +123,10 @@
         Code.lease_ended: 'the reservation ended before the run came',
         Code.key_repeated: 'this idempotency key has run already',
         Code.too_deep: 'calls lead to calls without end',
+        Code.head_timed_out: 'the head of the request came too slowly',
+        Code.backend_shed: 'the backend server refused it unrun',
+        Code.peer_lost: 'the connection to another node was lost',
+        Code.service_error: 'the backend server answered with an error',
         Code.address_in_use: 'a listening address cannot be bound',
         Code.drain_bound_passed: 'work in flight outlived the drain bound',
         Code.invariant_broken: 'an invariant does not hold: a defect',
--- a/wagtaildale/lifecycle/stop.py
+++ b/wagtaildale/lifecycle/stop.py
@@ -11,8 +11,7 @@
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from wagtaildale.admission.gate import Gate
-    from wagtaildale.calls.listener import Listener
+    from wagtaildale.calls.task import CallsTask
     from wagtaildale.telemetry.events import EventRecorder
     from wagtaildale.timers.inbox import Inbox
 
@@ -38,26 +37,21 @@
     def __init__(
         self,
         *,
-        gate: Gate,
-        callers: Listener,
-        nodes: Listener,
+        calls: CallsTask,
         inbox: Inbox[object],
         recorder: EventRecorder,
     ) -> None:
         """Prepare.
 
         Args:
-            gate: in front of the backend server.
-            callers: takes callers' requests.
-            nodes: takes other nodes' calls.
+            calls: carries callers' requests and other nodes' calls.
             inbox: of the distribution task.
             recorder: gets events.
         """
-        self._gate = gate
-        self._callers = callers
-        self._listeners = (callers, nodes)
+        self._calls = calls
         self._inbox = inbox
         self._recorder = recorder
+        self._port_closed = False
         self._hurried = False
 
     def hurry(self) -> None:
@@ -67,9 +61,7 @@
     def begin(self) -> None:
         """Take no new work."""
         self._inbox.put(Leave())
-        self._gate.drain()
-        for listener in self._listeners:
-            listener.drain()
+        self._calls.drain()
 
     def wait(self, *, seconds: float) -> bool:
         """Wait until nothing is in flight.
@@ -83,8 +75,9 @@
         began = read_clock()
         while read_clock() < began + seconds and not self._hurried:
             elapsed = read_clock() - began
-            if elapsed > ANNOUNCE_SECONDS:
-                self._callers.close_port()
+            if elapsed > ANNOUNCE_SECONDS and not self._port_closed:
+                self._port_closed = True
+                self._calls.close_port()
             if self._is_done(elapsed):
                 return True
             time.sleep(LOOK_SECONDS)
@@ -101,12 +94,11 @@
         """Count the requests under way.
 
         Returns:
-            Over all ports, and at the backend server.
+            Of callers, of other nodes, and at the backend server.
         """
-        busy = sum(listener.busy for listener in self._listeners)
-        return max(busy, len(self._gate.state.running))
+        return self._calls.busy
 
     def _is_done(self, elapsed: float) -> bool:
         if elapsed < ANNOUNCE_SECONDS or self.count_in_flight():
             return False
-        return not self._callers.open or elapsed > LINGER_SECONDS
+        return not self._calls.callers.open or elapsed > LINGER_SECONDS
--- a/wagtaildale/membership/records.py
+++ b/wagtaildale/membership/records.py
@@ -41,6 +41,11 @@
         control_port: where the node takes control messages.
         admin_port: where the node's administration API answers.
         state: live or leaving, as the platform sees it.
+        node: by which nodes know the one beside it; the instance's own id
+            where that stays the same while the node runs.
+        slots: requests that its backend server runs at once; 0 if it is
+            not told.
+        backend_port: where its backend server listens; 0 if not told.
     """
 
     instance: InstanceId
@@ -53,6 +58,14 @@
     control_port: Port
     admin_port: Port
     state: ListedState = ListedState.live
+    node: InstanceId = InstanceId('')
+    slots: Annotated[int, Meta(ge=0)] = 0
+    backend_port: int = 0
+
+    @property
+    def node_id(self) -> InstanceId:
+        """By which nodes know the one beside it."""
+        return self.node or self.instance
 
     @property
     def control_address(self) -> str:
--- a/wagtaildale/membership/state.py
+++ b/wagtaildale/membership/state.py
@@ -43,7 +43,7 @@
         incarnation: of this process.
         sequence: raised to refute what is said of this node.
         state: of this node.
-        records: the platform's list.
+        records: the platform's list, by node.
         entries: news by instance.
         missed: by peer, digests in a row without a reply.
         cached: the topology, until records or news change.
@@ -125,9 +125,9 @@
             if entry.news.state in {NodeState.dead, NodeState.suspect}
         }
         places = [
-            Place(record.instance, record.data_centre)
+            Place(record.node_id, record.data_centre)
             for record in self.records.values()
-            if record.instance not in gone
+            if record.node_id not in gone
         ]
         if self.own not in places:
             places.append(self.own)
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -10,24 +10,19 @@
 
 from wagtaildale.admin.server import AdminServer
 from wagtaildale.assembly import (
-    make_entry_parts,
-    make_owner,
+    make_calls,
+    make_fetch,
     make_parts,
     make_watches,
 )
-from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.entry import Entry
-from wagtaildale.calls.listener import Listener
-from wagtaildale.calls.owner_port import OwnerPort
 from wagtaildale.distribution.around import Surroundings
 from wagtaildale.distribution.sockets import NodeSockets
 from wagtaildale.distribution.state import make_state
 from wagtaildale.distribution.task import DistributionTask
+from wagtaildale.integration import OWN_INTEGRATION, Integration
 from wagtaildale.lifecycle.stop import Stop
 from wagtaildale.membership.state import MembershipState
 from wagtaildale.membership.topology import Place
-from wagtaildale.source.http import HttpPlatform
-from wagtaildale.source.tasks import FetchTask
 from wagtaildale.telemetry.events import EventKind, EventRecorder
 from wagtaildale.telemetry.gauges import make_metrics
 from wagtaildale.timers.messages import TimerName
@@ -42,10 +37,10 @@
     from wagtaildale.errors.faults import Fault
     from wagtaildale.settings.model import Settings
 
-RANK_SECONDS: Final = 1.0
 JITTER: Final = 0.2
-LEASE_LOOK_SECONDS: Final = 0.25
-OWN_TASKS: Final = 16
+# Distribution, timers, calls, the administration API, one fetch task and at
+# most one watch for each document.
+TASKS_MOST: Final = 8
 
 
 class Task(Protocol):
@@ -68,6 +63,7 @@
         recorder: EventRecorder,
         sockets: NodeSockets,
         tuning: Tuning | None = None,
+        integration: Integration = OWN_INTEGRATION,
     ) -> None:
         """Build every part; ``start`` opens the ports.
 
@@ -76,34 +72,26 @@
             recorder: gets events.
             sockets: to other nodes, with the fleet's keys.
             tuning: the figures of distribution, if not the settings' own.
+            integration: how the platform is met.
         """
         self.parts = make_parts(
             settings,
             recorder=recorder,
             tuning=tuning,
+            integration=integration,
         )
         self._executor = ThreadPoolExecutor(
-            max_workers=2 * settings.limits.connections + OWN_TASKS,
+            max_workers=TASKS_MOST,
             thread_name_prefix='wagtaildale',
         )
         self._sockets = sockets
         self._timers = TimerService()
         self._watches = make_watches(self.parts)
-        self._fetch = FetchTask(
-            platform=HttpPlatform(settings.platform),
-            outbox=self.parts.inbox,
-        )
+        self._fetch = make_fetch(self.parts)
         self.distribution = self._make_distribution()
-        self.owner = make_owner(self.parts)
-        self.entry_parts = make_entry_parts(self.parts, owner=self.owner)
-        self.entry_listener = self._make_listener(Entry(self.entry_parts))
-        self.owner_listener = self._make_listener(
-            OwnerPort(self.owner, body_bytes=settings.limits.body_bytes),
-        )
+        self.calls = make_calls(self.parts)
         self.stop = Stop(
-            gate=self.owner.gate,
-            callers=self.entry_listener,
-            nodes=self.owner_listener,
+            calls=self.calls,
             inbox=self.parts.inbox,
             recorder=recorder,
         )
@@ -154,42 +142,23 @@
         return done
 
     def _list_tasks(self) -> tuple[Task, ...]:
-        listeners: tuple[Task, ...] = (self.entry_listener, self.owner_listener)
-        readers: tuple[Task, ...] = (self._fetch, *self._watches.values())
+        readers: tuple[Task, ...] = (self._fetch, *self._watches)
         rest: tuple[Task, ...] = (self._timers, self.distribution, self._admin)
-        return listeners + readers + rest
+        return (self.calls, *readers, *rest)
 
     def _open_ports(self) -> Result[None, Fault]:
-        settings = self.parts.settings
-        host = settings.host
         return (
-            self.entry_listener.bind(Address(host, settings.entry_port))
-            .and_then(lambda _none: self._bind_owner())
+            self.calls.bind()
             .and_then(lambda _none: self._bind_control())
             .and_then(lambda _none: self._admin.bind())
         )
 
-    def _bind_owner(self) -> Result[None, Fault]:
-        settings = self.parts.settings
-        address = Address(settings.host, settings.owner_port)
-        return self.owner_listener.bind(address)
-
     def _bind_control(self) -> Result[None, Fault]:
         settings = self.parts.settings
         return self._sockets.bind(
             f'tcp://{settings.host}:{settings.control_port}',
         )
 
-    def _make_listener(self, answerer: Entry | OwnerPort) -> Listener:
-        limits = self.parts.settings.limits
-        return Listener(
-            answerer,
-            executor=self._executor,
-            connections=limits.connections,
-            head_bytes=limits.head_bytes,
-            recorder=self.parts.recorder,
-        )
-
     def _make_distribution(self) -> DistributionTask:
         parts = self.parts
         settings = parts.settings
@@ -202,7 +171,9 @@
             invariants=parts.invariants,
             view=parts.view,
             watches={
-                kind: watch.inbox for kind, watch in self._watches.items()
+                kind: watch.inbox
+                for watch in self._watches
+                for kind in watch.feed.kinds
             },
             fetches=self._fetch.inbox,
             states=parts.states,
@@ -223,7 +194,7 @@
         tuning = self.distribution.state.tuning
         seconds = {
             TimerName.digest: tuning.swap_seconds,
-            TimerName.rank: RANK_SECONDS,
+            TimerName.rank: tuning.look_seconds,
         }
         for name, interval in seconds.items():
             self._timers.subscribe(
@@ -234,10 +205,3 @@
                     jitter=JITTER,
                 ),
             )
-        self._timers.subscribe(
-            Subscription(
-                name=TimerName.limits,
-                inbox=self.owner.gate,
-                interval=LEASE_LOOK_SECONDS,
-            ),
-        )
--- /dev/null
+++ b/wagtaildale/platform/dialect.py
@@ -0,0 +1,22 @@
+"""The header fields of the platform's callers and backend servers."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wagtaildale.calls.dialect import Dialect
+
+PLATFORM_DIALECT: Final = Dialect(
+    request_id=b'x-request-id',
+    deadline_ms=b'x-deadline-ms',
+    depth=None,
+    retries=None,
+    expected_instance=b'x-expected-instance',
+    caller_service=b'x-caller-service',
+    not_run=b'x-not-executed',
+    load=b'x-server-load',
+    takes_request_id=True,
+    echoes_request_id=True,
+    describes_calls=False,
+    fractional_retry=True,
+)
--- /dev/null
+++ b/wagtaildale/platform/settings.py
@@ -0,0 +1,197 @@
+"""The platform's settings file, decoded into the product's settings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from msgspec import MsgspecError, Struct, json
+from result import Err, Ok, Result
+
+from wagtaildale.calls.addresses import Address
+from wagtaildale.configuration.files import read_text
+from wagtaildale.errors.codes import Code
+from wagtaildale.errors.faults import Fault
+from wagtaildale.settings.model import (
+    BackendSettings,
+    BoundSettings,
+    LimitSettings,
+    PlatformSettings,
+    Settings,
+)
+from wagtaildale.types import DataCentre, InstanceId, Region, ServiceName
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from wagtaildale.errors.faults import Faults
+
+DESCRIPTORS_FOR_FILES: Final = 200
+# A caller's connection, and one to a node or the backend server for it.
+DESCRIPTORS_PER_CONNECTION: Final = 2
+MILLISECONDS: Final = 1000
+# The planned stop ends this long before the process would be killed.
+STOP_MARGIN_SECONDS: Final = 0.7
+
+
+class ListenAddresses(Struct, frozen=True, kw_only=True):
+    """Where a process listens.
+
+    Attributes:
+        inbound: for other nodes' calls to the backend server here.
+        outbound: for requests of callers and of the backend server here.
+        ready: where the platform asks whether the node takes callers.
+    """
+
+    inbound: str
+    outbound: str
+    ready: str
+
+
+class MachineLimits(Struct, frozen=True, kw_only=True, rename='camel'):
+    """What the machine gives a process.
+
+    Attributes:
+        max_fds: descriptors, those for files among them.
+        memory_mb: megabytes; over it the process is killed.
+    """
+
+    max_fds: int
+    memory_mb: int
+
+
+class StoreAddress(Struct, frozen=True, kw_only=True, rename='camel'):
+    """The platform's store.
+
+    Attributes:
+        address: IP number and port.
+        reads_per_s: calls that it answers for all nodes together.
+    """
+
+    address: str
+    reads_per_s: float = 0
+
+
+class PlatformFile(Struct, frozen=True, kw_only=True, rename='camel'):
+    """The fields of the settings file that are used.
+
+    Attributes:
+        node_name: for people.
+        ip: of the machine.
+        zone: the data centre it stands in.
+        zones: the region of each data centre.
+        listen_addrs: where the process listens.
+        internal_port_range: first and last port for traffic between nodes.
+        limits: what the machine gives.
+        bounds: the platform's figures, as ``name=figure``.
+        app_addr: the backend server on this machine.
+        service: that it runs.
+        platform: the store.
+    """
+
+    node_name: str
+    ip: str
+    zone: str
+    zones: dict[str, str]
+    listen_addrs: ListenAddresses
+    internal_port_range: tuple[int, int]
+    limits: MachineLimits
+    bounds: tuple[str, ...] = ()
+    app_addr: str
+    service: str
+    platform: StoreAddress
+
+
+def read_settings(path: Path | str) -> Result[PlatformFile, Faults]:
+    """Read the platform's settings file.
+
+    Args:
+        path: the file.
+
+    Returns:
+        Its fields, or why it cannot be used.
+    """
+    text = read_text(path)
+    if isinstance(text, Err):
+        return text
+    try:
+        return Ok(json.decode(text.ok_value, type=PlatformFile))
+    except MsgspecError as error:
+        fault = Fault(
+            code=Code.settings_malformed,
+            where=str(path),
+            got=str(error),
+            expected="the platform's settings",
+        )
+        return Err((fault,))
+
+
+def translate_settings(given: PlatformFile) -> Settings:
+    """Say in the product's words what the platform's settings say.
+
+    Args:
+        given: the file's fields.
+
+    Returns:
+        Settings of a daemon.
+    """
+    backend = split_address(given.app_addr)
+    bounds = read_bounds(given.bounds)
+    descriptors = given.limits.max_fds - DESCRIPTORS_FOR_FILES
+    return Settings(
+        instance=InstanceId(given.ip),
+        name=given.node_name,
+        service=ServiceName(given.service),
+        data_centre=DataCentre(given.zone),
+        region=Region(given.zones[given.zone]),
+        host=given.ip,
+        entry_port=split_address(given.listen_addrs.outbound).port,
+        owner_port=split_address(given.listen_addrs.inbound).port,
+        ready_port=split_address(given.listen_addrs.ready).port,
+        control_port=given.internal_port_range[0],
+        admin_port=given.internal_port_range[0] + 1,
+        backend=BackendSettings(host=backend.host, port=backend.port),
+        platform=PlatformSettings(url=f'http://{given.platform.address}'),
+        limits=LimitSettings(
+            connections=descriptors // DESCRIPTORS_PER_CONNECTION,
+            drain_seconds=bounds.stop_seconds - STOP_MARGIN_SECONDS,
+        ),
+        bounds=bounds,
+    )
+
+
+def read_bounds(texts: tuple[str, ...]) -> BoundSettings:
+    """Read the platform's figures; those it does not name keep defaults.
+
+    Args:
+        texts: ``name=figure`` each.
+
+    Returns:
+        The figures that are used.
+    """
+    given = dict(text.split('=', 1) for text in texts if '=' in text)
+    usual = BoundSettings()
+
+    def find(name: str, default: float, scale: float = 1) -> float:
+        return float(given[name]) / scale if name in given else default
+
+    return BoundSettings(
+        apply_seconds=find('applyMs', usual.apply_seconds, MILLISECONDS),
+        drain_seconds=find('drainMs', usual.drain_seconds, MILLISECONDS),
+        stop_seconds=find('graceS', usual.stop_seconds),
+        retry_share=find('budgetRatio', usual.retry_share),
+        retry_window_seconds=find('budgetWindowS', usual.retry_window_seconds),
+        retry_slack=find('budgetSlack', usual.retry_slack),
+    )
+
+
+def split_address(text: str) -> Address:
+    """Split an address at its colon.
+
+    Args:
+        text: IP number and port.
+
+    Returns:
+        The address.
+    """
+    host, _colon, port = text.rpartition(':')
+    return Address(host, int(port))
