--- /dev/null
+++ b/wagtaildale/platform/store.py
@@ -0,0 +1,254 @@
+"""The calls of the platform's store."""
+
+from __future__ import annotations
+
+from base64 import b64decode
+from typing import TYPE_CHECKING, Final, TypeVar
+from urllib.parse import quote
+
+from msgspec import MsgspecError, Struct, json
+from result import Err, Ok, Result
+
+from wagtaildale.errors.codes import Code
+from wagtaildale.platform.configuration import decode_configuration
+from wagtaildale.platform.instances import decode_instance
+from wagtaildale.source.curl import Answer, CurlReader
+from wagtaildale.source.http import describe_status
+from wagtaildale.source.platform import ReadFailure
+from wagtaildale.source.store import (
+    Store,
+    StoredDocument,
+    StoreItem,
+    StoreReading,
+)
+from wagtaildale.types import NO_VERSION, Kind, Version
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from wagtaildale.settings.model import Settings
+
+CONFIGURATION_KEY: Final = 'op/config'
+INSTANCE_PREFIX: Final = 'servers/'
+OK_STATUS: Final = 200
+GONE_STATUS: Final = 410
+MILLISECONDS: Final = 1000
+
+Shape = TypeVar('Shape')
+
+
+class Item(Struct, frozen=True, kw_only=True):
+    """An item, or a change of one.
+
+    Attributes:
+        key: its key.
+        revision: of its last change.
+        value: in base64; missing where the item was removed.
+        tombstone: whether it was removed.
+    """
+
+    key: str
+    revision: int
+    value: str = ''
+    tombstone: bool = False
+
+
+class Page(Struct, frozen=True, kw_only=True, rename='camel'):
+    """An answer to a read of a range.
+
+    Attributes:
+        items: on this page.
+        has_more: whether more pages follow.
+        store_revision: of the store as the page was read.
+    """
+
+    items: tuple[Item, ...]
+    has_more: bool
+    store_revision: int
+
+
+class Changes(Struct, frozen=True, kw_only=True, rename='camel'):
+    """An answer to a watch.
+
+    Attributes:
+        events: changes, oldest first.
+        store_revision: from which the next watch goes on.
+    """
+
+    events: tuple[Item, ...]
+    store_revision: int
+
+
+class PlatformStore(Store):
+    """Reads the store by one kept-alive connection; belongs to one task."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        regions: dict[str, str],
+    ) -> None:
+        """Prepare a connection; nothing is sent yet.
+
+        Args:
+            settings: of this daemon.
+            regions: by data centre.
+        """
+        answer_seconds = settings.bounds.read_seconds
+        self._url = settings.platform.url
+        self._settings = settings
+        self._regions = regions
+        self._answer_seconds = answer_seconds
+        self._reader = CurlReader(
+            connect_ms=round(answer_seconds * MILLISECONDS),
+        )
+
+    def read_all(self) -> Result[StoreReading, ReadFailure]:
+        """Read every item, page by page; see ``Store``.
+
+        Returns:
+            The items, or why not.
+        """
+        items: list[Item] = []
+        revisions: list[int] = []
+        more = True
+        while more:
+            after = quote(items[-1].key, safe='') if items else ''
+            page = self._ask(f'/kv-range?prefix=&after={after}', 0, Page)
+            if isinstance(page, Err):
+                return page
+            items.extend(page.ok_value.items)
+            revisions.append(page.ok_value.store_revision)
+            more = page.ok_value.has_more and bool(page.ok_value.items)
+        return Ok(
+            StoreReading(
+                items=tuple(_decode_item(item) for item in items),
+                revision=revisions[0],
+                is_snapshot=revisions[0] == revisions[-1],
+            ),
+        )
+
+    def watch(
+        self,
+        *,
+        revision: int,
+        wait: float,
+    ) -> Result[StoreReading, ReadFailure]:
+        """Wait for changes; see ``Store``.
+
+        Args:
+            revision: after which changes are wanted.
+            wait: seconds that the store may hold the call.
+
+        Returns:
+            What has changed, or why not.
+        """
+        wait_ms = max(1, round(wait * MILLISECONDS))
+        path = f'/kv-watch?prefix=&after={revision}&waitMs={wait_ms}'
+        asked = self._ask(path, wait, Changes)
+        return asked.map(
+            lambda changes: StoreReading(
+                items=tuple(_decode_item(item) for item in changes.events),
+                revision=changes.store_revision,
+            ),
+        )
+
+    def is_part_of(self, key: str, kind: Kind) -> bool:
+        """Tell whether a key belongs to a document; see ``Store``.
+
+        Args:
+            key: of an item.
+            kind: the document.
+
+        Returns:
+            Whether a change of it changes the document.
+        """
+        if kind is Kind.configuration:
+            return key == CONFIGURATION_KEY
+        return key.startswith(INSTANCE_PREFIX)
+
+    def make_document(
+        self,
+        kind: Kind,
+        *,
+        items: Mapping[str, StoreItem],
+        revision: int,
+    ) -> Result[StoredDocument, ReadFailure]:
+        """Make a document from the store's items; see ``Store``.
+
+        Args:
+            kind: which document.
+            items: by key, everything.
+            revision: of the store.
+
+        Returns:
+            The document, or what of it cannot be read.
+        """
+        try:
+            if kind is Kind.configuration:
+                return Ok(self._make_configuration(items))
+            return Ok(self._make_list(items, revision))
+        except (MsgspecError, ValueError) as error:
+            return Err(ReadFailure(code=Code.part_corrupt, detail=str(error)))
+
+    def _make_configuration(
+        self,
+        items: Mapping[str, StoreItem],
+    ) -> StoredDocument:
+        item = items.get(CONFIGURATION_KEY)
+        if item is None or item.payload is None:
+            return StoredDocument(version=NO_VERSION, blobs={})
+        version, blobs = decode_configuration(item.payload)
+        return StoredDocument(version=Version(version), blobs=blobs)
+
+    def _make_list(
+        self,
+        items: Mapping[str, StoreItem],
+        revision: int,
+    ) -> StoredDocument:
+        blobs: dict[str, bytes] = {}
+        for key, item in items.items():
+            if key.startswith(INSTANCE_PREFIX) and item.payload is not None:
+                instance = key.removeprefix(INSTANCE_PREFIX)
+                record = decode_instance(
+                    instance,
+                    item.payload,
+                    settings=self._settings,
+                    regions=self._regions,
+                )
+                blobs[instance] = json.encode(record)
+        return StoredDocument(version=Version(revision), blobs=blobs)
+
+    def _ask(
+        self,
+        path: str,
+        wait: float,
+        shape: type[Shape],
+    ) -> Result[Shape, ReadFailure]:
+        asked = self._reader.ask(
+            f'{self._url}{path}',
+            seconds=wait + self._answer_seconds,
+        )
+        if isinstance(asked, Err):
+            return asked
+        return _decode_answer(asked.ok_value, shape)
+
+
+def _decode_item(item: Item) -> StoreItem:
+    payload = None if item.tombstone else b64decode(item.value)
+    return StoreItem(key=item.key, payload=payload, revision=item.revision)
+
+
+def _decode_answer(
+    answer: Answer,
+    shape: type[Shape],
+) -> Result[Shape, ReadFailure]:
+    if answer.status == GONE_STATUS:
+        detail = 'the store has dropped that history'
+        return Err(ReadFailure(code=Code.history_gone, detail=detail))
+    if answer.status != OK_STATUS:
+        return Err(describe_status(answer.status))
+    try:
+        return Ok(json.decode(answer.body, type=shape))
+    except MsgspecError as error:
+        return Err(ReadFailure(code=Code.part_corrupt, detail=str(error)))
--- /dev/null
+++ b/wagtaildale/reactor/__init__.py
@@ -0,0 +1,1 @@
+"""A task that owns sockets: its loop, and the streams in it."""
--- a/wagtaildale/routing/book.py
+++ b/wagtaildale/routing/book.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import threading
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.fields import ANY_INCARNATION
@@ -10,9 +9,8 @@
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from wagtaildale.calls.fields import AnswerFields
+    from wagtaildale.calls.frames import Load
     from wagtaildale.types import InstanceId
 
 FIRST_LIMIT: Final = 10
@@ -118,10 +116,6 @@
 class UpstreamNotes:
     """What is known of one upstream.
 
-    Workers write what answers say without a lock: a lost update skews one
-    choice until the next answer. Only the count of requests under way is
-    locked, since nothing would ever set it right.
-
     Attributes:
         instance: the upstream.
         incarnation: of its node's process, as last answered.
@@ -134,7 +128,6 @@
     """
 
     __slots__ = (
-        '_lock',
         'ejection',
         'in_flight',
         'incarnation',
@@ -155,33 +148,19 @@
         self.incarnation = ANY_INCARNATION
         self.ejection = Ejection()
         self.pending = 0
-        self._lock = threading.Lock()
         self.in_flight = 0
         self.limit = FIRST_LIMIT
         self.queued = 0
         self.known_since = read_clock()
 
-    def __enter__(self) -> None:
+    def note_begun(self) -> None:
         """Count a request that goes there."""
         self.ejection.note_chosen(read_clock())
-        with self._lock:
-            self.pending += 1
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Count a request as over.
+        self.pending += 1
 
-        Args:
-            kind: of an error, if one ended it.
-            error: the error.
-            trace: where it arose.
-        """
-        with self._lock:
-            self.pending -= 1
+    def note_ended(self) -> None:
+        """Count a request as over."""
+        self.pending -= 1
 
     def note_answer(self, fields: AnswerFields) -> bool:
         """Note what an answer said of its owner.
@@ -204,6 +183,16 @@
             return False
         return self.ejection.note_answer()
 
+    def note_load(self, load: Load) -> None:
+        """Note what an owner tells of itself unasked.
+
+        Args:
+            load: its word.
+        """
+        self.in_flight = load.in_flight
+        self.limit = max(1, load.limit)
+        self.queued = load.queued
+
     def measure_load(self) -> float:
         """Measure how full the upstream is.
 
--- a/wagtaildale/routing/candidates.py
+++ b/wagtaildale/routing/candidates.py
@@ -45,7 +45,7 @@
     """
     listed = view.upstreams.get(service, ())
     fresh = [record for record in listed if record.instance not in tried]
-    present = [record for record in fresh if record.instance not in view.away]
+    present = [record for record in fresh if not view.is_away(record)]
     back = [record for record in fresh if record.state is ListedState.live]
     return present or back or list(listed)
 
--- a/wagtaildale/routing/table.py
+++ b/wagtaildale/routing/table.py
@@ -1,6 +1,9 @@
-"""From method and path to the class of work.
+"""From a request to its class of work.
 
-A path is split at its slashes first and each segment decoded after, once,
+Operators' own routes are path templates; a platform may also publish routes
+by host and path prefix, of which the longest counts.
+
+For templates a path is split at its slashes first and each segment decoded after, once,
 at the entry: ``%2F`` is never a slash, and no other node matches the path
 again.
 """
@@ -18,14 +21,17 @@
     classify_segment,
     split_template,
 )
+from wagtaildale.routing.splits import Split
 from wagtaildale.types import ServiceName
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from wagtaildale.configuration.whole import Configuration
 
 
+# Attempts beyond the first where a route does not say.
+RETRIES_MOST: Final = 3
 DOT_SEGMENTS: Final = frozenset(('.', '..'))
 
 
@@ -35,12 +41,25 @@
     Attributes:
         service: whose class it is.
         work_class: the class.
-        template: the path template that matched.
+        template: the path template or prefix that matched.
+        retries: attempts beyond the first that a request may make.
+        split: divides its requests among services; nothing if all go to
+            one.
     """
 
     service: ServiceName
     work_class: WorkClass
     template: str
+    retries: int = RETRIES_MOST
+    split: Split | None = None
+
+    def choose_service(self) -> ServiceName:
+        """Choose the service that the next request goes to.
+
+        Returns:
+            Its name.
+        """
+        return self.service if self.split is None else self.split.choose()
 
 
 class _Branch(Struct, kw_only=True):
@@ -69,24 +88,35 @@
             configuration: checked as a whole.
         """
         self._root = _Branch()
+        self._hosts: dict[str, dict[str, RouteMatch]] = {}
         self._matches: list[RouteMatch] = []
         for part in configuration.parts.values():
             for route in part.routes:
                 self._add(route, _build_match(configuration, route))
 
-    def find(self, method: str, path: str) -> RouteMatch | None:
+    def find(
+        self,
+        method: str,
+        path: str,
+        *,
+        host: str = '',
+    ) -> RouteMatch | None:
         """Find the class of a request.
 
-        A literal segment goes before ``{name}``, and that before
-        ``{name*}``.
+        The longest prefix of the request's host counts. Among templates a
+        literal segment goes before ``{name}``, and that before ``{name*}``.
 
         Args:
             method: HTTP method.
             path: path as it came, percent-encoded, without the query.
+            host: as the request names it, perhaps with a port.
 
         Returns:
             The match, or nothing.
         """
+        prefixes = self._hosts.get(host.partition(':')[0].lower())
+        if prefixes is not None:
+            return _find_longest(prefixes, path)
         segments = split_path(path)
         if segments is None:
             return None
@@ -106,6 +136,10 @@
 
     def _add(self, route: Route, match: RouteMatch) -> None:
         self._matches.append(match)
+        if route.host:
+            prefixes = self._hosts.setdefault(route.host, {})
+            prefixes[route.path] = match
+            return
         branch = self._root
         for segment in split_template(route.path):
             kind = classify_segment(segment)
@@ -140,6 +174,21 @@
     return [unquote_to_bytes(segment).decode() for segment in raw]
 
 
+def _find_longest(
+    prefixes: Mapping[str, RouteMatch],
+    path: str,
+) -> RouteMatch | None:
+    # Prefixes end with a slash, so only the path up to one of its slashes
+    # can be one.
+    end = path.rfind('/')
+    while end >= 0:
+        match = prefixes.get(path[: end + 1])
+        if match is not None:
+            return match
+        end = path.rfind('/', 0, end)
+    return None
+
+
 def _build_match(configuration: Configuration, route: Route) -> RouteMatch:
     classes = configuration.parts[route.service].classes
     found = next(each for each in classes if each.name == route.work_class)
@@ -147,6 +196,8 @@
         service=route.service,
         work_class=found,
         template=route.path,
+        retries=route.attempts - 1 if route.attempts else RETRIES_MOST,
+        split=Split(route.split) if route.split else None,
     )
 
 
--- a/wagtaildale/routing/view.py
+++ b/wagtaildale/routing/view.py
@@ -6,17 +6,34 @@
 
 from msgspec import Struct, structs
 
-from wagtaildale.configuration.model import Part
+from wagtaildale.configuration.model import Part, PublishedLimits
 from wagtaildale.configuration.whole import check_parts
-from wagtaildale.membership.records import check_records
+from wagtaildale.membership.records import InstanceRecord, check_records
 from wagtaildale.routing.table import RoutingTable
-from wagtaildale.types import NO_VERSION, InstanceId, ServiceName, Version
+from wagtaildale.types import (
+    NO_VERSION,
+    InstanceId,
+    ListedState,
+    ServiceName,
+    Version,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from wagtaildale.document.model import Document
-    from wagtaildale.membership.records import InstanceRecord
+
+
+class RetryShare(Struct, frozen=True, kw_only=True):
+    """How many retries an entry may make of its calls to a service.
+
+    Attributes:
+        per_request: earned by each fresh call.
+        saved_most: that can be saved up.
+    """
+
+    per_request: float = 0.2
+    saved_most: float = 20.0
 
 
 class FleetView(Struct, frozen=True, kw_only=True):
@@ -28,7 +45,9 @@
         table: its routes; nothing before the first version.
         list_index: of the instance list.
         upstreams: by service, the listed instances.
+        records: by id, the same.
         away: instances that take no new work.
+        limits: on callers, if the configuration has them.
     """
 
     version: Version = NO_VERSION
@@ -36,7 +55,22 @@
     table: RoutingTable | None = None
     list_index: Version = NO_VERSION
     upstreams: dict[ServiceName, tuple[InstanceRecord, ...]] = {}
+    records: dict[InstanceId, InstanceRecord] = {}
     away: frozenset[InstanceId] = frozenset()
+    limits: PublishedLimits | None = None
+
+    def is_away(self, record: InstanceRecord) -> bool:
+        """Tell whether an instance takes no new work.
+
+        Args:
+            record: of the instance.
+
+        Returns:
+            Whether it or the node beside it is leaving or gone.
+        """
+        if record.state is ListedState.leaving:
+            return True
+        return record.instance in self.away or record.node_id in self.away
 
     def list_records(self) -> Iterator[InstanceRecord]:
         """List every listed instance.
@@ -70,6 +104,7 @@
             self.current,
             version=document.version,
             parts=configuration.parts,
+            limits=configuration.limits,
             table=RoutingTable(configuration),
         )
 
@@ -88,6 +123,7 @@
             self.current,
             list_index=document.version,
             upstreams=upstreams,
+            records=records,
         )
 
     def take_away(self, away: frozenset[InstanceId]) -> None:
--- a/wagtaildale/settings/load.py
+++ b/wagtaildale/settings/load.py
@@ -102,6 +102,8 @@
         'control_port': settings.control_port,
         'admin_port': settings.admin_port,
     }
+    if settings.ready_port is not None:
+        ports['ready_port'] = settings.ready_port
     if settings.backend.host == settings.host:
         ports['backend.port'] = settings.backend.port
     faults = [
--- a/wagtaildale/settings/model.py
+++ b/wagtaildale/settings/model.py
@@ -32,6 +32,13 @@
 DRAIN_SECONDS: Final = 30.0
 LONGEST_DRAIN: Final = 600
 MOST_KEYS: Final = 3
+APPLY_SECONDS: Final = 12.0
+RETRY_SHARE: Final = 0.2
+RETRY_WINDOW_SECONDS: Final = 10.0
+RETRY_SLACK: Final = 20.0
+# Of the time to apply a version: a read that fails can then be repeated
+# twice over.
+READ_SHARE: Final = 0.2
 
 Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
 Host = Annotated[str, Meta(pattern=HOST_PATTERN)]
@@ -151,6 +158,31 @@
     secret_files: Annotated[tuple[str, ...], Meta(max_length=MOST_KEYS)] = ()
 
 
+class BoundSettings(Struct, frozen=True, kw_only=True):
+    """Figures that the operators of a platform publish and hold nodes to.
+
+    Attributes:
+        apply_seconds: in which a published version is in force everywhere.
+        drain_seconds: in which an instance that leaves gets no new work.
+        stop_seconds: from the signal to stop until the process is killed.
+        retry_share: repeated requests, as a share of all to a service.
+        retry_window_seconds: over which that share counts.
+        retry_slack: repeated requests beyond that share, over all nodes.
+    """
+
+    apply_seconds: Annotated[float, Meta(gt=0)] = APPLY_SECONDS
+    drain_seconds: Annotated[float, Meta(gt=0)] = APPLY_SECONDS
+    stop_seconds: Annotated[float, Meta(gt=0)] = DRAIN_SECONDS
+    retry_share: Annotated[float, Meta(ge=0)] = RETRY_SHARE
+    retry_window_seconds: Annotated[float, Meta(gt=0)] = RETRY_WINDOW_SECONDS
+    retry_slack: Annotated[float, Meta(ge=0)] = RETRY_SLACK
+
+    @property
+    def read_seconds(self) -> float:
+        """How long a read of the platform may take beyond its wait."""
+        return READ_SHARE * min(self.apply_seconds, self.drain_seconds)
+
+
 class LogSettings(Struct, frozen=True, kw_only=True):
     """The log.
 
@@ -166,6 +198,7 @@
 
     Attributes:
         instance: id of the instance; a replacement has another one.
+        name: of the node, for people; its instance where left out.
         service: what the backend server beside it runs.
         data_centre: where the instance stands.
         region: of which region that is.
@@ -174,6 +207,8 @@
         owner_port: where other nodes' calls come.
         control_port: where control messages come.
         admin_port: where the administration API answers.
+        ready_port: where ``GET /ready`` tells whether the node takes
+            callers; nothing if only the administration API tells.
         backend: the backend server.
         platform: the platform's service.
         distribution: how configuration spreads.
@@ -182,9 +217,11 @@
         calls: how calls are carried.
         keys: for connections between nodes.
         log: the log.
+        bounds: figures that the platform's operators publish.
     """
 
     instance: Annotated[InstanceId, Meta(pattern=NAME_PATTERN)]
+    name: str = ''
     service: Annotated[ServiceName, Meta(pattern=NAME_PATTERN)]
     data_centre: Annotated[DataCentre, Meta(pattern=NAME_PATTERN)]
     region: Annotated[Region, Meta(pattern=NAME_PATTERN)]
@@ -193,6 +230,7 @@
     owner_port: Port
     control_port: Port
     admin_port: Port
+    ready_port: Port | None = None
     backend: BackendSettings
     platform: PlatformSettings
     distribution: DistributionSettings = DistributionSettings()
@@ -201,3 +239,4 @@
     calls: CallSettings = CallSettings()
     keys: KeySettings = KeySettings()
     log: LogSettings = LogSettings()
+    bounds: BoundSettings = BoundSettings()
--- a/wagtaildale/source/http.py
+++ b/wagtaildale/source/http.py
@@ -2,22 +2,20 @@
 
 from __future__ import annotations
 
-from io import BytesIO
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
-import pycurl
-from msgspec import MsgspecError, Struct, json
+from msgspec import MsgspecError, json
 from result import Err, Ok, Result
 
 from wagtaildale.configuration.model import Manifest
 from wagtaildale.errors.codes import Code
 from wagtaildale.membership.records import InstanceList
+from wagtaildale.source.curl import Answer, CurlReader
 from wagtaildale.source.platform import Platform, ReadFailure, Reading
 
 if TYPE_CHECKING:
     from wagtaildale.settings.model import PlatformSettings
 
-CONNECT_MS: Final = 1000
 ANSWER_SECONDS: Final = 3.0
 MILLISECONDS: Final = 1000
 INDEX_HEADER: Final = 'x-index:'
@@ -26,19 +24,10 @@
 STATUS_SAME: Final = 304
 ANSWERS: Final = frozenset((STATUS_OK, STATUS_SAME, STATUS_MISSING))
 REFUSING: Final = frozenset((429, 503))
-LARGEST_ANSWER: Final = 4_000_000
 
 Payload = TypeVar('Payload')
 
 
-class Answer(Struct, frozen=True, kw_only=True):
-    """One HTTP answer of the platform."""
-
-    status: int
-    index: int
-    body: bytes
-
-
 class HttpPlatform(Platform):
     """Reads by one kept-alive connection; belongs to one task."""
 
@@ -50,11 +39,7 @@
         """
         self._keys = f'{settings.url}/v1/kv/{settings.prefix}'
         self._instances = f'{settings.url}/v1/instances'
-        self._curl = pycurl.Curl()
-        self._curl.setopt(pycurl.NOSIGNAL, 1)
-        self._curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_MS)
-        self._curl.setopt(pycurl.MAXFILESIZE, LARGEST_ANSWER)
-        self._curl.setopt(pycurl.PROXY, '')
+        self._reader = CurlReader()
 
     def read_manifest(
         self,
@@ -125,56 +110,37 @@
             decoded = json.decode(answer.body, type=shape)
         except MsgspecError as error:
             return Err(ReadFailure(code=Code.part_corrupt, detail=str(error)))
-        return Ok(Reading(index=answer.index, payload=decoded))
+        return Ok(Reading(index=_find_index(answer), payload=decoded))
 
     def _ask(self, url: str, seconds: float) -> Result[Answer, ReadFailure]:
-        body = BytesIO()
-        headers: list[str] = []
-        curl = self._curl
-        curl.setopt(pycurl.URL, url)
-        curl.setopt(pycurl.TIMEOUT_MS, round(seconds * MILLISECONDS))
-        curl.setopt(pycurl.WRITEDATA, body)
-        curl.setopt(pycurl.HEADERFUNCTION, _HeaderCollector(headers))
-        try:
-            curl.perform()
-        except pycurl.error as error:
-            detail = str(error.args[-1])
-            return Err(
-                ReadFailure(code=Code.source_unreachable, detail=detail),
-            )
-        status = int(curl.getinfo(pycurl.RESPONSE_CODE))
-        if status in ANSWERS:
-            index = _find_index(headers)
-            return Ok(
-                Answer(status=status, index=index, body=body.getvalue()),
-            )
-        return Err(_describe_status(status))
-
-
-class _HeaderCollector:
-    """Collects header lines as libcurl hands them over."""
-
-    def __init__(self, headers: list[str]) -> None:
-        self._headers = headers
-
-    def __call__(self, line: bytes) -> None:
-        self._headers.append(line.decode('latin-1').lower())
+        asked = self._reader.ask(url, seconds=seconds)
+        if isinstance(asked, Err) or asked.ok_value.status in ANSWERS:
+            return asked
+        return Err(describe_status(asked.ok_value.status))
 
 
 def _read_empty(answer: Answer) -> Reading[Any]:
     changed = answer.status != STATUS_SAME
-    return Reading(index=answer.index, payload=None, changed=changed)
+    return Reading(index=_find_index(answer), payload=None, changed=changed)
 
 
-def _find_index(headers: list[str]) -> int:
-    for line in headers:
+def _find_index(answer: Answer) -> int:
+    for line in answer.headers:
         if line.startswith(INDEX_HEADER):
             digits = line.removeprefix(INDEX_HEADER).strip()
             return int(digits) if digits.isdecimal() else 0
     return 0
 
 
-def _describe_status(status: int) -> ReadFailure:
+def describe_status(status: int) -> ReadFailure:
+    """Describe an answer of a platform that gives nothing.
+
+    Args:
+        status: HTTP status.
+
+    Returns:
+        Whether the platform refuses or fails.
+    """
     refusing = status in REFUSING
     code = Code.source_refused if refusing else Code.source_unreachable
     return ReadFailure(code=code, detail=f'status {status}')
--- /dev/null
+++ b/wagtaildale/source/store.py
@@ -0,0 +1,247 @@
+"""A platform that is a store of keys with one revision counter.
+
+The store's protocol stands behind ``Store``; what to read, and when to read
+all of it again, is decided here.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from wagtaildale.distribution.messages import SourceConfirmed
+from wagtaildale.errors.codes import Code
+from wagtaildale.source.feed import Feed, FeedReading, make_read
+from wagtaildale.types import NO_VERSION, Kind, Version
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from wagtaildale.distribution.messages import SourceRead
+    from wagtaildale.source.platform import ReadFailure
+
+
+class StoreItem(Struct, frozen=True, kw_only=True):
+    """What stands under one key.
+
+    Attributes:
+        key: its key.
+        payload: its bytes; nothing where the key was removed.
+        revision: of its last change.
+    """
+
+    key: str
+    payload: bytes | None
+    revision: int
+
+
+class StoreReading(Struct, frozen=True, kw_only=True):
+    """What a call to a store gave.
+
+    Attributes:
+        items: everything, or what has changed.
+        revision: of the store; the next watch goes on from it.
+        is_snapshot: whether the items all stood so at that revision.
+    """
+
+    items: tuple[StoreItem, ...]
+    revision: int
+    is_snapshot: bool = True
+
+
+class StoredDocument(Struct, frozen=True, kw_only=True):
+    """A document as a store's items give it.
+
+    Attributes:
+        version: its version.
+        blobs: by name, the bytes of its entries.
+    """
+
+    version: Version
+    blobs: dict[str, bytes]
+
+
+class Store(ABC):
+    """The calls of a store, and what its items mean."""
+
+    @abstractmethod
+    def read_all(self) -> Result[StoreReading, ReadFailure]:
+        """Read every item.
+
+        Returns:
+            The items, or why not.
+        """
+
+    @abstractmethod
+    def watch(
+        self,
+        *,
+        revision: int,
+        wait: float,
+    ) -> Result[StoreReading, ReadFailure]:
+        """Wait for changes.
+
+        Args:
+            revision: after which changes are wanted.
+            wait: seconds that the store may hold the call.
+
+        Returns:
+            What has changed, nothing if the time was up, or why not; code
+            ``history_gone`` if the store has dropped what came after the
+            revision.
+        """
+
+    @abstractmethod
+    def is_part_of(self, key: str, kind: Kind) -> bool:
+        """Tell whether a key belongs to a document.
+
+        Args:
+            key: of an item.
+            kind: the document.
+
+        Returns:
+            Whether a change of it changes the document.
+        """
+
+    @abstractmethod
+    def make_document(
+        self,
+        kind: Kind,
+        *,
+        items: Mapping[str, StoreItem],
+        revision: int,
+    ) -> Result[StoredDocument, ReadFailure]:
+        """Make a document from the items that stand in the store.
+
+        Args:
+            kind: which document.
+            items: by key, everything.
+            revision: of the store.
+
+        Returns:
+            The document; version 0 if there is none yet.
+        """
+
+
+class StoreFeed(Feed):
+    """Both documents from one watch over all keys of a store."""
+
+    def __init__(self, store: Store) -> None:
+        """Begin with nothing read.
+
+        Args:
+            store: read from; belongs to this feed.
+        """
+        self.kinds = tuple(Kind)
+        self._store = store
+        self._items: dict[str, StoreItem] = {}
+        self._revision: int | None = None
+        self._versions = dict.fromkeys(Kind, NO_VERSION)
+
+    def read(self, *, wait: float) -> Result[FeedReading, ReadFailure]:
+        """Read what has changed; see ``Feed``.
+
+        Failure guarded here: the store drops its history, and a watch from
+        an older revision would miss changes. It says so, and everything is
+        read anew at once.
+
+        Args:
+            wait: seconds that the store may hold the read.
+
+        Returns:
+            The documents that have changed, or why not.
+        """
+        if self._revision is None:
+            return self._read_all()
+        changes = self._store.watch(revision=self._revision, wait=wait)
+        if isinstance(changes, Err):
+            if changes.err_value.code is Code.history_gone:
+                return self._read_all()
+            return changes
+        reading = changes.ok_value
+        self._revision = max(reading.revision, self._revision)
+        self._note(reading)
+        return self._give(
+            tuple(
+                kind
+                for kind in Kind
+                if any(
+                    self._store.is_part_of(item.key, kind)
+                    for item in reading.items
+                )
+            ),
+        )
+
+    def restart(self) -> None:
+        """Forget the cursor; see ``Feed``."""
+        self._revision = None
+
+    def _read_all(self) -> Result[FeedReading, ReadFailure]:
+        read = self._store.read_all()
+        if isinstance(read, Err):
+            return read
+        reading = read.ok_value
+        self._items = {}
+        self._note(reading)
+        self._revision = reading.revision
+        if reading.is_snapshot:
+            return self._give(tuple(Kind))
+        # Failure: the items came on several pages, and the store changed
+        # between two of them: together they never stood so. The changes
+        # since the first page settle it.
+        changes = self._store.watch(revision=reading.revision, wait=0)
+        if isinstance(changes, Err):
+            self._revision = None
+            return changes
+        self._note(changes.ok_value)
+        self._revision = changes.ok_value.revision
+        return self._give(tuple(Kind))
+
+    def _note(self, reading: StoreReading) -> None:
+        for item in reading.items:
+            if item.payload is None:
+                self._items.pop(item.key, None)
+            else:
+                self._items[item.key] = item
+
+    def _give(
+        self,
+        changed: tuple[Kind, ...],
+    ) -> Result[FeedReading, ReadFailure]:
+        assert self._revision is not None
+        reads: list[SourceRead] = []
+        for kind in changed:
+            made = self._store.make_document(
+                kind,
+                items=self._items,
+                revision=self._revision,
+            )
+            if isinstance(made, Err):
+                return made
+            document = made.ok_value
+            if document.version == NO_VERSION:
+                continue
+            self._versions[kind] = document.version
+            reads.append(
+                make_read(
+                    kind,
+                    version=document.version,
+                    blobs=document.blobs,
+                ),
+            )
+        confirmed = tuple(
+            SourceConfirmed(kind=kind, version=self._confirm(kind))
+            for kind in Kind
+            if kind not in changed and self._versions[kind] != NO_VERSION
+        )
+        return Ok(FeedReading(changed=tuple(reads), confirmed=confirmed))
+
+    def _confirm(self, kind: Kind) -> Version:
+        # The instance list's version is the store's revision: with nothing
+        # of it changed, it stands as it did at every revision since.
+        if kind is Kind.instances and self._revision is not None:
+            return Version(self._revision)
+        return self._versions[kind]
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -39,13 +39,13 @@
     )
     metrics.add_gauge(
         'wagtaildale.backend.running',
-        lambda: len(node.owner.gate.state.running),
+        lambda: len(node.calls.owner.gate.state.running),
         unit='{request}',
         description='Requests at the backend server.',
     )
     metrics.add_gauge(
         'wagtaildale.backend.limit',
-        lambda: node.owner.gate.state.limit,
+        lambda: node.calls.owner.gate.state.limit,
         unit='{request}',
         description='Requests that may run at the backend server.',
     )
--- a/wagtaildale/types.py
+++ b/wagtaildale/types.py
@@ -21,6 +21,8 @@
 Version = NewType('Version', int)
 Digest = NewType('Digest', bytes)
 Seconds = NewType('Seconds', float)
+# Names a call on the connection between two nodes.
+CallNumber = NewType('CallNumber', int)
 
 NO_VERSION = Version(0)
 
