--- a/wagtaildale/routing/expected_time.py
+++ b/wagtaildale/routing/expected_time.py
@@ -64,9 +64,9 @@
         if not near:
             return best
         nearest = min(near, key=lambda record: times[record.instance])
-        usual = book.find_usual_seconds(need.work_class)
-        in_time = need.slack_seconds - (SAFETY - 1) * usual
-        if times[nearest.instance] <= in_time:
+        margin = (SAFETY - 1) * book.find_usual_seconds(need.work_class)
+        if times[nearest.instance] <= need.slack_seconds - margin:
             return nearest
-        sooner = WORTHWHILE * times[nearest.instance]
-        return best if times[best.instance] < sooner else nearest
+        if times[best.instance] < WORTHWHILE * times[nearest.instance]:
+            return best
+        return nearest
