--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -52,6 +52,7 @@
         self._running: list[Attempt] = []
         self._alarms: list[Alarm] = []
         self._owed = 0
+        self._status = 0
         self._is_over = False
 
     @property
@@ -145,6 +146,7 @@
             other.cancel()
         self._running = [attempt] if frame.more else []
         self._report.note_answer(frame.answer)
+        self._status = frame.status
         head = ResponseHead(
             status=frame.status,
             headers=(*frame.headers, *self._describe()),
@@ -225,6 +227,7 @@
             self._fail(failure)
             return
         self._running.append(attempt)
+        self._report.note_attempt(attempt.target)
         self._plan_hedge(attempt)
         attempt.begin()
 
@@ -299,7 +302,7 @@
     def _pass_on(self, attempt: Attempt, size: int, *, more: bool) -> None:
         if not more:
             self._end()
-            self._report.close()
+            self._report.close(status=self._status)
             return
         self._owed += size
         if not self._exchange.is_full:
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -22,6 +22,7 @@
     from wagtaildale.calls.addresses import Address
     from wagtaildale.invariants import Invariants
     from wagtaildale.membership.records import InstanceRecord
+    from wagtaildale.telemetry.events import EventKind, EventRecorder, Inputs
     from wagtaildale.reactor.loop import Loop
 
 MICROSECONDS: Final = 1_000_000
@@ -57,6 +58,7 @@
         gate: Gate,
         backend: Address,
         invariants: Invariants,
+        recorder: EventRecorder,
         dialect: Dialect = OWN_DIALECT,
         find_record: Callable[[InstanceId], InstanceRecord | None],
     ) -> None:
@@ -68,6 +70,7 @@
             gate: in front of the backend server.
             backend: where it listens.
             invariants: are checked on each call.
+            recorder: gets an event for each call that ends.
             dialect: how it is spoken to.
             find_record: gives what is listed of an instance.
         """
@@ -86,6 +89,7 @@
             note_stray=self._note_stray,
         )
         self._find_record = find_record
+        self._recorder = recorder
 
     def check_target(self, fields: CallFields) -> None:
         """Check that a call is meant for this owner.
@@ -150,6 +154,41 @@
             retry_ms=retry_ms,
         )
 
+    def note_end(
+        self,
+        kind: EventKind,
+        fields: CallFields,
+        *,
+        inputs: Inputs,
+        code: int = 0,
+        detail: str = '',
+    ) -> None:
+        """Record how a call ended here.
+
+        Args:
+            kind: whether it ran or was refused.
+            fields: what the entry told of it.
+            inputs: times and outcome.
+            code: numbered result code, if something is wrong.
+            detail: anything more, for a person.
+        """
+        state = self.gate.state
+        self._recorder.record(
+            kind,
+            code=code,
+            subject=fields.work_class,
+            detail=detail,
+            request=fields.request_id,
+            inputs={
+                'upstream': fields.instance,
+                'attempt': fields.attempt,
+                'running': len(state.running),
+                'waiting': len(state.queue),
+                'limit': int(state.limit),
+                **inputs,
+            },
+        )
+
     def _serves(self, instance: InstanceId) -> bool:
         if self.dialect.expected_instance is None:
             return instance == self.identity.instance
--- a/wagtaildale/calls/routed.py
+++ b/wagtaildale/calls/routed.py
@@ -128,35 +128,42 @@
     if view.table is None:
         raise CallFailed(Code.no_configuration)
     match = _find_match(view, message)
-    dialect = parts.dialect
-    depth = _find_number(message, dialect.depth, default=0, narrows=False)
-    if depth > DEPTH_MOST:
-        # Failure: services call each other in a circle.
-        raise CallFailed(Code.too_deep, detail=f'{depth} calls deep')
     service = match.choose_service()
     given_ms = _find_number(
         message,
-        dialect.deadline_ms,
+        parts.dialect.deadline_ms,
         default=match.work_class.deadline_ms,
         narrows=False,
     )
-    deadline_ms = min(given_ms, match.work_class.deadline_ms)
     within_ms = _find_within(parts, match, service, given_ms)
     now = read_clock()
     return Routed(
         match=match,
         service=service,
         view=view,
-        request_id=_find_request_id(message, dialect),
+        request_id=_find_request_id(message, parts.dialect),
         headers=_write_headers(parts, message),
-        deadline=now + deadline_ms / MILLISECONDS,
+        deadline=now
+        + min(given_ms, match.work_class.deadline_ms) / MILLISECONDS,
         due=now + within_ms / MILLISECONDS,
         idempotency_key=_find_key(message, match),
-        depth=depth,
-        retries=_find_number(message, dialect.retries, default=match.retries),
+        depth=_find_depth(message, parts.dialect),
+        retries=_find_number(
+            message,
+            parts.dialect.retries,
+            default=match.retries,
+        ),
     )
 
 
+def _find_depth(message: Message, dialect: Dialect) -> int:
+    depth = _find_number(message, dialect.depth, default=0, narrows=False)
+    if depth > DEPTH_MOST:
+        # Failure: services call each other in a circle.
+        raise CallFailed(Code.too_deep, detail=f'{depth} calls deep')
+    return depth
+
+
 def _find_within(
     parts: EntryParts,
     match: RouteMatch,
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -135,6 +135,7 @@
             gate=Gate(make_admission(figures.slots), alarms=self.loop.alarms),
             backend=figures.backend,
             invariants=around.invariants,
+            recorder=around.recorder,
             dialect=figures.dialect,
             find_record=self._find_record,
         )
--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import threading
+from contextlib import closing
 from typing import TYPE_CHECKING, Final
 
 import click
@@ -117,10 +118,12 @@
         Exit code: 0 after a stop that cut nothing.
     """
     sys.setswitchinterval(SWITCH_SECONDS)
+    log = open_log(level=settings.log.level)
+    log.start()
     recorder = EventRecorder(
         settings.instance,
         read_incarnation(),
-        sink=open_log(level=settings.log.level),
+        sink=log,
     )
     keys = read_pairs(settings.keys.secret_files)
     if isinstance(keys, Err):
@@ -143,7 +146,8 @@
     # every collection, whose pauses would go into the tail of calls.
     gc.collect()
     gc.freeze()
-    return _wait(node, signals)
+    with closing(log):
+        return _wait(node, signals)
 
 
 def _wait(node: Node, signals: Signals) -> int:
--- a/wagtaildale/routing/book.py
+++ b/wagtaildale/routing/book.py
@@ -223,6 +223,11 @@
             self.slowness += (ratio - self.slowness) * SLOWNESS_GAIN
             self.timed_at = read_clock()
 
+    @property
+    def age(self) -> float:
+        """Seconds since it last said how full it is."""
+        return read_clock() - self.heard_at
+
     def find_slowness(self) -> float:
         """Find how slow the upstream is taken to be.
 
@@ -251,7 +256,7 @@
             Seconds.
         """
         ahead = float(self.pending)
-        if read_clock() - self.heard_at < STALE_SECONDS:
+        if self.age < STALE_SECONDS:
             ahead = max(ahead, self.in_flight + self.queued)
         return max(0, ahead + 1 - self.limit) * usual / self.limit
 
--- a/wagtaildale/routing/expected_time.py
+++ b/wagtaildale/routing/expected_time.py
@@ -47,26 +47,29 @@
             The one that takes the attempt; nothing if the near ones were
             full, no other can answer in time, and the request may wait.
         """
+        margin = (SAFETY - 1) * book.find_usual_seconds(need.work_class)
         # Of several alike each entry is to take another one.
-        shuffled = random.sample(candidates, len(candidates))
-        times = {
-            record.instance: book.estimate_seconds(record.instance, need)
-            for record in shuffled
-        }
-        best = min(shuffled, key=lambda record: times[record.instance])
-        near = [
-            record
-            for record in shuffled
-            if record.data_centre == need.data_centre
+        ranked = [
+            (book.estimate_seconds(record.instance, need) + margin, record)
+            for record in random.sample(candidates, len(candidates))
         ]
-        margin = (SAFETY - 1) * book.find_usual_seconds(need.work_class)
+        best = min(ranked, key=_read_seconds)
+        near = [each for each in ranked if _is_near(each, need)]
         if not near:
-            in_time = times[best.instance] <= need.slack_seconds - margin
-            return best if in_time or not need.may_wait else None
-        nearest = min(near, key=lambda record: times[record.instance])
-        for limit in (need.slack_seconds - margin, need.rest_seconds - margin):
-            if times[nearest.instance] <= limit:
-                return nearest
-            if times[best.instance] <= limit:
-                return best
-        return nearest
+            in_time = best[0] <= need.slack_seconds
+            return best[1] if in_time or not need.may_wait else None
+        nearest = min(near, key=_read_seconds)
+        for seconds in (need.slack_seconds, need.rest_seconds):
+            if nearest[0] <= seconds:
+                return nearest[1]
+            if best[0] <= seconds:
+                return best[1]
+        return nearest[1]
+
+
+def _read_seconds(ranked: tuple[float, InstanceRecord]) -> float:
+    return ranked[0]
+
+
+def _is_near(ranked: tuple[float, InstanceRecord], need: Need) -> bool:
+    return ranked[1].data_centre == need.data_centre
--- a/wagtaildale/telemetry/events.py
+++ b/wagtaildale/telemetry/events.py
@@ -16,6 +16,9 @@
 
 RING_SIZE: Final = 4096
 
+# What decided something, by name.
+Inputs = dict[str, str | int]
+
 
 @final
 class EventKind(Enum):
@@ -40,9 +43,15 @@
     peer_leaving = 'peer-leaving'
     push_unseen = 'push-unseen'
     message_refused = 'message-refused'
+    call_answered = 'call-answered'
     call_failed = 'call-failed'
     call_refused = 'call-refused'
     call_retried = 'call-retried'
+    call_redirected = 'call-redirected'
+    call_hedged = 'call-hedged'
+    attempt_begun = 'attempt-begun'
+    run_ended = 'run-ended'
+    run_refused = 'run-refused'
     upstream_ejected = 'upstream-ejected'
     upstream_restored = 'upstream-restored'
     settings_kept = 'settings-kept'
@@ -59,8 +68,10 @@
         kind: what happened.
         code: numbered result code, 0 where nothing is wrong.
         version: configuration version or list index it is about, else 0.
-        subject: request id, peer or service it is about.
+        subject: class, peer or service it is about.
         detail: anything more, for a person.
+        request: id of the request that a decision touched.
+        inputs: what decided it, with its age or version.
     """
 
     stamp: Stamp
@@ -71,6 +82,22 @@
     version: int = 0
     subject: str = ''
     detail: str = ''
+    request: str = ''
+    inputs: Inputs = {}
+
+
+# Decisions that every call brings: they go to the log alone. The ring is for
+# what is rarer, and would hold only a second of calls.
+OF_EVERY_CALL: Final = frozenset(
+    (
+        EventKind.call_answered,
+        EventKind.call_redirected,
+        EventKind.call_hedged,
+        EventKind.attempt_begun,
+        EventKind.run_ended,
+        EventKind.run_refused,
+    ),
+)
 
 
 class EventRecorder:
@@ -111,6 +138,8 @@
         version: int = 0,
         subject: str = '',
         detail: str = '',
+        request: str = '',
+        inputs: Inputs | None = None,
     ) -> None:
         """Record one event now.
 
@@ -120,6 +149,8 @@
             version: the version it is about.
             subject: the request, peer or service it is about.
             detail: anything more, for a person.
+            request: id of the request that a decision touched.
+            inputs: what decided it, with its age or version.
         """
         event = Event(
             stamp=self.clock.tick(),
@@ -130,8 +161,11 @@
             version=version,
             subject=subject,
             detail=detail,
+            request=request,
+            inputs=inputs or {},
         )
-        self._ring.append(event)
+        if kind not in OF_EVERY_CALL:
+            self._ring.append(event)
         if self._sink is not None:
             self._sink(event)
 
--- a/wagtaildale/telemetry/log.py
+++ b/wagtaildale/telemetry/log.py
@@ -1,7 +1,9 @@
 """The log: one line of key=value pairs for each event.
 
 The house style asks for python-json-logger; its ``json_serializer`` hook
-writes the fields as key=value pairs in place of JSON.
+writes the fields as key=value pairs in place of JSON. Lines go to standard
+output from a thread of their own, behind a bounded buffer: whoever records
+an event never waits for whoever reads the log.
 """
 
 from __future__ import annotations
@@ -9,20 +11,42 @@
 import logging
 import re
 import sys
+import threading
+from collections import Counter, deque
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 from pythonjsonlogger.json import JsonFormatter
 
 from wagtaildale.telemetry.clock import read_milliseconds
+from wagtaildale.telemetry.events import EventKind
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Mapping
 
     from wagtaildale.telemetry.events import Event
 
 LOGGER_NAME: Final = 'wagtaildale'
 MILLISECONDS_PER_SECOND: Final = 1000
+# Lines a second of each kind: more than a node has at its usual load (about
+# 150 calls a second), so that a storm of one kind leaves the others be.
 LINES_PER_SECOND: Final = 50
+LINES_OF_CALLS: Final = 200
+CALL_KINDS: Final = MappingProxyType(
+    dict.fromkeys(
+        (
+            EventKind.call_answered,
+            EventKind.call_failed,
+            EventKind.call_refused,
+            EventKind.run_ended,
+        ),
+        LINES_OF_CALLS,
+    ),
+)
+# Lines that wait for the reader of standard output: some seconds of them.
+BUFFERED: Final = 4096
+# How long the last lines may take when the process ends.
+CLOSE_SECONDS: Final = 0.3
 PLAIN: Final = re.compile(r'^[\w.:/+@-]+$')
 
 
@@ -47,8 +71,8 @@
     )
 
 
-def open_log(*, level: str) -> Callable[[Event], None]:
-    """Open the process's log on standard error.
+def open_log(*, level: str) -> EventLog:
+    """Open the process's log on standard output.
 
     Args:
         level: name of the lowest level that is written.
@@ -56,65 +80,110 @@
     Returns:
         A sink for an ``EventRecorder``.
     """
-    stream = logging.StreamHandler(sys.stderr)
+    stream = logging.StreamHandler(sys.stdout)
     stream.setFormatter(JsonFormatter(json_serializer=write_pairs))
     logger = logging.getLogger(LOGGER_NAME)
     logger.handlers = [stream]
     logger.setLevel(level.upper())
     logger.propagate = False
-    return EventLog(logger).write
+    return EventLog(logger)
 
 
 class EventLog:
-    """Writes events, at most ``LINES_PER_SECOND`` of them.
-
-    In a storm (half the fleet gone at once) thousands of events a second
-    would cost more than the work itself; the lines over the rate are
-    counted and the count is written with the next line that passes.
+    """Writes events behind a bounded buffer.
+
+    Failures guarded here: in a storm (half the fleet gone at once) thousands
+    of events a second would cost more than the work itself, so each kind has
+    a rate, and the lines over it are counted; the count is written with the
+    next line. And a reader that stops reading standard output would stop
+    every thread that logs; only the writer's own waits for it, and what does
+    not fit the buffer is counted alike.
     """
 
     def __init__(self, logger: logging.Logger) -> None:
-        """Write through a logger.
+        """Write through a logger; lines wait until ``start``.
 
         Args:
             logger: takes the lines.
         """
         self._logger = logger
         self._second = 0
-        self._written = 0
+        self._taken: Counter[EventKind] = Counter()
         self._left_out = 0
+        self._lines: deque[Event | None] = deque(maxlen=BUFFERED)
+        self._wake = threading.Semaphore(0)
+        self._thread = threading.Thread(target=self._run, daemon=True)
 
-    def write(self, event: Event) -> None:
-        """Write one event, or count it as left out.
+    def __call__(self, event: Event) -> None:
+        """Take an event, or count it as left out; never waits.
 
         Args:
             event: what happened.
         """
-        milliseconds = read_milliseconds(event.stamp)
-        if not self._take_line(milliseconds // MILLISECONDS_PER_SECOND):
+        if len(self._lines) >= BUFFERED or not self._is_within_rate(event):
             self._left_out += 1
             return
-        fields = {
-            'at_ms': milliseconds,
-            'node': event.node,
-            'incarnation': event.incarnation,
-            'kind': event.kind.value,
-            'code': event.code,
-            'version': event.version,
-            'subject': event.subject,
-            'detail': event.detail,
-            'left_out': self._left_out,
-        }
-        self._left_out = 0
-        level = logging.WARNING if event.code else logging.INFO
-        self._logger.log(level, '', extra=fields)
+        self._lines.append(event)
+        self._wake.release()
+
+    @property
+    def left_out(self) -> int:
+        """How many events were not written since the last line that was."""
+        return self._left_out
+
+    def start(self) -> None:
+        """Write lines from now on."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Write what waits, as far as that takes no longer than a moment."""
+        self._lines.append(None)
+        self._wake.release()
+        self._thread.join(CLOSE_SECONDS)
 
-    def _take_line(self, second: int) -> bool:
+    def write(self, event: Event) -> None:
+        """Write one event now.
+
+        Args:
+            event: what happened.
+        """
+        left_out = self._left_out
+        self._left_out -= left_out
+        level = logging.WARNING if event.code else logging.INFO
+        self._logger.log(level, '', extra=_list_fields(event, left_out))
+
+    def _run(self) -> None:
+        while True:
+            self._wake.acquire()
+            event = self._lines.popleft()
+            if event is None:
+                return
+            self.write(event)
+
+    def _is_within_rate(self, event: Event) -> bool:
+        second = read_milliseconds(event.stamp) // MILLISECONDS_PER_SECOND
         if second != self._second:
             self._second = second
-            self._written = 0
-        self._written += 1
-        return self._written <= LINES_PER_SECOND
+            self._taken.clear()
+        self._taken[event.kind] += 1
+        most = CALL_KINDS.get(event.kind, LINES_PER_SECOND)
+        return self._taken[event.kind] <= most
+
+
+def _list_fields(event: Event, left_out: int) -> dict[str, object]:
+    return {
+        'at_ms': read_milliseconds(event.stamp),
+        'node': event.node,
+        'incarnation': event.incarnation,
+        'kind': event.kind.value,
+        'request': event.request,
+        'code': event.code,
+        'version': event.version,
+        'subject': event.subject,
+        **event.inputs,
+        'detail': event.detail,
+        'left_out': left_out,
+    }
 
 
 def _quote(text: str) -> str:
