A short request is not kept waiting for slots that are kept free

Ruled out: rank (these have rank 0) and the queue's bound. Change: only requests longer than usual leave the last slots free. Test: fails before, passes after.

--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -87,8 +87,9 @@
     def has_room_for(self, waiting: Waiting, now: float) -> bool:
         """Tell whether a request may run now.
 
-        The last slots are kept for requests that cannot wait: one whose
-        target leaves it time lets them be until its time grows short.
+        The last slots are kept for requests that cannot wait: a long one
+        whose target leaves it time lets them be until its time grows short.
+        A short one frees its slot as soon as it would be missed.
 
         Args:
             waiting: the request.
@@ -97,7 +98,8 @@
         Returns:
             Whether there is a slot for it.
         """
-        if waiting.due - now < URGENT_TIMES * waiting.seconds:
+        is_urgent = waiting.due - now < URGENT_TIMES * waiting.seconds
+        if is_urgent or waiting.seconds < self.service_seconds:
             return self.room > 0
         return self.room > self.headroom
 
--- a/wagtaildale/admission/tests/test_decisions.py
+++ b/wagtaildale/admission/tests/test_decisions.py
@@ -77,6 +77,25 @@
     assert finish(state, 4, now=3.9) == [Admitted(ticket=TicketId(13))]
 
 
+def test_short_request_takes_the_last_slot_at_once() -> None:
+    """A route that was just added answers nobody while its service is busy.
+
+    Its requests take a millisecond and have a second: they counted as ones
+    that can wait, for five milliseconds before the end of their time, and
+    were refused then although a slot had come free a hundred times.
+    """
+    state = build_busy()
+    state.class_seconds['short'] = 0.001
+    arrived = Arrived(
+        ticket=TicketId(9),
+        within_ms=1000,
+        deadline=1,
+        work_class='short',
+    )
+    assert decide_admission(arrived, state, now=0) == []
+    assert finish(state, 1, now=0.1) == [Admitted(ticket=TicketId(9))]
+
+
 def test_answer_that_cannot_be_in_time_is_refused_at_once() -> None:
     """A caller waits for seconds to hear that it waited in vain."""
     state = build_busy()
