A planned stop ends in time, whatever its callers do, and the process with it

And the process ended by signal 11 (exit code 139), or was killed: at the end the interpreter waited for threads in a long poll, or took its modules down while one was in C code. Change: while the node stops, requests behind others are not begun; the process ends by _exit once nothing is under way; idle callers are waited for as long as the announcement lasts, not 4 s. Test: the old code stops at its bound, False; now True.

--- a/wagtaildale/calls/callers.py
+++ b/wagtaildale/calls/callers.py
@@ -171,6 +171,7 @@
         self._exchanges: deque[Exchange] = deque()
         self._incoming: Exchange | None = None
         self._failure: CallFailed | None = None
+        self._is_held_back = False
         self._since = read_clock()
 
     @property
@@ -234,11 +235,7 @@
                 return
             if self._exchanges:
                 self._stream.send(self._exchanges[0].take_kept())
-        if self._failure is not None and not self._exchanges:
-            self._send_failure(self._failure)
-        elif len(self._exchanges) == PIPELINED_MOST - 1:
-            self._stream.resume()
-            self._take_messages()
+        self._go_on()
 
     def refuse(self, failure: CallFailed) -> None:
         """Answer with a failure after what is under way, and close.
@@ -320,6 +317,7 @@
             if message is None:
                 return
             if self._incoming is None and self.busy >= PIPELINED_MOST:
+                self._is_held_back = True
                 self._stream.pause()
                 return
             self._take(message)
@@ -328,6 +326,25 @@
             self._parser.drop()
             self._incoming = None
 
+    def _go_on(self) -> None:
+        if self._exchanges:
+            self._take_held_back()
+            return
+        # While the node stops, requests behind others are not begun.
+        unread = self._port.draining and self._parser.has_more()
+        if self._failure is not None:
+            self._send_failure(self._failure)
+        elif unread:
+            self._finish()
+        else:
+            self._take_held_back()
+
+    def _take_held_back(self) -> None:
+        if self._is_held_back:
+            self._is_held_back = False
+            self._stream.resume()
+            self._take_messages()
+
     def _take(self, message: Message) -> None:
         if self._incoming is None:
             exchange = Exchange(message, connection=self)
@@ -339,13 +356,15 @@
 
     def _is_ending(self) -> bool:
         # Whatever comes behind a request that asks to close, or behind one
-        # whose answer has announced the end, belongs to nobody.
+        # whose answer has announced the end, belongs to nobody. And a caller
+        # that always has a further request under way would never let a node
+        # stop: what comes behind others is not begun any more.
         if self._stream.is_closed:
             return True
         if self._incoming is not None or not self._exchanges:
             return False
         last = self._exchanges[-1]
-        return last.closes or not last.message.keep_alive
+        return self._port.draining or last.closes or not last.message.keep_alive
 
     def _send_failure(self, failure: CallFailed) -> None:
         head, body = describe_problem(failure)
--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import os
 import signal
 import sys
 import threading
@@ -95,7 +96,24 @@
         _complain(loaded.err_value)
         sys.exit(EXIT_SETTINGS)
     if not check:
-        sys.exit(run_daemon(loaded.ok_value))
+        end_process(run_daemon(loaded.ok_value))
+
+
+def end_process(code: int) -> None:
+    """End the process at once.
+
+    Failure guarded here: the planned stop is over, and the interpreter waits
+    for a thread that sits in a long poll, or takes its modules down while a
+    thread is still in a library's C code. It shows as a process that is
+    killed at the end of its time, or ends by a segmentation fault. By now
+    nothing is left that an orderly end would save.
+
+    Args:
+        code: exit code.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
 
 
 def run_daemon(
--- a/wagtaildale/lifecycle/stop.py
+++ b/wagtaildale/lifecycle/stop.py
@@ -7,6 +7,7 @@
 
 from wagtaildale.distribution.messages import Leave
 from wagtaildale.errors.codes import Code
+from wagtaildale.settings.model import ANNOUNCE_SECONDS, LINGER_SECONDS
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
 
@@ -16,8 +17,6 @@
     from wagtaildale.timers.inbox import Inbox
 
 LOOK_SECONDS: Final = 0.05
-ANNOUNCE_SECONDS: Final = 1.0
-LINGER_SECONDS: Final = 4.0
 
 
 class Stop:
@@ -31,10 +30,10 @@
 
     Failures guarded here: a caller sends on a connection that was idle just
     when it is closed, and its request is lost; idle connections are given
-    ``LINGER_SECONDS`` in which their next answer tells them to go
+    time in which their next answer tells them to go
     elsewhere. Callers that do not know of the stop keep connecting, so that
-    it never ends; a port that is closed refuses them before they send. And
-    in a rolling restart the servers of stopping nodes stand idle while the
+    it never ends; a port that is closed refuses them before they send. In
+    a rolling restart the servers of stopping nodes stand idle while the
     callers move; they take work until the callers have moved.
     """
 
@@ -45,6 +44,7 @@
         inbox: Inbox[object],
         recorder: EventRecorder,
         announce_seconds: float = ANNOUNCE_SECONDS,
+        linger_seconds: float = LINGER_SECONDS,
     ) -> None:
         """Prepare.
 
@@ -53,8 +53,10 @@
             inbox: of the distribution task.
             recorder: gets events.
             announce_seconds: how long callers are served on.
+            linger_seconds: how long idle callers are waited for.
         """
         self._announce_seconds = announce_seconds
+        self._linger_seconds = linger_seconds
         self._calls = calls
         self._inbox = inbox
         self._recorder = recorder
@@ -114,4 +116,4 @@
     def _is_done(self, elapsed: float) -> bool:
         if elapsed < self._announce_seconds or self.count_in_flight():
             return False
-        return not self._calls.callers.open or elapsed > LINGER_SECONDS
+        return not self._calls.callers.open or elapsed > self._linger_seconds
--- a/wagtaildale/lifecycle/tests/test_stop.py
+++ b/wagtaildale/lifecycle/tests/test_stop.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPConnection
 from typing import TYPE_CHECKING
 
@@ -135,3 +137,37 @@
     for caller in callers:
         caller.join()
     assert not lost
+
+
+def test_caller_that_always_has_more_under_way_lets_the_node_stop(
+    stopping: Stopping,
+) -> None:
+    """A planned stop takes until its bound, and then cuts a history read.
+
+    A caller sends each request before the one before it is answered, so
+    that no answer is ever the connection's last, and none says close. Once
+    the node stops, what comes behind others is left unread.
+    """
+    stopping.pair.backend.faults.service_ms = 100
+    request = b'GET /files/1 HTTP/1.1\r\nhost: m\r\n\r\n'
+    answers = b''
+    with socket.create_connection(stopping.pair.near.entry, PATIENCE) as sock:
+        sock.sendall(request)
+        wait_until(lambda: stopping.pair.backend.counts.runs == 1)
+        # Half-way through the first: from here on each answer finds the
+        # next request under way.
+        time.sleep(0.05)
+        sock.sendall(request)
+        stopping.stop.begin()
+        waiter = ThreadPoolExecutor(1).submit(
+            stopping.stop.wait,
+            seconds=PATIENCE,
+        )
+        piece = b'begun'
+        while piece and not waiter.done():
+            sock.sendall(request)
+            piece = sock.recv(65536)
+            answers += piece
+        assert waiter.result(PATIENCE)
+    assert answers.count(b'HTTP/1.1 200') == answers.count(b'"by"')
+    assert stopping.pair.backend.counts.cancelled == 0
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import TYPE_CHECKING, Final, Protocol
 
 from result import Err, Ok, Result
@@ -41,6 +41,9 @@
 # Distribution, timers, calls, the administration API, one fetch task and at
 # most one watch for each document.
 TASKS_MOST: Final = 8
+# How long tasks may take to close what they own. Those that wait for the
+# platform have nothing to close and are not waited for.
+CLOSE_SECONDS: Final = 0.25
 
 
 class Task(Protocol):
@@ -95,6 +98,7 @@
             inbox=self.parts.inbox,
             recorder=recorder,
             announce_seconds=settings.limits.announce_seconds,
+            linger_seconds=settings.limits.linger_seconds,
         )
         self.drain_asked = threading.Event()
         self.metrics = make_metrics(self)
@@ -140,6 +144,7 @@
         for part in self._list_tasks():
             part.stop()
         self._executor.shutdown(wait=False, cancel_futures=True)
+        wait(self._futures, timeout=CLOSE_SECONDS)
         return done
 
     def _list_tasks(self) -> tuple[Task, ...]:
--- a/wagtaildale/platform/__main__.py
+++ b/wagtaildale/platform/__main__.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import os
-import sys
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import click
 from result import Err
 
-from wagtaildale.daemon import EXIT_SETTINGS, run_daemon
+from wagtaildale.daemon import EXIT_SETTINGS, end_process, run_daemon
 from wagtaildale.distribution.tuning import make_tuning
 from wagtaildale.integration import Integration
 from wagtaildale.platform.dialect import PLATFORM_DIALECT
@@ -62,4 +61,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    end_process(main())
--- a/wagtaildale/platform/settings.py
+++ b/wagtaildale/platform/settings.py
@@ -160,6 +160,7 @@
             connections=descriptors // DESCRIPTORS_PER_CONNECTION,
             drain_seconds=bounds.stop_seconds - STOP_MARGIN_SECONDS,
             announce_seconds=ANNOUNCE_SECONDS,
+            linger_seconds=ANNOUNCE_SECONDS,
         ),
         bounds=bounds,
         calls=CallSettings(choice=ChoiceName.expected_time),
--- a/wagtaildale/settings/model.py
+++ b/wagtaildale/settings/model.py
@@ -32,6 +32,7 @@
 DRAIN_SECONDS: Final = 30.0
 LONGEST_DRAIN: Final = 600
 ANNOUNCE_SECONDS: Final = 1.0
+LINGER_SECONDS: Final = 4.0
 MOST_KEYS: Final = 3
 APPLY_SECONDS: Final = 12.0
 RETRY_SHARE: Final = 0.2
@@ -96,6 +97,8 @@
         drain_seconds: how long a planned stop waits for work in flight.
         announce_seconds: of these, how long callers are served on while
             they are told to go elsewhere.
+        linger_seconds: how long idle callers are waited for, so that their
+            next answer tells them to close.
     """
 
     head_bytes: Annotated[int, Meta(ge=LEAST_HEAD_BYTES)] = HEAD_BYTES
@@ -107,6 +110,9 @@
     announce_seconds: Annotated[float, Meta(ge=0, le=LONGEST_DRAIN)] = (
         ANNOUNCE_SECONDS
     )
+    linger_seconds: Annotated[float, Meta(ge=0, le=LONGEST_DRAIN)] = (
+        LINGER_SECONDS
+    )
 
 
 class TeamToken(Struct, frozen=True, kw_only=True):
