--- a/wagtaildale/calls/callers.py
+++ b/wagtaildale/calls/callers.py
@@ -330,11 +330,15 @@
         if self._exchanges:
             self._take_held_back()
             return
+        failure = self._failure
+        if failure is None:
+            self._go_on_idle()
+        else:
+            self._send_failure(failure)
+
+    def _go_on_idle(self) -> None:
         # While the node stops, requests behind others are not begun.
-        unread = self._port.draining and self._parser.has_more()
-        if self._failure is not None:
-            self._send_failure(self._failure)
-        elif unread:
+        if self._port.draining and self._parser.has_more():
             self._finish()
         else:
             self._take_held_back()
