--- a/wagtaildale/calls/callers.py
+++ b/wagtaildale/calls/callers.py
@@ -116,8 +116,15 @@
         self.draining = True
 
     def close_port(self) -> None:
-        """Accept nothing more; what is open stays open."""
+        """Accept nothing more; whoever has nothing under way is closed.
+
+        Failure guarded here: the node waits for a long answer to one caller,
+        and meanwhile another one sends on its open connection, and is cut
+        at the end of the stop.
+        """
         self._acceptor.close()
+        for connection in tuple(self._connections):
+            connection.close_idle()
 
     def stop(self) -> None:
         """Close the port and everything on it, as a process that ends."""
@@ -264,6 +271,11 @@
         elif now - self._since > limits.idle_seconds:
             self._finish()
 
+    def close_idle(self) -> None:
+        """Close if nothing is under way."""
+        if not self._exchanges and self._failure is None:
+            self._finish()
+
     def abandon(self) -> None:
         """Close at once."""
         self._stream.close()
--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import gc
 import os
 import signal
@@ -135,6 +136,8 @@
     Returns:
         Exit code: 0 after a stop that cut nothing.
     """
+    # A crash in a library's C code leaves no other trace.
+    faulthandler.enable()
     sys.setswitchinterval(SWITCH_SECONDS)
     log = open_log(level=settings.log.level)
     log.start()
