Threads start only when everything is imported

Ruled out: the calls task (not started yet) and the end of the process. Change: the ports that import are opened first, then ZeroMQ and the log start their threads.

--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -140,7 +140,6 @@
     faulthandler.enable()
     sys.setswitchinterval(SWITCH_SECONDS)
     log = open_log(level=settings.log.level)
-    log.start()
     recorder = EventRecorder(
         settings.instance,
         read_incarnation(),
@@ -163,6 +162,8 @@
     if isinstance(started, Err):
         _complain((started.err_value,))
         return EXIT_START
+    # Threads start only now that everything is imported.
+    log.start()
     # What was built so far lives as long as the process: leave it out of
     # every collection, whose pauses would go into the tail of calls.
     gc.collect()
--- a/wagtaildale/distribution/sockets.py
+++ b/wagtaildale/distribution/sockets.py
@@ -119,32 +119,28 @@
         self.received_bytes = 0
         self._keys = keys
         self._context = zmq.Context(io_threads=1)
-        self._listener = self._context.socket(zmq.ROUTER)
+        self._listener: zmq.Socket[bytes] | None = None
         self._poller = zmq.Poller()
         self._guard: Guard | None = None
-        if keys:
-            self._guard = Guard(self._context, accepted=keys)
-            self._poller.register(self._guard.socket, zmq.POLLIN)
         self._peers: OrderedDict[str, Peer] = OrderedDict()
         self._routes: OrderedDict[InstanceId, bytes] = OrderedDict()
 
     def bind(self, address: str) -> Result[None, Fault]:
         """Listen for other nodes.
 
+        The library starts its threads with the first socket. That is left
+        until everything is imported: an import beside running threads has
+        crashed on the users' platform (docs/design/concurrency.md).
+
         Args:
             address: as ZeroMQ writes it.
 
         Returns:
             Nothing, or the fault.
         """
-        _set_options(self._listener)
-        if self._keys:
-            self._listener.curve_server = True
-            self._listener.curve_secretkey = self._keys[0].secret
-            self._listener.curve_publickey = self._keys[0].public
-        self._listener.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        listener = self._open_listener()
         try:
-            self._listener.bind(address)
+            listener.bind(address)
         except zmq.ZMQError as error:
             fault = Fault(
                 code=Code.address_in_use,
@@ -153,7 +149,7 @@
                 expected='an address that is free',
             )
             return Err(fault)
-        self._poller.register(self._listener, zmq.POLLIN)
+        self._poller.register(listener, zmq.POLLIN)
         return Ok(None)
 
     def watch_inbox(self, inbox: Inbox[object]) -> None:
@@ -177,8 +173,8 @@
         arrivals: list[Arrival] = []
         if self._guard is not None:
             self._guard.answer()
-        if self._listener in ready:
-            arrivals.extend(self._drain_listener())
+        if self._listener is not None and self._listener in ready:
+            arrivals.extend(self._drain_listener(self._listener))
         for peer in tuple(self._peers.values()):
             if peer.socket in ready:
                 arrivals.extend(peer.drain())
@@ -210,7 +206,7 @@
             Whether there was such a connection.
         """
         route = self._routes.get(instance)
-        if route is None:
+        if route is None or self._listener is None:
             return False
         try:
             self._listener.send_multipart((route, frame), zmq.NOBLOCK)
@@ -248,7 +244,8 @@
             peer.socket.close()
         if self._guard is not None:
             self._guard.close()
-        self._listener.close()
+        if self._listener is not None:
+            self._listener.close()
         self._context.term()
 
     @property
@@ -276,10 +273,26 @@
         self._poller.unregister(peer.socket)
         peer.socket.close()
 
-    def _drain_listener(self) -> list[Arrival]:
+    def _open_listener(self) -> zmq.Socket[bytes]:
+        listener = self._context.socket(zmq.ROUTER)
+        _set_options(listener)
+        if self._keys:
+            self._guard = Guard(self._context, accepted=self._keys)
+            self._poller.register(self._guard.socket, zmq.POLLIN)
+            listener.curve_server = True
+            listener.curve_secretkey = self._keys[0].secret
+            listener.curve_publickey = self._keys[0].public
+        listener.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        self._listener = listener
+        return listener
+
+    def _drain_listener(
+        self,
+        listener: zmq.Socket[bytes],
+    ) -> list[Arrival]:
         arrivals: list[Arrival] = []
-        while self._listener.poll(0):
-            frames = self._listener.recv_multipart()
+        while listener.poll(0):
+            frames = listener.recv_multipart()
             arrivals.append(Arrival(frames[-1], frames[0]))
         return arrivals
 
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -6,7 +6,7 @@
 from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import TYPE_CHECKING, Final, Protocol
 
-from result import Err, Ok, Result
+from result import Result
 
 from wagtaildale.admin.server import AdminServer
 from wagtaildale.assembly import (
@@ -111,15 +111,7 @@
         Returns:
             Nothing, or why a port cannot be opened.
         """
-        opened = self._open_ports()
-        if isinstance(opened, Err):
-            return opened
-        self._subscribe()
-        self._futures = [
-            self._executor.submit(task.run) for task in self._list_tasks()
-        ]
-        self.parts.recorder.record(EventKind.node_started)
-        return Ok(None)
+        return self._open_ports().map(lambda _none: self._begin())
 
     def find_failure(self) -> BaseException | None:
         """Tell whether a task has ended that should run on.
@@ -147,16 +139,25 @@
         wait(self._futures, timeout=CLOSE_SECONDS)
         return done
 
+    def _begin(self) -> None:
+        self._subscribe()
+        self._futures = [
+            self._executor.submit(task.run) for task in self._list_tasks()
+        ]
+        self.parts.recorder.record(EventKind.node_started)
+
     def _list_tasks(self) -> tuple[Task, ...]:
         readers: tuple[Task, ...] = (self._fetch, *self._watches)
         rest: tuple[Task, ...] = (self._timers, self.distribution, self._admin)
         return (self.calls, *readers, *rest)
 
     def _open_ports(self) -> Result[None, Fault]:
+        # The control port comes last: with it the library between nodes
+        # starts its threads, and what the others still import is imported.
         return (
             self.calls.bind()
-            .and_then(lambda _none: self._bind_control())
             .and_then(lambda _none: self._admin.bind())
+            .and_then(lambda _none: self._bind_control())
         )
 
     def _bind_control(self) -> Result[None, Fault]:
