--- a/wagtaildale/assembly.py
+++ b/wagtaildale/assembly.py
@@ -120,6 +120,7 @@
             outbox=parts.inbox,
             wait=parts.tuning.watch_seconds,
             first_cap=parts.tuning.backoff_seconds,
+            gather=parts.tuning.gather_seconds,
         )
         for feed in parts.integration.make_feeds(parts.settings)
     )
--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
-from functools import singledispatchmethod
+from functools import singledispatch
 from typing import TYPE_CHECKING, Final, Protocol, final
 
 from msgspec import structs
@@ -188,20 +188,20 @@
         if self.state is AttemptState.answering:
             self._peer.send(Taken(self._number, size))
 
-    @singledispatchmethod
     def on_frame(self, frame: ToEntry) -> None:
         """Take a message of the owner; see ``PeerReceiver``.
 
         Args:
             frame: the message.
-
-        Raises:
-            TypeError: for a message that no attempt knows.
         """
-        raise TypeError(f'got {frame!r}, expected a message of an owner')
+        take_frame(frame, self)
+
+    def on_granted(self, frame: Granted) -> None:
+        """Send the run message: a slot is held for it.
 
-    @on_frame.register
-    def _on_granted(self, frame: Granted) -> None:
+        Args:
+            frame: with the lease.
+        """
         if self.state is not AttemptState.reserving:
             return
         if not self._is_mine(frame.answer):
@@ -218,8 +218,12 @@
             ),
         )
 
-    @on_frame.register
-    def _on_failed(self, frame: Failed) -> None:
+    def on_failed(self, frame: Failed) -> None:
+        """End without a response.
+
+        Args:
+            frame: why, and whether the request has run.
+        """
         if not self._is_mine(frame.answer):
             return
         answer = frame.answer
@@ -232,8 +236,12 @@
         )
         self._fail(failure, cancelled=False)
 
-    @on_frame.register
-    def _on_answered(self, frame: Answered) -> None:
+    def on_answered(self, frame: Answered) -> None:
+        """Pass the response on.
+
+        Args:
+            frame: head and body, or its beginning.
+        """
         if self.state is not AttemptState.running:
             return
         if not self._is_mine(frame.answer):
@@ -244,21 +252,29 @@
             self._end(cancelled=False)
         self._call.on_answer(self, frame)
 
-    @on_frame.register
-    def _on_piece(self, frame: Piece) -> None:
+    def on_piece(self, frame: Piece) -> None:
+        """Pass more of the response on.
+
+        Args:
+            frame: the piece.
+        """
         if self.state is not AttemptState.answering:
             return
         if not frame.more:
             self._end(cancelled=False)
         self._call.on_piece(self, frame)
 
-    @on_frame.register
-    def _on_taken(self, frame: Taken) -> None:
+    def on_taken(self, frame: Taken) -> None:
+        """Send more of the request's body.
+
+        Args:
+            frame: how much the owner has passed on.
+        """
         self._window.note_taken(frame.count)
         self.send_body()
 
-    @on_frame.register
-    def _on_cut(self, frame: Cut) -> None:
+    def on_cut(self) -> None:
+        """End: the response broke off."""
         failure = CallFailed(Code.backend_cut, outcome=Outcome.unknown)
         self._fail(failure, cancelled=False)
 
@@ -324,3 +340,47 @@
         self.state = AttemptState.over
         self.target.notes.note_ended()
         self._peer.close_call(self._number, cancelled=cancelled)
+
+
+@singledispatch
+def take_frame(frame: object, attempt: Attempt) -> None:
+    """Give an attempt a message of its owner.
+
+    Args:
+        frame: the message.
+        attempt: that it is for.
+
+    Raises:
+        TypeError: for a message that no attempt knows.
+    """
+    raise TypeError(f'got {frame!r}, expected a message of an owner')
+
+
+@take_frame.register
+def _take_granted(frame: Granted, attempt: Attempt) -> None:
+    attempt.on_granted(frame)
+
+
+@take_frame.register
+def _take_failed(frame: Failed, attempt: Attempt) -> None:
+    attempt.on_failed(frame)
+
+
+@take_frame.register
+def _take_answered(frame: Answered, attempt: Attempt) -> None:
+    attempt.on_answered(frame)
+
+
+@take_frame.register
+def _take_piece(frame: Piece, attempt: Attempt) -> None:
+    attempt.on_piece(frame)
+
+
+@take_frame.register
+def _take_taken(frame: Taken, attempt: Attempt) -> None:
+    attempt.on_taken(frame)
+
+
+@take_frame.register
+def _take_cut(frame: Cut, attempt: Attempt) -> None:
+    attempt.on_cut()
--- a/wagtaildale/calls/callers.py
+++ b/wagtaildale/calls/callers.py
@@ -32,7 +32,7 @@
 # Requests of one connection that are under way at once; more wait unread.
 PIPELINED_MOST: Final = 16
 # Between two looks at what has been idle or half a head for too long.
-LOOK_SECONDS: Final = 0.5
+LOOK_SECONDS: Final = 1.0
 
 
 class CallerLimits(Struct, frozen=True, kw_only=True):
@@ -116,13 +116,16 @@
         self.draining = True
 
     def close_port(self) -> None:
-        """Accept nothing more; whoever has nothing under way is closed.
+        """Accept nothing more; what is open stays open."""
+        self._acceptor.close()
+
+    def close_idle(self) -> None:
+        """Close whoever has had an answer and has nothing under way.
 
         Failure guarded here: the node waits for a long answer to one caller,
         and meanwhile another one sends on its open connection, and is cut
         at the end of the stop.
         """
-        self._acceptor.close()
         for connection in tuple(self._connections):
             connection.close_idle()
 
@@ -179,6 +182,7 @@
         self._incoming: Exchange | None = None
         self._failure: CallFailed | None = None
         self._is_held_back = False
+        self._has_answered = False
         self._since = read_clock()
 
     @property
@@ -236,6 +240,7 @@
         """Go on to the next response once the first is done."""
         while self._exchanges and self._exchanges[0].is_done:
             done = self._exchanges.popleft()
+            self._has_answered = True
             self._since = read_clock()
             if done.closes or done.is_broken:
                 self._finish(broken=done.is_broken)
@@ -272,8 +277,12 @@
             self._finish()
 
     def close_idle(self) -> None:
-        """Close if nothing is under way."""
-        if not self._exchanges and self._failure is None:
+        """Close if nothing is under way.
+
+        One that has just connected is about to send its request.
+        """
+        busy = self._exchanges or self._failure is not None
+        if self._has_answered and not busy:
             self._finish()
 
     def abandon(self) -> None:
--- a/wagtaildale/calls/entry.py
+++ b/wagtaildale/calls/entry.py
@@ -17,7 +17,7 @@
 
 # How soon after a change of the list connections follow; a call that comes
 # before opens its own.
-LOOK_SECONDS: Final = 0.25
+LOOK_SECONDS: Final = 0.5
 
 
 class Entry:
--- a/wagtaildale/calls/owned.py
+++ b/wagtaildale/calls/owned.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from enum import Enum
-from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Final, Protocol, final
 
 from msgspec import structs
@@ -135,40 +134,44 @@
         assert self._fields is not None
         return self._fields
 
-    @singledispatchmethod
-    def take(self, frame: object) -> None:
-        """Take a message of the entry.
+    def take_reserve(self, frame: Reserve) -> None:
+        """Ask for a slot that is held for a run message.
 
         Args:
-            frame: the message.
-
-        Raises:
-            TypeError: for a message that no call knows.
+            frame: what the entry tells of the call.
         """
-        raise TypeError(f'got {frame!r}, expected a message of a call')
-
-    @take.register
-    def _take_reserve(self, frame: Reserve) -> None:
         self._enter(frame.fields)
 
-    @take.register
-    def _take_run(self, frame: Run) -> None:
+    def take_run(self, frame: Run) -> None:
+        """Run the request, once there is a slot or on the one held.
+
+        Args:
+            frame: the request.
+        """
         self._run = frame
         if frame.fields.lease:
             self._redeem(frame)
         else:
             self._enter(frame.fields)
 
-    @take.register
-    def _take_piece(self, frame: Piece) -> None:
+    def take_piece(self, frame: Piece) -> None:
+        """Pass more of the request's body on.
+
+        Args:
+            frame: the piece.
+        """
         if self._connection is not None:
             self._connection.add(frame.body, more=frame.more)
             self._owed += len(frame.body)
             if not self._connection.is_full:
                 self.on_room()
 
-    @take.register
-    def _take_taken(self, frame: Taken) -> None:
+    def take_taken(self, frame: Taken) -> None:
+        """Send more of the response.
+
+        Args:
+            frame: how much the entry has passed on.
+        """
         if self._response is not None:
             self._response.window.note_taken(frame.count)
             self._pass_on()
--- a/wagtaildale/calls/sessions.py
+++ b/wagtaildale/calls/sessions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from functools import singledispatchmethod
+from functools import singledispatch
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.failures import CallFailed
@@ -142,7 +142,6 @@
         for call in tuple(self._calls.values()):
             call.cancel()
 
-    @singledispatchmethod
     def take(self, frame: object) -> None:
         """Take a message of the entry.
 
@@ -150,40 +149,94 @@
             frame: the message.
 
         Raises:
-            CallFailed: for a message that no owner takes.
+            TypeError: for a message that no owner takes.
         """
-        raise TypeError(f'got {frame!r}, expected a message to an owner')
+        take_frame(frame, self)
 
-    @take.register(Reserve)
-    @take.register(Run)
-    def _take_first(self, frame: Reserve | Run) -> None:
-        call = self._calls.get(frame.call)
+    def find(self, number: CallNumber) -> OwnedCall | None:
+        """Find a call.
+
+        Args:
+            number: the call.
+
+        Returns:
+            The call, or nothing if it is over.
+        """
+        return self._calls.get(number)
+
+    def find_or_begin(self, number: CallNumber) -> OwnedCall | None:
+        """Find a call, a new one if there is none with the number.
+
+        Args:
+            number: the call.
+
+        Returns:
+            The call, or nothing if the entry has too many.
+        """
+        call = self._calls.get(number)
         if call is None and len(self._calls) < CALLS_MOST:
-            call = OwnedCall(self.owner, frame.call, entrance=self)
-            self._calls[frame.call] = call
-        if call is not None:
-            call.take(frame)
-
-    @take.register(Piece)
-    @take.register(Taken)
-    def _take_further(self, frame: Piece | Taken) -> None:
-        call = self._calls.get(frame.call)
-        if call is not None:
-            call.take(frame)
-
-    @take.register
-    def _take_cancel(self, frame: Cancel) -> None:
-        call = self._calls.get(frame.call)
-        if call is not None:
-            call.cancel()
+            call = OwnedCall(self.owner, number, entrance=self)
+            self._calls[number] = call
+        return call
+
+
+@singledispatch
+def take_frame(frame: object, calls: CallTable) -> None:
+    """Give an owner a message of an entry.
+
+    Args:
+        frame: the message.
+        calls: of the entry.
+
+    Raises:
+        TypeError: for a message that no owner takes.
+    """
+    raise TypeError(f'got {frame!r}, expected a message to an owner')
+
+
+@take_frame.register
+def _take_reserve(frame: Reserve, calls: CallTable) -> None:
+    call = calls.find_or_begin(frame.call)
+    if call is not None:
+        call.take_reserve(frame)
+
+
+@take_frame.register
+def _take_run(frame: Run, calls: CallTable) -> None:
+    call = calls.find_or_begin(frame.call)
+    if call is not None:
+        call.take_run(frame)
+
+
+@take_frame.register
+def _take_piece(frame: Piece, calls: CallTable) -> None:
+    call = calls.find(frame.call)
+    if call is not None:
+        call.take_piece(frame)
+
+
+@take_frame.register
+def _take_taken(frame: Taken, calls: CallTable) -> None:
+    call = calls.find(frame.call)
+    if call is not None:
+        call.take_taken(frame)
+
+
+@take_frame.register
+def _take_cancel(frame: Cancel, calls: CallTable) -> None:
+    call = calls.find(frame.call)
+    if call is not None:
+        call.cancel()
+
+
+@take_frame.register
+def _take_ping(frame: Ping, calls: CallTable) -> None:
+    calls.reply(Pong())
 
-    @take.register
-    def _take_ping(self, frame: Ping) -> None:
-        self.reply(Pong())
 
-    @take.register
-    def _take_pong(self, frame: Pong) -> None:
-        """Do nothing: that it came is all it says."""
+@take_frame.register
+def _take_pong(frame: Pong, calls: CallTable) -> None:
+    """Do nothing: that it came is all it says."""
 
 
 class PeerSession:
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -38,7 +38,7 @@
 
 MILLISECONDS: Final = 1000
 # How soon what the list tells of the backend server here is taken up.
-LOOK_SECONDS: Final = 0.25
+LOOK_SECONDS: Final = 0.5
 READY_HEAD_BYTES: Final = 8192
 READY_CONNECTIONS: Final = 64
 READY_LIMITS: Final = CallerLimits(
@@ -197,6 +197,10 @@
         """Take no new work; may be called from another thread."""
         self.loop.submit(self._drain).result()
 
+    def close_idle(self) -> None:
+        """Close idle callers; may be called from another thread."""
+        self.loop.submit(self.callers.close_idle).result()
+
     def read_limits(self) -> CallerLimits:
         """Give what callers may send now.
 
--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -33,7 +33,8 @@
     from wagtaildale.keys.pairs import KeyPair
     from wagtaildale.settings.model import Settings
 
-LOOK_SECONDS: Final = 0.5
+# A signal ends the wait at once; a task that has failed is found this late.
+LOOK_SECONDS: Final = 2.0
 # The default of 5 ms lets one busy thread hold up every call that long.
 SWITCH_SECONDS: Final = 0.0005
 EXIT_SETTINGS: Final = 2
--- a/wagtaildale/distribution/around.py
+++ b/wagtaildale/distribution/around.py
@@ -47,6 +47,6 @@
     recorder: EventRecorder
     invariants: Invariants
     view: ViewHolder
-    watches: dict[Kind, Inbox[Watch]]
+    watches: dict[Kind, Inbox[Watch | None]]
     fetches: Inbox[Any]
     states: list[NodeState]
--- a/wagtaildale/distribution/tuning.py
+++ b/wagtaildale/distribution/tuning.py
@@ -42,6 +42,8 @@
         look_seconds: between two looks at who is to watch.
         first_read_seconds: over which new nodes spread their first reads.
         backoff_seconds: longest delay after one failed read.
+        gather_seconds: how long a reader that was told of a change waits
+            for further ones before it asks again.
         passes_on: whether nodes tell each other of versions at all.
     """
 
@@ -56,6 +58,7 @@
     look_seconds: float = 1.0
     first_read_seconds: float = 3.0
     backoff_seconds: float = 0.5
+    gather_seconds: float = 0
     passes_on: bool = True
 
 
@@ -65,10 +68,13 @@
 # itself, and has a third left to do so and to try again.
 WATCH_SHARE: Final = 0.5
 STALE_SHARE: Final = 0.65
-LOOK_SHARE: Final = 0.05
+LOOK_SHARE: Final = 0.1
 STEP_SHARE: Final = 0.02
 FIRST_READ_SHARE: Final = 0.05
 BACKOFF_SHARE: Final = 0.1
+# Changes come in rows: a release, or versions five times a second. One call
+# then brings several of them.
+GATHER_SHARE: Final = 0.2
 FRUGAL_READERS: Final = 2
 FRUGAL_SWAP_SECONDS: Final = 3.0
 FRUGAL_STALE_SECONDS: Final = 8.0
@@ -110,4 +116,5 @@
         look_seconds=LOOK_SHARE * apply_seconds,
         first_read_seconds=FIRST_READ_SHARE * apply_seconds,
         backoff_seconds=BACKOFF_SHARE * apply_seconds,
+        gather_seconds=GATHER_SHARE * apply_seconds,
     )
--- a/wagtaildale/lifecycle/stop.py
+++ b/wagtaildale/lifecycle/stop.py
@@ -86,6 +86,8 @@
             elapsed = read_clock() - began
             if elapsed > self._announce_seconds:
                 self._leave()
+            if elapsed > self._linger_seconds:
+                self._calls.close_idle()
             if self._is_done(elapsed):
                 return True
             time.sleep(LOOK_SECONDS)
--- a/wagtaildale/source/tasks.py
+++ b/wagtaildale/source/tasks.py
@@ -26,7 +26,8 @@
 
     from wagtaildale.source.feed import Feed, FeedReading
 
-IDLE_SECONDS: Final = 0.5
+# How long a task without orders sleeps; ``stop`` ends it sooner.
+IDLE_SECONDS: Final = 30.0
 WATCH_RATE: Final = 2.0
 WATCH_BURST: Final = 4.0
 FOREMOST_RATE: Final = 90.0
@@ -50,6 +51,7 @@
         outbox: Inbox[Any],
         wait: float,
         first_cap: float = FIRST_CAP,
+        gather: float = 0,
     ) -> None:
         """Begin without an appointment.
 
@@ -58,13 +60,15 @@
             outbox: of the distribution task.
             wait: seconds that the platform may hold a watch.
             first_cap: longest delay after one failed read, seconds.
+            gather: seconds to wait for further changes after one.
         """
-        self.inbox: Inbox[Watch] = Inbox()
+        self.inbox: Inbox[Watch | None] = Inbox()
         self.feed = feed
         self.backoff = Backoff(first_cap=first_cap)
         self.reads = 0
         self._outbox = outbox
         self._wait = wait
+        self._gather = gather
         self._appointed = False
         self._stopping = threading.Event()
 
@@ -85,6 +89,7 @@
     def stop(self) -> None:
         """End ``run`` when the watch under way returns."""
         self._stopping.set()
+        self.inbox.put(None)
 
     def _take_orders(self) -> bool:
         timeout = 0 if self._appointed else IDLE_SECONDS
@@ -105,6 +110,8 @@
             return
         self.backoff.reset()
         _pass_on(self._outbox, read.ok_value)
+        if read.ok_value.changed:
+            self._stopping.wait(self._gather)
 
 
 class FetchTask:
@@ -124,7 +131,7 @@
             platform: has single parts; nothing where documents come whole.
             outbox: of the distribution task.
         """
-        self.inbox: Inbox[ReadBlobs | ReadSource] = Inbox()
+        self.inbox: Inbox[ReadBlobs | ReadSource | None] = Inbox()
         self.reads = 0
         self._feeds = {kind: feed for feed in feeds for kind in feed.kinds}
         self._platform = platform
@@ -158,6 +165,7 @@
     def stop(self) -> None:
         """End ``run`` after the order under way."""
         self._stopping.set()
+        self.inbox.put(None)
 
     def _read(self, feed: Feed) -> None:
         self._stopping.wait(self._buckets[False].take(now=read_clock()))
--- a/wagtaildale/telemetry/log.py
+++ b/wagtaildale/telemetry/log.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 import logging
+import os
 import re
-import sys
 import threading
+import time
 from collections import Counter, deque
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
@@ -22,11 +23,10 @@
 from wagtaildale.telemetry.events import EventKind
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from wagtaildale.telemetry.events import Event
 
-LOGGER_NAME: Final = 'wagtaildale'
 MILLISECONDS_PER_SECOND: Final = 1000
 # Lines a second of each kind: more than a node has at its usual load (about
 # 150 calls a second), so that a storm of one kind leaves the others be.
@@ -45,6 +45,10 @@
 )
 # Lines that wait for the reader of standard output: some seconds of them.
 BUFFERED: Final = 4096
+# A line is at most this late, and may be lost with a process that is killed.
+GATHER_SECONDS: Final = 0.05
+LINES_AT_ONCE: Final = 256
+STANDARD_OUTPUT: Final = 1
 # How long the last lines may take when the process ends.
 CLOSE_SECONDS: Final = 0.3
 PLAIN: Final = re.compile(r'^[\w.:/+@-]+$')
@@ -80,13 +84,7 @@
     Returns:
         A sink for an ``EventRecorder``.
     """
-    stream = logging.StreamHandler(sys.stdout)
-    stream.setFormatter(JsonFormatter(json_serializer=write_pairs))
-    logger = logging.getLogger(LOGGER_NAME)
-    logger.handlers = [stream]
-    logger.setLevel(level.upper())
-    logger.propagate = False
-    return EventLog(logger)
+    return EventLog(_write_out, level=level)
 
 
 class EventLog:
@@ -100,18 +98,27 @@
     not fit the buffer is counted alike.
     """
 
-    def __init__(self, logger: logging.Logger) -> None:
-        """Write through a logger; lines wait until ``start``.
+    def __init__(
+        self,
+        sink: Callable[[bytes], None],
+        *,
+        level: str = 'info',
+    ) -> None:
+        """Write to a sink; lines wait until ``start``.
 
         Args:
-            logger: takes the lines.
+            sink: takes whole lines; may take its time.
+            level: name of the lowest level that is written.
         """
-        self._logger = logger
+        self._sink = sink
+        self._least = logging.getLevelNamesMapping()[level.upper()]
+        self._formatter = JsonFormatter(json_serializer=write_pairs)
         self._second = 0
         self._taken: Counter[EventKind] = Counter()
         self._left_out = 0
-        self._lines: deque[Event | None] = deque(maxlen=BUFFERED)
-        self._wake = threading.Semaphore(0)
+        self._lines: deque[Event] = deque()
+        self._wake = threading.Event()
+        self._closing = False
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def __call__(self, event: Event) -> None:
@@ -120,45 +127,48 @@
         Args:
             event: what happened.
         """
+        if find_level(event) < self._least:
+            return
         if len(self._lines) >= BUFFERED or not self._is_within_rate(event):
             self._left_out += 1
             return
         self._lines.append(event)
-        self._wake.release()
+        if not self._wake.is_set():
+            self._wake.set()
+
+    def start(self) -> None:
+        """Write lines from now on."""
+        self._thread.start()
 
     @property
     def left_out(self) -> int:
         """How many events were not written since the last line that was."""
         return self._left_out
 
-    def start(self) -> None:
-        """Write lines from now on."""
-        self._thread.start()
-
     def close(self) -> None:
         """Write what waits, as far as that takes no longer than a moment."""
-        self._lines.append(None)
-        self._wake.release()
+        self._closing = True
+        self._wake.set()
         self._thread.join(CLOSE_SECONDS)
 
-    def write(self, event: Event) -> None:
-        """Write one event now.
-
-        Args:
-            event: what happened.
-        """
-        left_out = self._left_out
-        self._left_out -= left_out
-        level = logging.WARNING if event.code else logging.INFO
-        self._logger.log(level, '', extra=_list_fields(event, left_out))
-
     def _run(self) -> None:
-        while True:
-            self._wake.acquire()
+        while not self._closing:
+            self._wake.wait()
+            # A write for each line would wake this thread for each call.
+            time.sleep(GATHER_SECONDS)
+            self._wake.clear()
+            while self._lines:
+                self._sink(self._write_lines())
+
+    def _write_lines(self) -> bytes:
+        lines: list[str] = []
+        while self._lines and len(lines) < LINES_AT_ONCE:
             event = self._lines.popleft()
-            if event is None:
-                return
-            self.write(event)
+            left_out = self._left_out
+            self._left_out -= left_out
+            fields = _list_fields(event, left_out)
+            lines.append(self._formatter.jsonify_log_record(fields))
+        return '\n'.join((*lines, '')).encode()
 
     def _is_within_rate(self, event: Event) -> bool:
         second = read_milliseconds(event.stamp) // MILLISECONDS_PER_SECOND
@@ -170,6 +180,24 @@
         return self._taken[event.kind] <= most
 
 
+def find_level(event: Event) -> int:
+    """Find the level of an event.
+
+    Args:
+        event: what happened.
+
+    Returns:
+        The level's number: a warning where something is wrong.
+    """
+    return logging.WARNING if event.code else logging.INFO
+
+
+def _write_out(lines: bytes) -> None:
+    rest = memoryview(lines)
+    while rest:
+        rest = rest[os.write(STANDARD_OUTPUT, rest) :]
+
+
 def _list_fields(event: Event, left_out: int) -> dict[str, object]:
     return {
         'at_ms': read_milliseconds(event.stamp),
--- a/wagtaildale/telemetry/tests/test_log.py
+++ b/wagtaildale/telemetry/tests/test_log.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import logging
+import re
 import threading
 import time
 from typing import TYPE_CHECKING
@@ -21,27 +21,21 @@
     from collections.abc import Callable
 
 
-class Lines(logging.Handler):
-    """Keeps the records."""
+class Lines:
+    """Keeps the lines of a log, once it is told to read."""
 
     def __init__(self) -> None:
-        super().__init__()
-        self.records: list[logging.LogRecord] = []
+        self.texts: list[str] = []
+        self.reading = threading.Event()
+        self.reading.set()
 
-    def emit(self, record: logging.LogRecord) -> None:
-        self.records.append(record)
+    def __call__(self, lines: bytes) -> None:
+        self.reading.wait()
+        self.texts.extend(lines.decode().splitlines())
 
-
-class StuckLines(Lines):
-    """Keeps the records once it is told to read."""
-
-    def __init__(self, reading: threading.Event) -> None:
-        super().__init__()
-        self._reading = reading
-
-    def emit(self, record: logging.LogRecord) -> None:
-        self._reading.wait()
-        super().emit(record)
+    def count_left_out(self) -> int:
+        marks = re.findall('left_out=([0-9]+)', ' '.join(self.texts))
+        return sum(map(int, marks))
 
 
 def wait_until(condition: Callable[[], bool]) -> None:
@@ -72,19 +66,16 @@
     Lines over the rate are left out; the next line that passes says how
     many there were.
     """
-    logger = logging.Logger('test')
     lines = Lines()
-    logger.addHandler(lines)
-    log = EventLog(logger)
+    log = EventLog(lines)
     for _event in range(LINES_PER_SECOND + 7):
         log(build_event(1000 << 16))
     log.start()
-    wait_until(lambda: len(lines.records) == LINES_PER_SECOND)
+    wait_until(lambda: len(lines.texts) == LINES_PER_SECOND)
     log(build_event(5000 << 16))
+    wait_until(lambda: len(lines.texts) == LINES_PER_SECOND + 1)
     log.close()
-    assert len(lines.records) == LINES_PER_SECOND + 1
-    left_out = [vars(record)['left_out'] for record in lines.records]
-    assert sum(left_out) == 7
+    assert lines.count_left_out() == 7
 
 
 def test_reader_that_stops_reading_holds_up_nobody() -> None:
@@ -93,23 +84,21 @@
     Only the writer's own thread waits for the reader. What does not fit the
     buffer meanwhile is left out and counted.
     """
-    logger = logging.Logger('test')
-    reading = threading.Event()
-    lines = StuckLines(reading)
-    logger.addHandler(lines)
-    log = EventLog(logger)
+    lines = Lines()
+    lines.reading.clear()
+    log = EventLog(lines)
     log.start()
     seconds = 2 * BUFFERED // LINES_PER_SECOND
     for second in range(seconds):
         for _event in range(LINES_PER_SECOND):
             log(build_event((second * 1000) << 16))
     assert log.left_out > 0
-    reading.set()
-    wait_until(lambda: len(lines.records) >= BUFFERED)
+    lines.reading.set()
+    wait_until(lambda: len(lines.texts) >= BUFFERED)
     log.close()
-    left_out = sum(vars(record)['left_out'] for record in lines.records)
-    written = len(lines.records)
-    assert written + left_out + log.left_out == seconds * LINES_PER_SECOND
+    written = len(lines.texts)
+    left_out = lines.count_left_out() + log.left_out
+    assert written + left_out == seconds * LINES_PER_SECOND
 
 
 def test_clock_never_runs_behind_what_it_heard() -> None:
