--- /dev/null
+++ b/benchmarks/days.py
@@ -0,0 +1,262 @@
+"""Plays a day of its own for each kind of trouble, on the users' bench.
+
+Each day has its trouble early and again late, over planned work: a change of
+configuration, a release, a rolling restart. The bench is a program that is
+given by its path; without one this module is of no use, and CI leaves it be.
+"""
+
+from __future__ import annotations
+
+import re
+import subprocess
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+from pathlib import Path
+from typing import Final
+
+import click
+from msgspec import Struct
+
+EARLY_SECONDS: Final = 5.0
+LATE_SECONDS: Final = 17.0
+PLAY_SECONDS: Final = 500
+PLAN: Final = (
+    '{ at = 6.0, kind = "config_change", how = "route" }',
+    '{ at = 8.0, kind = "config_storm", for_s = 2.0, gap_s = 0.25 }',
+    '{ at = 16.0, kind = "release", share = 0.3, gap_s = 1.0 }',
+    '{ at = 18.0, kind = "config_change", how = "weights" }',
+    '{ at = 22.0, kind = "roll_term", share = 0.3, gap_s = 1.5, how = "busy" }',
+)
+# Kind, variant, and what else stands in the entry.
+TROUBLES: Final = (
+    ('burst', '', 'x = 1.8, for_s = 4.0'),
+    ('shift', '', 'share = 0.5, for_s = 5.0'),
+    ('retry_abuse', '', 'x = 3.0, share = 0.3, for_s = 5.0'),
+    ('give_up', '', 'share = 0.3, for_s = 5.0'),
+    ('give_up', 'slow', 'share = 0.3, x = 1500.0, for_s = 5.0'),
+    ('srv_slow', '', 'share = 0.3, x = 5.0, for_s = 5.0'),
+    ('srv_slow', 'all', 'x = 3.0, for_s = 4.0'),
+    ('srv_grey', '', 'share = 0.3, x = 0.4, for_s = 5.0'),
+    ('srv_grey', 'shed', 'share = 0.3, x = 0.5, for_s = 5.0'),
+    ('srv_grey', 'shed all', 'x = 0.4, for_s = 4.0'),
+    ('srv_crash', '', 'share = 0.2, for_s = 4.0'),
+    ('srv_crash', 'dark', 'share = 0.2, for_s = 4.0'),
+    ('srv_crash', 'gone', 'share = 0.2, for_s = 4.0'),
+    ('srv_crash', 'dark gone', 'share = 0.2, for_s = 4.0'),
+    ('srv_crash', 'across dark', 'share = 0.2, for_s = 4.0'),
+    ('release', '', 'share = 0.6, gap_s = 0.8, x = 2.0'),
+    ('replace_with_reuse', '', 'share = 0.3'),
+    ('replace_with_reuse', 'drain', 'share = 0.3'),
+    ('replace_with_reuse', 'dark', 'share = 0.3'),
+    ('replace_with_reuse', 'side', 'share = 0.3'),
+    ('scale_out', '', 'share = 0.3, gap_s = 1.0'),
+    ('scale_in', '', 'share = 0.2'),
+    ('scale_in', 'spot', 'share = 0.2, x = 2.0'),
+    ('scale_in', 'stay', 'share = 0.2, for_s = 8.0'),
+    ('answer_lost', '', 'share = 0.5, x = 0.2, for_s = 4.0'),
+    ('answer_lost', 'reset', 'share = 0.5, x = 0.2, for_s = 4.0'),
+    ('garble', '', 'share = 0.5, x = 0.05, for_s = 5.0'),
+    ('garble', 'extra', 'share = 0.5, x = 0.05, for_s = 5.0'),
+    ('garble', 'extra late', 'share = 0.6, x = 0.05, for_s = 5.0'),
+    ('garble', 'unframed', 'share = 0.5, x = 0.05, for_s = 5.0'),
+    ('garble', 'early', 'share = 0.5, x = 0.05, for_s = 5.0'),
+    ('node_kill', '', 'share = 0.2'),
+    ('node_kill', 'power', 'share = 0.2, for_s = 3.0'),
+    ('node_kill', 'reader', 'on = "core", count = 1, for_s = 3.0'),
+    ('node_kill', 'leader race drain', 'on = "core", count = 1'),
+    ('node_kill', 'meet drain', 'on = "core", count = 1, for_s = 3.0'),
+    ('roll_term', '', 'share = 0.5, gap_s = 1.0'),
+    ('roll_term', 'busy', 'share = 0.5, gap_s = 0.7'),
+    ('roll_term', 'hard', 'share = 0.3, gap_s = 1.5'),
+    ('herd_kill', '', 'share = 0.6, for_s = 2.0'),
+    ('herd_kill', 'power', 'share = 0.6, for_s = 2.0'),
+    ('herd_kill', 'off', 'on = "core", for_s = 2.0'),
+    ('after_ack_kill', '', 'for_s = 3.0'),
+    ('after_ack_kill', 'kill', 'count = 3, for_s = 3.0'),
+    ('after_ack_kill', 'timed', 'for_s = 3.0'),
+    ('clock_step', '', 'share = 0.4, x = 3000.0, for_s = 5.0'),
+    ('clock_step', 'back', 'share = 0.4, x = 3000.0, for_s = 5.0'),
+    ('core_cut', '', 'count = 2, for_s = 5.0'),
+    ('core_cut', 'leader one_way', 'count = 2, for_s = 5.0'),
+    ('core_cut', 'all', 'count = 2, for_s = 5.0'),
+    ('core_cut', 'near', 'count = 2, for_s = 5.0'),
+    ('core_cut', 'split', 'for_s = 5.0'),
+    ('core_cut', 'both', 'count = 2, for_s = 4.0'),
+    ('core_cut', 'relieve', 'count = 2, for_s = 4.0'),
+    ('core_cut', 'reset', 'count = 2, for_s = 5.0'),
+    ('core_cut', 'refuse', 'count = 2, for_s = 5.0'),
+    ('node_cut', '', 'share = 0.3, for_s = 5.0'),
+    ('node_cut', 'all', 'share = 0.3, for_s = 5.0'),
+    ('node_cut', 'meet', 'share = 0.3, for_s = 5.0'),
+    ('node_cut', 'servers', 'share = 0.3, for_s = 5.0'),
+    ('node_cut', 'servers reborn', 'share = 0.3, for_s = 5.0'),
+    ('lossy', '', 'x = 0.05, for_s = 6.0'),
+    ('reset_conns', '', 'share = 0.4, x = 0.5'),
+    ('reset_conns', 'silent', 'share = 0.4, x = 0.5'),
+    ('platform_down', 'silent', 'for_s = 5.0'),
+    ('platform_down', 'busy', 'for_s = 5.0'),
+    ('platform_down', 'reset', 'for_s = 5.0'),
+    ('platform_down', 'lapse', 'for_s = 7.0'),
+    ('platform_down', 'silent lapse', 'for_s = 7.0'),
+    ('platform_down', 'nodes busy', 'share = 0.4, for_s = 6.0'),
+    ('platform_down', 'nodes many', 'share = 0.4, for_s = 6.0'),
+    ('platform_down', 'nodes reset', 'share = 0.4, for_s = 6.0'),
+    ('platform_down', 'nodes', 'share = 0.4, for_s = 6.0'),
+    ('platform_down', 'nodes meet drain', 'share = 0.4, for_s = 6.0'),
+    ('platform_slow', '', 'x = 60.0, for_s = 5.0'),
+    ('platform_slow', 'much', 'x = 300.0, for_s = 5.0'),
+    ('platform_lost', '', 'x = 0.4, for_s = 5.0'),
+    ('platform_lost', 'late', 'x = 0.4, for_s = 5.0'),
+    ('platform_compact', '', 'x = 5.0, for_s = 6.0'),
+    ('platform_compact', 'drain', 'x = 5.0, for_s = 6.0'),
+    ('config_storm', '', 'for_s = 5.0, gap_s = 0.1'),
+    ('config_change', 'timeout', ''),
+    ('node_freeze', '', 'share = 0.3, for_s = 3.0'),
+    ('node_slow', '', 'share = 0.3, x = 5.0, for_s = 5.0'),
+    ('hup', '', 'share = 0.6, gap_s = 0.3'),
+    ('srv_lying_health', '', 'share = 0.3, for_s = 5.0'),
+    ('srv_flap', '', 'share = 0.3, for_s = 6.0'),
+    ('idle_race', '', 'share = 0.5, for_s = 6.0'),
+)
+
+
+class Trouble(Struct, frozen=True, kw_only=True):
+    """One kind of trouble.
+
+    Attributes:
+        kind: as the bench names it.
+        how: its variant; empty for the plain one.
+        rest: the other fields of its entry.
+    """
+
+    kind: str
+    how: str
+    rest: str
+
+    @property
+    def name(self) -> str:
+        """Names the day."""
+        return '-'.join((self.kind, *self.how.split()))
+
+    def write_entry(self, at: float) -> str:
+        """Write its entry of a day.
+
+        Args:
+            at: seconds from the start of traffic.
+
+        Returns:
+            An inline table.
+        """
+        named = f', how = "{self.how}"' if self.how else ''
+        rest = f', {self.rest}' if self.rest else ''
+        return f'{{ at = {at}, kind = "{self.kind}"{named}{rest} }}'
+
+
+def write_day(trouble: Trouble, *, seed: int) -> str:
+    """Write a day with a trouble early and late.
+
+    Args:
+        trouble: the trouble.
+        seed: of the day.
+
+    Returns:
+        TOML.
+    """
+    faults = (
+        trouble.write_entry(EARLY_SECONDS),
+        trouble.write_entry(LATE_SECONDS),
+    )
+    return '\n'.join(
+        (
+            f'name = "{trouble.name}"',
+            f'seed = {seed}',
+            'plan = [\n  {0},\n]'.format(',\n  '.join(PLAN)),
+            'faults = [\n  {0},\n]'.format(',\n  '.join(faults)),
+            '',
+        ),
+    )
+
+
+def play_day(
+    trouble: Trouble,
+    *,
+    bench: Path,
+    site: Path,
+    folder: Path,
+    seed: int,
+) -> str:
+    """Play one day.
+
+    Args:
+        trouble: of the day.
+        bench: the program.
+        site: the site file.
+        folder: where the day and its report are kept.
+        seed: of the day.
+
+    Returns:
+        A line: what the bench says of the day.
+    """
+    day = folder / f'{site.stem}-{trouble.name}.toml'
+    day.write_text(write_day(trouble, seed=seed))
+    played = subprocess.run(
+        [
+            bench,
+            'run',
+            site,
+            day,
+            '--jobs',
+            '1',
+            '--why',
+            f'a day of {trouble.name}, early and late',
+        ],
+        capture_output=True,
+        text=True,
+        timeout=PLAY_SECONDS,
+        check=False,
+    )
+    day.with_suffix('.txt').write_text(played.stdout + played.stderr)
+    found = re.search(f'^{trouble.name} .*$', played.stdout, re.MULTILINE)
+    return found.group() if found else f'{trouble.name}: {played.stdout[-300:]}'
+
+
+@click.command()
+@click.argument('bench', type=click.Path(path_type=Path))
+@click.argument('site', type=click.Path(path_type=Path))
+@click.option('--folder', type=click.Path(path_type=Path), default='out/days')
+@click.option('--only', default='', help='Part of the names to play.')
+@click.option('--seed', default=1)
+@click.option('--jobs', default=4)
+def main(
+    bench: Path,
+    site: Path,
+    folder: Path,
+    only: str,
+    seed: int,
+    jobs: int,
+) -> None:
+    """Play a day of each kind of trouble and print a line for each.
+
+    \f
+
+    Args:
+        bench: the program.
+        site: the site file.
+        folder: where days and reports are kept.
+        only: part of the names of those to play.
+        seed: of the days.
+        jobs: days at once.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    troubles = [
+        Trouble(kind=kind, how=how, rest=rest) for kind, how, rest in TROUBLES
+    ]
+    play = partial(play_day, bench=bench, site=site, folder=folder, seed=seed)
+    with ThreadPoolExecutor(jobs) as executor:
+        wanted = [each for each in troubles if only in each.name]
+        for line in executor.map(play, wanted):
+            click.echo(line)
+
+
+if __name__ == '__main__':
+    main()
