--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -20,7 +20,7 @@
     share_confirmation,
 )
 from wagtaildale.distribution.state import DistributionState
-from wagtaildale.distribution.swaps import swap_digests, tell_fleet
+from wagtaildale.distribution.swaps import ask_seeds, swap_digests, tell_fleet
 from wagtaildale.errors.codes import Code
 from wagtaildale.document.messages import BlobsOffered, OutlineOffered
 from wagtaildale.membership.decisions import expire_suspects, merge_news
@@ -75,8 +75,10 @@
     if message.name is TimerName.digest:
         return swap_digests(state, now=now)
     taken = expire_suspects(state.members, now=now)
+    joining = state.members.state is NodeState.joining
     return [
         *tell_fleet(taken),
+        *(ask_seeds(state, now=now) if joining else ()),
         *review_appointment(state, now=now),
         *read_while_joining(state, now=now),
         *review_ready(state, now=now),
--- a/wagtaildale/distribution/joining.py
+++ b/wagtaildale/distribution/joining.py
@@ -13,7 +13,6 @@
     from wagtaildale.distribution.state import DistributionState
 
 PEERS_TO_HEAR: Final = 2
-ALONE_SECONDS: Final = 2.0
 TOLD_AT_ONCE: Final = 8
 
 
@@ -68,6 +67,6 @@
     asked = len(joining.source) == len(state.stores)
     # A node without seeds can ask nobody: the peers that the list names get
     # its first digest, and whoever knows better answers that.
-    patience = ALONE_SECONDS if state.seeds else 0
+    patience = state.tuning.alone_seconds if state.seeds else 0
     alone = now - joining.started_at > patience
     return alone and (asked or bool(joining.peers))
--- a/wagtaildale/distribution/readers.py
+++ b/wagtaildale/distribution/readers.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from wagtaildale.distribution.messages import ReadSource, Send, Watch
 from wagtaildale.distribution.state import (
@@ -25,8 +25,6 @@
     from wagtaildale.distribution.messages import Effect
     from wagtaildale.distribution.wire import Holding
 
-ASK_PEERS_FIRST_SECONDS: Final = 1.0
-
 
 def review_appointment(
     state: DistributionState,
@@ -149,7 +147,7 @@
     if state.members.state is not NodeState.joining or state.appointed:
         return []
     # With no seeds in the settings there is nobody to ask first.
-    patience = ASK_PEERS_FIRST_SECONDS if state.seeds else 0
+    patience = state.tuning.ask_peers_seconds if state.seeds else 0
     if now - joining.started_at < patience:
         return []
     if now < joining.next_read:
--- a/wagtaildale/distribution/swaps.py
+++ b/wagtaildale/distribution/swaps.py
@@ -43,7 +43,7 @@
     for sent in sends:
         if isinstance(sent, Send):
             state.awaiting[sent.to] = now
-    return [*tell_fleet(taken), *sends, *_ask_seeds(state, body)]
+    return [*tell_fleet(taken), *sends, *ask_seeds(state, now=now)]
 
 
 def _list_late(state: DistributionState, now: float) -> list[InstanceId]:
@@ -79,11 +79,21 @@
     return [random.choice(away)] if away else []
 
 
-def _ask_seeds(state: DistributionState, body: Swap) -> list[Effect]:
+def ask_seeds(state: DistributionState, *, now: float) -> list[Effect]:
+    """Ask the seeds what they hold, while this node knows nobody better.
+
+    Args:
+        state: the node.
+        now: seconds.
+
+    Returns:
+        Digests to some seeds.
+    """
     alone = not find_topology(state.members).neighbours
     if not alone and state.members.state is not NodeState.joining:
         return []
     count = min(PEERS_TO_ASK, len(state.seeds))
+    body = Swap(state.describe_all(now), is_reply=False)
     return [
         SendSeed(address=address, body=body)
         for address in random.sample(state.seeds, count)
--- a/wagtaildale/distribution/tests/test_decisions.py
+++ b/wagtaildale/distribution/tests/test_decisions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wagtaildale.distribution import messages
-from wagtaildale.distribution.tuning import Tuning
+from wagtaildale.distribution.tuning import Tuning, make_tuning
 from wagtaildale.distribution.wire import Push, Swap
 from wagtaildale.document.model import Document, make_delta, make_document
 from wagtaildale.errors.codes import Code
@@ -20,6 +20,8 @@
 
 NAMES = tuple('abcdefgh')
 HOUR = 3600
+LOOK_SECONDS = 0.2
+LOOKS_TO_JOIN = 5
 A = InstanceId('a')
 B = InstanceId('b')
 
@@ -506,3 +508,33 @@
     held = network.nodes[A].state.stores[Kind.configuration].held
     assert held.digest == third.digest
     assert network.nodes[A].seen[Kind.configuration] == [1, 3]
+
+
+def test_restarted_node_asks_seeds_while_the_store_is_down() -> None:
+    """A node beside a backend server is killed while the store is down.
+
+    It comes back with nothing, and on a platform whose reads are priced it
+    would ask the store alone. A seed that lives holds both documents.
+    """
+    network = build_network(tuning=make_tuning(apply_seconds=2.0))
+    network.source.down = True
+    network.restart(B)
+    for _look in range(LOOKS_TO_JOIN):
+        network.pass_round(seconds=LOOK_SECONDS)
+    assert read_version(network.nodes[B]) == 1
+    assert network.nodes[B].state.members.state is NodeState.ready
+
+
+def test_fleet_that_starts_at_once_does_not_wait_for_empty_seeds() -> None:
+    """The whole fleet is killed at one moment and comes back together.
+
+    Its seeds hold nothing either. Each node turns to the store by itself
+    and takes callers as soon as the store has answered.
+    """
+    network = build_network(tuning=make_tuning(apply_seconds=2.0))
+    for name in tuple(network.nodes):
+        network.restart(name)
+    for _look in range(LOOKS_TO_JOIN):
+        network.pass_round(seconds=LOOK_SECONDS)
+    states = {node.state.members.state for node in network.nodes.values()}
+    assert states == {NodeState.ready}
--- a/wagtaildale/distribution/tuning.py
+++ b/wagtaildale/distribution/tuning.py
@@ -44,6 +44,10 @@
         backoff_seconds: longest delay after one failed read.
         gather_seconds: how long a reader that was told of a change waits
             for further ones before it asks again.
+        ask_peers_seconds: how long a new node asks the seeds alone before it
+            turns to the platform too.
+        alone_seconds: how long a new node with what the platform gave waits
+            for a peer to confirm it.
         passes_on: whether nodes tell each other of versions at all.
     """
 
@@ -59,6 +63,8 @@
     first_read_seconds: float = 3.0
     backoff_seconds: float = 0.5
     gather_seconds: float = 0
+    ask_peers_seconds: float = 1.0
+    alone_seconds: float = 2.0
     passes_on: bool = True
 
 
@@ -75,6 +81,8 @@
 # Changes come in rows: a release, or versions five times a second. One call
 # then brings several of them.
 GATHER_SHARE: Final = 0.2
+# A seed that lives answers within two look intervals; a store call is saved.
+ASK_PEERS_SHARE: Final = 0.15
 FRUGAL_READERS: Final = 2
 FRUGAL_SWAP_SECONDS: Final = 3.0
 FRUGAL_STALE_SECONDS: Final = 8.0
@@ -117,4 +125,8 @@
         first_read_seconds=FIRST_READ_SHARE * apply_seconds,
         backoff_seconds=BACKOFF_SHARE * apply_seconds,
         gather_seconds=GATHER_SHARE * apply_seconds,
+        ask_peers_seconds=ASK_PEERS_SHARE * apply_seconds,
+        # Such a platform's answers are never stale, so nobody needs to
+        # confirm them.
+        alone_seconds=0,
     )
--- a/wagtaildale/platform/settings.py
+++ b/wagtaildale/platform/settings.py
@@ -16,6 +16,7 @@
     BackendSettings,
     BoundSettings,
     CallSettings,
+    DistributionSettings,
     LimitSettings,
     PlatformSettings,
     Settings,
@@ -45,11 +46,13 @@
         inbound: for other nodes' calls to the backend server here.
         outbound: for requests of callers and of the backend server here.
         ready: where the platform asks whether the node takes callers.
+        control: for control messages between nodes.
     """
 
     inbound: str
     outbound: str
     ready: str
+    control: str
 
 
 class MachineLimits(Struct, frozen=True, kw_only=True, rename='camel'):
@@ -86,6 +89,7 @@
         zones: the region of each data centre.
         listen_addrs: where the process listens.
         internal_port_range: first and last port for traffic between nodes.
+        seed_nodes: control addresses of some nodes, perhaps down or gone.
         limits: what the machine gives.
         bounds: the platform's figures, as ``name=figure``.
         app_addr: the backend server on this machine.
@@ -99,6 +103,7 @@
     zones: dict[str, str]
     listen_addrs: ListenAddresses
     internal_port_range: tuple[int, int]
+    seed_nodes: tuple[str, ...] = ()
     limits: MachineLimits
     bounds: tuple[str, ...] = ()
     app_addr: str
@@ -152,8 +157,8 @@
         entry_port=split_address(given.listen_addrs.outbound).port,
         owner_port=split_address(given.listen_addrs.inbound).port,
         ready_port=split_address(given.listen_addrs.ready).port,
-        control_port=given.internal_port_range[0],
-        admin_port=given.internal_port_range[0] + 1,
+        control_port=split_address(given.listen_addrs.control).port,
+        admin_port=given.internal_port_range[0],
         backend=BackendSettings(host=backend.host, port=backend.port),
         platform=PlatformSettings(url=f'http://{given.platform.address}'),
         limits=LimitSettings(
@@ -163,6 +168,13 @@
             linger_seconds=ANNOUNCE_SECONDS,
         ),
         bounds=bounds,
+        distribution=DistributionSettings(
+            seeds=tuple(
+                f'tcp://{seed}'
+                for seed in given.seed_nodes
+                if seed != given.listen_addrs.control
+            ),
+        ),
         calls=CallSettings(choice=ChoiceName.expected_time),
     )
 
--- a/wagtaildale/testing/network.py
+++ b/wagtaildale/testing/network.py
@@ -242,9 +242,13 @@
             self.pass_round()
             left -= 1
 
-    def pass_round(self) -> None:
-        """Let a second pass: timers, watches, every message under way."""
-        self.now += ROUND_SECONDS
+    def pass_round(self, *, seconds: float = ROUND_SECONDS) -> None:
+        """Let time pass: timers, watches, every message under way.
+
+        Args:
+            seconds: how much.
+        """
+        self.now += seconds
         for instance in self.nodes:
             self.tick(instance)
             self.read_source(instance)
