Live instances stay in use while the platform's list has lapsed

Cause: while the platform's store is away, entries of live instances lapse; the first list after its return lacks them for up to two seconds, and every request to their services was refused. Ruled out: keeping them in the document itself (two nodes would hold one version with two contents); keeping whoever vanishes at any time (a server that leaves would get new work after its bound). So whoever vanishes just after a silence of three heartbeats stays in use at each node until it is due back; one that was leaving or was replaced is not kept. The store's word counts in full three seconds after its return, so what is kept for 2.2 s breaks no bound.

--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -12,6 +12,7 @@
 from wagtaildale.distribution.bodies import Context, decide_body
 from wagtaildale.distribution.documents import take_offer
 from wagtaildale.distribution.joining import announce, review_ready
+from wagtaildale.distribution.lapses import end_lapses
 from wagtaildale.distribution.pushes import resend_pushes
 from wagtaildale.distribution.readers import (
     note_confirmed,
@@ -78,6 +79,7 @@
     joining = state.members.state is NodeState.joining
     return [
         *tell_fleet(taken),
+        *end_lapses(state, now=now),
         *(ask_seeds(state, now=now) if joining else ()),
         *review_appointment(state, now=now),
         *read_while_joining(state, now=now),
--- a/wagtaildale/distribution/documents.py
+++ b/wagtaildale/distribution/documents.py
@@ -13,6 +13,7 @@
     Refused,
     Send,
 )
+from wagtaildale.distribution.lapses import take_list
 from wagtaildale.distribution.pushes import push_on
 from wagtaildale.distribution.state import DistributionState
 from wagtaildale.distribution.wire import BlobPull, Pull
@@ -23,8 +24,6 @@
     OutlineWanted,
     Rejected,
 )
-from wagtaildale.membership.decisions import take_records
-from wagtaildale.membership.records import decode_record
 from wagtaildale.membership.state import find_topology
 from wagtaildale.types import Kind
 
@@ -88,13 +87,16 @@
     now: float,
 ) -> list[Effect]:
     document = outcome.document
+    kept: list[Effect] = []
     if document.kind is Kind.instances:
-        records = {
-            record.node_id: record
-            for record in map(decode_record, document.blobs.values())
-        }
-        take_records(state.members, records=records)
-    return [Moved(before=outcome.before, document=document)]
+        # Before the list itself: calls never see it without those kept.
+        kept = take_list(
+            state,
+            before=outcome.before,
+            document=document,
+            now=now,
+        )
+    return [*kept, Moved(before=outcome.before, document=document)]
 
 
 @_follow.register
--- a/wagtaildale/distribution/effects.py
+++ b/wagtaildale/distribution/effects.py
@@ -116,6 +116,18 @@
     )
 
 
+@carry_out.register
+def _change_lapsed(effect: messages.LapsedChanged, sender: Sender) -> None:
+    around = sender.around
+    around.view.take_lapsed(effect.records)
+    around.view.take_away(sender.state.members.list_away())
+    around.recorder.record(
+        EventKind.lapsed_changed,
+        version=around.view.current.list_index,
+        detail=' '.join(record.instance for record in effect.records),
+    )
+
+
 def _may_move(effect: messages.Moved, around: Surroundings) -> bool:
     document = effect.document
     moves = f'{effect.before.version} to {document.version}'
--- a/wagtaildale/distribution/messages.py
+++ b/wagtaildale/distribution/messages.py
@@ -9,6 +9,7 @@
 from wagtaildale.document.model import Document, Outline
 from wagtaildale.errors.codes import Code
 from wagtaildale.membership.decisions import NewsTaken
+from wagtaildale.membership.records import InstanceRecord
 from wagtaildale.types import Digest, InstanceId, Kind, NodeState, Version
 
 
@@ -122,6 +123,16 @@
     document: Document
 
 
+class LapsedChanged(Struct, frozen=True, kw_only=True):
+    """Other instances than before are kept though the list lacks them.
+
+    Attributes:
+        records: of those that are kept now.
+    """
+
+    records: tuple[InstanceRecord, ...]
+
+
 class FleetChanged(Struct, frozen=True, kw_only=True):
     """News changed who is away."""
 
@@ -168,6 +179,7 @@
     | ReadSource
     | ReadBlobs
     | Moved
+    | LapsedChanged
     | FleetChanged
     | StateChanged
     | Refused
--- a/wagtaildale/distribution/readers.py
+++ b/wagtaildale/distribution/readers.py
@@ -61,9 +61,11 @@
         kind: which document.
         now: seconds.
     """
-    fresh = state.freshness[kind]
-    fresh.confirmed_at = now
-    fresh.rank = state.find_own_rank(find_topology(state.members).readers)
+    state.freshness[kind].confirm(
+        at=now,
+        rank=state.find_own_rank(find_topology(state.members).readers),
+        silence=state.tuning.lapse_seconds,
+    )
     state.joining.source.add(kind)
 
 
@@ -118,8 +120,11 @@
     fresh = state.freshness[holding.kind]
     confirmed_at = now - holding.age_ms / MILLISECONDS
     if confirmed_at > fresh.confirmed_at:
-        fresh.confirmed_at = confirmed_at
-        fresh.rank = holding.rank
+        fresh.confirm(
+            at=confirmed_at,
+            rank=holding.rank,
+            silence=state.tuning.lapse_seconds,
+        )
     own = state.find_own_rank(find_topology(state.members).readers)
     if holding.rank < own:
         fresh.better_at = max(fresh.better_at, confirmed_at)
--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -9,6 +9,7 @@
 from wagtaildale.distribution.checks import CHECKS
 from wagtaildale.distribution.wire import Holding
 from wagtaildale.document.state import StoreState, make_store
+from wagtaildale.membership.records import InstanceRecord
 from wagtaildale.membership.state import MembershipState
 from wagtaildale.types import InstanceId, Kind, Version
 
@@ -28,11 +29,32 @@
         confirmed_at: seconds on this node's clock.
         rank: of the reader that confirmed it.
         better_at: when one of a better rank than this node confirmed it.
+        silent_before: seconds without a confirmation, the last time that
+            there was none for long.
+        confirmed_after_silence_at: when the first one came after that.
     """
 
     confirmed_at: float = NEVER
     rank: int = NO_RANK
     better_at: float = NEVER
+    silent_before: float = 0
+    confirmed_after_silence_at: float = NEVER
+
+    def confirm(self, *, at: float, rank: int, silence: float) -> None:
+        """Note a later confirmation.
+
+        Args:
+            at: when the platform answered, seconds on this node's clock.
+            rank: of the reader that it answered.
+            silence: seconds without a confirmation that count as one during
+                which the platform was away.
+        """
+        silent = at - self.confirmed_at
+        if self.confirmed_at != NEVER and silent > silence:
+            self.silent_before = silent
+            self.confirmed_after_silence_at = at
+        self.confirmed_at = at
+        self.rank = rank
 
 
 class PushOut(Struct, kw_only=True):
@@ -49,6 +71,18 @@
     tries: int
 
 
+class Lapses(Struct, kw_only=True):
+    """Instances that the platform may have forgotten while it was away.
+
+    Attributes:
+        kept: those that stay in use though the list lacks them.
+        until: when they are due back, seconds.
+    """
+
+    kept: dict[InstanceId, InstanceRecord] = field(default_factory=dict)
+    until: float = NEVER
+
+
 class Joining(Struct, kw_only=True):
     """What a new node has asked before it calls itself ready.
 
@@ -75,6 +109,7 @@
         joining: what was asked since the start.
         stores: by kind, the document.
         freshness: by kind, how lately confirmed.
+        lapses: instances that stay in use though the list lacks them.
         pushes: not seen yet, by peer and kind.
         awaiting: swaps without a reply yet, by peer, since when.
         appointed: whether this node watches the platform.
@@ -88,6 +123,7 @@
     joining: Joining
     stores: dict[Kind, StoreState]
     freshness: dict[Kind, Freshness]
+    lapses: Lapses = field(default_factory=Lapses)
     pushes: dict[tuple[InstanceId, Kind], PushOut] = field(
         default_factory=dict,
     )
--- a/wagtaildale/distribution/tuning.py
+++ b/wagtaildale/distribution/tuning.py
@@ -48,6 +48,8 @@
             turns to the platform too.
         alone_seconds: how long a new node with what the platform gave waits
             for a peer to confirm it.
+        lapse_seconds: without a confirmation, after which the platform may
+            have forgotten live instances.
         passes_on: whether nodes tell each other of versions at all.
     """
 
@@ -65,6 +67,7 @@
     gather_seconds: float = 0
     ask_peers_seconds: float = 1.0
     alone_seconds: float = 2.0
+    lapse_seconds: float = 4.5
     passes_on: bool = True
 
 
@@ -83,6 +86,9 @@
 GATHER_SHARE: Final = 0.2
 # A seed that lives answers within two look intervals; a store call is saved.
 ASK_PEERS_SHARE: Final = 0.15
+# Writes that an instance misses before its entry lapses: the operators'.
+BEATS_TO_LAPSE: Final = 3
+HEARTBEAT_SECONDS: Final = 1.5
 FRUGAL_READERS: Final = 2
 FRUGAL_SWAP_SECONDS: Final = 3.0
 FRUGAL_STALE_SECONDS: Final = 8.0
@@ -102,7 +108,11 @@
 )
 
 
-def make_tuning(*, apply_seconds: float) -> Tuning:
+def make_tuning(
+    *,
+    apply_seconds: float,
+    heartbeat_seconds: float = HEARTBEAT_SECONDS,
+) -> Tuning:
     """Make the figures that keep a bound on the time to apply a version.
 
     One reader in each data centre: on a platform that is paid by the call,
@@ -111,6 +121,7 @@
 
     Args:
         apply_seconds: in which a version must be in force everywhere.
+        heartbeat_seconds: between two writes of an instance to the list.
 
     Returns:
         The figures.
@@ -129,4 +140,5 @@
         # Such a platform's answers are never stale, so nobody needs to
         # confirm them.
         alone_seconds=0,
+        lapse_seconds=BEATS_TO_LAPSE * heartbeat_seconds,
     )
--- a/wagtaildale/platform/__main__.py
+++ b/wagtaildale/platform/__main__.py
@@ -21,6 +21,7 @@
     from wagtaildale.settings.model import Settings
     from wagtaildale.source.feed import Feed
 
+MILLISECONDS: Final = 1000
 SETTINGS_VARIABLE: Final = 'WAGTAILDALE_NODE_FILE'
 
 
@@ -43,6 +44,7 @@
                 settings.bounds.apply_seconds,
                 settings.bounds.drain_seconds,
             ),
+            heartbeat_seconds=given.ok_value.heartbeat_ms / MILLISECONDS,
         ),
         integration=Integration(
             dialect=PLATFORM_DIALECT,
--- a/wagtaildale/platform/settings.py
+++ b/wagtaildale/platform/settings.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Annotated, Final
 
-from msgspec import MsgspecError, Struct, json
+from msgspec import Meta, MsgspecError, Struct, json
 from result import Err, Ok, Result
 
 from wagtaildale.calls.addresses import Address
@@ -32,6 +32,8 @@
 # A caller's connection, and one to a node or the backend server for it.
 DESCRIPTORS_PER_CONNECTION: Final = 2
 MILLISECONDS: Final = 1000
+# Where the platform does not say: its operators' usual figure.
+HEARTBEAT_MS: Final = 1500
 # The planned stop ends this long before the process would be killed.
 STOP_MARGIN_SECONDS: Final = 0.7
 # The platform asks each second whether a node is ready and sends its callers
@@ -91,6 +93,7 @@
         internal_port_range: first and last port for traffic between nodes.
         seed_nodes: control addresses of some nodes, perhaps down or gone.
         limits: what the machine gives.
+        heartbeat_ms: between two writes of an instance to its entry.
         bounds: the platform's figures, as ``name=figure``.
         app_addr: the backend server on this machine.
         service: that it runs.
@@ -105,6 +108,7 @@
     internal_port_range: tuple[int, int]
     seed_nodes: tuple[str, ...] = ()
     limits: MachineLimits
+    heartbeat_ms: Annotated[int, Meta(gt=0)] = HEARTBEAT_MS
     bounds: tuple[str, ...] = ()
     app_addr: str
     service: str
--- a/wagtaildale/routing/view.py
+++ b/wagtaildale/routing/view.py
@@ -19,7 +19,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from wagtaildale.document.model import Document
 
@@ -88,6 +88,8 @@
     def __init__(self) -> None:
         """Begin with the empty view."""
         self.current = FleetView()
+        self._listed: dict[InstanceId, InstanceRecord] = {}
+        self._lapsed: dict[InstanceId, InstanceRecord] = {}
 
     def take_configuration(self, document: Document) -> None:
         """Swap in the routes of a later configuration.
@@ -110,22 +112,35 @@
         Args:
             document: checked before.
         """
-        records = check_records(document.blobs).unwrap()
+        self._listed = check_records(document.blobs).unwrap()
+        self._swap_records(document.version)
+
+    def take_lapsed(self, records: Iterable[InstanceRecord]) -> None:
+        """Swap in who stays in use though the list lacks it.
+
+        Args:
+            records: of these instances.
+        """
+        self._lapsed = {record.instance: record for record in records}
+        self._swap_records(self.current.list_index)
+
+    def take_away(self, away: frozenset[InstanceId]) -> None:
+        """Swap in who takes no new work.
+
+        Args:
+            away: by the list and by news.
+        """
+        self.current = structs.replace(self.current, away=away)
+
+    def _swap_records(self, index: Version) -> None:
+        records = {**self._lapsed, **self._listed}
         upstreams: dict[ServiceName, tuple[InstanceRecord, ...]] = {}
         for record in records.values():
             known = upstreams.get(record.service, ())
             upstreams[record.service] = (*known, record)
         self.current = structs.replace(
             self.current,
-            list_index=document.version,
+            list_index=index,
             upstreams=upstreams,
             records=records,
         )
-
-    def take_away(self, away: frozenset[InstanceId]) -> None:
-        """Swap in who takes no new work.
-
-        Args:
-            away: by the list and by news.
-        """
-        self.current = structs.replace(self.current, away=away)
