A new node asks the seed that answered it: it joins while the store is down

Cause: a seed's answer comes by a socket that the new node opened, and no way back to the seed was kept for that; the list that would name its address was what the node wanted to ask for. Restarted nodes joined, since their peers knew them and spoke first; nodes of new servers did not. Ruled out: seeds that do not answer (leicester-b-1 was up all the while and sent its digest). The start line names service, data centre and seeds.

--- a/wagtaildale/distribution/sockets.py
+++ b/wagtaildale/distribution/sockets.py
@@ -30,13 +30,13 @@
 
     __slots__ = ('frame', 'route')
 
-    def __init__(self, frame: bytes, route: bytes | None) -> None:
+    def __init__(self, frame: bytes, route: bytes | str) -> None:
         """Keep frame and way.
 
         Args:
             frame: the message.
-            route: the sender's identity at the listening socket; nothing
-                for an answer on a socket this node opened.
+            route: the sender's identity at the listening socket, or the
+                address that this node has opened a socket to.
         """
         self.frame = frame
         self.route = route
@@ -50,14 +50,22 @@
         key: which of the fleet's keys the peer is taken to have.
     """
 
-    def __init__(self, socket: zmq.Socket[bytes], *, key: int) -> None:
+    def __init__(
+        self,
+        socket: zmq.Socket[bytes],
+        *,
+        address: str,
+        key: int,
+    ) -> None:
         """Take a connected socket.
 
         Args:
             socket: a DEALER.
+            address: that it is connected to.
             key: number of the key that it was opened with.
         """
         self.socket = socket
+        self._address = address
         self.key = key
         self._unanswered = 0
 
@@ -96,7 +104,7 @@
         arrivals: list[Arrival] = []
         while self.socket.poll(0):
             self._unanswered = 0
-            arrivals.append(Arrival(self.socket.recv(), None))
+            arrivals.append(Arrival(self.socket.recv(), self._address))
         return arrivals
 
 
@@ -123,7 +131,7 @@
         self._poller = zmq.Poller()
         self._guard: Guard | None = None
         self._peers: OrderedDict[str, Peer] = OrderedDict()
-        self._routes: OrderedDict[InstanceId, bytes] = OrderedDict()
+        self._routes: OrderedDict[InstanceId, bytes | str] = OrderedDict()
 
     def bind(self, address: str) -> Result[None, Fault]:
         """Listen for other nodes.
@@ -181,15 +189,18 @@
         self.received_bytes += sum(len(each.frame) for each in arrivals)
         return arrivals
 
-    def note_route(self, instance: InstanceId, route: bytes | None) -> None:
+    def note_route(self, instance: InstanceId, route: bytes | str) -> None:
         """Remember by which connection an instance can be answered.
 
+        Failure guarded here: a new node starts while the platform is away.
+        A seed tells it what there is, and it cannot ask for that: it has no
+        list yet that names the seed's address. It asks by the way on which
+        the seed spoke.
+
         Args:
             instance: who sent a message.
             route: by which way, as its ``Arrival`` says.
         """
-        if route is None:
-            return
         self._routes[instance] = route
         self._routes.move_to_end(instance)
         if len(self._routes) > MOST_PEERS * 4:
@@ -206,6 +217,8 @@
             Whether there was such a connection.
         """
         route = self._routes.get(instance)
+        if isinstance(route, str):
+            return self.send(route, frame)
         if route is None or self._listener is None:
             return False
         try:
@@ -265,7 +278,7 @@
             socket.curve_publickey = self._keys[0].public
         socket.connect(address)
         self._poller.register(socket, zmq.POLLIN)
-        self._peers[address] = Peer(socket, key=number)
+        self._peers[address] = Peer(socket, address=address, key=number)
         return self._peers[address]
 
     def _close(self, address: str) -> None:
--- a/wagtaildale/distribution/tests/test_sockets.py
+++ b/wagtaildale/distribution/tests/test_sockets.py
@@ -70,6 +70,23 @@
     assert plain.here.sent_bytes == len(b'question')
 
 
+def test_new_node_asks_the_seed_that_answered_it(plain: Ends) -> None:
+    """New servers' nodes stay without routes while the platform is away.
+
+    A new node asks a seed for its digest and hears of a version. It has no
+    list that would name the seed's address, and yet it must ask the seed
+    for that version: by the connection on which the seed answered.
+    """
+    question = plain.send(b'digest?', seconds=PATIENCE)[0]
+    plain.there.note_route(SENDER, question.route)
+    plain.there.answer(SENDER, b'digest')
+    digest = plain.here.wait(PATIENCE)[0]
+    plain.here.note_route(SENDER, digest.route)
+    assert plain.here.answer(SENDER, b'pull')
+    frames = [each.frame for each in plain.there.wait(PATIENCE)]
+    assert frames == [b'pull']
+
+
 def test_unknown_instance_cannot_be_answered(plain: Ends) -> None:
     assert not plain.here.answer(SENDER, b'x')
 
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -144,7 +144,16 @@
         self._futures = [
             self._executor.submit(task.run) for task in self._list_tasks()
         ]
-        self.parts.recorder.record(EventKind.node_started)
+        settings = self.parts.settings
+        self.parts.recorder.record(
+            EventKind.node_started,
+            inputs={
+                'service': settings.service,
+                'data_centre': settings.data_centre,
+                'admin_port': settings.admin_port,
+                'seeds': ','.join(settings.distribution.seeds),
+            },
+        )
 
     def _list_tasks(self) -> tuple[Task, ...]:
         readers: tuple[Task, ...] = (self._fetch, *self._watches)
