wagtaildale explain REQUEST_ID FILE...: the story of a request from the logs

Reads the logs of many processes as they stand (also behind a collector's prefix), puts the decisions on a request and on the calls made for it in causal order, with what their nodes had last learned, and ends with the code and the line that has its cause. Torn lines, other programs' lines, lines left out and restarted processes are said.

--- /dev/null
+++ b/wagtaildale/cli/explain.py
@@ -0,0 +1,201 @@
+"""``wagtaildale explain``: where a request would go, or why one ended so."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, Final
+
+import click
+from result import Err
+
+from wagtaildale.admin.model import Explanation
+from wagtaildale.cli.options import (
+    make_client,
+    optional_node_options,
+    output_option,
+)
+from wagtaildale.cli.output import (
+    EXIT_FAULTS,
+    EXIT_UNREACHABLE,
+    Form,
+    fail,
+    print_json,
+)
+from wagtaildale.telemetry.lines import read_lines
+from wagtaildale.telemetry.story import (
+    Story,
+    describe_code,
+    find_cause,
+    tell_story,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from wagtaildale.telemetry.lines import LogLine, LogReading
+
+METHODS: Final = frozenset(
+    ('GET', 'HEAD', 'POST', 'PUT', 'DELETE', 'PATCH', 'OPTIONS'),
+)
+
+
+@click.command()
+@click.argument('subject')
+@click.argument('rest', nargs=-1, required=True, metavar='PATH | FILE...')
+@optional_node_options
+@output_option
+def explain(
+    subject: str,
+    rest: tuple[str, ...],
+    node: str | None,
+    token_file: Path | None,
+    form: Form,
+) -> None:
+    """Explain where a request would go, or how one ended.
+
+    With a method and a path, a node is asked where such a request would go.
+    With a request's id and the logs of the nodes, the request's story is
+    told: each decision on it with what decided it, what the nodes had last
+    learned, and the code at its end. FILE may be - for standard input.
+
+    \b
+    Examples:
+      wagtaildale explain GET /files/7 --node 127.0.1.1:8083
+      wagtaildale explain 9c41d07be2a35f68 node-*.log
+    \f
+
+    Args:
+        subject: HTTP method, or a request's id.
+        rest: the path, or files.
+        node: admin address, for a method and a path.
+        token_file: file with the token.
+        form: how to print.
+    """
+    if subject not in METHODS:
+        _tell(subject, rest, form)
+        return
+    if node is None:
+        raise click.UsageError(
+            'got a method and no --node, expected the node to ask',
+        )
+    _ask(subject, rest[0], node=node, token_file=token_file, form=form)
+
+
+def _tell(request: str, paths: Sequence[str], form: Form) -> None:
+    texts: list[str] = []
+    for path in paths:
+        with click.open_file(path, errors='replace') as opened:
+            texts.extend(opened)
+    reading = read_lines(texts)
+    story = tell_story(request, reading.lines)
+    if form is Form.json:
+        print_json(story)
+    else:
+        _print_story(story, reading)
+    if not story.decisions:
+        sys.exit(EXIT_FAULTS)
+
+
+def _print_story(story: Story, reading: LogReading) -> None:
+    if story.decisions:
+        begin = story.decisions[0].at_ms
+        _print_lines('what the nodes had last learned', story.beliefs, begin)
+        _print_lines('decisions', story.decisions, begin)
+        _print_end(story)
+    else:
+        click.echo(
+            f'no line names request {story.request}: got '
+            f'{len(reading.lines)} lines of the log; give the logs of all '
+            'nodes, of the time of the request',
+        )
+    _print_gaps(story, reading)
+
+
+def _print_lines(head: str, lines: Sequence[LogLine], begin: int) -> None:
+    click.echo(f'{head}:')
+    for line in lines:
+        click.echo(f'  {line.at_ms - begin:+6d} ms  {_describe(line)}')
+
+
+def _describe(line: LogLine) -> str:
+    words = [line.node, line.kind.value]
+    if line.code:
+        words.append(f'code={line.code}')
+    if line.version:
+        words.append(f'version={line.version}')
+    words.extend(
+        text for text in (line.request, line.subject, line.detail) if text
+    )
+    words.extend(f'{key}={found}' for key, found in line.inputs.items())
+    return ' '.join(words)
+
+
+def _print_end(story: Story) -> None:
+    end = story.end
+    if end is None:
+        click.echo(
+            'end: not written; the entry died, or its lines were left out',
+        )
+        return
+    click.echo(f'end: {end.kind.value}, {describe_code(end.code)}')
+    cause = find_cause(story)
+    if cause is not None and cause is not end:
+        click.echo(f'cause: {describe_code(cause.code)}')
+        click.echo(f'  {_describe(cause)}')
+
+
+def _print_gaps(story: Story, reading: LogReading) -> None:
+    if reading.torn:
+        click.echo(f'passed over: {reading.torn} torn lines')
+    if reading.foreign:
+        click.echo(f'passed over: {reading.foreign} lines of other programs')
+    if story.left_out:
+        click.echo(
+            f'left out by these nodes at the time: {story.left_out} lines',
+        )
+    for node in story.restarted:
+        click.echo(f'{node} was started more than once in these logs')
+
+
+def _ask(
+    method: str,
+    path: str,
+    *,
+    node: str,
+    token_file: Path | None,
+    form: Form,
+) -> None:
+    client = make_client(node, token_file, form)
+    found = client.read(
+        '/v1/explain',
+        shape=Explanation,
+        query={'method': method, 'path': path},
+    )
+    if isinstance(found, Err):
+        fail((found.err_value,), form=form, exit_code=EXIT_UNREACHABLE)
+    explanation = found.ok_value
+    if form is Form.json:
+        print_json(explanation)
+    else:
+        _print_explanation(explanation)
+    if not explanation.found:
+        sys.exit(EXIT_FAULTS)
+
+
+def _print_explanation(explanation: Explanation) -> None:
+    head = f'{explanation.method} {explanation.path}'
+    if not explanation.found:
+        click.echo(f'{head}: no class (version {explanation.version})')
+        return
+    safety = 'idempotent' if explanation.idempotent else 'not idempotent'
+    click.echo(
+        f'{head}: {explanation.work_class} by {explanation.template}, '
+        f'{safety}, version {explanation.version}',
+    )
+    click.echo(
+        f'target: {explanation.percent:g}% within {explanation.within_ms} ms, '
+        f'deadline {explanation.deadline_ms} ms',
+    )
+    for upstream in explanation.upstreams:
+        click.echo(f'  {upstream}')
--- a/wagtaildale/cli/main.py
+++ b/wagtaildale/cli/main.py
@@ -5,9 +5,10 @@
 import click
 
 from wagtaildale.cli.errors import show_errors
+from wagtaildale.cli.explain import explain
 from wagtaildale.cli.files import check, compile_file, diff
 from wagtaildale.cli.keys import keys
-from wagtaildale.cli.nodes import drain, explain
+from wagtaildale.cli.nodes import drain
 from wagtaildale.cli.status import status
 from wagtaildale.cli.timeline import timeline
 
--- a/wagtaildale/cli/options.py
+++ b/wagtaildale/cli/options.py
@@ -36,19 +36,19 @@
     Returns:
         The function with the options.
     """
-    token = click.option(
-        '--token-file',
-        type=click.Path(exists=True, dir_okay=False, path_type=Path),
-        help=f'File with the admin token; else ${TOKEN_VARIABLE}.',
-    )
-    node = click.option(
-        '--node',
-        envvar='WAGTAILDALE_NODE',
-        required=True,
-        metavar='HOST:PORT',
-        help="A node's admin address; else $WAGTAILDALE_NODE.",
-    )
-    return node(token(command))
+    return _add_node(command, required=True)
+
+
+def optional_node_options(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the same options, for a command that can do without a node.
+
+    Args:
+        command: a click command's function.
+
+    Returns:
+        The function with the options.
+    """
+    return _add_node(command, required=False)
 
 
 def make_client(node: str, token_file: Path | None, form: Form) -> AdminClient:
@@ -73,3 +73,23 @@
 def _read_variable() -> str | None:
     found = read_token(AdminSettings(token_variable=TOKEN_VARIABLE))
     return None if isinstance(found, Err) else found.ok_value
+
+
+def _add_node(
+    command: Callable[..., Any],
+    *,
+    required: bool,
+) -> Callable[..., Any]:
+    node = click.option(
+        '--node',
+        envvar='WAGTAILDALE_NODE',
+        required=required,
+        metavar='HOST:PORT',
+        help="A node's admin address; else $WAGTAILDALE_NODE.",
+    )
+    token = click.option(
+        '--token-file',
+        type=click.Path(exists=True, dir_okay=False, path_type=Path),
+        help=f'File with the admin token; else ${TOKEN_VARIABLE}.',
+    )
+    return node(token(command))
