A request that has run is never called not run; a server's error is kept as its answer

Cause: a lookup ran at its first server (error, or the answer was lost), the next one refused it unrun, and the refusal's 503 with 'not run' went to the caller. Ruled out: bookings (never sent again after a run). So the entry remembers that an attempt has run, and keeps a server's error: should nobody give a better answer, the caller gets that one. Also: the metrics page has a fixed port, so that the deploy file can name it.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -25,6 +25,7 @@
 MILLISECONDS: Final = 1000
 PHOTO_PREFIX: Final = b'/photos/'
 OK: Final = 200
+FAULTY: Final = 500
 SHED: Final = 503
 BACKLOG: Final = 256
 
@@ -40,6 +41,7 @@
         cut_share: share of answers that are cut in the middle.
         close_share: share of requests after which it closes the
             connection without an answer, though the request has run.
+        error: requests run and are answered with an error.
         hang: requests get no answer.
         draining: new requests are shed.
     """
@@ -50,6 +52,7 @@
     cold_requests: int = 0
     cut_share: float = 0
     close_share: float = 0
+    error: bool = False
     hang: bool = False
     draining: bool = False
 
@@ -270,8 +273,9 @@
         )
         if self._target.startswith(PHOTO_PREFIX):
             body += b'\xff' * int(self._target.rsplit(b'/', 1)[1])
-        cut = self._backend.draw(self._backend.spec.faults.cut_share)
-        self._answer(OK, body, cut=cut)
+        faults = self._backend.spec.faults
+        cut = self._backend.draw(faults.cut_share)
+        self._answer(FAULTY if faults.error else OK, body, cut=cut)
 
     def _answer(
         self,
--- a/wagtaildale/calls/answers.py
+++ b/wagtaildale/calls/answers.py
@@ -121,7 +121,8 @@
         detail=failure.detail,
     )
     headers = [(b'content-type', b'application/problem+json'), *extra]
-    if failure.code in RETRY_LATER and status == DEFAULT_STATUS:
+    told = status == DEFAULT_STATUS or failure.retry_after > 0
+    if failure.code in RETRY_LATER and told:
         headers.append((b'retry-after', _write_retry(failure, dialect)))
     head = ResponseHead(status=status, headers=headers)
     return head, json.encode(problem)
--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -52,6 +52,8 @@
         self._running: list[Attempt] = []
         self._alarms: list[Alarm] = []
         self._owed = 0
+        self._has_run = False
+        self._error: tuple[Attempt, Answered] | None = None
         self._status = 0
         self._is_over = False
 
@@ -140,20 +142,9 @@
         self._drop(attempt)
         clock = self._entry.clocks.find(attempt.target.fields.work_class)
         clock.note(read_clock() - attempt.started_at)
-        if self._try_after_error(attempt, frame):
-            return
-        for other in self._running:
-            other.cancel()
-        self._running = [attempt] if frame.more else []
-        self._report.note_answer(frame.answer)
-        self._status = frame.status
-        head = ResponseHead(
-            status=frame.status,
-            headers=(*frame.headers, *self._describe()),
-            length=frame.length,
-        )
-        self._exchange.begin(head, body=frame.body, more=frame.more)
-        self._pass_on(attempt, len(frame.body), more=frame.more)
+        self._has_run = True
+        if not self._try_after_error(attempt, frame):
+            self._respond(attempt, frame)
 
     def on_piece(self, attempt: Attempt, frame: Piece) -> None:
         """Take more of a response's body; see ``AttemptOwner``.
@@ -178,6 +169,8 @@
             return
         self._entry.targets.note_failure(attempt.target, failure)
         self._drop(attempt)
+        if attempt.was_run and failure.outcome is not Outcome.not_run:
+            self._has_run = True
         if self._exchange.is_begun:
             # The caller sees the connection close before the body's end,
             # which HTTP counts as an error: a cut answer is never taken
@@ -270,6 +263,8 @@
         ):
             return False
         self._report.note_retry(failure)
+        # Should nobody give a better one, the caller gets this answer.
+        self._error = (attempt, frame)
         self._try()
         return True
 
@@ -309,6 +304,20 @@
             attempt.note_taken(self._owed)
             self._owed = 0
 
+    def _respond(self, attempt: Attempt, frame: Answered) -> None:
+        for other in self._running:
+            other.cancel()
+        self._running = [attempt] if frame.more else []
+        self._report.note_answer(frame.answer)
+        self._status = frame.status
+        head = ResponseHead(
+            status=frame.status,
+            headers=(*frame.headers, *self._describe()),
+            length=frame.length,
+        )
+        self._exchange.begin(head, body=frame.body, more=frame.more)
+        self._pass_on(attempt, len(frame.body), more=frame.more)
+
     # Ends
 
     def _time_out(self) -> None:
@@ -327,6 +336,13 @@
     def _fail(self, failure: CallFailed) -> None:
         if self._is_over:
             return
+        if self._error is not None:
+            self._respond(*self._error)
+            return
+        if self._has_run and failure.outcome is Outcome.not_run:
+            # Failure: a request runs at one upstream, its answer is lost,
+            # the next upstream refuses it, and the caller hears "not run".
+            failure.outcome = Outcome.unknown
         self._end()
         self._report.note_failure(failure)
         head, body = describe_problem(
--- a/wagtaildale/platform/settings.py
+++ b/wagtaildale/platform/settings.py
@@ -32,6 +32,9 @@
 # A caller's connection, and one to a node or the backend server for it.
 DESCRIPTORS_PER_CONNECTION: Final = 2
 MILLISECONDS: Final = 1000
+# The deploy file names where metrics are scraped, so the port is the same on
+# every day; that of OpenTelemetry's own Prometheus exporters.
+ADMIN_PORT: Final = 9464
 # Where the platform does not say: its operators' usual figure.
 HEARTBEAT_MS: Final = 1500
 # The planned stop ends this long before the process would be killed.
@@ -90,7 +93,6 @@
         zone: the data centre it stands in.
         zones: the region of each data centre.
         listen_addrs: where the process listens.
-        internal_port_range: first and last port for traffic between nodes.
         seed_nodes: control addresses of some nodes, perhaps down or gone.
         limits: what the machine gives.
         heartbeat_ms: between two writes of an instance to its entry.
@@ -105,7 +107,6 @@
     zone: str
     zones: dict[str, str]
     listen_addrs: ListenAddresses
-    internal_port_range: tuple[int, int]
     seed_nodes: tuple[str, ...] = ()
     limits: MachineLimits
     heartbeat_ms: Annotated[int, Meta(gt=0)] = HEARTBEAT_MS
@@ -162,7 +163,7 @@
         owner_port=split_address(given.listen_addrs.inbound).port,
         ready_port=split_address(given.listen_addrs.ready).port,
         control_port=split_address(given.listen_addrs.control).port,
-        admin_port=given.internal_port_range[0],
+        admin_port=ADMIN_PORT,
         backend=BackendSettings(host=backend.host, port=backend.port),
         platform=PlatformSettings(url=f'http://{given.platform.address}'),
         limits=LimitSettings(
