Of two instances at one address the later one is meant; one bad entry costs itself alone

Causes: (1) after a crash or a loss of power the dead server's entry stands beside that of the server which started at its address; requests for the dead one were sent and refused by the other (421), and its owner left out. (2) One entry that could not be read, or an unreadable configuration, kept both documents from every node; a bad base64 text ended the watch's task. Ruled out for 1: a shorter ejection (the request is lost all the same). The adapter has tests now: settings, store, both documents, paging, 410.

--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -198,6 +198,22 @@
     ]
 
 
+@decide.register
+def _decide_source_flawed(
+    message: messages.SourceFlawed,
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    return [
+        messages.EntryRefused(
+            kind=message.kind,
+            code=message.code,
+            detail=message.detail,
+        ),
+    ]
+
+
 @decide.register
 def _decide_leave(
     message: messages.Leave,
--- a/wagtaildale/distribution/effects.py
+++ b/wagtaildale/distribution/effects.py
@@ -213,3 +213,13 @@
         version=effect.version,
         subject=effect.peer,
     )
+
+
+@carry_out.register
+def _refuse_entry(effect: messages.EntryRefused, sender: Sender) -> None:
+    sender.around.recorder.record(
+        EventKind.entry_refused,
+        code=effect.code,
+        subject=effect.kind.name,
+        detail=effect.detail,
+    )
--- a/wagtaildale/distribution/messages.py
+++ b/wagtaildale/distribution/messages.py
@@ -65,6 +65,14 @@
     detail: str
 
 
+class SourceFlawed(Struct, frozen=True, kw_only=True):
+    """The platform gave something that cannot be read; the rest stands."""
+
+    kind: Kind
+    code: Code
+    detail: str
+
+
 class Leave(Struct, frozen=True, kw_only=True):
     """This node begins its planned stop."""
 
@@ -165,6 +173,14 @@
     detail: str
 
 
+class EntryRefused(Struct, frozen=True, kw_only=True):
+    """Something that the platform gave was not taken."""
+
+    kind: Kind
+    code: Code
+    detail: str
+
+
 class PeerBehind(Struct, frozen=True, kw_only=True):
     """A push was not seen: its receiver's children are served instead."""
 
@@ -185,4 +201,5 @@
     | Refused
     | PeerBehind
     | SourceChanged
+    | EntryRefused
 )
--- a/wagtaildale/membership/records.py
+++ b/wagtaildale/membership/records.py
@@ -46,6 +46,8 @@
         slots: requests that its backend server runs at once; 0 if it is
             not told.
         backend_port: where its backend server listens; 0 if not told.
+        since: when it was first listed, on the platform's own count; 0 if
+            not told.
     """
 
     instance: InstanceId
@@ -61,12 +63,18 @@
     node: InstanceId = InstanceId('')
     slots: Annotated[int, Meta(ge=0)] = 0
     backend_port: int = 0
+    since: int = 0
 
     @property
     def node_id(self) -> InstanceId:
         """By which nodes know the one beside it."""
         return self.node or self.instance
 
+    @property
+    def backend_address(self) -> tuple[str, int]:
+        """Where its backend server listens."""
+        return self.host, self.backend_port
+
     @property
     def control_address(self) -> str:
         """Where control messages go, as ZeroMQ writes it."""
@@ -119,6 +127,34 @@
     }
 
 
+def leave_out_replaced(
+    records: Mapping[InstanceId, InstanceRecord],
+) -> dict[InstanceId, InstanceRecord]:
+    """Leave out instances whose address a later one has.
+
+    Failure guarded here: a server crashes, another one starts at its
+    address, and the list names both until the first one's entry lapses.
+    Every request for the first one comes to the second one, which refuses
+    it, and its callers' attempts are used up on it.
+
+    Args:
+        records: by instance, those listed.
+
+    Returns:
+        The same, with one instance for each address.
+    """
+    latest: dict[tuple[str, int], int] = {}
+    for record in records.values():
+        known = latest.get(record.backend_address, 0)
+        latest[record.backend_address] = max(known, record.since)
+    return {
+        name: listed
+        for name, listed in records.items()
+        if not listed.backend_port
+        or latest[listed.backend_address] == listed.since
+    }
+
+
 def check_records(
     blobs: Mapping[str, bytes],
 ) -> Result[dict[InstanceId, InstanceRecord], Fault]:
--- a/wagtaildale/platform/instances.py
+++ b/wagtaildale/platform/instances.py
@@ -68,6 +68,7 @@
     instance: str,
     payload: bytes,
     *,
+    created: int = 0,
     settings: Settings,
     regions: dict[str, str],
 ) -> InstanceRecord:
@@ -76,6 +77,7 @@
     Args:
         instance: its id, the last part of the entry's key.
         payload: JSON.
+        created: the store's revision with which the entry was written.
         settings: of this daemon: ports are alike on all machines.
         regions: by data centre.
 
@@ -84,6 +86,7 @@
 
     Raises:
         MsgspecError: when the value is no such entry.
+        ValueError: when its address has no port.
     """
     entry = _decoder.decode(payload)
     address = split_address(entry.address)
@@ -102,4 +105,5 @@
         backend_port=address.port,
         slots=entry.description.slots,
         state=ListedState.leaving if leaving else ListedState.live,
+        since=created,
     )
--- a/wagtaildale/platform/store.py
+++ b/wagtaildale/platform/store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from base64 import b64decode
-from typing import TYPE_CHECKING, Final, TypeVar
+from typing import TYPE_CHECKING, Final, Protocol, TypeVar
 from urllib.parse import quote
 
 from msgspec import MsgspecError, Struct, field, json
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.settings.model import Settings
 
 CONFIGURATION_KEY: Final = 'op/config'
@@ -43,12 +44,14 @@
     Attributes:
         key: its key.
         revision: of its last change.
+        created: revision of its creation.
         encoded: its bytes in base64; missing where the item was removed.
         tombstone: whether it was removed.
     """
 
     key: str
     revision: int
+    created: int = 0
     encoded: str = field(name='value', default='')
     tombstone: bool = False
 
@@ -79,6 +82,21 @@
     store_revision: int
 
 
+class Reader(Protocol):
+    """Sends one call and waits for its answer."""
+
+    def ask(self, url: str, *, seconds: float) -> Result[Answer, ReadFailure]:
+        """Send a GET.
+
+        Args:
+            url: of the call.
+            seconds: that it may take.
+
+        Returns:
+            The answer, or why there is none.
+        """
+
+
 class PlatformStore(Store):
     """Reads the store by one kept-alive connection; belongs to one task."""
 
@@ -87,19 +105,21 @@
         settings: Settings,
         *,
         regions: dict[str, str],
+        reader: Reader | None = None,
     ) -> None:
         """Prepare a connection; nothing is sent yet.
 
         Args:
             settings: of this daemon.
             regions: by data centre.
+            reader: sends the calls; one by libcurl if there is none.
         """
         answer_seconds = settings.bounds.read_seconds
         self._url = settings.platform.url
         self._settings = settings
         self._regions = regions
         self._answer_seconds = answer_seconds
-        self._reader = CurlReader(
+        self._reader: Reader = reader or CurlReader(
             connect_ms=round(answer_seconds * MILLISECONDS),
         )
 
@@ -216,17 +236,35 @@
         revision: int,
     ) -> StoredDocument:
         blobs: dict[str, bytes] = {}
+        flaws: list[ReadFailure] = []
         for key, entry in entries.items():
-            if key.startswith(INSTANCE_PREFIX) and entry.payload is not None:
-                instance = key.removeprefix(INSTANCE_PREFIX)
-                record = decode_instance(
-                    instance,
-                    entry.payload,
-                    settings=self._settings,
-                    regions=self._regions,
+            if not key.startswith(INSTANCE_PREFIX):
+                continue
+            try:
+                record = self._decode_record(entry)
+            except (MsgspecError, ValueError) as error:
+                # Failure: one entry cannot be read, and no node learns of
+                # any instance any more. The others are taken without it.
+                detail = f'{key} at {entry.revision}: {error}'
+                flaws.append(
+                    ReadFailure(code=Code.part_corrupt, detail=detail),
                 )
-                blobs[instance] = json.encode(record)
-        return StoredDocument(version=Version(revision), blobs=blobs)
+            else:
+                blobs[record.instance] = json.encode(record)
+        return StoredDocument(
+            version=Version(revision),
+            blobs=blobs,
+            flaws=tuple(flaws),
+        )
+
+    def _decode_record(self, entry: StoreEntry) -> InstanceRecord:
+        return decode_instance(
+            entry.key.removeprefix(INSTANCE_PREFIX),
+            entry.payload or b'',
+            created=entry.created,
+            settings=self._settings,
+            regions=self._regions,
+        )
 
     def _ask(
         self,
@@ -244,8 +282,21 @@
 
 
 def _decode_entry(entry: StoredEntry) -> StoreEntry:
-    payload = None if entry.tombstone else b64decode(entry.encoded)
-    return StoreEntry(key=entry.key, payload=payload, revision=entry.revision)
+    payload = None if entry.tombstone else _decode_payload(entry.encoded)
+    return StoreEntry(
+        key=entry.key,
+        payload=payload,
+        revision=entry.revision,
+        created=entry.created,
+    )
+
+
+def _decode_payload(encoded: str) -> bytes:
+    try:
+        return b64decode(encoded, validate=True)
+    except ValueError:
+        # Whoever makes a document of it says that it cannot be read.
+        return encoded.encode()
 
 
 def _decode_answer(
--- /dev/null
+++ b/wagtaildale/platform/tests/builders.py
@@ -0,0 +1,146 @@
+"""Builders of what the users' platform gives."""
+
+from __future__ import annotations
+
+from base64 import b64encode
+from types import MappingProxyType
+from typing import Any, Final
+
+from msgspec import json
+
+from wagtaildale.platform.settings import PlatformFile, translate_settings
+from wagtaildale.settings.model import Settings
+
+SETTINGS: Final = MappingProxyType(
+    {
+        'nodeName': 'sidecar-derby-1',
+        'ip': '10.4.0.13',
+        'zone': 'derby',
+        'zones': {'derby': 'midlands', 'coventry': 'midlands'},
+        'listenAddrs': {
+            'inbound': '10.4.0.13:8146',
+            'outbound': '10.4.0.13:8147',
+            'ready': '10.4.0.13:8141',
+            'control': '10.4.0.13:8529',
+        },
+        'internalPortRange': [7380, 7395],
+        'seedNodes': ['10.1.0.36:8529', '10.4.0.13:8529'],
+        'limits': {'maxFds': 4100, 'memoryMb': 300},
+        'heartbeatMs': 1500,
+        'bounds': ['applyMs=2000', 'graceS=6', 'budgetSlack=64', 'closed=true'],
+        'appAddr': '10.4.0.13:8145',
+        'service': 'gopu72b',
+        'platform': {'address': '10.200.1.7:8142', 'readsPerS': 2000},
+    },
+)
+
+
+def build_file(**changes: Any) -> PlatformFile:
+    """Build the fields of a settings file.
+
+    Args:
+        changes: fields that are other than usual.
+
+    Returns:
+        The file, decoded.
+    """
+    encoded = json.encode({**SETTINGS, **changes})
+    return json.decode(encoded, type=PlatformFile)
+
+
+def build_settings() -> Settings:
+    """Build a daemon's settings as the platform gives them.
+
+    Returns:
+        The settings.
+    """
+    return translate_settings(build_file())
+
+
+def build_entry(
+    *,
+    address: str = '10.1.0.8:8145',
+    service: str = 'gopu72b',
+    state: str = 'ready',
+) -> dict[str, Any]:
+    """Build the entry of a backend server.
+
+    Args:
+        address: where it listens.
+        service: that it runs.
+        state: ``ready`` or ``draining``.
+
+    Returns:
+        The entry's value, not yet encoded.
+    """
+    return {
+        'address': address,
+        'info': {
+            'service': service,
+            'version': 'v1',
+            'zone': 'derby',
+            'slots': 9,
+        },
+        'status': {'state': state, 'sequence': 7, 'coldLeftMs': 0},
+    }
+
+
+def build_configuration(**action: Any) -> dict[str, Any]:
+    """Build a published configuration with one rule.
+
+    Args:
+        action: fields of the rule's action that are other than usual.
+
+    Returns:
+        The configuration's value, not yet encoded.
+    """
+    return {
+        'version': '0000001f',
+        'limits': {
+            'maxHeaderBytes': 8192,
+            'maxBodyBytes': 1048576,
+            'headerTimeoutMs': 5000,
+            'idleTimeoutMs': 15000,
+        },
+        'listeners': [
+            {
+                'host': 'Mesh.Example',
+                'rules': [
+                    {
+                        'name': 'r-1',
+                        'kind': 'unsafe',
+                        'goalMs': 250,
+                        'priority': 1,
+                        'match': {'prefix': '/bookings/'},
+                        'action': {
+                            'timeoutMs': 800,
+                            'attempts': 2,
+                            'service': 'gopu72b',
+                            **action,
+                        },
+                    },
+                ],
+            },
+        ],
+        'clusters': [{'name': 'gopu72b', 'maxConns': 130}],
+    }
+
+
+def build_item(key: str, entry: Any, *, revision: int = 5) -> dict[str, Any]:
+    """Build an item of the store.
+
+    Args:
+        key: its key.
+        entry: its value, not yet encoded.
+        revision: of its last change and its creation.
+
+    Returns:
+        The item as the store writes it.
+    """
+    return {
+        'key': key,
+        'value': b64encode(json.encode(entry)).decode(),
+        'revision': revision,
+        'created': revision,
+        'lease': 0,
+    }
--- /dev/null
+++ b/wagtaildale/platform/tests/test_settings.py
@@ -0,0 +1,59 @@
+"""Tests of the platform's settings file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from msgspec import json
+from result import Err
+
+from wagtaildale.errors.codes import Code
+from wagtaildale.platform.settings import read_settings, translate_settings
+from wagtaildale.platform.tests.builders import SETTINGS, build_file
+
+
+def test_names_become_the_products() -> None:
+    settings = translate_settings(build_file())
+    assert settings.instance == '10.4.0.13'
+    assert settings.region == 'midlands'
+    assert (settings.entry_port, settings.owner_port) == (8147, 8146)
+    assert settings.backend.port == 8145
+    assert settings.platform.url == 'http://10.200.1.7:8142'
+
+
+def test_own_address_is_no_seed() -> None:
+    settings = translate_settings(build_file())
+    assert settings.distribution.seeds == ('tcp://10.1.0.36:8529',)
+
+
+def test_bounds_in_seconds_and_usual_where_not_named() -> None:
+    bounds = translate_settings(build_file()).bounds
+    assert bounds.apply_seconds == 2.0
+    assert bounds.stop_seconds == 6.0
+    assert bounds.retry_slack == 64
+    assert bounds.retry_share > 0
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        b'',
+        b'{',
+        b'[]',
+        json.encode({**SETTINGS, 'limits': {'maxFds': 'many'}}),
+        json.encode({**SETTINGS, 'heartbeatMs': 0}),
+    ],
+)
+def test_bad_file_is_a_numbered_fault(tmp_path: Path, text: bytes) -> None:
+    path = tmp_path / 'settings.json'
+    path.write_bytes(text)
+    read = read_settings(path)
+    assert isinstance(read, Err)
+    assert read.err_value[0].code is Code.settings_malformed
+
+
+def test_missing_file_is_a_numbered_fault(tmp_path: Path) -> None:
+    read = read_settings(tmp_path / 'nowhere.json')
+    assert isinstance(read, Err)
+    assert read.err_value[0].code is Code.file_unreadable
--- /dev/null
+++ b/wagtaildale/platform/tests/test_store.py
@@ -0,0 +1,201 @@
+"""Tests of the store's calls, against answers as the platform writes them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from msgspec import json
+from result import Err, Ok, Result
+
+from wagtaildale.configuration.model import Part
+from wagtaildale.errors.codes import Code
+from wagtaildale.membership.records import InstanceRecord
+from wagtaildale.platform.store import PlatformStore
+from wagtaildale.platform.tests.builders import (
+    build_configuration,
+    build_entry,
+    build_item,
+    build_settings,
+)
+from wagtaildale.source.curl import Answer
+from wagtaildale.source.feed import FeedReading
+from wagtaildale.source.platform import ReadFailure
+from wagtaildale.source.store import StoreFeed
+from wagtaildale.types import Kind, ListedState
+
+CONFIGURATION = 'op/config'
+FIRST = 'servers/i-1'
+SECOND = 'servers/i-2'
+
+
+class FakeReader:
+    """Gives answers that a test has laid out, in turn."""
+
+    def __init__(self, *answers: Any) -> None:
+        self.asked: list[str] = []
+        self._answers = list(answers)
+
+    def ask(self, url: str, *, seconds: float) -> Result[Answer, ReadFailure]:
+        self.asked.append(url)
+        answer = self._answers.pop(0)
+        if isinstance(answer, int):
+            return Ok(Answer(status=answer, headers=(), body=b''))
+        return Ok(Answer(status=200, headers=(), body=json.encode(answer)))
+
+
+def build_feed(*answers: Any) -> tuple[StoreFeed, FakeReader]:
+    reader = FakeReader(*answers)
+    store = PlatformStore(
+        build_settings(),
+        regions={'derby': 'midlands'},
+        reader=reader,
+    )
+    return StoreFeed(store), reader
+
+
+def build_page(*entries: dict[str, Any], revision: int = 9) -> dict[str, Any]:
+    return {'items': entries, 'hasMore': False, 'storeRevision': revision}
+
+
+def build_changes(*events: dict[str, Any], revision: int) -> dict[str, Any]:
+    return {'events': events, 'storeRevision': revision}
+
+
+def read(feed: StoreFeed) -> FeedReading:
+    return feed.read(wait=1.0).unwrap()
+
+
+def find_blobs(reading: FeedReading, kind: Kind) -> tuple[bytes, ...]:
+    found = [each for each in reading.changed if each.outline.kind is kind]
+    return found[0].blobs if found else ()
+
+
+def list_instances(reading: FeedReading) -> dict[str, InstanceRecord]:
+    records = (
+        json.decode(blob, type=InstanceRecord)
+        for blob in find_blobs(reading, Kind.instances)
+    )
+    return {record.instance: record for record in records}
+
+
+def test_one_read_gives_both_documents() -> None:
+    feed, _reader = build_feed(
+        build_page(
+            build_item(CONFIGURATION, build_configuration()),
+            build_item(FIRST, build_entry()),
+        ),
+    )
+    reading = read(feed)
+    assert len(find_blobs(reading, Kind.configuration)) == 2
+    record = list_instances(reading)['i-1']
+    assert (record.host, record.backend_port) == ('10.1.0.8', 8145)
+    assert record.slots == 9
+
+
+def test_rule_becomes_class_and_route() -> None:
+    feed, _reader = build_feed(
+        build_page(build_item(CONFIGURATION, build_configuration())),
+    )
+    blobs = find_blobs(read(feed), Kind.configuration)
+    parts = [json.decode(blob) for blob in blobs]
+    part = json.decode(
+        next(blob for blob in blobs if b'gopu72b' in blob),
+        type=Part,
+    )
+    assert len(parts) == 2
+    work_class, route = part.classes[0], part.routes[0]
+    assert not work_class.idempotent
+    assert (work_class.within_ms, work_class.deadline_ms) == (250, 800)
+    assert (route.host, route.path) == ('mesh.example', '/bookings/')
+
+
+def test_leaving_and_gone() -> None:
+    feed, reader = build_feed(
+        build_page(
+            build_item(FIRST, build_entry()),
+            build_item(SECOND, build_entry(address='10.1.0.9:8145')),
+        ),
+        build_changes(
+            build_item(FIRST, build_entry(state='draining'), revision=10),
+            {'key': SECOND, 'revision': 11, 'tombstone': True},
+            revision=11,
+        ),
+    )
+    read(feed)
+    listed = list_instances(read(feed))
+    assert listed['i-1'].state is ListedState.leaving
+    assert 'i-2' not in listed
+    assert 'after=9' in reader.asked[1]
+
+
+@pytest.mark.parametrize(
+    'flawed',
+    [
+        {'key': SECOND, 'value': '%%%', 'revision': 5, 'created': 5},
+        build_item(SECOND, {'address': 'nowhere'}),
+        build_item(SECOND, build_entry(address='no port')),
+        build_item(SECOND, 7),
+    ],
+)
+def test_entry_that_cannot_be_read(flawed: dict[str, Any]) -> None:
+    """One server writes a bad entry, and no node learns of any server.
+
+    The others are taken without it, and it is told once.
+    """
+    feed, _reader = build_feed(
+        build_page(build_item(FIRST, build_entry()), flawed),
+        build_changes(
+            build_item(FIRST, build_entry(state='draining'), revision=10),
+            revision=10,
+        ),
+    )
+    reading = read(feed)
+    assert set(list_instances(reading)) == {'i-1'}
+    assert [each.code for each in reading.flawed] == [Code.part_corrupt]
+    assert not read(feed).flawed
+
+
+def test_configuration_that_cannot_be_read() -> None:
+    """A configuration of another shape keeps the list from every node."""
+    feed, _reader = build_feed(
+        build_page(
+            build_item(CONFIGURATION, {'version': 'x'}),
+            build_item(FIRST, build_entry()),
+        ),
+    )
+    reading = read(feed)
+    assert set(list_instances(reading)) == {'i-1'}
+    assert reading.flawed[0].kind is Kind.configuration
+
+
+def test_dropped_history_is_read_anew() -> None:
+    """A watch's history is gone, and changes in the gap would be missed."""
+    page = build_page(build_item(FIRST, build_entry()), revision=30)
+    feed, reader = build_feed(build_page(), 410, page)
+    read(feed)
+    assert set(list_instances(read(feed))) == {'i-1'}
+    assert '/kv-range' in reader.asked[2]
+
+
+@pytest.mark.parametrize('status', [429, 500, 503])
+def test_refused_read_is_an_error(status: int) -> None:
+    feed, _reader = build_feed(status)
+    assert isinstance(feed.read(wait=0), Err)
+
+
+def test_pages_that_changed_between_are_settled() -> None:
+    """A list that never stood so: the store changed between two pages."""
+    first = build_page(build_item(FIRST, build_entry()), revision=9)
+    second = build_page(
+        build_item(SECOND, build_entry(address='10.1.0.9:8145')),
+        revision=12,
+    )
+    gone = {'key': FIRST, 'revision': 11, 'tombstone': True}
+    feed, reader = build_feed(
+        {**first, 'hasMore': True},
+        second,
+        build_changes(gone, revision=12),
+    )
+    assert set(list_instances(read(feed))) == {'i-2'}
+    assert 'after=9' in reader.asked[2]
--- a/wagtaildale/routing/view.py
+++ b/wagtaildale/routing/view.py
@@ -8,7 +8,11 @@
 
 from wagtaildale.configuration.model import Part, PublishedLimits
 from wagtaildale.configuration.whole import check_parts
-from wagtaildale.membership.records import InstanceRecord, check_records
+from wagtaildale.membership.records import (
+    InstanceRecord,
+    check_records,
+    leave_out_replaced,
+)
 from wagtaildale.routing.table import RoutingTable
 from wagtaildale.types import (
     NO_VERSION,
@@ -133,7 +137,7 @@
         self.current = structs.replace(self.current, away=away)
 
     def _swap_records(self, index: Version) -> None:
-        records = {**self._lapsed, **self._listed}
+        records = leave_out_replaced({**self._lapsed, **self._listed})
         upstreams: dict[ServiceName, tuple[InstanceRecord, ...]] = {}
         for record in records.values():
             known = upstreams.get(record.service, ())
--- a/wagtaildale/source/feed.py
+++ b/wagtaildale/source/feed.py
@@ -13,7 +13,11 @@
 from result import Err, Ok, Result
 
 from wagtaildale.configuration.compiled import hash_part
-from wagtaildale.distribution.messages import SourceConfirmed, SourceRead
+from wagtaildale.distribution.messages import (
+    SourceConfirmed,
+    SourceFlawed,
+    SourceRead,
+)
 from wagtaildale.document.model import Outline
 from wagtaildale.membership.records import InstanceList, encode_list
 from wagtaildale.source.platform import Platform, ReadFailure, Reading
@@ -35,10 +39,12 @@
         confirmed: documents that are known not to have changed, the
             configuration last: with it the reader tells the others, and
             what it tells them of the list should not be a read older.
+        flawed: what could not be read, and was not told before.
     """
 
     changed: tuple[SourceRead, ...] = ()
     confirmed: tuple[SourceConfirmed, ...] = ()
+    flawed: tuple[SourceFlawed, ...] = ()
 
 
 class Feed(ABC):
--- a/wagtaildale/source/store.py
+++ b/wagtaildale/source/store.py
@@ -12,13 +12,13 @@
 from msgspec import Struct
 from result import Err, Ok, Result
 
-from wagtaildale.distribution.messages import SourceConfirmed
+from wagtaildale.distribution.messages import SourceConfirmed, SourceFlawed
 from wagtaildale.errors.codes import Code
 from wagtaildale.source.feed import Feed, FeedReading, make_read
 from wagtaildale.types import NO_VERSION, Kind, Version
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterator, Mapping
 
     from wagtaildale.distribution.messages import SourceRead
     from wagtaildale.source.platform import ReadFailure
@@ -31,11 +31,13 @@
         key: its key.
         payload: its bytes; nothing where the key was removed.
         revision: of its last change.
+        created: revision with which the key was first written.
     """
 
     key: str
     payload: bytes | None
     revision: int
+    created: int = 0
 
 
 class StoreReading(Struct, frozen=True, kw_only=True):
@@ -58,10 +60,13 @@
     Attributes:
         version: its version.
         blobs: by name, the bytes of its entries.
+        flaws: why some entries could not be read; the rest stands without
+            them.
     """
 
     version: Version
     blobs: dict[str, bytes]
+    flaws: tuple[ReadFailure, ...] = ()
 
 
 class Store(ABC):
@@ -140,6 +145,7 @@
         self._entries: dict[str, StoreEntry] = {}
         self._revision: int | None = None
         self._versions = dict.fromkeys(Kind, NO_VERSION)
+        self._told: set[str] = set()
 
     def read(self, *, wait: float) -> Result[FeedReading, ReadFailure]:
         """Read what has changed; see ``Feed``.
@@ -211,6 +217,7 @@
     ) -> Result[FeedReading, ReadFailure]:
         assert self._revision is not None
         reads: list[SourceRead] = []
+        flawed: list[SourceFlawed] = []
         for kind in changed:
             made = self._store.make_document(
                 kind,
@@ -218,7 +225,11 @@
                 revision=self._revision,
             )
             if isinstance(made, Err):
-                return made
+                # Failure: a configuration that cannot be read keeps the
+                # instance list from every node, or the other way round.
+                flawed.extend(self._tell(kind, (made.err_value,)))
+                continue
+            flawed.extend(self._tell(kind, made.ok_value.flaws))
             if made.ok_value.version != NO_VERSION:
                 reads.append(self._offer(kind, made.ok_value))
         same = set(Kind) - set(changed)
@@ -227,7 +238,28 @@
             for each in reversed(Kind)
             if each in same and self._versions[each] != NO_VERSION
         )
-        return Ok(FeedReading(changed=tuple(reads), confirmed=confirmed))
+        return Ok(
+            FeedReading(
+                changed=tuple(reads),
+                confirmed=confirmed,
+                flawed=tuple(flawed),
+            ),
+        )
+
+    def _tell(
+        self,
+        kind: Kind,
+        flaws: tuple[ReadFailure, ...],
+    ) -> Iterator[SourceFlawed]:
+        # Each is told once, and not with every change of another entry.
+        for flaw in flaws:
+            if flaw.detail not in self._told:
+                self._told.add(flaw.detail)
+                yield SourceFlawed(
+                    kind=kind,
+                    code=flaw.code,
+                    detail=flaw.detail,
+                )
 
     def _offer(self, kind: Kind, document: StoredDocument) -> SourceRead:
         self._versions[kind] = document.version
--- a/wagtaildale/source/tasks.py
+++ b/wagtaildale/source/tasks.py
@@ -218,7 +218,7 @@
 
 
 def _pass_on(outbox: Inbox[Any], reading: FeedReading) -> None:
-    for message in (*reading.changed, *reading.confirmed):
+    for message in (*reading.flawed, *reading.changed, *reading.confirmed):
         outbox.put(message)
 
 
--- a/wagtaildale/telemetry/events.py
+++ b/wagtaildale/telemetry/events.py
@@ -33,6 +33,7 @@
     version_refused = 'version-refused'
     version_ignored = 'version-ignored'
     instances_applied = 'instances-applied'
+    entry_refused = 'entry-refused'
     lapsed_changed = 'lapsed-changed'
     reader_appointed = 'reader-appointed'
     reader_stepped_down = 'reader-stepped-down'
