--- a/wagtaildale/testing/mesh.py
+++ b/wagtaildale/testing/mesh.py
@@ -8,6 +8,7 @@
 from wagtaildale.admission.messages import Arrived, TicketId, Verdict
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.callers import CallerLimits
+from wagtaildale.calls.dialect import OWN_DIALECT, Dialect
 from wagtaildale.calls.owner import Identity
 from wagtaildale.calls.task import CallFigures, CallsTask, CallSurroundings
 from wagtaildale.document.model import make_document
@@ -54,13 +55,16 @@
         *,
         slots: int = SLOTS,
         mesh_text: str = MESH_TEXT,
+        dialect: Dialect = OWN_DIALECT,
     ) -> None:
         """Open the ports.
 
         Args:
             record: the node's instance.
             slots: of its backend server.
-            mesh_text: the operators' file in force.
+            mesh_text: the operators' file in force; empty for a node that
+                has none yet.
+            dialect: how callers and backend servers are spoken to.
         """
         self.record = record
         self.recorder = build_recorder(record.instance)
@@ -68,7 +72,7 @@
         self.tallies = Tallies()
         self.invariants = Invariants(self.recorder)
         self.calls = CallsTask(
-            _make_figures(record, slots),
+            _make_figures(record, slots, dialect),
             around=CallSurroundings(
                 identity=Identity(
                     instance=record.instance,
@@ -83,14 +87,8 @@
         )
         self._executor = ThreadPoolExecutor(1)
         self.calls.bind().unwrap()
-        compiled = build_compiled(text=mesh_text)
-        document = make_document(
-            Kind.configuration,
-            version=Version(1),
-            blobs={str(name): blob for name, blob in compiled.parts.items()},
-        )
-        self.view.take_configuration(document)
-
+        if mesh_text:
+            self.publish(mesh_text)
         self._done: Future[None] = self._executor.submit(self.calls.run)
 
     @property
@@ -108,6 +106,20 @@
         """The gate in front of its backend server."""
         return self.calls.owner.gate
 
+    def publish(self, mesh_text: str) -> None:
+        """Put an operators' file in force at this node.
+
+        Args:
+            mesh_text: the file.
+        """
+        compiled = build_compiled(text=mesh_text)
+        document = make_document(
+            Kind.configuration,
+            version=Version(self.view.current.version + 1),
+            blobs={str(name): blob for name, blob in compiled.parts.items()},
+        )
+        self.view.take_configuration(document)
+
     def show(self, *records: InstanceRecord) -> None:
         """Let the node know these instances.
 
@@ -160,7 +172,11 @@
         return verdicts[0]
 
 
-def _make_figures(record: InstanceRecord, slots: int) -> CallFigures:
+def _make_figures(
+    record: InstanceRecord,
+    slots: int,
+    dialect: Dialect,
+) -> CallFigures:
     return CallFigures(
         service=record.service,
         data_centre=record.data_centre,
@@ -174,6 +190,7 @@
             connections=CONNECTIONS,
         ),
         chooser=LeastLoaded(),
+        dialect=dialect,
     )
 
 
