--- a/wagtaildale/calls/owned.py
+++ b/wagtaildale/calls/owned.py
@@ -10,7 +10,12 @@
 from wagtaildale.admission.limits import Ending
 from wagtaildale.admission.messages import Arrived, Refused
 from wagtaildale.admission.replays import KeptAnswer
-from wagtaildale.calls.backends import BackendRequest
+from wagtaildale.calls.backend_messages import (
+    MISDIRECTED_STATUS,
+    BackendResponse,
+    build_request,
+    find_refusal,
+)
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.fields import CallFields
 from wagtaildale.calls.frames import (
@@ -26,7 +31,6 @@
 from wagtaildale.calls.heads import pass_on
 from wagtaildale.calls.keyed import REPLAYED, KeyedRun
 from wagtaildale.calls.owner import Owner
-from wagtaildale.calls.windows import SendWindow
 from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariant
 from wagtaildale.telemetry.events import EventKind
@@ -36,8 +40,8 @@
 if TYPE_CHECKING:
     from wagtaildale.admission.messages import TicketId, Verdict
     from wagtaildale.calls.backends import BackendConnection
-    from wagtaildale.calls.frames import HeaderPairs, ToEntry
-    from wagtaildale.calls.parsing import Header, Message
+    from wagtaildale.calls.frames import ToEntry
+    from wagtaildale.calls.parsing import Message
     from wagtaildale.timers.alarms import Alarm
 
 MILLISECONDS: Final = 1000
@@ -51,7 +55,6 @@
 # the call this much later has lost its entry.
 OVERTIME_SECONDS: Final = 0.05
 SHED_STATUS: Final = 503
-MISDIRECTED_STATUS: Final = 421
 # What speaks against the backend server, and not against one request.
 BACKEND_FAULTS: Final = frozenset(
     (
@@ -122,7 +125,7 @@
         self._keyed: KeyedRun | None = None
         self._connection: BackendConnection | None = None
         self._alarm: Alarm | None = None
-        self._response: _Response | None = None
+        self._response: BackendResponse | None = None
         self._since = read_clock()
         self._running_since = self._since
         self._deadline = self._since
@@ -200,7 +203,7 @@
         Args:
             message: the response.
         """
-        self._response = _Response(message)
+        self._response = BackendResponse(message)
 
     def on_body(self) -> None:
         """Take what has come of the response."""
@@ -349,7 +352,7 @@
     def _send(self, run: Run) -> None:
         self._running_since = read_clock()
         self._connection = self._owner.pool.ask(
-            _build_request(self._owner, run, self._deadline),
+            build_request(self._owner, run, self._deadline),
             self,
         )
 
@@ -360,7 +363,7 @@
         message = response.message
         if response.is_begun:
             self._add_piece(response)
-        elif _find_not_run(self._owner, message) is None:
+        elif find_refusal(self._owner, message) is None:
             response.is_begun = True
             self._begin_answer(response)
         else:
@@ -371,13 +374,13 @@
         elif self._connection is not None:
             self._connection.read_more(wanted=response.window.is_open)
 
-    def _add_piece(self, response: _Response) -> None:
+    def _add_piece(self, response: BackendResponse) -> None:
         complete = response.message.is_complete
         if response.window.is_open and (response.held or complete):
             piece = response.take_held()
             self._reply(Piece(self._number, piece, more=not complete))
 
-    def _begin_answer(self, response: _Response) -> None:
+    def _begin_answer(self, response: BackendResponse) -> None:
         message = response.message
         now = read_clock()
         answer = self._owner.describe(
@@ -541,62 +544,3 @@
 
 def _to_ms(seconds: float) -> int:
     return round(seconds * MILLISECONDS)
-
-
-class _Response:
-    """A response as far as it has come and gone on."""
-
-    def __init__(self, message: Message) -> None:
-        self.message = message
-        self.held = bytearray()
-        self.is_begun = False
-        self.window = SendWindow()
-
-    def take_held(self) -> bytes:
-        taken = bytes(self.held)
-        self.held.clear()
-        self.window.note_sent(len(taken))
-        return taken
-
-
-def _find_not_run(owner: Owner, message: Message) -> bytes | None:
-    field = owner.dialect.not_run
-    if field is None:
-        return None
-    if message.status == MISDIRECTED_STATUS:
-        return field
-    return message.find(field)
-
-
-def _build_request(owner: Owner, run: Run, deadline: float) -> BackendRequest:
-    dialect = owner.dialect
-    named = run.fields.request_id.encode('latin-1')
-    return BackendRequest(
-        request_id=named if dialect.echoes_request_id else b'',
-        method=run.method,
-        target=run.target,
-        headers=(*run.headers, *_write_context(owner, run, deadline)),
-        body=run.body,
-        more=run.more,
-        length=run.length,
-        idempotent=run.fields.idempotent,
-    )
-
-
-def _write_context(owner: Owner, run: Run, deadline: float) -> HeaderPairs:
-    """Write what a backend server is told, and copies onto its own calls."""
-    dialect = owner.dialect
-    fields = run.fields
-    rest = max(1, int((deadline - read_clock()) * MILLISECONDS))
-    context: list[Header] = [(dialect.deadline_ms, b'%d' % rest)]
-    if not dialect.takes_request_id:
-        name = fields.request_id.encode('latin-1')
-        context.append((dialect.request_id, name))
-    if dialect.depth is not None:
-        context.append((dialect.depth, b'%d' % (fields.depth + 1)))
-    if dialect.retries is not None:
-        context.append((dialect.retries, b'%d' % fields.retries))
-    if dialect.expected_instance is not None:
-        meant = fields.instance.encode('latin-1')
-        context.append((dialect.expected_instance, meant))
-    return tuple(context)
