News that was held up counts as old; silent lines between nodes are opened anew

So a message's time under way beyond its sender's usual is added to the age in it, and control connections ask each second and are opened anew after 1.5 s of silence. A silence of the platform counts only if this process has lived through it and a later confirmation ends it, once. Ruled out: the hybrid clock's stamps (clocks differ and jump).

--- a/wagtaildale/distribution/bodies.py
+++ b/wagtaildale/distribution/bodies.py
@@ -9,11 +9,16 @@
 
 from wagtaildale.distribution.documents import ask_for_delta, take_offer
 from wagtaildale.distribution.messages import Effect, Send
-from wagtaildale.distribution.readers import note_freshness
+from wagtaildale.distribution.lapses import note_return
+from wagtaildale.distribution.readers import (
+    find_confirmed_at,
+    note_freshness,
+)
 from wagtaildale.distribution.state import DistributionState
 from wagtaildale.distribution.wire import (
     BlobPull,
     BlobsSent,
+    Holding,
     OutlineSent,
     Pull,
     Push,
@@ -32,11 +37,24 @@
 
 
 class Context(Struct, frozen=True, kw_only=True):
-    """Around a body: who sent it, when it came, whose state it moves."""
+    """Around a body: whose state it moves, who sent it, when it came.
+
+    Attributes:
+        state: the node; moved forward in place.
+        sender: of the message.
+        now: seconds.
+        delay: seconds that it was under way beyond the usual.
+    """
 
     state: DistributionState
     sender: InstanceId
     now: float
+    delay: float = 0
+
+    @property
+    def sent_at(self) -> float:
+        """When it was sent, as nearly as can be told, on this clock."""
+        return self.now - self.delay
 
 
 @singledispatch
@@ -62,7 +80,7 @@
     effects: list[Effect] = []
     holdings = body.holdings if state.tuning.passes_on else ()
     for holding in holdings:
-        note_freshness(state, holding=holding, now=context.now)
+        _note_freshness(context, holding)
         _clear_push(context, holding.kind, holding.version)
         if holding.version > state.stores[holding.kind].held.version:
             ask = ask_for_delta(state, kind=holding.kind, peer=context.sender)
@@ -79,6 +97,12 @@
 @decide_body.register
 def _decide_push(body: Push, context: Context) -> list[Effect]:
     kind = body.delta.kind
+    note_return(
+        context.state,
+        kind=kind,
+        confirmed_at=find_confirmed_at(body.holding, sent_at=context.sent_at),
+        now=context.now,
+    )
     effects = take_offer(
         context.state,
         kind=kind,
@@ -88,7 +112,7 @@
         # yet, as after a partition.
         from_tree=not body.was_pulled,
     )
-    note_freshness(context.state, holding=body.holding, now=context.now)
+    _note_freshness(context, body.holding)
     seen = PushSeen(kind, body.delta.version)
     return [Send(to=context.sender, body=seen), *effects]
 
@@ -150,6 +174,15 @@
     )
 
 
+def _note_freshness(context: Context, holding: Holding) -> None:
+    note_freshness(
+        context.state,
+        holding=holding,
+        sent_at=context.sent_at,
+        now=context.now,
+    )
+
+
 def _clear_push(context: Context, kind: Kind, version: Version) -> None:
     key = (context.sender, kind)
     push = context.state.pushes.get(key)
--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -20,8 +20,9 @@
     review_appointment,
     share_confirmation,
 )
-from wagtaildale.distribution.state import DistributionState
+from wagtaildale.distribution.state import MILLISECONDS, DistributionState
 from wagtaildale.distribution.swaps import ask_seeds, swap_digests, tell_fleet
+from wagtaildale.distribution.wire import Envelope
 from wagtaildale.errors.codes import Code
 from wagtaildale.document.messages import BlobsOffered, OutlineOffered
 from wagtaildale.membership.decisions import expire_suspects, merge_news
@@ -61,7 +62,12 @@
 ) -> list[messages.Effect]:
     envelope = message.envelope
     taken = merge_news(state.members, heard=envelope.news, now=now)
-    context = Context(state=state, sender=envelope.sender, now=now)
+    context = Context(
+        state=state,
+        sender=envelope.sender,
+        now=now,
+        delay=_measure_delay(state, envelope, now),
+    )
     effects = decide_body(envelope.body, context)
     return [*tell_fleet(taken), *effects, *review_ready(state, now=now)]
 
@@ -231,6 +237,20 @@
     ]
 
 
+def _measure_delay(
+    state: DistributionState,
+    envelope: Envelope,
+    now: float,
+) -> float:
+    if not envelope.sent_ms:
+        return 0
+    return state.delays.measure(
+        (envelope.sender, envelope.news[0].incarnation),
+        sent=envelope.sent_ms / MILLISECONDS,
+        now=now,
+    )
+
+
 def _note_answer(
     state: DistributionState,
     kind: Kind,
--- /dev/null
+++ b/wagtaildale/distribution/delays.py
@@ -0,0 +1,81 @@
+"""How long messages were under way, beyond what is usual from their sender.
+
+Clocks of two machines have no common zero. But the least of (arrival by this
+clock - sending by that one) over some seconds is that of a message which
+came at once, and what another one has more was spent on its way.
+"""
+
+from __future__ import annotations
+
+from math import inf
+from typing import Final
+
+from msgspec import Struct, field
+
+from wagtaildale.types import Incarnation, InstanceId
+
+# How long a least difference counts. A sender that was suspended comes back
+# with its clock behind, and all it says looks late for that long: nodes then
+# read the platform though they need not.
+WINDOW_SECONDS: Final = 10.0
+
+Sender = tuple[InstanceId, Incarnation]
+
+
+class Differences(Struct, kw_only=True):
+    """What was seen of one sender.
+
+    Attributes:
+        since: when the window began, seconds.
+        least: least difference in it.
+        least_before: the same in the window before.
+    """
+
+    since: float
+    least: float = inf
+    least_before: float = inf
+
+
+class Delays(Struct, kw_only=True):
+    """The differences of all senders.
+
+    Attributes:
+        senders: by process, what was seen of it.
+    """
+
+    senders: dict[Sender, Differences] = field(default_factory=dict)
+
+    def measure(self, sender: Sender, *, sent: float, now: float) -> float:
+        """Measure how long a message was under way beyond the usual.
+
+        Failure guarded here: a line is cut for some seconds, and what was
+        sent meanwhile comes when it is mended: "the platform has just
+        confirmed this". Whoever believes that goes by an old list and reads
+        nothing itself. With the delay added the news is as old as it is.
+
+        Args:
+            sender: the process.
+            sent: seconds on its steady clock.
+            now: seconds on this one's.
+
+        Returns:
+            Seconds; 0 for the first message of a sender.
+        """
+        seen = self.senders.get(sender)
+        if seen is None:
+            self._forget_restarted(sender)
+            seen = Differences(since=now)
+            self.senders[sender] = seen
+        if now - seen.since > WINDOW_SECONDS:
+            seen.least_before = seen.least
+            seen.least = inf
+            seen.since = now
+        difference = now - sent
+        seen.least = min(seen.least, difference)
+        return difference - min(seen.least, seen.least_before)
+
+    def _forget_restarted(self, sender: Sender) -> None:
+        instance = sender[0]
+        earlier = [known for known in self.senders if known[0] == instance]
+        for known in earlier:
+            self.senders.pop(known)
--- a/wagtaildale/distribution/lapses.py
+++ b/wagtaildale/distribution/lapses.py
@@ -52,7 +52,6 @@
     """
     listed = _decode(document)
     known = {**state.lapses.kept, **_decode(before)}
-    _note_return(state, now)
     kept: dict[InstanceId, InstanceRecord] = {}
     if now < state.lapses.until:
         places = {record.node_id for record in listed.values()}
@@ -65,6 +64,33 @@
     return _keep(state, kept, listed)
 
 
+def note_return(
+    state: DistributionState,
+    *,
+    kind: Kind,
+    confirmed_at: float,
+    now: float,
+) -> None:
+    """Note that the platform has confirmed a document after a silence.
+
+    Only what this process has lived through counts as a silence: a node that
+    has just started may hear first from a peer that was long cut off.
+
+    Args:
+        state: the node, before it takes the confirmation; moved forward in
+            place.
+        kind: which document.
+        confirmed_at: when the platform did, seconds on this node's clock.
+        now: seconds.
+    """
+    last = state.freshness[kind].confirmed_at
+    if kind is not Kind.instances or last == NEVER:
+        return
+    silent = confirmed_at - max(last, state.joining.started_at)
+    if silent > state.tuning.lapse_seconds:
+        state.lapses.until = now + RETURN_SECONDS
+
+
 def end_lapses(state: DistributionState, *, now: float) -> list[Effect]:
     """Let go of whoever has not come back in time.
 
@@ -80,19 +106,6 @@
     return _keep(state, {}, _decode(state.stores[Kind.instances].held))
 
 
-def _note_return(state: DistributionState, now: float) -> None:
-    fresh = state.freshness[Kind.instances]
-    if fresh.confirmed_at == NEVER:
-        return
-    # News of a list may come before the word that it was confirmed.
-    silent = now - fresh.confirmed_at
-    if silent > state.tuning.lapse_seconds:
-        state.lapses.until = now + RETURN_SECONDS
-    elif fresh.silent_before > state.tuning.lapse_seconds:
-        since = fresh.confirmed_after_silence_at
-        state.lapses.until = max(state.lapses.until, since + RETURN_SECONDS)
-
-
 def _keep(
     state: DistributionState,
     kept: dict[InstanceId, InstanceRecord],
--- a/wagtaildale/distribution/readers.py
+++ b/wagtaildale/distribution/readers.py
@@ -11,9 +11,11 @@
 import random
 from typing import TYPE_CHECKING
 
+from wagtaildale.distribution.lapses import note_return
 from wagtaildale.distribution.messages import ReadSource, Send, Watch
 from wagtaildale.distribution.state import (
     MILLISECONDS,
+    NEVER,
     UNKNOWN_AGE,
     DistributionState,
 )
@@ -61,11 +63,10 @@
         kind: which document.
         now: seconds.
     """
-    state.freshness[kind].confirm(
-        at=now,
-        rank=state.find_own_rank(find_topology(state.members).readers),
-        silence=state.tuning.lapse_seconds,
-    )
+    note_return(state, kind=kind, confirmed_at=now, now=now)
+    fresh = state.freshness[kind]
+    fresh.confirmed_at = now
+    fresh.rank = state.find_own_rank(find_topology(state.members).readers)
     state.joining.source.add(kind)
 
 
@@ -98,10 +99,26 @@
     return [Send(to=spare, body=body) for spare in spares if spare != own]
 
 
+def find_confirmed_at(holding: Holding, *, sent_at: float) -> float:
+    """Find when the platform confirmed what a peer holds.
+
+    Args:
+        holding: the peer's.
+        sent_at: when the peer said so, seconds on this node's clock.
+
+    Returns:
+        Seconds on this node's clock; ``NEVER`` if the peer knows of none.
+    """
+    if holding.age_ms == UNKNOWN_AGE:
+        return NEVER
+    return sent_at - holding.age_ms / MILLISECONDS
+
+
 def note_freshness(
     state: DistributionState,
     *,
     holding: Holding,
+    sent_at: float,
     now: float,
 ) -> None:
     """Note how lately a peer knows the platform confirmed.
@@ -112,19 +129,23 @@
     Args:
         state: the node; moved forward in place.
         holding: the peer's.
+        sent_at: when the peer said so, seconds on this node's clock.
         now: seconds.
     """
     behind = holding.version < state.stores[holding.kind].held.version
-    if behind or holding.age_ms == UNKNOWN_AGE:
+    if behind:
         return
     fresh = state.freshness[holding.kind]
-    confirmed_at = now - holding.age_ms / MILLISECONDS
+    confirmed_at = find_confirmed_at(holding, sent_at=sent_at)
     if confirmed_at > fresh.confirmed_at:
-        fresh.confirm(
-            at=confirmed_at,
-            rank=holding.rank,
-            silence=state.tuning.lapse_seconds,
+        note_return(
+            state,
+            kind=holding.kind,
+            confirmed_at=confirmed_at,
+            now=now,
         )
+        fresh.confirmed_at = confirmed_at
+        fresh.rank = holding.rank
     own = state.find_own_rank(find_topology(state.members).readers)
     if holding.rank < own:
         fresh.better_at = max(fresh.better_at, confirmed_at)
--- a/wagtaildale/distribution/sockets.py
+++ b/wagtaildale/distribution/sockets.py
@@ -21,7 +21,13 @@
 QUEUED_MESSAGES: Final = 64
 SILENT_MESSAGES: Final = 2
 RECONNECT_MS: Final = 200
-RECONNECT_MOST_MS: Final = 10_000
+# A peer that was cut off is back this soon after the cut is mended.
+RECONNECT_MOST_MS: Final = 1000
+CONNECT_MS: Final = 1000
+# Under the time in which a version must be in force everywhere (two seconds
+# on the users' platform).
+HEARTBEAT_MS: Final = 1000
+SILENT_MS: Final = 1500
 MILLISECONDS: Final = 1000
 
 
@@ -318,3 +324,9 @@
     socket.setsockopt(zmq.LINGER, RECONNECT_MS)
     socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MOST_MS)
+    socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_MS)
+    # Failure: a line goes silent without a reset, and what is sent on it
+    # waits for the kernel, that asks again after ever longer times: seconds
+    # after a cut is mended nothing passes yet.
+    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, SILENT_MS)
--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -7,6 +7,7 @@
 from msgspec import Struct, field
 
 from wagtaildale.distribution.checks import CHECKS
+from wagtaildale.distribution.delays import Delays
 from wagtaildale.distribution.wire import Holding
 from wagtaildale.document.state import StoreState, make_store
 from wagtaildale.membership.records import InstanceRecord
@@ -29,32 +30,11 @@
         confirmed_at: seconds on this node's clock.
         rank: of the reader that confirmed it.
         better_at: when one of a better rank than this node confirmed it.
-        silent_before: seconds without a confirmation, the last time that
-            there was none for long.
-        confirmed_after_silence_at: when the first one came after that.
     """
 
     confirmed_at: float = NEVER
     rank: int = NO_RANK
     better_at: float = NEVER
-    silent_before: float = 0
-    confirmed_after_silence_at: float = NEVER
-
-    def confirm(self, *, at: float, rank: int, silence: float) -> None:
-        """Note a later confirmation.
-
-        Args:
-            at: when the platform answered, seconds on this node's clock.
-            rank: of the reader that it answered.
-            silence: seconds without a confirmation that count as one during
-                which the platform was away.
-        """
-        silent = at - self.confirmed_at
-        if self.confirmed_at != NEVER and silent > silence:
-            self.silent_before = silent
-            self.confirmed_after_silence_at = at
-        self.confirmed_at = at
-        self.rank = rank
 
 
 class PushOut(Struct, kw_only=True):
@@ -110,6 +90,7 @@
         stores: by kind, the document.
         freshness: by kind, how lately confirmed.
         lapses: instances that stay in use though the list lacks them.
+        delays: of messages from other nodes.
         pushes: not seen yet, by peer and kind.
         awaiting: swaps without a reply yet, by peer, since when.
         appointed: whether this node watches the platform.
@@ -124,6 +105,7 @@
     stores: dict[Kind, StoreState]
     freshness: dict[Kind, Freshness]
     lapses: Lapses = field(default_factory=Lapses)
+    delays: Delays = field(default_factory=Delays)
     pushes: dict[tuple[InstanceId, Kind], PushOut] = field(
         default_factory=dict,
     )
--- a/wagtaildale/distribution/task.py
+++ b/wagtaildale/distribution/task.py
@@ -10,6 +10,7 @@
 from wagtaildale.distribution.around import Counts, Surroundings
 from wagtaildale.distribution.decisions import decide
 from wagtaildale.distribution.effects import carry_out
+from wagtaildale.distribution.state import MILLISECONDS
 from wagtaildale.distribution.wire import (
     Envelope,
     decode_envelope,
@@ -158,6 +159,7 @@
             news=pick_news(self.state.members, to=to),
             stamp=self.around.recorder.clock.tick(),
             body=body,
+            sent_ms=round(read_clock() * MILLISECONDS),
         )
         return encode_envelope(envelope)
 
--- a/wagtaildale/distribution/wire.py
+++ b/wagtaildale/distribution/wire.py
@@ -114,12 +114,14 @@
         news: the sender's own news first, then some of others.
         stamp: the sender's hybrid logical clock.
         body: what it is about.
+        sent_ms: milliseconds on the sender's steady clock; 0 if not told.
     """
 
     to: InstanceId
     news: tuple[News, ...]
     stamp: int
     body: Body
+    sent_ms: int = 0
 
     @property
     def sender(self) -> InstanceId:
--- a/wagtaildale/testing/network.py
+++ b/wagtaildale/testing/network.py
@@ -38,6 +38,7 @@
 )
 
 ROUND_SECONDS: Final = 1.0
+MILLISECONDS: Final = 1000
 SEED: Final = 'seed'
 
 
@@ -222,6 +223,17 @@
         self.nodes[instance].paused = False
         self.tell(instance, WokeLate(now=self.now, late_by=late_by))
 
+    def is_idle(self, instance: InstanceId) -> bool:
+        """Tell whether a node leaves the platform to others.
+
+        Args:
+            instance: the node.
+
+        Returns:
+            Whether it watches nothing.
+        """
+        return not self.nodes[instance].watching
+
     def read_source(self, instance: InstanceId) -> None:
         """Let a node's watches return, if it has any.
 
@@ -282,6 +294,7 @@
             news=pick_news(members, to=to),
             stamp=0,
             body=body,
+            sent_ms=round(self.now * MILLISECONDS),
         )
         return messages.Received(envelope=envelope)
 
