A reader of a store goes on from its cursor after a failure or a turn of others

Cause: every failure of a watch and every appointment began with a read of everything. On the grown site (1,600 routes, 430 KB a read, lines of 5 Mbit/s) spares took turns 170 times in 12 s, and calls between nodes waited behind what they read (beyond queue and server: 63 ms mean, 242 ms at the 90th percentile). Ruled out: processor time (at most 0.08 cores a node), queues at owners (10 ms mean).

--- a/wagtaildale/platform/tests/test_store.py
+++ b/wagtaildale/platform/tests/test_store.py
@@ -199,3 +199,39 @@
     )
     assert set(list_instances(read(feed))) == {'i-2'}
     assert 'after=9' in reader.asked[2]
+
+
+def test_failed_watch_goes_on_from_its_cursor() -> None:
+    """Each failure makes a reader read everything anew.
+
+    On a slow line that takes most of a second, and calls wait behind it.
+    """
+    changes = build_changes(
+        build_item(FIRST, build_entry(state='draining'), revision=10),
+        revision=10,
+    )
+    feed, reader = build_feed(
+        build_page(build_item(FIRST, build_entry())),
+        503,
+        changes,
+    )
+    read(feed)
+    assert isinstance(feed.read(wait=1.0), Err)
+    feed.restart()
+    assert list_instances(read(feed))['i-1'].state is ListedState.leaving
+    assert 'after=9' in reader.asked[2]
+
+
+def test_store_that_counts_from_the_start_is_read_anew() -> None:
+    """No change reaches any node any more.
+
+    The store was set up anew, and watches go on from the old revision.
+    """
+    page = build_page(build_item(FIRST, build_entry()), revision=2)
+    feed, _reader = build_feed(
+        build_page(),
+        build_changes(revision=1),
+        page,
+    )
+    read(feed)
+    assert set(list_instances(read(feed))) == {'i-1'}
--- a/wagtaildale/source/feed.py
+++ b/wagtaildale/source/feed.py
@@ -62,7 +62,7 @@
 
         Args:
             wait: seconds that the platform may hold the read; the first
-                read after ``restart`` does not wait.
+                read of all does not wait.
 
         Returns:
             What has changed and what has not, or why nothing was read.
@@ -70,7 +70,11 @@
 
     @abstractmethod
     def restart(self) -> None:
-        """Forget what was read: the next read gives everything."""
+        """Doubt what was read: the platform may have changed unseen.
+
+        The next read gives everything, unless the platform can tell what has
+        changed since the last one.
+        """
 
 
 class DocumentFeed(Feed):
--- a/wagtaildale/source/store.py
+++ b/wagtaildale/source/store.py
@@ -168,15 +168,25 @@
                 return self._read_all()
             return changes
         reading = changes.ok_value
-        self._revision = max(reading.revision, self._revision)
+        if reading.revision < self._revision:
+            # Failure: the store was set up anew and counts from the start;
+            # a watch from the old revision would wait for ever.
+            return self._read_all()
+        self._revision = reading.revision
         self._note(reading)
         return self._give(
             tuple(kind for kind in Kind if self._concerns(reading, kind)),
         )
 
     def restart(self) -> None:
-        """Forget the cursor; see ``Feed``."""
-        self._revision = None
+        """Keep the cursor; see ``Feed``.
+
+        Failure guarded here: a node that takes turns at reading, or whose
+        line to the store fails, reads everything anew each time, and on a
+        slow line that holds up calls: half a megabyte for 1,600 routes is
+        0.7 s at 5 Mbit/s. A store with revisions tells what has changed
+        since, and says so if it no longer can.
+        """
 
     def _read_all(self) -> Result[FeedReading, ReadFailure]:
         read = self._store.read_all()
