--- a/wagtaildale/calls/tests/test_dialect.py
+++ b/wagtaildale/calls/tests/test_dialect.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import socket
-import threading
 from typing import TYPE_CHECKING, Final
 
 import pytest
 
+from wagtaildale.calls.tests.listeners import Listener
 from wagtaildale.calls.tests.pairs import PATIENCE
 from wagtaildale.platform.dialect import PLATFORM_DIALECT
 from wagtaildale.testing.builders import MESH_TEXT, build_record
@@ -21,30 +21,17 @@
 DEADLINE_MS: Final = 700
 
 
-class ScriptedBackend:
+class ScriptedBackend(Listener):
     """Keeps the head of each request and gives the answer of a test."""
 
     def __init__(self) -> None:
         self.heads: list[bytes] = []
-        self.answer = build_answer(REQUEST_ID)
-        self._listener = socket.create_server((HOST, BACKEND_PORT))
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self._thread.start()
-
-    def close(self) -> None:
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        self._thread.join(PATIENCE)
-
-    def _serve(self) -> None:
-        while True:
-            try:
-                sock, _peer = self._listener.accept()
-            except OSError:
-                return
-            with sock:
-                self.heads.append(sock.recv(65536))
-                sock.sendall(self.answer)
+        self.reply = build_answer(REQUEST_ID)
+        super().__init__((HOST, BACKEND_PORT))
+
+    def answer(self, sock: socket.socket) -> None:
+        self.heads.append(sock.recv(65536))
+        sock.sendall(self.reply)
 
 
 def build_answer(
@@ -154,7 +141,7 @@
     That word alone makes "not run" true: the caller may come back.
     """
     node.publish(MESH_TEXT)
-    backend.answer = build_answer(
+    backend.reply = build_answer(
         REQUEST_ID,
         status=b'503 Full',
         extra=b'x-not-executed: 1\r\n',
@@ -173,7 +160,7 @@
     is one that promises nothing.
     """
     node.publish(MESH_TEXT)
-    backend.answer = b''
+    backend.reply = b''
     answer = ask(node, start=b'POST /bookings')
     assert answer.startswith(b'HTTP/1.1 502')
     assert len(backend.heads) == 1
@@ -189,7 +176,7 @@
     and does not come.
     """
     node.publish(MESH_TEXT)
-    backend.answer = build_answer(b'another').replace(b'hi', b'xx')
+    backend.reply = build_answer(b'another').replace(b'hi', b'xx')
     answer = ask(node, start=b'POST /bookings')
     assert answer.startswith(b'HTTP/1.1 502')
     assert b'xx' not in answer
--- a/wagtaildale/calls/tests/test_faults.py
+++ b/wagtaildale/calls/tests/test_faults.py
@@ -17,6 +17,7 @@
     Run,
     encode_frame,
 )
+from wagtaildale.calls.tests.listeners import Listener
 from wagtaildale.calls.tests.pairs import (
     OUTCOME,
     Pair,
@@ -31,30 +32,14 @@
     from collections.abc import Iterator
 
 
-class ImpostorOwner:
+class ImpostorOwner(Listener):
     """Answers every call with an answer to another request or attempt."""
 
     def __init__(self, address: tuple[str, int], *, attempt_off: int) -> None:
-        self._listener = socket.create_server(address)
         self._attempt_off = attempt_off
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self._thread.start()
-
-    def close(self) -> None:
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        self._thread.join(5)
-
-    def _serve(self) -> None:
-        while True:
-            try:
-                sock, _peer = self._listener.accept()
-            except OSError:
-                return
-            with sock:
-                self._answer(sock)
-
-    def _answer(self, sock: socket.socket) -> None:
+        super().__init__(address)
+
+    def answer(self, sock: socket.socket) -> None:
         reader = FrameReader()
         assert sock.recv(1) == PLAIN
         while chunk := sock.recv(9999):
