Read again: an instance list is decoded once where nothing lapsed, flaws are kept by document

The earlier list was decoded on every change though it is needed only just after an outage; what was told of unreadable entries grew without bound, and is now that of the document before; the latest beliefs are picked in one pass; the usual heartbeat stands in one place.

--- a/wagtaildale/distribution/lapses.py
+++ b/wagtaildale/distribution/lapses.py
@@ -51,9 +51,9 @@
         Whom to keep in use, if that has changed.
     """
     listed = _decode(document)
-    known = {**state.lapses.kept, **_decode(before)}
     kept: dict[InstanceId, InstanceRecord] = {}
     if now < state.lapses.until:
+        known = {**state.lapses.kept, **_decode(before)}
         places = {record.node_id for record in listed.values()}
         kept = {
             name: record
--- a/wagtaildale/platform/settings.py
+++ b/wagtaildale/platform/settings.py
@@ -9,6 +9,7 @@
 
 from wagtaildale.calls.addresses import Address
 from wagtaildale.configuration.files import read_text
+from wagtaildale.distribution.tuning import HEARTBEAT_SECONDS
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
 from wagtaildale.routing.choice import ChoiceName
@@ -36,7 +37,7 @@
 # every day; that of OpenTelemetry's own Prometheus exporters.
 ADMIN_PORT: Final = 9464
 # Where the platform does not say: its operators' usual figure.
-HEARTBEAT_MS: Final = 1500
+HEARTBEAT_MS: Final = round(HEARTBEAT_SECONDS * MILLISECONDS)
 # The planned stop ends this long before the process would be killed.
 STOP_MARGIN_SECONDS: Final = 0.7
 # The platform asks each second whether a node is ready and sends its callers
--- a/wagtaildale/source/store.py
+++ b/wagtaildale/source/store.py
@@ -145,7 +145,7 @@
         self._entries: dict[str, StoreEntry] = {}
         self._revision: int | None = None
         self._versions = dict.fromkeys(Kind, NO_VERSION)
-        self._told: set[str] = set()
+        self._flaws: dict[Kind, frozenset[str]] = {}
 
     def read(self, *, wait: float) -> Result[FeedReading, ReadFailure]:
         """Read what has changed; see ``Feed``.
@@ -262,9 +262,10 @@
         flaws: tuple[ReadFailure, ...],
     ) -> Iterator[SourceFlawed]:
         # Each is told once, and not with every change of another entry.
+        told = self._flaws.get(kind, frozenset())
+        self._flaws[kind] = frozenset(flaw.detail for flaw in flaws)
         for flaw in flaws:
-            if flaw.detail not in self._told:
-                self._told.add(flaw.detail)
+            if flaw.detail not in told:
                 yield SourceFlawed(
                     kind=kind,
                     code=flaw.code,
--- a/wagtaildale/telemetry/story.py
+++ b/wagtaildale/telemetry/story.py
@@ -178,15 +178,11 @@
 
 
 def _pick_beliefs(near: Sequence[LogLine]) -> tuple[LogLine, ...]:
-    latest = {
-        (line.node, line.kind, line.subject): line
-        for line in near
-        if line.kind in BELIEFS
-    }
     # A version's subject is its digest: only the latest version counts.
     latest = {
         (line.node, line.kind, '' if line.version else line.subject): line
-        for line in latest.values()
+        for line in near
+        if line.kind in BELIEFS
     }
     return tuple(sorted(latest.values(), key=_read_time))
 
