Entries of another writer name no upstream; the start of a server is told

Cause: an entry was taken with any state, port, data centre or number of slots. A negative number kept the whole list from every node, a name in place of an address would have held up the task of calls, and an entry of a service nobody published could displace the server at its address. Ruled out: dropping the whole list (the others hold).

--- a/wagtaildale/membership/records.py
+++ b/wagtaildale/membership/records.py
@@ -48,6 +48,8 @@
         backend_port: where its backend server listens; 0 if not told.
         since: when it was first listed, on the platform's own count; 0 if
             not told.
+        born: Unix millisecond of its start; 0 if not told. An instance that
+            starts again may keep its id.
     """
 
     instance: InstanceId
@@ -64,6 +66,12 @@
     slots: Annotated[int, Meta(ge=0)] = 0
     backend_port: int = 0
     since: int = 0
+    born: int = 0
+
+    @property
+    def age_key(self) -> tuple[int, int]:
+        """Orders the instances of one address, the latest last."""
+        return self.born, self.since
 
     @property
     def node_id(self) -> InstanceId:
@@ -143,15 +151,15 @@
     Returns:
         The same, with one instance for each address.
     """
-    latest: dict[tuple[str, int], int] = {}
+    latest: dict[tuple[str, int], tuple[int, int]] = {}
     for record in records.values():
-        known = latest.get(record.backend_address, 0)
-        latest[record.backend_address] = max(known, record.since)
+        known = latest.get(record.backend_address, record.age_key)
+        latest[record.backend_address] = max(known, record.age_key)
     return {
         name: listed
         for name, listed in records.items()
         if not listed.backend_port
-        or latest[listed.backend_address] == listed.since
+        or latest[listed.backend_address] == listed.age_key
     }
 
 
--- a/wagtaildale/platform/instances.py
+++ b/wagtaildale/platform/instances.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from enum import Enum
+from ipaddress import IPv4Address
+from typing import TYPE_CHECKING, Annotated, Final, final
 
-from msgspec import Struct, field, json
+from msgspec import Meta, Struct, field, json
 
 from wagtaildale.membership.records import InstanceRecord
 from wagtaildale.platform.settings import split_address
@@ -17,9 +19,18 @@
 )
 
 if TYPE_CHECKING:
+    from wagtaildale.calls.addresses import Address
     from wagtaildale.settings.model import Settings
 
-DRAINING: Final = 'draining'
+PORTS: Final = range(1, 65536)
+
+
+@final
+class StatedState(Enum):
+    """What a backend server says of its state."""
+
+    ready = 'ready'
+    draining = 'draining'
 
 
 class Description(Struct, frozen=True, kw_only=True):
@@ -27,24 +38,33 @@
 
     Attributes:
         service: that it runs.
+        version: of its software.
         zone: the data centre it stands in.
         slots: requests that it runs at once.
     """
 
     service: str
+    version: str
     zone: str
-    slots: int
+    slots: Annotated[int, Meta(ge=1)]
 
 
-class Status(Struct, frozen=True, kw_only=True):
+class Status(Struct, frozen=True, kw_only=True, rename='camel'):
     """What changes of a backend server.
 
+    The last two are not used: what a cold server does to answers is
+    measured. They tell an entry of a backend server from that of another
+    writer.
+
     Attributes:
-        state: ``ready`` or ``draining``. How cold the server is stands
-            here too and is left out: what it does to answers is measured.
+        state: whether it takes new work.
+        sequence: counts its writes.
+        cold_left_ms: how much longer it is slow after its start.
     """
 
-    state: str
+    state: StatedState
+    sequence: int
+    cold_left_ms: float
 
 
 class Entry(Struct, frozen=True, kw_only=True):
@@ -54,11 +74,13 @@
         address: where it listens; its host is also that of the node.
         description: what stays the same; the platform calls it info.
         status: what changes.
+        born: Unix millisecond of its start; 0 if it does not say.
     """
 
     address: str
     description: Description = field(name='info')
     status: Status
+    born: int = 0
 
 
 _decoder = json.Decoder(Entry)
@@ -86,17 +108,18 @@
 
     Raises:
         MsgspecError: when the value is no such entry.
-        ValueError: when its address has no port.
+        ValueError: when it names no id, address or data centre to use.
     """
     entry = _decoder.decode(payload)
-    address = split_address(entry.address)
-    leaving = entry.status.state == DRAINING
+    address = _check_address(entry.address)
+    _check_names(instance, entry.description.zone, regions)
+    leaving = entry.status.state is StatedState.draining
     return InstanceRecord(
         instance=InstanceId(instance),
         node=InstanceId(address.host),
         service=ServiceName(entry.description.service),
         data_centre=DataCentre(entry.description.zone),
-        region=Region(regions.get(entry.description.zone, '')),
+        region=Region(regions[entry.description.zone]),
         host=address.host,
         entry_port=settings.entry_port,
         owner_port=settings.owner_port,
@@ -106,4 +129,23 @@
         slots=entry.description.slots,
         state=ListedState.leaving if leaving else ListedState.live,
         since=created,
+        born=entry.born,
     )
+
+
+def _check_address(text: str) -> Address:
+    # Failure: another writer's entry has a name for an address, and the task
+    # that carries all calls stands still while it is looked up.
+    address = split_address(text)
+    IPv4Address(address.host)
+    if address.port not in PORTS:
+        raise ValueError(f'got port {address.port}, expected 1 to 65535')
+    return address
+
+
+def _check_names(instance: str, zone: str, regions: dict[str, str]) -> None:
+    # The id goes into a header of every request to the backend server.
+    if not instance.isascii() or not instance.isprintable() or not instance:
+        raise ValueError(f'got id {instance!r}, expected printable text')
+    if zone not in regions:
+        raise ValueError(f'got data centre {zone!r}, expected a known one')
--- a/wagtaildale/platform/tests/builders.py
+++ b/wagtaildale/platform/tests/builders.py
@@ -62,6 +62,9 @@
     address: str = '10.1.0.8:8145',
     service: str = 'gopu72b',
     state: str = 'ready',
+    zone: str = 'derby',
+    slots: Any = 9,
+    **others: Any,
 ) -> dict[str, Any]:
     """Build the entry of a backend server.
 
@@ -69,6 +72,9 @@
         address: where it listens.
         service: that it runs.
         state: ``ready`` or ``draining``.
+        zone: the data centre it stands in.
+        slots: requests that it runs at once.
+        others: further fields, in place of the usual ones.
 
     Returns:
         The entry's value, not yet encoded.
@@ -78,10 +84,12 @@
         'info': {
             'service': service,
             'version': 'v1',
-            'zone': 'derby',
-            'slots': 9,
+            'zone': zone,
+            'slots': slots,
         },
         'status': {'state': state, 'sequence': 7, 'coldLeftMs': 0},
+        'born': 1_790_000_000_000,
+        **others,
     }
 
 
--- a/wagtaildale/platform/tests/test_store.py
+++ b/wagtaildale/platform/tests/test_store.py
@@ -136,11 +136,24 @@
         build_item(SECOND, {'address': 'nowhere'}),
         build_item(SECOND, build_entry(address='no port')),
         build_item(SECOND, 7),
+        build_item(SECOND, build_entry(address='db.example:8145')),
+        build_item(SECOND, build_entry(address='10.1.0.9:99999')),
+        build_item(SECOND, build_entry(state='asleep')),
+        build_item(SECOND, build_entry(zone='atlantis')),
+        build_item(SECOND, build_entry(slots=-1)),
+        build_item(SECOND, build_entry(slots='9')),
+        build_item(SECOND, build_entry(born='yesterday')),
+        build_item(SECOND, build_entry(born=1.5)),
+        build_item(SECOND, build_entry(status={'state': 'ready'})),
+        build_item('servers/', build_entry()),
+        build_item('servers/i-2\r\nhost: x', build_entry()),
     ],
 )
 def test_entry_that_cannot_be_read(flawed: dict[str, Any]) -> None:
-    """One server writes a bad entry, and no node learns of any server.
+    """An entry of another writer stands among those of the servers.
 
+    Taken as it is, it costs every node the whole list, sends requests to
+    nowhere, or stops the task that carries calls while it looks up a name.
     The others are taken without it, and it is told once.
     """
     feed, _reader = build_feed(
--- a/wagtaildale/routing/tests/test_view.py
+++ b/wagtaildale/routing/tests/test_view.py
@@ -6,8 +6,12 @@
 
 from wagtaildale.membership.records import InstanceRecord
 from wagtaildale.routing.view import ViewHolder
-from wagtaildale.testing.builders import build_instances, build_record
-from wagtaildale.types import InstanceId
+from wagtaildale.testing.builders import (
+    build_configuration,
+    build_instances,
+    build_record,
+)
+from wagtaildale.types import InstanceId, ServiceName
 
 HOST = '10.1.0.8'
 
@@ -46,3 +50,34 @@
     first = build_at('first', port=0, since=0)
     second = build_at('second', port=0, since=0)
     assert list_known(first, second) == {'first', 'second'}
+
+
+def test_later_start_counts_before_the_later_entry() -> None:
+    """Two servers say that they have one address; one of them is gone."""
+    dead = structs.replace(build_at('dead', port=8145, since=40), born=100)
+    started = structs.replace(build_at('alive', port=8145, since=3), born=900)
+    assert list_known(dead, started) == {'alive'}
+
+
+def test_service_that_nobody_published_displaces_no_server() -> None:
+    """A server vanishes though it runs, and its service is refused.
+
+    Another writer has put an entry beside it with the server's address and
+    a service of its own making; the later entry was taken for the server.
+    """
+    view = ViewHolder()
+    view.take_configuration(build_configuration())
+    foreign = structs.replace(
+        build_at('foreign', port=8145, since=40),
+        service=ServiceName('nobodys'),
+    )
+    listed = build_instances(build_at('a', port=8145, since=3), foreign)
+    view.take_instances(listed)
+    assert set(view.current.records) == {'a'}
+
+
+def test_service_published_after_its_servers_are_listed() -> None:
+    view = ViewHolder()
+    view.take_instances(build_instances(build_at('a', port=8145, since=3)))
+    view.take_configuration(build_configuration())
+    assert set(view.current.records) == {'a'}
--- a/wagtaildale/routing/view.py
+++ b/wagtaildale/routing/view.py
@@ -109,6 +109,7 @@
             limits=configuration.limits,
             table=RoutingTable(configuration),
         )
+        self._swap_records(self.current.list_index)
 
     def take_instances(self, document: Document) -> None:
         """Swap in a later instance list.
@@ -136,8 +137,22 @@
         """
         self.current = structs.replace(self.current, away=away)
 
+    def _list_known(self) -> dict[InstanceId, InstanceRecord]:
+        # Failure: another writer's entry names an address that a server has
+        # and a service that nobody published, and as the later one there it
+        # takes the server's place. No route leads to such a service.
+        records = {**self._lapsed, **self._listed}
+        parts = self.current.parts
+        if not parts:
+            return records
+        return {
+            name: record
+            for name, record in records.items()
+            if record.service in parts
+        }
+
     def _swap_records(self, index: Version) -> None:
-        records = leave_out_replaced({**self._lapsed, **self._listed})
+        records = leave_out_replaced(self._list_known())
         upstreams: dict[ServiceName, tuple[InstanceRecord, ...]] = {}
         for record in records.values():
             known = upstreams.get(record.service, ())
