--- a/wagtaildale/admission/decisions.py
+++ b/wagtaildale/admission/decisions.py
@@ -187,6 +187,7 @@
         return [Refused(ticket=message.ticket, code=code)]
     waiting = _make_waiting(state, message, now)
     ahead = _count_ahead(state, waiting, now)
+    state.note_target(message.within_ms / MILLISECONDS)
     if state.has_room_for(waiting, now) and not ahead:
         return [_admit(state, waiting, now)]
     return _enqueue(state, waiting, patient=message.patient, now=now)
@@ -198,7 +199,8 @@
     now: float,
 ) -> Waiting:
     seconds = state.find_seconds(message.work_class)
-    due = now + message.within_ms / MILLISECONDS
+    within = message.within_ms / MILLISECONDS
+    due = now + within
     latest = due - seconds
     if message.patient:
         held = HELD_SHARE * (message.deadline - now)
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -12,6 +12,10 @@
 QUEUE_PER_SLOT: Final = 16
 HEADROOM_SHARE: Final = 4
 URGENT_TIMES: Final = 5
+# Of a target: what a request takes while no time is known. Users set their
+# targets at 2.5 to 5 times the usual time of an answer.
+UNKNOWN_SHARE: Final = 0.3
+GUESS_GAIN: Final = 0.1
 
 
 class Waiting(Struct, order=True, gc=False):
@@ -56,6 +60,8 @@
         leases: slots that are held for a run message, until when.
         service_seconds: smoothed time of a request at the backend server.
         usual_seconds: the same over a long time; 0 before the first.
+        guessed_seconds: what it may be, while there was no answer; 0 before
+            the first request.
         class_seconds: smoothed time by class.
         adaptive: whether the limit follows what is observed.
         shrunk_at: when the limit was lowered last, seconds.
@@ -69,11 +75,17 @@
     leases: dict[TicketId, float] = field(default_factory=dict)
     service_seconds: float = FIRST_SECONDS
     usual_seconds: float = 0
+    guessed_seconds: float = 0
     class_seconds: dict[str, float] = field(default_factory=dict)
     adaptive: bool = True
     shrunk_at: float = 0
     draining: bool = False
 
+    @property
+    def slot_seconds(self) -> float:
+        """How long a request of any class holds a slot; 0 before the first."""
+        return self.service_seconds if self.usual_seconds else 0
+
     @property
     def room(self) -> int:
         """How many more requests may run now."""
@@ -119,6 +131,20 @@
         """
         return self.class_seconds.get(work_class, self.service_seconds)
 
+    def note_target(self, within: float) -> None:
+        """Guess from a request's target how long requests take here.
+
+        Failure guarded here: a process that has just started knows no
+        times. It took every request for a matter of milliseconds, queued
+        for seconds what it could have refused, and answered all of it late.
+
+        Args:
+            within: seconds that are left of the class's target.
+        """
+        guess = max(FIRST_SECONDS, within * UNKNOWN_SHARE)
+        known = self.guessed_seconds or guess
+        self.guessed_seconds = known + (guess - known) * GUESS_GAIN
+
     def estimate_wait(self, ahead: int) -> float:
         """Estimate how long a request waits for a slot.
 
@@ -129,7 +155,8 @@
             Seconds.
         """
         turns = (ahead + 1 - self.room) / max(1, int(self.limit))
-        return max(0, turns) * self.service_seconds
+        seconds = self.slot_seconds or self.guessed_seconds
+        return max(0, turns) * (seconds or self.service_seconds)
 
 
 def make_admission(slots: int) -> AdmissionState:
--- a/wagtaildale/calls/entry.py
+++ b/wagtaildale/calls/entry.py
@@ -52,8 +52,10 @@
         call.start()
 
     def look(self) -> None:
-        """Keep connections and budgets in step with the view; again soon."""
+        """Keep connections, notes and budgets in step with the view."""
         parts = self.parts
+        for record in parts.view.current.list_records():
+            parts.book.note_start(record.instance, born=record.born)
         parts.peers.keep_only(
             {
                 Address(record.host, record.owner_port): self.targets.is_far(
--- a/wagtaildale/calls/fields.py
+++ b/wagtaildale/calls/fields.py
@@ -84,6 +84,8 @@
         backend_us: microseconds spent at the backend server.
         lease: the slot that is held, in the answer to a reservation.
         retry_ms: after which asking again is worth it, in a refusal.
+        slot_us: microseconds that a request of any class holds a slot of
+            the backend server; 0 before the first.
     """
 
     request_id: RequestId
@@ -99,3 +101,4 @@
     backend_us: int = 0
     lease: TicketId = NO_LEASE
     retry_ms: int = 0
+    slot_us: int = 0
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -152,6 +152,7 @@
             owner_us=round(owner_seconds * MICROSECONDS),
             backend_us=round(backend_seconds * MICROSECONDS),
             retry_ms=retry_ms,
+            slot_us=round(state.slot_seconds * MICROSECONDS),
         )
 
     def note_end(
--- a/wagtaildale/calls/routed.py
+++ b/wagtaildale/calls/routed.py
@@ -38,6 +38,10 @@
 LONGEST_ID: Final = 200
 LONGEST_NUMBER: Final = 9
 DEPTH_MOST: Final = 16
+# A node holds a configuration 0.1 to 0.2 s after its start. Failure: a
+# caller told to come back at once uses up its last try on a node that is
+# still starting.
+JOINING_SECONDS: Final = 0.2
 
 
 class EntryParts(Struct, frozen=True, kw_only=True):
@@ -127,7 +131,10 @@
     """
     view = parts.view.current
     if view.table is None:
-        raise CallFailed(Code.no_configuration)
+        raise CallFailed(
+            Code.no_configuration,
+            retry_after=JOINING_SECONDS,
+        )
     match = _find_match(view, message)
     service = match.choose_service()
     given_ms = _find_number(
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -35,6 +35,9 @@
 MICROSECONDS: Final = 1_000_000
 GRACE_SECONDS: Final = 0.02
 GRACE_SHARE: Final = 4
+# A service without a server gets one when the list changes; asking again in
+# some milliseconds only uses up the caller's tries.
+NO_UPSTREAM_SECONDS: Final = 0.25
 
 
 class Target(Struct, frozen=True, kw_only=True):
@@ -89,7 +92,11 @@
             record = self._choose(routed, candidates, attempts)
         if record is None:
             detail = f'service {routed.service}'
-            raise CallFailed(Code.no_upstream, detail=detail)
+            raise CallFailed(
+                Code.no_upstream,
+                detail=detail,
+                retry_after=NO_UPSTREAM_SECONDS,
+            )
         patient = (
             not attempts.refusals_left
             or record.instance in attempts.tried
--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -82,13 +82,10 @@
     if message.name is TimerName.digest:
         return swap_digests(state, now=now)
     taken = expire_suspects(state.members, now=now)
-    joining = state.members.state is NodeState.joining
     return [
         *tell_fleet(taken),
         *end_lapses(state, now=now),
-        *(ask_seeds(state, now=now) if joining else ()),
         *review_appointment(state, now=now),
-        *read_while_joining(state, now=now),
         *review_ready(state, now=now),
     ]
 
@@ -115,7 +112,10 @@
     *,
     now: float,
 ) -> list[messages.Effect]:
-    return resend_pushes(state, now=now)
+    return [
+        *resend_pushes(state, now=now),
+        *_look_while_joining(state, now=now),
+    ]
 
 
 @decide.register
@@ -237,6 +237,30 @@
     ]
 
 
+def _look_while_joining(
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    """Ask seeds and platform at the pace of a node that refuses callers.
+
+    Failure guarded here: a whole fleet loses power, and its nodes are up
+    for 0.6 s before the first of them reads the platform, at the pace at
+    which readers are looked after. Every caller is refused meanwhile. Nodes
+    of the first read are ready 0.1 to 0.2 s after their start.
+    """
+    joining = state.joining
+    if state.members.state is not NodeState.joining or now < joining.next_look:
+        return []
+    joining.next_look = now + state.tuning.join_look_seconds
+    return [
+        *ask_seeds(state, now=now),
+        *review_appointment(state, now=now),
+        *read_while_joining(state, now=now),
+        *review_ready(state, now=now),
+    ]
+
+
 def _measure_delay(
     state: DistributionState,
     envelope: Envelope,
--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -71,12 +71,14 @@
         peers: who answered.
         source: documents that the platform answered for.
         next_read: when the platform is asked (again), seconds.
+        next_look: when to ask and to look again, seconds.
     """
 
     started_at: float
     peers: set[InstanceId] = field(default_factory=set)
     source: set[Kind] = field(default_factory=set)
     next_read: float = NEVER
+    next_look: float = NEVER
 
 
 class DistributionState(Struct, kw_only=True):
--- a/wagtaildale/distribution/task.py
+++ b/wagtaildale/distribution/task.py
@@ -21,7 +21,7 @@
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.messages import WokeLate
 from wagtaildale.timers.service import LATE_SECONDS, read_clock
-from wagtaildale.types import InstanceId
+from wagtaildale.types import InstanceId, NodeState
 
 if TYPE_CHECKING:
     from wagtaildale.distribution.sockets import Arrival, NodeSockets
@@ -41,9 +41,12 @@
         now: seconds.
 
     Returns:
-        Seconds until a push is due again, a second at most.
+        Seconds until a push is due again or, while the node is joining, it
+        is to look again; a second at most.
     """
-    due = (push.due for push in state.pushes.values())
+    due = [push.due for push in state.pushes.values()]
+    if state.members.state is NodeState.joining:
+        due.append(state.joining.next_look)
     return min(LONGEST_WAIT, max(0, min(due, default=now + 1) - now))
 
 
--- a/wagtaildale/distribution/tuning.py
+++ b/wagtaildale/distribution/tuning.py
@@ -40,6 +40,7 @@
         step_seconds: more for each further rank.
         watch_seconds: how long the platform holds a watch open.
         look_seconds: between two looks at who is to watch.
+        join_look_seconds: between two looks of a node that is joining.
         first_read_seconds: over which new nodes spread their first reads.
         backoff_seconds: longest delay after one failed read.
         gather_seconds: how long a reader that was told of a change waits
@@ -62,6 +63,7 @@
     step_seconds: float = 1.0
     watch_seconds: float = 1.5
     look_seconds: float = 1.0
+    join_look_seconds: float = 0.05
     first_read_seconds: float = 3.0
     backoff_seconds: float = 0.5
     gather_seconds: float = 0
@@ -84,8 +86,10 @@
 # Changes come in rows: a release, or versions five times a second. One call
 # then brings several of them.
 GATHER_SHARE: Final = 0.2
-# A seed that lives answers within two look intervals; a store call is saved.
-ASK_PEERS_SHARE: Final = 0.15
+# A seed that lives answers within some milliseconds, and a store call is
+# saved. When a whole fleet starts at once no seed knows anything, and each
+# further tenth of a second is one in which every caller is refused.
+ASK_PEERS_SHARE: Final = 0.05
 # Writes that an instance misses before its entry lapses: the operators'.
 BEATS_TO_LAPSE: Final = 3
 HEARTBEAT_SECONDS: Final = 1.5
--- a/wagtaildale/routing/book.py
+++ b/wagtaildale/routing/book.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING, Final
 
+from msgspec import Struct
+
+from wagtaildale.admission.state import UNKNOWN_SHARE
 from wagtaildale.calls.fields import ANY_INCARNATION
 from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
@@ -14,6 +18,7 @@
     from wagtaildale.routing.choice import Need
     from wagtaildale.types import InstanceId
 
+MICROSECONDS: Final = 1_000_000
 FIRST_LIMIT: Final = 10
 WARM_SECONDS: Final = 10.0
 COLD_LOAD: Final = 0.5
@@ -136,6 +141,8 @@
         in_flight: requests at its backend server, as last answered.
         limit: how many may be.
         queued: requests that wait there.
+        slot_seconds: that a request of any class holds a slot there, as
+            last answered; 0 while it is not known.
         known_since: when this entry first heard of this incarnation.
         heard_at: when it last said how full it is, seconds.
         slowness: its time for an answer, as a multiple of what is usual for
@@ -153,6 +160,7 @@
         'limit',
         'pending',
         'queued',
+        'slot_seconds',
         'slowness',
         'timed_at',
     )
@@ -170,6 +178,7 @@
         self.in_flight = 0
         self.limit = FIRST_LIMIT
         self.queued = 0
+        self.slot_seconds = float(0)
         self.known_since = read_clock()
         self.heard_at = self.known_since
         self.slowness = COLD_SLOWNESS
@@ -197,6 +206,8 @@
             self.incarnation = fields.incarnation
             self.known_since = read_clock()
         self._note_load(fields.in_flight, fields.limit, fields.queued)
+        if fields.slot_us:
+            self.slot_seconds = fields.slot_us / MICROSECONDS
         if fields.code is Code.draining:
             self.ejection.note_leaving(read_clock())
         if fields.code in NO_PRAISE:
@@ -249,6 +260,11 @@
         faster. The upstream then counts as having just room, so that it is
         asked again.
 
+        Failure guarded here: a short call waits behind long requests, its
+        wait is taken for that of as many short ones, and it stays with a
+        full server while another one is idle. What is ahead holds its slots
+        for as long as requests of any class do.
+
         Args:
             usual: seconds of a request here.
 
@@ -258,7 +274,8 @@
         ahead = float(self.pending)
         if self.age < STALE_SECONDS:
             ahead = max(ahead, self.in_flight + self.queued)
-        return max(0, ahead + 1 - self.limit) * usual / self.limit
+        slot_seconds = self.slot_seconds or usual
+        return max(0, ahead + 1 - self.limit) * slot_seconds / self.limit
 
     def measure_load(self) -> float:
         """Measure how full the upstream is.
@@ -282,6 +299,18 @@
         self.heard_at = read_clock()
 
 
+class Estimate(Struct, frozen=True, kw_only=True, gc=False):
+    """What a request may expect of an upstream.
+
+    Attributes:
+        wait: seconds until it has a slot.
+        run: seconds that it then takes.
+    """
+
+    wait: float
+    run: float
+
+
 class UpstreamBook:
     """Notes on all upstreams."""
 
@@ -289,6 +318,7 @@
         """Begin with none."""
         self._notes: dict[InstanceId, UpstreamNotes] = {}
         self._usual: dict[str, float] = {}
+        self._born: dict[InstanceId, int] = {}
 
     def note_time(
         self,
@@ -319,20 +349,40 @@
         """
         return self._usual.get(work_class, 0)
 
-    def estimate_seconds(self, instance: InstanceId, need: Need) -> float:
-        """Estimate the time until an upstream would answer.
+    def estimate(self, instance: InstanceId, need: Need) -> Estimate:
+        """Estimate when an upstream would answer.
 
         Args:
             instance: which one.
             need: of the request.
 
         Returns:
-            Seconds, waiting included.
+            How long the request would wait there, and run.
         """
         notes = self.find(instance)
         usual = self.find_usual_seconds(need.work_class)
+        if not usual and need.slack_seconds < inf:
+            # Failure: an entry that has just started takes every upstream
+            # for one that answers at once, and sends all to the same few.
+            usual = max(0, need.slack_seconds) * UNKNOWN_SHARE
         usual *= notes.find_slowness()
-        return notes.estimate_wait(usual) + usual
+        return Estimate(wait=notes.estimate_wait(usual), run=usual)
+
+    def note_start(self, instance: InstanceId, *, born: int) -> None:
+        """Note when an upstream started, as listed.
+
+        Failure guarded here: a server crashes and starts again under its
+        id, cold and with nothing to do. It would be judged by what was
+        known of it before: left out as failing, or taken for fast.
+
+        Args:
+            instance: which one.
+            born: Unix millisecond of its start; 0 if not told.
+        """
+        known = self._born.get(instance, born)
+        self._born[instance] = born
+        if known != born:
+            self._notes[instance] = UpstreamNotes(instance)
 
     def find(self, instance: InstanceId) -> UpstreamNotes:
         """Find the notes on an upstream.
--- a/wagtaildale/routing/expected_time.py
+++ b/wagtaildale/routing/expected_time.py
@@ -3,8 +3,9 @@
 Load pattern answered: data centres with fewer servers than their callers
 need, servers of one service that differ in speed, and bytes between data
 centres that cost more than a short wait. A request stays in its own data
-centre as long as its target can be kept there, and goes elsewhere only where
-its target can be kept, or, if nowhere, where it can be answered at all.
+centre as long as it need not wait there for long. Where it would, the queue
+there only grows while servers elsewhere have room: it goes where it is
+answered first, with a handicap for the way and its bytes.
 """
 
 from __future__ import annotations
@@ -12,18 +13,42 @@
 import random
 from typing import TYPE_CHECKING, Final
 
+from msgspec import Struct
+
+from wagtaildale.membership.records import InstanceRecord
 from wagtaildale.routing.choice import Chooser, Need
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.routing.book import UpstreamBook
 
 # Of the usual time of an answer: what one that takes longer than usual may
 # need. With times spread as those of the users' services (a third of the
 # mean), nine in ten answers are inside it.
 SAFETY: Final = 1.5
+# Of the time that is left of the target: a wait up to this is a short one.
+SHORT_WAIT_SHARE: Final = 0.1
+# Of the same: how much sooner another data centre must answer.
+FAR_SHARE: Final = 0.1
+
+
+class Option(Struct, frozen=True, kw_only=True, gc=False):
+    """An upstream that may take a request.
+
+    Attributes:
+        record: the upstream.
+        is_near: whether it is in the entry's data centre.
+        wait: seconds until the request would have a slot.
+        total: seconds until it would be answered, with a margin.
+        cost: the same with the handicap of another data centre.
+    """
+
+    record: InstanceRecord
+    is_near: bool
+    wait: float
+    total: float
+    cost: float
 
 
 class ExpectedTime(Chooser):
@@ -47,29 +72,41 @@
             The one that takes the attempt; nothing if the near ones were
             full, no other can answer in time, and the request may wait.
         """
-        margin = (SAFETY - 1) * book.find_usual_seconds(need.work_class)
         # Of several alike each entry is to take another one.
-        ranked = [
-            (book.estimate_seconds(record.instance, need) + margin, record)
+        options = [
+            _weigh(record, book, need)
             for record in random.sample(candidates, len(candidates))
         ]
-        best = min(ranked, key=_read_seconds)
-        near = [each for each in ranked if _is_near(each, need)]
+        best = min(options, key=_read_cost)
+        near = [option for option in options if option.is_near]
         if not near:
-            in_time = best[0] <= need.slack_seconds
-            return best[1] if in_time or not need.may_wait else None
-        nearest = min(near, key=_read_seconds)
-        for seconds in (need.slack_seconds, need.rest_seconds):
-            if nearest[0] <= seconds:
-                return nearest[1]
-            if best[0] <= seconds:
-                return best[1]
-        return nearest[1]
-
-
-def _read_seconds(ranked: tuple[float, InstanceRecord]) -> float:
-    return ranked[0]
-
-
-def _is_near(ranked: tuple[float, InstanceRecord], need: Need) -> bool:
-    return ranked[1].data_centre == need.data_centre
+            in_time = best.total <= need.slack_seconds
+            return best.record if in_time or not need.may_wait else None
+        nearest = min(near, key=_read_cost)
+        short = nearest.wait <= SHORT_WAIT_SHARE * need.slack_seconds
+        if short and nearest.total <= need.slack_seconds:
+            return nearest.record
+        return best.record
+
+
+def _weigh(
+    record: InstanceRecord,
+    book: UpstreamBook,
+    need: Need,
+) -> Option:
+    estimate = book.estimate(record.instance, need)
+    margin = (SAFETY - 1) * book.find_usual_seconds(need.work_class)
+    total = estimate.wait + estimate.run + margin
+    is_near = record.data_centre == need.data_centre
+    handicap = 0 if is_near else FAR_SHARE * max(0, need.slack_seconds)
+    return Option(
+        record=record,
+        is_near=is_near,
+        wait=estimate.wait,
+        total=total,
+        cost=total + handicap,
+    )
+
+
+def _read_cost(option: Option) -> float:
+    return option.cost
--- a/wagtaildale/routing/tests/test_book.py
+++ b/wagtaildale/routing/tests/test_book.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from msgspec import structs
 
 from wagtaildale.calls.fields import AnswerFields
 from wagtaildale.errors.codes import Code
@@ -171,3 +172,47 @@
             used[record.instance] = used.get(record.instance, 0) + 1
     assert len(used) == 100
     assert max(used.values()) < 3 * 200 * SUBSET_SIZE / 100
+
+
+def test_server_that_starts_again_under_its_id_is_judged_anew() -> None:
+    """A crashed server is back, and no entry sends it anything.
+
+    It has the id that it had, so what was seen of it before its crash (three
+    failures in a row) is held against it.
+    """
+    book = UpstreamBook()
+    name = InstanceId('a')
+    book.note_start(name, born=100)
+    for _failure in range(3):
+        book.find(name).ejection.note_failure(0)
+    book.note_start(name, born=100)
+    assert book.find(name).ejection.is_out(0.5)
+    book.note_start(name, born=200)
+    assert not book.find(name).ejection.is_out(0.5)
+
+
+def test_short_call_does_not_queue_behind_long_requests() -> None:
+    """Short calls pile up at the near server while others have room.
+
+    Nine long requests hold its slots; the wait for them was taken to be as
+    short as the calls themselves.
+    """
+    book = UpstreamBook()
+    near, far = build_record('a'), build_record('b', data_centre='coventry')
+    for _call in range(3):
+        for record in (near, far):
+            book.note_time(record.instance, work_class='check', seconds=0.02)
+    full = structs.replace(build_answer(in_flight=18), slot_us=100_000)
+    book.find(near.instance).note_answer(full)
+    book.find(far.instance).note_answer(build_answer())
+    chosen = make_chooser(ChoiceName.expected_time).choose(
+        (near, far),
+        book=book,
+        need=Need(
+            data_centre=near.data_centre,
+            work_class='check',
+            slack_seconds=0.1,
+            rest_seconds=0.25,
+        ),
+    )
+    assert chosen == far
