--- a/wagtaildale/distribution/tests/test_decisions.py
+++ b/wagtaildale/distribution/tests/test_decisions.py
@@ -5,6 +5,7 @@
 import pytest
 
 from wagtaildale.distribution import messages
+from wagtaildale.distribution.task import find_wait
 from wagtaildale.distribution.tuning import Tuning, make_tuning
 from wagtaildale.distribution.wire import Push, Swap
 from wagtaildale.document.model import Document, make_delta, make_document
@@ -538,3 +539,30 @@
         network.pass_round(seconds=LOOK_SECONDS)
     states = {node.state.members.state for node in network.nodes.values()}
     assert states == {NodeState.ready}
+
+
+def test_fleet_that_starts_at_once_is_ready_in_a_quarter_second() -> None:
+    """After a loss of power every caller is refused for over half a second.
+
+    All processes are up, but each looks after joining at the slow pace at
+    which readers are looked after, and asks empty seeds first. Now it looks
+    every 50 ms, and turns to the store after 0.1 s.
+    """
+    network = build_network(tuning=make_tuning(apply_seconds=2.0))
+    for name in tuple(network.nodes):
+        network.restart(name)
+    network.pass_round(seconds=0)
+    for _look in range(5):
+        network.pass_round(seconds=0.05)
+    states = {node.state.members.state for node in network.nodes.values()}
+    assert states == {NodeState.ready}
+
+
+def test_joining_node_wakes_by_itself() -> None:
+    """A node that is up sends its first question at the next slow tick."""
+    network = build_network(tuning=make_tuning(apply_seconds=2.0))
+    network.restart(B)
+    state = network.nodes[B].state
+    assert find_wait(state, now=network.now) == 0
+    network.tell(B, messages.Wake())
+    assert find_wait(state, now=network.now) <= 0.05
