--- a/wagtaildale/admission/tests/test_decisions.py
+++ b/wagtaildale/admission/tests/test_decisions.py
@@ -121,3 +121,20 @@
     verdicts = arrive(state, 1, within_ms=LOOKUP_MS, seconds=-1)
     assert isinstance(verdicts[0], Refused)
     assert verdicts[0].code is Code.past_deadline
+
+
+def test_new_process_refuses_what_it_cannot_answer_in_time() -> None:
+    """Right after a restart every answer of a busy service is late.
+
+    The new process knew no times yet and took each request for one of some
+    milliseconds, so dozens were queued behind slots that take a tenth of a
+    second each. It goes by their targets until it has seen answers.
+    """
+    state = make_admission(SLOTS)
+    verdicts = [
+        arrive(state, number, within_ms=300, seconds=1, now=number / 1000)
+        for number in range(1, 25)
+    ]
+    flat = [verdict for each in verdicts for verdict in each]
+    refused = [each for each in flat if isinstance(each, Refused)]
+    assert len(refused) >= 5
