--- a/wagtaildale/calls/entry.py
+++ b/wagtaildale/calls/entry.py
@@ -54,8 +54,8 @@
     def look(self) -> None:
         """Keep connections, notes and budgets in step with the view."""
         parts = self.parts
-        for record in parts.view.current.list_records():
-            parts.book.note_start(record.instance, born=record.born)
+        for listed in parts.view.current.list_records():
+            parts.book.note_start(listed.instance, born=listed.born)
         parts.peers.keep_only(
             {
                 Address(record.host, record.owner_port): self.targets.is_far(
--- a/wagtaildale/platform/instances.py
+++ b/wagtaildale/platform/instances.py
@@ -4,11 +4,11 @@
 
 from enum import Enum
 from ipaddress import IPv4Address
-from typing import TYPE_CHECKING, Annotated, Final, final
+from typing import TYPE_CHECKING, Annotated, final
 
 from msgspec import Meta, Struct, field, json
 
-from wagtaildale.membership.records import InstanceRecord
+from wagtaildale.membership.records import LARGEST_PORT, InstanceRecord
 from wagtaildale.platform.settings import split_address
 from wagtaildale.types import (
     DataCentre,
@@ -22,8 +22,6 @@
     from wagtaildale.calls.addresses import Address
     from wagtaildale.settings.model import Settings
 
-PORTS: Final = range(1, 65536)
-
 
 @final
 class StatedState(Enum):
@@ -138,7 +136,7 @@
     # that carries all calls stands still while it is looked up.
     address = split_address(text)
     IPv4Address(address.host)
-    if address.port not in PORTS:
+    if not 1 <= address.port <= LARGEST_PORT:
         raise ValueError(f'got port {address.port}, expected 1 to 65535')
     return address
 
