Another data centre must answer sooner by 0.3 of the time left, not 0.1

Hypothesis: where a service is full everywhere, requests change data centres for a few milliseconds, and bytes between data centres buy nothing.

--- a/wagtaildale/routing/expected_time.py
+++ b/wagtaildale/routing/expected_time.py
@@ -29,8 +29,11 @@
 SAFETY: Final = 1.5
 # Of the time that is left of the target: a wait up to this is a short one.
 SHORT_WAIT_SHARE: Final = 0.1
-# Of the same: how much sooner another data centre must answer.
-FAR_SHARE: Final = 0.1
+# Of the same: how much sooner another data centre must answer. Where a
+# service is full everywhere, the queues differ by less than that, and bytes
+# between data centres are not spent on it; a slow or overloaded server beside
+# idle ones elsewhere differs by more.
+FAR_SHARE: Final = 0.3
 
 
 class Option(Struct, frozen=True, kw_only=True, gc=False):
