--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -15,6 +15,7 @@
 # Of a target: what a request takes while no time is known. Users set their
 # targets at 2.5 to 5 times the usual time of an answer.
 UNKNOWN_SHARE: Final = 0.3
+# Of a new target in the guess: ten requests make most of it.
 GUESS_GAIN: Final = 0.1
 
 
--- a/wagtaildale/configuration/compiled.py
+++ b/wagtaildale/configuration/compiled.py
@@ -29,6 +29,8 @@
 PARTS_FOLDER: Final = 'parts'
 LARGEST_PART: Final = 1_000_000
 DIGEST_SIZE: Final = 16
+# Parts and pieces whose decoded form is kept: two versions of 2,000 rules in
+# pieces, or of 2,000 services.
 DECODED_PARTS: Final = 4096
 
 PartDecoder = json.Decoder(Part)
--- /dev/null
+++ b/wagtaildale/distribution/tests/test_appointments.py
@@ -0,0 +1,82 @@
+"""Tests of who watches the platform."""
+
+from __future__ import annotations
+
+import pytest
+
+from wagtaildale.distribution.tests.networks import (
+    LOOK_SECONDS,
+    build_network,
+    read_version,
+)
+from wagtaildale.distribution.tuning import Tuning, make_tuning
+from wagtaildale.membership.state import find_topology
+from wagtaildale.testing.builders import build_configuration
+from wagtaildale.testing.network import FakeNetwork
+from wagtaildale.types import InstanceId
+
+
+A = InstanceId('a')
+
+
+def test_all_readers_killed_at_once() -> None:
+    """A change is published and nobody reads it.
+
+    Every reader dies at the moment of the change; the next ranks appoint
+    themselves when the news has grown stale, and step down again.
+    """
+    network = build_network(8, tuning=Tuning(readers=2, spare_readers=4))
+    readers = find_topology(network.nodes[A].state.members).readers[:2]
+    for reader in readers:
+        network.nodes[reader].running = False
+    network.source.show(build_configuration(2))
+    network.settle()
+    assert network.is_converged()
+    for reader in readers:
+        network.restart(reader)
+    for _second in range(60):
+        network.pass_round()
+    appointed = [name for name, node in network.nodes.items() if node.watching]
+    assert set(appointed) == set(readers)
+
+
+def build_slow_network(fast: InstanceId) -> FakeNetwork:
+    slow = make_tuning(apply_seconds=2.0, line_mbps=3.5)
+    network = build_network(tuning=slow)
+    network.nodes[fast].state.tuning = make_tuning(
+        apply_seconds=2.0,
+        line_mbps=70,
+    )
+    return network
+
+
+def list_readers(network: FakeNetwork) -> list[InstanceId]:
+    return [name for name, node in network.nodes.items() if node.watching]
+
+
+@pytest.mark.parametrize('fast', ['a', 'b', 'c', 'd'])
+def test_node_on_a_slow_line_leaves_reading_to_others(fast: str) -> None:
+    """Calls through a node wait for seconds while it reads the platform.
+
+    Its line carries 3.5 Mbit/s and each version of 1,500 routes is 400 KB
+    there. Another node of the data centre has twenty times that, and is the
+    only reader soon after the start, whatever its rank.
+    """
+    network = build_slow_network(InstanceId(fast))
+    for _look in range(30):
+        network.pass_round(seconds=LOOK_SECONDS)
+    assert list_readers(network) == [fast]
+
+
+def test_slow_lines_read_when_the_fast_one_is_gone() -> None:
+    """The one node on a fast line dies, and changes stay unread."""
+    network = build_slow_network(A)
+    for _look in range(30):
+        network.pass_round(seconds=LOOK_SECONDS)
+    network.nodes[A].running = False
+    network.source.show(build_configuration(2))
+    for _look in range(10):
+        network.pass_round(seconds=LOOK_SECONDS)
+    assert {
+        read_version(network.nodes[InstanceId(name)]) for name in 'bcd'
+    } == {2}
--- a/wagtaildale/distribution/tests/test_decisions.py
+++ b/wagtaildale/distribution/tests/test_decisions.py
@@ -5,10 +5,15 @@
 import pytest
 
 from wagtaildale.distribution import messages
-from wagtaildale.distribution.task import find_wait
-from wagtaildale.distribution.tuning import Tuning, make_tuning
+from wagtaildale.distribution.tests.networks import (
+    assert_held,
+    build_network,
+    offer,
+    read_version,
+)
+from wagtaildale.distribution.tuning import Tuning
 from wagtaildale.distribution.wire import Push, Swap
-from wagtaildale.document.model import Document, make_delta, make_document
+from wagtaildale.document.model import make_delta, make_document
 from wagtaildale.errors.codes import Code
 from wagtaildale.membership.state import find_topology
 from wagtaildale.testing.builders import (
@@ -17,47 +22,11 @@
     build_part,
 )
 from wagtaildale.testing.network import FakeNetwork, FakeNode
-from wagtaildale.types import Digest, InstanceId, Kind, NodeState, Version
+from wagtaildale.types import Digest, InstanceId, Kind, Version
 
-NAMES = tuple('abcdefgh')
-HOUR = 3600
-LOOK_SECONDS = 0.2
-LOOKS_TO_JOIN = 5
 A = InstanceId('a')
 B = InstanceId('b')
-
-
-def build_network(
-    count: int = 4,
-    *,
-    data_centres: tuple[str, ...] = ('derby',),
-    tuning: Tuning | None = None,
-) -> FakeNetwork:
-    network = FakeNetwork(
-        NAMES[:count],
-        data_centres=data_centres,
-        tuning=tuning,
-    )
-    network.source.show(build_configuration(1))
-    network.settle()
-    assert_held(network, 1)
-    return network
-
-
-def assert_held(network: FakeNetwork, version: int) -> None:
-    held = {name: read_version(node) for name, node in network.nodes.items()}
-    assert set(held.values()) == {version}, held
-
-
-def read_version(node: FakeNode) -> int:
-    return node.state.stores[Kind.configuration].held.version
-
-
-def offer(network: FakeNetwork, document: Document) -> None:
-    network.source.show(document)
-    for instance in network.nodes:
-        network.read_source(instance)
-    network.settle()
+HOUR = 3600
 
 
 def list_refusals(node: FakeNode) -> set[Code]:
@@ -231,67 +200,6 @@
     return [list(names[::2]), list(names[1::2])]
 
 
-def test_all_readers_killed_at_once() -> None:
-    """A change is published and nobody reads it.
-
-    Every reader dies at the moment of the change; the next ranks appoint
-    themselves when the news has grown stale, and step down again.
-    """
-    network = build_network(8, tuning=Tuning(readers=2, spare_readers=4))
-    readers = find_topology(network.nodes[A].state.members).readers[:2]
-    for reader in readers:
-        network.nodes[reader].running = False
-    network.source.show(build_configuration(2))
-    network.settle()
-    assert network.is_converged()
-    for reader in readers:
-        network.restart(reader)
-    for _second in range(60):
-        network.pass_round()
-    appointed = [name for name, node in network.nodes.items() if node.watching]
-    assert set(appointed) == set(readers)
-
-
-def test_source_down_does_not_keep_a_node_from_joining() -> None:
-    """A replaced instance serves nobody while the platform is down.
-
-    Its peers hold the version; it takes it from them and is ready.
-    """
-    network = build_network()
-    network.source.down = True
-    network.restart(B)
-    network.settle()
-    assert read_version(network.nodes[B]) == 1
-    assert network.nodes[B].state.members.state is NodeState.ready
-
-
-def test_stale_source_does_not_make_a_node_ready() -> None:
-    """A new node settles for yesterday's routes.
-
-    The platform shows an old version; the node asks its peers as well and
-    is ready with theirs.
-    """
-    network = build_network()
-    offer(network, build_configuration(4))
-    network.source.show(build_configuration(2, within_ms=100))
-    network.restart(B)
-    for _second in range(15):
-        network.pass_round()
-    assert read_version(network.nodes[B]) == 4
-    assert network.nodes[B].state.members.state is NodeState.ready
-
-
-def test_half_of_the_fleet_restarts() -> None:
-    """Half of all nodes are killed and come back in a storm of reads."""
-    network = build_network(8)
-    before = network.source.reads['blobs']
-    for name in NAMES[::2]:
-        network.restart(InstanceId(name))
-    network.settle()
-    assert_held(network, 1)
-    assert network.source.reads['blobs'] - before <= 3
-
-
 def test_paused_node_wakes_during_a_change() -> None:
     """A frozen process wakes and acts on an old view of the world.
 
@@ -509,102 +417,3 @@
     held = network.nodes[A].state.stores[Kind.configuration].held
     assert held.digest == third.digest
     assert network.nodes[A].seen[Kind.configuration] == [1, 3]
-
-
-def test_restarted_node_asks_seeds_while_the_store_is_down() -> None:
-    """A node beside a backend server is killed while the store is down.
-
-    It comes back with nothing, and on a platform whose reads are priced it
-    would ask the store alone. A seed that lives holds both documents.
-    """
-    network = build_network(tuning=make_tuning(apply_seconds=2.0))
-    network.source.down = True
-    network.restart(B)
-    for _look in range(LOOKS_TO_JOIN):
-        network.pass_round(seconds=LOOK_SECONDS)
-    assert read_version(network.nodes[B]) == 1
-    assert network.nodes[B].state.members.state is NodeState.ready
-
-
-def test_fleet_that_starts_at_once_does_not_wait_for_empty_seeds() -> None:
-    """The whole fleet is killed at one moment and comes back together.
-
-    Its seeds hold nothing either. Each node turns to the store by itself
-    and takes callers as soon as the store has answered.
-    """
-    network = build_network(tuning=make_tuning(apply_seconds=2.0))
-    for name in tuple(network.nodes):
-        network.restart(name)
-    for _look in range(LOOKS_TO_JOIN):
-        network.pass_round(seconds=LOOK_SECONDS)
-    states = {node.state.members.state for node in network.nodes.values()}
-    assert states == {NodeState.ready}
-
-
-def test_fleet_that_starts_at_once_is_ready_in_a_quarter_second() -> None:
-    """After a loss of power every caller is refused for over half a second.
-
-    All processes are up, but each looks after joining at the slow pace at
-    which readers are looked after, and asks empty seeds first. Now it looks
-    every 50 ms, and turns to the store after 0.1 s.
-    """
-    network = build_network(tuning=make_tuning(apply_seconds=2.0))
-    for name in tuple(network.nodes):
-        network.restart(name)
-    network.pass_round(seconds=0)
-    for _look in range(5):
-        network.pass_round(seconds=0.05)
-    states = {node.state.members.state for node in network.nodes.values()}
-    assert states == {NodeState.ready}
-
-
-def test_joining_node_wakes_by_itself() -> None:
-    """A node that is up sends its first question at the next slow tick."""
-    network = build_network(tuning=make_tuning(apply_seconds=2.0))
-    network.restart(B)
-    state = network.nodes[B].state
-    assert find_wait(state, now=network.now) == 0
-    network.tell(B, messages.Wake())
-    assert find_wait(state, now=network.now) <= 0.05
-
-
-def build_slow_network(fast: InstanceId) -> FakeNetwork:
-    slow = make_tuning(apply_seconds=2.0, line_mbps=3.5)
-    network = build_network(tuning=slow)
-    network.nodes[fast].state.tuning = make_tuning(
-        apply_seconds=2.0,
-        line_mbps=70,
-    )
-    return network
-
-
-def list_readers(network: FakeNetwork) -> list[InstanceId]:
-    return [name for name, node in network.nodes.items() if node.watching]
-
-
-@pytest.mark.parametrize('fast', ['a', 'b', 'c', 'd'])
-def test_node_on_a_slow_line_leaves_reading_to_others(fast: str) -> None:
-    """Calls through a node wait for seconds while it reads the platform.
-
-    Its line carries 3.5 Mbit/s and each version of 1,500 routes is 400 KB
-    there. Another node of the data centre has twenty times that, and is the
-    only reader soon after the start, whatever its rank.
-    """
-    network = build_slow_network(InstanceId(fast))
-    for _look in range(30):
-        network.pass_round(seconds=LOOK_SECONDS)
-    assert list_readers(network) == [fast]
-
-
-def test_slow_lines_read_when_the_fast_one_is_gone() -> None:
-    """The one node on a fast line dies, and changes stay unread."""
-    network = build_slow_network(A)
-    for _look in range(30):
-        network.pass_round(seconds=LOOK_SECONDS)
-    network.nodes[A].running = False
-    network.source.show(build_configuration(2))
-    for _look in range(10):
-        network.pass_round(seconds=LOOK_SECONDS)
-    assert {
-        read_version(network.nodes[InstanceId(name)]) for name in 'bcd'
-    } == {2}
--- a/wagtaildale/distribution/tuning.py
+++ b/wagtaildale/distribution/tuning.py
@@ -40,7 +40,8 @@
         step_seconds: more for each further rank.
         watch_seconds: how long the platform holds a watch open.
         look_seconds: between two looks at who is to watch.
-        join_look_seconds: between two looks of a node that is joining.
+        join_look_seconds: between two looks of a node that is joining; a
+            seed answers within some milliseconds.
         first_read_seconds: over which new nodes spread their first reads.
         backoff_seconds: longest delay after one failed read.
         gather_seconds: how long a reader that was told of a change waits
