--- a/wagtaildale/calls/tests/test_dialect.py
+++ b/wagtaildale/calls/tests/test_dialect.py
@@ -100,6 +100,28 @@
     assert ask(node).startswith(b'HTTP/1.1 200')
 
 
+def test_caller_of_a_starting_node_does_not_come_back_at_once(
+    node: MeshNode,
+) -> None:
+    """After a loss of power callers are refused twice within 20 ms.
+
+    The node would have been ready 0.2 s later; told 0.01 s, its callers had
+    used up their tries by then.
+    """
+    assert float(find_field(ask(node), b'retry-after')[0]) >= 0.1
+
+
+def test_caller_of_a_service_without_servers_does_not_come_back_at_once(
+    node: MeshNode,
+) -> None:
+    """All servers of a service are gone, and its callers ask in circles."""
+    node.publish(MESH_TEXT)
+    node.show()
+    answer = ask(node)
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert float(find_field(answer, b'retry-after')[0]) >= 0.1
+
+
 def test_caller_cannot_say_whose_request_it_is(
     node: MeshNode,
     backend: ScriptedBackend,
