A node that starts in an outage asks the platform ever less often

Change: repeated reads are spread over twice the time each, up to 0.8 s. The test fails on the code before (over 35 reads a node in ten seconds).

--- a/wagtaildale/distribution/readers.py
+++ b/wagtaildale/distribution/readers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from wagtaildale.distribution.appointments import find_rank, is_first
 from wagtaildale.distribution.lapses import note_return
@@ -22,6 +22,11 @@
     from wagtaildale.distribution.messages import Effect
     from wagtaildale.distribution.wire import Holding
 
+# Of the time over which reads that are repeated are spread: 0.8 s where the
+# first is spread over 0.1 s. Callers wait for the platform's return no longer
+# than that on top of it.
+DOUBLINGS_MOST: Final = 3
+
 
 def note_confirmed(
     state: DistributionState,
@@ -154,12 +159,19 @@
     if now < joining.next_read:
         return []
     first = joining.next_read < joining.started_at
-    spread = state.tuning.first_read_seconds
-    joining.next_read = now + random.uniform(0, spread)
+    joining.next_read = now + random.uniform(0, _find_spread(state))
     if first and state.seeds:
         return []
+    joining.reads += 1
     return [
         ReadSource(kind=kind)
         for kind, store in state.stores.items()
         if store.held.version == NO_VERSION
     ]
+
+
+def _find_spread(state: DistributionState) -> float:
+    # Failure: a whole fleet starts while the platform is down, and every
+    # node asks it ten times a second until it is back.
+    doublings = min(state.joining.reads, DOUBLINGS_MOST)
+    return state.tuning.first_read_seconds * (1 << doublings)
--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -71,6 +71,7 @@
         peers: who answered.
         source: documents that the platform answered for.
         next_read: when the platform is asked (again), seconds.
+        reads: how often the platform was asked.
         next_look: when to ask and to look again, seconds.
     """
 
@@ -78,6 +79,7 @@
     peers: set[InstanceId] = field(default_factory=set)
     source: set[Kind] = field(default_factory=set)
     next_read: float = NEVER
+    reads: int = 0
     next_look: float = NEVER
 
 
--- a/wagtaildale/distribution/tests/test_joining.py
+++ b/wagtaildale/distribution/tests/test_joining.py
@@ -14,7 +14,7 @@
 )
 from wagtaildale.distribution.tuning import make_tuning
 from wagtaildale.testing.builders import build_configuration
-from wagtaildale.types import InstanceId, NodeState
+from wagtaildale.types import InstanceId, Kind, NodeState
 
 B = InstanceId('b')
 LOOKS_TO_JOIN = 5
@@ -115,3 +115,25 @@
     assert find_wait(state, now=network.now) == 0
     network.tell(B, messages.Wake())
     assert find_wait(state, now=network.now) <= 0.05
+
+
+def test_fleet_that_starts_in_an_outage_does_not_storm_the_platform() -> None:
+    """All machines lose power while the platform is down as well.
+
+    For ten seconds every node asked it again as fast as it looked, ten times
+    a second and more, and each of these calls is paid for.
+    """
+    network = build_network(tuning=make_tuning(apply_seconds=2.0))
+    network.source.down = True
+    for name in tuple(network.nodes):
+        network.restart(name)
+    before = network.source.reads[Kind.configuration.name]
+    for _look in range(200):
+        network.pass_round(seconds=0.05)
+    asked = network.source.reads[Kind.configuration.name] - before
+    assert asked <= 35 * len(network.nodes)
+    network.source.down = False
+    for _look in range(20):
+        network.pass_round(seconds=0.05)
+    states = {node.state.members.state for node in network.nodes.values()}
+    assert states == {NodeState.ready}
