--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -248,7 +248,6 @@
                 data_centre=parts.data_centre,
                 work_class=_name_class(routed),
                 slack_seconds=routed.due - now,
-                rest_seconds=routed.deadline - now,
                 may_wait=bool(attempts.busy and attempts.refusals_left),
             ),
         )
--- a/wagtaildale/routing/choice.py
+++ b/wagtaildale/routing/choice.py
@@ -38,14 +38,12 @@
         data_centre: the entry's own.
         work_class: service and class.
         slack_seconds: until the target of the class is missed.
-        rest_seconds: until nobody waits for an answer any more.
         may_wait: whether it can wait at an upstream that was full.
     """
 
     data_centre: DataCentre
     work_class: str = ''
     slack_seconds: float = inf
-    rest_seconds: float = inf
     may_wait: bool = False
 
 
--- a/wagtaildale/routing/tests/test_book.py
+++ b/wagtaildale/routing/tests/test_book.py
@@ -212,7 +212,6 @@
             data_centre=near.data_centre,
             work_class='check',
             slack_seconds=0.1,
-            rest_seconds=0.25,
         ),
     )
     assert chosen == far
@@ -235,7 +234,6 @@
         data_centre=near.data_centre,
         work_class='check',
         slack_seconds=0.2,
-        rest_seconds=1.0,
     )
     assert chooser.choose((near, far), book=book, need=need) is not None
     refused = structs.replace(need, may_wait=True)
