--- a/wagtaildale/calls/attempts.py
+++ b/wagtaildale/calls/attempts.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from enum import Enum
+from typing import TYPE_CHECKING, Final, final
 
 from msgspec import Struct, field
 
@@ -42,6 +43,19 @@
 BY_OWNER: Final = STEERED | {Code.overloaded}
 
 
+@final
+class Obstacle(Enum):
+    """Why a call that failed is not tried again."""
+
+    none = ''
+    body_given = 'body-given'
+    past_deadline = 'past-deadline'
+    final_failure = 'final-failure'
+    may_have_run = 'may-have-run'
+    no_retries_left = 'no-retries-left'
+    budget_spent = 'budget-spent'
+
+
 class Attempts(Struct, kw_only=True):
     """The attempts of one call.
 
@@ -54,6 +68,7 @@
         refusals_left: upstreams that may yet refuse the call unrun.
         tried: the upstreams that attempts went to.
         busy: of these, those that refused for want of room.
+        obstacle: why the last failure was not retried.
     """
 
     idempotent: bool
@@ -63,6 +78,7 @@
     refusals_left: int = REFUSALS_MOST
     tried: list[InstanceId] = field(default_factory=list)
     busy: list[InstanceId] = field(default_factory=list)
+    obstacle: Obstacle = Obstacle.none
 
     def list_useless(self) -> frozenset[InstanceId]:
         """List the upstreams that need not be asked again.
@@ -92,14 +108,15 @@
         Returns:
             Whether another attempt may be made.
         """
-        if not replayable or now >= self.deadline:
-            return False
-        if not self.retries_left or failure.code not in RETRIED:
-            return False
-        # A non-idempotent request that may have run is never sent again.
-        if failure.outcome is not Outcome.not_run and not self.idempotent:
+        self.obstacle = self._find_obstacle(
+            failure,
+            now=now,
+            replayable=replayable,
+        )
+        if self.obstacle is not Obstacle.none:
             return False
         if _has_arrived(failure) and not self.budget.spend(now=now):
+            self.obstacle = Obstacle.budget_spent
             return False
         self.retries_left -= 1
         return True
@@ -137,6 +154,25 @@
         left = self.retries_left > 0
         return self.idempotent and left and at < self.deadline
 
+    def _find_obstacle(
+        self,
+        failure: CallFailed,
+        *,
+        now: float,
+        replayable: bool,
+    ) -> Obstacle:
+        ran = failure.outcome is not Outcome.not_run
+        checks = (
+            (not replayable, Obstacle.body_given),
+            (now >= self.deadline, Obstacle.past_deadline),
+            (failure.code not in RETRIED, Obstacle.final_failure),
+            # A non-idempotent request that may have run is never sent again.
+            (ran and not self.idempotent, Obstacle.may_have_run),
+            (not self.retries_left, Obstacle.no_retries_left),
+        )
+        stand = (obstacle for stands, obstacle in checks if stands)
+        return next(stand, Obstacle.none)
+
 
 def _has_arrived(failure: CallFailed) -> bool:
     # A backend server that got the request and turned it away has had the
--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -6,7 +6,7 @@
 
 from wagtaildale.calls.answers import describe_problem
 from wagtaildale.calls.attempt import Attempt, AttemptState, RequestParts
-from wagtaildale.calls.attempts import Attempts, conclude
+from wagtaildale.calls.attempts import Attempts, Obstacle, conclude
 from wagtaildale.calls.bodies import RequestBody
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.report import CallReport
@@ -344,7 +344,7 @@
             # the next upstream refuses it, and the caller hears "not run".
             failure.outcome = Outcome.unknown
         self._end()
-        self._report.note_failure(failure)
+        self._report.note_failure(failure, obstacle=self._find_obstacle())
         head, body = describe_problem(
             failure,
             extra=self._describe(),
@@ -357,6 +357,10 @@
             return ()
         return tuple(self._report.describe())
 
+    def _find_obstacle(self) -> Obstacle:
+        attempts = self._attempts
+        return Obstacle.none if attempts is None else attempts.obstacle
+
     def _drop(self, attempt: Attempt) -> None:
         self._running = [each for each in self._running if each is not attempt]
 
--- a/wagtaildale/calls/peers.py
+++ b/wagtaildale/calls/peers.py
@@ -24,6 +24,7 @@
 from wagtaildale.calls.sessions import CallTable
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.stream import open_stream
+from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import CallNumber, Outcome
 
@@ -34,6 +35,7 @@
     from wagtaildale.calls.frames import Frame, ToEntry, ToOwner
     from wagtaildale.calls.owner import Owner
     from wagtaildale.reactor.loop import Loop
+    from wagtaildale.telemetry.events import EventRecorder
 
 # A round trip within a region takes a few milliseconds, and a lost packet is
 # sent again after 200 ms at the least; twice that leaves room for one loss.
@@ -43,6 +45,10 @@
 # and given up after this time: two losses in a row, and still short of what
 # most requests are worth waiting for.
 SILENT_SECONDS: Final = 1.0
+MILLISECONDS: Final = 1000
+UNNEEDED: Final = 'no longer needed'
+STOPPING: Final = 'this node stops'
+WANTED_CLOSES: Final = frozenset((UNNEEDED, STOPPING))
 
 
 class PeerReceiver(Protocol):
@@ -165,7 +171,7 @@
         *,
         compressed: bool,
         on_load: Callable[[Load], None],
-        on_closed: Callable[[RemotePeer], None],
+        on_closed: Callable[[RemotePeer, str], None],
     ) -> None:
         """Begin to connect.
 
@@ -174,7 +180,7 @@
             address: of the owner.
             compressed: whether to compress what goes both ways.
             on_load: is told how full the owner is.
-            on_closed: is told when the connection is gone.
+            on_closed: is told when the connection is gone, and why.
         """
         self.address = address
         self.is_open = False
@@ -196,6 +202,16 @@
         """How many calls are under way."""
         return len(self._receivers)
 
+    @property
+    def silent_seconds(self) -> float:
+        """Time since anything was heard of the owner, or it was asked."""
+        return read_clock() - self._heard_at
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that the connection has yet to take."""
+        return self._stream.unsent
+
     def open(self, receiver: PeerReceiver) -> CallNumber:
         """Begin a call; see ``Peer``.
 
@@ -245,7 +261,7 @@
         self.is_closed = True
         self._alarm.cancel()
         self._stream.close()
-        self._on_closed(self)
+        self._on_closed(self, detail)
         receivers = tuple(self._receivers.values())
         self._receivers.clear()
         for receiver in receivers:
@@ -310,7 +326,7 @@
             return
         if not self._receivers:
             return
-        silent = read_clock() - self._heard_at
+        silent = self.silent_seconds
         if silent > SILENT_SECONDS:
             self.close('silent')
             return
@@ -327,15 +343,18 @@
         loop: Loop,
         *,
         on_load: Callable[[Load], None],
+        recorder: EventRecorder,
     ) -> None:
         """Begin with none.
 
         Args:
             loop: carries the connections.
             on_load: is told how full owners are.
+            recorder: gets an event for each connection that is lost.
         """
         self._loop = loop
         self._on_load = on_load
+        self._recorder = recorder
         self._peers: dict[Address, RemotePeer] = {}
 
     def find(self, address: Address, *, compressed: bool) -> RemotePeer:
@@ -371,13 +390,26 @@
             self.find(address, compressed=compressed)
         for address in self._peers.keys() - wanted.keys():
             if not self._peers[address].busy:
-                self._peers[address].close('no longer needed')
+                self._peers[address].close(UNNEEDED)
 
     def close(self) -> None:
         """Close every connection."""
         for peer in tuple(self._peers.values()):
-            peer.close('this node stops')
+            peer.close(STOPPING)
 
-    def _forget(self, peer: RemotePeer) -> None:
+    def _forget(self, peer: RemotePeer, detail: str) -> None:
         if self._peers.get(peer.address) is peer:
             self._peers.pop(peer.address)
+        if detail in WANTED_CLOSES and not peer.busy:
+            return
+        self._recorder.record(
+            EventKind.connection_lost,
+            subject=f'{peer.address.host}:{peer.address.port}',
+            detail=detail,
+            inputs={
+                'was_open': int(peer.is_open),
+                'calls': peer.busy,
+                'silent_ms': round(peer.silent_seconds * MILLISECONDS),
+                'unsent_bytes': peer.unsent,
+            },
+        )
--- a/wagtaildale/calls/report.py
+++ b/wagtaildale/calls/report.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+from wagtaildale.calls.attempts import Obstacle
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
@@ -128,18 +129,24 @@
         """
         self._answer = answer
 
-    def note_failure(self, failure: CallFailed) -> None:
+    def note_failure(
+        self,
+        failure: CallFailed,
+        *,
+        obstacle: Obstacle = Obstacle.none,
+    ) -> None:
         """Note that the call failed, and count it.
 
         Args:
             failure: how.
+            obstacle: why no further attempt was made.
         """
         self._code = failure.code
         self._outcome = failure.outcome
         kind = EventKind.call_failed
         if failure.outcome is Outcome.not_run:
             kind = EventKind.call_refused
-        self._record(kind, failure)
+        self._record(kind, failure, obstacle)
         self._count()
 
     def close(self, *, status: int) -> None:
@@ -189,7 +196,12 @@
             (b'server-timing', timing.encode()),
         )
 
-    def _record(self, kind: EventKind, failure: CallFailed) -> None:
+    def _record(
+        self,
+        kind: EventKind,
+        failure: CallFailed,
+        obstacle: Obstacle = Obstacle.none,
+    ) -> None:
         self._recorder.record(
             kind,
             code=failure.code,
@@ -202,6 +214,7 @@
                 'upstreams': ' '.join(self._attempts),
                 'took_ms': self._measure(),
                 'retry_ms': round(failure.retry_after * MILLISECONDS),
+                'not_retried': obstacle.value,
             },
         )
 
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -243,7 +243,11 @@
             loop=self.loop,
             owner=self.owner,
             local=self.local,
-            peers=PeerPool(self.loop, on_load=self._note_load),
+            peers=PeerPool(
+                self.loop,
+                on_load=self._note_load,
+                recorder=around.recorder,
+            ),
             view=around.view,
             book=UpstreamBook(),
             tallies=around.tallies,
