A silent owner's calls under way are not given up: the connection is set aside

Silence counted from the oldest call, so that a lookup was given up 0.47 s after it came; without a repeat in the budget its caller heard 502 while its server ran it. Now further calls take a new connection; a reservation goes elsewhere as before; a call whose run message went out is asked elsewhere beside the silent one if its class, the budget and the list allow it, and waits otherwise. It is given up when its owner is known to be gone: the connection breaks, a newer one is refused, or a newer one has worked for a second and it has not. Ruled out: a longer time of silence alone (a full line stood still for 3.7 s, a dead owner would then be waited for as long); waiting without asking elsewhere (a lookup would lose its one chance while others stand idle). Not built: the answers of a connection that is silent for good are not fetched over the newer one.

--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -77,6 +77,14 @@
             frame: the piece.
         """
 
+    def on_attempt_silent(self, attempt: Attempt, failure: CallFailed) -> None:
+        """Learn that nothing is heard of an owner that was sent the request.
+
+        Args:
+            attempt: which; it goes on.
+            failure: that it has if it is given up now.
+        """
+
     def on_attempt_failed(self, attempt: Attempt, failure: CallFailed) -> None:
         """Learn that an attempt ends without a whole response.
 
@@ -126,6 +134,7 @@
         state: where it stands.
         started_at: seconds on the clock.
         was_run: whether the run message went out.
+        is_silent: whether nothing was heard of the owner for a while.
     """
 
     def __init__(
@@ -146,6 +155,7 @@
         self.state = AttemptState.running
         self.started_at = read_clock()
         self.was_run = False
+        self.is_silent = False
         self._call = call
         self._peer = peer
         self._number = peer.open(self)
@@ -278,6 +288,19 @@
         failure = CallFailed(Code.backend_cut, outcome=Outcome.unknown)
         self._fail(failure, cancelled=False)
 
+    def on_peer_silent(self, failure: CallFailed) -> None:
+        """Learn that nothing was heard for a while; see ``PeerReceiver``.
+
+        Args:
+            failure: that the attempt has if it is given up now.
+        """
+        if self.state is AttemptState.reserving:
+            failure.outcome = Outcome.not_run
+            self._fail(failure, cancelled=True)
+        elif self.state is AttemptState.running:
+            self.is_silent = True
+            self._call.on_attempt_silent(self, failure)
+
     def on_peer_lost(self, failure: CallFailed) -> None:
         """Learn that no further message comes; see ``PeerReceiver``.
 
--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -158,6 +158,24 @@
         self._exchange.add(frame.body, more=frame.more)
         self._pass_on(attempt, len(frame.body), more=frame.more)
 
+    def on_attempt_silent(self, attempt: Attempt, failure: CallFailed) -> None:
+        """Ask another upstream beside a silent one; see ``AttemptOwner``.
+
+        Where there is none, or no repeat is left, the call waits: a request
+        that its server may be working on is not given up for a silence.
+
+        Args:
+            attempt: which.
+            failure: that it has if it is given up now.
+        """
+        if self._is_over or self._running != [attempt]:
+            return
+        if not self._entry.targets.has_another(self.routed, self.attempts):
+            return
+        if self._may_retry(failure):
+            self._report.note_retry(failure)
+            self._try()
+
     def on_attempt_failed(self, attempt: Attempt, failure: CallFailed) -> None:
         """Go on after a failed attempt; see ``AttemptOwner``.
 
@@ -178,7 +196,7 @@
             self._end()
             self._report.note_failure(failure)
             self._exchange.cut()
-        elif not self._running:
+        elif all(other.is_silent for other in self._running):
             self._try_again(failure)
 
     # Steps
@@ -217,7 +235,7 @@
         try:
             attempt = self._make_attempt(spare=spare)
         except CallFailed as failure:
-            self._fail(failure)
+            self._fail_if_last(failure)
             return
         self._running.append(attempt)
         self._report.note_attempt(attempt.target)
@@ -238,12 +256,19 @@
         if attempts.may_ask_elsewhere(failure, now=now) and replayable:
             self._report.note_refusal(failure)
             self._try()
-        elif attempts.may_retry(failure, now=now, replayable=replayable):
+        elif self._may_retry(failure):
             self._report.note_retry(failure)
             self._try()
         else:
             failure.code = conclude(failure, idempotent=attempts.idempotent)
-            self._fail(failure)
+            self._fail_if_last(failure)
+
+    def _may_retry(self, failure: CallFailed) -> bool:
+        return self.attempts.may_retry(
+            failure,
+            now=read_clock(),
+            replayable=self.request.body.is_replayable,
+        )
 
     def _try_after_error(self, attempt: Attempt, frame: Answered) -> bool:
         """Try elsewhere after an answer that is an error of the server."""
@@ -256,11 +281,7 @@
             detail=f'status {frame.status}',
         )
         self._entry.targets.note_failure(attempt.target, failure)
-        if not self.attempts.may_retry(
-            failure,
-            now=read_clock(),
-            replayable=self.request.body.is_replayable,
-        ):
+        if not self._may_retry(failure):
             return False
         self._report.note_retry(failure)
         # Should nobody give a better one, the caller gets this answer.
@@ -333,6 +354,11 @@
         failure.code = conclude(failure, idempotent=self.attempts.idempotent)
         self._fail(failure)
 
+    def _fail_if_last(self, failure: CallFailed) -> None:
+        # An attempt that is under way, though silent, may yet answer.
+        if not self._running:
+            self._fail(failure)
+
     def _fail(self, failure: CallFailed) -> None:
         if self._is_over:
             return
--- /dev/null
+++ b/wagtaildale/calls/peer_pool.py
@@ -0,0 +1,139 @@
+"""The connections of an entry to the owners it calls."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from wagtaildale.calls.peers import SILENT, RemotePeer
+from wagtaildale.telemetry.events import EventKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wagtaildale.calls.addresses import Address
+    from wagtaildale.calls.frames import Load
+    from wagtaildale.reactor.loop import Loop
+    from wagtaildale.telemetry.events import EventRecorder
+
+MILLISECONDS: Final = 1000
+UNNEEDED: Final = 'no longer needed'
+STOPPING: Final = 'this node stops'
+WANTED_CLOSES: Final = frozenset((UNNEEDED, STOPPING, SILENT))
+
+
+class PeerPool:
+    """The connections of an entry to the owners it calls."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        *,
+        on_load: Callable[[Load], None],
+        recorder: EventRecorder,
+    ) -> None:
+        """Begin with none.
+
+        Args:
+            loop: carries the connections.
+            on_load: is told how full owners are.
+            recorder: gets an event for each connection that is lost.
+        """
+        self._loop = loop
+        self._on_load = on_load
+        self._recorder = recorder
+        self._peers: dict[Address, RemotePeer] = {}
+        self._silent: set[RemotePeer] = set()
+
+    def find(self, address: Address, *, compressed: bool) -> RemotePeer:
+        """Find the connection to an owner, a new one if there is none.
+
+        Args:
+            address: of the owner.
+            compressed: whether a new one is compressed.
+
+        Returns:
+            The connection, perhaps not open yet.
+        """
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = RemotePeer(
+                self._loop,
+                address,
+                compressed=compressed,
+                keeper=self,
+            )
+            self._peers[address] = peer
+            peer.replace(self._find_silent(address))
+        return peer
+
+    def keep_only(self, wanted: dict[Address, bool]) -> None:
+        """Open what will be needed and close what is idle and is not.
+
+        Args:
+            wanted: addresses of the owners that calls may go to, and
+                whether connections to them are compressed.
+        """
+        for address, compressed in wanted.items():
+            self.find(address, compressed=compressed)
+        for address in self._peers.keys() - wanted.keys():
+            if not self._peers[address].busy:
+                self._peers[address].close(UNNEEDED)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for peer in (*self._peers.values(), *self._silent):
+            peer.close(STOPPING)
+
+    def note_silent(self, peer: RemotePeer) -> None:
+        """Set a connection aside; see ``PeerKeeper``.
+
+        Args:
+            peer: on which nothing comes; its calls may wait on it.
+        """
+        self._record(EventKind.connection_silent, peer, detail='calls wait')
+        self._silent.add(peer)
+        self._leave_out(peer)
+        # Whether the owner is there is found out at once.
+        self.find(peer.address, compressed=peer.is_compressed)
+
+    def note_closed(self, peer: RemotePeer, detail: str) -> None:
+        """Forget a connection; see ``PeerKeeper``.
+
+        Args:
+            peer: that is closed.
+            detail: why.
+        """
+        self._silent.discard(peer)
+        self._leave_out(peer)
+        if peer.busy or detail not in WANTED_CLOSES:
+            self._record(EventKind.connection_lost, peer, detail=detail)
+
+    def note_load(self, load: Load) -> None:
+        """Pass on how full an owner is; see ``PeerKeeper``.
+
+        Args:
+            load: its word.
+        """
+        self._on_load(load)
+
+    def _find_silent(self, address: Address) -> tuple[RemotePeer, ...]:
+        return tuple(peer for peer in self._silent if peer.address == address)
+
+    def _leave_out(self, peer: RemotePeer) -> None:
+        if self._peers.get(peer.address) is peer:
+            self._peers.pop(peer.address)
+
+    def _record(
+        self, kind: EventKind, peer: RemotePeer, *, detail: str
+    ) -> None:
+        self._recorder.record(
+            kind,
+            subject=f'{peer.address.host}:{peer.address.port}',
+            detail=detail,
+            inputs={
+                'was_open': int(peer.is_open),
+                'calls': peer.busy,
+                'silent_ms': round(peer.silent_seconds * MILLISECONDS),
+                'unsent_bytes': peer.unsent,
+            },
+        )
--- a/wagtaildale/calls/peers.py
+++ b/wagtaildale/calls/peers.py
@@ -1,13 +1,15 @@
 """The entry's side of the connections between nodes.
 
 One connection to each owner carries all calls to it. It is opened before it
-is needed, asked whether it is alive while calls wait on it, and given up
-when nothing comes back: a line that went silent is then noticed once, and
-not by each call for itself.
+is needed and asked whether it is alive while calls wait on it. When nothing
+comes back it is set aside: further calls take a new connection, and those
+under way on it wait on, since an owner that is silent may still answer. They
+are given up when their owner is known to be gone.
 """
 
 from __future__ import annotations
 
+import errno
 from typing import TYPE_CHECKING, Final, Protocol
 
 from wagtaildale.calls.failures import CallFailed
@@ -24,31 +26,27 @@
 from wagtaildale.calls.sessions import CallTable
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.stream import open_stream
-from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import CallNumber, Outcome
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from wagtaildale.calls.addresses import Address
     from wagtaildale.calls.frames import Frame, ToEntry, ToOwner
     from wagtaildale.calls.owner import Owner
     from wagtaildale.reactor.loop import Loop
-    from wagtaildale.telemetry.events import EventRecorder
 
 # A round trip within a region takes a few milliseconds, and a lost packet is
 # sent again after 200 ms at the least; twice that leaves room for one loss.
 CONNECT_SECONDS: Final = 0.5
 # While calls wait and nothing comes, the other side is asked this often,
 PING_SECONDS: Final = 0.25
-# and given up after this time: two losses in a row, and still short of what
-# most requests are worth waiting for.
+# and set aside after this time: two losses in a row, and still short of what
+# most requests are worth waiting for. As long again is given to a silent
+# connection while a newer one to the same owner works.
 SILENT_SECONDS: Final = 1.0
-MILLISECONDS: Final = 1000
-UNNEEDED: Final = 'no longer needed'
-STOPPING: Final = 'this node stops'
-WANTED_CLOSES: Final = frozenset((UNNEEDED, STOPPING))
+SILENT: Final = 'silent'
+REPLACED: Final = 'silent while a newer connection works'
+REFUSED: Final = 'silent, and a newer connection is refused'
 
 
 class PeerReceiver(Protocol):
@@ -61,6 +59,13 @@
             frame: the message.
         """
 
+    def on_peer_silent(self, failure: CallFailed) -> None:
+        """Learn that nothing was heard for a while; an answer may yet come.
+
+        Args:
+            failure: that the call has if it is given up now.
+        """
+
     def on_peer_lost(self, failure: CallFailed) -> None:
         """Learn that no further message comes.
 
@@ -161,6 +166,32 @@
             receiver.on_frame(frame)
 
 
+class PeerKeeper(Protocol):
+    """Whoever keeps the connections to owners."""
+
+    def note_load(self, load: Load) -> None:
+        """Learn how full an owner is.
+
+        Args:
+            load: its word.
+        """
+
+    def note_silent(self, peer: RemotePeer) -> None:
+        """Learn that a connection is not to be used for further calls.
+
+        Args:
+            peer: on which nothing comes.
+        """
+
+    def note_closed(self, peer: RemotePeer, detail: str) -> None:
+        """Learn that a connection is gone.
+
+        Args:
+            peer: that is closed.
+            detail: why.
+        """
+
+
 class RemotePeer:
     """An owner in another process; a ``StreamReceiver``."""
 
@@ -170,8 +201,7 @@
         address: Address,
         *,
         compressed: bool,
-        on_load: Callable[[Load], None],
-        on_closed: Callable[[RemotePeer, str], None],
+        keeper: PeerKeeper,
     ) -> None:
         """Begin to connect.
 
@@ -179,15 +209,16 @@
             loop: carries the connection.
             address: of the owner.
             compressed: whether to compress what goes both ways.
-            on_load: is told how full the owner is.
-            on_closed: is told when the connection is gone, and why.
+            keeper: is told what becomes of it.
         """
         self.address = address
+        self.is_compressed = compressed
         self.is_open = False
+        self.is_silent = False
         self.is_closed = False
         self._loop = loop
-        self._on_load = on_load
-        self._on_closed = on_closed
+        self._keeper = keeper
+        self._replaced: tuple[RemotePeer, ...] = ()
         self._reader = FrameReader(compressed=compressed)
         self._writer = FrameWriter(compressed=compressed)
         self._receivers: dict[CallNumber, PeerReceiver] = {}
@@ -249,6 +280,23 @@
         known = self._receivers.pop(number, None)
         if known is not None and cancelled and not self.is_closed:
             self.send(Cancel(number))
+        if self.is_silent and not self._receivers:
+            self.close(SILENT)
+
+    def replace(self, silent: tuple[RemotePeer, ...]) -> None:
+        """Take the place of connections to the same owner that are silent.
+
+        Args:
+            silent: they are given up once this one works and they do not,
+                or once this one finds the owner's process gone.
+        """
+        self._replaced = silent
+        if silent:
+            self.send(Ping())
+
+    def expect_answer(self) -> None:
+        """Give up soon if nothing comes: the owner answers elsewhere."""
+        self._loop.alarms.set(SILENT_SECONDS, self._give_up)
 
     def close(self, detail: str) -> None:
         """Give the connection up; every call on it hears so.
@@ -261,19 +309,11 @@
         self.is_closed = True
         self._alarm.cancel()
         self._stream.close()
-        self._on_closed(self, detail)
+        self._keeper.note_closed(self, detail)
         receivers = tuple(self._receivers.values())
         self._receivers.clear()
         for receiver in receivers:
-            # What was handed to a connection that never opened has not left
-            # this process.
-            outcome = Outcome.unknown if self.is_open else Outcome.not_run
-            failure = CallFailed(
-                Code.peer_lost if self.is_open else Code.backend_unreachable,
-                outcome=outcome,
-                detail=detail,
-            )
-            receiver.on_peer_lost(failure)
+            receiver.on_peer_lost(self._make_failure(detail))
 
     def on_open(self) -> None:
         """Learn that the connection stands."""
@@ -287,6 +327,9 @@
             chunk: as read.
         """
         self._heard_at = read_clock()
+        for silent in self._replaced:
+            silent.expect_answer()
+        self._replaced = ()
         try:
             frames = self._reader.feed(chunk)
         except CallFailed as failure:
@@ -305,6 +348,9 @@
         Args:
             error: why.
         """
+        if error.errno == errno.ECONNREFUSED:
+            for silent in self._replaced:
+                silent.close(REFUSED)
         self.close(str(error))
 
     def on_drained(self) -> None:
@@ -314,7 +360,7 @@
         if isinstance(frame, Ping):
             self.send(Pong())
         elif isinstance(frame, Load):
-            self._on_load(frame)
+            self._keeper.note_load(frame)
         elif not isinstance(frame, Pong):
             receiver = self._receivers.get(frame.call)
             if receiver is not None:
@@ -327,89 +373,36 @@
         if not self._receivers:
             return
         silent = self.silent_seconds
-        if silent > SILENT_SECONDS:
-            self.close('silent')
+        if silent > SILENT_SECONDS and not self.is_silent:
+            self._set_aside()
+        if self.is_closed:
             return
         if silent > PING_SECONDS:
             self.send(Ping())
         self._alarm = self._loop.alarms.set(PING_SECONDS, self._watch)
 
-
-class PeerPool:
-    """The connections of an entry to the owners it calls."""
-
-    def __init__(
-        self,
-        loop: Loop,
-        *,
-        on_load: Callable[[Load], None],
-        recorder: EventRecorder,
-    ) -> None:
-        """Begin with none.
-
-        Args:
-            loop: carries the connections.
-            on_load: is told how full owners are.
-            recorder: gets an event for each connection that is lost.
-        """
-        self._loop = loop
-        self._on_load = on_load
-        self._recorder = recorder
-        self._peers: dict[Address, RemotePeer] = {}
-
-    def find(self, address: Address, *, compressed: bool) -> RemotePeer:
-        """Find the connection to an owner, a new one if there is none.
-
-        Args:
-            address: of the owner.
-            compressed: whether a new one is compressed.
-
-        Returns:
-            The connection, perhaps not open yet.
-        """
-        peer = self._peers.get(address)
-        if peer is None:
-            peer = RemotePeer(
-                self._loop,
-                address,
-                compressed=compressed,
-                on_load=self._on_load,
-                on_closed=self._forget,
-            )
-            self._peers[address] = peer
-        return peer
-
-    def keep_only(self, wanted: dict[Address, bool]) -> None:
-        """Open what will be needed and close what is idle and is not.
-
-        Args:
-            wanted: addresses of the owners that calls may go to, and
-                whether connections to them are compressed.
-        """
-        for address, compressed in wanted.items():
-            self.find(address, compressed=compressed)
-        for address in self._peers.keys() - wanted.keys():
-            if not self._peers[address].busy:
-                self._peers[address].close(UNNEEDED)
-
-    def close(self) -> None:
-        """Close every connection."""
-        for peer in tuple(self._peers.values()):
-            peer.close(STOPPING)
-
-    def _forget(self, peer: RemotePeer, detail: str) -> None:
-        if self._peers.get(peer.address) is peer:
-            self._peers.pop(peer.address)
-        if detail in WANTED_CLOSES and not peer.busy:
-            return
-        self._recorder.record(
-            EventKind.connection_lost,
-            subject=f'{peer.address.host}:{peer.address.port}',
+    def _set_aside(self) -> None:
+        # Failure: a line stands still for some seconds, and every call on it
+        # is told 502 while its server works on it. Silence is no word of the
+        # owner; a call leaves it for another or waits, as the call decides.
+        self.is_silent = True
+        self._keeper.note_silent(self)
+        for receiver in tuple(self._receivers.values()):
+            receiver.on_peer_silent(self._make_failure(SILENT))
+        if not self._receivers:
+            self.close(SILENT)
+
+    def _give_up(self) -> None:
+        # Failure: a connection goes silent for good while new ones work, and
+        # the calls on it wait until their deadline for nothing.
+        if not self.is_closed and self.silent_seconds > SILENT_SECONDS:
+            self.close(REPLACED)
+
+    def _make_failure(self, detail: str) -> CallFailed:
+        # What was handed to a connection that never opened has not left
+        # this process.
+        return CallFailed(
+            Code.peer_lost if self.is_open else Code.backend_unreachable,
+            outcome=Outcome.unknown if self.is_open else Outcome.not_run,
             detail=detail,
-            inputs={
-                'was_open': int(peer.is_open),
-                'calls': peer.busy,
-                'silent_ms': round(peer.silent_seconds * MILLISECONDS),
-                'unsent_bytes': peer.unsent,
-            },
         )
--- a/wagtaildale/calls/routed.py
+++ b/wagtaildale/calls/routed.py
@@ -15,7 +15,8 @@
 from wagtaildale.calls.heads import KEY_FIELD, pass_on
 from wagtaildale.calls.owner import Owner
 from wagtaildale.calls.time_given import TimesGiven
-from wagtaildale.calls.peers import LocalPeer, PeerPool
+from wagtaildale.calls.peer_pool import PeerPool
+from wagtaildale.calls.peers import LocalPeer
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.loop import Loop
 from wagtaildale.routing.book import UpstreamBook
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -14,7 +14,8 @@
 from wagtaildale.calls.dialect import OWN_DIALECT, Dialect
 from wagtaildale.calls.entry import Entry
 from wagtaildale.calls.owner import Identity, Owner
-from wagtaildale.calls.peers import LocalPeer, PeerPool
+from wagtaildale.calls.peer_pool import PeerPool
+from wagtaildale.calls.peers import LocalPeer
 from wagtaildale.calls.ready import ReadyAnswerer
 from wagtaildale.calls.routed import EntryParts
 from wagtaildale.calls.sessions import PeerPort
--- a/wagtaildale/calls/tests/owners.py
+++ b/wagtaildale/calls/tests/owners.py
@@ -34,8 +34,10 @@
 class SilentOwner(Listener):
     """Grants slots, takes a run, and then says nothing for a while.
 
-    It answers once it was asked so many times whether it is there. While a
-    connection waits, further ones are served by threads of their own.
+    It answers once it was asked so many times whether it is there. Until
+    then its line stands still: nothing comes on further connections either,
+    which are served by threads of their own. Or only the first connection
+    is silent, and further ones work.
     """
 
     def __init__(
@@ -43,19 +45,30 @@
         address: tuple[str, int],
         *,
         silent_pings: int,
+        only_first: bool = False,
     ) -> None:
+        self.only_first = only_first
         self.runs: list[Run] = []
         self.has_run = threading.Event()
+        self.has_answered = threading.Event()
         self._silent_pings = silent_pings
         super().__init__(address)
 
     def answer(self, sock: socket.socket) -> None:
-        script = _Script(self, sock.dup(), pings=self._silent_pings)
+        pings = self._silent_pings
+        if self.only_first and self.runs:
+            pings = 0
+        script = _Script(self, sock.dup(), pings=pings)
         threading.Thread(
             target=script.play,
             daemon=True,
         ).start()
 
+    @property
+    def is_silent(self) -> bool:
+        waiting = self.has_run.is_set() and not self.has_answered.is_set()
+        return waiting and not self.only_first
+
     def note_run(self, run: Run) -> None:
         self.runs.append(run)
         self.has_run.set()
@@ -95,17 +108,18 @@
             self._take_ping()
 
     def _take_ping(self) -> None:
-        if self._run is None:
+        if self._run is not None:
+            self._pings_left -= 1
+            self._answer_if_due()
+        elif not self._owner.is_silent:
             self._send(Pong())
-            return
-        self._pings_left -= 1
-        self._answer_if_due()
 
     def _answer_if_due(self) -> None:
         run = self._run
         if run is None or self._pings_left > 0:
             return
         self._run = None
+        self._owner.has_answered.set()
         self._send(
             Answered(
                 run.call,
--- a/wagtaildale/calls/tests/test_silence.py
+++ b/wagtaildale/calls/tests/test_silence.py
@@ -6,11 +6,16 @@
 from typing import TYPE_CHECKING, Final
 
 import pytest
+from msgspec import json
 
+from standins.hosted import HostedBackend
+from wagtaildale.calls.peers import REFUSED
 from wagtaildale.calls.tests.owners import BODY, SilentOwner
-from wagtaildale.calls.tests.pairs import PATIENCE, Pair
+from wagtaildale.calls.tests.pairs import PATIENCE, Pair, read_code
+from wagtaildale.errors.codes import Code
 from wagtaildale.lifecycle.stop import Stop
-from wagtaildale.testing.builders import MESH_TEXT
+from wagtaildale.testing.builders import MESH_TEXT, build_record
+from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
 from wagtaildale.timers.inbox import Inbox
 
 if TYPE_CHECKING:
@@ -18,6 +23,7 @@
 
 # More than an entry sends before it counts an owner as silent.
 SILENT_PINGS: Final = 7
+FOR_GOOD: Final = 1_000_000
 PATIENT_MESH: Final = MESH_TEXT.replace('= 1000', '= 4500').replace(
     '= 2000',
     '= 4500',
@@ -37,15 +43,34 @@
 
 @pytest.fixture
 def owner(lone_pair: Pair) -> Iterator[SilentOwner]:
-    record = lone_pair.far.record
-    made = SilentOwner(
-        (record.host, record.owner_port),
-        silent_pings=SILENT_PINGS,
-    )
+    """An owner whose line stands still after a run came."""
+    made = build_owner(lone_pair, silent_pings=SILENT_PINGS)
     yield made
     made.close()
 
 
+@pytest.fixture
+def cut_owner(lone_pair: Pair) -> Iterator[SilentOwner]:
+    """An owner whose first connection is silent for good."""
+    made = build_owner(lone_pair, silent_pings=FOR_GOOD, only_first=True)
+    yield made
+    made.close()
+
+
+def build_owner(
+    pair: Pair,
+    *,
+    silent_pings: int,
+    only_first: bool = False,
+) -> SilentOwner:
+    record = pair.far.record
+    return SilentOwner(
+        (record.host, record.owner_port),
+        silent_pings=silent_pings,
+        only_first=only_first,
+    )
+
+
 def test_lookup_outlives_a_silence_of_its_owner_in_a_planned_stop(
     lone_pair: Pair,
     owner: SilentOwner,
@@ -84,3 +109,64 @@
     response, text = lone_pair.ask('POST', '/bookings', b'x')
     assert (response.status, text) == (200, BODY)
     assert len(owner.runs) == 1
+
+
+def test_lookup_leaves_a_silent_owner_for_another(
+    lone_pair: Pair,
+    owner: SilentOwner,
+) -> None:
+    """A lookup waits for a silent server while another one stands idle."""
+    other = build_record('c', host='127.0.9.3')
+    backend = HostedBackend('c', host=other.host, port=BACKEND_PORT)
+    near = lone_pair.near
+    with backend, MeshNode(other), ThreadPoolExecutor() as executor:
+        asked = executor.submit(lone_pair.ask, 'GET', '/files/1')
+        assert owner.has_run.wait(PATIENCE)
+        near.show(lone_pair.far.record, other)
+        response, text = asked.result(PATIENCE)
+        assert response.status == 200
+        assert json.decode(text)['by'] == 'c'
+
+
+def test_call_leaves_a_connection_that_is_silent_for_good(
+    lone_pair: Pair,
+    cut_owner: SilentOwner,
+) -> None:
+    """A lookup waits for its deadline on a connection that is dead.
+
+    The connection went silent without a reset, and new ones to the same
+    owner work. Once one of them has answered, the old one is given up.
+    """
+    response, text = lone_pair.ask('GET', '/files/1')
+    assert (response.status, text) == (200, BODY)
+    assert len(cut_owner.runs) == 2
+
+
+def test_booking_is_unknown_once_its_connection_is_given_up(
+    lone_pair: Pair,
+    cut_owner: SilentOwner,
+) -> None:
+    """The same for a booking, which is never sent a second time."""
+    response, text = lone_pair.ask('POST', '/bookings', b'x')
+    assert response.status == 502
+    assert read_code(text) is Code.outcome_unknown
+    assert len(cut_owner.runs) == 1
+
+
+def test_silent_owner_whose_process_is_gone_is_given_up(
+    lone_pair: Pair,
+) -> None:
+    """A booking waits for a process that has ended behind a silent line.
+
+    A new connection is refused: nothing listens any more, so no answer
+    can come.
+    """
+    owner = build_owner(lone_pair, silent_pings=FOR_GOOD)
+    with ThreadPoolExecutor() as executor:
+        asked = executor.submit(lone_pair.ask, 'POST', '/bookings', b'x')
+        assert owner.has_run.wait(PATIENCE)
+        owner.close()
+        response, text = asked.result(PATIENCE)
+    assert response.status == 502
+    assert read_code(text) is Code.outcome_unknown
+    assert REFUSED.encode() in text
--- a/wagtaildale/telemetry/events.py
+++ b/wagtaildale/telemetry/events.py
@@ -52,6 +52,7 @@
     call_redirected = 'call-redirected'
     call_hedged = 'call-hedged'
     attempt_begun = 'attempt-begun'
+    connection_silent = 'connection-silent'
     connection_lost = 'connection-lost'
     run_ended = 'run-ended'
     run_refused = 'run-refused'
--- a/wagtaildale/telemetry/story.py
+++ b/wagtaildale/telemetry/story.py
@@ -42,6 +42,7 @@
         EventKind.source_recovered,
         EventKind.upstream_ejected,
         EventKind.upstream_restored,
+        EventKind.connection_silent,
         EventKind.connection_lost,
         EventKind.peer_suspected,
         EventKind.peer_dead,
