--- a/wagtaildale/calls/tests/test_backends.py
+++ b/wagtaildale/calls/tests/test_backends.py
@@ -15,7 +15,7 @@
 
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.backends import BackendPool, BackendRequest
-from wagtaildale.calls.tests.pairs import PATIENCE, wait_until
+from wagtaildale.calls.tests.pairs import wait_until
 from wagtaildale.reactor.loop import Loop
 from wagtaildale.testing.mesh import BACKEND_PORT
 from wagtaildale.types import Outcome
--- a/wagtaildale/calls/tests/test_callers.py
+++ b/wagtaildale/calls/tests/test_callers.py
@@ -83,13 +83,17 @@
         """Read an answer, at most to the connection's end."""
         taken = bytearray()
         while len(taken) < size:
-            self.move_until(lambda: _is_readable(sock))
+            self.await_bytes(sock)
             piece = sock.recv(READ_BYTES)
             if not piece:
                 break
             taken += piece
         return bytes(taken)
 
+    def await_bytes(self, sock: socket.socket) -> None:
+        """Let the port work until the caller has something to read."""
+        self.move_until(lambda: _is_readable(sock))
+
     def let_time_pass(self) -> None:
         """Ring every alarm that is set, before any socket is looked at."""
         self.loop.alarms.ring(read_clock() + LONGEST_SECONDS)
@@ -201,3 +205,18 @@
         sock.sendall(REQUEST)
         bench.let_time_pass()
         bench.move_until(lambda: bench.answered == 2)
+
+
+def test_request_behind_the_last_answer_is_not_begun(bench: Bench) -> None:
+    """A caller's second request runs twice.
+
+    Its node leaves, and says with the first answer that the connection ends
+    there. The caller sends the second one to another node, as it may; here
+    it was begun all the same, and its answer reached nobody.
+    """
+    with bench.connect() as sock:
+        bench.port.drain()
+        bench.ask(sock, REQUEST + REQUEST)
+        answer = bench.read(sock, size=READ_BYTES)
+    assert answer.count(b'HTTP/1.1 200') == 1
+    assert bench.answered == 1
