Failing test: a demonstration beside another run

Fails on import (nothing checks addresses yet). The fault itself, run on with 127.0.1.1:8083 taken: starting 12 nodes, then a traceback that ends in TimeoutError: intake-1: Address already in use, exit code 1.

--- /dev/null
+++ b/standins/tests/test_fleet.py
@@ -0,0 +1,69 @@
+"""Tests of starting a fleet, and of the demonstration that does it."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import ExitStack, suppress
+from typing import TYPE_CHECKING, Final
+
+import pytest
+from click.testing import CliRunner
+
+from demo.__main__ import main
+from demo.deployments import DEPLOYMENTS
+from standins.fleet import (
+    ADMIN_PORT,
+    AddressTakenError,
+    Fleet,
+    FleetOptions,
+    Placement,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+NETWORK: Final = 43
+TAKEN: Final = (f'127.0.{NETWORK}.2', ADMIN_PORT)
+DEMO_HOST: Final = '127.0.1.1'
+PLACEMENT: Final = Placement(
+    region='midlands',
+    data_centres=('derby',),
+    services={'casefiles': 2},
+)
+
+
+@pytest.fixture
+def another_run() -> Iterator[None]:
+    """Take an address of the demonstration, if no other run has it."""
+    with ExitStack() as stack:
+        with suppress(OSError):
+            stack.enter_context(socket.create_server((DEMO_HOST, ADMIN_PORT)))
+        yield
+
+
+def test_fleet_beside_another_is_not_started() -> None:
+    """Two runs share addresses: nodes of one serve the callers of the other.
+
+    The second run finds an address taken before it starts anything.
+    """
+    with socket.create_server(TAKEN):
+        with pytest.raises(AddressTakenError, match=f'{TAKEN[0]}:{TAKEN[1]}'):
+            Fleet(PLACEMENT, options=FleetOptions(network=NETWORK))
+    Fleet(PLACEMENT, options=FleetOptions(network=NETWORK)).close()
+
+
+@pytest.mark.parametrize('deployment', DEPLOYMENTS)
+def test_demonstration_beside_another_run_says_so(
+    another_run: None,
+    deployment: str,
+) -> None:
+    """A user starts the demonstration twice and reads a traceback.
+
+    Both runs use the same addresses. The nodes of the two mixed, no node
+    held the last version, and a third of the calls did not run.
+    """
+    told = CliRunner().invoke(main, ['--deployment', deployment])
+    assert told.exit_code not in {0, 1}
+    assert len(told.output.splitlines()) == 1
+    assert f'{DEMO_HOST}:' in told.output
+    assert 'make demo' in told.output
