Owner: look at a kept connection before it is used again

Cause: the loop handles one socket after the other. A backend server's close that has come, but is not handled yet, was overlooked, and a request went out behind it; so it did on a new connection that the server had closed at once. Such a request counts as one that may have run: 502 for a booking that no server has read, a retry from the budget for a lookup.

Ruled out: sending a lookup again on a new connection without budget. A server may have read it before it closed, and an arrival would not be counted.

Before: CallFailed('backend_cut'), outcome unknown.

--- a/wagtaildale/calls/backends.py
+++ b/wagtaildale/calls/backends.py
@@ -13,6 +13,7 @@
 from msgspec import Struct
 
 from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.glances import Glance, glance
 from wagtaildale.calls.heads import (
     CHUNKED,
     LAST_CHUNK,
@@ -134,6 +135,11 @@
         """Whether the server has yet to take what was sent."""
         return self._stream.is_full
 
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the server has neither closed nor sent anything unasked."""
+        return glance(self._stream) is Glance.nothing
+
     def ask(self, request: BackendRequest, receiver: BackendReceiver) -> None:
         """Send a request.
 
@@ -176,7 +182,13 @@
         self._pool.forget(self)
 
     def on_open(self) -> None:
-        """Learn that the connection stands."""
+        """Learn that the connection stands; the request goes out now."""
+        if not self.is_quiet:
+            # Failure: a leaving server takes the connection and closes it,
+            # and a request sent after that counts as one that may have run.
+            # It has not left this process: another server may have it.
+            self._fail(Code.backend_unreachable, 'closed unasked')
+            return
         self._is_open = True
         self._connecting.cancel()
 
@@ -392,17 +404,30 @@
             connection.close()
 
     def _take(self, request: BackendRequest) -> BackendConnection:
-        now = read_clock()
-        self._close_stale(now)
-        if self._idle:
-            latest = self._idle[-1]
-            if request.idempotent or now - latest.used_at < FRESH_SECONDS:
-                return self._idle.pop()
+        kept = self._take_kept(request)
+        if kept is not None:
+            return kept
         self.opened += 1
         connection = BackendConnection(self, self._address)
         self._all.add(connection)
         return connection
 
+    def _take_kept(self, request: BackendRequest) -> BackendConnection | None:
+        now = read_clock()
+        self._close_stale(now)
+        while self._idle:
+            latest = self._idle[-1]
+            if not request.idempotent and now - latest.used_at > FRESH_SECONDS:
+                return None
+            self._idle.pop()
+            if latest.is_quiet:
+                return latest
+            # Failure: a server's close has come and is not handled yet, and
+            # a request that goes out behind it is lost: nobody can say
+            # whether it was read. Such a connection is not used again.
+            latest.close()
+        return None
+
     def _close_stale(self, now: float) -> None:
         stale = [each for each in self._idle if each.idle_until <= now]
         for connection in stale:
