Demo: say in one line that an address is taken, and start nothing

Before: 12 nodes were started beside another run's, both meshes mixed, and a traceback followed. Now the addresses are looked at first; exit code 2.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -12,7 +12,12 @@
 
 from demo.deployments import DEPLOYMENTS, Deployment
 from demo.summary import Figures, print_summary, write_timeline
-from standins.fleet import Fleet, FleetOptions, NodeProcess
+from standins.fleet import (
+    AddressTakenError,
+    Fleet,
+    FleetOptions,
+    NodeProcess,
+)
 from standins.judge import gather_events, judge
 from standins.load import Load, LoadPlan
 from wagtaildale.configuration.compiled import Compiled, compile_mesh
@@ -30,6 +35,11 @@
 SETTLE_SECONDS: Final = 10.0
 LOOK_SECONDS: Final = 0.05
 MILLISECONDS: Final = 1000
+NOT_STARTED: Final = 2
+WAY_OUT: Final = (
+    'most likely by another run on this machine; '
+    'wait until that has ended, or end it, then start make demo again'
+)
 OUT: Final = Path('out/demo')
 
 
@@ -254,7 +264,11 @@
     Args:
         deployment: which of the two.
     """
-    demo = Demo(DEPLOYMENTS[deployment])
+    try:
+        demo = Demo(DEPLOYMENTS[deployment])
+    except AddressTakenError as error:
+        click.echo(f'{error}, {WAY_OUT}', err=True)
+        sys.exit(NOT_STARTED)
     try:
         figures = demo.run()
     finally:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,10 +5,13 @@
 
 from __future__ import annotations
 
+import errno
+import socket
 import subprocess
 import sys
 import tempfile
 import time
+from contextlib import closing
 from pathlib import Path
 from typing import IO, TYPE_CHECKING, Any, Final
 
@@ -45,6 +48,10 @@
 TAIL: Final = 2000
 
 
+class AddressTakenError(Exception):
+    """Somebody else listens where a fleet would."""
+
+
 class Placement(Struct, frozen=True, kw_only=True):
     """Which services run in which data centres, and how many of each.
 
@@ -174,9 +181,10 @@
             options: how it is started.
         """
         self.options = options or FleetOptions()
+        self.records = _place(placement, self.options.network)
+        _check_free(self.records)
         self.folder = Path(tempfile.mkdtemp(prefix='wagtaildale-'))
         self.platform = PlatformStandIn('127.0.0.1', 0)
-        self.records = _place(placement, self.options.network)
         self.nodes = [
             NodeProcess(record, self.folder) for record in self.records
         ]
@@ -338,6 +346,48 @@
     return f'127.0.{first + network}.{number + 1}'
 
 
+def _check_free(records: list[InstanceRecord]) -> None:
+    """Check that a fleet's addresses are free.
+
+    Failure guarded here: two runs have the same addresses, nodes of one find
+    those of the other, and both meshes mix.
+
+    Args:
+        records: of the fleet's instances.
+
+    Raises:
+        AddressTakenError: with the first address that is taken.
+    """
+    for record in records:
+        for port in _list_ports(record):
+            if _is_taken(record.host, port):
+                raise AddressTakenError(f'{record.host}:{port} is taken')
+
+
+def _list_ports(record: InstanceRecord) -> tuple[int, ...]:
+    return (
+        record.entry_port,
+        record.owner_port,
+        record.control_port,
+        record.admin_port,
+        BACKEND_PORT,
+    )
+
+
+def _is_taken(host: str, port: int) -> bool:
+    with closing(socket.socket(socket.AF_INET, socket.SOCK_STREAM)) as sock:
+        # As the nodes bind: connections of an earlier run that are still
+        # being closed take no address.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host, port))
+        except OSError as error:
+            if error.errno == errno.EADDRINUSE:
+                return True
+            raise
+    return False
+
+
 def _feed(stream: IO[Any] | None, text: bytes) -> None:
     assert stream is not None
     stream.write(text)
