--- a/wagtaildale/calls/tests/test_outcomes.py
+++ b/wagtaildale/calls/tests/test_outcomes.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 import pytest
-from msgspec import json
+from msgspec import json, structs
 
-from wagtaildale.calls.tests.pairs import OUTCOME, Pair
+from wagtaildale.admission.limits import Ending
+from wagtaildale.calls.tests.pairs import OUTCOME, PATIENCE, Pair, wait_until
 from wagtaildale.testing.builders import build_record
-from wagtaildale.testing.mesh import MeshNode
+from wagtaildale.testing.mesh import SLOTS, MeshNode
+from wagtaildale.types import ListedState
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from wagtaildale.admission.messages import TicketId
+
 
 @pytest.fixture
 def refuser(pair: Pair) -> Iterator[MeshNode]:
@@ -25,6 +30,14 @@
     node.close()
 
 
+def give_back(node: MeshNode, ticket: TicketId) -> None:
+    """Free a slot that was held."""
+    gate = node.gate
+    node.calls.loop.submit(
+        lambda: gate.leave(ticket, seconds=0, ending=Ending.abandoned),
+    ).result(PATIENCE)
+
+
 def test_lookup_that_has_run_is_never_called_not_run(
     pair: Pair,
     refuser: MeshNode,
@@ -60,3 +73,24 @@
         if pair.backend.counts.runs > runs:
             assert response.status == 500
             assert json.decode(text)['by'] == 'b'
+
+
+def test_call_that_waits_at_a_leaving_server_does_not_run_there(
+    pair: Pair,
+) -> None:
+    """A lookup reaches a server long after all know that it leaves.
+
+    It waits for a slot when the news comes. Whoever comes later is sent
+    elsewhere; the lookup runs as soon as a slot is free, however late.
+    """
+    far = pair.far
+    held = [far.hold_slot().ticket for _slot in range(SLOTS)]
+    with ThreadPoolExecutor(1) as executor:
+        asked = executor.submit(pair.ask, 'GET', '/files/1')
+        wait_until(lambda: bool(far.gate.state.queue))
+        far.show(structs.replace(far.record, state=ListedState.leaving))
+        for ticket in held:
+            give_back(far, ticket)
+        response, _text = asked.result(PATIENCE)
+    assert pair.backend.counts.runs == 0
+    assert response.headers[OUTCOME].startswith('not-run')
