--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -205,19 +205,13 @@
 
 
 @decide.register
-def _decide_source_flawed(
-    message: messages.SourceFlawed,
+def _decide_entry_refused(
+    message: messages.EntryRefused,
     state: DistributionState,
     *,
     now: float,
 ) -> list[messages.Effect]:
-    return [
-        messages.EntryRefused(
-            kind=message.kind,
-            code=message.code,
-            detail=message.detail,
-        ),
-    ]
+    return [message]
 
 
 @decide.register
--- a/wagtaildale/distribution/messages.py
+++ b/wagtaildale/distribution/messages.py
@@ -65,8 +65,11 @@
     detail: str
 
 
-class SourceFlawed(Struct, frozen=True, kw_only=True):
-    """The platform gave something that cannot be read; the rest stands."""
+class EntryRefused(Struct, frozen=True, kw_only=True):
+    """The platform gave something that cannot be read; the rest stands.
+
+    Both what a reader tells and what is done about it: it is noted.
+    """
 
     kind: Kind
     code: Code
@@ -173,14 +176,6 @@
     detail: str
 
 
-class EntryRefused(Struct, frozen=True, kw_only=True):
-    """Something that the platform gave was not taken."""
-
-    kind: Kind
-    code: Code
-    detail: str
-
-
 class PeerBehind(Struct, frozen=True, kw_only=True):
     """A push was not seen: its receiver's children are served instead."""
 
--- a/wagtaildale/source/feed.py
+++ b/wagtaildale/source/feed.py
@@ -14,8 +14,8 @@
 
 from wagtaildale.configuration.compiled import hash_part
 from wagtaildale.distribution.messages import (
+    EntryRefused,
     SourceConfirmed,
-    SourceFlawed,
     SourceRead,
 )
 from wagtaildale.document.model import Outline
@@ -44,7 +44,7 @@
 
     changed: tuple[SourceRead, ...] = ()
     confirmed: tuple[SourceConfirmed, ...] = ()
-    flawed: tuple[SourceFlawed, ...] = ()
+    flawed: tuple[EntryRefused, ...] = ()
 
 
 class Feed(ABC):
--- a/wagtaildale/source/store.py
+++ b/wagtaildale/source/store.py
@@ -12,7 +12,7 @@
 from msgspec import Struct
 from result import Err, Ok, Result
 
-from wagtaildale.distribution.messages import SourceConfirmed, SourceFlawed
+from wagtaildale.distribution.messages import EntryRefused, SourceConfirmed
 from wagtaildale.errors.codes import Code
 from wagtaildale.source.feed import Feed, FeedReading, make_read
 from wagtaildale.types import NO_VERSION, Kind, Version
@@ -227,7 +227,7 @@
     ) -> Result[FeedReading, ReadFailure]:
         assert self._revision is not None
         reads: list[SourceRead] = []
-        flawed: list[SourceFlawed] = []
+        flawed: list[EntryRefused] = []
         for kind in changed:
             made = self._store.make_document(
                 kind,
@@ -260,13 +260,13 @@
         self,
         kind: Kind,
         flaws: tuple[ReadFailure, ...],
-    ) -> Iterator[SourceFlawed]:
+    ) -> Iterator[EntryRefused]:
         # Each is told once, and not with every change of another entry.
         told = self._flaws.get(kind, frozenset())
         self._flaws[kind] = frozenset(flaw.detail for flaw in flaws)
         for flaw in flaws:
             if flaw.detail not in told:
-                yield SourceFlawed(
+                yield EntryRefused(
                     kind=kind,
                     code=flaw.code,
                     detail=flaw.detail,
