Stream: what has come is read although the rest cannot be sent

Cause: a backend server answers before it has read a long body and closes; sending the rest fails, and the connection was dropped with the answer in it: 502 in place of the answer. Sending is over then, reading goes on to the end.

--- a/wagtaildale/reactor/stream.py
+++ b/wagtaildale/reactor/stream.py
@@ -24,6 +24,8 @@
 KEEPALIVE_SECONDS: Final = 2
 KEEPALIVE_PROBES: Final = 2
 HUNG_UP: Final = select.EPOLLERR | select.EPOLLHUP
+# What sending on a connection tells that the other side has closed.
+CLOSED_THERE: Final = frozenset((errno.EPIPE, errno.ECONNRESET))
 UNDER_WAY: Final = frozenset((0, errno.EINPROGRESS))
 
 
@@ -87,6 +89,7 @@
         self._is_open = is_open
         self._reads = True
         self._lingering: Alarm | None = None
+        self._send_error: OSError | None = None
         self._events = READABLE if is_open else WRITABLE
         loop.watch(self._number, self._events, self._on_events)
 
@@ -114,12 +117,12 @@
         Args:
             chunk: what to send.
         """
-        if self.is_closed:
+        if self.is_closed or self._send_error is not None:
             return
         sent = 0
         if self._is_open and not self._unsent:
             sent = self._try_send(chunk)
-        if sent < len(chunk) and not self.is_closed:
+        if sent < len(chunk) and self._can_send():
             self._unsent += chunk[sent:]
             self._change()
 
@@ -212,7 +215,7 @@
 
     def _flush(self) -> None:
         sent = self._try_send(self._unsent)
-        if self.is_closed:
+        if not self._can_send():
             return
         self._unsent = self._unsent[sent:]
         if not self._unsent:
@@ -230,6 +233,9 @@
         if chunk:
             self._receiver.on_bytes(chunk)
             return
+        if self._send_error is not None:
+            self._lose(self._send_error)
+            return
         self._reads = False
         self._change()
         self._receiver.on_end()
@@ -240,9 +246,23 @@
         except BlockingIOError:
             return 0
         except OSError as error:
-            self._lose(error)
+            self._fail_sending(error)
             return 0
 
+    def _can_send(self) -> bool:
+        return not self.is_closed and self._send_error is None
+
+    def _fail_sending(self, error: OSError) -> None:
+        if error.errno not in CLOSED_THERE:
+            self._lose(error)
+            return
+        # Failure: the other side answers before it has read all and closes,
+        # and its answer is thrown away since the rest cannot be sent. What
+        # has come is read; the connection is lost at the end of that.
+        self._send_error = error
+        self._unsent.clear()
+        self._change()
+
     def _lose(self, error: OSError) -> None:
         if self.is_closed:
             return
