Silent owners: looked at with each ping, given up 0.25 s after a newer connection worked

What was lost: calls held for a second more on connections that are silent for good, and calls that had no repeat left in the moment of the silence and then waited although repeats were earned later.

--- a/wagtaildale/calls/peers.py
+++ b/wagtaildale/calls/peers.py
@@ -41,9 +41,12 @@
 # While calls wait and nothing comes, the other side is asked this often,
 PING_SECONDS: Final = 0.25
 # and set aside after this time: two losses in a row, and still short of what
-# most requests are worth waiting for. As long again is given to a silent
-# connection while a newer one to the same owner works.
+# most requests are worth waiting for.
 SILENT_SECONDS: Final = 1.0
+# A process that reads a newer connection reads the older ones in the same
+# moment, and a line delivers what was sent first; the time of one ping is
+# left to a silent connection once a newer one has brought an answer.
+REPLACED_SECONDS: Final = PING_SECONDS
 SILENT: Final = 'silent'
 REPLACED: Final = 'silent while a newer connection works'
 REFUSED: Final = 'silent, and a newer connection is refused'
@@ -62,6 +65,8 @@
     def on_peer_silent(self, failure: CallFailed) -> None:
         """Learn that nothing was heard for a while; an answer may yet come.
 
+        Told again, as long as it lasts, with each ping.
+
         Args:
             failure: that the call has if it is given up now.
         """
@@ -296,7 +301,7 @@
 
     def expect_answer(self) -> None:
         """Give up soon if nothing comes: the owner answers elsewhere."""
-        self._loop.alarms.set(SILENT_SECONDS, self._give_up)
+        self._loop.alarms.set(REPLACED_SECONDS, self._give_up)
 
     def close(self, detail: str) -> None:
         """Give the connection up; every call on it hears so.
@@ -373,20 +378,21 @@
         if not self._receivers:
             return
         silent = self.silent_seconds
-        if silent > SILENT_SECONDS and not self.is_silent:
-            self._set_aside()
+        if silent > SILENT_SECONDS:
+            self._note_silence()
         if self.is_closed:
             return
         if silent > PING_SECONDS:
             self.send(Ping())
         self._alarm = self._loop.alarms.set(PING_SECONDS, self._watch)
 
-    def _set_aside(self) -> None:
+    def _note_silence(self) -> None:
         # Failure: a line stands still for some seconds, and every call on it
         # is told 502 while its server works on it. Silence is no word of the
         # owner; a call leaves it for another or waits, as the call decides.
-        self.is_silent = True
-        self._keeper.note_silent(self)
+        if not self.is_silent:
+            self.is_silent = True
+            self._keeper.note_silent(self)
         for receiver in tuple(self._receivers.values()):
             receiver.on_peer_silent(self._make_failure(SILENT))
         if not self._receivers:
--- a/wagtaildale/calls/tests/owners.py
+++ b/wagtaildale/calls/tests/owners.py
@@ -49,6 +49,7 @@
     ) -> None:
         self.only_first = only_first
         self.runs: list[Run] = []
+        self.unanswered_pings = 0
         self.has_run = threading.Event()
         self.has_answered = threading.Event()
         self._silent_pings = silent_pings
@@ -110,6 +111,7 @@
     def _take_ping(self) -> None:
         if self._run is not None:
             self._pings_left -= 1
+            self._owner.unanswered_pings += 1
             self._answer_if_due()
         elif not self._owner.is_silent:
             self._send(Pong())
--- a/wagtaildale/calls/tests/test_silence.py
+++ b/wagtaildale/calls/tests/test_silence.py
@@ -11,7 +11,7 @@
 from standins.hosted import HostedBackend
 from wagtaildale.calls.peers import REFUSED
 from wagtaildale.calls.tests.owners import BODY, SilentOwner
-from wagtaildale.calls.tests.pairs import PATIENCE, Pair, read_code
+from wagtaildale.calls.tests.pairs import PATIENCE, Pair, read_code, wait_until
 from wagtaildale.errors.codes import Code
 from wagtaildale.lifecycle.stop import Stop
 from wagtaildale.testing.builders import MESH_TEXT, build_record
@@ -128,6 +128,25 @@
         assert json.decode(text)['by'] == 'c'
 
 
+def test_lookup_leaves_a_silent_owner_once_it_can(lone_pair: Pair) -> None:
+    """A lookup waits for a silent server, though another one has come back.
+
+    When its owner fell silent there was nobody else to ask, or no repeat
+    left. Whether it can go elsewhere is looked at again and again.
+    """
+    owner = build_owner(lone_pair, silent_pings=FOR_GOOD)
+    other = build_record('c', host='127.0.9.3')
+    backend = HostedBackend('c', host=other.host, port=BACKEND_PORT)
+    with backend, MeshNode(other), ThreadPoolExecutor() as executor:
+        asked = executor.submit(lone_pair.ask, 'GET', '/files/1')
+        wait_until(lambda: owner.unanswered_pings >= SILENT_PINGS)
+        lone_pair.near.show(lone_pair.far.record, other)
+        response, text = asked.result(PATIENCE)
+    owner.close()
+    assert response.status == 200
+    assert json.decode(text)['by'] == 'c'
+
+
 def test_call_leaves_a_connection_that_is_silent_for_good(
     lone_pair: Pair,
     cut_owner: SilentOwner,
