Stop: a run on the wire is lost with its owner (failing test)

A lookup is on its way to an owner that has nothing under way and ends: the connection closes before it is read, and the entry spends a repeat on what never ran. Fails on this code: test_run_on_the_wire_is_not_lost_with_the_owner: assert tally.retried == 0 test_entries_have_closed_when_the_owner_ends: assert not nodes.open

--- /dev/null
+++ b/wagtaildale/lifecycle/tests/test_owner_stop.py
@@ -0,0 +1,108 @@
+"""Tests of a planned stop as other nodes see it."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import pytest
+from msgspec import json, structs
+
+from standins.hosted import HostedBackend
+from wagtaildale.calls.tests.pairs import PATIENCE, Pair, wait_until
+from wagtaildale.calls.tests.relays import Relay
+from wagtaildale.lifecycle.stop import Stop
+from wagtaildale.testing.builders import build_record
+from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
+from wagtaildale.timers.inbox import Inbox
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+RELAY_HOST = '127.0.9.4'
+
+
+class LeavingOwner:
+    """A planned stop of the owner node of a pair; callers are long gone."""
+
+    def __init__(self) -> None:
+        self.pair = Pair()
+        far = self.pair.far
+        self.stop = Stop(
+            calls=far.calls,
+            inbox=Inbox(),
+            recorder=far.recorder,
+            announce_seconds=0,
+            linger_seconds=0,
+        )
+
+    def end_process(self) -> None:
+        """Stop as the daemon does, and end."""
+        self.stop.begin()
+        self.stop.wait(seconds=2 * PATIENCE)
+        self.pair.far.close()
+
+
+@pytest.fixture
+def leaving() -> Iterator[LeavingOwner]:
+    made = LeavingOwner()
+    yield made
+    made.pair.close()
+
+
+@pytest.fixture
+def patient_stop(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let a stop wait for entries longer than any pause of a busy machine."""
+    monkeypatch.setattr(
+        'wagtaildale.lifecycle.stop.NODES_SECONDS',
+        PATIENCE,
+        raising=False,
+    )
+
+
+@pytest.mark.usefixtures('patient_stop')
+def test_run_on_the_wire_is_not_lost_with_the_owner(
+    leaving: LeavingOwner,
+) -> None:
+    """A lookup fails, or costs a repeat, because another node is replaced.
+
+    It is on its way to an owner that has nothing under way and ends. The
+    connection closes before the lookup is read, and its entry cannot know
+    that nothing ran. The owner has to stay until its entries have closed.
+    """
+    pair = leaving.pair
+    owner = (pair.far.record.host, pair.far.record.owner_port)
+    relayed = structs.replace(pair.far.record, host=RELAY_HOST)
+    relay = Relay((relayed.host, relayed.owner_port), owner=owner)
+    other = build_record('c', host='127.0.9.3')
+    backend = HostedBackend('c', host=other.host, port=BACKEND_PORT)
+    with backend, MeshNode(other), ThreadPoolExecutor(2) as executor:
+        pair.near.show(relayed)
+        pair.ask('GET', '/files/1')
+        returned = relay.returned
+        relay.hold()
+        asked = executor.submit(pair.ask, 'GET', '/files/2')
+        wait_until(lambda: relay.held > 0)
+        pair.near.show(relayed, other)
+        ended = executor.submit(leaving.end_process)
+        wait_until(lambda: ended.done() or relay.returned > returned)
+        relay.release()
+        response, text = asked.result(PATIENCE)
+        ended.result(2 * PATIENCE)
+    relay.close()
+    assert response.status == 200
+    assert json.decode(text)['by'] == 'c'
+    tally = pair.near.tallies.sum_up()['casefiles/lookup']
+    assert tally.retried == 0
+    assert pair.backend.counts.runs == 1
+
+
+def test_entries_have_closed_when_the_owner_ends(
+    leaving: LeavingOwner,
+) -> None:
+    """A stop is over, and entries still send on their open connections."""
+    leaving.pair.ask('GET', '/files/1')
+    assert leaving.pair.far.calls.nodes.open == 1
+    leaving.stop.begin()
+    assert leaving.stop.wait(seconds=PATIENCE)
+    assert not leaving.pair.far.calls.nodes.open
