Stop: entries close first, so that no run is lost with its owner

Cause: the owner closed its connections as soon as nothing was under way there. A run message on the wire went unread; its entry heard "lost, outcome unknown" and spent a repeat from the budget, or answered 502, though nothing had run. Entries went on sending until a refusal or the list told them.

Ruled out: a later close alone (an entry that has not heard sends at any time); a new first byte of a connection or a new frame from the entry (earlier owners close on what they don't know).

Change: a frame Leaving, sent when the gate drains and to whoever connects later, to entries that said in their first Ping that they know it. The entry marks the upstream as leaving, sets the connection aside and closes it when its calls are over. The stop ends when the port is shut and every connection closed, 0.5 s after the last work at most. What is left is closed by finish. An answer to work in hand no longer ends the mark of a leaving upstream.

--- a/wagtaildale/calls/entry.py
+++ b/wagtaildale/calls/entry.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from wagtaildale.calls.exchanges import Exchange
     from wagtaildale.calls.routed import EntryParts
+    from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.types import ServiceName
 
 # How soon after a change of the list connections follow; a call that comes
@@ -54,6 +55,7 @@
     def look(self) -> None:
         """Keep connections, notes and budgets in step with the view."""
         parts = self.parts
+        now = read_clock()
         for listed in parts.view.current.list_records():
             parts.book.note_start(listed.instance, born=listed.born)
         parts.peers.keep_only(
@@ -63,7 +65,7 @@
                 )
                 for records in parts.view.current.upstreams.values()
                 for record in self.targets.narrow(records)
-                if record.host != parts.own_host
+                if self._is_wanted(record, now)
             },
         )
         share = self.parts.read_retries()
@@ -88,3 +90,9 @@
             )
             self._budgets[service] = budget
         return budget
+
+    def _is_wanted(self, record: InstanceRecord, now: float) -> bool:
+        # One that leaves would take the connection only to have it closed.
+        notes = self.parts.book.find(record.instance)
+        is_remote = record.host != self.parts.own_host
+        return is_remote and not notes.ejection.is_leaving(now)
--- a/wagtaildale/calls/frames.py
+++ b/wagtaildale/calls/frames.py
@@ -136,7 +136,14 @@
 
 
 class Ping(Struct, frozen=True, array_like=True, tag=10, gc=False):
-    """Asks whether the other side is there."""
+    """Asks whether the other side is there.
+
+    Attributes:
+        hears_leaving: whether whoever asks knows ``Leaving``. Builds that
+            do not know the field leave it out, or read past it.
+    """
+
+    hears_leaving: bool = False
 
 
 class Pong(Struct, frozen=True, array_like=True, tag=11, gc=False):
@@ -161,8 +168,27 @@
     is_up: bool
 
 
+class Leaving(Struct, frozen=True, array_like=True, tag=13, gc=False):
+    """The owner takes no new call; the entry closes when its calls are over.
+
+    Sent only to an entry that has said in a ``Ping`` that it knows this: an
+    earlier build would take it for bytes that are no frame.
+    """
+
+
 ToOwner = Reserve | Run | Piece | Taken | Cancel | Ping | Pong
-ToEntry = Granted | Failed | Answered | Piece | Taken | Cut | Ping | Pong | Load
+ToEntry = (
+    Granted
+    | Failed
+    | Answered
+    | Piece
+    | Taken
+    | Cut
+    | Ping
+    | Pong
+    | Load
+    | Leaving
+)
 Frame = (
     Reserve
     | Run
@@ -176,6 +202,7 @@
     | Ping
     | Pong
     | Load
+    | Leaving
 )
 
 _encoder = msgpack.Encoder()
--- a/wagtaildale/calls/peers.py
+++ b/wagtaildale/calls/peers.py
@@ -17,6 +17,7 @@
     Cancel,
     FrameReader,
     FrameWriter,
+    Leaving,
     Load,
     Ping,
     Pong,
@@ -43,6 +44,10 @@
 # and given up after this time: two losses in a row, and still short of what
 # most requests are worth waiting for.
 SILENT_SECONDS: Final = 1.0
+OWNER_LEAVES: Final = 'the owner leaves'
+
+# What an owner says of itself, and of no call.
+OwnerNews = Load | Leaving
 
 
 class PeerReceiver(Protocol):
@@ -164,7 +169,7 @@
         address: Address,
         *,
         compressed: bool,
-        on_load: Callable[[Load], None],
+        on_news: Callable[[RemotePeer, OwnerNews], None],
         on_closed: Callable[[RemotePeer], None],
     ) -> None:
         """Begin to connect.
@@ -173,14 +178,15 @@
             loop: carries the connection.
             address: of the owner.
             compressed: whether to compress what goes both ways.
-            on_load: is told how full the owner is.
+            on_news: is given what the owner says of itself unasked.
             on_closed: is told when the connection is gone.
         """
         self.address = address
         self.is_open = False
+        self.is_leaving = False
         self.is_closed = False
         self._loop = loop
-        self._on_load = on_load
+        self._on_news = on_news
         self._on_closed = on_closed
         self._reader = FrameReader(compressed=compressed)
         self._writer = FrameWriter(compressed=compressed)
@@ -189,6 +195,7 @@
         self._heard_at = read_clock()
         self._stream = open_stream(loop, (address.host, address.port), self)
         self._stream.send(COMPRESSED if compressed else PLAIN)
+        self.send(Ping(hears_leaving=True))
         self._alarm = loop.alarms.set(CONNECT_SECONDS, self._watch)
 
     @property
@@ -233,6 +240,12 @@
         known = self._receivers.pop(number, None)
         if known is not None and cancelled and not self.is_closed:
             self.send(Cancel(number))
+        self._close_if_left()
+
+    def leave(self) -> None:
+        """Close once the calls under way are over; begin no new one."""
+        self.is_leaving = True
+        self._close_if_left()
 
     def close(self, detail: str) -> None:
         """Give the connection up; every call on it hears so.
@@ -297,13 +310,19 @@
     def _take(self, frame: Frame) -> None:
         if isinstance(frame, Ping):
             self.send(Pong())
-        elif isinstance(frame, Load):
-            self._on_load(frame)
+        elif isinstance(frame, OwnerNews):
+            self._on_news(self, frame)
         elif not isinstance(frame, Pong):
             receiver = self._receivers.get(frame.call)
             if receiver is not None:
                 receiver.on_frame(frame)  # type: ignore[arg-type]
 
+    def _close_if_left(self) -> None:
+        # Failure: a leaving owner closes while a run message is on the wire.
+        # With no call under way nothing is, and this side closes first.
+        if self.is_leaving and not self._receivers:
+            self.close(OWNER_LEAVES)
+
     def _watch(self) -> None:
         if not self.is_open:
             self.close('connecting took too long')
@@ -327,16 +346,21 @@
         loop: Loop,
         *,
         on_load: Callable[[Load], None],
+        on_leaving: Callable[[Address], None],
     ) -> None:
         """Begin with none.
 
         Args:
             loop: carries the connections.
             on_load: is told how full owners are.
+            on_leaving: is told whose owner takes no new calls.
         """
         self._loop = loop
         self._on_load = on_load
+        self._on_leaving = on_leaving
         self._peers: dict[Address, RemotePeer] = {}
+        # They begin no new call and end with those under way.
+        self._aside: set[RemotePeer] = set()
 
     def find(self, address: Address, *, compressed: bool) -> RemotePeer:
         """Find the connection to an owner, a new one if there is none.
@@ -354,7 +378,7 @@
                 self._loop,
                 address,
                 compressed=compressed,
-                on_load=self._on_load,
+                on_news=self._take_news,
                 on_closed=self._forget,
             )
             self._peers[address] = peer
@@ -375,9 +399,22 @@
 
     def close(self) -> None:
         """Close every connection."""
-        for peer in tuple(self._peers.values()):
+        for peer in (*self._peers.values(), *self._aside):
             peer.close('this node stops')
 
+    def _take_news(self, peer: RemotePeer, news: OwnerNews) -> None:
+        if isinstance(news, Load):
+            self._on_load(news)
+        elif not peer.is_leaving:
+            self._on_leaving(peer.address)
+            self._set_aside(peer)
+
+    def _set_aside(self, peer: RemotePeer) -> None:
+        self._forget(peer)
+        self._aside.add(peer)
+        peer.leave()
+
     def _forget(self, peer: RemotePeer) -> None:
+        self._aside.discard(peer)
         if self._peers.get(peer.address) is peer:
             self._peers.pop(peer.address)
--- a/wagtaildale/calls/sessions.py
+++ b/wagtaildale/calls/sessions.py
@@ -12,6 +12,7 @@
     Cancel,
     FrameReader,
     FrameWriter,
+    Leaving,
     Piece,
     Ping,
     Pong,
@@ -44,7 +45,13 @@
 
 
 class PeerPort:
-    """The port on which other nodes' calls come to this node's owner."""
+    """The port on which other nodes' calls come to this node's owner.
+
+    Attributes:
+        owner: of the backend server.
+        recorder: gets an event for bytes that are no frames.
+        acceptor: listens on the port.
+    """
 
     def __init__(self, owner: Owner, *, recorder: EventRecorder) -> None:
         """Prepare; ``bind`` opens the port.
@@ -56,17 +63,22 @@
         self.owner = owner
         self.recorder = recorder
         self._sessions: set[PeerSession] = set()
-        self._acceptor = Acceptor(owner.loop, on_accept=self._accept)
+        self.acceptor = Acceptor(owner.loop, on_accept=self._accept)
 
     @property
     def open(self) -> int:
         """How many connections are open."""
         return len(self._sessions)
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether no connection is open and none can come."""
+        return self.acceptor.is_closed and not self._sessions
+
     @property
     def busy(self) -> int:
         """How many calls are under way."""
-        return sum(session.busy for session in tuple(self._sessions))
+        return sum(session.calls.busy for session in tuple(self._sessions))
 
     def bind(self, address: Address) -> Result[None, Fault]:
         """Open the port.
@@ -77,15 +89,25 @@
         Returns:
             Nothing, or the fault.
         """
-        return self._acceptor.bind(address.host, address.port)
+        return self.acceptor.bind(address.host, address.port)
 
     def start(self) -> None:
         """Accept connections; in the loop's thread."""
-        self._acceptor.start()
+        self.acceptor.start()
+
+    def announce_leaving(self) -> None:
+        """Tell every entry that this owner takes no new calls."""
+        for session in tuple(self._sessions):
+            session.calls.announce_leaving()
+
+    def finish(self) -> None:
+        """Close what entries have left open, without a reset."""
+        for session in tuple(self._sessions):
+            session.finish()
 
     def stop(self) -> None:
         """Close the port and everything on it."""
-        self._acceptor.close_now()
+        self.acceptor.close_now()
         for session in tuple(self._sessions):
             session.close()
 
@@ -122,6 +144,7 @@
         """
         self.owner = owner
         self.reply = reply
+        self._hears_leaving = False
         self._calls: dict[CallNumber, OwnedCall] = {}
 
     @property
@@ -142,6 +165,22 @@
         for call in tuple(self._calls.values()):
             call.cancel()
 
+    def note_hears_leaving(self) -> None:
+        """Learn that the entry knows ``Leaving``; it may be due already."""
+        self._hears_leaving = True
+        self.announce_leaving()
+
+    def announce_leaving(self) -> None:
+        """Tell the entry that the owner takes no new calls, if it does not.
+
+        Failure guarded here: a run message is on the wire when the owner of
+        a planned stop closes the connection. It is lost unread, and its
+        entry cannot know that nothing ran. Told of the stop the entry sends
+        nothing more, and closes from its side when its calls are over.
+        """
+        if self._hears_leaving and self.owner.gate.state.draining:
+            self.reply(Leaving())
+
     def take(self, frame: object) -> None:
         """Take a message of the entry.
 
@@ -232,6 +271,8 @@
 @take_frame.register
 def _take_ping(frame: Ping, calls: CallTable) -> None:
     calls.reply(Pong())
+    if frame.hears_leaving:
+        calls.note_hears_leaving()
 
 
 @take_frame.register
@@ -240,7 +281,11 @@
 
 
 class PeerSession:
-    """One connection of another node; a ``StreamReceiver``."""
+    """One connection of another node; a ``StreamReceiver``.
+
+    Attributes:
+        calls: of the entry there.
+    """
 
     def __init__(self, port: PeerPort, sock: socket.socket) -> None:
         """Take a connection.
@@ -253,18 +298,19 @@
         self._stream = Stream(port.owner.loop, sock, self)
         self._reader: FrameReader | None = None
         self._writer = FrameWriter(compressed=False)
-        self._calls = CallTable(port.owner, reply=self._send)
+        self.calls = CallTable(port.owner, reply=self._send)
 
-    @property
-    def busy(self) -> int:
-        """How many calls are under way."""
-        return self._calls.busy
+    def finish(self) -> None:
+        """Close quietly; every call of the entry is cancelled."""
+        self.calls.cancel_all()
+        self._stream.finish()
+        self._port.forget(self)
 
     def close(self) -> None:
         """Close at once; every call of the entry is cancelled."""
         self._stream.close()
         self._port.forget(self)
-        self._calls.cancel_all()
+        self.calls.cancel_all()
 
     def on_open(self) -> None:
         """Do nothing: it was open from the start."""
@@ -306,7 +352,7 @@
             self._reader = self._begin(chunk[:1])
             chunk = chunk[1:]
         for frame in self._reader.feed(chunk):
-            self._calls.take(frame)
+            self.calls.take(frame)
 
     def _begin(self, mark: bytes) -> FrameReader:
         if mark not in {PLAIN, COMPRESSED}:
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -28,6 +28,7 @@
 from wagtaildale.settings.model import BoundSettings
 from wagtaildale.telemetry.events import EventKind, EventRecorder
 from wagtaildale.telemetry.tallies import Tallies
+from wagtaildale.timers.service import read_clock
 from wagtaildale.types import DataCentre, NodeState, ServiceName
 
 if TYPE_CHECKING:
@@ -199,6 +200,14 @@
         """Take no new work; may be called from another thread."""
         self.loop.submit(self._drain).result()
 
+    def close_nodes_port(self) -> None:
+        """Let no node connect any more; may be called from another thread."""
+        self.loop.submit(self.nodes.acceptor.close).result()
+
+    def finish_nodes(self) -> None:
+        """Close what nodes left open; may be called from another thread."""
+        self.loop.submit(self.nodes.finish).result()
+
     def close_idle(self) -> None:
         """Close idle callers; may be called from another thread."""
         self.loop.submit(self.callers.close_idle).result()
@@ -232,6 +241,7 @@
     def _drain(self) -> None:
         self.callers.close_port()
         self.owner.gate.drain()
+        self.nodes.announce_leaving()
 
     def _make_parts(self) -> EntryParts:
         figures = self._figures
@@ -243,7 +253,11 @@
             loop=self.loop,
             owner=self.owner,
             local=self.local,
-            peers=PeerPool(self.loop, on_load=self._note_load),
+            peers=PeerPool(
+                self.loop,
+                on_load=self._note_load,
+                on_leaving=self._note_leaving,
+            ),
             view=around.view,
             book=UpstreamBook(),
             tallies=around.tallies,
@@ -283,6 +297,14 @@
     def _note_load(self, load: Load) -> None:
         self.entry.parts.book.find(load.instance).note_load(load)
 
+    def _note_leaving(self, address: Address) -> None:
+        # An owner does not know under which ids it is listed.
+        now = read_clock()
+        for record in self._around.view.current.records.values():
+            if Address(record.host, record.owner_port) == address:
+                notes = self.entry.parts.book.find(record.instance)
+                notes.ejection.note_leaving(now)
+
     def _note_defect(self, error: BaseException) -> None:
         self._around.recorder.record(
             EventKind.invariant_broken,
--- a/wagtaildale/lifecycle/stop.py
+++ b/wagtaildale/lifecycle/stop.py
@@ -17,6 +17,11 @@
     from wagtaildale.timers.inbox import Inbox
 
 LOOK_SECONDS: Final = 0.05
+# How long entries may take to close their connections once nothing is under
+# way. They were told when the gate closed, and need a round trip; a lost
+# packet is sent again after 200 ms. One that is cut off, or of a build that
+# is not told, costs the stop no more than this.
+NODES_SECONDS: Final = 0.5
 
 
 class Stop:
@@ -25,8 +30,9 @@
     First callers are served on, but told to go elsewhere: answers ask them
     to close, and whoever asks hears that the node is not ready. After the
     time for that, other nodes are told, the gate admits nothing more, and
-    the callers' port takes no new connection. When nothing is under way the
-    rest closes.
+    the callers' port takes no new connection. Entries are told to send
+    nothing more and close their connections when their calls are over. When
+    nothing is under way and they have closed, the rest closes.
 
     Failures guarded here: a caller sends on a connection that was idle just
     when it is closed, and its request is lost; idle connections are given
@@ -34,7 +40,9 @@
     elsewhere. Callers that do not know of the stop keep connecting, so that
     it never ends; a port that is closed refuses them before they send. In
     a rolling restart the servers of stopping nodes stand idle while the
-    callers move; they take work until the callers have moved.
+    callers move; they take work until the callers have moved. A run
+    message is on the wire when the owner closes, and nobody knows that it
+    never ran; entries close first, and until then it is refused as not run.
     """
 
     def __init__(
@@ -61,6 +69,7 @@
         self._inbox = inbox
         self._recorder = recorder
         self._has_left = False
+        self._quiet_since: float | None = None
         self._hurried = False
 
     def hurry(self) -> None:
@@ -81,17 +90,9 @@
         Returns:
             Whether all work was done in time.
         """
-        began = read_clock()
-        while read_clock() < began + seconds and not self._hurried:
-            elapsed = read_clock() - began
-            if elapsed > self._announce_seconds:
-                self._leave()
-            if elapsed > self._linger_seconds:
-                self._calls.close_idle()
-            if self._is_done(elapsed):
-                return True
-            time.sleep(LOOK_SECONDS)
-        left = self.count_in_flight()
+        is_done = self._work_off(seconds)
+        left = 0 if is_done else self.count_in_flight()
+        self._calls.finish_nodes()
         if left:
             self._recorder.record(
                 EventKind.node_leaving,
@@ -108,6 +109,19 @@
         """
         return self._calls.busy
 
+    def _work_off(self, seconds: float) -> bool:
+        began = read_clock()
+        while read_clock() < began + seconds and not self._hurried:
+            elapsed = read_clock() - began
+            if elapsed >= self._announce_seconds:
+                self._leave()
+            if elapsed > self._linger_seconds:
+                self._calls.close_idle()
+            if self._is_done(elapsed):
+                return True
+            time.sleep(LOOK_SECONDS)
+        return False
+
     def _leave(self) -> None:
         if self._has_left:
             return
@@ -118,4 +132,18 @@
     def _is_done(self, elapsed: float) -> bool:
         if elapsed < self._announce_seconds or self.count_in_flight():
             return False
-        return not self._calls.callers.open or elapsed > self._linger_seconds
+        if self._calls.callers.open and elapsed < self._linger_seconds:
+            return False
+        return self._have_entries_closed()
+
+    def _have_entries_closed(self) -> bool:
+        now = read_clock()
+        if self._quiet_since is None:
+            self._quiet_since = now
+            self._calls.close_nodes_port()
+        if self._calls.nodes.is_closed:
+            return True
+        if now > self._quiet_since + NODES_SECONDS:
+            # They read the end and close; the next look finds none.
+            self._calls.finish_nodes()
+        return False
--- a/wagtaildale/lifecycle/tests/test_owner_stop.py
+++ b/wagtaildale/lifecycle/tests/test_owner_stop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,7 @@
 from msgspec import json, structs
 
 from standins.hosted import HostedBackend
+from wagtaildale.calls.frames import PLAIN, Ping, encode_frame
 from wagtaildale.calls.tests.pairs import PATIENCE, Pair, wait_until
 from wagtaildale.calls.tests.relays import Relay
 from wagtaildale.lifecycle.stop import Stop
@@ -19,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+# Far more than a stop takes that waits for nothing.
+LONG = 1e9
 RELAY_HOST = '127.0.9.4'
 
 
@@ -106,3 +110,22 @@
     leaving.stop.begin()
     assert leaving.stop.wait(seconds=PATIENCE)
     assert not leaving.pair.far.calls.nodes.open
+
+
+def test_peer_that_never_closes_does_not_hold_the_stop(
+    leaving: LeavingOwner,
+) -> None:
+    """An entry is cut off, and the stop of an owner waits for it.
+
+    It is given a moment to close; then the owner does, and the bytes that
+    the entry still sends bring it the end of the line and no reset.
+    """
+    record = leaving.pair.far.record
+    address = (record.host, record.owner_port)
+    with socket.create_connection(address, PATIENCE) as sock:
+        sock.sendall(PLAIN)
+        wait_until(lambda: leaving.pair.far.calls.nodes.open == 1)
+        leaving.stop.begin()
+        assert leaving.stop.wait(seconds=LONG)
+        sock.sendall(encode_frame(Ping()))
+        assert not sock.recv(1)
--- a/wagtaildale/reactor/acceptor.py
+++ b/wagtaildale/reactor/acceptor.py
@@ -63,6 +63,11 @@
         self._is_watched = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether every connection that can come has been handed over."""
+        return not self._is_watched
+
     def bind(self, host: str, port: int) -> Result[None, Fault]:
         """Open the port; connections wait until ``start``.
 
--- a/wagtaildale/routing/book.py
+++ b/wagtaildale/routing/book.py
@@ -62,13 +62,14 @@
     one is answered.
     """
 
-    __slots__ = ('_failures', '_seconds', '_until')
+    __slots__ = ('_failures', '_leaves_until', '_seconds', '_until')
 
     def __init__(self) -> None:
         """Begin in good standing."""
         self._failures = 0
         self._seconds = FIRST_EJECTION
         self._until = float(0)
+        self._leaves_until = float(0)
 
     def is_out(self, now: float) -> bool:
         """Tell whether the upstream is left out now.
@@ -79,7 +80,18 @@
         Returns:
             Whether to choose others.
         """
-        return self._until > now
+        return max(self._until, self._leaves_until) > now
+
+    def is_leaving(self, now: float) -> bool:
+        """Tell whether the upstream has said of late that it is leaving.
+
+        Args:
+            now: seconds.
+
+        Returns:
+            Whether to open no connection before one is needed.
+        """
+        return self._leaves_until > now
 
     def note_failure(self, now: float) -> bool:
         """Note a failure of the upstream.
@@ -103,10 +115,14 @@
         News of it may take seconds to come round; its own refusal is as
         good. Should it come back under the same id, it is asked again soon.
 
+        Failure guarded here: it finishes what it has, and each answer to
+        that work would bring it back as well, to refuse new work. Answers
+        end an ejection for failures, and not this.
+
         Args:
             now: seconds.
         """
-        self._until = now + LEAVING_SECONDS
+        self._leaves_until = now + LEAVING_SECONDS
 
     def note_chosen(self, now: float) -> None:
         """Note that the upstream gets a call; a probe if it was out.
--- a/wagtaildale/routing/tests/test_book.py
+++ b/wagtaildale/routing/tests/test_book.py
@@ -7,7 +7,11 @@
 
 from wagtaildale.calls.fields import AnswerFields
 from wagtaildale.errors.codes import Code
-from wagtaildale.routing.book import Ejection, UpstreamBook
+from wagtaildale.routing.book import (
+    LEAVING_SECONDS,
+    Ejection,
+    UpstreamBook,
+)
 from wagtaildale.routing.candidates import (
     SUBSET_SIZE,
     leave_out_ejected,
@@ -70,6 +74,20 @@
     assert ejection.is_out(3.5)
 
 
+def test_work_that_a_leaving_upstream_finishes_does_not_bring_it_back() -> None:
+    """A server stops, and lookups are sent to it to be refused.
+
+    It says that it leaves and goes on with what it has. Each answer to that
+    work puts it back among those that take new work.
+    """
+    notes = UpstreamBook().find(InstanceId('a'))
+    now = read_clock()
+    notes.ejection.note_leaving(now)
+    notes.note_answer(build_answer())
+    assert notes.ejection.is_out(now)
+    assert not notes.ejection.is_out(now + LEAVING_SECONDS)
+
+
 def test_never_more_than_half_are_left_out() -> None:
     """An entry loses its line for a moment and leaves out the whole service."""
     records = [build_record(name) for name in 'abcd']
