--- a/wagtaildale/calls/peer_pool.py
+++ b/wagtaildale/calls/peer_pool.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.peers import SILENT, RemotePeer
+from wagtaildale.calls.peers import OWNER_LEAVES, SILENT, RemotePeer
 from wagtaildale.telemetry.events import EventKind
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from wagtaildale.calls.addresses import Address
     from wagtaildale.calls.frames import Load
@@ -18,7 +18,9 @@
 MILLISECONDS: Final = 1000
 UNNEEDED: Final = 'no longer needed'
 STOPPING: Final = 'this node stops'
-WANTED_CLOSES: Final = frozenset((UNNEEDED, STOPPING, SILENT))
+WANTED_CLOSES: Final = frozenset(
+    (UNNEEDED, STOPPING, SILENT, OWNER_LEAVES),
+)
 
 
 class PeerPool:
@@ -29,6 +31,8 @@
         loop: Loop,
         *,
         on_load: Callable[[Load], None],
+        on_leaving: Callable[[Address], None],
+        on_silent: Callable[[Address], None],
         recorder: EventRecorder,
     ) -> None:
         """Begin with none.
@@ -36,13 +40,18 @@
         Args:
             loop: carries the connections.
             on_load: is told how full owners are.
+            on_leaving: is told whose owner takes no new calls.
+            on_silent: is told of whose owner nothing is heard.
             recorder: gets an event for each connection that is lost.
         """
         self._loop = loop
         self._on_load = on_load
+        self._on_leaving = on_leaving
+        self._on_silent = on_silent
         self._recorder = recorder
         self._peers: dict[Address, RemotePeer] = {}
-        self._silent: set[RemotePeer] = set()
+        # They begin no new call and end with those under way.
+        self._aside: set[RemotePeer] = set()
 
     def find(self, address: Address, *, compressed: bool) -> RemotePeer:
         """Find the connection to an owner, a new one if there is none.
@@ -63,7 +72,7 @@
                 keeper=self,
             )
             self._peers[address] = peer
-            peer.replace(self._find_silent(address))
+            peer.replace(_list_silent(self._aside, address))
         return peer
 
     def keep_only(self, wanted: dict[Address, bool]) -> None:
@@ -81,18 +90,29 @@
 
     def close(self) -> None:
         """Close every connection."""
-        for peer in (*self._peers.values(), *self._silent):
+        for peer in (*self._peers.values(), *self._aside):
             peer.close(STOPPING)
 
+    def note_leaving(self, peer: RemotePeer) -> None:
+        """Set a connection aside; see ``PeerKeeper``.
+
+        Args:
+            peer: to an owner that takes no new calls.
+        """
+        self._on_leaving(peer.address)
+        self._set_aside(peer)
+
     def note_silent(self, peer: RemotePeer) -> None:
         """Set a connection aside; see ``PeerKeeper``.
 
         Args:
             peer: on which nothing comes; its calls may wait on it.
         """
+        self._on_silent(peer.address)
+        if peer in self._aside:
+            return
         self._record(EventKind.connection_silent, peer, detail='calls wait')
-        self._silent.add(peer)
-        self._leave_out(peer)
+        self._set_aside(peer)
         # Whether the owner is there is found out at once.
         self.find(peer.address, compressed=peer.is_compressed)
 
@@ -103,7 +123,7 @@
             peer: that is closed.
             detail: why.
         """
-        self._silent.discard(peer)
+        self._aside.discard(peer)
         self._leave_out(peer)
         if peer.busy or detail not in WANTED_CLOSES:
             self._record(EventKind.connection_lost, peer, detail=detail)
@@ -116,8 +136,9 @@
         """
         self._on_load(load)
 
-    def _find_silent(self, address: Address) -> tuple[RemotePeer, ...]:
-        return tuple(peer for peer in self._silent if peer.address == address)
+    def _set_aside(self, peer: RemotePeer) -> None:
+        self._leave_out(peer)
+        self._aside.add(peer)
 
     def _leave_out(self, peer: RemotePeer) -> None:
         if self._peers.get(peer.address) is peer:
@@ -137,3 +158,11 @@
                 'unsent_bytes': peer.unsent,
             },
         )
+
+
+def _list_silent(
+    peers: Iterable[RemotePeer],
+    address: Address,
+) -> tuple[RemotePeer, ...]:
+    at_address = (peer for peer in peers if peer.address == address)
+    return tuple(peer for peer in at_address if peer.is_silent)
--- a/wagtaildale/calls/peers.py
+++ b/wagtaildale/calls/peers.py
@@ -19,6 +19,7 @@
     Cancel,
     FrameReader,
     FrameWriter,
+    Leaving,
     Load,
     Ping,
     Pong,
@@ -50,6 +51,10 @@
 SILENT: Final = 'silent'
 REPLACED: Final = 'silent while a newer connection works'
 REFUSED: Final = 'silent, and a newer connection is refused'
+OWNER_LEAVES: Final = 'the owner leaves'
+
+# What an owner says of itself, and of no call.
+OwnerNews = Load | Leaving
 
 
 class PeerReceiver(Protocol):
@@ -181,11 +186,18 @@
             load: its word.
         """
 
+    def note_leaving(self, peer: RemotePeer) -> None:
+        """Learn that an owner takes no new calls.
+
+        Args:
+            peer: the connection to it; it ends with the calls under way.
+        """
+
     def note_silent(self, peer: RemotePeer) -> None:
         """Learn that a connection is not to be used for further calls.
 
         Args:
-            peer: on which nothing comes.
+            peer: on which nothing comes; told with each ping.
         """
 
     def note_closed(self, peer: RemotePeer, detail: str) -> None:
@@ -220,6 +232,7 @@
         self.is_compressed = compressed
         self.is_open = False
         self.is_silent = False
+        self.is_leaving = False
         self.is_closed = False
         self._loop = loop
         self._keeper = keeper
@@ -231,6 +244,7 @@
         self._heard_at = read_clock()
         self._stream = open_stream(loop, (address.host, address.port), self)
         self._stream.send(COMPRESSED if compressed else PLAIN)
+        self.send(Ping(hears_leaving=True))
         self._alarm = loop.alarms.set(CONNECT_SECONDS, self._watch)
 
     @property
@@ -285,8 +299,7 @@
         known = self._receivers.pop(number, None)
         if known is not None and cancelled and not self.is_closed:
             self.send(Cancel(number))
-        if self.is_silent and not self._receivers:
-            self.close(SILENT)
+        self._close_if_over()
 
     def replace(self, silent: tuple[RemotePeer, ...]) -> None:
         """Take the place of connections to the same owner that are silent.
@@ -296,8 +309,6 @@
                 or once this one finds the owner's process gone.
         """
         self._replaced = silent
-        if silent:
-            self.send(Ping())
 
     def expect_answer(self) -> None:
         """Give up soon if nothing comes: the owner answers elsewhere."""
@@ -364,13 +375,36 @@
     def _take(self, frame: Frame) -> None:
         if isinstance(frame, Ping):
             self.send(Pong())
-        elif isinstance(frame, Load):
-            self._keeper.note_load(frame)
+        elif isinstance(frame, OwnerNews):
+            self._take_news(frame)
         elif not isinstance(frame, Pong):
             receiver = self._receivers.get(frame.call)
             if receiver is not None:
                 receiver.on_frame(frame)  # type: ignore[arg-type]
 
+    def _take_news(self, news: OwnerNews) -> None:
+        if isinstance(news, Load):
+            self._keeper.note_load(news)
+        else:
+            self._leave()
+
+    def _leave(self) -> None:
+        if self.is_leaving:
+            return
+        self.is_leaving = True
+        self._keeper.note_leaving(self)
+        self._close_if_over()
+
+    def _close_if_over(self) -> None:
+        # Failure: a leaving owner closes while a run message is on the wire.
+        # With no call under way nothing is, and this side closes first.
+        if self._receivers:
+            return
+        if self.is_leaving:
+            self.close(OWNER_LEAVES)
+        elif self.is_silent:
+            self.close(SILENT)
+
     def _watch(self) -> None:
         if not self.is_open:
             self.close('connecting took too long')
@@ -390,13 +424,11 @@
         # Failure: a line stands still for some seconds, and every call on it
         # is told 502 while its server works on it. Silence is no word of the
         # owner; a call leaves it for another or waits, as the call decides.
-        if not self.is_silent:
-            self.is_silent = True
-            self._keeper.note_silent(self)
+        self.is_silent = True
+        self._keeper.note_silent(self)
         for receiver in tuple(self._receivers.values()):
             receiver.on_peer_silent(self._make_failure(SILENT))
-        if not self._receivers:
-            self.close(SILENT)
+        self._close_if_over()
 
     def _give_up(self) -> None:
         # Failure: a connection goes silent for good while new ones work, and
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -23,12 +23,13 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariants
 from wagtaildale.reactor.loop import Loop
-from wagtaildale.routing.book import UpstreamBook
+from wagtaildale.routing.book import Ejection, UpstreamBook
 from wagtaildale.routing.choice import Chooser
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.settings.model import BoundSettings
 from wagtaildale.telemetry.events import EventKind, EventRecorder
 from wagtaildale.telemetry.tallies import Tallies
+from wagtaildale.timers.service import read_clock
 from wagtaildale.types import DataCentre, NodeState, ServiceName
 
 if TYPE_CHECKING:
@@ -200,6 +201,14 @@
         """Take no new work; may be called from another thread."""
         self.loop.submit(self._drain).result()
 
+    def close_nodes_port(self) -> None:
+        """Let no node connect any more; may be called from another thread."""
+        self.loop.submit(self.nodes.acceptor.close).result()
+
+    def finish_nodes(self) -> None:
+        """Close what nodes left open; may be called from another thread."""
+        self.loop.submit(self.nodes.finish).result()
+
     def close_idle(self) -> None:
         """Close idle callers; may be called from another thread."""
         self.loop.submit(self.callers.close_idle).result()
@@ -233,6 +242,7 @@
     def _drain(self) -> None:
         self.callers.close_port()
         self.owner.gate.drain()
+        self.nodes.announce_leaving()
 
     def _make_parts(self) -> EntryParts:
         figures = self._figures
@@ -247,6 +257,8 @@
             peers=PeerPool(
                 self.loop,
                 on_load=self._note_load,
+                on_leaving=self._note_leaving,
+                on_silent=self._note_silent,
                 recorder=around.recorder,
             ),
             view=around.view,
@@ -288,6 +300,23 @@
     def _note_load(self, load: Load) -> None:
         self.entry.parts.book.find(load.instance).note_load(load)
 
+    def _note_leaving(self, address: Address) -> None:
+        for ejection in self._list_ejections(address):
+            ejection.note_leaving(read_clock())
+
+    def _note_silent(self, address: Address) -> None:
+        for ejection in self._list_ejections(address):
+            ejection.note_silent(read_clock())
+
+    def _list_ejections(self, address: Address) -> list[Ejection]:
+        # An owner does not know under which ids it is listed.
+        book = self.entry.parts.book
+        return [
+            book.find(record.instance).ejection
+            for record in self._around.view.current.records.values()
+            if Address(record.host, record.owner_port) == address
+        ]
+
     def _note_defect(self, error: BaseException) -> None:
         self._around.recorder.record(
             EventKind.invariant_broken,
--- a/wagtaildale/routing/book.py
+++ b/wagtaildale/routing/book.py
@@ -27,6 +27,8 @@
 LONGEST_EJECTION: Final = 30.0
 PROBE_SECONDS: Final = 1.0
 LEAVING_SECONDS: Final = 3.0
+# Told anew with each ping to a silent owner, four a second.
+SILENCE_SECONDS: Final = 0.5
 # A server that has just started takes about twice its usual time.
 COLD_SLOWNESS: Final = 2.0
 SLOWNESS_GAIN: Final = 0.1
@@ -62,13 +64,21 @@
     one is answered.
     """
 
-    __slots__ = ('_failures', '_seconds', '_until')
+    __slots__ = (
+        '_failures',
+        '_leaves_until',
+        '_seconds',
+        '_silent_until',
+        '_until',
+    )
 
     def __init__(self) -> None:
         """Begin in good standing."""
         self._failures = 0
         self._seconds = FIRST_EJECTION
         self._until = float(0)
+        self._leaves_until = float(0)
+        self._silent_until = float(0)
 
     def is_out(self, now: float) -> bool:
         """Tell whether the upstream is left out now.
@@ -79,7 +89,19 @@
         Returns:
             Whether to choose others.
         """
-        return self._until > now
+        until = max(self._until, self._leaves_until, self._silent_until)
+        return until > now
+
+    def is_leaving(self, now: float) -> bool:
+        """Tell whether the upstream has said of late that it is leaving.
+
+        Args:
+            now: seconds.
+
+        Returns:
+            Whether to open no connection before one is needed.
+        """
+        return self._leaves_until > now
 
     def note_failure(self, now: float) -> bool:
         """Note a failure of the upstream.
@@ -103,10 +125,26 @@
         News of it may take seconds to come round; its own refusal is as
         good. Should it come back under the same id, it is asked again soon.
 
+        Failure guarded here: it finishes what it has, and each answer to
+        that work would bring it back as well, to refuse new work. Answers
+        end an ejection for failures, and not this.
+
+        Args:
+            now: seconds.
+        """
+        self._leaves_until = now + LEAVING_SECONDS
+
+    def note_silent(self, now: float) -> None:
+        """Note that nothing is heard of the upstream's owner.
+
+        Failure guarded here: a process stands still for some seconds, its
+        port takes connections all the same, and every call that is sent on
+        one waits for a second.
+
         Args:
             now: seconds.
         """
-        self._until = now + LEAVING_SECONDS
+        self._silent_until = now + SILENCE_SECONDS
 
     def note_chosen(self, now: float) -> None:
         """Note that the upstream gets a call; a probe if it was out.
