--- a/wagtaildale/calls/peers.py
+++ b/wagtaildale/calls/peers.py
@@ -41,8 +41,11 @@
 CONNECT_SECONDS: Final = 0.5
 # While calls wait and nothing comes, the other side is asked this often,
 PING_SECONDS: Final = 0.25
-# and set aside after this time: two losses in a row, and still short of what
-# most requests are worth waiting for.
+# and the connection is set aside once a ping was unanswered for as long.
+ASIDE_SECONDS: Final = 0.75
+# Calls under way on it go elsewhere after this time: two losses in a row, and
+# still short of what most requests are worth waiting for. By then a newer
+# connection has had the time to show that the owner is there.
 SILENT_SECONDS: Final = 1.0
 # A process that reads a newer connection reads the older ones in the same
 # moment, and a line delivers what was sent first; the time of one ping is
@@ -412,22 +415,23 @@
         if not self._receivers:
             return
         silent = self.silent_seconds
-        if silent > SILENT_SECONDS:
-            self._note_silence()
+        if silent > ASIDE_SECONDS:
+            self._note_silence(silent)
         if self.is_closed:
             return
         if silent > PING_SECONDS:
             self.send(Ping())
         self._alarm = self._loop.alarms.set(PING_SECONDS, self._watch)
 
-    def _note_silence(self) -> None:
+    def _note_silence(self, seconds: float) -> None:
         # Failure: a line stands still for some seconds, and every call on it
         # is told 502 while its server works on it. Silence is no word of the
         # owner; a call leaves it for another or waits, as the call decides.
         self.is_silent = True
         self._keeper.note_silent(self)
-        for receiver in tuple(self._receivers.values()):
-            receiver.on_peer_silent(self._make_failure(SILENT))
+        if seconds > SILENT_SECONDS:
+            for receiver in tuple(self._receivers.values()):
+                receiver.on_peer_silent(self._make_failure(SILENT))
         self._close_if_over()
 
     def _give_up(self) -> None:
