One place for the least difference between two clocks

The estimate by which control messages are judged held up moves out of distribution to timers/differences, so that calls can use it too. No change of behaviour; tests of wagtaildale/distribution pass untouched (73).

--- a/wagtaildale/distribution/delays.py
+++ b/wagtaildale/distribution/delays.py
@@ -1,17 +1,12 @@
-"""How long messages were under way, beyond what is usual from their sender.
-
-Clocks of two machines have no common zero. But the least of (arrival by this
-clock - sending by that one) over some seconds is that of a message which
-came at once, and what another one has more was spent on its way.
-"""
+"""How long messages were under way, beyond what is usual from their sender."""
 
 from __future__ import annotations
 
-from math import inf
 from typing import Final
 
 from msgspec import Struct, field
 
+from wagtaildale.timers.differences import LeastDifference
 from wagtaildale.types import Incarnation, InstanceId
 
 # How long a least difference counts. A sender that was suspended comes back
@@ -27,20 +22,6 @@
 Sender = tuple[InstanceId, Incarnation]
 
 
-class Differences(Struct, kw_only=True):
-    """What was seen of one sender.
-
-    Attributes:
-        since: when the window began, seconds.
-        least: least difference in it.
-        least_before: the same in the window before.
-    """
-
-    since: float
-    least: float = inf
-    least_before: float = inf
-
-
 class Delays(Struct, kw_only=True):
     """The differences of all senders.
 
@@ -48,7 +29,7 @@
         senders: by process, what was seen of it.
     """
 
-    senders: dict[Sender, Differences] = field(default_factory=dict)
+    senders: dict[Sender, LeastDifference] = field(default_factory=dict)
 
     def measure(self, sender: Sender, *, sent: float, now: float) -> float:
         """Measure how long a message was under way beyond the usual.
@@ -70,15 +51,9 @@
         seen = self.senders.get(sender)
         if seen is None:
             self._forget_restarted(sender)
-            seen = Differences(since=now)
+            seen = LeastDifference(window=WINDOW_SECONDS, since=now)
             self.senders[sender] = seen
-        if now - seen.since > WINDOW_SECONDS:
-            seen.least_before = seen.least
-            seen.least = inf
-            seen.since = now
-        difference = now - sent
-        seen.least = min(seen.least, difference)
-        delay = difference - min(seen.least, seen.least_before)
+        delay = seen.measure_excess(now - sent, now=now)
         return delay if delay > HELD_UP_SECONDS else 0
 
     def _forget_restarted(self, sender: Sender) -> None:
--- /dev/null
+++ b/wagtaildale/timers/differences.py
@@ -0,0 +1,54 @@
+"""How late something is, by two clocks that have no common zero.
+
+The least of (arrival by this clock - sending by that one) over some seconds
+is that of a message which came at once, and what another one has more was
+spent on its way.
+"""
+
+from __future__ import annotations
+
+from math import inf
+
+from msgspec import Struct
+
+
+class LeastDifference(Struct, kw_only=True):
+    """The least difference that was seen lately between two clocks.
+
+    Clocks drift, and that of a suspended machine falls behind: so a
+    difference counts for one to two windows only, but always for as long as
+    no other was seen.
+
+    Attributes:
+        window: how long a difference counts at least, seconds.
+        since: when the window began, seconds.
+        least: least difference in it.
+        least_before: the same in the window before.
+
+    Example:
+        >>> seen = LeastDifference(window=10, since=0)
+        >>> [seen.measure_excess(each, now=1) for each in (5, 7, 4, 5)]
+        [0, 2, 0, 1]
+    """
+
+    window: float
+    since: float
+    least: float = inf
+    least_before: float = inf
+
+    def measure_excess(self, difference: float, *, now: float) -> float:
+        """Note a difference, and measure what it has beyond the least.
+
+        Args:
+            difference: seconds.
+            now: seconds on this clock.
+
+        Returns:
+            Seconds, never negative; 0 for the first.
+        """
+        if now - self.since > self.window:
+            self.least_before = self.least
+            self.least = inf
+            self.since = now
+        self.least = min(self.least, difference)
+        return difference - min(self.least, self.least_before)
