Stop: a run's own call finds the callers' port closed (failing test)

A request runs at the backend server beside a node that stops, and half-way through makes a call of its own on a new connection to that node: refused, so the run fails because of our stop. Fails on this code: test_run_that_still_makes_calls_finds_the_port_open: assert response.status == 200 (got 500)

The stand-in of a backend server answers 500 when a call of its own gets no answer; before, its task ended by an error that nobody saw, and the caller waited for its deadline.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -248,8 +248,12 @@
         backend.note_run(headers, self._parser.get_method())
         left = find_left(self._target)
         await self._work(seconds)
-        if left:
-            await backend.onward.call(left - 1, headers)
+        try:
+            await backend.onward.call(left, headers)
+        except (OSError, EOFError):
+            # As a server does that cannot do its part without the call.
+            self._answer(FAULTY, b'no answer to a call of its own')
+            return
         if backend.draw(backend.spec.faults.close_share):
             self._transport.close()
         elif not backend.spec.faults.hang:
--- a/standins/hosted.py
+++ b/standins/hosted.py
@@ -27,6 +27,7 @@
         *,
         host: str,
         port: int,
+        entry_port: int = 0,
         faults: BackendFaults | None = None,
     ) -> None:
         """Start it.
@@ -35,12 +36,14 @@
             name: goes into its answers.
             host: IP number.
             port: to listen on.
+            entry_port: of the node beside it, for calls that it makes.
             faults: how it behaves.
         """
         spec = BackendSpec(
             name=name,
             host=host,
             port=port,
+            entry_port=entry_port,
             faults=faults or BackendFaults(service_ms=0),
         )
         self._backend = BackendStandIn(spec)
--- a/standins/onward.py
+++ b/standins/onward.py
@@ -47,12 +47,18 @@
         self._idle: list[Line] = []
 
     async def call(self, left: int, headers: dict[bytes, bytes]) -> None:
-        """Make the next call of a chain.
+        """Make the next call of a chain, if one is to follow.
 
         Args:
-            left: calls that follow it.
+            left: calls that are still to follow.
             headers: of the request that leads to it.
+
+        Raises:
+            OSError: when the node cannot be reached.
+            EOFError: when it closes without an answer.
         """
+        if not left:
+            return
         line = self._idle.pop() if self._idle else await self._open()
         reader, writer = line
         context = b''.join(
@@ -61,7 +67,8 @@
             if name in headers
         )
         writer.write(
-            b'GET /chain/%d HTTP/1.1\r\nhost: mesh\r\n%b\r\n' % (left, context),
+            b'GET /chain/%d HTTP/1.1\r\nhost: mesh\r\n%b\r\n'
+            % (left - 1, context),
         )
         head = await reader.readuntil(HEAD_END)
         await reader.readexactly(_find_length(head))
--- a/wagtaildale/calls/tests/pairs.py
+++ b/wagtaildale/calls/tests/pairs.py
@@ -35,7 +35,12 @@
 
     def __init__(self) -> None:
         here, there = build_pair()
-        self.backend = HostedBackend('b', host=there.host, port=BACKEND_PORT)
+        self.backend = HostedBackend(
+            'b',
+            host=there.host,
+            port=BACKEND_PORT,
+            entry_port=there.entry_port,
+        )
         self.near = MeshNode(here)
         self.far = MeshNode(there)
         self.near.show(there)
--- a/wagtaildale/lifecycle/tests/test_owner_stop.py
+++ b/wagtaildale/lifecycle/tests/test_owner_stop.py
@@ -21,6 +21,21 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+CHAIN_MESH = """
+name = "Test Mesh"
+
+[[services]]
+name = "casefiles"
+team = "field"
+
+[[services.classes]]
+name = "chain"
+methods = ["GET"]
+path = "/chain/{left}"
+idempotent = true
+target = { within_ms = 5000, percent = 99 }
+deadline_ms = 5000
+"""
 # Far more than a stop takes that waits for nothing.
 LONG = 1e9
 RELAY_HOST = '127.0.9.4'
@@ -129,3 +144,32 @@
         assert leaving.stop.wait(seconds=LONG)
         sock.sendall(encode_frame(Ping()))
         assert not sock.recv(1)
+
+
+def test_run_that_still_makes_calls_finds_the_port_open(
+    leaving: LeavingOwner,
+) -> None:
+    """A report fails with a 500 because the node beside its server stops.
+
+    It was taken before the stop, and half-way through its server makes a
+    call of its own, on a new connection to the node: refused. The port
+    stays open while such runs are under way, and closes then.
+    """
+    pair = leaving.pair
+    near = pair.near.record
+    backend = HostedBackend('a', host=near.host, port=BACKEND_PORT)
+    pair.near.publish(CHAIN_MESH)
+    pair.far.publish(CHAIN_MESH)
+    pair.far.show(near)
+    pair.backend.faults.service_ms = 300
+    with backend, ThreadPoolExecutor(1) as executor:
+        asked = executor.submit(pair.ask, 'GET', '/chain/1')
+        wait_until(lambda: pair.backend.counts.runs == 1)
+        leaving.stop.begin()
+        assert leaving.stop.wait(seconds=2 * PATIENCE)
+        response, text = asked.result(PATIENCE)
+    assert response.status == 200
+    assert backend.counts.runs == 1
+    assert json.decode(text)['by'] == 'b'
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(pair.far.entry, PATIENCE)
