Stop: the callers' port stays open for the runs beside the node

Cause: the port closed when the announce time was over, whatever still ran at the backend server beside the node. A call of such a run on a new connection was refused, and the run failed.

Ruled out: keeping the port open to the end (callers that come late would be cut at the bound); telling the server's connections from others (on the users' platform all come from the same machine).

Change: the port closes once the gate, which admits no more, has no request at the server, and at half of the time between drain and bound at the latest.

--- a/wagtaildale/calls/callers.py
+++ b/wagtaildale/calls/callers.py
@@ -91,6 +91,11 @@
         """How many requests are under way."""
         return sum(each.busy for each in tuple(self._connections))
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether no new connection can come."""
+        return self._acceptor.is_closed
+
     def bind(self, address: Address) -> Result[None, Fault]:
         """Open the port.
 
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -162,6 +162,11 @@
         owned = self.nodes.busy + self.local.busy
         return max(self.callers.busy, owned, len(self.owner.gate.state.running))
 
+    @property
+    def has_runs(self) -> bool:
+        """Whether the backend server here has requests under way."""
+        return bool(self.owner.gate.state.running)
+
     def bind(self) -> Result[None, Fault]:
         """Open the ports.
 
@@ -200,6 +205,10 @@
         """Take no new work; may be called from another thread."""
         self.loop.submit(self._drain).result()
 
+    def close_callers_port(self) -> None:
+        """Let no caller connect any more; may be called from another thread."""
+        self.loop.submit(self.callers.close_port).result()
+
     def close_nodes_port(self) -> None:
         """Let no node connect any more; may be called from another thread."""
         self.loop.submit(self.nodes.acceptor.close).result()
@@ -239,7 +248,6 @@
         self._look()
 
     def _drain(self) -> None:
-        self.callers.close_port()
         self.owner.gate.drain()
         self.nodes.announce_leaving()
 
--- a/wagtaildale/calls/tests/test_leaving.py
+++ b/wagtaildale/calls/tests/test_leaving.py
@@ -29,6 +29,8 @@
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
+    import pytest
+
     from wagtaildale.calls.tests.pairs import Pair
 
 HEARING = Ping(hears_leaving=True)
@@ -114,11 +116,13 @@
 
 def test_leaving_owner_is_connected_to_only_when_it_is_needed(
     pair: Pair,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Entries connect anew, twice a second, to an owner that wants to end.
 
     It is still listed, and its entries open connections to all that are.
     """
+    monkeypatch.setattr('wagtaildale.routing.book.LEAVING_SECONDS', 1e9)
     calls = pair.near.calls
     pair.ask('GET', '/files/1')
     assert pair.far.calls.nodes.open == 1
--- a/wagtaildale/lifecycle/stop.py
+++ b/wagtaildale/lifecycle/stop.py
@@ -22,6 +22,10 @@
 # packet is sent again after 200 ms. One that is cut off, or of a build that
 # is not told, costs the stop no more than this.
 NODES_SECONDS: Final = 0.5
+# Of the time between the drain and the bound: how long the callers' port
+# stays open for runs at most. What comes at its end has the rest for its
+# answer.
+PORT_SHARE: Final = 0.5
 
 
 class Stop:
@@ -30,7 +34,8 @@
     First callers are served on, but told to go elsewhere: answers ask them
     to close, and whoever asks hears that the node is not ready. After the
     time for that, other nodes are told, the gate admits nothing more, and
-    the callers' port takes no new connection. Entries are told to send
+    the callers' port takes no new connection once the requests that the
+    backend server here still runs are over. Entries are told to send
     nothing more and close their connections when their calls are over. When
     nothing is under way and they have closed, the rest closes.
 
@@ -43,6 +48,8 @@
     callers move; they take work until the callers have moved. A run
     message is on the wire when the owner closes, and nobody knows that it
     never ran; entries close first, and until then it is refused as not run.
+    A request that runs here makes a call of its own, finds the callers' port
+    closed and fails; the port stays open for it.
     """
 
     def __init__(
@@ -110,11 +117,14 @@
         return self._calls.busy
 
     def _work_off(self, seconds: float) -> bool:
+        left = max(0, seconds - self._announce_seconds)
+        port_seconds = self._announce_seconds + PORT_SHARE * left
         began = read_clock()
         while read_clock() < began + seconds and not self._hurried:
             elapsed = read_clock() - began
             if elapsed >= self._announce_seconds:
                 self._leave()
+                self._close_port(is_late=elapsed >= port_seconds)
             if elapsed > self._linger_seconds:
                 self._calls.close_idle()
             if self._is_done(elapsed):
@@ -129,8 +139,14 @@
         self._inbox.put(Leave())
         self._calls.drain()
 
+    def _close_port(self, *, is_late: bool) -> None:
+        # The gate admits no more, so that the runs come to an end, however
+        # many callers keep coming.
+        if is_late or not self._calls.has_runs:
+            self._calls.close_callers_port()
+
     def _is_done(self, elapsed: float) -> bool:
-        if elapsed < self._announce_seconds or self.count_in_flight():
+        if self.count_in_flight() or not self._calls.callers.is_closed:
             return False
         if self._calls.callers.open and elapsed < self._linger_seconds:
             return False
--- a/wagtaildale/lifecycle/tests/test_owner_stop.py
+++ b/wagtaildale/lifecycle/tests/test_owner_stop.py
@@ -10,7 +10,7 @@
 from msgspec import json, structs
 
 from standins.hosted import HostedBackend
-from wagtaildale.calls.frames import PLAIN, Ping, encode_frame
+from wagtaildale.calls.frames import PLAIN, Ping, Pong, encode_frame
 from wagtaildale.calls.tests.pairs import PATIENCE, Pair, wait_until
 from wagtaildale.calls.tests.relays import Relay
 from wagtaildale.lifecycle.stop import Stop
@@ -36,6 +36,7 @@
 target = { within_ms = 5000, percent = 99 }
 deadline_ms = 5000
 """
+READ_BYTES = 4096
 # Far more than a stop takes that waits for nothing.
 LONG = 1e9
 RELAY_HOST = '127.0.9.4'
@@ -138,8 +139,8 @@
     record = leaving.pair.far.record
     address = (record.host, record.owner_port)
     with socket.create_connection(address, PATIENCE) as sock:
-        sock.sendall(PLAIN)
-        wait_until(lambda: leaving.pair.far.calls.nodes.open == 1)
+        sock.sendall(PLAIN + encode_frame(Ping()))
+        assert sock.recv(READ_BYTES) == encode_frame(Pong())
         leaving.stop.begin()
         assert leaving.stop.wait(seconds=LONG)
         sock.sendall(encode_frame(Ping()))
@@ -173,3 +174,15 @@
     assert json.decode(text)['by'] == 'b'
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection(pair.far.entry, PATIENCE)
+
+
+def test_port_is_not_held_open_until_the_bound(leaving: LeavingOwner) -> None:
+    """A planned stop reaches its bound and cuts callers who came late.
+
+    One long run kept the port open, and callers kept coming until the end.
+    """
+    leaving.pair.far.hold_slot()
+    leaving.stop.begin()
+    assert not leaving.stop.wait(seconds=2)
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(leaving.pair.far.entry, PATIENCE)
