--- a/wagtaildale/lifecycle/tests/test_owner_stop.py
+++ b/wagtaildale/lifecycle/tests/test_owner_stop.py
@@ -10,7 +10,7 @@
 from msgspec import json, structs
 
 from standins.hosted import HostedBackend
-from wagtaildale.calls.frames import PLAIN, Ping, encode_frame
+from wagtaildale.calls.frames import PLAIN, Ping, Pong, encode_frame
 from wagtaildale.calls.tests.pairs import PATIENCE, Pair, wait_until
 from wagtaildale.calls.tests.relays import Relay
 from wagtaildale.lifecycle.stop import Stop
@@ -21,6 +21,22 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+CHAIN_MESH = """
+name = "Test Mesh"
+
+[[services]]
+name = "casefiles"
+team = "field"
+
+[[services.classes]]
+name = "chain"
+methods = ["GET"]
+path = "/chain/{left}"
+idempotent = true
+target = { within_ms = 5000, percent = 99 }
+deadline_ms = 5000
+"""
+READ_BYTES = 4096
 # Far more than a stop takes that waits for nothing.
 LONG = 1e9
 RELAY_HOST = '127.0.9.4'
@@ -123,9 +139,50 @@
     record = leaving.pair.far.record
     address = (record.host, record.owner_port)
     with socket.create_connection(address, PATIENCE) as sock:
-        sock.sendall(PLAIN)
-        wait_until(lambda: leaving.pair.far.calls.nodes.open == 1)
+        sock.sendall(PLAIN + encode_frame(Ping()))
+        assert sock.recv(READ_BYTES) == encode_frame(Pong())
         leaving.stop.begin()
         assert leaving.stop.wait(seconds=LONG)
         sock.sendall(encode_frame(Ping()))
         assert not sock.recv(1)
+
+
+def test_run_that_still_makes_calls_finds_the_port_open(
+    leaving: LeavingOwner,
+) -> None:
+    """A report fails with a 500 because the node beside its server stops.
+
+    It was taken before the stop, and half-way through its server makes a
+    call of its own, on a new connection to the node: refused. The port
+    stays open while such runs are under way, and closes then.
+    """
+    pair = leaving.pair
+    near = pair.near.record
+    backend = HostedBackend('a', host=near.host, port=BACKEND_PORT)
+    pair.near.publish(CHAIN_MESH)
+    pair.far.publish(CHAIN_MESH)
+    pair.far.show(near)
+    pair.backend.faults.service_ms = 300
+    with backend, ThreadPoolExecutor(1) as executor:
+        asked = executor.submit(pair.ask, 'GET', '/chain/1')
+        wait_until(lambda: pair.backend.counts.runs == 1)
+        leaving.stop.begin()
+        assert leaving.stop.wait(seconds=2 * PATIENCE)
+        response, text = asked.result(PATIENCE)
+    assert response.status == 200
+    assert backend.counts.runs == 1
+    assert json.decode(text)['by'] == 'b'
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(pair.far.entry, PATIENCE)
+
+
+def test_port_is_not_held_open_until_the_bound(leaving: LeavingOwner) -> None:
+    """A planned stop reaches its bound and cuts callers who came late.
+
+    One long run kept the port open, and callers kept coming until the end.
+    """
+    leaving.pair.far.hold_slot()
+    leaving.stop.begin()
+    assert not leaving.stop.wait(seconds=2)
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(leaving.pair.far.entry, PATIENCE)
