--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -52,16 +52,27 @@
         Args:
             node: is told to hurry by a second signal.
         """
-        self.stopping = threading.Event()
+        self._stopping = threading.Event()
         self._node = node
         signal.signal(signal.SIGTERM, self._stop)
         signal.signal(signal.SIGINT, self._stop)
         signal.signal(signal.SIGHUP, self._keep)
 
+    def wait(self, seconds: float) -> bool:
+        """Wait for the signal to stop.
+
+        Args:
+            seconds: at most.
+
+        Returns:
+            Whether it has come.
+        """
+        return self._stopping.wait(seconds)
+
     def _stop(self, number: int, frame: FrameType | None) -> None:
-        if self.stopping.is_set():
+        if self._stopping.is_set():
             self._node.stop.hurry()
-        self.stopping.set()
+        self._stopping.set()
 
     def _keep(self, number: int, frame: FrameType | None) -> None:
         self._node.parts.recorder.record(
@@ -174,7 +185,7 @@
 
 
 def _wait(node: Node, signals: Signals) -> int:
-    while not signals.stopping.wait(LOOK_SECONDS):
+    while not signals.wait(LOOK_SECONDS):
         if node.drain_asked.is_set():
             break
         failure = node.find_failure()
