A signal that comes at any moment begins the planned stop

Cause: the handler set an event on which the main thread waits; both use the event's lock, which is not reentrant, and a handler runs in the thread it interrupts. If it came while the main thread held the lock (around each wait of 2 s) it waited for ever: no stop began, and the process was killed with everything under way. Now the handler sets a flag and leaves a message in an inbox, whose queue may be used from a handler at any moment.

Ruled out: a mask around the wait (the wait itself has to be interrupted).

--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -7,7 +7,6 @@
 import os
 import signal
 import sys
-import threading
 from contextlib import closing
 from typing import TYPE_CHECKING, Final
 
@@ -23,6 +22,7 @@
 from wagtaildale.settings.load import load_settings
 from wagtaildale.telemetry.events import EventKind, EventRecorder
 from wagtaildale.telemetry.log import open_log
+from wagtaildale.timers.inbox import Inbox
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,7 +44,14 @@
 
 
 class Signals:
-    """Turns signals into what the main thread waits for."""
+    """Turns signals into what the main thread waits for.
+
+    Failure guarded here: a process that is asked to stop works on until it
+    is killed, and everything under way is cut. A handler runs in the main
+    thread, between any two of its steps; if it asks for a lock that the
+    thread holds just then, as an event has one, both wait for ever. The
+    inbox's queue may be used from a handler at any moment.
+    """
 
     def __init__(self, node: Node) -> None:
         """Take over SIGTERM, SIGINT and SIGHUP.
@@ -52,7 +59,8 @@
         Args:
             node: is told to hurry by a second signal.
         """
-        self._stopping = threading.Event()
+        self._is_stopping = False
+        self._inbox: Inbox[int] = Inbox()
         self._node = node
         signal.signal(signal.SIGTERM, self._stop)
         signal.signal(signal.SIGINT, self._stop)
@@ -67,12 +75,15 @@
         Returns:
             Whether it has come.
         """
-        return self._stopping.wait(seconds)
+        if not self._is_stopping:
+            self._inbox.take(timeout=seconds)
+        return self._is_stopping
 
     def _stop(self, number: int, frame: FrameType | None) -> None:
-        if self._stopping.is_set():
+        if self._is_stopping:
             self._node.stop.hurry()
-        self._stopping.set()
+        self._is_stopping = True
+        self._inbox.put(number)
 
     def _keep(self, number: int, frame: FrameType | None) -> None:
         self._node.parts.recorder.record(
