--- a/wagtaildale/platform/settings.py
+++ b/wagtaildale/platform/settings.py
@@ -38,7 +38,8 @@
 ADMIN_PORT: Final = 9464
 # Where the platform does not say: its operators' usual figure.
 HEARTBEAT_MS: Final = round(HEARTBEAT_SECONDS * MILLISECONDS)
-# The planned stop ends this long before the process would be killed.
+# The bound of the planned stop is this long before the process would be
+# killed. Ending then takes up to 0.6 s: a look, the tasks' end, the log's end.
 STOP_MARGIN_SECONDS: Final = 0.7
 # The platform asks each second whether a node is ready and sends its callers
 # elsewhere after two misses.
--- a/wagtaildale/platform/tests/test_settings.py
+++ b/wagtaildale/platform/tests/test_settings.py
@@ -8,9 +8,12 @@
 from msgspec import json
 from result import Err
 
+from wagtaildale import node
 from wagtaildale.errors.codes import Code
+from wagtaildale.lifecycle import stop
 from wagtaildale.platform.settings import read_settings, translate_settings
 from wagtaildale.platform.tests.builders import SETTINGS, build_file
+from wagtaildale.telemetry import log
 
 
 def test_names_become_the_products() -> None:
@@ -57,3 +60,15 @@
     read = read_settings(tmp_path / 'nowhere.json')
     assert isinstance(read, Err)
     assert read.err_value[0].code is Code.file_unreadable
+
+
+def test_end_of_a_stop_fits_between_bound_and_kill() -> None:
+    """A stop that passed its bound ends by itself, and is not killed.
+
+    After the bound come the last look, the end of the tasks and the log's
+    last lines; each waits for a bounded time.
+    """
+    most = stop.LOOK_SECONDS + node.CLOSE_SECONDS + log.CLOSE_SECONDS
+    settings = translate_settings(build_file())
+    left = settings.bounds.stop_seconds - settings.limits.drain_seconds
+    assert most < left
