Owner: a call that waited is looked at again before it runs at a leaving server

Cause: whether the server leaves was looked at when a call came; one that waited for a slot ran as soon as one was free, however long its server had been known to leave. Refused as draining now, not run, and asked for elsewhere.

--- a/wagtaildale/calls/owned.py
+++ b/wagtaildale/calls/owned.py
@@ -245,10 +245,10 @@
             )
             return
         self._ticket = verdict.ticket
+        self.state = CallState.reserved
         if self._request is not None:
-            self._start(self._request)
+            self._start_if_meant(self._request)
             return
-        self.state = CallState.reserved
         self._owner.gate.lease(verdict.ticket, seconds=LEASE_SECONDS)
         self._replies.grant(self.fields, lease=verdict.ticket)
 
@@ -272,6 +272,16 @@
         assert self._request is not None
         self._start(self._request)
 
+    def _start_if_meant(self, request: Run) -> None:
+        try:
+            # Failure: a call waits for a slot while its server is listed as
+            # leaving, and reaches it long after everybody knows.
+            self._owner.check_target(self.fields)
+        except CallFailed as failure:
+            self._fail(failure)
+            return
+        self._start(request)
+
     def _start(self, request: Run) -> None:
         self.state = CallState.running
         if self._run is not None:
--- a/wagtaildale/calls/transit.py
+++ b/wagtaildale/calls/transit.py
@@ -14,10 +14,10 @@
 - the usual way itself, some milliseconds;
 - what held up the opening of the connection too, unless a later message
   came faster: the opening counts as the first message;
-- what a machine slept through whose steady clock stood still meanwhile, if
-  it is the owner's. If it is the entry's, all it sends looks late by its
-  sleep, and what has less time left is refused, unrun, until the window is
-  over.
+- what a machine slept through, where the clock does not count that
+  (``read_clock`` does), if it is the owner's. If it is the entry's, all it
+  sends looks late by its sleep, and what has less time left is refused,
+  unrun, until the window is over.
 """
 
 from __future__ import annotations
