What takes signals needs a recorder and what hurries, not a whole node

A second node in one test process registers its metrics twice, so the test of signals failed beside the one of the administration API. As strict as before: the same steps, the same verdicts.

--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -53,15 +53,22 @@
     inbox's queue may be used from a handler at any moment.
     """
 
-    def __init__(self, node: Node) -> None:
+    def __init__(
+        self,
+        recorder: EventRecorder,
+        *,
+        hurry: Callable[[], None],
+    ) -> None:
         """Take over SIGTERM, SIGINT and SIGHUP.
 
         Args:
-            node: is told to hurry by a second signal.
+            recorder: gets an event for a signal that changes nothing.
+            hurry: is called for a second signal to stop.
         """
         self._is_stopping = False
         self._inbox: Inbox[int] = Inbox()
-        self._node = node
+        self._recorder = recorder
+        self._hurry = hurry
         signal.signal(signal.SIGTERM, self._stop)
         signal.signal(signal.SIGINT, self._stop)
         signal.signal(signal.SIGHUP, self._keep)
@@ -81,12 +88,12 @@
 
     def _stop(self, number: int, frame: FrameType | None) -> None:
         if self._is_stopping:
-            self._node.stop.hurry()
+            self._hurry()
         self._is_stopping = True
         self._inbox.put(number)
 
     def _keep(self, number: int, frame: FrameType | None) -> None:
-        self._node.parts.recorder.record(
+        self._recorder.record(
             EventKind.settings_kept,
             detail='SIGHUP changes nothing: settings are read at the start',
         )
@@ -180,7 +187,7 @@
         tuning=tuning,
         integration=integration,
     )
-    signals = Signals(node)
+    signals = Signals(recorder, hurry=node.stop.hurry)
     started = node.start()
     if isinstance(started, Err):
         _complain((started.err_value,))
--- a/wagtaildale/lifecycle/tests/test_signals.py
+++ b/wagtaildale/lifecycle/tests/test_signals.py
@@ -12,9 +12,6 @@
 
 from wagtaildale.calls.tests.pairs import PATIENCE
 from wagtaildale.daemon import Signals
-from wagtaildale.distribution.sockets import NodeSockets
-from wagtaildale.node import Node
-from wagtaildale.platform.tests.builders import build_settings
 from wagtaildale.testing.builders import build_recorder
 
 if TYPE_CHECKING:
@@ -23,15 +20,11 @@
 TAKEN = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
-@pytest.fixture
-def node() -> Iterator[Node]:
-    """A node that is not started; the test's own handlers come back."""
+@pytest.fixture(autouse=True)
+def _handlers() -> Iterator[None]:
+    """Give the test's own handlers back."""
     before = {number: signal.getsignal(number) for number in TAKEN}
-    yield Node(
-        build_settings(),
-        recorder=build_recorder(),
-        sockets=NodeSockets(),
-    )
+    yield
     for number, taker in before.items():
         signal.signal(number, taker)
 
@@ -71,7 +64,7 @@
         return self._trace
 
 
-def test_signal_at_any_step_of_the_wait_begins_the_stop(node: Node) -> None:
+def test_signal_at_any_step_of_the_wait_begins_the_stop() -> None:
     """A process that is asked to stop works on, and is killed.
 
     The signal comes while the main thread holds the lock of what it waits
@@ -79,7 +72,7 @@
     in the same thread, asks for the same lock, and waits for ever.
     """
     for step in count(1):
-        signals = Signals(node)
+        signals = Signals(build_recorder(), hurry=lambda: None)
         wait = InterruptedWait(signals, step=step)
         assert wait.ends(), f'the signal came at step {step}'
         if not wait.has_come:
