--- a/wagtaildale/lifecycle/tests/test_stop.py
+++ b/wagtaildale/lifecycle/tests/test_stop.py
@@ -171,3 +171,30 @@
         assert waiter.result(PATIENCE)
     assert answers.count(b'HTTP/1.1 200') == answers.count(b'"by"')
     assert stopping.pair.backend.counts.cancelled == 0
+
+
+def test_stop_ends_though_the_task_that_carries_calls_has_ended(
+    stopping: Stopping,
+) -> None:
+    """A node answers nobody, and its process stays for ever.
+
+    The task that carries calls has failed. The process finds that, stops in
+    order, and asks the task to tell callers; the answer never comes, and the
+    platform starts no other process since this one has not ended.
+    """
+    near = stopping.pair.near
+    near.calls.stop()
+    wait_until(lambda: is_refused(near.entry))
+    stopper = threading.Thread(target=stopping.stop.begin, daemon=True)
+    stopper.start()
+    stopper.join(PATIENCE)
+    assert not stopper.is_alive()
+    assert stopping.stop.wait(seconds=PATIENCE)
+
+
+def is_refused(address: tuple[str, int]) -> bool:
+    try:
+        socket.create_connection(address, PATIENCE).close()
+    except ConnectionRefusedError:
+        return True
+    return False
