A stop ends though the task that carries calls has ended

Cause: announcing, draining and closing wait for an answer of the calls' loop without a bound. If the task has failed, the process finds that and stops in order, but waits for ever; no other process is started in its place. Now each of them waits for half a second at most; a loop that is only slow does what was asked later. Before: begin() had not returned after 5 s; after: the stop ends.

--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from concurrent.futures import wait
 from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct
@@ -31,6 +32,8 @@
 from wagtaildale.types import DataCentre, NodeState, ServiceName
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from result import Result
 
     from wagtaildale.calls.frames import Load
@@ -41,6 +44,9 @@
 MILLISECONDS: Final = 1000
 # How soon what the list tells of the backend server here is taken up.
 LOOK_SECONDS: Final = 0.5
+# How long another thread waits until the loop has done what it asks; far
+# longer than a step of the loop.
+ASK_SECONDS: Final = 0.5
 READY_HEAD_BYTES: Final = 8192
 READY_CONNECTIONS: Final = 64
 READY_LIMITS: Final = CallerLimits(
@@ -193,15 +199,15 @@
 
     def announce(self) -> None:
         """Tell callers to go elsewhere; may be called from another thread."""
-        self.loop.submit(self.callers.drain).result()
+        self._ask(self.callers.drain)
 
     def drain(self) -> None:
         """Take no new work; may be called from another thread."""
-        self.loop.submit(self._drain).result()
+        self._ask(self._drain)
 
     def close_idle(self) -> None:
         """Close idle callers; may be called from another thread."""
-        self.loop.submit(self.callers.close_idle).result()
+        self._ask(self.callers.close_idle)
 
     def read_limits(self) -> CallerLimits:
         """Give what callers may send now.
@@ -221,6 +227,16 @@
             connections=usual.connections,
         )
 
+    def _ask(self, work: Callable[[], None]) -> None:
+        # Failure: this task has ended by a defect, and whoever stops the
+        # node waits for its answer for ever; the process never ends, and no
+        # other is started. What is asked of a loop that is only slow is done
+        # later.
+        asked = self.loop.submit(work)
+        wait((asked,), timeout=ASK_SECONDS)
+        if asked.done():
+            asked.result()
+
     def _start(self) -> None:
         self.callers.start()
         self.nodes.start()
