Failing test: a handler of a signal records an event in the middle of anything

Fails: the recorder holds an event right after the handler, expected none. The handler runs in the main thread between any two of its steps; the recorder's clock has a lock.

--- a/wagtaildale/lifecycle/tests/test_signals.py
+++ b/wagtaildale/lifecycle/tests/test_signals.py
@@ -12,6 +12,7 @@
 
 from wagtaildale.calls.tests.pairs import PATIENCE
 from wagtaildale.daemon import Signals
+from wagtaildale.telemetry.events import EventKind
 from wagtaildale.testing.builders import build_recorder
 
 if TYPE_CHECKING:
@@ -79,3 +80,21 @@
             break
         assert signals.wait(0)
     assert step > 1
+
+
+def test_signal_that_changes_nothing_is_recorded_outside_its_handler() -> None:
+    """A process stands still for ever after its settings file has changed.
+
+    The signal comes while the main thread records an event and holds the
+    lock of the recorder's clock. The handler, in the same thread, records
+    one itself and waits for that lock. Now it only leaves word.
+    """
+    recorder = build_recorder()
+    signals = Signals(recorder, hurry=lambda: None)
+    taker = signal.getsignal(signal.SIGHUP)
+    assert callable(taker)
+    taker(signal.SIGHUP, None)
+    assert not recorder.read_since(0)
+    assert not signals.wait(0)
+    kinds = [event.kind for event in recorder.read_since(0)]
+    assert kinds == [EventKind.settings_kept]
