Daemon: a signal that changes nothing is recorded by the main thread, not its handler

Cause: the handler recorded an event itself and asked for the lock of the recorder's clock, which its own thread may hold.

--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -83,7 +83,9 @@
             Whether it has come.
         """
         if not self._is_stopping:
-            self._inbox.take(timeout=seconds)
+            number = self._inbox.take(timeout=seconds)
+            if number == signal.SIGHUP:
+                self._note_kept()
         return self._is_stopping
 
     def _stop(self, number: int, frame: FrameType | None) -> None:
@@ -93,6 +95,9 @@
         self._inbox.put(number)
 
     def _keep(self, number: int, frame: FrameType | None) -> None:
+        self._inbox.put(number)
+
+    def _note_kept(self) -> None:
         self._recorder.record(
             EventKind.settings_kept,
             detail='SIGHUP changes nothing: settings are read at the start',
