--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -300,6 +300,10 @@
         elif self.state is AttemptState.running:
             self.is_silent = True
             self._call.on_attempt_silent(self, failure)
+        elif read_clock() >= self._call.deadline:
+            # Failure: an owner stands still after it has begun an answer,
+            # and nothing ever ends the call, nor a stop that waits for it.
+            self._fail(failure, cancelled=True)
 
     def on_peer_lost(self, failure: CallFailed) -> None:
         """Learn that no further message comes; see ``PeerReceiver``.
--- a/wagtaildale/calls/attempts.py
+++ b/wagtaildale/calls/attempts.py
@@ -154,6 +154,22 @@
         left = self.retries_left > 0
         return self.idempotent and left and at < self.deadline
 
+    def take_hedge(self, *, now: float) -> bool:
+        """Take a second attempt beside the first, if one may be begun now.
+
+        Args:
+            now: seconds.
+
+        Returns:
+            Whether it may; a retry and a repeat of the budget are spent.
+        """
+        # Failure: retries are spent while a silent attempt goes on, its
+        # hedge comes due, and more upstreams are asked than the route allows.
+        if not self.may_hedge(now) or not self.budget.spend(now=now):
+            return False
+        self.retries_left -= 1
+        return True
+
     def _find_obstacle(
         self,
         failure: CallFailed,
--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -197,7 +197,7 @@
             self._report.note_failure(failure)
             self._exchange.cut()
         elif all(other.is_silent for other in self._running):
-            self._try_again(failure)
+            self._try_again(attempt, failure)
 
     # Steps
 
@@ -247,12 +247,12 @@
         target = targets.pick(self.routed, self.attempts, spare=spare)
         return Attempt(self, target=target, peer=targets.find_peer(target))
 
-    def _try_again(self, failure: CallFailed) -> None:
+    def _try_again(self, attempt: Attempt, failure: CallFailed) -> None:
         now = read_clock()
         replayable = self.request.body.is_replayable
         attempts = self.attempts
         if failure.code is Code.overloaded:
-            attempts.busy.append(attempts.tried[-1])
+            attempts.busy.append(attempt.target.fields.instance)
         if attempts.may_ask_elsewhere(failure, now=now) and replayable:
             self._report.note_refusal(failure)
             self._try()
@@ -272,7 +272,9 @@
 
     def _try_after_error(self, attempt: Attempt, frame: Answered) -> bool:
         """Try elsewhere after an answer that is an error of the server."""
-        if frame.status < SERVER_ERROR or frame.more or self._running:
+        if frame.status < SERVER_ERROR or frame.more:
+            return False
+        if any(not other.is_silent for other in self._running):
             return False
         shed = frame.status == SHED_STATUS
         failure = CallFailed(
@@ -309,9 +311,8 @@
             return
         if not self._entry.targets.has_another(self.routed, self.attempts):
             return
-        if not self.attempts.budget.spend(now=read_clock()):
+        if not self.attempts.take_hedge(now=read_clock()):
             return
-        self.attempts.retries_left -= 1
         self._report.note_hedge()
         self._try(spare=True)
 
--- a/wagtaildale/calls/peer_pool.py
+++ b/wagtaildale/calls/peer_pool.py
@@ -4,7 +4,12 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.peers import OWNER_LEAVES, SILENT, RemotePeer
+from wagtaildale.calls.peers import (
+    OWNER_LEAVES,
+    REFUSED,
+    SILENT,
+    RemotePeer,
+)
 from wagtaildale.telemetry.events import EventKind
 
 if TYPE_CHECKING:
@@ -72,7 +77,6 @@
                 keeper=self,
             )
             self._peers[address] = peer
-            peer.replace(_list_silent(self._aside, address))
         return peer
 
     def keep_only(self, wanted: dict[Address, bool]) -> None:
@@ -108,13 +112,30 @@
         Args:
             peer: on which nothing comes; its calls may wait on it.
         """
-        self._on_silent(peer.address)
-        if peer in self._aside:
+        if peer not in self._aside:
+            _record(
+                self._recorder,
+                EventKind.connection_silent,
+                peer,
+                detail='calls wait',
+            )
+            self._set_aside(peer)
+        # Whether the owner is there is found out on a newer connection.
+        newer = self.find(peer.address, compressed=peer.is_compressed)
+        if newer.answered_at > peer.heard_at:
+            peer.note_elsewhere()
             return
-        self._record(EventKind.connection_silent, peer, detail='calls wait')
-        self._set_aside(peer)
-        # Whether the owner is there is found out at once.
-        self.find(peer.address, compressed=peer.is_compressed)
+        self._on_silent(peer.address)
+        newer.ask()
+
+    def note_refused(self, peer: RemotePeer) -> None:
+        """Give up what is silent; see ``PeerKeeper``.
+
+        Args:
+            peer: a newer connection to an owner whose process is gone.
+        """
+        for silent in _list_silent(self._aside, peer.address):
+            silent.close(REFUSED)
 
     def note_closed(self, peer: RemotePeer, detail: str) -> None:
         """Forget a connection; see ``PeerKeeper``.
@@ -126,7 +147,12 @@
         self._aside.discard(peer)
         self._leave_out(peer)
         if peer.busy or detail not in WANTED_CLOSES:
-            self._record(EventKind.connection_lost, peer, detail=detail)
+            _record(
+                self._recorder,
+                EventKind.connection_lost,
+                peer,
+                detail=detail,
+            )
 
     def note_load(self, load: Load) -> None:
         """Pass on how full an owner is; see ``PeerKeeper``.
@@ -144,20 +170,25 @@
         if self._peers.get(peer.address) is peer:
             self._peers.pop(peer.address)
 
-    def _record(
-        self, kind: EventKind, peer: RemotePeer, *, detail: str
-    ) -> None:
-        self._recorder.record(
-            kind,
-            subject=f'{peer.address.host}:{peer.address.port}',
-            detail=detail,
-            inputs={
-                'was_open': int(peer.is_open),
-                'calls': peer.busy,
-                'silent_ms': round(peer.silent_seconds * MILLISECONDS),
-                'unsent_bytes': peer.unsent,
-            },
-        )
+
+def _record(
+    recorder: EventRecorder,
+    kind: EventKind,
+    peer: RemotePeer,
+    *,
+    detail: str,
+) -> None:
+    recorder.record(
+        kind,
+        subject=f'{peer.address.host}:{peer.address.port}',
+        detail=detail,
+        inputs={
+            'was_open': int(peer.is_open),
+            'calls': peer.busy,
+            'silent_ms': round(peer.silent_seconds * MILLISECONDS),
+            'unsent_bytes': peer.unsent,
+        },
+    )
 
 
 def _list_silent(
--- a/wagtaildale/calls/peers.py
+++ b/wagtaildale/calls/peers.py
@@ -48,10 +48,6 @@
 # still short of what most requests are worth waiting for. By then a newer
 # connection has had the time to show that the owner is there.
 SILENT_SECONDS: Final = 1.0
-# A process that reads a newer connection reads the older ones in the same
-# moment, and a line delivers what was sent first; the time of one ping is
-# left to a silent connection once a newer one has brought an answer.
-REPLACED_SECONDS: Final = PING_SECONDS
 SILENT: Final = 'silent'
 REPLACED: Final = 'silent while a newer connection works'
 REFUSED: Final = 'silent, and a newer connection is refused'
@@ -204,6 +200,13 @@
             peer: on which nothing comes; told with each ping.
         """
 
+    def note_refused(self, peer: RemotePeer) -> None:
+        """Learn that nothing listens at an owner's address any more.
+
+        Args:
+            peer: the connection that was refused.
+        """
+
     def note_closed(self, peer: RemotePeer, detail: str) -> None:
         """Learn that a connection is gone.
 
@@ -214,7 +217,22 @@
 
 
 class RemotePeer:
-    """An owner in another process; a ``StreamReceiver``."""
+    """An owner in another process; a ``StreamReceiver``.
+
+    A connection is set aside when its owner leaves, or when nothing comes
+    for a while: it begins no new call and closes after its last one. A
+    silent one is closed sooner when its owner is known to be gone.
+
+    Attributes:
+        address: of the owner.
+        is_compressed: whether what goes both ways is.
+        is_open: whether the connection stands.
+        is_silent: whether nothing came for so long that it was set aside.
+        is_leaving: whether its owner takes no new calls.
+        is_closed: whether it is of no more use.
+        heard_at: since when silence counts, seconds on the clock.
+        answered_at: when something last came; 0 before the first.
+    """
 
     def __init__(
         self,
@@ -240,13 +258,14 @@
         self.is_closed = False
         self._loop = loop
         self._keeper = keeper
-        self._replaced: tuple[RemotePeer, ...] = ()
+        self._given_up_at: float | None = None
         self._reader = FrameReader(compressed=compressed)
         self._writer = FrameWriter(compressed=compressed)
         self._receivers: dict[CallNumber, PeerReceiver] = {}
         self._last = 0
         self._begun_at = read_clock()
-        self._heard_at = self._begun_at
+        self.heard_at = self._begun_at
+        self.answered_at = float(0)
         self._stream = open_stream(loop, (address.host, address.port), self)
         self._stream.send(COMPRESSED if compressed else PLAIN)
         self.send(Ping(hears_leaving=True))
@@ -260,7 +279,7 @@
     @property
     def silent_seconds(self) -> float:
         """Time since anything was heard of the owner, or it was asked."""
-        return read_clock() - self._heard_at
+        return read_clock() - self.heard_at
 
     @property
     def unsent(self) -> int:
@@ -278,7 +297,7 @@
         """
         if not self._receivers:
             # Silence counts from when somebody began to wait.
-            self._heard_at = read_clock()
+            self.heard_at = read_clock()
         self._last += 1
         number = CallNumber(self._last)
         self._receivers[number] = receiver
@@ -307,18 +326,24 @@
             self.send(Cancel(number))
         self._close_if_over()
 
-    def replace(self, silent: tuple[RemotePeer, ...]) -> None:
-        """Take the place of connections to the same owner that are silent.
+    def ask(self) -> None:
+        """Ask whether the owner is there."""
+        if self.is_open:
+            self.send(Ping())
 
-        Args:
-            silent: they are given up once this one works and they do not,
-                or once this one finds the owner's process gone.
-        """
-        self._replaced = silent
+    def note_elsewhere(self) -> None:
+        """Learn that the owner answers on a newer connection; told again.
 
-    def expect_answer(self) -> None:
-        """Give up soon if nothing comes: the owner answers elsewhere."""
-        self._loop.alarms.set(REPLACED_SECONDS, self._give_up)
+        Failure guarded here: a connection goes silent for good while new
+        ones work, and the calls on it wait until their deadline for nothing.
+        After an outage TCP sends again after up to as long as it lasted, so
+        that much is given to a line that was only held up.
+        """
+        now = read_clock()
+        if self._given_up_at is None:
+            self._given_up_at = now + self.silent_seconds
+        elif now >= self._given_up_at:
+            self.close(REPLACED)
 
     def close(self, detail: str) -> None:
         """Give the connection up; every call on it hears so.
@@ -340,7 +365,7 @@
     def on_open(self) -> None:
         """Learn that the connection stands."""
         self.is_open = True
-        self._heard_at = read_clock()
+        self.heard_at = read_clock()
 
     def on_bytes(self, chunk: bytes) -> None:
         """Take frames.
@@ -348,10 +373,9 @@
         Args:
             chunk: as read.
         """
-        self._heard_at = read_clock()
-        for silent in self._replaced:
-            silent.expect_answer()
-        self._replaced = ()
+        self.heard_at = read_clock()
+        self.answered_at = self.heard_at
+        self._given_up_at = None
         try:
             frames = self._reader.feed(chunk)
         except CallFailed as failure:
@@ -371,8 +395,7 @@
             error: why.
         """
         if error.errno == errno.ECONNREFUSED:
-            for silent in self._replaced:
-                silent.close(REFUSED)
+            self._keeper.note_refused(self)
         self.close(str(error))
 
     def on_drained(self) -> None:
@@ -417,6 +440,7 @@
             return
         if not self._receivers:
             return
+        self._leave_out_own_pause()
         silent = self.silent_seconds
         if silent > ASIDE_SECONDS:
             self._note_silence(silent)
@@ -426,6 +450,14 @@
             self.send(Ping())
         self._alarm = self._loop.alarms.set(PING_SECONDS, self._watch)
 
+    def _leave_out_own_pause(self) -> None:
+        # Failure: this process itself stood still, and takes every owner for
+        # silent before it has read what they sent meanwhile.
+        now = read_clock()
+        late = now - self._alarm.at
+        if late > PING_SECONDS:
+            self.heard_at = min(now, self.heard_at + late)
+
     def _note_silence(self, seconds: float) -> None:
         # Failure: a line stands still for some seconds, and every call on it
         # is told 502 while its server works on it. Silence is no word of the
@@ -437,12 +469,6 @@
                 receiver.on_peer_silent(self._make_failure(SILENT))
         self._close_if_over()
 
-    def _give_up(self) -> None:
-        # Failure: a connection goes silent for good while new ones work, and
-        # the calls on it wait until their deadline for nothing.
-        if not self.is_closed and self.silent_seconds > SILENT_SECONDS:
-            self.close(REPLACED)
-
     def _make_failure(self, detail: str) -> CallFailed:
         # What was handed to a connection that never opened has not left
         # this process.
--- a/wagtaildale/calls/sessions.py
+++ b/wagtaildale/calls/sessions.py
@@ -81,7 +81,7 @@
     @property
     def busy(self) -> int:
         """How many calls are under way."""
-        return sum(session.calls.busy for session in tuple(self._sessions))
+        return sum(session.busy for session in tuple(self._sessions))
 
     def bind(self, address: Address) -> Result[None, Fault]:
         """Open the port.
@@ -317,6 +317,15 @@
         self._writer = FrameWriter(compressed=False)
         self.calls = CallTable(port.owner, reply=self._send)
 
+    @property
+    def busy(self) -> int:
+        """How many calls are under way.
+
+        Failure guarded here: a slow line has answers yet to take, their
+        calls are over, and a stop ends the process with them unsent.
+        """
+        return self.calls.busy or int(self._stream.unsent > 0)
+
     def finish(self) -> None:
         """Close quietly; every call of the entry is cancelled."""
         self.calls.cancel_all()
@@ -366,17 +375,18 @@
 
     def _take(self, chunk: bytes) -> None:
         if self._reader is None:
-            self._reader = self._begin(chunk[:1])
+            compressed = _read_mark(chunk[:1])
+            self._reader = FrameReader(compressed=compressed)
+            self._writer = FrameWriter(compressed=compressed)
             chunk = chunk[1:]
         for frame in self._reader.feed(chunk):
             self.calls.take(frame)
 
-    def _begin(self, mark: bytes) -> FrameReader:
-        if mark not in {PLAIN, COMPRESSED}:
-            raise CallFailed(Code.message_malformed, detail='first byte')
-        compressed = mark == COMPRESSED
-        self._writer = FrameWriter(compressed=compressed)
-        return FrameReader(compressed=compressed)
-
     def _send(self, frame: ToEntry) -> None:
         self._stream.send(self._writer.write(frame))
+
+
+def _read_mark(mark: bytes) -> bool:
+    if mark not in {PLAIN, COMPRESSED}:
+        raise CallFailed(Code.message_malformed, detail='first byte')
+    return mark == COMPRESSED
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -141,7 +141,7 @@
         return take_subset(records, entry=self._parts.owner.identity.instance)
 
     def has_another(self, routed: Routed, attempts: Attempts) -> bool:
-        """Tell whether an upstream is left that was not tried yet.
+        """Tell whether an upstream in good standing was not tried yet.
 
         Args:
             routed: the call.
@@ -151,8 +151,15 @@
             Whether a second attempt would go to another one.
         """
         tried = attempts.tried
+        fresh = (
+            record.instance
+            for record in self._list(routed, tried)
+            if record.instance not in tried
+        )
+        now = read_clock()
+        book = self._parts.book
         return any(
-            record.instance not in tried for record in self._list(routed, tried)
+            not book.find(instance).ejection.is_out(now) for instance in fresh
         )
 
     def find_peer(self, target: Target) -> Peer:
