Test: the only reader steps down for its own word (fails)

Fails at the last assertion of the new test in wagtaildale/distribution/tests/test_appointments.py: after the list that has the better-ranked node again, list_readers is [].

It stepped down for its own word.

--- a/wagtaildale/distribution/tests/test_appointments.py
+++ b/wagtaildale/distribution/tests/test_appointments.py
@@ -11,7 +11,8 @@
 )
 from wagtaildale.distribution.tuning import Tuning, make_tuning
 from wagtaildale.membership.state import find_topology
-from wagtaildale.testing.builders import build_configuration
+from wagtaildale.membership.topology import rank_instances
+from wagtaildale.testing.builders import build_configuration, build_instances
 from wagtaildale.testing.network import FakeNetwork
 from wagtaildale.types import InstanceId
 
@@ -80,3 +81,29 @@
     assert {
         read_version(network.nodes[InstanceId(name)]) for name in 'bcd'
     } == {2}
+
+
+def test_reader_does_not_step_down_for_its_own_word() -> None:
+    """Nobody reads the platform for seconds, and a stopped server is called.
+
+    A node starts again whose rank is better than the reader's, so that the
+    reader's own rank is one worse than it was. Peers still tell of what the
+    reader confirmed under the rank it had before. It takes that for the word
+    of a better reader and steps down, though it is the only one.
+    """
+    best, _slow, fast, _other = rank_instances(
+        'reader',
+        instances=map(InstanceId, 'abcd'),
+    )
+    network = build_slow_network(fast)
+    network.restart(best)
+    network.nodes[best].running = False
+    listed = [each for each in network.records if each.instance != best]
+    network.source.show(build_instances(*listed, version=2))
+    for _look in range(30):
+        network.pass_round(seconds=LOOK_SECONDS)
+    assert list_readers(network) == [fast]
+    network.source.show(build_instances(*network.records, version=3))
+    for _look in range(5):
+        network.pass_round(seconds=LOOK_SECONDS)
+        assert fast in list_readers(network)
