A reader does not step down for what it confirmed itself

Cause: word of a confirmation carries the rank its reader had then, and ranks shift when a node joins or leaves. When a better-ranked node joined, the only reader (rank 1, now 2) heard of its own confirmation from its peers, took it for that of a better reader and stepped down. Each such shift made the whole fleet deaf until the word had grown stale.

Mend: the word carries also who confirmed (one field at the end of Holding, empty from nodes that do not tell), and a reader passes over its own.

Ruled out: leaving readers' confirmations (their ranks 4 and 5 were worse than 2; left as they are); a later confirmation than the appointment (the echo is later than an appointment of 20 s before); comparing times (peers tell of a confirmation as up to some tenths later than it was).

--- a/wagtaildale/distribution/readers.py
+++ b/wagtaildale/distribution/readers.py
@@ -45,6 +45,7 @@
     fresh = state.freshness[kind]
     fresh.confirmed_at = now
     fresh.rank = find_rank(state)
+    fresh.reader = state.members.own.instance
     state.joining.source.add(kind)
 
 
@@ -125,10 +126,19 @@
         )
         fresh.confirmed_at = confirmed_at
         fresh.rank = holding.rank
-    if holding.rank < find_rank(state):
+        fresh.reader = holding.reader
+    if _is_better(state, holding):
         fresh.better_at = max(fresh.better_at, confirmed_at)
 
 
+def _is_better(state: DistributionState, holding: Holding) -> bool:
+    # Failure: a server is called seconds after it said that it leaves. A
+    # better-ranked node has joined, and the only reader steps down for what
+    # it confirmed itself, under the better rank that it had before.
+    is_own = holding.reader == state.members.own.instance
+    return not is_own and holding.rank < find_rank(state)
+
+
 def read_while_joining(
     state: DistributionState,
     *,
--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -8,7 +8,7 @@
 
 from wagtaildale.distribution.checks import CHECKS
 from wagtaildale.distribution.delays import Delays
-from wagtaildale.distribution.wire import Holding
+from wagtaildale.distribution.wire import NOBODY, Holding
 from wagtaildale.document.state import StoreState, make_store
 from wagtaildale.membership.records import InstanceRecord
 from wagtaildale.membership.state import MembershipState
@@ -29,11 +29,13 @@
     Attributes:
         confirmed_at: seconds on this node's clock.
         rank: of the reader that confirmed it.
+        reader: which one that was; empty if not told.
         better_at: when one of a better rank than this node confirmed it.
     """
 
     confirmed_at: float = NEVER
     rank: int = NO_RANK
+    reader: InstanceId = NOBODY
     better_at: float = NEVER
 
 
@@ -133,7 +135,14 @@
         age = UNKNOWN_AGE
         if fresh.confirmed_at != NEVER:
             age = max(0, round((now - fresh.confirmed_at) * MILLISECONDS))
-        return Holding(kind, held.version, held.digest, age, fresh.rank)
+        return Holding(
+            kind,
+            held.version,
+            held.digest,
+            age,
+            fresh.rank,
+            fresh.reader,
+        )
 
     def describe_all(self, now: float) -> tuple[Holding, ...]:
         """Describe every document.
--- a/wagtaildale/distribution/wire.py
+++ b/wagtaildale/distribution/wire.py
@@ -21,6 +21,7 @@
 LARGEST_MESSAGE: Final = 16_000_000
 WORTH_COMPRESSING: Final = 300
 ZLIB_MARK: Final = b'\x78'
+NOBODY: Final = InstanceId('')
 
 
 class Holding(Struct, frozen=True, array_like=True):
@@ -33,6 +34,7 @@
         age_ms: milliseconds since somebody last confirmed it at the
             platform, as far as the sender knows; -1 for never.
         rank: of the reader that confirmed it, in its data centre.
+        reader: which one that was; empty if not told.
     """
 
     kind: Kind
@@ -40,6 +42,7 @@
     digest: Digest
     age_ms: int
     rank: int
+    reader: InstanceId = NOBODY
 
 
 class Swap(Struct, frozen=True, array_like=True, tag=1):
