--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -214,15 +214,15 @@
 
     def close_callers_port(self) -> None:
         """Let no caller connect any more; may be called from another thread."""
-        self.loop.submit(self.callers.close_port).result()
+        self._ask(self.callers.close_port)
 
     def close_nodes_port(self) -> None:
         """Let no node connect any more; may be called from another thread."""
-        self.loop.submit(self.nodes.acceptor.close).result()
+        self._ask(self.nodes.acceptor.close)
 
     def finish_nodes(self) -> None:
         """Close what nodes left open; may be called from another thread."""
-        self.loop.submit(self.nodes.finish).result()
+        self._ask(self.nodes.finish)
 
     def close_idle(self) -> None:
         """Close idle callers; may be called from another thread."""
