--- a/wagtaildale/lifecycle/tests/test_stop.py
+++ b/wagtaildale/lifecycle/tests/test_stop.py
@@ -197,4 +197,7 @@
         socket.create_connection(address, PATIENCE).close()
     except ConnectionRefusedError:
         return True
+    except ConnectionResetError:
+        # It met the port in the moment that it closed.
+        return False
     return False
