--- /dev/null
+++ b/wagtaildale/calls/tests/hand_moved.py
@@ -0,0 +1,42 @@
+"""A loop that a test moves by hand.
+
+What the other side does has then always come before the loop looks.
+"""
+
+from __future__ import annotations
+
+import select
+from typing import TYPE_CHECKING, Final
+
+from wagtaildale.calls.tests.pairs import wait_until
+from wagtaildale.reactor.loop import Loop
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
+STEP_SECONDS: Final = 0.01
+
+
+class HandMoved:
+    """Has a loop and moves it until something holds."""
+
+    def __init__(self) -> None:
+        self.defects: list[BaseException] = []
+        self.loop = Loop(
+            on_defect=self.defects.append,
+            on_late=lambda _seconds: None,
+        )
+
+    def move_until(self, condition: Callable[[], bool]) -> None:
+        wait_until(lambda: self._move(condition))
+
+    def _move(self, condition: Callable[[], bool]) -> bool:
+        if condition():
+            return True
+        self.loop.step(STEP_SECONDS)
+        return condition()
+
+
+def is_readable(sock: socket.socket) -> bool:
+    return bool(select.select([sock], [], [], 0)[0])
--- a/wagtaildale/calls/tests/test_backends.py
+++ b/wagtaildale/calls/tests/test_backends.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 import struct
 from typing import TYPE_CHECKING, Final
@@ -15,13 +14,12 @@
 
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.backends import BackendPool, BackendRequest
-from wagtaildale.calls.tests.pairs import wait_until
-from wagtaildale.reactor.loop import Loop
+from wagtaildale.calls.tests.hand_moved import HandMoved, is_readable
 from wagtaildale.testing.mesh import BACKEND_PORT
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Iterator
 
     from wagtaildale.calls.failures import CallFailed
     from wagtaildale.calls.parsing import Message
@@ -33,7 +31,6 @@
 )
 # Closing sends a reset.
 RESET: Final = struct.pack('ii', 1, 0)
-STEP_SECONDS: Final = 0.01
 # More than the buffers of a connection take.
 LONG_BODY: Final = bytes(16_000_000)
 
@@ -61,15 +58,11 @@
         return bool(self.statuses or self.failures)
 
 
-class Bench:
+class Bench(HandMoved):
     """A pool, its loop and the listening socket of the server."""
 
     def __init__(self) -> None:
-        self.defects: list[BaseException] = []
-        self.loop = Loop(
-            on_defect=self.defects.append,
-            on_late=lambda _seconds: None,
-        )
+        super().__init__()
         self.pool = BackendPool(
             self.loop,
             address=Address(HOST, BACKEND_PORT),
@@ -99,28 +92,15 @@
         return asker
 
     def accept(self) -> socket.socket:
-        self.move_until(lambda: _is_readable(self.listener))
+        self.move_until(lambda: is_readable(self.listener))
         return self.listener.accept()[0]
 
     def answer(self, sock: socket.socket, asker: Asker, reply: bytes) -> None:
-        self.move_until(lambda: _is_readable(sock))
+        self.move_until(lambda: is_readable(sock))
         sock.recv(65536)
         sock.sendall(reply)
         self.move_until(asker.is_told)
 
-    def move_until(self, condition: Callable[[], bool]) -> None:
-        wait_until(lambda: self._move(condition))
-
-    def _move(self, condition: Callable[[], bool]) -> bool:
-        if condition():
-            return True
-        self.loop.step(STEP_SECONDS)
-        return condition()
-
-
-def _is_readable(sock: socket.socket) -> bool:
-    return bool(select.select([sock], [], [], 0)[0])
-
 
 @pytest.fixture
 def bench() -> Iterator[Bench]:
@@ -150,7 +130,7 @@
         kept.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
     kept.close()
     second = bench.ask()
-    bench.move_until(lambda: second.is_told() or _is_readable(bench.listener))
+    bench.move_until(lambda: second.is_told() or is_readable(bench.listener))
     assert not second.failures
     with bench.accept() as sock:
         bench.answer(sock, second, ANSWER)
@@ -183,7 +163,7 @@
     """
     asker = bench.ask(body=LONG_BODY)
     with bench.accept() as sock:
-        bench.move_until(lambda: _is_readable(sock))
+        bench.move_until(lambda: is_readable(sock))
         sock.sendall(LAST_ANSWER)
     bench.move_until(asker.is_told)
     assert asker.statuses == [200]
--- a/wagtaildale/calls/tests/test_callers.py
+++ b/wagtaildale/calls/tests/test_callers.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 from typing import TYPE_CHECKING, Final
 
@@ -15,13 +14,13 @@
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.callers import LOOK_SECONDS, CallerLimits, CallerPort
 from wagtaildale.calls.responses import ResponseHead
-from wagtaildale.calls.tests.pairs import PATIENCE, wait_until
-from wagtaildale.reactor.loop import Loop
+from wagtaildale.calls.tests.hand_moved import HandMoved, is_readable
+from wagtaildale.calls.tests.pairs import PATIENCE
 from wagtaildale.reactor.stream import LINGER_SECONDS
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Iterator
 
     from wagtaildale.calls.exchanges import Exchange
 
@@ -30,7 +29,6 @@
 LAST_REQUEST: Final = REQUEST.replace(
     b'\r\n\r\n', b'\r\nconnection: close\r\n\r\n'
 )
-STEP_SECONDS: Final = 0.01
 # More than the buffers of a connection take.
 LONG_BODY: Final = bytes(16_000_000)
 READ_BYTES: Final = 1_000_000
@@ -38,17 +36,13 @@
 LONGEST_SECONDS: Final = max(LINGER_SECONDS, LOOK_SECONDS)
 
 
-class Bench:
+class Bench(HandMoved):
     """A port whose requests are all answered at once with the same body."""
 
     def __init__(self, *, idle_seconds: float) -> None:
+        super().__init__()
         self.body = b'hi'
         self.answered = 0
-        self.defects: list[BaseException] = []
-        self.loop = Loop(
-            on_defect=self.defects.append,
-            on_late=lambda _seconds: None,
-        )
         limits = CallerLimits(
             head_bytes=8192,
             body_bytes=8192,
@@ -92,25 +86,12 @@
 
     def await_bytes(self, sock: socket.socket) -> None:
         """Let the port work until the caller has something to read."""
-        self.move_until(lambda: _is_readable(sock))
+        self.move_until(lambda: is_readable(sock))
 
     def let_time_pass(self) -> None:
         """Ring every alarm that is set, before any socket is looked at."""
         self.loop.alarms.ring(read_clock() + LONGEST_SECONDS)
 
-    def move_until(self, condition: Callable[[], bool]) -> None:
-        wait_until(lambda: self._move(condition))
-
-    def _move(self, condition: Callable[[], bool]) -> bool:
-        if condition():
-            return True
-        self.loop.step(STEP_SECONDS)
-        return condition()
-
-
-def _is_readable(sock: socket.socket) -> bool:
-    return bool(select.select([sock], [], [], 0)[0])
-
 
 @pytest.fixture
 def bench(idle_seconds: float) -> Iterator[Bench]:
