Routing: statistics of upstreams read no clock; a replay of load drives the decisions

Cause: what an entry knows of upstreams read the clock and came from the calls' own messages, so the choice could be tried by plays only. Change: statistics, ejection and placement take the time as an argument and an owner's report as a typed message; the replay carries entries, owners, callers and backend servers on a virtual clock. No decision is changed.

--- a/wagtaildale/admin/reports.py
+++ b/wagtaildale/admin/reports.py
@@ -124,11 +124,13 @@
     view: FleetView,
     record: InstanceRecord,
 ) -> str:
-    notes = node.calls.entry.parts.book.find(record.instance)
+    now = read_clock()
+    statistics = node.calls.entry.parts.statistics
+    upstream = statistics.find(record.instance, now=now)
     away = 'away' if record.instance in view.away else 'takes work'
     near = record.data_centre == node.parts.settings.data_centre
     place = 'own data centre' if near else record.data_centre
-    load = round(notes.measure_load() * 100)
+    load = round(upstream.measure_load(now) * 100)
     return f'{record.instance}: {place}, {away}, {load}% of its limit'
 
 
--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -164,7 +164,7 @@
 
     def begin(self) -> None:
         """Send the first message."""
-        self.target.notes.note_begun()
+        self.target.upstream.note_begun(read_clock())
         if self._call.request.reserves:
             self.state = AttemptState.reserving
             self._peer.send(Reserve(self._number, self.target.fields))
@@ -365,7 +365,7 @@
         if self.state is AttemptState.over:
             return
         self.state = AttemptState.over
-        self.target.notes.note_ended()
+        self.target.upstream.note_ended()
         self._peer.close_call(self._number, cancelled=cancelled)
 
 
--- a/wagtaildale/calls/entry.py
+++ b/wagtaildale/calls/entry.py
@@ -57,7 +57,11 @@
         parts = self.parts
         now = read_clock()
         for listed in parts.view.current.list_records():
-            parts.book.note_start(listed.instance, born=listed.born)
+            parts.statistics.note_start(
+                listed.instance,
+                born=listed.born,
+                now=now,
+            )
         parts.peers.keep_only(
             {
                 Address(record.host, record.owner_port): self.targets.is_far(
@@ -93,6 +97,6 @@
 
     def _is_wanted(self, record: InstanceRecord, now: float) -> bool:
         # One that leaves would take the connection only to have it closed.
-        notes = self.parts.book.find(record.instance)
+        upstream = self.parts.statistics.find(record.instance, now=now)
         is_remote = record.host != self.parts.own_host
-        return is_remote and not notes.ejection.is_leaving(now)
+        return is_remote and not upstream.ejection.is_leaving(now)
--- a/wagtaildale/calls/fields.py
+++ b/wagtaildale/calls/fields.py
@@ -9,6 +9,7 @@
 from wagtaildale.admission.messages import MIDDLE_RANK, TicketId
 from wagtaildale.errors.codes import Code
 from wagtaildale.types import (
+    ANY_INCARNATION,
     Incarnation,
     InstanceId,
     Outcome,
@@ -17,7 +18,6 @@
 
 PRIVATE_PREFIX: Final = b'wagtaildale-'
 NO_LEASE: Final = TicketId(0)
-ANY_INCARNATION: Final = Incarnation(0)
 
 
 class CallFields(
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -11,9 +11,15 @@
 from wagtaildale.calls.backends import BackendPool
 from wagtaildale.calls.dialect import OWN_DIALECT, Dialect
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.fields import ANY_INCARNATION, AnswerFields, CallFields
+from wagtaildale.calls.fields import AnswerFields, CallFields
 from wagtaildale.errors.codes import Code
-from wagtaildale.types import Incarnation, InstanceId, ListedState, Outcome
+from wagtaildale.types import (
+    ANY_INCARNATION,
+    Incarnation,
+    InstanceId,
+    ListedState,
+    Outcome,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/wagtaildale/calls/report.py
+++ b/wagtaildale/calls/report.py
@@ -88,7 +88,7 @@
             target: where the attempt goes.
         """
         fields = target.fields
-        notes = target.notes
+        upstream = target.upstream
         self._attempts.append(fields.instance)
         if len(self._attempts) == 1:
             # Nearly every call has one attempt, and its end names it.
@@ -104,10 +104,12 @@
                 'far': int(target.is_far),
                 'patient': int(fields.patient),
                 'left_ms': fields.remaining_ms,
-                'running': notes.in_flight,
-                'waiting': notes.queued,
-                'limit': notes.limit,
-                'load_age_ms': round(notes.age * MILLISECONDS),
+                'running': upstream.in_flight,
+                'waiting': upstream.queued,
+                'limit': upstream.limit,
+                'load_age_ms': round(
+                    upstream.measure_age(read_clock()) * MILLISECONDS,
+                ),
             },
         )
 
--- a/wagtaildale/calls/routed.py
+++ b/wagtaildale/calls/routed.py
@@ -19,8 +19,8 @@
 from wagtaildale.calls.peers import LocalPeer
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.loop import Loop
-from wagtaildale.routing.book import UpstreamBook
 from wagtaildale.routing.choice import Chooser
+from wagtaildale.routing.statistics import FleetStatistics
 from wagtaildale.routing.table import RETRIES_MOST, RouteMatch
 from wagtaildale.routing.view import FleetView, ViewHolder
 from wagtaildale.telemetry.events import EventRecorder
@@ -57,7 +57,7 @@
         local: that owner, as an entry speaks to it.
         peers: connections to the other owners.
         view: what calls are routed by.
-        book: what is known of upstreams.
+        statistics: what is known of upstreams.
         tallies: counts of calls.
         recorder: gets events.
         chooser: of upstreams.
@@ -77,7 +77,7 @@
     local: LocalPeer
     peers: PeerPool
     view: ViewHolder
-    book: UpstreamBook
+    statistics: FleetStatistics
     tallies: Tallies
     recorder: EventRecorder
     chooser: Chooser
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -8,18 +8,23 @@
 
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.fields import ANY_INCARNATION, CallFields
+from wagtaildale.calls.fields import CallFields
 from wagtaildale.errors.codes import Code
 from wagtaildale.membership.topology import rank_instances
-from wagtaildale.routing.book import UPSTREAM_FAULTS, UpstreamNotes
 from wagtaildale.routing.candidates import (
     leave_out_ejected,
     list_candidates,
     take_subset,
 )
 from wagtaildale.routing.choice import Need
+from wagtaildale.routing.statistics import (
+    UPSTREAM_FAULTS,
+    OwnerReport,
+    UpstreamStatistics,
+)
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
+from wagtaildale.types import ANY_INCARNATION
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -48,18 +53,18 @@
         is_local: whether the owner is in this process.
         is_far: whether it is in another data centre.
         fields: what the owner is told.
-        notes: what is known of the upstream.
+        upstream: what is known of it.
     """
 
     address: Address
     is_local: bool
     is_far: bool
     fields: CallFields
-    notes: UpstreamNotes
+    upstream: UpstreamStatistics
 
 
 class Targets:
-    """Chooses targets and keeps the book on them."""
+    """Chooses targets and keeps their statistics."""
 
     def __init__(self, parts: EntryParts) -> None:
         """Prepare.
@@ -111,19 +116,22 @@
             or len(candidates) == 1
         )
         attempts.tried.append(record.instance)
-        notes = self._parts.book.find(record.instance)
+        upstream = self._parts.statistics.find(
+            record.instance,
+            now=read_clock(),
+        )
         return Target(
             address=Address(record.host, record.owner_port),
             is_local=record.host == self._parts.own_host,
             is_far=self.is_far(record),
             fields=_describe(
                 routed,
-                notes,
+                upstream,
                 attempts,
                 patient=patient and not spare,
                 spare=spare,
             ),
-            notes=notes,
+            upstream=upstream,
         )
 
     def narrow(
@@ -157,9 +165,10 @@
             if record.instance not in tried
         )
         now = read_clock()
-        book = self._parts.book
+        statistics = self._parts.statistics
         return any(
-            not book.find(instance).ejection.is_out(now) for instance in fresh
+            not statistics.find(instance, now=now).ejection.is_out(now)
+            for instance in fresh
         )
 
     def find_peer(self, target: Target) -> Peer:
@@ -196,13 +205,15 @@
             target: where the attempt went.
             answer: its fields.
         """
+        now = read_clock()
         if answer.backend_us:
-            self._parts.book.note_time(
+            self._parts.statistics.note_time(
                 target.fields.instance,
                 work_class=target.fields.work_class,
                 seconds=answer.backend_us / MICROSECONDS,
+                now=now,
             )
-        if target.notes.note_answer(answer):
+        if target.upstream.note_answer(_read_report(answer), now=now):
             self._parts.recorder.record(
                 EventKind.upstream_restored,
                 subject=target.fields.instance,
@@ -217,7 +228,7 @@
         """
         if failure.code not in UPSTREAM_FAULTS:
             return
-        if target.notes.ejection.note_failure(read_clock()):
+        if target.upstream.ejection.note_failure(read_clock()):
             self._parts.recorder.record(
                 EventKind.upstream_ejected,
                 code=failure.code,
@@ -247,16 +258,19 @@
             return _choose_by_key(routed.idempotency_key, candidates)
         parts = self._parts
         now = read_clock()
-        good = leave_out_ejected(candidates, book=parts.book, now=now)
+        good = leave_out_ejected(
+            candidates, statistics=parts.statistics, now=now
+        )
         return parts.chooser.choose(
             self.narrow(good),
-            book=parts.book,
+            statistics=parts.statistics,
             need=Need(
                 data_centre=parts.data_centre,
                 work_class=_name_class(routed),
                 slack_seconds=routed.due - now,
                 may_wait=bool(attempts.busy and attempts.refusals_left),
             ),
+            now=now,
         )
 
 
@@ -270,13 +284,24 @@
     return by_instance[rank_instances(key, instances=by_instance)[0]]
 
 
+def _read_report(answer: AnswerFields) -> OwnerReport:
+    return OwnerReport(
+        incarnation=answer.incarnation,
+        in_flight=answer.in_flight,
+        limit=answer.limit,
+        queued=answer.queued,
+        slot_seconds=answer.slot_us / MICROSECONDS,
+        code=answer.code,
+    )
+
+
 def _name_class(routed: Routed) -> str:
     return f'{routed.service}/{routed.match.work_class.name}'
 
 
 def _describe(
     routed: Routed,
-    notes: UpstreamNotes,
+    upstream: UpstreamStatistics,
     attempts: Attempts,
     *,
     patient: bool,
@@ -301,7 +326,7 @@
         idempotent=work_class.idempotent,
         within_ms=int(within * MILLISECONDS),
         remaining_ms=max(0, int(rest * MILLISECONDS)),
-        instance=notes.instance,
+        instance=upstream.instance,
         incarnation=ANY_INCARNATION,
         depth=routed.depth,
         retries=attempts.retries_left,
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -24,7 +24,8 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariants
 from wagtaildale.reactor.loop import Loop
-from wagtaildale.routing.book import Ejection, UpstreamBook
+from wagtaildale.routing.ejection import Ejection
+from wagtaildale.routing.statistics import FleetStatistics
 from wagtaildale.routing.choice import Chooser
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.settings.model import BoundSettings
@@ -286,7 +287,7 @@
                 recorder=around.recorder,
             ),
             view=around.view,
-            book=UpstreamBook(),
+            statistics=FleetStatistics(),
             tallies=around.tallies,
             recorder=around.recorder,
             chooser=figures.chooser,
@@ -322,7 +323,14 @@
         return self._around.view.current.records.get(instance)
 
     def _note_load(self, load: Load) -> None:
-        self.entry.parts.book.find(load.instance).note_load(load)
+        now = read_clock()
+        upstream = self.entry.parts.statistics.find(load.instance, now=now)
+        upstream.note_load(
+            in_flight=load.in_flight,
+            limit=load.limit,
+            queued=load.queued,
+            now=now,
+        )
 
     def _note_leaving(self, address: Address) -> None:
         for ejection in self._list_ejections(address):
@@ -334,9 +342,10 @@
 
     def _list_ejections(self, address: Address) -> list[Ejection]:
         # An owner does not know under which ids it is listed.
-        book = self.entry.parts.book
+        now = read_clock()
+        statistics = self.entry.parts.statistics
         return [
-            book.find(record.instance).ejection
+            statistics.find(record.instance, now=now).ejection
             for record in self._around.view.current.records.values()
             if Address(record.host, record.owner_port) == address
         ]
--- a/wagtaildale/calls/tests/test_leaving.py
+++ b/wagtaildale/calls/tests/test_leaving.py
@@ -122,7 +122,7 @@
 
     It is still listed, and its entries open connections to all that are.
     """
-    monkeypatch.setattr('wagtaildale.routing.book.LEAVING_SECONDS', 1e9)
+    monkeypatch.setattr('wagtaildale.routing.ejection.LEAVING_SECONDS', 1e9)
     calls = pair.near.calls
     pair.ask('GET', '/files/1')
     assert pair.far.calls.nodes.open == 1
--- a/wagtaildale/routing/candidates.py
+++ b/wagtaildale/routing/candidates.py
@@ -11,7 +11,7 @@
     from collections.abc import Collection, Sequence
 
     from wagtaildale.membership.records import InstanceRecord
-    from wagtaildale.routing.book import UpstreamBook
+    from wagtaildale.routing.statistics import FleetStatistics
     from wagtaildale.routing.view import FleetView
     from wagtaildale.types import InstanceId, ServiceName
 
@@ -53,7 +53,7 @@
 def leave_out_ejected(
     candidates: Sequence[InstanceRecord],
     *,
-    book: UpstreamBook,
+    statistics: FleetStatistics,
     now: float,
 ) -> Sequence[InstanceRecord]:
     """Leave out the upstreams that failed of late, at most half of all.
@@ -64,7 +64,7 @@
 
     Args:
         candidates: that may take the attempt.
-        book: what is known of them.
+        statistics: what is known of them.
         now: seconds.
 
     Returns:
@@ -73,7 +73,7 @@
     good = [
         record
         for record in candidates
-        if not book.find(record.instance).ejection.is_out(now)
+        if not statistics.find(record.instance, now=now).ejection.is_out(now)
     ]
     return good if 2 * len(good) >= len(candidates) else candidates
 
--- a/wagtaildale/routing/choice.py
+++ b/wagtaildale/routing/choice.py
@@ -18,7 +18,7 @@
     from collections.abc import Sequence
 
     from wagtaildale.membership.records import InstanceRecord
-    from wagtaildale.routing.book import UpstreamBook
+    from wagtaildale.routing.statistics import FleetStatistics
 
 
 @final
@@ -55,15 +55,17 @@
         self,
         candidates: Sequence[InstanceRecord],
         *,
-        book: UpstreamBook,
+        statistics: FleetStatistics,
         need: Need,
+        now: float,
     ) -> InstanceRecord | None:
         """Choose one.
 
         Args:
             candidates: upstreams that may take the attempt; at least one.
-            book: what is known of them.
+            statistics: what is known of them.
             need: of the request.
+            now: seconds.
 
         Returns:
             The one that takes it, or nothing if the request had better wait
--- a/wagtaildale/routing/expected_time.py
+++ b/wagtaildale/routing/expected_time.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from wagtaildale.routing.book import UpstreamBook
+    from wagtaildale.routing.statistics import FleetStatistics
 
 # Of the usual time of an answer: what one that takes longer than usual may
 # need. With times spread as those of the users' services (a third of the
@@ -61,15 +61,17 @@
         self,
         candidates: Sequence[InstanceRecord],
         *,
-        book: UpstreamBook,
+        statistics: FleetStatistics,
         need: Need,
+        now: float,
     ) -> InstanceRecord | None:
         """Choose one; see ``Chooser``.
 
         Args:
             candidates: at least one.
-            book: what is known of them.
+            statistics: what is known of them.
             need: of the request.
+            now: seconds.
 
         Returns:
             The one that takes the attempt; nothing if no other can answer
@@ -77,7 +79,7 @@
         """
         # Of several alike each entry is to take another one.
         options = [
-            _weigh(record, book, need)
+            _weigh(record, statistics, need, now)
             for record in random.sample(candidates, len(candidates))
         ]
         best = min(options, key=_read_cost)
@@ -97,11 +99,13 @@
 
 def _weigh(
     record: InstanceRecord,
-    book: UpstreamBook,
+    statistics: FleetStatistics,
     need: Need,
+    now: float,
 ) -> Option:
-    estimate = book.estimate(record.instance, need)
-    margin = (SAFETY - 1) * book.find_usual_seconds(need.work_class)
+    estimate = statistics.estimate(record.instance, need, now=now)
+    usual = statistics.find_usual_seconds(need.work_class)
+    margin = (SAFETY - 1) * usual
     total = estimate.wait + estimate.run + margin
     is_near = record.data_centre == need.data_centre
     handicap = 0 if is_near else FAR_SHARE * max(0, need.slack_seconds)
--- a/wagtaildale/routing/least_loaded.py
+++ b/wagtaildale/routing/least_loaded.py
@@ -11,7 +11,7 @@
     from collections.abc import Sequence
 
     from wagtaildale.membership.records import InstanceRecord
-    from wagtaildale.routing.book import UpstreamBook
+    from wagtaildale.routing.statistics import FleetStatistics
 
 # Half full: beyond that a request may have to wait where it goes, and a
 # wait costs more than the way to another data centre.
@@ -25,8 +25,9 @@
         self,
         candidates: Sequence[InstanceRecord],
         *,
-        book: UpstreamBook,
+        statistics: FleetStatistics,
         need: Need,
+        now: float,
     ) -> InstanceRecord:
         """Choose one; see ``Chooser``.
 
@@ -35,8 +36,9 @@
 
         Args:
             candidates: at least one.
-            book: what is known of them.
+            statistics: what is known of them.
             need: of the request.
+            now: seconds.
 
         Returns:
             The one that takes the attempt.
@@ -47,33 +49,38 @@
             if record.data_centre == need.data_centre
         ]
         if not near:
-            return _choose_of_two(candidates, book)
-        chosen = _choose_of_two(near, book)
-        if _measure(chosen, book) < NEAR_ENOUGH:
+            return _choose_of_two(candidates, statistics, now)
+        chosen = _choose_of_two(near, statistics, now)
+        if _measure(chosen, statistics, now) < NEAR_ENOUGH:
             return chosen
-        other = _choose_of_two(candidates, book)
-        return _find_lighter(chosen, other, book)
+        other = _choose_of_two(candidates, statistics, now)
+        return _find_lighter(chosen, other, statistics, now)
 
 
 def _choose_of_two(
     candidates: Sequence[InstanceRecord],
-    book: UpstreamBook,
+    statistics: FleetStatistics,
+    now: float,
 ) -> InstanceRecord:
     if len(candidates) == 1:
         return candidates[0]
     first, second = random.sample(candidates, 2)
-    return _find_lighter(first, second, book)
+    return _find_lighter(first, second, statistics, now)
 
 
 def _find_lighter(
     first: InstanceRecord,
     second: InstanceRecord,
-    book: UpstreamBook,
+    statistics: FleetStatistics,
+    now: float,
 ) -> InstanceRecord:
-    if _measure(second, book) < _measure(first, book):
-        return second
-    return first
+    loads = [_measure(each, statistics, now) for each in (first, second)]
+    return second if loads[1] < loads[0] else first
 
 
-def _measure(record: InstanceRecord, book: UpstreamBook) -> float:
-    return book.find(record.instance).measure_load()
+def _measure(
+    record: InstanceRecord,
+    statistics: FleetStatistics,
+    now: float,
+) -> float:
+    return statistics.find(record.instance, now=now).measure_load(now)
--- a/wagtaildale/routing/plain.py
+++ b/wagtaildale/routing/plain.py
@@ -12,7 +12,7 @@
     from collections.abc import Sequence
 
     from wagtaildale.membership.records import InstanceRecord
-    from wagtaildale.routing.book import UpstreamBook
+    from wagtaildale.routing.statistics import FleetStatistics
 
 
 class RoundRobin(Chooser):
@@ -26,15 +26,17 @@
         self,
         candidates: Sequence[InstanceRecord],
         *,
-        book: UpstreamBook,
+        statistics: FleetStatistics,
         need: Need,
+        now: float,
     ) -> InstanceRecord:
         """Choose the next one; see ``Chooser``.
 
         Args:
             candidates: at least one.
-            book: not looked at.
+            statistics: not looked at.
             need: not looked at.
+            now: not looked at.
 
         Returns:
             The one that takes the attempt.
@@ -49,15 +51,17 @@
         self,
         candidates: Sequence[InstanceRecord],
         *,
-        book: UpstreamBook,
+        statistics: FleetStatistics,
         need: Need,
+        now: float,
     ) -> InstanceRecord:
         """Choose any one; see ``Chooser``.
 
         Args:
             candidates: at least one.
-            book: not looked at.
+            statistics: not looked at.
             need: not looked at.
+            now: not looked at.
 
         Returns:
             The one that takes the attempt.
--- a/wagtaildale/routing/book.py
+++ b/wagtaildale/routing/statistics.py
@@ -1,4 +1,7 @@
-"""What an entry knows of each upstream, from the answers it has seen."""
+"""Statistics of upstreams, from the answers that an entry has seen.
+
+No clock, lock or log here: whoever asks says what time it is.
+"""
 
 from __future__ import annotations
 
@@ -8,27 +11,16 @@
 from msgspec import Struct
 
 from wagtaildale.admission.state import UNKNOWN_SHARE
-from wagtaildale.calls.fields import ANY_INCARNATION
 from wagtaildale.errors.codes import Code
-from wagtaildale.timers.service import read_clock
+from wagtaildale.routing.ejection import Ejection
+from wagtaildale.types import ANY_INCARNATION, Incarnation, InstanceId
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.fields import AnswerFields
-    from wagtaildale.calls.frames import Load
     from wagtaildale.routing.choice import Need
-    from wagtaildale.types import InstanceId
 
-MICROSECONDS: Final = 1_000_000
 FIRST_LIMIT: Final = 10
 WARM_SECONDS: Final = 10.0
 COLD_LOAD: Final = 0.5
-FAILURES_TO_EJECT: Final = 3
-FIRST_EJECTION: Final = 1.0
-LONGEST_EJECTION: Final = 30.0
-PROBE_SECONDS: Final = 1.0
-LEAVING_SECONDS: Final = 3.0
-# Told anew with each ping to a silent owner, four a second.
-SILENCE_SECONDS: Final = 0.5
 # A server that has just started takes about twice its usual time.
 COLD_SLOWNESS: Final = 2.0
 SLOWNESS_GAIN: Final = 0.1
@@ -55,121 +47,29 @@
 NO_PRAISE: Final = UPSTREAM_FAULTS | {Code.draining}
 
 
-class Ejection:
-    """Whether an upstream is left out for its failures.
+class OwnerReport(Struct, frozen=True, kw_only=True, gc=False):
+    """What an owner says of itself with an answer.
 
-    Failure guarded here: a server that fails quickly looks idle and draws
-    ever more calls. After a few failures in a row it is left out, for
-    longer each time, and comes back by a probe: one call at a time until
-    one is answered.
+    Attributes:
+        incarnation: of its process.
+        in_flight: requests that run at its backend server.
+        limit: how many may.
+        queued: requests that wait there.
+        slot_seconds: that a request of any class holds a slot there; 0 if
+            it does not know yet.
+        code: of the answer.
     """
 
-    __slots__ = (
-        '_failures',
-        '_leaves_until',
-        '_seconds',
-        '_silent_until',
-        '_until',
-    )
-
-    def __init__(self) -> None:
-        """Begin in good standing."""
-        self._failures = 0
-        self._seconds = FIRST_EJECTION
-        self._until = float(0)
-        self._leaves_until = float(0)
-        self._silent_until = float(0)
-
-    def is_out(self, now: float) -> bool:
-        """Tell whether the upstream is left out now.
-
-        Args:
-            now: seconds.
-
-        Returns:
-            Whether to choose others.
-        """
-        until = max(self._until, self._leaves_until, self._silent_until)
-        return until > now
-
-    def is_leaving(self, now: float) -> bool:
-        """Tell whether the upstream has said of late that it is leaving.
-
-        Args:
-            now: seconds.
-
-        Returns:
-            Whether to open no connection before one is needed.
-        """
-        return self._leaves_until > now
-
-    def note_failure(self, now: float) -> bool:
-        """Note a failure of the upstream.
-
-        Args:
-            now: seconds.
-
-        Returns:
-            Whether it is left out from now on.
-        """
-        self._failures += 1
-        if self._failures < FAILURES_TO_EJECT or self.is_out(now):
-            return False
-        self._until = now + self._seconds
-        self._seconds = min(LONGEST_EJECTION, self._seconds * 2)
-        return True
-
-    def note_leaving(self, now: float) -> None:
-        """Note that the upstream says it is leaving.
-
-        News of it may take seconds to come round; its own refusal is as
-        good. Should it come back under the same id, it is asked again soon.
-
-        Failure guarded here: it finishes what it has, and each answer to
-        that work would bring it back as well, to refuse new work. Answers
-        end an ejection for failures, and not this.
-
-        Args:
-            now: seconds.
-        """
-        self._leaves_until = now + LEAVING_SECONDS
-
-    def note_silent(self, now: float) -> None:
-        """Note that nothing is heard of the upstream's owner.
-
-        Failure guarded here: a process stands still for some seconds, its
-        port takes connections all the same, and every call that is sent on
-        one waits for a second.
-
-        Args:
-            now: seconds.
-        """
-        self._silent_until = now + SILENCE_SECONDS
-
-    def note_chosen(self, now: float) -> None:
-        """Note that the upstream gets a call; a probe if it was out.
-
-        Args:
-            now: seconds.
-        """
-        if self._failures >= FAILURES_TO_EJECT and not self.is_out(now):
-            self._until = now + PROBE_SECONDS
-
-    def note_answer(self) -> bool:
-        """Note an answer of the upstream.
-
-        Returns:
-            Whether it was left out and is back.
-        """
-        was_out = self._failures >= FAILURES_TO_EJECT
-        self._failures = 0
-        self._seconds = FIRST_EJECTION
-        self._until = float(0)
-        return was_out
+    incarnation: Incarnation
+    in_flight: int
+    limit: int
+    queued: int
+    slot_seconds: float = 0
+    code: Code = Code.ok
 
 
-class UpstreamNotes:
-    """What is known of one upstream.
+class UpstreamStatistics:
+    """What an entry knows of one upstream.
 
     Attributes:
         instance: the upstream.
@@ -203,11 +103,12 @@
         'timed_at',
     )
 
-    def __init__(self, instance: InstanceId) -> None:
+    def __init__(self, instance: InstanceId, *, now: float) -> None:
         """Begin with nothing known.
 
         Args:
             instance: the upstream.
+            now: seconds.
         """
         self.instance = instance
         self.incarnation = ANY_INCARNATION
@@ -217,81 +118,120 @@
         self.limit = FIRST_LIMIT
         self.queued = 0
         self.slot_seconds = float(0)
-        self.known_since = read_clock()
+        self.known_since = now
         self.heard_at = self.known_since
         self.slowness = COLD_SLOWNESS
         self.timed_at = self.known_since
 
-    def note_begun(self) -> None:
-        """Count a request that goes there."""
-        self.ejection.note_chosen(read_clock())
+    def note_begun(self, now: float) -> None:
+        """Count a request that goes there.
+
+        Args:
+            now: seconds.
+        """
+        self.ejection.note_chosen(now)
         self.pending += 1
 
     def note_ended(self) -> None:
         """Count a request as over."""
         self.pending -= 1
 
-    def note_answer(self, fields: AnswerFields) -> bool:
+    def note_answer(self, report: OwnerReport, *, now: float) -> bool:
         """Note what an answer said of its owner.
 
         Args:
-            fields: the answer's.
+            report: the owner's word.
+            now: seconds.
 
         Returns:
             Whether the upstream was left out and is back.
         """
-        if fields.incarnation != self.incarnation:
-            self.incarnation = fields.incarnation
-            self.known_since = read_clock()
-        self._note_load(fields.in_flight, fields.limit, fields.queued)
-        if fields.slot_us:
-            self.slot_seconds = fields.slot_us / MICROSECONDS
-        if fields.code is Code.draining:
-            self.ejection.note_leaving(read_clock())
-        if fields.code in NO_PRAISE:
+        if report.incarnation != self.incarnation:
+            self.incarnation = report.incarnation
+            self.known_since = now
+        self.note_load(
+            in_flight=report.in_flight,
+            limit=report.limit,
+            queued=report.queued,
+            now=now,
+        )
+        if report.slot_seconds:
+            self.slot_seconds = report.slot_seconds
+        if report.code is Code.draining:
+            self.ejection.note_leaving(now)
+        if report.code in NO_PRAISE:
             return False
         return self.ejection.note_answer()
 
-    def note_load(self, load: Load) -> None:
-        """Note what an owner tells of itself unasked.
+    def note_load(
+        self,
+        *,
+        in_flight: int,
+        limit: int,
+        queued: int,
+        now: float,
+    ) -> None:
+        """Note how full an owner says it is.
 
         Args:
-            load: its word.
+            in_flight: requests that run at its backend server.
+            limit: how many may.
+            queued: requests that wait there.
+            now: seconds.
         """
-        self._note_load(load.in_flight, load.limit, load.queued)
+        self.in_flight = in_flight
+        self.limit = max(1, limit)
+        self.queued = queued
+        self.heard_at = now
 
-    def note_time(self, seconds: float, *, usual: float) -> None:
+    def note_time(
+        self,
+        seconds: float,
+        *,
+        usual: float,
+        now: float,
+    ) -> None:
         """Note how long the backend server took for an answer.
 
         Args:
             seconds: it took.
             usual: what is usual for the class over all upstreams.
+            now: seconds.
         """
         if usual > 0:
             ratio = min(SLOWEST, seconds / usual)
             self.slowness += (ratio - self.slowness) * SLOWNESS_GAIN
-            self.timed_at = read_clock()
+            self.timed_at = now
+
+    def measure_age(self, now: float) -> float:
+        """Measure how old its last word on how full it is has become.
 
-    @property
-    def age(self) -> float:
-        """Seconds since it last said how full it is."""
-        return read_clock() - self.heard_at
+        Args:
+            now: seconds.
+
+        Returns:
+            Seconds.
+        """
+        return now - self.heard_at
 
-    def find_slowness(self) -> float:
+    def find_slowness(self, now: float) -> float:
         """Find how slow the upstream is taken to be.
 
         Failure guarded here: a few slow answers in a row, an upstream that
         is then asked no more, and nothing that would ever show it well
         again. What was seen counts for less by the second.
 
+        Args:
+            now: seconds.
+
         Returns:
             Its time as a multiple of what is usual.
         """
-        age = read_clock() - self.timed_at
+        age = now - self.timed_at
         kept = max(0, 1 - age / SLOWNESS_KEPT_SECONDS)
         return 1 + (self.slowness - 1) * kept
 
-    def estimate_wait(self, usual: float) -> float:
+    def estimate_wait(self, usual: float, *, now: float) -> float:
         """Estimate how long a request would wait for a slot.
 
         What was heard over a second ago says little: requests come and go
@@ -305,37 +245,35 @@
 
         Args:
             usual: seconds of a request here.
+            now: seconds.
 
         Returns:
             Seconds.
         """
         ahead = float(self.pending)
-        if self.age < STALE_SECONDS:
+        if self.measure_age(now) < STALE_SECONDS:
             ahead = max(ahead, self.in_flight + self.queued)
         slot_seconds = self.slot_seconds or usual
         return max(0, ahead + 1 - self.limit) * slot_seconds / self.limit
 
-    def measure_load(self) -> float:
+    def measure_load(self, now: float) -> float:
         """Measure how full the upstream is.
 
         A new one counts as half full at first and less so by the second:
         it starts cold, and is not to be drowned by everybody at once.
 
+        Args:
+            now: seconds.
+
         Returns:
             Requests there or on their way, as a share of its limit.
         """
         load = (self.in_flight + self.queued + self.pending) / self.limit
-        age = read_clock() - self.known_since
+        age = now - self.known_since
         if age < WARM_SECONDS:
             load += COLD_LOAD * (1 - age / WARM_SECONDS)
         return load
 
-    def _note_load(self, in_flight: int, limit: int, queued: int) -> None:
-        self.in_flight = in_flight
-        self.limit = max(1, limit)
-        self.queued = queued
-        self.heard_at = read_clock()
-
 
 class Estimate(Struct, frozen=True, kw_only=True, gc=False):
     """What a request may expect of an upstream.
@@ -349,12 +287,12 @@
     run: float
 
 
-class UpstreamBook:
-    """Notes on all upstreams."""
+class FleetStatistics:
+    """Statistics of all upstreams."""
 
     def __init__(self) -> None:
         """Begin with none."""
-        self._notes: dict[InstanceId, UpstreamNotes] = {}
+        self._upstreams: dict[InstanceId, UpstreamStatistics] = {}
         self._usual: dict[str, float] = {}
         self._born: dict[InstanceId, int] = {}
 
@@ -364,6 +302,7 @@
         *,
         work_class: str,
         seconds: float,
+        now: float,
     ) -> None:
         """Note how long a backend server took for an answer.
 
@@ -371,10 +310,12 @@
             instance: which one.
             work_class: service and class.
             seconds: it took.
+            now: seconds.
         """
         usual = self._usual.get(work_class, seconds)
         self._usual[work_class] = usual + (seconds - usual) * USUAL_GAIN
-        self.find(instance).note_time(seconds, usual=usual)
+        upstream = self.find(instance, now=now)
+        upstream.note_time(seconds, usual=usual, now=now)
 
     def find_usual_seconds(self, work_class: str) -> float:
         """Find what is usual for a class over all upstreams.
@@ -387,26 +328,40 @@
         """
         return self._usual.get(work_class, 0)
 
-    def estimate(self, instance: InstanceId, need: Need) -> Estimate:
+    def estimate(
+        self,
+        instance: InstanceId,
+        need: Need,
+        *,
+        now: float,
+    ) -> Estimate:
         """Estimate when an upstream would answer.
 
         Args:
             instance: which one.
             need: of the request.
+            now: seconds.
 
         Returns:
             How long the request would wait there, and run.
         """
-        notes = self.find(instance)
+        upstream = self.find(instance, now=now)
         usual = self.find_usual_seconds(need.work_class)
         if not usual and need.slack_seconds < inf:
             # Failure: an entry that has just started takes every upstream
             # for one that answers at once, and sends all to the same few.
             usual = max(0, need.slack_seconds) * UNKNOWN_SHARE
-        usual *= notes.find_slowness()
-        return Estimate(wait=notes.estimate_wait(usual), run=usual)
+        usual *= upstream.find_slowness(now)
+        wait = upstream.estimate_wait(usual, now=now)
+        return Estimate(wait=wait, run=usual)
 
-    def note_start(self, instance: InstanceId, *, born: int) -> None:
+    def note_start(
+        self,
+        instance: InstanceId,
+        *,
+        born: int,
+        now: float,
+    ) -> None:
         """Note when an upstream started, as listed.
 
         Failure guarded here: a server crashes and starts again under its
@@ -416,22 +371,30 @@
         Args:
             instance: which one.
             born: Unix millisecond of its start; 0 if not told.
+            now: seconds.
         """
         known = self._born.get(instance, born)
         self._born[instance] = born
         if known != born:
-            self._notes[instance] = UpstreamNotes(instance)
+            self._upstreams[instance] = UpstreamStatistics(instance, now=now)
 
-    def find(self, instance: InstanceId) -> UpstreamNotes:
-        """Find the notes on an upstream.
+    def find(
+        self,
+        instance: InstanceId,
+        *,
+        now: float,
+    ) -> UpstreamStatistics:
+        """Find the statistics of an upstream.
 
         Args:
             instance: which.
+            now: seconds.
 
         Returns:
-            Its notes, empty ones for a new upstream.
+            What is known of it, nothing for a new one.
         """
-        notes = self._notes.get(instance)
-        if notes is None:
-            notes = self._notes.setdefault(instance, UpstreamNotes(instance))
-        return notes
+        upstream = self._upstreams.get(instance)
+        if upstream is None:
+            upstream = UpstreamStatistics(instance, now=now)
+            self._upstreams[instance] = upstream
+        return upstream
--- a/wagtaildale/routing/tests/test_book.py
+++ b/wagtaildale/routing/tests/test_statistics.py
@@ -5,13 +5,7 @@
 import pytest
 from msgspec import structs
 
-from wagtaildale.calls.fields import AnswerFields
 from wagtaildale.errors.codes import Code
-from wagtaildale.routing.book import (
-    LEAVING_SECONDS,
-    Ejection,
-    UpstreamBook,
-)
 from wagtaildale.routing.candidates import (
     SUBSET_SIZE,
     leave_out_ejected,
@@ -20,21 +14,21 @@
 )
 from wagtaildale.routing.choice import ChoiceName, Need
 from wagtaildale.routing.choosers import make_chooser
+from wagtaildale.routing.ejection import LEAVING_SECONDS, Ejection
+from wagtaildale.routing.statistics import FleetStatistics, OwnerReport
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.testing.builders import build_instances, build_record
-from wagtaildale.timers.service import read_clock
 from wagtaildale.types import (
     DataCentre,
     Incarnation,
     InstanceId,
     ListedState,
-    Outcome,
-    RequestId,
     ServiceName,
 )
 
 DERBY = DataCentre('derby')
 FIELD = ServiceName('casefiles')
+NOW = 1000.0
 
 
 def build_answer(
@@ -42,13 +36,9 @@
     *,
     in_flight: int = 0,
     incarnation: int = 1,
-) -> AnswerFields:
-    return AnswerFields(
-        request_id=RequestId('r'),
-        attempt=1,
+) -> OwnerReport:
+    return OwnerReport(
         code=code,
-        outcome=Outcome.answered,
-        instance=InstanceId('a'),
         incarnation=Incarnation(incarnation),
         in_flight=in_flight,
         limit=10,
@@ -80,10 +70,10 @@
     It says that it leaves and goes on with what it has. Each answer to that
     work puts it back among those that take new work.
     """
-    notes = UpstreamBook().find(InstanceId('a'))
-    now = read_clock()
+    notes = FleetStatistics().find(InstanceId('a'), now=NOW)
+    now = NOW
     notes.ejection.note_leaving(now)
-    notes.note_answer(build_answer())
+    notes.note_answer(build_answer(), now=NOW)
     assert notes.ejection.is_out(now)
     assert not notes.ejection.is_out(now + LEAVING_SECONDS)
 
@@ -91,32 +81,32 @@
 def test_never_more_than_half_are_left_out() -> None:
     """An entry loses its line for a moment and leaves out the whole service."""
     records = [build_record(name) for name in 'abcd']
-    book = UpstreamBook()
+    statistics = FleetStatistics()
     for record in records[:2]:
         for _failure in range(3):
-            book.find(record.instance).ejection.note_failure(0)
-    good = leave_out_ejected(records, book=book, now=0)
+            statistics.find(record.instance, now=NOW).ejection.note_failure(0)
+    good = leave_out_ejected(records, statistics=statistics, now=0)
     assert [record.instance for record in good] == ['c', 'd']
     for _failure in range(3):
-        book.find(InstanceId('c')).ejection.note_failure(0)
-    assert leave_out_ejected(records, book=book, now=0) == records
+        statistics.find(InstanceId('c'), now=NOW).ejection.note_failure(0)
+    assert leave_out_ejected(records, statistics=statistics, now=0) == records
 
 
 def test_leaving_upstream_is_left_out_at_once() -> None:
-    book = UpstreamBook()
-    notes = book.find(InstanceId('a'))
-    notes.note_answer(build_answer(Code.draining))
-    assert notes.ejection.is_out(read_clock())
+    statistics = FleetStatistics()
+    notes = statistics.find(InstanceId('a'), now=NOW)
+    notes.note_answer(build_answer(Code.draining), now=NOW)
+    assert notes.ejection.is_out(NOW)
 
 
 def test_new_incarnation_counts_as_cold() -> None:
-    notes = UpstreamBook().find(InstanceId('a'))
+    notes = FleetStatistics().find(InstanceId('a'), now=NOW)
     notes.known_since -= 60
-    notes.note_answer(build_answer(incarnation=1))
+    notes.note_answer(build_answer(incarnation=1), now=NOW)
     notes.known_since -= 60
-    warm = notes.measure_load()
-    notes.note_answer(build_answer(incarnation=2))
-    assert notes.measure_load() > warm + 0.4
+    warm = notes.measure_load(NOW)
+    notes.note_answer(build_answer(incarnation=2), now=NOW)
+    assert notes.measure_load(NOW) > warm + 0.4
 
 
 def test_away_and_leaving_instances_are_no_candidates() -> None:
@@ -154,8 +144,9 @@
     chosen = {
         chooser.choose(
             records,
-            book=UpstreamBook(),
+            statistics=FleetStatistics(),
             need=Need(data_centre=DERBY),
+            now=NOW,
         )
         for _call in range(100)
     }
@@ -165,14 +156,20 @@
 def test_loaded_data_centre_spills_over() -> None:
     near = build_record('near')
     far = build_record('far', data_centre='coventry')
-    book = UpstreamBook()
+    statistics = FleetStatistics()
     for record in (near, far):
-        book.find(record.instance).known_since -= 60
+        statistics.find(record.instance, now=NOW).known_since -= 60
     chooser = make_chooser(ChoiceName.least_loaded)
-    args = {'book': book, 'need': Need(data_centre=DERBY)}
+    args = {
+        'statistics': statistics,
+        'need': Need(data_centre=DERBY),
+        'now': NOW,
+    }
     assert chooser.choose((near, far), **args) is near  # type: ignore[arg-type]
-    book.find(near.instance).note_answer(build_answer(in_flight=9))
-    book.find(near.instance).known_since -= 60
+    statistics.find(near.instance, now=NOW).note_answer(
+        build_answer(in_flight=9), now=NOW
+    )
+    statistics.find(near.instance, now=NOW).known_since -= 60
     chosen = {
         chooser.choose((near, far), **args)  # type: ignore[arg-type]
         for _call in range(50)
@@ -198,15 +195,15 @@
     It has the id that it had, so what was seen of it before its crash (three
     failures in a row) is held against it.
     """
-    book = UpstreamBook()
+    statistics = FleetStatistics()
     name = InstanceId('a')
-    book.note_start(name, born=100)
+    statistics.note_start(name, born=100, now=NOW)
     for _failure in range(3):
-        book.find(name).ejection.note_failure(0)
-    book.note_start(name, born=100)
-    assert book.find(name).ejection.is_out(0.5)
-    book.note_start(name, born=200)
-    assert not book.find(name).ejection.is_out(0.5)
+        statistics.find(name, now=NOW).ejection.note_failure(0)
+    statistics.note_start(name, born=100, now=NOW)
+    assert statistics.find(name, now=NOW).ejection.is_out(0.5)
+    statistics.note_start(name, born=200, now=NOW)
+    assert not statistics.find(name, now=NOW).ejection.is_out(0.5)
 
 
 def test_short_call_does_not_queue_behind_long_requests() -> None:
@@ -215,22 +212,25 @@
     Nine long requests hold its slots; the wait for them was taken to be as
     short as the calls themselves.
     """
-    book = UpstreamBook()
+    statistics = FleetStatistics()
     near, far = build_record('a'), build_record('b', data_centre='coventry')
     for _call in range(3):
         for record in (near, far):
-            book.note_time(record.instance, work_class='check', seconds=0.02)
-    full = structs.replace(build_answer(in_flight=18), slot_us=100_000)
-    book.find(near.instance).note_answer(full)
-    book.find(far.instance).note_answer(build_answer())
+            statistics.note_time(
+                record.instance, work_class='check', seconds=0.02, now=NOW
+            )
+    full = structs.replace(build_answer(in_flight=18), slot_seconds=0.1)
+    statistics.find(near.instance, now=NOW).note_answer(full, now=NOW)
+    statistics.find(far.instance, now=NOW).note_answer(build_answer(), now=NOW)
     chosen = make_chooser(ChoiceName.expected_time).choose(
         (near, far),
-        book=book,
+        statistics=statistics,
         need=Need(
             data_centre=near.data_centre,
             work_class='check',
             slack_seconds=0.1,
         ),
+        now=NOW,
     )
     assert chosen == far
 
@@ -241,18 +241,28 @@
     Every server has told that it is full, and each request asked four of
     them, two in other data centres, to hear the same again.
     """
-    book = UpstreamBook()
+    statistics = FleetStatistics()
     near, far = build_record('a'), build_record('b', data_centre='coventry')
     for record in (near, far):
-        book.note_time(record.instance, work_class='check', seconds=0.1)
-        full = structs.replace(build_answer(in_flight=60), slot_us=100_000)
-        book.find(record.instance).note_answer(full)
+        statistics.note_time(
+            record.instance, work_class='check', seconds=0.1, now=NOW
+        )
+        full = structs.replace(build_answer(in_flight=60), slot_seconds=0.1)
+        statistics.find(record.instance, now=NOW).note_answer(full, now=NOW)
     chooser = make_chooser(ChoiceName.expected_time)
     need = Need(
         data_centre=near.data_centre,
         work_class='check',
         slack_seconds=0.2,
     )
-    assert chooser.choose((near, far), book=book, need=need) is not None
+    assert (
+        chooser.choose((near, far), statistics=statistics, need=need, now=NOW)
+        is not None
+    )
     refused = structs.replace(need, may_wait=True)
-    assert chooser.choose((near, far), book=book, need=refused) is None
+    assert (
+        chooser.choose(
+            (near, far), statistics=statistics, need=refused, now=NOW
+        )
+        is None
+    )
--- /dev/null
+++ b/wagtaildale/testing/replay/load.py
@@ -0,0 +1,88 @@
+"""Classes of requests of a replay, and what became of them."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from math import log
+
+from msgspec import Struct, field
+
+from wagtaildale.types import ServiceName
+
+
+class LoadClass(Struct, frozen=True, kw_only=True):
+    """Requests of one class.
+
+    Attributes:
+        name: of the class.
+        service: that runs them.
+        per_second: first tries of all callers together.
+        run_seconds: at a backend server of speed 1, on average.
+        spread: standard deviation of the logarithm of that.
+        within: target, seconds.
+        deadline: seconds that a caller waits.
+        rank: 0 goes first.
+        idempotent: whether a request may run twice.
+        tries: that a caller makes, its first one included.
+        calls: class that a run calls, if any.
+        calls_share: of the runs that do so.
+    """
+
+    name: str
+    service: ServiceName
+    per_second: float
+    run_seconds: float
+    within: float
+    deadline: float
+    spread: float = 0.3
+    rank: int = 1
+    idempotent: bool = True
+    tries: int = 3
+    calls: str = ''
+    calls_share: float = 0
+
+    def draw_run_seconds(self) -> float:
+        """Draw how long a run takes at a backend server of speed 1.
+
+        Returns:
+            Seconds, log-normally distributed.
+        """
+        middle = log(self.run_seconds) - self.spread**2 / 2
+        return random.lognormvariate(middle, self.spread)
+
+
+class Outcomes(Struct, kw_only=True):
+    """What became of the requests of one class.
+
+    Attributes:
+        ended: callers' requests that ended.
+        in_time: of these, answered within the target from their first try.
+        late: answered after it.
+        refused: ended unanswered after refusals.
+        failed: ended unanswered after a failure.
+        tries: that callers made.
+        far: answered by an upstream of another data centre.
+        runs: by instance.
+        seconds: that each answered request took, from its first try.
+    """
+
+    ended: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    tries: int = 0
+    far: int = 0
+    runs: Counter[str] = field(default_factory=Counter)
+    seconds: list[float] = field(default_factory=list)
+
+    @property
+    def share_in_time(self) -> float:
+        """Of all requests, those answered within their target."""
+        return self.in_time / max(1, self.ended)
+
+    @property
+    def share_far(self) -> float:
+        """Of the answers, those from another data centre."""
+        return self.far / max(1, self.in_time + self.late)
--- /dev/null
+++ b/wagtaildale/testing/replay/mesh.py
@@ -0,0 +1,224 @@
+"""A mesh of entries and upstreams under a load."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+from typing import TYPE_CHECKING
+
+from msgspec import structs
+
+from wagtaildale.routing.view import ViewHolder
+from wagtaildale.testing.builders import build_instances, build_record
+from wagtaildale.testing.replay.callers import Caller
+from wagtaildale.testing.replay.clock import VirtualClock
+from wagtaildale.testing.replay.entries import Asked, ReplayEntry
+from wagtaildale.testing.replay.load import LoadClass, Outcomes
+from wagtaildale.testing.replay.servers import ReplayServer
+from wagtaildale.types import DataCentre, InstanceId, ListedState
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from wagtaildale.admission.messages import TicketId
+    from wagtaildale.calls.failures import CallFailed
+
+
+class ReplayMesh:
+    """Entries, one beside each upstream, and what callers send them.
+
+    Attributes:
+        clock: of the replay.
+        view: by which entries route.
+        servers: by instance.
+        entries: by instance of the upstream beside.
+        outcomes: by class.
+    """
+
+    def __init__(self, classes: Sequence[LoadClass], *, seed: int) -> None:
+        """Begin without upstreams.
+
+        Args:
+            classes: of the load.
+            seed: of everything that is drawn.
+        """
+        random.seed(seed)
+        self.clock = VirtualClock()
+        self.view = ViewHolder()
+        self.servers: dict[InstanceId, ReplayServer] = {}
+        self.entries: dict[InstanceId, ReplayEntry] = {}
+        self.outcomes = {each.name: Outcomes() for each in classes}
+        self.factor = float(1)
+        self._classes = {each.name: each for each in classes}
+        self._version = 0
+
+    def add(
+        self,
+        service: str,
+        *,
+        count: int,
+        data_centres: Sequence[str],
+        speeds: Sequence[float] = (1.0,),
+        slots: int = 4,
+        cold: bool = False,
+    ) -> None:
+        """Add upstreams, each with an entry beside it.
+
+        Args:
+            service: that they run.
+            count: of them.
+            data_centres: where they stand, in turn.
+            speeds: of their backend servers, in turn.
+            slots: of each.
+            cold: whether they have just started.
+        """
+        for number in range(count):
+            name = InstanceId(f'{service}-{len(self.servers)}')
+            record = build_record(
+                name,
+                service=service,
+                data_centre=data_centres[number % len(data_centres)],
+                host=f'10.0.{len(self.servers) // 250}.{len(self.servers) % 250}',
+            )
+            server = ReplayServer(
+                structs.replace(record, slots=slots),
+                clock=self.clock,
+                speed=speeds[number // len(data_centres) % len(speeds)],
+                cold=cold,
+            )
+            self.servers[name] = server
+            self._start_entry(server)
+        self.list_upstreams()
+
+    def list_upstreams(self) -> None:
+        """Tell every entry which upstreams there are."""
+        self._version += 1
+        records = [server.record for server in self.servers.values()]
+        listed = build_instances(*records, version=self._version)
+        self.view.take_instances(listed)
+
+    def leave(self, count: int) -> None:
+        """Let upstreams leave: they finish what they have.
+
+        Args:
+            count: of each service, the first ones.
+        """
+        left: dict[str, int] = {}
+        for server in self.servers.values():
+            record = server.record
+            left[record.service] = left.get(record.service, 0) + 1
+            if left[record.service] <= count:
+                server.record = structs.replace(
+                    record,
+                    state=ListedState.leaving,
+                )
+        self.list_upstreams()
+
+    def restart(self) -> None:
+        """Start all entries anew, with nothing known."""
+        for server in self.servers.values():
+            self._start_entry(server)
+
+    def run(self, seconds: float) -> None:
+        """Let callers send their requests for a while.
+
+        Args:
+            seconds: for how long.
+        """
+        until = self.clock.now + seconds
+        for work_class in self._classes.values():
+            if work_class.per_second:
+                self._plan(work_class, until)
+        self.clock.run(until=until)
+
+    def rest(self, seconds: float) -> None:
+        """Let what is under way end, without new requests.
+
+        Args:
+            seconds: for how long.
+        """
+        self.clock.run(until=self.clock.now + seconds)
+
+    def call_from(
+        self,
+        server: ReplayServer,
+        ticket: TicketId,
+        *,
+        work_class: LoadClass,
+        deadline: float,
+    ) -> bool:
+        """Make the call of a run that has begun, if it makes one.
+
+        Args:
+            server: where it runs.
+            ticket: of the run.
+            work_class: of the request that runs.
+            deadline: of that request, seconds.
+
+        Returns:
+            Whether it makes one; ``finish`` follows at the server.
+        """
+        if random.random() >= work_class.calls_share:
+            return False
+        called = self._classes[work_class.calls]
+        outcomes = self.outcomes[called.name]
+        since = self.clock.now
+
+        def on_answer(is_far: bool) -> None:
+            outcomes.ended += 1
+            outcomes.far += is_far
+            is_in_time = self.clock.now - since <= called.within
+            outcomes.in_time += is_in_time
+            outcomes.late += not is_in_time
+            server.finish(ticket)
+
+        def on_failure(failure: CallFailed) -> None:
+            outcomes.ended += 1
+            outcomes.failed += 1
+            server.finish(ticket)
+
+        self.entries[server.record.instance].ask(
+            Asked(
+                work_class=called,
+                due=since + called.within,
+                deadline=min(deadline, since + called.deadline),
+                on_answer=on_answer,
+                on_failure=on_failure,
+            ),
+        )
+        return True
+
+    def find_busiest(self, service: str) -> float:
+        """Find how uneven the runs of a service are.
+
+        Args:
+            service: its name.
+
+        Returns:
+            Runs of its busiest upstream, as a multiple of their mean.
+        """
+        runs = [
+            server.runs
+            for server in self.servers.values()
+            if server.record.service == service
+        ]
+        return max(runs) * len(runs) / max(1, sum(runs))
+
+    def _start_entry(self, server: ReplayServer) -> None:
+        record = server.record
+        self.entries[record.instance] = ReplayEntry(
+            record.instance,
+            data_centre=DataCentre(record.data_centre),
+            mesh=self,
+        )
+
+    def _plan(self, work_class: LoadClass, until: float) -> None:
+        gap = random.expovariate(work_class.per_second * self.factor)
+        if self.clock.now + gap < until:
+            self.clock.set(gap, partial(self._send, work_class, until))
+
+    def _send(self, work_class: LoadClass, until: float) -> None:
+        entry = random.choice(list(self.entries.values()))
+        outcomes = self.outcomes[work_class.name]
+        Caller(entry, work_class, outcomes=outcomes).ask()
+        self._plan(work_class, until)
--- a/wagtaildale/types.py
+++ b/wagtaildale/types.py
@@ -25,6 +25,8 @@
 CallNumber = NewType('CallNumber', int)
 
 NO_VERSION = Version(0)
+# Of a process that is not known.
+ANY_INCARNATION = Incarnation(0)
 
 
 class Kind(Enum):
