Routing: near upstreams first in a subset, and an owner's word on its speed

Cause: an entry of a large service drew its twelve upstreams over the whole list (two near ones of fifteen on average), and learned of a slow server by its own visits, one every few seconds, forgotten after four. Change: the subset takes the near ones first and some far ones; it is ranked once for each list. An owner tells with each answer how long the class takes there now and usually; the choice goes by both, and by how full the server was. Upstreams that are gone are forgotten.

--- a/wagtaildale/admin/reports.py
+++ b/wagtaildale/admin/reports.py
@@ -125,7 +125,7 @@
     record: InstanceRecord,
 ) -> str:
     now = read_clock()
-    statistics = node.calls.entry.parts.statistics
+    statistics = node.calls.entry.parts.placement.statistics
     upstream = statistics.find(record.instance, now=now)
     away = 'away' if record.instance in view.away else 'takes work'
     near = record.data_centre == node.parts.settings.data_centre
--- a/wagtaildale/admission/limits.py
+++ b/wagtaildale/admission/limits.py
@@ -15,6 +15,8 @@
 
 FAST: Final = 0.1
 SLOW: Final = 0.005
+# A class makes up a part of a server's requests: thirty of them.
+CLASS_USUAL: Final = 0.03
 SLOWED: Final = 4.0
 NOTICEABLE_SECONDS: Final = 0.005
 SHRINK_FAILED: Final = 0.8
@@ -67,6 +69,8 @@
     state.usual_seconds += (seconds - state.usual_seconds) * SLOW
     known = state.class_seconds.get(work_class, seconds)
     state.class_seconds[work_class] = known + (seconds - known) * FAST
+    usual = state.class_usual.get(work_class, seconds)
+    state.class_usual[work_class] = usual + (seconds - usual) * CLASS_USUAL
     if not state.adaptive:
         return
     if _is_slowed(state):
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -64,6 +64,7 @@
         guessed_seconds: what it may be, while there was no answer; 0 before
             the first request.
         class_seconds: smoothed time by class.
+        class_usual: the same over a longer time.
         adaptive: whether the limit follows what is observed.
         shrunk_at: when the limit was lowered last, seconds.
         draining: whether nothing new is admitted.
@@ -78,6 +79,7 @@
     usual_seconds: float = 0
     guessed_seconds: float = 0
     class_seconds: dict[str, float] = field(default_factory=dict)
+    class_usual: dict[str, float] = field(default_factory=dict)
     adaptive: bool = True
     shrunk_at: float = 0
     draining: bool = False
--- a/wagtaildale/calls/entry.py
+++ b/wagtaildale/calls/entry.py
@@ -56,19 +56,17 @@
         """Keep connections, notes and budgets in step with the view."""
         parts = self.parts
         now = read_clock()
-        for listed in parts.view.current.list_records():
-            parts.statistics.note_start(
-                listed.instance,
-                born=listed.born,
-                now=now,
-            )
+        view = parts.view.current
+        statistics = parts.placement.statistics
+        for listed in view.list_records():
+            statistics.note_start(listed.instance, born=listed.born, now=now)
+        statistics.keep_only(view.records)
         parts.peers.keep_only(
             {
                 Address(record.host, record.owner_port): self.targets.is_far(
                     record,
                 )
-                for records in parts.view.current.upstreams.values()
-                for record in self.targets.narrow(records)
+                for record in self.targets.list_subset()
                 if self._is_wanted(record, now)
             },
         )
@@ -97,6 +95,8 @@
 
     def _is_wanted(self, record: InstanceRecord, now: float) -> bool:
         # One that leaves would take the connection only to have it closed.
-        upstream = self.parts.statistics.find(record.instance, now=now)
+        upstream = self.parts.placement.statistics.find(
+            record.instance, now=now
+        )
         is_remote = record.host != self.parts.own_host
         return is_remote and not upstream.ejection.is_leaving(now)
--- a/wagtaildale/calls/fields.py
+++ b/wagtaildale/calls/fields.py
@@ -89,6 +89,9 @@
         retry_ms: after which asking again is worth it, in a refusal.
         slot_us: microseconds that a request of any class holds a slot of
             the backend server; 0 before the first.
+        class_us: microseconds that requests of the answered class take at
+            the backend server now; 0 before the first.
+        class_usual_us: the same over a longer time.
     """
 
     request_id: RequestId
@@ -105,3 +108,5 @@
     lease: TicketId = NO_LEASE
     retry_ms: int = 0
     slot_us: int = 0
+    class_us: int = 0
+    class_usual_us: int = 0
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -22,7 +22,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from wagtaildale.admission.gate import Gate
     from wagtaildale.calls.addresses import Address
@@ -159,6 +159,8 @@
             backend_us=round(backend_seconds * MICROSECONDS),
             retry_ms=retry_ms,
             slot_us=round(state.slot_seconds * MICROSECONDS),
+            class_us=_find_us(state.class_seconds, fields.work_class),
+            class_usual_us=_find_us(state.class_usual, fields.work_class),
         )
 
     def note_end(
@@ -206,3 +208,7 @@
 
     def _note_stray(self) -> None:
         self.strays += 1
+
+
+def _find_us(seconds: Mapping[str, float], work_class: str) -> int:
+    return round(seconds.get(work_class, 0) * MICROSECONDS)
--- a/wagtaildale/calls/routed.py
+++ b/wagtaildale/calls/routed.py
@@ -19,8 +19,7 @@
 from wagtaildale.calls.peers import LocalPeer
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.loop import Loop
-from wagtaildale.routing.choice import Chooser
-from wagtaildale.routing.statistics import FleetStatistics
+from wagtaildale.routing.placement import Placement
 from wagtaildale.routing.table import RETRIES_MOST, RouteMatch
 from wagtaildale.routing.view import FleetView, ViewHolder
 from wagtaildale.telemetry.events import EventRecorder
@@ -57,10 +56,9 @@
         local: that owner, as an entry speaks to it.
         peers: connections to the other owners.
         view: what calls are routed by.
-        statistics: what is known of upstreams.
         tallies: counts of calls.
         recorder: gets events.
-        chooser: of upstreams.
+        placement: chooses upstreams.
         dialect: how callers are spoken to.
         times: that callers give.
         read_limits: gives what callers may send.
@@ -77,10 +75,9 @@
     local: LocalPeer
     peers: PeerPool
     view: ViewHolder
-    statistics: FleetStatistics
     tallies: Tallies
     recorder: EventRecorder
-    chooser: Chooser
+    placement: Placement
     dialect: Dialect
     times: TimesGiven
     read_limits: Callable[[], CallerLimits]
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -10,12 +10,7 @@
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.fields import CallFields
 from wagtaildale.errors.codes import Code
-from wagtaildale.membership.topology import rank_instances
-from wagtaildale.routing.candidates import (
-    leave_out_ejected,
-    list_candidates,
-    take_subset,
-)
+from wagtaildale.routing.candidates import list_candidates
 from wagtaildale.routing.choice import Need
 from wagtaildale.routing.statistics import (
     UPSTREAM_FAULTS,
@@ -27,14 +22,15 @@
 from wagtaildale.types import ANY_INCARNATION
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Iterator
 
     from wagtaildale.calls.attempts import Attempts
     from wagtaildale.calls.fields import AnswerFields
     from wagtaildale.calls.peers import Peer
     from wagtaildale.calls.routed import EntryParts, Routed
     from wagtaildale.membership.records import InstanceRecord
-    from wagtaildale.types import InstanceId
+    from wagtaildale.routing.placement import Placed
+    from wagtaildale.routing.statistics import FleetStatistics
 
 MILLISECONDS: Final = 1000
 MICROSECONDS: Final = 1_000_000
@@ -95,28 +91,27 @@
         Raises:
             CallFailed: when no instance takes work.
         """
-        candidates = self._list(routed, attempts.list_useless())
-        record = self._choose(routed, candidates, attempts)
-        if record is None:
+        placed = self._place(routed, attempts)
+        if placed is None:
             # Failure: a service is overloaded everywhere, and each request
             # is sent round all data centres to be refused in each.
             attempts.refusals_left = 0
-            candidates = self._list(routed, attempts.list_useless())
-            record = self._choose(routed, candidates, attempts)
-        if record is None:
+            placed = self._place(routed, attempts)
+        if placed is None:
             detail = f'service {routed.service}'
             raise CallFailed(
                 Code.no_upstream,
                 detail=detail,
                 retry_after=NO_UPSTREAM_SECONDS,
             )
+        record = placed.record
         patient = (
             not attempts.refusals_left
             or record.instance in attempts.tried
-            or len(candidates) == 1
+            or placed.is_only
         )
         attempts.tried.append(record.instance)
-        upstream = self._parts.statistics.find(
+        upstream = self._statistics.find(
             record.instance,
             now=read_clock(),
         )
@@ -134,19 +129,15 @@
             upstream=upstream,
         )
 
-    def narrow(
-        self,
-        records: Sequence[InstanceRecord],
-    ) -> Sequence[InstanceRecord]:
-        """Narrow the upstreams of a large service to this entry's subset.
-
-        Args:
-            records: of one service.
+    def list_subset(self) -> Iterator[InstanceRecord]:
+        """List the upstreams of all services that this entry calls.
 
-        Returns:
-            Those that this entry calls.
+        Yields:
+            Those to keep connections to.
         """
-        return take_subset(records, entry=self._parts.owner.identity.instance)
+        view = self._parts.view.current
+        for service in view.upstreams:
+            yield from self._parts.placement.list_subset(view, service)
 
     def has_another(self, routed: Routed, attempts: Attempts) -> bool:
         """Tell whether an upstream in good standing was not tried yet.
@@ -159,16 +150,19 @@
             Whether a second attempt would go to another one.
         """
         tried = attempts.tried
-        fresh = (
-            record.instance
-            for record in self._list(routed, tried)
-            if record.instance not in tried
-        )
         now = read_clock()
-        statistics = self._parts.statistics
+        candidates = list_candidates(
+            self._parts.view.current,
+            service=routed.service,
+            tried=tried,
+        )
         return any(
-            not statistics.find(instance, now=now).ejection.is_out(now)
-            for instance in fresh
+            record.instance not in tried
+            and not self._statistics.find(
+                record.instance,
+                now=now,
+            ).ejection.is_out(now)
+            for record in candidates
         )
 
     def find_peer(self, target: Target) -> Peer:
@@ -206,14 +200,14 @@
             answer: its fields.
         """
         now = read_clock()
-        if answer.backend_us:
-            self._parts.statistics.note_time(
-                target.fields.instance,
-                work_class=target.fields.work_class,
-                seconds=answer.backend_us / MICROSECONDS,
-                now=now,
-            )
-        if target.upstream.note_answer(_read_report(answer), now=now):
+        report = _read_report(answer)
+        self._statistics.note_speed(
+            target.upstream,
+            report,
+            work_class=target.fields.work_class,
+            now=now,
+        )
+        if target.upstream.note_answer(report, now=now):
             self._parts.recorder.record(
                 EventKind.upstream_restored,
                 subject=target.fields.instance,
@@ -235,35 +229,26 @@
                 subject=target.fields.instance,
             )
 
-    def _list(
-        self,
-        routed: Routed,
-        tried: Collection[InstanceId],
-    ) -> list[InstanceRecord]:
-        return list_candidates(
-            self._parts.view.current,
-            service=routed.service,
-            tried=tried,
-        )
+    @property
+    def _statistics(self) -> FleetStatistics:
+        return self._parts.placement.statistics
 
-    def _choose(
-        self,
-        routed: Routed,
-        candidates: Sequence[InstanceRecord],
-        attempts: Attempts,
-    ) -> InstanceRecord | None:
-        if not candidates:
-            return None
-        if routed.idempotency_key:
-            return _choose_by_key(routed.idempotency_key, candidates)
+    def _place(self, routed: Routed, attempts: Attempts) -> Placed | None:
         parts = self._parts
+        view = parts.view.current
+        useless = attempts.list_useless()
+        if routed.idempotency_key:
+            return parts.placement.choose_by_key(
+                view,
+                routed.service,
+                key=routed.idempotency_key,
+                useless=useless,
+            )
         now = read_clock()
-        good = leave_out_ejected(
-            candidates, statistics=parts.statistics, now=now
-        )
-        return parts.chooser.choose(
-            self.narrow(good),
-            statistics=parts.statistics,
+        return parts.placement.choose(
+            view,
+            routed.service,
+            useless=useless,
             need=Need(
                 data_centre=parts.data_centre,
                 work_class=_name_class(routed),
@@ -274,16 +259,6 @@
         )
 
 
-def _choose_by_key(
-    key: str,
-    candidates: Sequence[InstanceRecord],
-) -> InstanceRecord:
-    # A repeat of the same key goes to the owner that saw it first, as long
-    # as the list of those present has not changed in its favour.
-    by_instance = {record.instance: record for record in candidates}
-    return by_instance[rank_instances(key, instances=by_instance)[0]]
-
-
 def _read_report(answer: AnswerFields) -> OwnerReport:
     return OwnerReport(
         incarnation=answer.incarnation,
@@ -291,6 +266,9 @@
         limit=answer.limit,
         queued=answer.queued,
         slot_seconds=answer.slot_us / MICROSECONDS,
+        run_seconds=answer.backend_us / MICROSECONDS,
+        class_seconds=answer.class_us / MICROSECONDS,
+        class_usual=answer.class_usual_us / MICROSECONDS,
         code=answer.code,
     )
 
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -25,6 +25,7 @@
 from wagtaildale.invariants import Invariants
 from wagtaildale.reactor.loop import Loop
 from wagtaildale.routing.ejection import Ejection
+from wagtaildale.routing.placement import Placement
 from wagtaildale.routing.statistics import FleetStatistics
 from wagtaildale.routing.choice import Chooser
 from wagtaildale.routing.view import ViewHolder
@@ -287,10 +288,14 @@
                 recorder=around.recorder,
             ),
             view=around.view,
-            statistics=FleetStatistics(),
             tallies=around.tallies,
             recorder=around.recorder,
-            chooser=figures.chooser,
+            placement=Placement(
+                self.owner.identity.instance,
+                data_centre=figures.data_centre,
+                chooser=figures.chooser,
+                statistics=FleetStatistics(),
+            ),
             dialect=figures.dialect,
             times=TimesGiven(),
             read_limits=self.read_limits,
@@ -324,7 +329,9 @@
 
     def _note_load(self, load: Load) -> None:
         now = read_clock()
-        upstream = self.entry.parts.statistics.find(load.instance, now=now)
+        upstream = self.entry.parts.placement.statistics.find(
+            load.instance, now=now
+        )
         upstream.note_load(
             in_flight=load.in_flight,
             limit=load.limit,
@@ -343,7 +350,7 @@
     def _list_ejections(self, address: Address) -> list[Ejection]:
         # An owner does not know under which ids it is listed.
         now = read_clock()
-        statistics = self.entry.parts.statistics
+        statistics = self.entry.parts.placement.statistics
         return [
             statistics.find(record.instance, now=now).ejection
             for record in self._around.view.current.records.values()
--- a/wagtaildale/routing/candidates.py
+++ b/wagtaildale/routing/candidates.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
-from wagtaildale.membership.topology import hash_instance
 from wagtaildale.types import ListedState
 
 if TYPE_CHECKING:
@@ -15,11 +14,6 @@
     from wagtaildale.routing.view import FleetView
     from wagtaildale.types import InstanceId, ServiceName
 
-# Upstreams of one service that an entry keeps connections to. With 7
-# upstreams a service (2,500 in 360) nearly all; it bounds the rare large
-# service.
-SUBSET_SIZE: Final = 12
-
 
 def list_candidates(
     view: FleetView,
@@ -76,29 +70,3 @@
         if not statistics.find(record.instance, now=now).ejection.is_out(now)
     ]
     return good if 2 * len(good) >= len(candidates) else candidates
-
-
-def take_subset(
-    candidates: Sequence[InstanceRecord],
-    *,
-    entry: InstanceId,
-) -> Sequence[InstanceRecord]:
-    """Take this entry's subset of a large service's upstreams.
-
-    Rendezvous hashing gives every entry another subset, each upstream is in
-    about as many, and a change of the list moves few.
-
-    Args:
-        candidates: that may take the attempt.
-        entry: instance of the node that chooses.
-
-    Returns:
-        At most ``SUBSET_SIZE`` of them.
-    """
-    if len(candidates) <= SUBSET_SIZE:
-        return candidates
-    ranked = sorted(
-        candidates,
-        key=lambda record: hash_instance(entry, record.instance),
-    )
-    return ranked[:SUBSET_SIZE]
--- a/wagtaildale/routing/expected_time.py
+++ b/wagtaildale/routing/expected_time.py
@@ -44,7 +44,8 @@
         is_near: whether it is in the entry's data centre.
         wait: seconds until the request would have a slot.
         total: seconds until it would be answered, with a margin.
-        cost: the same with the handicap of another data centre.
+        cost: the same with what speaks against a full server and against
+            another data centre.
     """
 
     record: InstanceRecord
@@ -87,14 +88,15 @@
             # Failure: a service is full everywhere, and each request is sent
             # to several servers only to be refused by each of them.
             return None
-        near = [option for option in options if option.is_near]
-        if not near:
-            return best.record
-        nearest = min(near, key=_read_cost)
-        short = nearest.wait <= SHORT_WAIT_SHARE * need.slack_seconds
-        if short and nearest.total <= need.slack_seconds:
-            return nearest.record
-        return best.record
+        short = SHORT_WAIT_SHARE * need.slack_seconds
+        fits = [
+            option
+            for option in options
+            if option.is_near
+            and option.wait <= short
+            and option.total <= need.slack_seconds
+        ]
+        return min(fits, key=_read_cost).record if fits else best.record
 
 
 def _weigh(
@@ -109,12 +111,16 @@
     total = estimate.wait + estimate.run + margin
     is_near = record.data_centre == need.data_centre
     handicap = 0 if is_near else FAR_SHARE * max(0, need.slack_seconds)
+    # Failure: of several servers that have room by what was last heard, all
+    # entries take the fastest, until it has none. The fuller a server was,
+    # the likelier its slots are taken when the request comes.
+    crowd = estimate.run * estimate.fullness**2
     return Option(
         record=record,
         is_near=is_near,
         wait=estimate.wait,
         total=total,
-        cost=total + handicap,
+        cost=total + crowd + handicap,
     )
 
 
--- a/wagtaildale/routing/placement.py
+++ b/wagtaildale/routing/placement.py
@@ -2,74 +2,196 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from msgspec import Struct
 
-from wagtaildale.routing.candidates import leave_out_ejected, take_subset
-from wagtaildale.routing.choice import Chooser, Need
-from wagtaildale.routing.statistics import FleetStatistics
-from wagtaildale.types import InstanceId
+from wagtaildale.membership.records import InstanceRecord
+from wagtaildale.membership.topology import rank_instances
+from wagtaildale.routing.candidates import leave_out_ejected, list_candidates
+from wagtaildale.routing.subsets import RankedUpstreams, rank_upstreams
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Sequence
 
-    from wagtaildale.membership.records import InstanceRecord
+    from wagtaildale.routing.choice import Chooser, Need
+    from wagtaildale.routing.statistics import FleetStatistics
+    from wagtaildale.routing.view import FleetView
+    from wagtaildale.types import DataCentre, InstanceId, ServiceName
 
 
-class Placement(Struct, frozen=True, kw_only=True):
+class Placed(Struct, frozen=True, kw_only=True, gc=False):
+    """Where an attempt goes.
+
+    Attributes:
+        record: of the upstream.
+        is_only: whether no other one may take it.
+    """
+
+    record: InstanceRecord
+    is_only: bool
+
+
+class Placement:
     """Places the attempts of one entry.
 
     Attributes:
-        entry: instance of the node that chooses.
-        chooser: of upstreams.
-        statistics: what is known of them.
+        statistics: what is known of upstreams.
     """
 
-    entry: InstanceId
-    chooser: Chooser
-    statistics: FleetStatistics
+    def __init__(
+        self,
+        entry: InstanceId,
+        *,
+        data_centre: DataCentre,
+        chooser: Chooser,
+        statistics: FleetStatistics,
+    ) -> None:
+        """Prepare.
+
+        Args:
+            entry: instance of the node that chooses.
+            data_centre: its own.
+            chooser: of upstreams.
+            statistics: what is known of them.
+        """
+        self.statistics = statistics
+        self._entry = entry
+        self._data_centre = data_centre
+        self._chooser = chooser
+        self._ranked: dict[ServiceName, RankedUpstreams] = {}
 
-    def narrow(
+    def list_subset(
         self,
-        records: Sequence[InstanceRecord],
+        view: FleetView,
+        service: ServiceName,
     ) -> Sequence[InstanceRecord]:
-        """Narrow the upstreams of a large service to this entry's subset.
+        """List the upstreams of a service that this entry calls.
 
         Args:
-            records: of one service.
+            view: who is listed.
+            service: whose upstreams.
 
         Returns:
-            Those that this entry calls.
+            Those to keep connections to.
         """
-        return take_subset(records, entry=self.entry)
+        ranked = self._rank(view, service)
+        return ranked.take(lambda record: not view.is_away(record))
 
     def choose(
         self,
-        candidates: Sequence[InstanceRecord],
+        view: FleetView,
+        service: ServiceName,
         *,
+        useless: Collection[InstanceId],
         need: Need,
         now: float,
-    ) -> InstanceRecord | None:
+    ) -> Placed | None:
         """Choose the upstream of an attempt.
 
         Args:
-            candidates: that may take it; at least one.
+            view: the snapshot that the call goes by.
+            service: whose upstreams.
+            useless: upstreams that need not be asked again.
             need: of the request.
             now: seconds.
 
         Returns:
-            The one that takes it, or nothing if the request had better wait
-            where it can (``need.may_wait``).
+            Where it goes; nothing if there is no upstream, or if the
+            request had better wait where it can (``need.may_wait``).
         """
-        good = leave_out_ejected(
+        candidates = self._list(view, service, useless=useless, now=now)
+        if not candidates:
+            return None
+        record = self._chooser.choose(
             candidates,
             statistics=self.statistics,
-            now=now,
-        )
-        return self.chooser.choose(
-            self.narrow(good),
-            statistics=self.statistics,
             need=need,
             now=now,
         )
+        if record is None:
+            return None
+        return Placed(record=record, is_only=len(candidates) == 1)
+
+    def choose_by_key(
+        self,
+        view: FleetView,
+        service: ServiceName,
+        *,
+        key: str,
+        useless: Collection[InstanceId],
+    ) -> Placed | None:
+        """Choose the upstream of a request that a caller may repeat by key.
+
+        A repeat of the same key goes to the owner that saw it first, from
+        whichever entry, as long as the list of those present has not changed
+        in its favour.
+
+        Args:
+            view: the snapshot that the call goes by.
+            service: whose upstreams.
+            key: the caller's own.
+            useless: upstreams that need not be asked again.
+
+        Returns:
+            Where it goes; nothing if there is no upstream.
+        """
+        candidates = {
+            record.instance: record
+            for record in list_candidates(view, service=service, tried=useless)
+        }
+        if not candidates:
+            return None
+        first = rank_instances(key, instances=candidates)[0]
+        return Placed(record=candidates[first], is_only=len(candidates) == 1)
+
+    def _list(
+        self,
+        view: FleetView,
+        service: ServiceName,
+        *,
+        useless: Collection[InstanceId],
+        now: float,
+    ) -> Sequence[InstanceRecord]:
+        ranked = self._rank(view, service)
+        takes_work = partial(_takes_work, view=view, useless=useless)
+        subset = ranked.take(takes_work)
+        if not subset:
+            candidates = list_candidates(view, service=service, tried=useless)
+            subset = ranked.take(candidates.__contains__)
+        good = leave_out_ejected(subset, statistics=self.statistics, now=now)
+        if len(good) == len(subset):
+            return subset
+        # Others of the service take the places of those left out.
+        in_place = ranked.take(
+            lambda record: takes_work(record) and self._is_good(record, now),
+        )
+        return in_place or good
+
+    def _is_good(self, record: InstanceRecord, now: float) -> bool:
+        upstream = self.statistics.find(record.instance, now=now)
+        return not upstream.ejection.is_out(now)
+
+    def _rank(self, view: FleetView, service: ServiceName) -> RankedUpstreams:
+        # Ranking a hundred upstreams takes longer than choosing among a
+        # dozen: it is done once for each list, not for each attempt.
+        listed = view.upstreams.get(service, ())
+        ranked = self._ranked.get(service)
+        if ranked is None or ranked.listed is not listed:
+            ranked = rank_upstreams(
+                listed,
+                entry=self._entry,
+                data_centre=self._data_centre,
+            )
+            self._ranked[service] = ranked
+        return ranked
+
+
+def _takes_work(
+    record: InstanceRecord,
+    *,
+    view: FleetView,
+    useless: Collection[InstanceId],
+) -> bool:
+    return record.instance not in useless and not view.is_away(record)
--- a/wagtaildale/routing/statistics.py
+++ b/wagtaildale/routing/statistics.py
@@ -13,24 +13,21 @@
 from wagtaildale.admission.state import UNKNOWN_SHARE
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.ejection import Ejection
+from wagtaildale.routing.speed import Speed, fade
 from wagtaildale.types import ANY_INCARNATION, Incarnation, InstanceId
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from wagtaildale.routing.choice import Need
 
 FIRST_LIMIT: Final = 10
 WARM_SECONDS: Final = 10.0
 COLD_LOAD: Final = 0.5
-# A server that has just started takes about twice its usual time.
-COLD_SLOWNESS: Final = 2.0
-SLOWNESS_GAIN: Final = 0.1
-# One answer in a hundred takes several times the usual time on any server;
-# it is to count as slow, not as a sign that the server stands still.
-SLOWEST: Final = 4.0
-# A server that was slow for a while (five seconds in the users' days) is
-# asked again about as soon as it may be well.
-SLOWNESS_KEPT_SECONDS: Final = 4.0
 STALE_SECONDS: Final = 1.0
+# Requests come and go, but a server that was busy is likely to be so some
+# runs later.
+FULLNESS_KEPT_SECONDS: Final = 5.0
 USUAL_GAIN: Final = 0.05
 # What speaks against an upstream itself, not against one request.
 UPSTREAM_FAULTS: Final = frozenset(
@@ -57,6 +54,11 @@
         queued: requests that wait there.
         slot_seconds: that a request of any class holds a slot there; 0 if
             it does not know yet.
+        run_seconds: that the answered request took at the backend server;
+            0 if it did not run.
+        class_seconds: that requests of its class take there now; 0 if the
+            owner does not know yet.
+        class_usual: the same over a longer time.
         code: of the answer.
     """
 
@@ -65,6 +67,9 @@
     limit: int
     queued: int
     slot_seconds: float = 0
+    run_seconds: float = 0
+    class_seconds: float = 0
+    class_usual: float = 0
     code: Code = Code.ok
 
 
@@ -83,9 +88,7 @@
             last answered; 0 while it is not known.
         known_since: when this entry first heard of this incarnation.
         heard_at: when it last said how full it is, seconds.
-        slowness: its time for an answer, as a multiple of what is usual for
-            the class over all upstreams.
-        timed_at: when that was last seen, seconds.
+        speed: how fast it is.
     """
 
     __slots__ = (
@@ -99,8 +102,7 @@
         'pending',
         'queued',
         'slot_seconds',
-        'slowness',
-        'timed_at',
+        'speed',
     )
 
     def __init__(self, instance: InstanceId, *, now: float) -> None:
@@ -120,8 +122,7 @@
         self.slot_seconds = float(0)
         self.known_since = now
         self.heard_at = self.known_since
-        self.slowness = COLD_SLOWNESS
-        self.timed_at = self.known_since
+        self.speed = Speed(now=now)
 
     def note_begun(self, now: float) -> None:
         """Count a request that goes there.
@@ -184,24 +185,30 @@
         self.queued = queued
         self.heard_at = now
 
-    def note_time(
+    def note_speed(
         self,
-        seconds: float,
+        report: OwnerReport,
         *,
         usual: float,
         now: float,
     ) -> None:
-        """Note how long the backend server took for an answer.
+        """Note how fast the backend server is.
 
         Args:
-            seconds: it took.
-            usual: what is usual for the class over all upstreams.
+            report: the owner's word.
+            usual: seconds that are usual for the class over all upstreams.
             now: seconds.
         """
-        if usual > 0:
-            ratio = min(SLOWEST, seconds / usual)
-            self.slowness += (ratio - self.slowness) * SLOWNESS_GAIN
-            self.timed_at = now
+        if usual <= 0:
+            return
+        if report.class_seconds > 0 and report.class_usual > 0:
+            self.speed.note_told(
+                report.class_seconds / usual,
+                usual_ratio=report.class_usual / usual,
+                now=now,
+            )
+        else:
+            self.speed.note_seen(report.run_seconds / usual, now=now)
 
     def measure_age(self, now: float) -> float:
         """Measure how old its last word on how full it is has become.
@@ -214,22 +221,18 @@
         """
         return now - self.heard_at
 
-    def find_slowness(self, now: float) -> float:
-        """Find how slow the upstream is taken to be.
-
-        Failure guarded here: a few slow answers in a row, an upstream that
-        is then asked no more, and nothing that would ever show it well
-        again. What was seen counts for less by the second.
+    def measure_fullness(self, now: float) -> float:
+        """Measure which part of its slots is likely to be taken.
 
         Args:
             now: seconds.
 
         Returns:
-            Its time as a multiple of what is usual.
+            Requests there, as a share of its limit; over 1 if some wait.
         """
-        age = now - self.timed_at
-        kept = max(0, 1 - age / SLOWNESS_KEPT_SECONDS)
-        return 1 + (self.slowness - 1) * kept
+        told = (self.in_flight + self.queued) / self.limit
+        share = self.measure_age(now) / FULLNESS_KEPT_SECONDS
+        return max(fade(told, to=0, share=share), self.pending / self.limit)
 
     def estimate_wait(self, usual: float, *, now: float) -> float:
         """Estimate how long a request would wait for a slot.
@@ -281,10 +284,12 @@
     Attributes:
         wait: seconds until it has a slot.
         run: seconds that it then takes.
+        fullness: of the upstream's slots, the part that is likely taken.
     """
 
     wait: float
     run: float
+    fullness: float
 
 
 class FleetStatistics:
@@ -296,26 +301,28 @@
         self._usual: dict[str, float] = {}
         self._born: dict[InstanceId, int] = {}
 
-    def note_time(
+    def note_speed(
         self,
-        instance: InstanceId,
+        upstream: UpstreamStatistics,
+        report: OwnerReport,
         *,
         work_class: str,
-        seconds: float,
         now: float,
     ) -> None:
-        """Note how long a backend server took for an answer.
+        """Note how fast a backend server is.
 
         Args:
-            instance: which one.
-            work_class: service and class.
-            seconds: it took.
+            upstream: whose it is.
+            report: its owner's word with an answer.
+            work_class: service and class of the request.
             now: seconds.
         """
+        if report.run_seconds <= 0:
+            return
+        seconds = report.class_usual or report.run_seconds
         usual = self._usual.get(work_class, seconds)
         self._usual[work_class] = usual + (seconds - usual) * USUAL_GAIN
-        upstream = self.find(instance, now=now)
-        upstream.note_time(seconds, usual=usual, now=now)
+        upstream.note_speed(report, usual=usual, now=now)
 
     def find_usual_seconds(self, work_class: str) -> float:
         """Find what is usual for a class over all upstreams.
@@ -351,9 +358,13 @@
             # Failure: an entry that has just started takes every upstream
             # for one that answers at once, and sends all to the same few.
             usual = max(0, need.slack_seconds) * UNKNOWN_SHARE
-        usual *= upstream.find_slowness(now)
+        usual *= upstream.speed.find_slowness(now)
         wait = upstream.estimate_wait(usual, now=now)
-        return Estimate(wait=wait, run=usual)
+        return Estimate(
+            wait=wait,
+            run=usual,
+            fullness=upstream.measure_fullness(now),
+        )
 
     def note_start(
         self,
@@ -398,3 +409,20 @@
             upstream = UpstreamStatistics(instance, now=now)
             self._upstreams[instance] = upstream
         return upstream
+
+    def keep_only(self, listed: Container[InstanceId]) -> None:
+        """Forget the upstreams that are gone.
+
+        Args:
+            listed: who is still there.
+        """
+        self._upstreams = {
+            instance: upstream
+            for instance, upstream in self._upstreams.items()
+            if instance in listed or upstream.pending
+        }
+        self._born = {
+            instance: born
+            for instance, born in self._born.items()
+            if instance in listed
+        }
--- a/wagtaildale/testing/replay/callers.py
+++ b/wagtaildale/testing/replay/callers.py
@@ -1,4 +1,4 @@
-"""A caller that comes back when it is told to."""
+"""Who asks: a caller that comes back when told to, a run that calls."""
 
 from __future__ import annotations
 
@@ -7,9 +7,12 @@
 from wagtaildale.testing.replay.entries import Asked
 
 if TYPE_CHECKING:
+    from wagtaildale.admission.messages import TicketId
     from wagtaildale.calls.failures import CallFailed
+    from wagtaildale.testing.replay.clock import VirtualClock
     from wagtaildale.testing.replay.entries import ReplayEntry
     from wagtaildale.testing.replay.load import LoadClass, Outcomes
+    from wagtaildale.testing.replay.servers import ReplayServer
 
 # Of the time that is left: the longest that a caller waits to come back.
 LONGEST_WAIT_SHARE: Final = 1 / 3
@@ -57,15 +60,11 @@
         )
 
     def _take_answer(self, is_far: bool) -> None:
-        outcomes = self._outcomes
-        took = self._clock.now - self._since
-        outcomes.ended += 1
-        outcomes.far += is_far
-        outcomes.seconds.append(took)
-        if took <= self._work_class.within:
-            outcomes.in_time += 1
-        else:
-            outcomes.late += 1
+        self._outcomes.note_answer(
+            self._clock.now - self._since,
+            is_far=is_far,
+            within=self._work_class.within,
+        )
 
     def _take_failure(self, failure: CallFailed) -> None:
         left = self._since + self._work_class.deadline - self._clock.now
@@ -73,5 +72,65 @@
             wait = failure.retry_after or USUAL_WAIT_SECONDS
             self._clock.set(min(wait, left * LONGEST_WAIT_SHARE), self.ask)
             return
-        self._outcomes.ended += 1
-        self._outcomes.refused += 1
+        self._outcomes.note_failure(failure.outcome)
+
+
+class InnerCall:
+    """The call that a run makes of another service."""
+
+    def __init__(
+        self,
+        server: ReplayServer,
+        ticket: TicketId,
+        *,
+        work_class: LoadClass,
+        outcomes: Outcomes,
+        clock: VirtualClock,
+    ) -> None:
+        """Prepare.
+
+        Args:
+            server: where the run is.
+            ticket: of the run.
+            work_class: of the call.
+            outcomes: count what becomes of it.
+            clock: of the replay.
+        """
+        self._server = server
+        self._ticket = ticket
+        self._work_class = work_class
+        self._outcomes = outcomes
+        self._clock = clock
+        self._since = clock.now
+
+    def ask(self, entry: ReplayEntry, *, deadline: float) -> None:
+        """Make the call.
+
+        Args:
+            entry: beside the server.
+            deadline: of the run, seconds.
+        """
+        work_class = self._work_class
+        self._outcomes.tries += 1
+        entry.ask(
+            Asked(
+                work_class=work_class,
+                due=self._since + work_class.within,
+                deadline=min(deadline, self._since + work_class.deadline),
+                on_answer=self._take_answer,
+                on_failure=self._take_failure,
+            ),
+        )
+
+    def _take_answer(self, is_far: bool) -> None:
+        took = self._clock.now - self._since
+        self._outcomes.note_answer(
+            took,
+            is_far=is_far,
+            within=self._work_class.within,
+        )
+        self._server.finish(self._ticket)
+
+    def _take_failure(self, failure: CallFailed) -> None:
+        self._outcomes.note_failure(failure.outcome)
+        self._server.finish(self._ticket)
--- a/wagtaildale/testing/replay/clock.py
+++ b/wagtaildale/testing/replay/clock.py
@@ -4,10 +4,17 @@
 
 import heapq
 import itertools
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
+from msgspec import Struct
+
+
+class Event(Struct, frozen=True, kw_only=True, order=True, gc=False):
+    """What is done at a time; the order of fields is that of events."""
+
+    at: float
+    order: int
+    action: Callable[[], None]
 
 
 class VirtualClock:
@@ -27,7 +34,7 @@
         """Begin at zero with nothing due."""
         self.now = float(0)
         self._order = itertools.count()
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._events: list[Event] = []
 
     def set(self, delay: float, event: Callable[[], None]) -> None:
         """Set an event.
@@ -37,7 +44,8 @@
             event: what is then done.
         """
         at = self.now + max(0, delay)
-        heapq.heappush(self._events, (at, next(self._order), event))
+        due = Event(at=at, order=next(self._order), action=event)
+        heapq.heappush(self._events, due)
 
     def run(self, *, until: float) -> None:
         """Do what is due.
@@ -45,7 +53,8 @@
         Args:
             until: seconds; later events stay.
         """
-        while self._events and self._events[0][0] <= until:
-            self.now, _order, event = heapq.heappop(self._events)
-            event()
+        while self._events and self._events[0].at <= until:
+            event = heapq.heappop(self._events)
+            self.now = event.at
+            event.action()
         self.now = until
--- a/wagtaildale/testing/replay/entries.py
+++ b/wagtaildale/testing/replay/entries.py
@@ -5,7 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from wagtaildale.admission.messages import Arrived, Refused, TicketId
 from wagtaildale.calls.attempts import Attempts
@@ -13,7 +13,6 @@
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.hedges import HedgeClocks
 from wagtaildale.errors.codes import Code
-from wagtaildale.routing.candidates import list_candidates
 from wagtaildale.routing.choice import ChoiceName, Need
 from wagtaildale.routing.choosers import make_chooser
 from wagtaildale.routing.placement import Placement
@@ -26,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wagtaildale.routing.placement import Placed
     from wagtaildale.testing.replay.clock import VirtualClock
     from wagtaildale.testing.replay.mesh import ReplayMesh
 
@@ -82,7 +82,8 @@
         self.mesh = mesh
         self.clocks = HedgeClocks()
         self.placement = Placement(
-            entry=instance,
+            instance,
+            data_centre=data_centre,
             chooser=make_chooser(ChoiceName.expected_time),
             statistics=FleetStatistics(),
         )
@@ -158,57 +159,46 @@
         Args:
             spare: whether it is to run only where a slot is free.
         """
-        server = self._pick()
-        if server is None:
+        placed = self._place()
+        attempts = self._attempts
+        if placed is None:
+            attempts.refusals_left = 0
+            placed = self._place()
+        if placed is None:
             failure = CallFailed(
                 Code.no_upstream,
                 retry_after=NO_UPSTREAM_SECONDS,
             )
             self._fail_if_last(failure)
             return
+        instance = placed.record.instance
+        patient = (
+            not attempts.refusals_left
+            or instance in attempts.tried
+            or placed.is_only
+        )
+        attempts.tried.append(instance)
+        server = self._entry.mesh.servers[instance]
         entry = self._entry
         now = self._clock.now
         is_near = server.record.data_centre == entry.data_centre
         sent = Sent(server=server, since=now, is_near=is_near)
         self._running.append(sent)
-        instance = server.record.instance
         entry.placement.statistics.find(instance, now=now).note_begun(now)
         self._plan_hedge(sent)
         self._clock.set(
             _find_way(sent),
-            partial(self._arrive, sent, spare=spare, patient=self._patient),
-        )
-
-    @property
-    def _patient(self) -> bool:
-        attempts = self._attempts
-        return not attempts.refusals_left or len(set(attempts.tried)) < len(
-            attempts.tried,
+            partial(self._arrive, sent, spare=spare, patient=patient),
         )
 
-    def _pick(self) -> ReplayServer | None:
-        record = self._choose()
-        if record is None:
-            self._attempts.refusals_left = 0
-            record = self._choose()
-        if record is None:
-            return None
-        self._attempts.tried.append(record.instance)
-        return self._entry.mesh.servers.get(record.instance)
-
-    def _choose(self):  # type: ignore[no-untyped-def]
+    def _place(self) -> Placed | None:
         asked = self._asked
         attempts = self._attempts
         now = self._clock.now
-        candidates = list_candidates(
-            self._entry.mesh.view.current,
-            service=asked.work_class.service,
-            tried=attempts.list_useless(),
-        )
-        if not candidates:
-            return None
         return self._entry.placement.choose(
-            candidates,
+            self._entry.mesh.view.current,
+            asked.work_class.service,
+            useless=attempts.list_useless(),
             need=Need(
                 data_centre=self._entry.data_centre,
                 work_class=asked.work_class.name,
@@ -281,26 +271,36 @@
         now = self._clock.now
         entry = self._entry
         work_class = self._asked.work_class.name
-        entry.placement.statistics.note_time(
-            sent.server.record.instance,
-            work_class=work_class,
-            seconds=seconds,
-            now=now,
-        )
-        self._note(sent, Code.ok)
+        self._note(sent, Code.ok, run_seconds=seconds)
         self._end(sent)
         entry.clocks.find(work_class).note(now - sent.since)
         if not self._is_over:
             self._close()
             self._asked.on_answer(not sent.is_near)
 
-    def _note(self, sent: Sent, code: Code) -> None:
+    def _note(
+        self,
+        sent: Sent,
+        code: Code,
+        *,
+        run_seconds: float = 0,
+    ) -> None:
         now = self._clock.now
         work_class = self._asked.work_class.name
-        report = sent.server.report(code, work_class=work_class)
+        report = structs.replace(
+            sent.server.report(code, work_class=work_class),
+            run_seconds=run_seconds,
+        )
         instance = sent.server.record.instance
-        upstream = self._entry.placement.statistics.find(instance, now=now)
+        statistics = self._entry.placement.statistics
+        upstream = statistics.find(instance, now=now)
         upstream.note_answer(report, now=now)
+        statistics.note_speed(
+            upstream,
+            report,
+            work_class=work_class,
+            now=now,
+        )
 
     def _plan_hedge(self, sent: Sent) -> None:
         within = self._asked.work_class.within * MILLISECONDS
--- a/wagtaildale/testing/replay/load.py
+++ b/wagtaildale/testing/replay/load.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import random
-from collections import Counter
 from math import log
 
-from msgspec import Struct, field
+from msgspec import Struct
 
-from wagtaildale.types import ServiceName
+from wagtaildale.types import Outcome, ServiceName
 
 
 class LoadClass(Struct, frozen=True, kw_only=True):
@@ -63,8 +62,6 @@
         failed: ended unanswered after a failure.
         tries: that callers made.
         far: answered by an upstream of another data centre.
-        runs: by instance.
-        seconds: that each answered request took, from its first try.
     """
 
     ended: int = 0
@@ -74,8 +71,37 @@
     failed: int = 0
     tries: int = 0
     far: int = 0
-    runs: Counter[str] = field(default_factory=Counter)
-    seconds: list[float] = field(default_factory=list)
+
+    def note_answer(
+        self,
+        seconds: float,
+        *,
+        is_far: bool,
+        within: float,
+    ) -> None:
+        """Count an answer.
+
+        Args:
+            seconds: since the first try.
+            is_far: whether another data centre gave it.
+            within: target, seconds.
+        """
+        self.ended += 1
+        self.far += is_far
+        self.in_time += seconds <= within
+        self.late += seconds > within
+
+    def note_failure(self, outcome: Outcome) -> None:
+        """Count a request without an answer.
+
+        Args:
+            outcome: of its last try.
+        """
+        self.ended += 1
+        if outcome is Outcome.not_run:
+            self.refused += 1
+        else:
+            self.failed += 1
 
     @property
     def share_in_time(self) -> float:
--- a/wagtaildale/testing/replay/mesh.py
+++ b/wagtaildale/testing/replay/mesh.py
@@ -4,15 +4,16 @@
 
 import random
 from functools import partial
-from typing import TYPE_CHECKING
+from ipaddress import IPv4Address
+from typing import TYPE_CHECKING, Final
 
 from msgspec import structs
 
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.testing.builders import build_instances, build_record
-from wagtaildale.testing.replay.callers import Caller
+from wagtaildale.testing.replay.callers import Caller, InnerCall
 from wagtaildale.testing.replay.clock import VirtualClock
-from wagtaildale.testing.replay.entries import Asked, ReplayEntry
+from wagtaildale.testing.replay.entries import ReplayEntry
 from wagtaildale.testing.replay.load import LoadClass, Outcomes
 from wagtaildale.testing.replay.servers import ReplayServer
 from wagtaildale.types import DataCentre, InstanceId, ListedState
@@ -21,7 +22,9 @@
     from collections.abc import Sequence
 
     from wagtaildale.admission.messages import TicketId
-    from wagtaildale.calls.failures import CallFailed
+
+
+FIRST_HOST: Final = IPv4Address('10.0.0.1')
 
 
 class ReplayMesh:
@@ -78,7 +81,7 @@
                 name,
                 service=service,
                 data_centre=data_centres[number % len(data_centres)],
-                host=f'10.0.{len(self.servers) // 250}.{len(self.servers) % 250}',
+                host=str(FIRST_HOST + len(self.servers)),
             )
             server = ReplayServer(
                 structs.replace(record, slots=slots),
@@ -161,33 +164,23 @@
         if random.random() >= work_class.calls_share:
             return False
         called = self._classes[work_class.calls]
-        outcomes = self.outcomes[called.name]
-        since = self.clock.now
-
-        def on_answer(is_far: bool) -> None:
-            outcomes.ended += 1
-            outcomes.far += is_far
-            is_in_time = self.clock.now - since <= called.within
-            outcomes.in_time += is_in_time
-            outcomes.late += not is_in_time
-            server.finish(ticket)
-
-        def on_failure(failure: CallFailed) -> None:
-            outcomes.ended += 1
-            outcomes.failed += 1
-            server.finish(ticket)
-
-        self.entries[server.record.instance].ask(
-            Asked(
-                work_class=called,
-                due=since + called.within,
-                deadline=min(deadline, since + called.deadline),
-                on_answer=on_answer,
-                on_failure=on_failure,
-            ),
+        call = InnerCall(
+            server,
+            ticket,
+            work_class=called,
+            outcomes=self.outcomes[called.name],
+            clock=self.clock,
         )
+        call.ask(self.entries[server.record.instance], deadline=deadline)
         return True
 
+    def count_anew(self) -> None:
+        """Count nothing of what was until now."""
+        for name in self.outcomes:
+            self.outcomes[name] = Outcomes()
+        for server in self.servers.values():
+            server.runs = 0
+
     def find_busiest(self, service: str) -> float:
         """Find how uneven the runs of a service are.
 
--- a/wagtaildale/testing/replay/servers.py
+++ b/wagtaildale/testing/replay/servers.py
@@ -162,6 +162,8 @@
             limit=int(state.limit),
             queued=len(state.queue),
             slot_seconds=state.slot_seconds,
+            class_seconds=state.class_seconds.get(work_class, 0),
+            class_usual=state.class_usual.get(work_class, 0),
             code=code,
         )
 
