Administration: what answers its port is loaded with the first request

Cause: after a loss of power a node imports the HTTP server of its API and the metrics, which nobody asks for, before it asks for the configuration. Change: the port is opened at the start as before; server and metrics are imported with the first request.

--- a/wagtaildale/admin/server.py
+++ b/wagtaildale/admin/server.py
@@ -7,22 +7,23 @@
 from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct, json
-from result import Err, Ok, Result
 from werkzeug.exceptions import Forbidden, HTTPException, Unauthorized
 from werkzeug.routing import Map, Rule
-from werkzeug.serving import BaseWSGIServer, make_server
+from werkzeug.serving import make_server
 from werkzeug.wrappers import Request, Response
 
 from wagtaildale.admin.fleet import FleetReporter
 from wagtaildale.admin.model import ReadyReport
 from wagtaildale.admin.openapi import write_api
 from wagtaildale.admin.pages import PAGES, Context, show_ready
-from wagtaildale.admin.scopes import Doorkeeper, Scope, make_doorkeeper
+from wagtaildale.admin.scopes import Doorkeeper, Scope
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
+from wagtaildale.telemetry.gauges import make_metrics
 from wagtaildale.types import NodeState
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Iterable
     from wsgiref.types import StartResponse, WSGIEnvironment
 
@@ -51,16 +52,33 @@
 class AdminServer:
     """Serves the API from one task and its request threads."""
 
-    def __init__(self, node: Node) -> None:
-        """Prepare; ``bind`` opens the port.
+    def __init__(
+        self,
+        node: Node,
+        *,
+        doorkeeper: Doorkeeper,
+        listener: socket.socket,
+    ) -> None:
+        """Prepare.
 
         Args:
             node: that is administered.
+            doorkeeper: knows who may see what.
+            listener: the open port.
         """
+        logging.getLogger('werkzeug').setLevel(logging.ERROR)
         self._node = node
+        self._metrics = make_metrics(node)
         self._fleet = FleetReporter(node)
-        self._doorkeeper = Doorkeeper({})
-        self._server: BaseWSGIServer | None = None
+        self._doorkeeper = doorkeeper
+        host, port = listener.getsockname()
+        self._server = make_server(
+            host,
+            port,
+            self,
+            threaded=True,
+            fd=listener.fileno(),
+        )
 
     def __call__(
         self,
@@ -83,39 +101,9 @@
             response = _write_error(error)
         return response(environ, start_response)
 
-    def bind(self) -> Result[None, Fault]:
-        """Read the tokens and open the port.
-
-        Returns:
-            Nothing, or the fault.
-        """
-        settings = self._node.parts.settings
-        doorkeeper = make_doorkeeper(settings.admin)
-        if isinstance(doorkeeper, Err):
-            return doorkeeper
-        self._doorkeeper = doorkeeper.ok_value
-        logging.getLogger('werkzeug').setLevel(logging.ERROR)
-        try:
-            self._server = make_server(
-                settings.host,
-                settings.admin_port,
-                self,
-                threaded=True,
-            )
-        except (OSError, SystemExit) as error:
-            fault = Fault(
-                code=Code.address_in_use,
-                where=f'{settings.host}:{settings.admin_port}',
-                got=str(error),
-                expected='an address that is free',
-            )
-            return Err(fault)
-        return Ok(None)
-
     def run(self) -> None:
         """Serve until stopped."""
-        if self._server is not None:
-            self._server.serve_forever()
+        self._server.serve_forever()
 
     def stop(self) -> None:
         """End ``run`` at its server's next look; waits for nobody.
@@ -125,8 +113,7 @@
         spends most of the time that is left once a planned stop has passed
         its bound. The process ends without it: nothing here needs closing.
         """
-        if self._server is not None:
-            threading.Thread(target=self._server.shutdown, daemon=True).start()
+        threading.Thread(target=self._server.shutdown, daemon=True).start()
 
     def _answer(self, request: Request) -> Response:
         adapter = ROUTES.bind_to_environ(request.environ)
@@ -136,7 +123,7 @@
         if scope is None and needs_token:
             raise Unauthorized
         if page == METRICS:
-            body = self._node.metrics.write_page()
+            body = self._metrics.write_page()
             return Response(body, content_type=METRICS_TYPE)
         if page == OPENAPI:
             return Response(write_api(), mimetype=JSON)
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -8,7 +8,7 @@
 
 from result import Result
 
-from wagtaildale.admin.server import AdminServer
+from wagtaildale.admin.port import AdminPort
 from wagtaildale.assembly import (
     make_calls,
     make_fetch,
@@ -24,7 +24,6 @@
 from wagtaildale.membership.state import MembershipState
 from wagtaildale.membership.topology import Place
 from wagtaildale.telemetry.events import EventKind, EventRecorder
-from wagtaildale.telemetry.gauges import make_metrics
 from wagtaildale.timers.messages import TimerName
 from wagtaildale.timers.service import (
     Subscription,
@@ -101,8 +100,7 @@
             linger_seconds=settings.limits.linger_seconds,
         )
         self.drain_asked = threading.Event()
-        self.metrics = make_metrics(self)
-        self._admin = AdminServer(self)
+        self._admin = AdminPort(self)
         self._futures: list[Future[None]] = []
 
     def start(self) -> Result[None, Fault]:
