Routing: servers that are alike get alike shares; a usual time is told when known

Cause: the least expected time won by a hair and drew every request, and the first run at a server (a new connection) counted as its usual time for a minute.

--- a/wagtaildale/admission/limits.py
+++ b/wagtaildale/admission/limits.py
@@ -10,13 +10,13 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final, final
 
+from wagtaildale.admission.usual import UsualTime
+
 if TYPE_CHECKING:
     from wagtaildale.admission.state import AdmissionState
 
 FAST: Final = 0.1
 SLOW: Final = 0.005
-# A class makes up a part of a server's requests: thirty of them.
-CLASS_USUAL: Final = 0.03
 SLOWED: Final = 4.0
 NOTICEABLE_SECONDS: Final = 0.005
 SHRINK_FAILED: Final = 0.8
@@ -69,8 +69,7 @@
     state.usual_seconds += (seconds - state.usual_seconds) * SLOW
     known = state.class_seconds.get(work_class, seconds)
     state.class_seconds[work_class] = known + (seconds - known) * FAST
-    usual = state.class_usual.get(work_class, seconds)
-    state.class_usual[work_class] = usual + (seconds - usual) * CLASS_USUAL
+    state.class_usual.setdefault(work_class, UsualTime()).note(seconds)
     if not state.adaptive:
         return
     if _is_slowed(state):
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -7,6 +7,7 @@
 from msgspec import Struct, field
 
 from wagtaildale.admission.messages import TicketId
+from wagtaildale.admission.usual import UsualTime
 
 FIRST_SECONDS: Final = 0.005
 QUEUE_PER_SLOT: Final = 16
@@ -79,7 +80,7 @@
     usual_seconds: float = 0
     guessed_seconds: float = 0
     class_seconds: dict[str, float] = field(default_factory=dict)
-    class_usual: dict[str, float] = field(default_factory=dict)
+    class_usual: dict[str, UsualTime] = field(default_factory=dict)
     adaptive: bool = True
     shrunk_at: float = 0
     draining: bool = False
@@ -134,6 +135,18 @@
         """
         return self.class_seconds.get(work_class, self.service_seconds)
 
+    def find_usual(self, work_class: str) -> float:
+        """Find how long a request of a class usually takes here.
+
+        Args:
+            work_class: service and class.
+
+        Returns:
+            Seconds; 0 while that is not known.
+        """
+        usual = self.class_usual.get(work_class)
+        return 0 if usual is None else usual.told
+
     def note_target(self, within: float) -> None:
         """Guess from a request's target how long requests take here.
 
--- a/wagtaildale/admission/tests/test_limits.py
+++ b/wagtaildale/admission/tests/test_limits.py
@@ -5,6 +5,7 @@
 from wagtaildale.admission.limits import Ending, adjust_limit
 from wagtaildale.admission.messages import TicketId
 from wagtaildale.admission.state import AdmissionState, make_admission
+from wagtaildale.admission.usual import RUNS_TO_TELL
 
 SLOTS = 8
 
@@ -56,3 +57,31 @@
     state = build_busy()
     feed(state, Ending.abandoned, seconds=9, count=20)
     assert state.limit == SLOTS
+
+
+def test_usual_time_is_told_once_it_is_known() -> None:
+    """A healthy server gets no lookups for a minute.
+
+    Its first run opened a connection and took a hundred times as long as the
+    rest. Told as the usual time it kept every entry away, and nothing showed
+    that it was wrong.
+    """
+    state = make_admission(SLOTS)
+    work_class = 'files/lookup'
+
+    def run(seconds: float, count: int) -> None:
+        for _run in range(count):
+            adjust_limit(
+                state,
+                ending=Ending.good,
+                seconds=seconds,
+                now=0,
+                work_class=work_class,
+            )
+
+    run(0.1, 1)
+    assert not state.find_usual(work_class)
+    run(0.001, RUNS_TO_TELL - 1)
+    assert 0.001 < state.find_usual(work_class) < 0.02
+    run(0.001, 100)
+    assert state.find_usual(work_class) < 0.002
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -22,7 +22,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable
 
     from wagtaildale.admission.gate import Gate
     from wagtaildale.calls.addresses import Address
@@ -155,12 +155,12 @@
             in_flight=len(state.running),
             limit=int(state.limit),
             queued=len(state.queue),
-            owner_us=round(owner_seconds * MICROSECONDS),
-            backend_us=round(backend_seconds * MICROSECONDS),
+            owner_us=_to_us(owner_seconds),
+            backend_us=_to_us(backend_seconds),
             retry_ms=retry_ms,
-            slot_us=round(state.slot_seconds * MICROSECONDS),
-            class_us=_find_us(state.class_seconds, fields.work_class),
-            class_usual_us=_find_us(state.class_usual, fields.work_class),
+            slot_us=_to_us(state.slot_seconds),
+            class_us=_to_us(state.class_seconds.get(fields.work_class, 0)),
+            class_usual_us=_to_us(state.find_usual(fields.work_class)),
         )
 
     def note_end(
@@ -210,5 +210,5 @@
         self.strays += 1
 
 
-def _find_us(seconds: Mapping[str, float], work_class: str) -> int:
-    return round(seconds.get(work_class, 0) * MICROSECONDS)
+def _to_us(seconds: float) -> int:
+    return round(seconds * MICROSECONDS)
--- a/wagtaildale/calls/tests/test_safety.py
+++ b/wagtaildale/calls/tests/test_safety.py
@@ -95,14 +95,17 @@
 def test_slow_upstream_is_hedged(pair: Pair) -> None:
     """A field lookup meets a server that hangs.
 
-    The second attempt goes elsewhere, and the first is cancelled.
+    The second attempt goes elsewhere, and the first is cancelled. The server
+    that is to hang is the faster one until then, so that lookups go there:
+    hedges of the other one's answers would tell nothing of it.
     """
     other = build_record('c', host='127.0.9.3')
     backend = HostedBackend('c', host=other.host, port=BACKEND_PORT)
     with backend, MeshNode(other):
         pair.near.show(pair.far.record, other)
-        for claim in range(40):
-            pair.ask('GET', f'/files/{claim}')
+        backend.faults.service_ms = 40
+        while pair.backend.counts.runs < 40:
+            pair.ask('GET', '/files/7')
         # On a busy machine an answer of the healthy server may come late
         # enough to be hedged too: those hedges are not the ones looked for.
         tally = pair.near.tallies.sum_up()['casefiles/lookup']
--- a/wagtaildale/routing/expected_time.py
+++ b/wagtaildale/routing/expected_time.py
@@ -27,7 +27,8 @@
 # need. With times spread as those of the users' services (a third of the
 # mean), nine in ten answers are inside it.
 SAFETY: Final = 1.5
-# Of the time that is left of the target: a wait up to this is a short one.
+# Of the time that is left of the target: a wait up to this is a short one, and
+# servers that differ by less are alike.
 SHORT_WAIT_SHARE: Final = 0.1
 # Of the same: how much sooner another data centre must answer. Where a
 # service is full everywhere, the queues differ by less than that, and bytes
@@ -78,25 +79,33 @@
             The one that takes the attempt; nothing if no other can answer
             in time, and the request may wait where it was.
         """
-        # Of several alike each entry is to take another one.
         options = [
-            _weigh(record, statistics, need, now)
-            for record in random.sample(candidates, len(candidates))
+            _weigh(record, statistics, need, now) for record in candidates
         ]
+        # Of several alike each entry is to take another one.
+        random.shuffle(options)
         best = min(options, key=_read_cost)
         if need.may_wait and best.total > need.slack_seconds:
             # Failure: a service is full everywhere, and each request is sent
             # to several servers only to be refused by each of them.
             return None
-        short = SHORT_WAIT_SHARE * need.slack_seconds
-        fits = [
+        margin = SHORT_WAIT_SHARE * need.slack_seconds
+        near = [
             option
             for option in options
             if option.is_near
-            and option.wait <= short
+            and option.wait <= margin
             and option.total <= need.slack_seconds
         ]
-        return min(fits, key=_read_cost).record if fits else best.record
+        return _choose_alike(near, margin).record if near else best.record
+
+
+def _choose_alike(options: list[Option], margin: float) -> Option:
+    # Failure: of servers that are alike all requests go to the one that was
+    # faster by a hair, and nothing is learned of the others for a minute.
+    least = min(option.cost for option in options)
+    alike = [option for option in options if option.cost <= least + margin]
+    return random.choice(alike)
 
 
 def _weigh(
--- a/wagtaildale/routing/tests/test_placement.py
+++ b/wagtaildale/routing/tests/test_placement.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 
 from wagtaildale.routing.choice import ChoiceName, Need
 from wagtaildale.routing.choosers import make_chooser
 from wagtaildale.routing.placement import Placement
-from wagtaildale.routing.statistics import FleetStatistics
+from wagtaildale.routing.statistics import FleetStatistics, OwnerReport
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.testing.builders import build_instances, build_record
 from wagtaildale.testing.replay import LoadClass, ReplayMesh
-from wagtaildale.types import DataCentre, InstanceId, ServiceName
+from wagtaildale.types import (
+    DataCentre,
+    Incarnation,
+    InstanceId,
+    ServiceName,
+)
 
 FIELD = ServiceName('casefiles')
 INTAKE = ServiceName('intake')
@@ -189,3 +196,47 @@
     mesh.rest(4)
     assert mesh.outcomes['lookup'].share_far < 0.05
     assert mesh.outcomes['report'].share_far < 0.05
+
+
+def test_servers_that_are_alike_get_alike_shares() -> None:
+    """One server of a data centre gets twice the requests of its neighbours.
+
+    All are equally fast. The one that answered a hair sooner was taken for
+    every request until it was half full, on a calm day for ever.
+    """
+    placement = build_placement()
+    names = 'abcdef'
+    holder = build_view(*names)
+    for number, name in enumerate(names):
+        upstream = placement.statistics.find(InstanceId(name), now=NOW)
+        seconds = 0.2 + number / 500
+        placement.statistics.note_speed(
+            upstream,
+            OwnerReport(
+                incarnation=Incarnation(1),
+                in_flight=1,
+                limit=4,
+                queued=0,
+                run_seconds=seconds,
+                class_seconds=seconds,
+                class_usual=seconds,
+            ),
+            work_class='lookup',
+            now=NOW,
+        )
+    need = Need(
+        data_centre=DataCentre('derby'),
+        work_class='lookup',
+        slack_seconds=0.6,
+    )
+    chosen = Counter(
+        placement.choose(
+            holder.current,
+            FIELD,
+            useless=(),
+            need=need,
+            now=NOW,
+        ).record.instance  # type: ignore[union-attr]
+        for _call in range(6000)
+    )
+    assert max(chosen.values()) < 1.4 * 6000 / len(names)
--- a/wagtaildale/testing/replay/servers.py
+++ b/wagtaildale/testing/replay/servers.py
@@ -163,7 +163,7 @@
             queued=len(state.queue),
             slot_seconds=state.slot_seconds,
             class_seconds=state.class_seconds.get(work_class, 0),
-            class_usual=state.class_usual.get(work_class, 0),
+            class_usual=state.find_usual(work_class),
             code=code,
         )
 
