--- a/wagtaildale/routing/expected_time.py
+++ b/wagtaildale/routing/expected_time.py
@@ -42,7 +42,6 @@
 
     Attributes:
         record: the upstream.
-        is_near: whether it is in the entry's data centre.
         wait: seconds until the request would have a slot.
         total: seconds until it would be answered, with a margin.
         cost: the same with what speaks against a full server and against
@@ -50,7 +49,6 @@
     """
 
     record: InstanceRecord
-    is_near: bool
     wait: float
     total: float
     cost: float
@@ -79,25 +77,36 @@
             The one that takes the attempt; nothing if no other can answer
             in time, and the request may wait where it was.
         """
-        options = [
-            _weigh(record, statistics, need, now) for record in candidates
+        near = [
+            _weigh(record, statistics, need, now)
+            for record in candidates
+            if record.data_centre == need.data_centre
+        ]
+        margin = SHORT_WAIT_SHARE * need.slack_seconds
+        in_time = [
+            option
+            for option in near
+            if option.wait <= margin and option.total <= need.slack_seconds
+        ]
+        if in_time:
+            return _choose_alike(in_time, margin).record
+        far = [
+            _weigh(record, statistics, need, now)
+            for record in candidates
+            if record.data_centre != need.data_centre
         ]
-        # Of several alike each entry is to take another one.
-        random.shuffle(options)
-        best = min(options, key=_read_cost)
+        best = _find_best([*near, *far])
         if need.may_wait and best.total > need.slack_seconds:
             # Failure: a service is full everywhere, and each request is sent
             # to several servers only to be refused by each of them.
             return None
-        margin = SHORT_WAIT_SHARE * need.slack_seconds
-        near = [
-            option
-            for option in options
-            if option.is_near
-            and option.wait <= margin
-            and option.total <= need.slack_seconds
-        ]
-        return _choose_alike(near, margin).record if near else best.record
+        return best.record
+
+
+def _find_best(options: list[Option]) -> Option:
+    # Of several alike each entry is to take another one.
+    random.shuffle(options)
+    return min(options, key=_read_cost)
 
 
 def _choose_alike(options: list[Option], margin: float) -> Option:
@@ -126,7 +135,6 @@
     crowd = estimate.run * estimate.fullness**2
     return Option(
         record=record,
-        is_near=is_near,
         wait=estimate.wait,
         total=total,
         cost=total + crowd + handicap,
--- a/wagtaildale/routing/speed.py
+++ b/wagtaildale/routing/speed.py
@@ -93,11 +93,10 @@
         """
         age = now - self._noted_at
         usual = fade(self._usual, to=1, share=age / SPEED_KEPT_SECONDS)
-        return fade(
-            self._slowness,
-            to=usual,
-            share=age / SLOWNESS_KEPT_SECONDS,
-        )
+        if age >= SLOWNESS_KEPT_SECONDS:
+            return usual
+        share = age / SLOWNESS_KEPT_SECONDS
+        return fade(self._slowness, to=usual, share=share)
 
 
 def fade(figure: float, *, to: float, share: float) -> float:
@@ -111,7 +110,7 @@
     Returns:
         The figure on its way.
     """
-    return to + (figure - to) * max(0, 1 - share)
+    return to if share >= 1 else to + (figure - to) * (1 - share)
 
 
 def _bound(ratio: float) -> float:
