--- a/wagtaildale/admin/reports.py
+++ b/wagtaildale/admin/reports.py
@@ -125,13 +125,20 @@
     record: InstanceRecord,
 ) -> str:
     now = read_clock()
-    statistics = node.calls.entry.parts.placement.statistics
-    upstream = statistics.find(record.instance, now=now)
-    away = 'away' if record.instance in view.away else 'takes work'
+    placement = node.calls.entry.parts.placement
+    upstream = placement.statistics.find(record.instance, now=now)
     near = record.data_centre == node.parts.settings.data_centre
     place = 'own data centre' if near else record.data_centre
     load = round(upstream.measure_load(now) * 100)
-    return f'{record.instance}: {place}, {away}, {load}% of its limit'
+    slowness = round(upstream.speed.find_slowness(now), 1)
+    return ', '.join(
+        (
+            f'{record.instance}: {place}',
+            'away' if record.instance in view.away else 'takes work',
+            f'{load}% of its limit',
+            f'{slowness} times the usual time',
+        ),
+    )
 
 
 def _list_classes(view: FleetView) -> dict[str, WorkClass]:
--- a/wagtaildale/calls/report.py
+++ b/wagtaildale/calls/report.py
@@ -107,6 +107,10 @@
                 'running': upstream.in_flight,
                 'waiting': upstream.queued,
                 'limit': upstream.limit,
+                'slowness': round(
+                    upstream.speed.find_slowness(read_clock()),
+                    2,
+                ),
                 'load_age_ms': round(
                     upstream.measure_age(read_clock()) * MILLISECONDS,
                 ),
