--- a/wagtaildale/calls/report.py
+++ b/wagtaildale/calls/report.py
@@ -24,6 +24,7 @@
 NO_CLASS: Final = 'none'
 MILLISECONDS: Final = 1000
 MICROSECONDS: Final = 1000
+PERCENT: Final = 100
 
 
 class CallReport:
@@ -107,9 +108,8 @@
                 'running': upstream.in_flight,
                 'waiting': upstream.queued,
                 'limit': upstream.limit,
-                'slowness': round(
-                    upstream.speed.find_slowness(read_clock()),
-                    2,
+                'slowness_percent': round(
+                    upstream.speed.find_slowness(read_clock()) * PERCENT,
                 ),
                 'load_age_ms': round(
                     upstream.measure_age(read_clock()) * MILLISECONDS,
