Admission: what entries are told follows a server that turns slow

Cause: a run that a second attempt overtakes is given up and was not counted, so a server whose runs are all overtaken was never known to be slow; ten runs were needed to see a change. Change: the told time follows three runs, and one that was given up counts where it had taken longer; the entry notes whom a second attempt overtook.

--- a/wagtaildale/admission/limits.py
+++ b/wagtaildale/admission/limits.py
@@ -54,7 +54,9 @@
         now: seconds.
         work_class: service and class.
     """
+    usual = state.class_usual.setdefault(work_class, UsualTime())
     if ending is Ending.abandoned:
+        usual.note_abandoned(seconds)
         return
     if ending is Ending.failed:
         if state.adaptive:
@@ -69,7 +71,7 @@
     state.usual_seconds += (seconds - state.usual_seconds) * SLOW
     known = state.class_seconds.get(work_class, seconds)
     state.class_seconds[work_class] = known + (seconds - known) * FAST
-    state.class_usual.setdefault(work_class, UsualTime()).note(seconds)
+    usual.note(seconds)
     if not state.adaptive:
         return
     if _is_slowed(state):
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -65,7 +65,7 @@
         guessed_seconds: what it may be, while there was no answer; 0 before
             the first request.
         class_seconds: smoothed time by class.
-        class_usual: the same over a longer time.
+        class_usual: what entries are told of that.
         adaptive: whether the limit follows what is observed.
         shrunk_at: when the limit was lowered last, seconds.
         draining: whether nothing new is admitted.
@@ -135,17 +135,16 @@
         """
         return self.class_seconds.get(work_class, self.service_seconds)
 
-    def find_usual(self, work_class: str) -> float:
-        """Find how long a request of a class usually takes here.
+    def find_usual(self, work_class: str) -> UsualTime:
+        """Find how long a request of a class takes here, now and usually.
 
         Args:
             work_class: service and class.
 
         Returns:
-            Seconds; 0 while that is not known.
+            What entries are told; nothing known for a new class.
         """
-        usual = self.class_usual.get(work_class)
-        return 0 if usual is None else usual.told
+        return self.class_usual.get(work_class) or UsualTime()
 
     def note_target(self, within: float) -> None:
         """Guess from a request's target how long requests take here.
--- a/wagtaildale/admission/tests/test_limits.py
+++ b/wagtaildale/admission/tests/test_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from wagtaildale.admission.limits import Ending, adjust_limit
 from wagtaildale.admission.messages import TicketId
 from wagtaildale.admission.state import AdmissionState, make_admission
@@ -80,8 +82,45 @@
             )
 
     run(0.1, 1)
-    assert not state.find_usual(work_class)
+    assert not state.find_usual(work_class).told
     run(0.001, RUNS_TO_TELL - 1)
-    assert 0.001 < state.find_usual(work_class) < 0.02
+    assert 0.001 < state.find_usual(work_class).told < 0.02
     run(0.001, 100)
-    assert state.find_usual(work_class) < 0.002
+    assert state.find_usual(work_class).told < 0.002
+
+
+def test_server_whose_runs_are_all_given_up_is_known_to_be_slow() -> None:
+    """A server turns slow, and lookups keep going there.
+
+    Each of them is answered by a second attempt elsewhere and given up here,
+    so that no run ever ends and tells how long it takes.
+    """
+    state = make_admission(SLOTS)
+    for ending, seconds in (
+        *((Ending.good, 0.2) for _run in range(20)),
+        *((Ending.abandoned, 0.6) for _run in range(6)),
+    ):
+        adjust_limit(
+            state,
+            ending=ending,
+            seconds=seconds,
+            now=0,
+            work_class='files/lookup',
+        )
+    usual = state.find_usual('files/lookup')
+    assert usual.recent > 0.5
+    assert usual.told == pytest.approx(0.2)
+
+
+def test_run_that_is_given_up_early_tells_nothing() -> None:
+    """Callers leave at once, and the server is taken for a fast one."""
+    state = make_admission(SLOTS)
+    for ending, seconds in ((Ending.good, 0.2), (Ending.abandoned, 0.01)):
+        adjust_limit(
+            state,
+            ending=ending,
+            seconds=seconds,
+            now=0,
+            work_class='files/lookup',
+        )
+    assert state.find_usual('files/lookup').recent == pytest.approx(0.2)
--- a/wagtaildale/admission/usual.py
+++ b/wagtaildale/admission/usual.py
@@ -1,4 +1,4 @@
-"""What requests usually take at a backend server."""
+"""What requests of a class take at a backend server, now and usually."""
 
 from __future__ import annotations
 
@@ -8,20 +8,25 @@
 
 # Of a run in the usual time of its class: thirty of them make most of it.
 USUAL_GAIN: Final = 0.03
+# Of a run in the time that the class takes now: three of them make most of
+# it, so that a server that turns slow is known within about as many runs.
+RECENT_GAIN: Final = 0.3
 # Single runs differ by a third; the mean of ten is known to a tenth.
 RUNS_TO_TELL: Final = 10
 
 
 class UsualTime(Struct, kw_only=True, gc=False):
-    """What requests of a class usually take at one backend server.
+    """What requests of a class take at one backend server.
 
     Attributes:
         runs: that were seen.
         mean: seconds; of all runs at first, later of some thirty.
+        recent: seconds; of some three runs.
     """
 
     runs: int = 0
     mean: float = 0
+    recent: float = 0
 
     @property
     def told(self) -> float:
@@ -40,5 +45,20 @@
             seconds: it took.
         """
         self.runs += 1
-        gain = max(USUAL_GAIN, 1 / self.runs)
-        self.mean += (seconds - self.mean) * gain
+        gain = 1 / self.runs
+        self.mean += (seconds - self.mean) * max(USUAL_GAIN, gain)
+        self.recent += (seconds - self.recent) * max(RECENT_GAIN, gain)
+
+    def note_abandoned(self, seconds: float) -> None:
+        """Note a run that was given up before its end.
+
+        Failure guarded here: a server turns slow, every run there is
+        overtaken by a second attempt elsewhere and given up, and the server
+        is never known to be slow: no run of its ends. One that was given up
+        would have taken longer than it did.
+
+        Args:
+            seconds: it had taken by then.
+        """
+        if self.runs and seconds > self.recent:
+            self.recent += (seconds - self.recent) * RECENT_GAIN
--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -327,7 +327,9 @@
             self._owed = 0
 
     def _respond(self, attempt: Attempt, frame: Answered) -> None:
+        targets = self._entry.targets
         for other in self._running:
+            targets.note_overtaken(other.target, since=other.started_at)
             other.cancel()
         self._running = [attempt] if frame.more else []
         self._report.note_answer(frame.answer)
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -145,6 +145,7 @@
             What goes along with the answer.
         """
         state = self.gate.state
+        usual = state.find_usual(fields.work_class)
         return AnswerFields(
             request_id=fields.request_id,
             attempt=fields.attempt,
@@ -159,8 +160,8 @@
             backend_us=_to_us(backend_seconds),
             retry_ms=retry_ms,
             slot_us=_to_us(state.slot_seconds),
-            class_us=_to_us(state.class_seconds.get(fields.work_class, 0)),
-            class_usual_us=_to_us(state.find_usual(fields.work_class)),
+            class_us=_to_us(usual.recent),
+            class_usual_us=_to_us(usual.told),
         )
 
     def note_end(
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -213,6 +213,21 @@
                 subject=target.fields.instance,
             )
 
+    def note_overtaken(self, target: Target, *, since: float) -> None:
+        """Note a target that had not answered when another one did.
+
+        Args:
+            target: where the attempt went.
+            since: when it was begun, seconds.
+        """
+        now = read_clock()
+        self._statistics.note_overtaken(
+            target.upstream,
+            work_class=target.fields.work_class,
+            seconds=now - since,
+            now=now,
+        )
+
     def note_failure(self, target: Target, failure: CallFailed) -> None:
         """Note a failed attempt, if it speaks against the upstream.
 
--- a/wagtaildale/routing/speed.py
+++ b/wagtaildale/routing/speed.py
@@ -78,6 +78,17 @@
         self._slowness += (_bound(ratio) - self._slowness) * SEEN_GAIN
         self._noted_at = now
 
+    def note_overtaken(self, ratio: float, *, now: float) -> None:
+        """Note an answer that did not come before another one's.
+
+        Args:
+            ratio: of the time waited for it over what is usual.
+            now: seconds.
+        """
+        if _bound(ratio) > self.find_slowness(now):
+            self._slowness = _bound(ratio)
+            self._noted_at = now
+
     def find_slowness(self, now: float) -> float:
         """Find how slow the upstream is taken to be.
 
--- a/wagtaildale/routing/statistics.py
+++ b/wagtaildale/routing/statistics.py
@@ -324,6 +324,30 @@
         self._usual[work_class] = usual + (seconds - usual) * USUAL_GAIN
         upstream.note_speed(report, usual=usual, now=now)
 
+    def note_overtaken(
+        self,
+        upstream: UpstreamStatistics,
+        *,
+        work_class: str,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Note an upstream that had not answered when another one did.
+
+        Failure guarded here: a server turns slow, every attempt there is
+        overtaken by a second one, and since no answer ever comes from it the
+        next request goes there too.
+
+        Args:
+            upstream: which one.
+            work_class: service and class of the request.
+            seconds: that were waited for it.
+            now: seconds.
+        """
+        usual = self.find_usual_seconds(work_class)
+        if usual:
+            upstream.speed.note_overtaken(seconds / usual, now=now)
+
     def find_usual_seconds(self, work_class: str) -> float:
         """Find what is usual for a class over all upstreams.
 
--- a/wagtaildale/testing/replay/entries.py
+++ b/wagtaildale/testing/replay/entries.py
@@ -275,6 +275,7 @@
         self._end(sent)
         entry.clocks.find(work_class).note(now - sent.since)
         if not self._is_over:
+            self._note_overtaken()
             self._close()
             self._asked.on_answer(not sent.is_near)
 
@@ -302,6 +303,18 @@
             now=now,
         )
 
+    def _note_overtaken(self) -> None:
+        now = self._clock.now
+        statistics = self._entry.placement.statistics
+        for sent in self._running:
+            instance = sent.server.record.instance
+            statistics.note_overtaken(
+                statistics.find(instance, now=now),
+                work_class=self._asked.work_class.name,
+                seconds=now - sent.since,
+                now=now,
+            )
+
     def _plan_hedge(self, sent: Sent) -> None:
         within = self._asked.work_class.within * MILLISECONDS
         clock = self._entry.clocks.find(self._asked.work_class.name)
--- a/wagtaildale/testing/replay/servers.py
+++ b/wagtaildale/testing/replay/servers.py
@@ -156,14 +156,15 @@
             The report.
         """
         state = self.state
+        usual = state.find_usual(work_class)
         return OwnerReport(
             incarnation=Incarnation(1),
             in_flight=len(state.running),
             limit=int(state.limit),
             queued=len(state.queue),
             slot_seconds=state.slot_seconds,
-            class_seconds=state.class_seconds.get(work_class, 0),
-            class_usual=state.find_usual(work_class),
+            class_seconds=usual.recent,
+            class_usual=usual.told,
             code=code,
         )
 
