Owners tell their entries when their server turns slow and when it is well

Cause: entries of a large fleet learn of a slow server one late request after the other, and ask it again every four seconds to learn whether it is well. Change: an owner that sees five runs take twice their usual time tells every entry that is connected, and tells the end of it; entries keep the word for fifteen seconds.

--- /dev/null
+++ b/wagtaildale/admission/condition.py
@@ -0,0 +1,73 @@
+"""Whether a backend server takes longer than it usually does.
+
+Load pattern answered: a part of a service's servers turns slow for some
+seconds. Each entry of a large fleet asks one of them every few seconds, so it
+learns of it one late request after the other, and spends as many to learn
+that the server is well again. The owner knows after some runs, and tells its
+entries when it begins and when it ends.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from msgspec import Struct
+
+# Of a run: five of them make most of the ratio, and one that takes several
+# times its usual time, as one in a hundred does, makes nothing of it.
+GAIN: Final = 0.2
+MOST_RATIO: Final = 5.0
+# A server of twice its time misses the targets of short requests. Runs differ
+# by a third of their mean; what lies between the two changes nothing.
+SLOW_RATIO: Final = 2.0
+WELL_RATIO: Final = 1.4
+# Between two tellings: a server at the edge does not tell it with each run.
+TELL_SECONDS: Final = 0.5
+
+
+class Condition(Struct, kw_only=True, gc=False):
+    """The time of a backend server's runs now over their usual time.
+
+    Attributes:
+        ratio: of some five runs.
+        is_slow: what entries were told last.
+        told_at: when they were told, seconds.
+    """
+
+    ratio: float = 1
+    is_slow: bool = False
+    told_at: float = 0
+
+    def note(self, ratio: float) -> None:
+        """Note a run.
+
+        Args:
+            ratio: of its time over the usual time of its class.
+        """
+        self.ratio += (min(MOST_RATIO, ratio) - self.ratio) * GAIN
+
+    def note_abandoned(self, ratio: float) -> None:
+        """Note a run that was given up: it would have taken longer.
+
+        Args:
+            ratio: of its time until then over the usual time of its class.
+        """
+        if ratio > self.ratio:
+            self.note(ratio)
+
+    def take_change(self, *, now: float) -> bool:
+        """Find whether entries are to be told of a change, and note it.
+
+        Args:
+            now: seconds.
+
+        Returns:
+            Whether it began or ended and the last telling was not just now.
+        """
+        edge = WELL_RATIO if self.is_slow else SLOW_RATIO
+        is_slow = self.ratio > edge
+        if is_slow is self.is_slow or now - self.told_at < TELL_SECONDS:
+            return False
+        self.is_slow = is_slow
+        self.told_at = now
+        return True
--- a/wagtaildale/admission/limits.py
+++ b/wagtaildale/admission/limits.py
@@ -54,9 +54,9 @@
         now: seconds.
         work_class: service and class.
     """
-    usual = state.class_usual.setdefault(work_class, UsualTime())
+    if ending is not Ending.failed:
+        _note_times(state, ending, seconds, work_class)
     if ending is Ending.abandoned:
-        usual.note_abandoned(seconds)
         return
     if ending is Ending.failed:
         if state.adaptive:
@@ -71,7 +71,6 @@
     state.usual_seconds += (seconds - state.usual_seconds) * SLOW
     known = state.class_seconds.get(work_class, seconds)
     state.class_seconds[work_class] = known + (seconds - known) * FAST
-    usual.note(seconds)
     if not state.adaptive:
         return
     if _is_slowed(state):
@@ -80,6 +79,23 @@
         state.limit = min(state.slots, state.limit + 1 / state.limit)
 
 
+def _note_times(
+    state: AdmissionState,
+    ending: Ending,
+    seconds: float,
+    work_class: str,
+) -> None:
+    usual = state.class_usual.setdefault(work_class, UsualTime())
+    ratio = seconds / usual.told if usual.told else 0
+    if ending is Ending.abandoned:
+        usual.note_abandoned(seconds)
+        state.condition.note_abandoned(ratio)
+        return
+    usual.note(seconds)
+    if ratio:
+        state.condition.note(ratio)
+
+
 def _is_slowed(state: AdmissionState) -> bool:
     slowed = state.service_seconds > SLOWED * state.usual_seconds
     return slowed and state.service_seconds > NOTICEABLE_SECONDS
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct, field
 
+from wagtaildale.admission.condition import Condition
 from wagtaildale.admission.messages import TicketId
 from wagtaildale.admission.usual import UsualTime
 
@@ -66,6 +67,7 @@
             the first request.
         class_seconds: smoothed time by class.
         class_usual: what entries are told of that.
+        condition: whether the backend server is slower than usual.
         adaptive: whether the limit follows what is observed.
         shrunk_at: when the limit was lowered last, seconds.
         draining: whether nothing new is admitted.
@@ -81,6 +83,7 @@
     guessed_seconds: float = 0
     class_seconds: dict[str, float] = field(default_factory=dict)
     class_usual: dict[str, UsualTime] = field(default_factory=dict)
+    condition: Condition = field(default_factory=Condition)
     adaptive: bool = True
     shrunk_at: float = 0
     draining: bool = False
--- a/wagtaildale/calls/frames.py
+++ b/wagtaildale/calls/frames.py
@@ -159,6 +159,8 @@
         limit: how many may.
         queued: requests that wait.
         is_up: whether it takes connections.
+        slowness_percent: the time of its runs now, in percent of what they
+            usually take there; 0 if not told.
     """
 
     instance: InstanceId
@@ -166,6 +168,7 @@
     limit: int
     queued: int
     is_up: bool
+    slowness_percent: int = 0
 
 
 class Leaving(Struct, frozen=True, array_like=True, tag=13, gc=False):
--- a/wagtaildale/calls/owned.py
+++ b/wagtaildale/calls/owned.py
@@ -353,6 +353,7 @@
             ending=ending,
             work_class=self.fields.work_class,
         )
+        self._owner.tell_condition()
 
     def _close(self) -> None:
         self.state = CallState.over
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -11,8 +11,11 @@
 from wagtaildale.calls.backends import BackendPool
 from wagtaildale.calls.dialect import OWN_DIALECT, Dialect
 from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.frames import Load
 from wagtaildale.calls.fields import AnswerFields, CallFields
 from wagtaildale.errors.codes import Code
+from wagtaildale.telemetry.events import EventKind
+from wagtaildale.timers.service import read_clock
 from wagtaildale.types import (
     ANY_INCARNATION,
     Incarnation,
@@ -28,10 +31,11 @@
     from wagtaildale.calls.addresses import Address
     from wagtaildale.invariants import Invariants
     from wagtaildale.membership.records import InstanceRecord
-    from wagtaildale.telemetry.events import EventKind, EventRecorder, Inputs
+    from wagtaildale.telemetry.events import EventRecorder, Inputs
     from wagtaildale.reactor.loop import Loop
 
 MICROSECONDS: Final = 1_000_000
+PERCENT: Final = 100
 
 
 class Identity(Struct, frozen=True, kw_only=True):
@@ -54,6 +58,7 @@
         dialect: how the backend server is spoken to.
         loop: carries the calls.
         strays: responses that named another request.
+        load_listeners: are told what entries are to hear unasked.
     """
 
     def __init__(
@@ -88,6 +93,7 @@
         self.ledger = RunLedger()
         self.replays = Replays()
         self.strays = 0
+        self.load_listeners: list[Callable[[Load], None]] = []
         self.pool = BackendPool(
             loop,
             address=backend,
@@ -164,6 +170,19 @@
             class_usual_us=_to_us(usual.told),
         )
 
+    def tell_condition(self) -> None:
+        """Tell entries if the backend server has turned slow, or well again."""
+        condition = self.gate.state.condition
+        if not condition.take_change(now=read_clock()):
+            return
+        kind = EventKind.backend_well
+        if condition.is_slow:
+            kind = EventKind.backend_slow
+        percent = round(condition.ratio * PERCENT)
+        self._recorder.record(kind, inputs={'slowness_percent': percent})
+        for tell in self.load_listeners:
+            tell(self._describe_load(percent))
+
     def note_end(
         self,
         kind: EventKind,
@@ -207,6 +226,17 @@
         record = self._find_record(instance)
         return record is None or record.node_id == self.identity.instance
 
+    def _describe_load(self, slowness_percent: int) -> Load:
+        state = self.gate.state
+        return Load(
+            instance=self.identity.instance,
+            in_flight=len(state.running),
+            limit=int(state.limit),
+            queued=len(state.queue),
+            is_up=True,
+            slowness_percent=slowness_percent,
+        )
+
     def _note_stray(self) -> None:
         self.strays += 1
 
--- a/wagtaildale/calls/peer_pool.py
+++ b/wagtaildale/calls/peer_pool.py
@@ -35,7 +35,7 @@
         self,
         loop: Loop,
         *,
-        on_load: Callable[[Load], None],
+        on_load: Callable[[Address, Load], None],
         on_leaving: Callable[[Address], None],
         on_silent: Callable[[Address], None],
         recorder: EventRecorder,
@@ -44,7 +44,7 @@
 
         Args:
             loop: carries the connections.
-            on_load: is told how full owners are.
+            on_load: is told how full and how fast owners are.
             on_leaving: is told whose owner takes no new calls.
             on_silent: is told of whose owner nothing is heard.
             recorder: gets an event for each connection that is lost.
@@ -154,13 +154,14 @@
                 detail=detail,
             )
 
-    def note_load(self, load: Load) -> None:
+    def note_load(self, peer: RemotePeer, load: Load) -> None:
         """Pass on how full an owner is; see ``PeerKeeper``.
 
         Args:
+            peer: to that owner.
             load: its word.
         """
-        self._on_load(load)
+        self._on_load(peer.address, load)
 
     def _set_aside(self, peer: RemotePeer) -> None:
         self._leave_out(peer)
--- a/wagtaildale/calls/peers.py
+++ b/wagtaildale/calls/peers.py
@@ -179,10 +179,11 @@
 class PeerKeeper(Protocol):
     """Whoever keeps the connections to owners."""
 
-    def note_load(self, load: Load) -> None:
-        """Learn how full an owner is.
+    def note_load(self, peer: RemotePeer, load: Load) -> None:
+        """Learn how full an owner is, and how fast.
 
         Args:
+            peer: to that owner.
             load: its word.
         """
 
@@ -413,7 +414,7 @@
 
     def _take_news(self, news: OwnerNews) -> None:
         if isinstance(news, Load):
-            self._keeper.note_load(news)
+            self._keeper.note_load(self, news)
         else:
             self._leave()
 
--- a/wagtaildale/calls/sessions.py
+++ b/wagtaildale/calls/sessions.py
@@ -37,7 +37,7 @@
 
     from wagtaildale.calls.addresses import Address
     from wagtaildale.calls.fields import CallFields
-    from wagtaildale.calls.frames import ToEntry
+    from wagtaildale.calls.frames import Load, ToEntry
     from wagtaildale.calls.owner import Owner
     from wagtaildale.errors.faults import Fault
     from wagtaildale.telemetry.events import EventRecorder
@@ -67,6 +67,7 @@
         self.recorder = recorder
         self._sessions: set[PeerSession] = set()
         self.acceptor = Acceptor(owner.loop, on_accept=self._accept)
+        owner.load_listeners.append(self._tell_load)
 
     @property
     def open(self) -> int:
@@ -122,6 +123,10 @@
         """
         self._sessions.discard(session)
 
+    def _tell_load(self, load: Load) -> None:
+        for session in tuple(self._sessions):
+            session.tell_load(load)
+
     def _accept(self, sock: socket.socket) -> None:
         self._sessions.add(PeerSession(self, sock))
 
@@ -326,6 +331,18 @@
         """
         return self.calls.busy or int(self._stream.unsent > 0)
 
+    def tell_load(self, load: Load) -> None:
+        """Tell the entry how full and how fast the owner is.
+
+        Failure guarded here: until the entry's first byte has come nobody
+        knows whether it reads compressed frames.
+
+        Args:
+            load: the owner's word.
+        """
+        if self._reader is not None:
+            self._send(load)
+
     def finish(self) -> None:
         """Close quietly; every call of the entry is cancelled."""
         self.calls.cancel_all()
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -24,9 +24,8 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariants
 from wagtaildale.reactor.loop import Loop
-from wagtaildale.routing.ejection import Ejection
 from wagtaildale.routing.placement import Placement
-from wagtaildale.routing.statistics import FleetStatistics
+from wagtaildale.routing.statistics import FleetStatistics, UpstreamStatistics
 from wagtaildale.routing.choice import Chooser
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.settings.model import BoundSettings
@@ -46,6 +45,7 @@
     from wagtaildale.types import InstanceId
 
 MILLISECONDS: Final = 1000
+PERCENT: Final = 100
 # How soon what the list tells of the backend server here is taken up.
 LOOK_SECONDS: Final = 0.5
 # How long another thread waits until the loop has done what it asks; far
@@ -159,6 +159,7 @@
             read_limits=self.read_limits,
         )
         self.nodes = PeerPort(self.owner, recorder=around.recorder)
+        self.owner.load_listeners.append(self._note_own_load)
         self._ready = CallerPort(
             self.loop,
             answerer=ReadyAnswerer(self._read_state),
@@ -327,32 +328,38 @@
     def _find_record(self, instance: InstanceId) -> InstanceRecord | None:
         return self._around.view.current.records.get(instance)
 
-    def _note_load(self, load: Load) -> None:
+    def _note_load(self, address: Address, load: Load) -> None:
         now = read_clock()
-        upstream = self.entry.parts.placement.statistics.find(
-            load.instance, now=now
-        )
-        upstream.note_load(
-            in_flight=load.in_flight,
-            limit=load.limit,
-            queued=load.queued,
-            now=now,
-        )
+        for upstream in self._list_upstreams(address):
+            upstream.note_load(
+                in_flight=load.in_flight,
+                limit=load.limit,
+                queued=load.queued,
+                now=now,
+            )
+            if load.slowness_percent > 0:
+                upstream.speed.note_condition(
+                    load.slowness_percent / PERCENT,
+                    now=now,
+                )
+
+    def _note_own_load(self, load: Load) -> None:
+        self._note_load(self._figures.owner, load)
 
     def _note_leaving(self, address: Address) -> None:
-        for ejection in self._list_ejections(address):
-            ejection.note_leaving(read_clock())
+        for upstream in self._list_upstreams(address):
+            upstream.ejection.note_leaving(read_clock())
 
     def _note_silent(self, address: Address) -> None:
-        for ejection in self._list_ejections(address):
-            ejection.note_silent(read_clock())
+        for upstream in self._list_upstreams(address):
+            upstream.ejection.note_silent(read_clock())
 
-    def _list_ejections(self, address: Address) -> list[Ejection]:
+    def _list_upstreams(self, address: Address) -> list[UpstreamStatistics]:
         # An owner does not know under which ids it is listed.
         now = read_clock()
         statistics = self.entry.parts.placement.statistics
         return [
-            statistics.find(record.instance, now=now).ejection
+            statistics.find(record.instance, now=now)
             for record in self._around.view.current.records.values()
             if Address(record.host, record.owner_port) == address
         ]
--- a/wagtaildale/routing/speed.py
+++ b/wagtaildale/routing/speed.py
@@ -21,8 +21,11 @@
 # Of one answer's time, where its owner does not tell how long answers take.
 SEEN_GAIN: Final = 0.1
 # What makes a server slower than it usually is (a pause, a full disk, a cold
-# start) passes in seconds, and nobody who avoids it sees it end.
-SLOWNESS_KEPT_SECONDS: Final = 4.0
+# start) passes, and who avoids it does not see it end. Its owner tells that;
+# should its word be lost, the server is asked again after this long. With a
+# dozen near servers an entry that asks a few times a second would spend a
+# third of its requests on such questions after four seconds.
+SLOWNESS_KEPT_SECONDS: Final = 15.0
 # A server's usual speed is that of its machine. Should the word on it be
 # wrong, a detour of a minute is all that it costs.
 SPEED_KEPT_SECONDS: Final = 60.0
@@ -78,6 +81,16 @@
         self._slowness += (_bound(ratio) - self._slowness) * SEEN_GAIN
         self._noted_at = now
 
+    def note_condition(self, ratio: float, *, now: float) -> None:
+        """Note that the upstream has turned slow, or well again.
+
+        Args:
+            ratio: of its answers' time now over its own usual time.
+            now: seconds.
+        """
+        self._slowness = _bound(ratio * self._usual)
+        self._noted_at = now
+
     def note_overtaken(self, ratio: float, *, now: float) -> None:
         """Note an answer that did not come before another one's.
 
--- a/wagtaildale/routing/tests/test_placement.py
+++ b/wagtaildale/routing/tests/test_placement.py
@@ -240,3 +240,37 @@
         for _call in range(6000)
     )
     assert max(chosen.values()) < 1.4 * 6000 / len(names)
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_servers_that_turn_slow_are_avoided_by_all(seed: int) -> None:
+    """Every seventh server takes five times as long for some seconds.
+
+    With an equal share of the requests a seventh of the lookups is late. Of
+    those at most half is to be: the others go where servers are well.
+    """
+    mesh = build_fleet(seed=seed)
+    slow = list(mesh.servers.values())[::7]
+    for server in slow:
+        server.slowness = 5
+    mesh.run(5)
+    mesh.rest(5)
+    assert mesh.outcomes['lookup'].share_in_time > 1 - 1 / 14
+
+
+def test_servers_that_are_well_again_are_used_again() -> None:
+    """Servers were slow for a moment, and the others carry their load."""
+    mesh = build_fleet(seed=1)
+    slow = list(mesh.servers.values())[::7]
+    for server in slow:
+        server.slowness = 5
+    mesh.run(4)
+    for server in slow:
+        server.slowness = 1
+    mesh.run(4)
+    mesh.count_anew()
+    mesh.run(3)
+    mesh.rest(4)
+    usual = mesh.count_runs() / len(mesh.servers)
+    assert sum(server.runs for server in slow) > usual * len(slow) / 2
+    assert mesh.outcomes['lookup'].share_in_time >= CALM_SHARE
--- a/wagtaildale/telemetry/events.py
+++ b/wagtaildale/telemetry/events.py
@@ -58,6 +58,8 @@
     run_refused = 'run-refused'
     upstream_ejected = 'upstream-ejected'
     upstream_restored = 'upstream-restored'
+    backend_slow = 'backend-slow'
+    backend_well = 'backend-well'
     settings_kept = 'settings-kept'
     invariant_broken = 'invariant-broken'
 
--- a/wagtaildale/testing/replay/entries.py
+++ b/wagtaildale/testing/replay/entries.py
@@ -99,6 +99,18 @@
         budget.earn(now=self.mesh.clock.now)
         ReplayCall(self, asked, budget=budget).attempt()
 
+    def note_condition(self, instance: InstanceId, ratio: float) -> None:
+        """Hear that an upstream has turned slow or well, if it is called.
+
+        Args:
+            instance: the upstream.
+            ratio: of its answers' time over its usual time.
+        """
+        now = self.mesh.clock.now
+        upstream = self.placement.statistics.find(instance, now=now)
+        if upstream.heard_at > upstream.known_since:
+            upstream.speed.note_condition(ratio, now=now)
+
     def _find_budget(self, service: str) -> RetryBudget:
         share = build_retry_share(slack=REPEATS_SLACK)
         new = RetryBudget(share, now=self.mesh.clock.now)
--- a/wagtaildale/testing/replay/mesh.py
+++ b/wagtaildale/testing/replay/mesh.py
@@ -13,7 +13,7 @@
 from wagtaildale.testing.builders import build_instances, build_record
 from wagtaildale.testing.replay.callers import Caller, InnerCall
 from wagtaildale.testing.replay.clock import VirtualClock
-from wagtaildale.testing.replay.entries import ReplayEntry
+from wagtaildale.testing.replay.entries import FAR_SECONDS, ReplayEntry
 from wagtaildale.testing.replay.load import LoadClass, Outcomes
 from wagtaildale.testing.replay.servers import ReplayServer
 from wagtaildale.types import DataCentre, InstanceId, ListedState
@@ -88,6 +88,7 @@
                 clock=self.clock,
                 speed=speeds[number // len(data_centres) % len(speeds)],
                 cold=cold,
+                on_condition=self._tell_condition,
             )
             self.servers[name] = server
             self._start_entry(server)
@@ -181,6 +182,14 @@
         for server in self.servers.values():
             server.runs = 0
 
+    def count_runs(self) -> int:
+        """Count the runs that were begun.
+
+        Returns:
+            At all upstreams.
+        """
+        return sum(server.runs for server in self.servers.values())
+
     def find_busiest(self, service: str) -> float:
         """Find how uneven the runs of a service are.
 
@@ -197,6 +206,14 @@
         ]
         return max(runs) * len(runs) / max(1, sum(runs))
 
+    def _tell_condition(self, server: ReplayServer) -> None:
+        ratio = server.state.condition.ratio
+        for entry in self.entries.values():
+            self.clock.set(
+                FAR_SECONDS,
+                partial(entry.note_condition, server.record.instance, ratio),
+            )
+
     def _start_entry(self, server: ReplayServer) -> None:
         record = server.record
         self.entries[record.instance] = ReplayEntry(
--- a/wagtaildale/testing/replay/servers.py
+++ b/wagtaildale/testing/replay/servers.py
@@ -75,6 +75,7 @@
         clock: VirtualClock,
         speed: float,
         cold: bool,
+        on_condition: Callable[[ReplayServer], None],
     ) -> None:
         """Start.
 
@@ -83,6 +84,7 @@
             clock: of the replay.
             speed: of the backend server.
             cold: whether it has just started.
+            on_condition: is told when it turns slow or well.
         """
         self.record = record
         self.speed = speed
@@ -90,6 +92,7 @@
         self.runs = 0
         self.state = make_admission(record.slots)
         self._clock = clock
+        self._on_condition = on_condition
         self._cold_until = clock.now + COLD_SECONDS if cold else float(0)
         self._jobs: dict[TicketId, Job] = {}
         self._last = 0
@@ -169,14 +172,17 @@
         )
 
     def _leave(self, ticket: TicketId, job: Job, ending: Ending) -> None:
+        now = self._clock.now
         self._tell(
             Finished(
                 ticket=ticket,
-                seconds=self._clock.now - job.started_at,
+                seconds=now - job.started_at,
                 ending=ending,
                 work_class=job.work_class.name,
             ),
         )
+        if self.state.condition.take_change(now=now):
+            self._on_condition(self)
 
     def _pass_time(self) -> None:
         self._tell(TimePassed())
