--- a/wagtaildale/admission/condition.py
+++ b/wagtaildale/admission/condition.py
@@ -38,6 +38,15 @@
     is_slow: bool = False
     told_at: float = 0
 
+    @property
+    def told_ratio(self) -> float:
+        """What entries are told: what it is while it is slow, else 1.
+
+        A server that is well again is on its way to its usual time; what is
+        left of the ratio would be believed for long.
+        """
+        return self.ratio if self.is_slow else 1
+
     def note(self, ratio: float) -> None:
         """Note a run.
 
--- a/wagtaildale/admission/tests/test_limits.py
+++ b/wagtaildale/admission/tests/test_limits.py
@@ -98,7 +98,7 @@
     state = make_admission(SLOTS)
     for ending, seconds in (
         *((Ending.good, 0.2) for _run in range(20)),
-        *((Ending.abandoned, 0.6) for _run in range(6)),
+        *((Ending.abandoned, 0.6) for _run in range(20)),
     ):
         adjust_limit(
             state,
--- a/wagtaildale/admission/usual.py
+++ b/wagtaildale/admission/usual.py
@@ -8,9 +8,9 @@
 
 # Of a run in the usual time of its class: thirty of them make most of it.
 USUAL_GAIN: Final = 0.03
-# Of a run in the time that the class takes now: three of them make most of
-# it, so that a server that turns slow is known within about as many runs.
-RECENT_GAIN: Final = 0.3
+# Of a run in the time that the class takes now: ten of them make most of it.
+# Fewer would tell the luck of single runs, and what is told is kept for long.
+RECENT_GAIN: Final = 0.1
 # Single runs differ by a third; the mean of ten is known to a tenth.
 RUNS_TO_TELL: Final = 10
 
@@ -21,7 +21,7 @@
     Attributes:
         runs: that were seen.
         mean: seconds; of all runs at first, later of some thirty.
-        recent: seconds; of some three runs.
+        recent: seconds; of some ten runs.
     """
 
     runs: int = 0
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -178,7 +178,7 @@
         kind = EventKind.backend_well
         if condition.is_slow:
             kind = EventKind.backend_slow
-        percent = round(condition.ratio * PERCENT)
+        percent = round(condition.told_ratio * PERCENT)
         self._recorder.record(kind, inputs={'slowness_percent': percent})
         for tell in self.load_listeners:
             tell(self._describe_load(percent))
--- a/wagtaildale/routing/speed.py
+++ b/wagtaildale/routing/speed.py
@@ -26,6 +26,8 @@
 # dozen near servers an entry that asks a few times a second would spend a
 # third of its requests on such questions after four seconds.
 SLOWNESS_KEPT_SECONDS: Final = 15.0
+# A server of which nothing was heard may have started a moment ago.
+COLD_SECONDS: Final = 4.0
 # A server's usual speed is that of its machine. Should the word on it be
 # wrong, a detour of a minute is all that it costs.
 SPEED_KEPT_SECONDS: Final = 60.0
@@ -41,7 +43,7 @@
         (0.6, 0.56)
     """
 
-    __slots__ = ('_noted_at', '_slowness', '_usual')
+    __slots__ = ('_kept_seconds', '_noted_at', '_slowness', '_usual')
 
     def __init__(self, *, now: float) -> None:
         """Begin with an upstream that may be cold.
@@ -52,6 +54,7 @@
         self._slowness = COLD_SLOWNESS
         self._usual = float(1)
         self._noted_at = now
+        self._kept_seconds = COLD_SECONDS
 
     def note_told(
         self,
@@ -67,9 +70,8 @@
             usual_ratio: the same over a longer time.
             now: seconds.
         """
-        self._slowness = _bound(ratio)
         self._usual = _bound(usual_ratio)
-        self._noted_at = now
+        self._keep(_bound(ratio), now)
 
     def note_seen(self, ratio: float, *, now: float) -> None:
         """Note the time of one answer, where the owner says nothing.
@@ -88,8 +90,7 @@
             ratio: of its answers' time now over its own usual time.
             now: seconds.
         """
-        self._slowness = _bound(ratio * self._usual)
-        self._noted_at = now
+        self._keep(_bound(ratio * self._usual), now)
 
     def note_overtaken(self, ratio: float, *, now: float) -> None:
         """Note an answer that did not come before another one's.
@@ -99,8 +100,7 @@
             now: seconds.
         """
         if _bound(ratio) > self.find_slowness(now):
-            self._slowness = _bound(ratio)
-            self._noted_at = now
+            self._keep(_bound(ratio), now)
 
     def find_slowness(self, now: float) -> float:
         """Find how slow the upstream is taken to be.
@@ -117,11 +117,16 @@
         """
         age = now - self._noted_at
         usual = fade(self._usual, to=1, share=age / SPEED_KEPT_SECONDS)
-        if age >= SLOWNESS_KEPT_SECONDS:
+        if age >= self._kept_seconds:
             return usual
-        share = age / SLOWNESS_KEPT_SECONDS
+        share = age / self._kept_seconds
         return fade(self._slowness, to=usual, share=share)
 
+    def _keep(self, slowness: float, now: float) -> None:
+        self._slowness = slowness
+        self._noted_at = now
+        self._kept_seconds = SLOWNESS_KEPT_SECONDS
+
 
 def fade(figure: float, *, to: float, share: float) -> float:
     """Let a figure go towards another one, in a straight line.
--- a/wagtaildale/testing/replay/entries.py
+++ b/wagtaildale/testing/replay/entries.py
@@ -99,16 +99,19 @@
         budget.earn(now=self.mesh.clock.now)
         ReplayCall(self, asked, budget=budget).attempt()
 
-    def note_condition(self, instance: InstanceId, ratio: float) -> None:
-        """Hear that an upstream has turned slow or well, if it is called.
+    def note_condition(self, server: ReplayServer, ratio: float) -> None:
+        """Hear that an upstream has turned slow or well, if connected to it.
 
         Args:
-            instance: the upstream.
+            server: the upstream.
             ratio: of its answers' time over its usual time.
         """
-        now = self.mesh.clock.now
-        upstream = self.placement.statistics.find(instance, now=now)
-        if upstream.heard_at > upstream.known_since:
+        record = server.record
+        view = self.mesh.view.current
+        if record in self.placement.list_subset(view, record.service):
+            now = self.mesh.clock.now
+            statistics = self.placement.statistics
+            upstream = statistics.find(record.instance, now=now)
             upstream.speed.note_condition(ratio, now=now)
 
     def _find_budget(self, service: str) -> RetryBudget:
--- a/wagtaildale/testing/replay/mesh.py
+++ b/wagtaildale/testing/replay/mesh.py
@@ -207,11 +207,11 @@
         return max(runs) * len(runs) / max(1, sum(runs))
 
     def _tell_condition(self, server: ReplayServer) -> None:
-        ratio = server.state.condition.ratio
+        ratio = server.state.condition.told_ratio
         for entry in self.entries.values():
             self.clock.set(
                 FAR_SECONDS,
-                partial(entry.note_condition, server.record.instance, ratio),
+                partial(entry.note_condition, server, ratio),
             )
 
     def _start_entry(self, server: ReplayServer) -> None:
