--- a/wagtaildale/telemetry/story.py
+++ b/wagtaildale/telemetry/story.py
@@ -42,6 +42,8 @@
         EventKind.source_recovered,
         EventKind.upstream_ejected,
         EventKind.upstream_restored,
+        EventKind.backend_slow,
+        EventKind.backend_well,
         EventKind.connection_silent,
         EventKind.connection_lost,
         EventKind.peer_suspected,
