Routing: fullness speaks against near servers only; a server that is well is known sooner

Change: fullness decides among near servers only. While a server is told to be slow, a faster run counts 0.4 (0.2), so that five runs show it well.

--- a/wagtaildale/admission/condition.py
+++ b/wagtaildale/admission/condition.py
@@ -16,6 +16,9 @@
 # Of a run: five of them make most of the ratio, and one that takes several
 # times its usual time, as one in a hundred does, makes nothing of it.
 GAIN: Final = 0.2
+# Of a faster run while it is slow: few requests come to a server that is told
+# to be slow, and five of them are to show that it is well.
+WELL_GAIN: Final = 0.4
 MOST_RATIO: Final = 5.0
 # A server of twice its time misses the targets of short requests. Runs differ
 # by a third of their mean; what lies between the two changes nothing.
@@ -53,7 +56,8 @@
         Args:
             ratio: of its time over the usual time of its class.
         """
-        self.ratio += (min(MOST_RATIO, ratio) - self.ratio) * GAIN
+        gain = WELL_GAIN if self.is_slow and ratio < self.ratio else GAIN
+        self.ratio += (min(MOST_RATIO, ratio) - self.ratio) * gain
 
     def note_abandoned(self, ratio: float) -> None:
         """Note a run that was given up: it would have taken longer.
--- a/wagtaildale/routing/expected_time.py
+++ b/wagtaildale/routing/expected_time.py
@@ -44,14 +44,15 @@
         record: the upstream.
         wait: seconds until the request would have a slot.
         total: seconds until it would be answered, with a margin.
-        cost: the same with what speaks against a full server and against
-            another data centre.
+        cost: the same with the handicap of another data centre.
+        crowd: what speaks against it for being full, seconds.
     """
 
     record: InstanceRecord
     wait: float
     total: float
     cost: float
+    crowd: float
 
 
 class ExpectedTime(Chooser):
@@ -110,10 +111,17 @@
 
 
 def _choose_alike(options: list[Option], margin: float) -> Option:
+    # Failure: of several servers that have room by what was last heard, all
+    # entries take the fastest, until it has none. The fuller a server was,
+    # the likelier its slots are taken when the request comes. Far servers are
+    # not judged by that: how full they are is heard too seldom, and next to
+    # them every near one would look full.
+    least = min(map(_read_crowded, options))
     # Failure: of servers that are alike all requests go to the one that was
     # faster by a hair, and nothing is learned of the others for a minute.
-    least = min(option.cost for option in options)
-    alike = [option for option in options if option.cost <= least + margin]
+    alike = [
+        option for option in options if _read_crowded(option) <= least + margin
+    ]
     return random.choice(alike)
 
 
@@ -129,17 +137,18 @@
     total = estimate.wait + estimate.run + margin
     is_near = record.data_centre == need.data_centre
     handicap = 0 if is_near else FAR_SHARE * max(0, need.slack_seconds)
-    # Failure: of several servers that have room by what was last heard, all
-    # entries take the fastest, until it has none. The fuller a server was,
-    # the likelier its slots are taken when the request comes.
-    crowd = estimate.run * estimate.fullness**2
     return Option(
         record=record,
         wait=estimate.wait,
         total=total,
-        cost=total + crowd + handicap,
+        cost=total + handicap,
+        crowd=estimate.run * estimate.fullness**2,
     )
 
 
 def _read_cost(option: Option) -> float:
     return option.cost
+
+
+def _read_crowded(option: Option) -> float:
+    return option.cost + option.crowd
