--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -12,7 +12,7 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.candidates import list_candidates
 from wagtaildale.routing.choice import Need
-from wagtaildale.routing.statistics import (
+from wagtaildale.routing.upstream import (
     UPSTREAM_FAULTS,
     OwnerReport,
     UpstreamStatistics,
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -25,7 +25,8 @@
 from wagtaildale.invariants import Invariants
 from wagtaildale.reactor.loop import Loop
 from wagtaildale.routing.placement import Placement
-from wagtaildale.routing.statistics import FleetStatistics, UpstreamStatistics
+from wagtaildale.routing.statistics import FleetStatistics
+from wagtaildale.routing.upstream import UpstreamStatistics
 from wagtaildale.routing.choice import Chooser
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.settings.model import BoundSettings
--- a/wagtaildale/routing/tests/test_placement.py
+++ b/wagtaildale/routing/tests/test_placement.py
@@ -9,7 +9,8 @@
 from wagtaildale.routing.choice import ChoiceName, Need
 from wagtaildale.routing.choosers import make_chooser
 from wagtaildale.routing.placement import Placement
-from wagtaildale.routing.statistics import FleetStatistics, OwnerReport
+from wagtaildale.routing.statistics import FleetStatistics
+from wagtaildale.routing.upstream import OwnerReport
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.testing.builders import build_instances, build_record
 from wagtaildale.testing.replay import LoadClass, ReplayMesh
@@ -274,3 +275,15 @@
     usual = mesh.count_runs() / len(mesh.servers)
     assert sum(server.runs for server in slow) > usual * len(slow) / 2
     assert mesh.outcomes['lookup'].share_in_time >= CALM_SHARE
+
+
+def test_upstreams_that_leave_cost_no_request() -> None:
+    """A fifth of each service is taken away at once, by plan."""
+    mesh = build_fleet(seed=1)
+    mesh.leave(20)
+    mesh.run(3)
+    mesh.rest(5)
+    for name in ('lookup', 'booking', 'report'):
+        outcomes = mesh.outcomes[name]
+        assert outcomes.ended
+        assert not outcomes.failed + outcomes.refused
--- a/wagtaildale/routing/tests/test_speed.py
+++ b/wagtaildale/routing/tests/test_speed.py
@@ -14,7 +14,8 @@
     SPEED_KEPT_SECONDS,
     Speed,
 )
-from wagtaildale.routing.statistics import FleetStatistics, OwnerReport
+from wagtaildale.routing.statistics import FleetStatistics
+from wagtaildale.routing.upstream import OwnerReport
 from wagtaildale.types import Incarnation, InstanceId
 
 NOW = 1000.0
--- a/wagtaildale/routing/tests/test_statistics.py
+++ b/wagtaildale/routing/tests/test_statistics.py
@@ -16,7 +16,8 @@
 from wagtaildale.routing.choice import ChoiceName, Need
 from wagtaildale.routing.choosers import make_chooser
 from wagtaildale.routing.ejection import LEAVING_SECONDS, Ejection
-from wagtaildale.routing.statistics import FleetStatistics, OwnerReport
+from wagtaildale.routing.statistics import FleetStatistics
+from wagtaildale.routing.upstream import OwnerReport
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.testing.builders import build_instances, build_record
 from wagtaildale.types import (
--- a/wagtaildale/testing/replay/mesh.py
+++ b/wagtaildale/testing/replay/mesh.py
@@ -51,7 +51,6 @@
         self.servers: dict[InstanceId, ReplayServer] = {}
         self.entries: dict[InstanceId, ReplayEntry] = {}
         self.outcomes = {each.name: Outcomes() for each in classes}
-        self.factor = float(1)
         self._classes = {each.name: each for each in classes}
         self._version = 0
 
@@ -118,11 +117,6 @@
                 )
         self.list_upstreams()
 
-    def restart(self) -> None:
-        """Start all entries anew, with nothing known."""
-        for server in self.servers.values():
-            self._start_entry(server)
-
     def run(self, seconds: float) -> None:
         """Let callers send their requests for a while.
 
@@ -190,22 +184,6 @@
         """
         return sum(server.runs for server in self.servers.values())
 
-    def find_busiest(self, service: str) -> float:
-        """Find how uneven the runs of a service are.
-
-        Args:
-            service: its name.
-
-        Returns:
-            Runs of its busiest upstream, as a multiple of their mean.
-        """
-        runs = [
-            server.runs
-            for server in self.servers.values()
-            if server.record.service == service
-        ]
-        return max(runs) * len(runs) / max(1, sum(runs))
-
     def _tell_condition(self, server: ReplayServer) -> None:
         ratio = server.state.condition.told_ratio
         for entry in self.entries.values():
@@ -223,7 +201,7 @@
         )
 
     def _plan(self, work_class: LoadClass, until: float) -> None:
-        gap = random.expovariate(work_class.per_second * self.factor)
+        gap = random.expovariate(work_class.per_second)
         if self.clock.now + gap < until:
             self.clock.set(gap, partial(self._send, work_class, until))
 
--- a/wagtaildale/testing/replay/servers.py
+++ b/wagtaildale/testing/replay/servers.py
@@ -18,7 +18,7 @@
     TimePassed,
 )
 from wagtaildale.admission.state import make_admission
-from wagtaildale.routing.statistics import OwnerReport
+from wagtaildale.routing.upstream import OwnerReport
 from wagtaildale.types import Incarnation
 
 if TYPE_CHECKING:
