--- a/wagtaildale/testing/replay/entries.py
+++ b/wagtaildale/testing/replay/entries.py
@@ -30,10 +30,12 @@
     from wagtaildale.testing.replay.mesh import ReplayMesh
 
 MILLISECONDS: Final = 1000
-# One way between two nodes, their work included.
+# One way between two nodes of a data centre and of two, their work included.
 NEAR_SECONDS: Final = 0.001
 FAR_SECONDS: Final = 0.002
+# Repeats of an entry beyond those that its requests earn.
 REPEATS_SLACK: Final = 1.0
+# What a caller is told where a service has no upstream.
 NO_UPSTREAM_SECONDS: Final = 0.25
 
 
@@ -59,6 +61,9 @@
     """One node as an entry.
 
     Attributes:
+        instance: of the node.
+        data_centre: where it stands.
+        mesh: that it is in.
         placement: chooses upstreams.
         clocks: say when a second attempt is due.
     """
--- a/wagtaildale/testing/replay/servers.py
+++ b/wagtaildale/testing/replay/servers.py
@@ -30,6 +30,7 @@
     from wagtaildale.testing.replay.clock import VirtualClock
     from wagtaildale.testing.replay.load import LoadClass
 
+# A backend server takes twice its time for some seconds after its start.
 COLD_SECONDS: Final = 3.0
 COLD_SLOWNESS: Final = 2.0
 # So that an alarm is due a moment after what it waits for.
