Routing: whether an upstream is left out is asked in one place

The same look-up stood in the candidates, the placement and the targets; it is a method of the statistics now.

--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -158,10 +158,7 @@
         )
         return any(
             record.instance not in tried
-            and not self._statistics.find(
-                record.instance,
-                now=now,
-            ).ejection.is_out(now)
+            and not self._statistics.is_out(record.instance, now=now)
             for record in candidates
         )
 
--- a/wagtaildale/routing/candidates.py
+++ b/wagtaildale/routing/candidates.py
@@ -67,6 +67,6 @@
     good = [
         record
         for record in candidates
-        if not statistics.find(record.instance, now=now).ejection.is_out(now)
+        if not statistics.is_out(record.instance, now=now)
     ]
     return good if 2 * len(good) >= len(candidates) else candidates
--- a/wagtaildale/routing/placement.py
+++ b/wagtaildale/routing/placement.py
@@ -165,14 +165,13 @@
             return subset
         # Others of the service take the places of those left out.
         in_place = ranked.take(
-            lambda record: takes_work(record) and self._is_good(record, now),
+            lambda record: (
+                takes_work(record)
+                and not self.statistics.is_out(record.instance, now=now)
+            ),
         )
         return in_place or good
 
-    def _is_good(self, record: InstanceRecord, now: float) -> bool:
-        upstream = self.statistics.find(record.instance, now=now)
-        return not upstream.ejection.is_out(now)
-
     def _rank(self, view: FleetView, service: ServiceName) -> RankedUpstreams:
         # Ranking a hundred upstreams takes longer than choosing among a
         # dozen: it is done once for each list, not for each attempt.
--- a/wagtaildale/routing/statistics.py
+++ b/wagtaildale/routing/statistics.py
@@ -180,6 +180,18 @@
             self._upstreams[instance] = upstream
         return upstream
 
+    def is_out(self, instance: InstanceId, *, now: float) -> bool:
+        """Tell whether an upstream is left out now.
+
+        Args:
+            instance: which.
+            now: seconds.
+
+        Returns:
+            Whether to choose others.
+        """
+        return self.find(instance, now=now).ejection.is_out(now)
+
     def keep_only(self, listed: Container[InstanceId]) -> None:
         """Forget the upstreams that are gone.
 
