--- /dev/null
+++ b/wagtaildale/platform/tests/feeds.py
@@ -0,0 +1,79 @@
+"""Feeds of the store, over answers that a test has laid out."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from msgspec import Struct, json
+from result import Ok, Result
+
+from wagtaildale.membership.records import InstanceRecord
+from wagtaildale.platform.store import PlatformStore
+from wagtaildale.platform.tests.builders import build_settings
+from wagtaildale.source.curl import Answer
+from wagtaildale.source.feed import FeedReading
+from wagtaildale.source.platform import ReadFailure
+from wagtaildale.source.store import StoreFeed
+from wagtaildale.types import Kind
+
+
+class OfEra(Struct, frozen=True):
+    """An answer with the era that the store names with it."""
+
+    era: int | str
+    answer: Any
+
+
+class FakeReader:
+    """Gives answers that a test has laid out, in turn."""
+
+    def __init__(self, *answers: Any) -> None:
+        self.asked: list[str] = []
+        self._answers = list(answers)
+
+    def ask(self, url: str, *, seconds: float) -> Result[Answer, ReadFailure]:
+        self.asked.append(url)
+        answer = self._answers.pop(0)
+        headers: tuple[str, ...] = ()
+        if isinstance(answer, OfEra):
+            headers = (f'store-era: {answer.era}\r\n',)
+            answer = answer.answer
+        if isinstance(answer, int):
+            return Ok(Answer(status=answer, headers=headers, body=b''))
+        body = json.encode(answer)
+        return Ok(Answer(status=200, headers=headers, body=body))
+
+
+def build_feed(*answers: Any) -> tuple[StoreFeed, FakeReader]:
+    reader = FakeReader(*answers)
+    store = PlatformStore(
+        build_settings(),
+        regions={'derby': 'midlands'},
+        reader=reader,
+    )
+    return StoreFeed(store), reader
+
+
+def build_page(*entries: dict[str, Any], revision: int = 9) -> dict[str, Any]:
+    return {'items': entries, 'hasMore': False, 'storeRevision': revision}
+
+
+def build_changes(*events: dict[str, Any], revision: int) -> dict[str, Any]:
+    return {'events': events, 'storeRevision': revision}
+
+
+def read_feed(feed: StoreFeed) -> FeedReading:
+    return feed.read(wait=1.0).unwrap()
+
+
+def find_blobs(reading: FeedReading, kind: Kind) -> tuple[bytes, ...]:
+    found = [each for each in reading.changed if each.outline.kind is kind]
+    return found[0].blobs if found else ()
+
+
+def list_instances(reading: FeedReading) -> dict[str, InstanceRecord]:
+    records = (
+        json.decode(blob, type=InstanceRecord)
+        for blob in find_blobs(reading, Kind.instances)
+    )
+    return {record.instance: record for record in records}
--- a/wagtaildale/platform/tests/test_store.py
+++ b/wagtaildale/platform/tests/test_store.py
@@ -5,26 +5,27 @@
 from typing import Any
 
 import pytest
-from msgspec import json
-from result import Err, Ok, Result
+from result import Err
 
 from wagtaildale.configuration.compiled import hash_part
 from wagtaildale.configuration.model import Part
 from wagtaildale.configuration.whole import check_parts
 from wagtaildale.errors.codes import Code
-from wagtaildale.membership.records import InstanceRecord
-from wagtaildale.platform.store import PlatformStore
 from wagtaildale.platform.tests.builders import (
     build_configuration,
     build_entry,
     build_item,
     build_rule,
-    build_settings,
 )
-from wagtaildale.source.curl import Answer
 from wagtaildale.source.feed import FeedReading
-from wagtaildale.source.platform import ReadFailure
-from wagtaildale.source.store import StoreFeed
+from wagtaildale.platform.tests.feeds import (
+    build_changes,
+    build_feed,
+    build_page,
+    find_blobs,
+    list_instances,
+    read_feed,
+)
 from wagtaildale.types import Kind, ListedState, ServiceName
 
 CONFIGURATION = 'op/config'
@@ -32,48 +33,6 @@
 SECOND = 'servers/i-2'
 
 
-class FakeReader:
-    """Gives answers that a test has laid out, in turn."""
-
-    def __init__(self, *answers: Any) -> None:
-        self.asked: list[str] = []
-        self._answers = list(answers)
-
-    def ask(self, url: str, *, seconds: float) -> Result[Answer, ReadFailure]:
-        self.asked.append(url)
-        answer = self._answers.pop(0)
-        if isinstance(answer, int):
-            return Ok(Answer(status=answer, headers=(), body=b''))
-        return Ok(Answer(status=200, headers=(), body=json.encode(answer)))
-
-
-def build_feed(*answers: Any) -> tuple[StoreFeed, FakeReader]:
-    reader = FakeReader(*answers)
-    store = PlatformStore(
-        build_settings(),
-        regions={'derby': 'midlands'},
-        reader=reader,
-    )
-    return StoreFeed(store), reader
-
-
-def build_page(*entries: dict[str, Any], revision: int = 9) -> dict[str, Any]:
-    return {'items': entries, 'hasMore': False, 'storeRevision': revision}
-
-
-def build_changes(*events: dict[str, Any], revision: int) -> dict[str, Any]:
-    return {'events': events, 'storeRevision': revision}
-
-
-def read(feed: StoreFeed) -> FeedReading:
-    return feed.read(wait=1.0).unwrap()
-
-
-def find_blobs(reading: FeedReading, kind: Kind) -> tuple[bytes, ...]:
-    found = [each for each in reading.changed if each.outline.kind is kind]
-    return found[0].blobs if found else ()
-
-
 def find_part(reading: FeedReading, service: str) -> Part:
     read_one = next(
         each
@@ -88,14 +47,6 @@
     return check_parts(blobs).unwrap().parts[ServiceName(service)]
 
 
-def list_instances(reading: FeedReading) -> dict[str, InstanceRecord]:
-    records = (
-        json.decode(blob, type=InstanceRecord)
-        for blob in find_blobs(reading, Kind.instances)
-    )
-    return {record.instance: record for record in records}
-
-
 def test_one_read_gives_both_documents() -> None:
     feed, _reader = build_feed(
         build_page(
@@ -103,7 +54,7 @@
             build_item(FIRST, build_entry()),
         ),
     )
-    reading = read(feed)
+    reading = read_feed(feed)
     # The part of its service, one piece of it, and the limits.
     assert len(find_blobs(reading, Kind.configuration)) == 3
     record = list_instances(reading)['i-1']
@@ -115,7 +66,7 @@
     feed, _reader = build_feed(
         build_page(build_item(CONFIGURATION, build_configuration())),
     )
-    part = find_part(read(feed), 'gopu72b')
+    part = find_part(read_feed(feed), 'gopu72b')
     assert (part.connections, part.health_path) == (130, '/health')
     assert (len(part.classes), len(part.routes)) == (1, 1)
     work_class, route = part.classes[0], part.routes[0]
@@ -142,8 +93,8 @@
             revision=10,
         ),
     )
-    before = set(find_blobs(read(feed), Kind.configuration))
-    after = set(find_blobs(read(feed), Kind.configuration))
+    before = set(find_blobs(read_feed(feed), Kind.configuration))
+    after = set(find_blobs(read_feed(feed), Kind.configuration))
     new = after - before
     assert len(new) == 1
     assert sum(map(len, new)) * 20 < sum(map(len, after))
@@ -161,8 +112,8 @@
             revision=11,
         ),
     )
-    read(feed)
-    listed = list_instances(read(feed))
+    read_feed(feed)
+    listed = list_instances(read_feed(feed))
     assert listed['i-1'].state is ListedState.leaving
     assert 'i-2' not in listed
     assert 'after=9' in reader.asked[1]
@@ -202,10 +153,10 @@
             revision=10,
         ),
     )
-    reading = read(feed)
+    reading = read_feed(feed)
     assert set(list_instances(reading)) == {'i-1'}
     assert [each.code for each in reading.flawed] == [Code.part_corrupt]
-    assert not read(feed).flawed
+    assert not read_feed(feed).flawed
 
 
 def test_configuration_that_cannot_be_read() -> None:
@@ -216,7 +167,7 @@
             build_item(FIRST, build_entry()),
         ),
     )
-    reading = read(feed)
+    reading = read_feed(feed)
     assert set(list_instances(reading)) == {'i-1'}
     assert reading.flawed[0].kind is Kind.configuration
 
@@ -225,8 +176,8 @@
     """A watch's history is gone, and changes in the gap would be missed."""
     page = build_page(build_item(FIRST, build_entry()), revision=30)
     feed, reader = build_feed(build_page(), 410, page)
-    read(feed)
-    assert set(list_instances(read(feed))) == {'i-1'}
+    read_feed(feed)
+    assert set(list_instances(read_feed(feed))) == {'i-1'}
     assert '/kv-range' in reader.asked[2]
 
 
@@ -249,7 +200,7 @@
         second,
         build_changes(gone, revision=12),
     )
-    assert set(list_instances(read(feed))) == {'i-2'}
+    assert set(list_instances(read_feed(feed))) == {'i-2'}
     assert 'after=9' in reader.asked[2]
 
 
@@ -267,10 +218,10 @@
         503,
         changes,
     )
-    read(feed)
+    read_feed(feed)
     assert isinstance(feed.read(wait=1.0), Err)
     feed.restart()
-    assert list_instances(read(feed))['i-1'].state is ListedState.leaving
+    assert list_instances(read_feed(feed))['i-1'].state is ListedState.leaving
     assert 'after=9' in reader.asked[2]
 
 
@@ -285,5 +236,5 @@
         build_changes(revision=1),
         page,
     )
-    read(feed)
-    assert set(list_instances(read(feed))) == {'i-1'}
+    read_feed(feed)
+    assert set(list_instances(read_feed(feed))) == {'i-1'}
