Store: the list of a store that came back from an older copy is newer

Callers were sent to servers that had left, for as long as the store's count had not passed its old numbers: after a return from a copy revisions go back and are given out again, nodes refuse such a list as older, or as one number with two contents, and a watch whose revision was given out again goes on unaware of what the copy lacks.

Every answer of the store now counts with its Store-Era: the version of a list is era and revision, so that a return is above all before it; a watch that meets a later era reads everything anew, pages and changes of two eras are not joined, and a late answer of an earlier one is a failed read (3004). Class of the fault: a count of another system's taken for one that only rises.

--- a/wagtaildale/platform/store.py
+++ b/wagtaildale/platform/store.py
@@ -9,6 +9,13 @@
 from msgspec import MsgspecError, Struct, field, json
 from result import Err, Ok, Result
 
+from wagtaildale.document.eras import (
+    FIRST_ERA,
+    Era,
+    find_era,
+    find_revision,
+    make_version,
+)
 from wagtaildale.errors.codes import Code
 from wagtaildale.platform.configuration import decode_configuration
 from wagtaildale.platform.instances import decode_instance
@@ -24,7 +31,7 @@
 from wagtaildale.types import NO_VERSION, Kind, Version
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
 
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.settings.model import Settings
@@ -34,6 +41,9 @@
 OK_STATUS: Final = 200
 GONE_STATUS: Final = 410
 MILLISECONDS: Final = 1000
+# In every answer; rises when the store comes back from an older copy.
+ERA_HEADER: Final = 'store-era:'
+ERA_DIGITS: Final = 6
 
 Shape = TypeVar('Shape')
 
@@ -130,23 +140,18 @@
             The items, or why not.
         """
         entries: list[StoredEntry] = []
-        revisions: list[int] = []
+        versions: list[Version] = []
         more = True
         while more:
             after = quote(entries[-1].key, safe='') if entries else ''
-            page = self._ask(f'/kv-range?prefix=&after={after}', 0, Page)
-            if isinstance(page, Err):
-                return page
-            entries.extend(page.ok_value.entries)
-            revisions.append(page.ok_value.store_revision)
-            more = page.ok_value.has_more and bool(page.ok_value.entries)
-        return Ok(
-            StoreReading(
-                entries=tuple(_decode_entry(entry) for entry in entries),
-                revision=revisions[0],
-                is_snapshot=revisions[0] == revisions[-1],
-            ),
-        )
+            asked = self._ask(f'/kv-range?prefix=&after={after}', 0, Page)
+            if isinstance(asked, Err):
+                return asked
+            page, era = asked.ok_value
+            entries.extend(page.entries)
+            versions.append(make_version(era, revision=page.store_revision))
+            more = page.has_more and bool(page.entries)
+        return _join_pages(entries, versions)
 
     def watch(
         self,
@@ -166,10 +171,14 @@
         wait_ms = max(1, round(wait * MILLISECONDS))
         path = f'/kv-watch?prefix=&after={revision}&waitMs={wait_ms}'
         asked = self._ask(path, wait, Changes)
-        return asked.map(
-            lambda changes: StoreReading(
+        if isinstance(asked, Err):
+            return asked
+        changes, era = asked.ok_value
+        return Ok(
+            StoreReading(
                 entries=tuple(_decode_entry(entry) for entry in changes.events),
                 revision=changes.store_revision,
+                era=era,
             ),
         )
 
@@ -192,20 +201,20 @@
         kind: Kind,
         *,
         entries: Mapping[str, StoreEntry],
-        revision: int,
+        version: Version,
     ) -> Result[StoredDocument, ReadFailure]:
         """Make a document from the store's items; see ``Store``.
 
         Args:
             kind: which document.
             entries: by key, everything.
-            revision: of the store.
+            version: of the store.
 
         Returns:
             The document, or what of it cannot be read.
         """
         try:
-            document = self._make(kind, entries, revision)
+            document = self._make(kind, entries, version)
         except (MsgspecError, ValueError) as error:
             return Err(ReadFailure(code=Code.part_corrupt, detail=str(error)))
         return Ok(document)
@@ -214,11 +223,11 @@
         self,
         kind: Kind,
         entries: Mapping[str, StoreEntry],
-        revision: int,
+        version: Version,
     ) -> StoredDocument:
         if kind is Kind.configuration:
             return self._make_configuration(entries)
-        return self._make_list(entries, revision)
+        return self._make_list(entries, version)
 
     def _make_configuration(
         self,
@@ -233,7 +242,7 @@
     def _make_list(
         self,
         entries: Mapping[str, StoreEntry],
-        revision: int,
+        version: Version,
     ) -> StoredDocument:
         blobs: dict[str, bytes] = {}
         flaws: list[ReadFailure] = []
@@ -252,7 +261,7 @@
             else:
                 blobs[record.instance] = json.encode(record)
         return StoredDocument(
-            version=Version(revision),
+            version=version,
             blobs=blobs,
             flaws=tuple(flaws),
         )
@@ -271,7 +280,7 @@
         path: str,
         wait: float,
         shape: type[Shape],
-    ) -> Result[Shape, ReadFailure]:
+    ) -> Result[tuple[Shape, Era], ReadFailure]:
         asked = self._reader.ask(
             f'{self._url}{path}',
             seconds=wait + self._answer_seconds,
@@ -299,16 +308,47 @@
         return encoded.encode()
 
 
+def _join_pages(
+    entries: Sequence[StoredEntry],
+    versions: Sequence[Version],
+) -> Result[StoreReading, ReadFailure]:
+    first, last = versions[0], versions[-1]
+    era = find_era(first)
+    if find_era(last) != era:
+        detail = 'the store came back from an older copy between two pages'
+        return Err(ReadFailure(code=Code.history_gone, detail=detail))
+    return Ok(
+        StoreReading(
+            entries=tuple(_decode_entry(entry) for entry in entries),
+            revision=find_revision(first),
+            is_snapshot=first == last,
+            era=era,
+        ),
+    )
+
+
 def _decode_answer(
     answer: Answer,
     shape: type[Shape],
-) -> Result[Shape, ReadFailure]:
+) -> Result[tuple[Shape, Era], ReadFailure]:
     if answer.status == GONE_STATUS:
         detail = 'the store has dropped that history'
         return Err(ReadFailure(code=Code.history_gone, detail=detail))
     if answer.status != OK_STATUS:
         return Err(describe_status(answer.status))
     try:
-        return Ok(json.decode(answer.body, type=shape))
+        decoded = json.decode(answer.body, type=shape)
     except MsgspecError as error:
         return Err(ReadFailure(code=Code.part_corrupt, detail=str(error)))
+    return _find_era(answer).map(lambda era: (decoded, era))
+
+
+def _find_era(answer: Answer) -> Result[Era, ReadFailure]:
+    named = [line for line in answer.headers if line.startswith(ERA_HEADER)]
+    if not named:
+        return Ok(FIRST_ERA)
+    digits = named[-1].removeprefix(ERA_HEADER).strip()
+    if digits.isdecimal() and len(digits) <= ERA_DIGITS:
+        return Ok(Era(int(digits)))
+    detail = f'got era {digits!r}, expected a count of its returns'
+    return Err(ReadFailure(code=Code.part_corrupt, detail=detail))
--- a/wagtaildale/source/store.py
+++ b/wagtaildale/source/store.py
@@ -7,21 +7,23 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from functools import partial
 from typing import TYPE_CHECKING
 
 from msgspec import Struct
 from result import Err, Ok, Result
 
 from wagtaildale.distribution.messages import EntryRefused, SourceConfirmed
+from wagtaildale.document.eras import FIRST_ERA, Era, make_version
 from wagtaildale.errors.codes import Code
 from wagtaildale.source.feed import Feed, FeedReading, make_read
+from wagtaildale.source.platform import ReadFailure
 from wagtaildale.types import NO_VERSION, Kind, Version
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
     from wagtaildale.distribution.messages import SourceRead
-    from wagtaildale.source.platform import ReadFailure
 
 
 class StoreEntry(Struct, frozen=True, kw_only=True):
@@ -47,11 +49,13 @@
         entries: everything, or what has changed.
         revision: of the store; the next watch goes on from it.
         is_snapshot: whether the entries all stood so at that revision.
+        era: in which the store gave it.
     """
 
     entries: tuple[StoreEntry, ...]
     revision: int
     is_snapshot: bool = True
+    era: Era = FIRST_ERA
 
 
 class StoredDocument(Struct, frozen=True, kw_only=True):
@@ -117,14 +121,14 @@
         kind: Kind,
         *,
         entries: Mapping[str, StoreEntry],
-        revision: int,
+        version: Version,
     ) -> Result[StoredDocument, ReadFailure]:
         """Make a document from the entries that stand in the store.
 
         Args:
             kind: which document.
             entries: by key, everything.
-            revision: of the store.
+            version: of the store, for a document that has none of its own.
 
         Returns:
             The document; version 0 if there is none yet.
@@ -144,6 +148,7 @@
         self._store = store
         self._entries: dict[str, StoreEntry] = {}
         self._revision: int | None = None
+        self._era = FIRST_ERA
         self._versions = dict.fromkeys(Kind, NO_VERSION)
         self._flaws: dict[Kind, frozenset[str]] = {}
 
@@ -162,15 +167,16 @@
         """
         if self._revision is None:
             return self._read_all()
-        changes = self._store.watch(revision=self._revision, wait=wait)
+        watched = self._store.watch(revision=self._revision, wait=wait)
+        changes = watched.and_then(partial(_check_era, held=self._era))
         if isinstance(changes, Err):
-            if changes.err_value.code is Code.history_gone:
-                return self._read_all()
-            return changes
+            is_gone = changes.err_value.code is Code.history_gone
+            return self._read_all() if is_gone else changes
         reading = changes.ok_value
-        if reading.revision < self._revision:
-            # Failure: the store was set up anew and counts from the start;
-            # a watch from the old revision would wait for ever.
+        if reading.era > self._era or reading.revision < self._revision:
+            # Failure: the store came back from an older copy, or was set up
+            # anew. What it has lost stays in use, and revisions that it has
+            # given out again are taken for those of before.
             return self._read_all()
         self._revision = reading.revision
         self._note(reading)
@@ -189,19 +195,24 @@
         """
 
     def _read_all(self) -> Result[FeedReading, ReadFailure]:
-        read = self._store.read_all()
+        whole = self._store.read_all()
+        read = whole.and_then(partial(_check_era, held=self._era))
         if isinstance(read, Err):
             return read
         reading = read.ok_value
         self._entries = {}
         self._note(reading)
         self._revision = reading.revision
+        self._era = reading.era
         if reading.is_snapshot:
             return self._give(tuple(Kind))
         # Failure: the entries came on several pages, and the store changed
         # between two of them: together they never stood so. The changes
         # since the first page settle it.
-        changes = self._store.watch(revision=reading.revision, wait=0)
+        watched = self._store.watch(revision=reading.revision, wait=0)
+        changes = watched.and_then(
+            partial(_check_era, held=self._era, may_rise=False),
+        )
         if isinstance(changes, Err):
             self._revision = None
             return changes
@@ -232,7 +243,7 @@
             made = self._store.make_document(
                 kind,
                 entries=self._entries,
-                revision=self._revision,
+                version=make_version(self._era, revision=self._revision),
             )
             if isinstance(made, Err):
                 # Failure: a configuration that cannot be read keeps the
@@ -286,3 +297,17 @@
         if kind is Kind.instances and self._revision is not None:
             return Version(self._revision)
         return self._versions[kind]
+
+
+def _check_era(
+    reading: StoreReading,
+    *,
+    held: Era,
+    may_rise: bool = True,
+) -> Result[StoreReading, ReadFailure]:
+    # Failure: an answer from before the store's return comes late; or pages
+    # are from before it, and what has changed since them is from after it.
+    if reading.era == held or (may_rise and reading.era > held):
+        return Ok(reading)
+    detail = f'got an answer of era {reading.era}, expected era {held}'
+    return Err(ReadFailure(code=Code.version_older, detail=detail))
