Lapses: an older copy of the platform brings nobody back who had left

Callers were sent to servers that had said that they leave, or had been taken off the list: the platform came back from a copy some seconds old, which names them as ready, and nodes went by it.

A node now remembers for a minute who left, with birth and era of the list that said so. Where a list of a later era names the same as live, it takes no new work: for good if it had said so, else until its entry has outlived the time after which entries lapse, since it may live and have been cut off. Whom the copy lacks stays in use until it is written again, as after an outage. Each node notes the return (platform-returned), whom it holds (lapsed-changed held=), and the era (wagtaildale_platform_era).

--- a/wagtaildale/distribution/documents.py
+++ b/wagtaildale/distribution/documents.py
@@ -90,12 +90,7 @@
     kept: list[Effect] = []
     if document.kind is Kind.instances:
         # Before the list itself: calls never see it without those kept.
-        kept = take_list(
-            state,
-            before=outcome.before,
-            document=document,
-            now=now,
-        )
+        kept = take_list(state, document=document, now=now)
     moved = Moved(
         before=outcome.before,
         document=document,
--- a/wagtaildale/distribution/effects.py
+++ b/wagtaildale/distribution/effects.py
@@ -146,12 +146,22 @@
 @carry_out.register
 def _change_lapsed(effect: messages.LapsedChanged, sender: Sender) -> None:
     around = sender.around
-    around.view.take_lapsed(effect.records)
+    around.view.take_lapsed(effect.kept, held=effect.held)
     around.view.take_away(sender.state.members.list_away())
     around.recorder.record(
         EventKind.lapsed_changed,
         version=around.view.current.list_index,
-        detail=' '.join(record.instance for record in effect.records),
+        detail=' '.join(record.instance for record in effect.kept),
+        inputs={'held': ' '.join(record.instance for record in effect.held)},
+    )
+
+
+@carry_out.register
+def _note_return(effect: messages.PlatformReturned, sender: Sender) -> None:
+    sender.around.recorder.record(
+        EventKind.platform_returned,
+        version=effect.revision,
+        inputs={'era': effect.era},
     )
 
 
--- a/wagtaildale/distribution/lapses.py
+++ b/wagtaildale/distribution/lapses.py
@@ -10,11 +10,16 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.distribution.messages import LapsedChanged
+from wagtaildale.distribution.departures import (
+    hold_departed,
+    note_departures,
+)
+from wagtaildale.distribution.messages import LapsedChanged, PlatformReturned
 from wagtaildale.distribution.state import NEVER, DistributionState
+from wagtaildale.document.eras import find_era, find_revision
 from wagtaildale.membership.decisions import take_records
 from wagtaildale.membership.records import InstanceRecord, decode_record
-from wagtaildale.types import InstanceId, Kind, ListedState
+from wagtaildale.types import InstanceId, Kind, ListedState, Version
 
 if TYPE_CHECKING:
     from wagtaildale.distribution.messages import Effect
@@ -29,7 +34,6 @@
 def take_list(
     state: DistributionState,
     *,
-    before: Document,
     document: Document,
     now: float,
 ) -> list[Effect]:
@@ -43,25 +47,21 @@
 
     Args:
         state: the node; moved forward in place.
-        before: the list held until now.
-        document: the later one.
+        document: the later list.
         now: seconds.
 
     Returns:
-        Whom to keep in use, if that has changed.
+        Whom to keep in use or from it, if that has changed.
     """
+    lapses = state.lapses
+    known = {**lapses.kept, **lapses.listed}
     listed = _decode(document)
-    kept: dict[InstanceId, InstanceRecord] = {}
-    if now < state.lapses.until:
-        known = {**state.lapses.kept, **_decode(before)}
-        places = {record.node_id for record in listed.values()}
-        kept = {
-            name: record
-            for name, record in known.items()
-            # Whose place is taken was replaced, and does not come back.
-            if record.node_id not in places and record.state is ListedState.live
-        }
-    return _keep(state, kept, listed)
+    returned = _note_era(state, document.version, now)
+    kept = _pick_lapsed(known, listed) if now < lapses.until else {}
+    note_departures(lapses, known, {**kept, **listed}, now=now)
+    lapses.listed = listed
+    lapses.era = find_era(document.version)
+    return [*returned, *_keep(state, kept, now=now)]
 
 
 def note_return(
@@ -99,25 +99,71 @@
         now: seconds.
 
     Returns:
-        That nobody is kept any more, if somebody was.
+        Whom to keep in use or from it, if that has changed.
     """
-    if not state.lapses.kept or now < state.lapses.until:
+    lapses = state.lapses
+    kept = lapses.kept if now < lapses.until else {}
+    if lapses.kept and not kept:
+        note_departures(lapses, lapses.kept, lapses.listed, now=now)
+    if len(kept) == len(lapses.kept) and not lapses.held:
         return []
-    return _keep(state, {}, _decode(state.stores[Kind.instances].held))
+    return _keep(state, kept, now=now)
+
+
+def _pick_lapsed(
+    known: dict[InstanceId, InstanceRecord],
+    listed: dict[InstanceId, InstanceRecord],
+) -> dict[InstanceId, InstanceRecord]:
+    places = {record.node_id for record in listed.values()}
+    return {
+        name: record
+        for name, record in known.items()
+        # Whose place is taken was replaced, and does not come back.
+        if record.node_id not in places and record.state is ListedState.live
+    }
+
+
+def _note_era(
+    state: DistributionState,
+    version: Version,
+    now: float,
+) -> list[Effect]:
+    before = state.lapses.era
+    era = find_era(version)
+    if before is None or era <= before:
+        return []
+    # What was written since the copy is written again.
+    state.lapses.until = now + RETURN_SECONDS
+    state.lapses.returned_at = now
+    return [PlatformReturned(era=era, revision=find_revision(version))]
 
 
 def _keep(
     state: DistributionState,
     kept: dict[InstanceId, InstanceRecord],
-    listed: dict[InstanceId, InstanceRecord],
+    *,
+    now: float,
 ) -> list[Effect]:
-    changed = kept.keys() != state.lapses.kept.keys()
-    state.lapses.kept = kept
-    records = {
-        record.node_id: record for record in (*kept.values(), *listed.values())
-    }
+    lapses = state.lapses
+    held = hold_departed(lapses, seconds=_find_hold(state), now=now)
+    changed = kept.keys() != lapses.kept.keys() or held != lapses.held
+    lapses.kept = kept
+    lapses.held = held
+    known = {**kept, **lapses.listed, **held}
+    records = {record.node_id: record for record in known.values()}
     take_records(state.members, records=records)
-    return [LapsedChanged(records=tuple(kept.values()))] if changed else []
+    if not changed:
+        return []
+    return [
+        LapsedChanged(
+            kept=tuple(kept.values()),
+            held=tuple(held.values()),
+        ),
+    ]
+
+
+def _find_hold(state: DistributionState) -> float:
+    return state.tuning.lapse_seconds + RETURN_SECONDS
 
 
 def _decode(document: Document) -> dict[InstanceId, InstanceRecord]:
--- a/wagtaildale/distribution/messages.py
+++ b/wagtaildale/distribution/messages.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from wagtaildale.distribution.wire import Body, Envelope
+from wagtaildale.document.eras import Era
 from wagtaildale.document.messages import Origin, Rejected
 from wagtaildale.document.model import Document, Outline
 from wagtaildale.errors.codes import Code
@@ -145,13 +146,27 @@
 
 
 class LapsedChanged(Struct, frozen=True, kw_only=True):
-    """Other instances than before are kept though the list lacks them.
+    """This node goes by the list with other exceptions than before.
 
     Attributes:
-        records: of those that are kept now.
+        kept: those that are in use though the list lacks them.
+        held: those that take no new work though the list says so.
     """
 
-    records: tuple[InstanceRecord, ...]
+    kept: tuple[InstanceRecord, ...]
+    held: tuple[InstanceRecord, ...] = ()
+
+
+class PlatformReturned(Struct, frozen=True, kw_only=True):
+    """The platform has come back from an older copy.
+
+    Attributes:
+        era: that began with it.
+        revision: of its first list.
+    """
+
+    era: Era
+    revision: int
 
 
 class FleetChanged(Struct, frozen=True, kw_only=True):
@@ -216,6 +231,7 @@
     | ReadBlobs
     | Moved
     | LapsedChanged
+    | PlatformReturned
     | FleetChanged
     | StateChanged
     | Refused
--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -9,6 +9,7 @@
 from wagtaildale.distribution.checks import CHECKS
 from wagtaildale.distribution.delays import Delays
 from wagtaildale.distribution.wire import NOBODY, NOWHERE, Holding, Swap
+from wagtaildale.document.eras import Era
 from wagtaildale.document.state import StoreState, make_store
 from wagtaildale.membership.records import InstanceRecord
 from wagtaildale.membership.state import MembershipState
@@ -63,16 +64,43 @@
     tries: int
 
 
+class Departure(Struct, frozen=True, kw_only=True):
+    """That an instance was listed as leaving, or was taken off the list.
+
+    Attributes:
+        born: of the instance.
+        era: of the list that said so.
+        said: whether it was listed as leaving.
+        noted_at: when that was last so, seconds.
+    """
+
+    born: int
+    era: Era
+    said: bool
+    noted_at: float
+
+
 class Lapses(Struct, kw_only=True):
-    """Instances that the platform may have forgotten while it was away.
+    """Where this node knows better than the platform's list.
 
     Attributes:
+        listed: the instances of the list as it was given.
+        era: of that list; nothing before the first.
         kept: those that stay in use though the list lacks them.
         until: when they are due back, seconds.
+        departures: who has left, by instance.
+        returned_at: when the platform was last seen to have come back from
+            an older copy, seconds.
+        held: those that take no new work though the list says so.
     """
 
+    listed: dict[InstanceId, InstanceRecord] = field(default_factory=dict)
+    era: Era | None = None
     kept: dict[InstanceId, InstanceRecord] = field(default_factory=dict)
     until: float = NEVER
+    departures: dict[InstanceId, Departure] = field(default_factory=dict)
+    returned_at: float = NEVER
+    held: dict[InstanceId, InstanceRecord] = field(default_factory=dict)
 
 
 class Joining(Struct, kw_only=True):
--- a/wagtaildale/distribution/tests/test_returns.py
+++ b/wagtaildale/distribution/tests/test_returns.py
@@ -7,8 +7,11 @@
 import pytest
 from msgspec import structs
 
+from wagtaildale.distribution.lapses import RETURN_SECONDS, take_list
+from wagtaildale.distribution.messages import PlatformReturned
 from wagtaildale.distribution.tests.networks import build_network
 from wagtaildale.document.eras import Era, make_version
+from wagtaildale.routing.view import ViewHolder
 from wagtaildale.testing.builders import build_instances
 from wagtaildale.types import InstanceId, ListedState
 
@@ -19,12 +22,15 @@
 D: Final = InstanceId('d')
 LATE_REVISION: Final = 40
 COPY_REVISION: Final = 30
+HOLD_ROUNDS: Final = 8
 
 
 @pytest.fixture
 def network() -> FakeNetwork:
     made = build_network(6, data_centres=('derby', 'coventry'))
     made.settle()
+    show_list(made, made.records, era=1, revision=COPY_REVISION - 1)
+    made.pass_round(seconds=2 * RETURN_SECONDS)
     return made
 
 
@@ -86,3 +92,62 @@
     show_list(network, live, era=1, revision=LATE_REVISION)
     show_list(network, older, era=2, revision=COPY_REVISION)
     assert list_states(network) == {ListedState.live}
+
+
+def test_server_that_was_cut_off_comes_back(network: FakeNetwork) -> None:
+    """A server that lives is kept from work for ever after a return.
+
+    It was off the list while it was cut off from the platform. An entry that
+    outlives the time after which entries lapse is its own.
+    """
+    live = network.records
+    gone = [record for record in live if record.instance != D]
+    show_list(network, gone, era=1, revision=LATE_REVISION)
+    show_list(network, live, era=2, revision=COPY_REVISION)
+    for _second in range(HOLD_ROUNDS):
+        network.pass_round()
+    assert list_states(network) == {ListedState.live}
+
+
+def test_server_that_starts_again_under_its_id_is_used(
+    network: FakeNetwork,
+) -> None:
+    """A server is taken for the one that left under the same id."""
+    live = network.records
+    show_list(network, mark_leaving(live), era=1, revision=LATE_REVISION)
+    anew = [structs.replace(record, born=1) for record in live]
+    show_list(network, anew, era=2, revision=COPY_REVISION)
+    assert list_states(network) == {ListedState.live}
+
+
+def test_server_that_the_copy_lacks_and_is_gone_is_let_go(
+    network: FakeNetwork,
+) -> None:
+    """Requests go on to a server that ended as the platform was away."""
+    older = [record for record in network.records if record.instance != D]
+    show_list(network, older, era=2, revision=COPY_REVISION)
+    assert list_states(network) == {ListedState.live}
+    network.pass_round(seconds=2 * RETURN_SECONDS)
+    assert list_states(network) == {None}
+
+
+def test_calls_go_by_who_is_held(network: FakeNetwork) -> None:
+    """A node knows that a server left, and its calls go there."""
+    view = ViewHolder()
+    listed = build_instances(*network.records)
+    view.take_instances(listed)
+    held = mark_leaving(network.records)[3]
+    view.take_lapsed((), held=(held,))
+    view.take_instances(listed)
+    assert view.current.is_away(view.current.records[D])
+    view.take_lapsed(())
+    assert not view.current.is_away(view.current.records[D])
+
+
+def test_return_is_in_the_log(network: FakeNetwork) -> None:
+    """Operators see a list change everywhere, and not why."""
+    version = make_version(Era(2), revision=COPY_REVISION)
+    document = build_instances(*network.records, version=version)
+    state = network.nodes[InstanceId('a')].state
+    noted = PlatformReturned(era=Era(2), revision=COPY_REVISION)
+    assert noted in take_list(state, document=document, now=network.now)
--- a/wagtaildale/routing/view.py
+++ b/wagtaildale/routing/view.py
@@ -94,6 +94,7 @@
         self.current = FleetView()
         self._listed: dict[InstanceId, InstanceRecord] = {}
         self._lapsed: dict[InstanceId, InstanceRecord] = {}
+        self._held: dict[InstanceId, InstanceRecord] = {}
 
     def take_configuration(self, document: Document) -> None:
         """Swap in the routes of a later configuration.
@@ -120,13 +121,20 @@
         self._listed = check_records(document.blobs).unwrap()
         self._swap_records(document.version)
 
-    def take_lapsed(self, records: Iterable[InstanceRecord]) -> None:
-        """Swap in who stays in use though the list lacks it.
+    def take_lapsed(
+        self,
+        records: Iterable[InstanceRecord],
+        *,
+        held: Iterable[InstanceRecord] = (),
+    ) -> None:
+        """Swap in where the list is not gone by.
 
         Args:
-            records: of these instances.
+            records: of instances in use though the list lacks them.
+            held: of listed ones, as they are taken for.
         """
         self._lapsed = {record.instance: record for record in records}
+        self._held = {record.instance: record for record in held}
         self._swap_records(self.current.list_index)
 
     def take_away(self, away: frozenset[InstanceId]) -> None:
@@ -141,7 +149,7 @@
         # Failure: another writer's entry names an address that a server has
         # and a service that nobody published, and as the later one there it
         # takes the server's place. No route leads to such a service.
-        records = {**self._lapsed, **self._listed}
+        records = {**self._lapsed, **self._listed, **self._held}
         parts = self.current.parts
         if not parts:
             return records
--- a/wagtaildale/telemetry/events.py
+++ b/wagtaildale/telemetry/events.py
@@ -35,6 +35,7 @@
     instances_applied = 'instances-applied'
     entry_refused = 'entry-refused'
     lapsed_changed = 'lapsed-changed'
+    platform_returned = 'platform-returned'
     reader_appointed = 'reader-appointed'
     reader_stepped_down = 'reader-stepped-down'
     source_failed = 'source-failed'
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -5,6 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from wagtaildale.document.eras import find_era
 from wagtaildale.telemetry.metrics import Metrics
 from wagtaildale.types import Kind
 
@@ -24,6 +25,7 @@
     parts = node.parts
     metrics = Metrics(parts.tallies, instance=parts.identity.instance)
     state = node.distribution.state
+    _add_server(metrics, node)
     for kind in Kind:
         metrics.add_gauge(
             f'wagtaildale.{kind.name}.version',
@@ -31,12 +33,34 @@
             unit='1',
             description='Version in force on this node.',
         )
+    metrics.add_gauge(
+        'wagtaildale.platform.era',
+        lambda: find_era(state.stores[Kind.instances].held.version),
+        unit='1',
+        description='How often the platform came back from an older copy.',
+    )
     metrics.add_gauge(
         'wagtaildale.control.sent',
         lambda: node.distribution.sockets.sent_bytes,
         unit='By',
         description='Bytes sent to other nodes for control.',
     )
+    metrics.add_gauge(
+        'wagtaildale.reader',
+        lambda: state.appointed,
+        unit='1',
+        description='Whether this node watches the platform.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.invariants.broken',
+        lambda: parts.invariants.broken,
+        unit='1',
+        description='Invariants found broken: anything but 0 is a defect.',
+    )
+    return metrics
+
+
+def _add_server(metrics: Metrics, node: Node) -> None:
     metrics.add_gauge(
         'wagtaildale.backend.running',
         lambda: len(node.calls.owner.gate.state.running),
@@ -57,23 +81,10 @@
     )
     metrics.add_gauge(
         'wagtaildale.requests.suspected',
-        parts.suspects.count_grave,
+        node.parts.suspects.count_grave,
         unit='{request}',
         description='Requests that are run alone, or not at all.',
     )
-    metrics.add_gauge(
-        'wagtaildale.reader',
-        lambda: state.appointed,
-        unit='1',
-        description='Whether this node watches the platform.',
-    )
-    metrics.add_gauge(
-        'wagtaildale.invariants.broken',
-        lambda: parts.invariants.broken,
-        unit='1',
-        description='Invariants found broken: anything but 0 is a defect.',
-    )
-    return metrics
 
 
 def _read_version(node: Node, kind: Kind) -> float:
--- a/wagtaildale/telemetry/story.py
+++ b/wagtaildale/telemetry/story.py
@@ -38,6 +38,7 @@
         EventKind.version_refused,
         EventKind.instances_applied,
         EventKind.lapsed_changed,
+        EventKind.platform_returned,
         EventKind.source_failed,
         EventKind.source_recovered,
         EventKind.upstream_ejected,
