--- a/wagtaildale/calls/suspected_call.py
+++ b/wagtaildale/calls/suspected_call.py
@@ -103,6 +103,7 @@
     if place is None:
         raise CallFailed(
             Code.request_on_trial,
+            detail=fingerprint.hex(),
             retry_after=TRIAL_RETRY_SECONDS,
         )
     return Placed(record=place, is_only=True)
--- a/wagtaildale/calls/trials.py
+++ b/wagtaildale/calls/trials.py
@@ -88,7 +88,7 @@
         if judge(ends, since=since, now=now) is Standing.harmful:
             self.board.note_refused(fingerprint)
             wait = find_wait(ends, since=since, now=now)
-            raise _refuse(Code.request_harmful, ends, wait)
+            raise _refuse(Code.request_harmful, fingerprint, ends, wait)
         if ends >= TRIAL_ENDS:
             self._begin_trial(run, fingerprint, ends)
         return ends
@@ -143,11 +143,25 @@
         )
         is_here = any(place.instance == fields.instance for place in places)
         if not is_here or self._on_trial is not None:
-            raise _refuse(Code.request_on_trial, ends, TRIAL_RETRY_SECONDS)
+            raise _refuse(
+                Code.request_on_trial,
+                fingerprint,
+                ends,
+                TRIAL_RETRY_SECONDS,
+            )
         self._on_trial = run
 
 
-def _refuse(code: Code, ends: int, retry_after: float) -> CallFailed:
-    failure = CallFailed(code, retry_after=retry_after)
+def _refuse(
+    code: Code,
+    fingerprint: Fingerprint,
+    ends: int,
+    retry_after: float,
+) -> CallFailed:
+    failure = CallFailed(
+        code,
+        detail=fingerprint.hex(),
+        retry_after=retry_after,
+    )
     failure.ends = ends
     return failure
--- a/wagtaildale/telemetry/story.py
+++ b/wagtaildale/telemetry/story.py
@@ -27,6 +27,8 @@
         EventKind.call_refused,
     ),
 )
+# The detail of these names the fingerprint of the request.
+HELD_BACK: Final = frozenset((Code.request_on_trial, Code.request_harmful))
 BELIEFS: Final = frozenset(
     (
         EventKind.node_started,
@@ -104,10 +106,12 @@
         if line.request == request and line.kind in ENDS
     ]
     near = _take_near(lines, decisions, nodes)
+    ended = _list_ends(lines, decisions)
+    others = (line for line in _pick_beliefs(near) if line not in ended)
     return Story(
         request=request,
         decisions=tuple(decisions),
-        beliefs=_pick_beliefs(near),
+        beliefs=tuple(sorted((*ended, *others), key=_read_time)),
         end=ends[-1] if ends else None,
         restarted=_find_restarted(lines, nodes),
         left_out=sum(line.left_out for line in near),
@@ -185,6 +189,27 @@
     return sorted(near, key=_read_time)
 
 
+def _list_ends(
+    lines: Iterable[LogLine],
+    decisions: Iterable[LogLine],
+) -> list[LogLine]:
+    """List the ends of servers for which a request is held back.
+
+    They may be minutes old and at nodes that never saw the request.
+    """
+    fingerprints = {
+        line.detail
+        for line in decisions
+        if line.code in HELD_BACK and line.detail
+    }
+    return [
+        line
+        for line in lines
+        if line.kind is EventKind.server_ended
+        and not fingerprints.isdisjoint(line.detail.split())
+    ]
+
+
 def _pick_beliefs(near: Sequence[LogLine]) -> tuple[LogLine, ...]:
     # A version's subject is its digest: only the latest version counts.
     latest = {
--- a/wagtaildale/telemetry/tests/test_story.py
+++ b/wagtaildale/telemetry/tests/test_story.py
@@ -175,3 +175,24 @@
 def test_unknown_request_has_no_story() -> None:
     lines: list[LogLine] = read_lines(REFUSED).lines
     assert not tell_story('0', lines).decisions
+
+
+def test_ends_of_servers_explain_a_refusal() -> None:
+    """A request is refused for what happened minutes ago, elsewhere."""
+    ended = build_text(
+        EventKind.server_ended,
+        at_ms=1000,
+        node=OWNER,
+        subject='i-1',
+        detail='0a0b 0c0d',
+    )
+    other = build_text(EventKind.server_ended, at_ms=1000, detail='0c0d')
+    refused = build_text(
+        EventKind.call_refused,
+        at_ms=200_000,
+        request=REQUEST,
+        code=Code.request_harmful.value,
+        detail='0a0b',
+    )
+    story = tell(ended, other, refused)
+    assert [belief.subject for belief in story.beliefs] == ['i-1']
