Admin: operators see suspected requests and let one run again

wagtaildale suspects [--clear FINGERPRINT], GET /v1/suspects and POST /v1/suspects/clear. A request whose servers were mended would be refused for up to an hour after its fifth end, and restarts of nodes do not clear it, since others tell those that start.

--- a/wagtaildale/admin/client.py
+++ b/wagtaildale/admin/client.py
@@ -19,6 +19,7 @@
 ANSWER_MS: Final = 10_000
 STATUS_OK: Final = 200
 STATUS_UNAUTHORISED: Final = 401
+STATUS_UNKNOWN: Final = 404
 
 
 class AdminClient(Struct, frozen=True, kw_only=True):
@@ -112,6 +113,13 @@
             return Err(self._describe(str(error)))
 
     def _describe_status(self, status: int) -> Fault:
+        if status == STATUS_UNKNOWN:
+            return Fault(
+                code=Code.admin_not_found,
+                where=self.address,
+                got=f'status {status}',
+                expected='something that this node knows',
+            )
         if status != STATUS_UNAUTHORISED:
             return self._describe(f'status {status}')
         return Fault(
--- a/wagtaildale/admin/model.py
+++ b/wagtaildale/admin/model.py
@@ -229,3 +229,26 @@
     """
 
     in_flight: int
+
+
+class SuspectState(Struct, frozen=True, kw_only=True):
+    """A request under which servers have ended.
+
+    Attributes:
+        fingerprint: by which it is known again, hexadecimal.
+        ends: servers that ended one after the other.
+        standing: ``clear`` where it runs like others, ``trial`` where it
+            runs alone, ``harmful`` where it is refused.
+        seen_seconds_ago: when it came last, as far as the node knows.
+    """
+
+    fingerprint: str
+    ends: int
+    standing: str
+    seen_seconds_ago: int
+
+
+class SuspectsReport(Struct, frozen=True, kw_only=True):
+    """Requests under which servers have ended."""
+
+    suspects: tuple[SuspectState, ...]
--- a/wagtaildale/admin/pages.py
+++ b/wagtaildale/admin/pages.py
@@ -20,11 +20,13 @@
     NodeReport,
     ProposalReport,
     ReadyReport,
+    SuspectsReport,
     Timeline,
 )
 from wagtaildale.admin.proposals import check_proposal
 from wagtaildale.admin.reports import explain_request, report_node
 from wagtaildale.admin.scopes import BEARER, Scope
+from wagtaildale.admin.suspects import clear_suspect, report_suspects
 
 if TYPE_CHECKING:
     from werkzeug.wrappers import Request
@@ -33,6 +35,7 @@
     from wagtaildale.node import Node
 
 LARGEST_PROPOSAL: Final = 1_000_000
+LARGEST_FINGERPRINT: Final = 256
 
 
 class Context(Struct, frozen=True, kw_only=True):
@@ -179,6 +182,36 @@
     return ReadyReport(state=node.parts.states[-1].value)
 
 
+def show_suspects(context: Context) -> SuspectsReport:
+    """Show the requests under which servers have ended.
+
+    Args:
+        context: of the request.
+
+    Returns:
+        The report; operators only.
+    """
+    _check_whole(context)
+    return report_suspects(context.node)
+
+
+def clear_request(context: Context) -> SuspectsReport:
+    """Let the request run again whose fingerprint is sent as the body.
+
+    Args:
+        context: of the request.
+
+    Returns:
+        What was known of it; operators only.
+    """
+    _check_whole(context)
+    request: Request = context.request
+    if (request.content_length or 0) > LARGEST_FINGERPRINT:
+        raise RequestEntityTooLarge
+    named = request.get_data().decode('latin-1').strip()
+    return clear_suspect(context.node, named)
+
+
 class Page(Struct, frozen=True, kw_only=True):
     """One page of the API.
 
@@ -266,6 +299,20 @@
         shape=DrainReport,
         summary='Begin the planned stop of this node',
     ),
+    Page(
+        method='GET',
+        path='/v1/suspects',
+        make=show_suspects,
+        shape=SuspectsReport,
+        summary='Requests under which servers have ended',
+    ),
+    Page(
+        method='POST',
+        path='/v1/suspects/clear',
+        make=clear_request,
+        shape=SuspectsReport,
+        summary='Let the request with the fingerprint in the body run again',
+    ),
     Page(
         method='GET',
         path='/v1/ready',
--- a/wagtaildale/cli/main.py
+++ b/wagtaildale/cli/main.py
@@ -10,6 +10,7 @@
 from wagtaildale.cli.keys import keys
 from wagtaildale.cli.nodes import drain
 from wagtaildale.cli.status import status
+from wagtaildale.cli.suspects import suspects
 from wagtaildale.cli.timeline import timeline
 
 
@@ -34,6 +35,7 @@
 main.add_command(status)
 main.add_command(explain)
 main.add_command(drain)
+main.add_command(suspects)
 main.add_command(timeline)
 main.add_command(show_errors)
 main.add_command(keys)
--- a/wagtaildale/suspects/board.py
+++ b/wagtaildale/suspects/board.py
@@ -55,6 +55,22 @@
         shared = self.worst.get(find_subject(fingerprint), NOTHING_KNOWN)
         return max(own, shared, key=_read_ends)
 
+    def list_alike(self, fingerprint: Fingerprint) -> dict[Fingerprint, Record]:
+        """List what is known of the same request, whoever sends it.
+
+        Args:
+            fingerprint: of the request.
+
+        Returns:
+            The records by fingerprint.
+        """
+        subject = find_subject(fingerprint)
+        return {
+            other: record
+            for other, record in self.records.items()
+            if find_subject(other) == subject
+        }
+
 
 def show_suspects(records: Mapping[Fingerprint, Record]) -> Suspects:
     """Make the snapshot that calls read.
