Suspects: a request is known again whichever node it comes to

Callers saw servers go on ending: a request that named the node it came to as its host counted as another one at each of four nodes (10 ends in 6 visits).

Cause: the host was part of what a request is known by. It is the class now, which routes by host tell apart anyway; without its service, to which a configuration may move it.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -44,6 +44,8 @@
         error: requests run and are answered with an error.
         hang: requests get no answer.
         draining: new requests are shed.
+        ends_under: path of the requests under which it ends; empty for none.
+        down_ms: until it is back.
     """
 
     service_ms: float = 1
@@ -55,6 +57,8 @@
     error: bool = False
     hang: bool = False
     draining: bool = False
+    ends_under: str = ''
+    down_ms: float = 100
 
 
 class BackendCounts(Struct, kw_only=True):
@@ -62,6 +66,7 @@
 
     Attributes:
         runs: requests that ran.
+        ends: how often it has ended under a request.
         shed: requests that were refused.
         cancelled: requests whose caller hung up while they ran.
         connections: opened to it.
@@ -71,6 +76,7 @@
     """
 
     runs: int = 0
+    ends: int = 0
     shed: int = 0
     cancelled: int = 0
     connections: int = 0
@@ -111,6 +117,7 @@
         self.running = 0
         self.onward = Onward(spec.host, spec.entry_port)
         self.transports: set[asyncio.Transport] = set()
+        self.ending: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
         self._random = random.Random(spec.name)
 
@@ -131,6 +138,14 @@
         for transport in tuple(self.transports):
             transport.abort()
 
+    async def end(self) -> None:
+        """End with whatever runs here, and be back after a while."""
+        self.counts.ends += 1
+        # The port first: whoever sees a connection end finds it closed.
+        self.close()
+        await asyncio.sleep(self.spec.faults.down_ms / MILLISECONDS)
+        await self.listen()
+
     def draw(self, share: float) -> bool:
         """Draw whether a fault strikes.
 
@@ -165,6 +180,11 @@
         changed = {**structs.asdict(self.spec.faults), **json.decode(body)}
         self.spec.faults = convert(changed, BackendFaults)
 
+    @property
+    def deadly_target(self) -> bytes:
+        """Target of the requests under which it ends."""
+        return self.spec.faults.ends_under.encode()
+
     @property
     def service_seconds(self) -> float:
         """Time that the next request takes."""
@@ -228,6 +248,9 @@
         elif self._target == FAULTS_PATH:
             self._backend.change(b''.join(self._body))
             self._answer(OK, b'{}')
+        elif self._target == self._backend.deadly_target:
+            loop = asyncio.get_running_loop()
+            self._backend.ending = loop.create_task(self._backend.end())
         else:
             self._serve()
 
--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -251,7 +251,10 @@
             self.attempts,
             spare=spare,
             trial=review_suspect(
-                self._entry.parts, self.request, self.attempts
+                self._entry.parts,
+                self.routed,
+                self.request,
+                self.attempts,
             ),
         )
         return Attempt(self, target=target, peer=targets.find_peer(target))
--- a/wagtaildale/calls/suspected_call.py
+++ b/wagtaildale/calls/suspected_call.py
@@ -9,7 +9,11 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.placement import Placed
 from wagtaildale.routing.trials import list_places
-from wagtaildale.suspects.fingerprints import Fingerprint, take_fingerprint
+from wagtaildale.suspects.fingerprints import (
+    Asked,
+    Fingerprint,
+    take_fingerprint,
+)
 from wagtaildale.suspects.records import (
     HARMFUL_ENDS,
     Standing,
@@ -27,6 +31,7 @@
 
 def review_suspect(
     parts: EntryParts,
+    routed: Routed,
     request: RequestParts,
     attempts: Attempts,
 ) -> Fingerprint | None:
@@ -34,6 +39,7 @@
 
     Args:
         parts: of the node.
+        routed: its call.
         request: that is to be sent.
         attempts: of its call; learn what this node knows of it.
 
@@ -46,10 +52,13 @@
     if not parts.suspects.current.records and not attempts.ends:
         return None
     fingerprint = take_fingerprint(
-        request.method,
-        target=request.target,
+        Asked(
+            work_class=routed.match.work_class.name,
+            method=request.method,
+            target=request.target,
+            body=request.body.peek(),
+        ),
         headers=request.headers,
-        body=request.body.peek(),
         caller_field=parts.dialect.caller_service,
     )
     record = parts.suspects.find(fingerprint)
--- a/wagtaildale/calls/trials.py
+++ b/wagtaildale/calls/trials.py
@@ -8,7 +8,7 @@
 from wagtaildale.calls.server_ends import ServerEnds
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.trials import list_places
-from wagtaildale.suspects.fingerprints import take_fingerprint
+from wagtaildale.suspects.fingerprints import Asked, take_fingerprint
 from wagtaildale.suspects.records import (
     TRIAL_ENDS,
     Standing,
@@ -121,10 +121,13 @@
             By what it is known again.
         """
         return take_fingerprint(
-            run.method,
-            target=run.target,
+            Asked(
+                work_class=run.fields.work_class,
+                method=run.method,
+                target=run.target,
+                body=run.body,
+            ),
             headers=run.headers,
-            body=run.body,
             caller_field=self._dialect.caller_service,
         )
 
--- a/wagtaildale/suspects/fingerprints.py
+++ b/wagtaildale/suspects/fingerprints.py
@@ -5,6 +5,8 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Final, NewType
 
+from msgspec import Struct
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -19,40 +21,53 @@
 # Of a body: as much as is here before the first attempt of any request.
 BODY_BYTES: Final = 65_536
 LENGTH_BYTES: Final = 8
-HOST_FIELD: Final = b'host'
 CREDENTIALS_FIELD: Final = b'authorization'
 
 
+class Asked(Struct, frozen=True, kw_only=True):
+    """What a request asks for.
+
+    Attributes:
+        work_class: service and class, as calls name it.
+        method: HTTP method.
+        target: path and query.
+        body: all of it, or its beginning.
+    """
+
+    work_class: str
+    method: bytes
+    target: bytes
+    body: bytes
+
+
 def take_fingerprint(
-    method: bytes,
+    asked: Asked,
     *,
-    target: bytes,
     headers: HeaderPairs,
-    body: bytes,
     caller_field: bytes | None,
 ) -> Fingerprint:
     """Take the fingerprint of a request.
 
-    A request's id is new each time it comes. Method, host, path, query and
-    body stay, and by whom it is sent. Of a body that is passed on as it comes
-    only the beginning is here when the request is first sent.
+    A request's id is new each time it comes, and its host may be that of the
+    node it comes to. Its class stays, the service may change with a
+    configuration. Of a body that is passed on as it comes only the beginning
+    is here when the request is first sent.
 
     Args:
-        method: HTTP method.
-        target: path and query.
+        asked: what it asks for.
         headers: as they go to a backend server.
-        body: all of it, or its beginning.
         caller_field: the header field, in lower case, that names the service
             which the request came from, if there is one.
 
     Returns:
         The same bytes at every node.
     """
-    named = {HOST_FIELD: b'', CREDENTIALS_FIELD: b'', caller_field: b''}
+    named = {CREDENTIALS_FIELD: b'', caller_field: b''}
     named.update((name, text) for name, text in headers if name in named)
-    begun = body[:BODY_BYTES]
+    class_name = asked.work_class.rpartition('/')[2].encode()
+    begun = asked.body[:BODY_BYTES]
     subject = _hash(
-        (method, named[HOST_FIELD], target, begun),
+        (class_name, asked.method, asked.target, begun),
         size=SUBJECT_BYTES,
     )
     caller = _hash(
--- a/wagtaildale/suspects/tests/builders.py
+++ b/wagtaildale/suspects/tests/builders.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from wagtaildale.suspects.fingerprints import Fingerprint, take_fingerprint
+from wagtaildale.suspects.fingerprints import (
+    Asked,
+    Fingerprint,
+    take_fingerprint,
+)
 from wagtaildale.suspects.records import Suspicion
 
 CALLER_FIELD = b'x-caller'
@@ -11,16 +15,19 @@
 def build_fingerprint(
     path: str = '/files/1',
     *,
+    work_class: str = 'casefiles/lookup',
     method: bytes = b'GET',
-    host: bytes = b'm',
     caller: bytes = b'',
     body: bytes = b'',
 ) -> Fingerprint:
     return take_fingerprint(
-        method,
-        target=path.encode(),
-        headers=((b'host', host), (CALLER_FIELD, caller), (b'x-id', b'1')),
-        body=body,
+        Asked(
+            work_class=work_class,
+            method=method,
+            target=path.encode(),
+            body=body,
+        ),
+        headers=((b'host', b'm'), (CALLER_FIELD, caller), (b'x-id', b'1')),
         caller_field=CALLER_FIELD,
     )
 
--- a/wagtaildale/suspects/tests/test_fingerprints.py
+++ b/wagtaildale/suspects/tests/test_fingerprints.py
@@ -6,6 +6,7 @@
 
 from wagtaildale.suspects.fingerprints import (
     BODY_BYTES,
+    Asked,
     Fingerprint,
     find_subject,
     take_fingerprint,
@@ -18,7 +19,7 @@
     [
         build_fingerprint('/files/2'),
         build_fingerprint(method=b'POST'),
-        build_fingerprint(host=b'n'),
+        build_fingerprint(work_class='casefiles/photos'),
         build_fingerprint(body=b'x'),
         build_fingerprint('/files/1x', body=b''),
         build_fingerprint('/files/', body=b'1'),
@@ -35,17 +36,27 @@
     assert find_subject(ours) == find_subject(theirs)
 
 
-def test_id_of_a_request_does_not_matter() -> None:
+def test_id_and_host_of_a_request_do_not_matter() -> None:
+    """A request that comes to another node names that node as its host."""
     taken = take_fingerprint(
-        b'GET',
-        target=b'/files/1',
-        headers=((b'x-id', b'2'), (b'host', b'm')),
-        body=b'',
+        Asked(
+            work_class='casefiles/lookup',
+            method=b'GET',
+            target=b'/files/1',
+            body=b'',
+        ),
+        headers=((b'x-id', b'2'), (b'host', b'127.0.0.2:8080')),
         caller_field=CALLER_FIELD,
     )
     assert taken == build_fingerprint()
 
 
+def test_service_of_a_class_does_not_matter() -> None:
+    """A configuration sends a request to another service, and it goes on."""
+    moved = build_fingerprint(work_class='archive/lookup')
+    assert moved == build_fingerprint()
+
+
 def test_long_body_counts_by_its_beginning() -> None:
     begun = b'x' * BODY_BYTES
     assert build_fingerprint(body=begun) == build_fingerprint(body=begun + b'y')
