Tests: a store that comes back from a copy, over HTTP and with processes

The stand-in answers reads and watches, gives revisions out again and raises its era; two nodes as processes keep a server from work that had said that it leaves (platform-returned, lapsed-changed held=).

--- /dev/null
+++ b/wagtaildale/platform/tests/test_stores.py
@@ -0,0 +1,146 @@
+"""Tests of a store that goes back, as nodes and processes meet it."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import time
+from contextlib import ExitStack
+from typing import TYPE_CHECKING, Any, Final
+
+import pytest
+from msgspec import json, structs
+
+from wagtaildale.document.eras import Era, find_era, make_version
+from wagtaildale.platform.store import PlatformStore
+from wagtaildale.platform.tests.builders import (
+    SETTINGS,
+    build_configuration,
+    build_entry,
+    build_settings,
+)
+from wagtaildale.platform.tests.feeds import list_instances, read_feed
+from wagtaildale.platform.tests.stores import StandInStore
+from wagtaildale.settings.model import PlatformSettings
+from wagtaildale.source.store import StoreFeed
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+PATIENCE: Final = 20.0
+CONFIGURATION: Final = 'op/config'
+FIRST: Final = 'servers/i-1'
+SECOND: Final = 'servers/i-2'
+HOSTS: Final = ('127.0.47.1', '127.0.47.2')
+BACKEND_PORT: Final = 8145
+CONTROL_PORT: Final = 8529
+
+
+@pytest.fixture
+def store() -> Iterator[StandInStore]:
+    with StandInStore() as made:
+        made.write(CONFIGURATION, build_configuration())
+        made.write(FIRST, build_listed(0))
+        made.write(SECOND, build_listed(1))
+        yield made
+
+
+@pytest.fixture
+def logs(store: StandInStore, tmp_path: Path) -> Iterator[list[Path]]:
+    """Logs of two nodes that run."""
+    paths = [tmp_path / f'{place}.log' for place in range(len(HOSTS))]
+    with ExitStack() as stack:
+        for place, log in enumerate(paths):
+            node = stack.enter_context(start_node(place, store, log))
+            stack.callback(node.kill)
+        yield paths
+
+
+def start_node(
+    place: int,
+    store: StandInStore,
+    log: Path,
+) -> subprocess.Popen[bytes]:
+    settings = log.with_suffix('.json')
+    settings.write_bytes(build_node_file(place, store))
+    with log.open('wb') as output:
+        return subprocess.Popen(
+            [sys.executable, '-m', 'wagtaildale.platform'],
+            stdout=output,
+            stderr=output,
+            env={**os.environ, 'WAGTAILDALE_NODE_FILE': str(settings)},
+        )
+
+
+def build_listed(place: int, *, state: str = 'ready') -> dict[str, Any]:
+    return build_entry(address=f'{HOSTS[place]}:{BACKEND_PORT}', state=state)
+
+
+def build_node_file(place: int, store: StandInStore) -> bytes:
+    host = HOSTS[place]
+    ports = {
+        'inbound': 8146,
+        'outbound': 8147,
+        'ready': 8141,
+        'control': CONTROL_PORT,
+    }
+    fields = {
+        'ip': host,
+        'listenAddrs': {name: f'{host}:{port}' for name, port in ports.items()},
+        'seedNodes': [f'{other}:{CONTROL_PORT}' for other in HOSTS],
+        'appAddr': f'{host}:{BACKEND_PORT}',
+        'platform': {'address': store.address, 'readsPerS': 2000},
+    }
+    return json.encode({**SETTINGS, **fields})
+
+
+def wait_for_lines(logs: list[Path], *texts: str) -> None:
+    deadline = time.monotonic() + PATIENCE
+    while not all(has_lines(log, texts) for log in logs):
+        assert time.monotonic() < deadline, logs[0].read_text()[-2000:]
+        time.sleep(0.02)
+
+
+def has_lines(log: Path, texts: tuple[str, ...]) -> bool:
+    written = log.read_text()
+    return all(text in written for text in texts)
+
+
+def test_revision_that_is_given_out_again_is_no_change(
+    store: StandInStore,
+) -> None:
+    """A watch goes on from a number that now stands for something else."""
+    platform = PlatformSettings(url=f'http://{store.address}')
+    settings = structs.replace(build_settings(), platform=platform)
+    regions = {'derby': 'midlands', 'coventry': 'midlands'}
+    feed = StoreFeed(PlatformStore(settings, regions=regions))
+    read_feed(feed)
+    older = store.copy()
+    store.write(SECOND, build_listed(1, state='draining'))
+    before = read_feed(feed)
+    store.come_back(older, (FIRST, build_listed(0, state='draining')))
+    store.write(CONFIGURATION, build_configuration())
+    after = read_feed(feed)
+    states = {
+        name: record.state.value
+        for name, record in list_instances(after).items()
+    }
+    assert states == {'i-1': 'leaving', 'i-2': 'live'}
+    assert after.changed[1].outline.version > before.changed[0].outline.version
+    assert find_era(after.changed[1].outline.version) == store.era
+
+
+def test_processes_keep_a_leaving_server_from_work(
+    store: StandInStore,
+    logs: list[Path],
+) -> None:
+    """Nodes send callers to a server that left, by an older copy's word."""
+    wait_for_lines(logs, 'kind=node-ready')
+    older = store.copy()
+    store.write(SECOND, build_listed(1, state='draining'))
+    version = make_version(Era(store.era), revision=store.revision)
+    wait_for_lines(logs, f'kind=instances-applied version={version}')
+    store.come_back(older)
+    wait_for_lines(logs, 'kind=platform-returned', 'held=i-2')
