Server ends: of runs of one request the one that knew of most ends counts

Two runs of a request that end with one server may have begun before and after word of its last end; which of them counted was left to chance.

--- a/wagtaildale/calls/server_ends.py
+++ b/wagtaildale/calls/server_ends.py
@@ -106,6 +106,8 @@
         if not blamed:
             return []
         self.count += 1
+        # Of runs of the same request, the one that knew of most ends counts.
+        blamed.sort(key=_read_ends)
         ends = {cut.fingerprint: cut.ends + 1 for cut in blamed}
         names = ' '.join(fingerprint.hex() for fingerprint in ends)
         self._recorder.record(
@@ -156,3 +158,7 @@
         self._alarm.cancel()
         self._stream.close()
         self._ends.conclude(has_ended=has_ended)
+
+
+def _read_ends(cut: CutRun) -> int:
+    return cut.ends
