--- a/wagtaildale/distribution/tests/test_handover.py
+++ b/wagtaildale/distribution/tests/test_handover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from math import inf
 from typing import TYPE_CHECKING, Final
 
 import pytest
@@ -13,6 +14,7 @@
     WatchedFleet,
     suspect_node,
 )
+from wagtaildale.distribution.tuning import make_tuning
 from wagtaildale.distribution.wire import Push
 from wagtaildale.membership.topology import ROOTS_TOLD
 from wagtaildale.testing.builders import build_instances
@@ -39,6 +41,8 @@
 COPIES_ACROSS: Final = 2 * (ROOTS_TOLD + 1)
 # A planned stop is known beforehand; its reader is replaced at the next look.
 HANDOVER_SECONDS: Final = 0.5
+# How much longer than its time a watch without an answer is waited for.
+READ_SECONDS: Final = 0.5
 
 
 def build_fleet(seed: int, *, slow_of_ten: int = 0) -> WatchedFleet:
@@ -258,3 +262,33 @@
         version = fleet.list_leaving(fleet.near[-1])
         assert fleet.measure_spread(version) < 2 * HANDOVER_SECONDS
         assert len(fleet.list_near_watchers()) <= 2
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_list_comes_from_elsewhere_while_a_watch_hears_nothing(
+    seed: int,
+) -> None:
+    """A server is called seconds after it has said that it leaves.
+
+    The watch of its data centre's reader stands and hears nothing.
+    """
+    fleet = build_fleet(seed)
+    for reader in fleet.list_near_watchers():
+        fleet.deaf[reader] = inf
+    version = fleet.list_leaving(fleet.near[-1])
+    assert fleet.measure_spread(version) < HANDOVER_SECONDS
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_list_is_in_time_when_no_watch_hears_of_it(seed: int) -> None:
+    """A server is called too long after it has said that it leaves.
+
+    All watches that stand hear nothing; each is given up after its time.
+    """
+    fleet = build_fleet(seed)
+    tuning = make_tuning(apply_seconds=DRAIN_SECONDS)
+    silent = tuning.watch_seconds + READ_SECONDS + tuning.backoff_seconds
+    for reader in fleet.watchers:
+        fleet.deaf[reader] = fleet.network.now + silent
+    version = fleet.list_leaving(fleet.near[-1])
+    assert fleet.measure_spread(version) < DRAIN_SECONDS
--- a/wagtaildale/distribution/tests/watched.py
+++ b/wagtaildale/distribution/tests/watched.py
@@ -47,6 +47,7 @@
         near: the nodes of the near data centre, best rank for reading first.
         read_share: of the time that a first read takes on a slow line; 0
             for reads that take none.
+        deaf: nodes whose watches hear nothing, until when.
     """
 
     def __init__(self, count: int, *, slow: tuple[str, ...] = ()) -> None:
@@ -62,6 +63,7 @@
             instances=map(InstanceId, names[::2]),
         )
         self.read_share = float(0)
+        self.deaf: dict[InstanceId, float] = {}
         self._steps = 0
         self._asked: dict[InstanceId, float] = {}
         self._gathers_until: dict[InstanceId, float] = {}
@@ -155,6 +157,8 @@
         node = self.network.nodes[name]
         now = self.network.now
         tuning = node.state.tuning
+        if now < self.deaf.get(name, 0):
+            return
         if not (node.watching and node.running):
             self._known.pop(name, None)
             self._asked.pop(name, None)
