--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -8,7 +8,7 @@
 
 from wagtaildale.admission.ledger import RunLedger
 from wagtaildale.admission.replays import Replays
-from wagtaildale.calls.backends import BackendPool
+from wagtaildale.calls.backend_pool import BackendPool
 from wagtaildale.calls.dialect import OWN_DIALECT, Dialect
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.frames import Load
--- a/wagtaildale/calls/server_ends.py
+++ b/wagtaildale/calls/server_ends.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wagtaildale.calls.backends import BackendPool
+    from wagtaildale.calls.backend_pool import BackendPool
     from wagtaildale.reactor.stream import Stream
     from wagtaildale.suspects.board import SuspectBoard
     from wagtaildale.suspects.fingerprints import Fingerprint
--- a/wagtaildale/calls/tests/test_backends.py
+++ b/wagtaildale/calls/tests/test_backends.py
@@ -13,7 +13,8 @@
 import pytest
 
 from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.backends import BackendPool, BackendRequest
+from wagtaildale.calls.backend_pool import BackendPool
+from wagtaildale.calls.backends import BackendRequest
 from wagtaildale.calls.tests.hand_moved import HandMoved, is_readable
 from wagtaildale.testing.mesh import BACKEND_PORT
 from wagtaildale.types import Outcome
