Suspects: one judgement for entry and owner; when a request came last is shown

Both weighed what came with a call against what the node knows, each for itself. A refused request that goes on coming showed the time of its last end; it shows when it came now, changed once a second at most.

--- a/wagtaildale/calls/suspected_call.py
+++ b/wagtaildale/calls/suspected_call.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.trials import TRIAL_RETRY_SECONDS
+from wagtaildale.calls.trials import refuse_suspect
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.placement import Placed
 from wagtaildale.routing.trials import list_places
@@ -16,13 +15,13 @@
 )
 from wagtaildale.suspects.records import (
     HARMFUL_ENDS,
+    LONGEST_REST_SECONDS,
     Standing,
-    find_wait,
-    judge,
+    find_rest,
 )
-from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
+    from wagtaildale.calls.failures import CallFailed
     from wagtaildale.calls.attempt import RequestParts
     from wagtaildale.calls.attempts import Attempts
     from wagtaildale.calls.routed import EntryParts, Routed
@@ -61,21 +60,16 @@
         headers=request.headers,
         caller_field=parts.dialect.caller_service,
     )
-    record = parts.suspects.find(fingerprint)
-    now = read_clock()
-    since = now if attempts.ends > record.ends else record.since
-    attempts.ends = max(attempts.ends, record.ends)
-    standing = judge(attempts.ends, since=since, now=now)
-    if standing is Standing.harmful:
-        parts.suspects.note_refused(fingerprint)
-        failure = CallFailed(
+    judgement = parts.suspects.judge(fingerprint, told=attempts.ends)
+    attempts.ends = judgement.ends
+    if judgement.standing is Standing.harmful:
+        raise refuse_suspect(
             Code.request_harmful,
-            retry_after=find_wait(attempts.ends, since=since, now=now),
-            detail=fingerprint.hex(),
+            fingerprint,
+            ends=judgement.ends,
+            wait_seconds=judgement.wait_seconds,
         )
-        failure.ends = attempts.ends
-        raise failure
-    return fingerprint if standing is Standing.trial else None
+    return fingerprint if judgement.standing is Standing.trial else None
 
 
 def place_trial(
@@ -110,10 +104,10 @@
     )
     place = next(untried, None)
     if place is None:
-        raise CallFailed(
+        raise refuse_suspect(
             Code.request_on_trial,
-            detail=fingerprint.hex(),
-            retry_after=TRIAL_RETRY_SECONDS,
+            fingerprint,
+            ends=attempts.ends,
         )
     return Placed(record=place, is_only=True)
 
@@ -131,5 +125,6 @@
     ended = failure.code in {Code.backend_ended, Code.outcome_unknown}
     if ended and attempts.ends >= HARMFUL_ENDS:
         failure.code = Code.request_harmful
-        now = read_clock()
-        failure.retry_after = find_wait(attempts.ends, since=now, now=now)
+        failure.retry_after = min(
+            find_rest(attempts.ends), LONGEST_REST_SECONDS
+        )
--- a/wagtaildale/calls/trials.py
+++ b/wagtaildale/calls/trials.py
@@ -9,13 +9,7 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.trials import list_places
 from wagtaildale.suspects.fingerprints import Asked, take_fingerprint
-from wagtaildale.suspects.records import (
-    TRIAL_ENDS,
-    Standing,
-    find_wait,
-    judge,
-)
-from wagtaildale.timers.service import read_clock
+from wagtaildale.suspects.records import Standing
 from wagtaildale.types import ServiceName
 
 if TYPE_CHECKING:
@@ -81,15 +75,16 @@
         if not told and not self.board.current.records:
             return 0
         fingerprint = self.identify(run)
-        record = self.board.find(fingerprint)
-        ends = max(told, record.ends)
-        now = read_clock()
-        since = now if told > record.ends else record.since
-        if judge(ends, since=since, now=now) is Standing.harmful:
-            self.board.note_refused(fingerprint)
-            wait = find_wait(ends, since=since, now=now)
-            raise _refuse(Code.request_harmful, fingerprint, ends, wait)
-        if ends >= TRIAL_ENDS:
+        judgement = self.board.judge(fingerprint, told=told)
+        ends = judgement.ends
+        if judgement.standing is Standing.harmful:
+            raise refuse_suspect(
+                Code.request_harmful,
+                fingerprint,
+                ends=ends,
+                wait_seconds=judgement.wait_seconds,
+            )
+        if judgement.standing is Standing.trial:
             self._begin_trial(run, fingerprint, ends)
         return ends
 
@@ -146,25 +141,32 @@
         )
         is_here = any(place.instance == fields.instance for place in places)
         if not is_here or self._on_trial is not None:
-            raise _refuse(
-                Code.request_on_trial,
-                fingerprint,
-                ends,
-                TRIAL_RETRY_SECONDS,
-            )
+            raise refuse_suspect(Code.request_on_trial, fingerprint, ends=ends)
         self._on_trial = run
 
 
-def _refuse(
+def refuse_suspect(
     code: Code,
     fingerprint: Fingerprint,
+    *,
     ends: int,
-    retry_after: float,
+    wait_seconds: float = TRIAL_RETRY_SECONDS,
 ) -> CallFailed:
+    """Make the refusal of a suspected request.
+
+    Args:
+        code: why it does not run.
+        fingerprint: of the request; operators find it by that.
+        ends: servers that ended under it, one after the other.
+        wait_seconds: after which its caller may come back.
+
+    Returns:
+        The failure, with outcome ``not_run``.
+    """
     failure = CallFailed(
         code,
         detail=fingerprint.hex(),
-        retry_after=retry_after,
+        retry_after=wait_seconds,
     )
     failure.ends = ends
     return failure
--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -31,6 +31,7 @@
     clear_request,
     forget_suspects,
     note_ends,
+    note_refused,
 )
 from wagtaildale.distribution.wire import Envelope
 from wagtaildale.errors.codes import Code
@@ -278,8 +279,7 @@
     *,
     now: float,
 ) -> list[messages.Effect]:
-    state.suspects.note_seen(message.fingerprint, now=now)
-    return []
+    return note_refused(state, message.fingerprint, now=now)
 
 
 @decide.register
--- a/wagtaildale/distribution/suspicions.py
+++ b/wagtaildale/distribution/suspicions.py
@@ -132,6 +132,27 @@
     ]
 
 
+def note_refused(
+    state: DistributionState,
+    fingerprint: Fingerprint,
+    *,
+    now: float,
+) -> list[Effect]:
+    """Note that a harmful request has come again.
+
+    Args:
+        state: the node; moved forward in place.
+        fingerprint: of the request.
+        now: seconds.
+
+    Returns:
+        What is shown of it from now on.
+    """
+    if not state.suspects.note_seen(fingerprint, now=now):
+        return []
+    return [SuspectsChanged(suspects=state.suspects.show())]
+
+
 def forget_suspects(state: DistributionState, *, now: float) -> list[Effect]:
     """Forget suspected requests that have not come for long.
 
--- a/wagtaildale/suspects/board.py
+++ b/wagtaildale/suspects/board.py
@@ -12,7 +12,15 @@
     RequestAnswered,
     RequestRefused,
 )
-from wagtaildale.suspects.records import TRIAL_ENDS, Record, Suspicion
+from wagtaildale.suspects.records import (
+    TRIAL_ENDS,
+    Record,
+    Standing,
+    Suspicion,
+    find_wait,
+    judge,
+)
+from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -22,6 +30,20 @@
 NOTHING_KNOWN = Record()
 
 
+class Judgement(Struct, frozen=True, kw_only=True):
+    """Whether a request may run.
+
+    Attributes:
+        standing: whether it may.
+        ends: servers that ended one after the other under it.
+        wait_seconds: what its caller is told to wait where it may not.
+    """
+
+    standing: Standing
+    ends: int
+    wait_seconds: float
+
+
 class Suspects(Struct, frozen=True):
     """The suspected requests at one moment; never changed.
 
@@ -102,16 +124,28 @@
         self.current = Suspects()
         self._post = post
 
-    def find(self, fingerprint: Fingerprint) -> Record:
-        """Find what is known of a request now.
+    def judge(self, fingerprint: Fingerprint, *, told: int) -> Judgement:
+        """Judge whether a request may run now; note a harmful one.
 
         Args:
             fingerprint: of the request.
+            told: servers that ended under it, as far as came with its call.
 
         Returns:
-            What is held of it.
+            The judgement.
         """
-        return self.current.find(fingerprint)
+        record = self.current.find(fingerprint)
+        now = read_clock()
+        ends = max(told, record.ends)
+        since = now if told > record.ends else record.since
+        standing = judge(ends, since=since, now=now)
+        if standing is Standing.harmful:
+            self._post(RequestRefused(fingerprint))
+        return Judgement(
+            standing=standing,
+            ends=ends,
+            wait_seconds=find_wait(ends, since=since, now=now),
+        )
 
     def count_grave(self) -> int:
         """Count the requests that are run alone, or not at all.
@@ -151,14 +185,6 @@
         if self.current.find(fingerprint).ends:
             self._post(RequestAnswered(fingerprint))
 
-    def note_refused(self, fingerprint: Fingerprint) -> None:
-        """Tell that a harmful request has come again.
-
-        Args:
-            fingerprint: of the request.
-        """
-        self._post(RequestRefused(fingerprint))
-
 
 def _read_ends(record: Record) -> int:
     return record.ends
--- a/wagtaildale/suspects/table.py
+++ b/wagtaildale/suspects/table.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Final
 from zlib import crc32
 
-from msgspec import Struct, field
+from msgspec import Struct, field, structs
 
 from wagtaildale.suspects.board import NOTHING_KNOWN, Suspects, show_suspects
 from wagtaildale.suspects.fingerprints import Fingerprint
@@ -21,6 +21,8 @@
 
 # A server that ends brings as many as it has slots; some hundred bytes each.
 CAPACITY: Final = 2048
+# Between two changes of when a request came last.
+SHOWN_SECONDS: Final = 1.0
 
 
 class SuspectTable(Struct, kw_only=True):
@@ -84,7 +86,7 @@
         self._keep(fingerprint, record)
         return held
 
-    def note_seen(self, fingerprint: Fingerprint, *, now: float) -> None:
+    def note_seen(self, fingerprint: Fingerprint, *, now: float) -> bool:
         """Note that a request has come again and was not run.
 
         Failure guarded here: a request comes for hours, each time refused,
@@ -93,15 +95,16 @@
         Args:
             fingerprint: of the request.
             now: seconds.
+
+        Returns:
+            Whether that is worth showing: once a second.
         """
         held = self.records.get(fingerprint)
-        if held is not None:
-            self.records[fingerprint] = Record(
-                clearings=held.clearings,
-                ends=held.ends,
-                since=held.since,
-                seen_at=now,
-            )
+        if held is None or now - held.seen_at < SHOWN_SECONDS:
+            return False
+        self.records[fingerprint] = structs.replace(held, seen_at=now)
+        self.current = None
+        return True
 
     def forget_old(self, *, now: float) -> bool:
         """Forget what has not come for long.
--- a/wagtaildale/suspects/tests/test_table.py
+++ b/wagtaildale/suspects/tests/test_table.py
@@ -100,7 +100,8 @@
     """A request comes for hours and ends servers anew every hour."""
     made = SuspectTable()
     made.merge(build_suspicion(ends=3), now=0)
-    made.note_seen(FINGERPRINT, now=HARMFUL_SECONDS)
+    assert made.note_seen(FINGERPRINT, now=HARMFUL_SECONDS)
+    assert not made.note_seen(FINGERPRINT, now=HARMFUL_SECONDS + 0.5)
     assert not made.forget_old(now=HARMFUL_SECONDS + 1)
     told = made.describe([FINGERPRINT], now=HARMFUL_SECONDS + 1)
     assert told[0].age_s == 1
