Properties: servers that end under a request, a platform that comes back

The state machine of distribution lets servers end, requests be answered and the platform return from an older copy, among cuts, losses, restarts and pauses; in the end all nodes hold the same against the request.

--- a/properties/test_distribution.py
+++ b/properties/test_distribution.py
@@ -16,18 +16,31 @@
 
 from wagtaildale.configuration.whole import check_parts
 from wagtaildale.distribution.messages import Leave
+from wagtaildale.document.eras import Era, find_revision, make_version
 from wagtaildale.document.model import make_document
-from wagtaildale.testing.builders import build_configuration, build_part
+from wagtaildale.suspects.board import NOTHING_KNOWN
+from wagtaildale.suspects.fingerprints import Fingerprint
+from wagtaildale.suspects.messages import EndsNoted, RequestAnswered
+from wagtaildale.suspects.records import Suspicion
+from wagtaildale.testing.builders import (
+    build_configuration,
+    build_instances,
+    build_part,
+)
 from wagtaildale.testing.network import FakeNetwork
 from wagtaildale.types import Kind, Version
 
 if TYPE_CHECKING:
+    from wagtaildale.suspects.table import SuspectTable
     from wagtaildale.types import InstanceId
 
 NAMES = ('a', 'b', 'c', 'd', 'e', 'f')
 SERVICES = ('casefiles', 'intake', 'reports')
 PAUSE_SECONDS = 30.0
 FIRST = Version(1)
+DEADLY = Fingerprint(b'deadly request')
+# Digests go from node to node once a second.
+ROUNDS_TO_AGREE = 10
 
 
 class DistributionMachine(RuleBasedStateMachine):
@@ -37,6 +50,7 @@
         super().__init__()
         self.network = FakeNetwork(NAMES[:3], data_centres=('derby',))
         self.version = 0
+        self.era = 0
         self.good = set[int]()
 
     @initialize(
@@ -80,6 +94,31 @@
         older = max(FIRST, self.version - 1)
         self._show(older, build_part('casefiles', within_ms=100 + older))
 
+    @rule(revision=st.integers(1, 9), listed=st.integers(1, len(NAMES)))
+    def come_back(self, revision: int, listed: int) -> None:
+        """Let the platform come back from an older copy."""
+        self.era += 1
+        self._list(revision, listed)
+
+    @rule(listed=st.integers(1, len(NAMES)))
+    def change_list(self, listed: int) -> None:
+        self._list(find_revision(self._find_listed()) + 1, listed)
+
+    @rule(choice=st.integers(0, 5))
+    def end_server(self, choice: int) -> None:
+        """Let a server end under the one request that does that."""
+        name = self._pick(choice)
+        known = self._find_suspects(name).records.get(DEADLY, NOTHING_KNOWN)
+        suspicion = Suspicion(DEADLY, known.clearings, known.ends + 1)
+        self.network.tell(name, EndsNoted((suspicion,)))
+
+    @rule(choice=st.integers(0, 5))
+    def answer(self, choice: int) -> None:
+        """Let a server answer the request after all."""
+        name = self._pick(choice)
+        if self._find_suspects(name).show().find(DEADLY).ends:
+            self.network.tell(name, RequestAnswered(DEADLY))
+
     @rule(down=st.booleans())
     def toggle_source(self, down: bool) -> None:
         self.network.source.down = down
@@ -151,9 +190,31 @@
         self.network.source.down = False
         for instance in self.network.nodes:
             self.network.wake(instance, late_by=PAUSE_SECONDS)
+        self._list(find_revision(self._find_listed()) + 1, len(NAMES))
         self.publish(services=2, within_ms=150)
         self.network.settle(rounds=90)
         assert self.network.is_converged()
+        rounds_left = ROUNDS_TO_AGREE
+        while rounds_left:
+            self.network.pass_round()
+            rounds_left -= 1
+        # What is held against the request, where it is grave.
+        sums = {
+            self._find_suspects(name).sum_up() for name in self.network.nodes
+        }
+        assert len(sums) == 1
+
+    def _find_suspects(self, name: InstanceId) -> SuspectTable:
+        state = self.network.nodes[name].state
+        return state.suspects
+
+    def _find_listed(self) -> Version:
+        return self.network.source.shown[Kind.instances].version
+
+    def _list(self, revision: int, listed: int) -> None:
+        version = make_version(Era(self.era), revision=revision)
+        records = self.network.records[:listed]
+        self.network.source.show(build_instances(*records, version=version))
 
     def _show(self, version: int, part: bytes) -> None:
         document = make_document(
