--- a/properties/test_distribution.py
+++ b/properties/test_distribution.py
@@ -214,11 +214,12 @@
         assert len(sums) == 1
 
     def _find_suspects(self, name: InstanceId) -> SuspectTable:
-        nodes = self.network.nodes
-        return nodes[name].state.suspects
+        state = self.network.nodes[name].state
+        return state.suspects
 
     def _find_listed(self) -> Version:
-        return self.network.source.shown[Kind.instances].version
+        source = self.network.source
+        return source.shown[Kind.instances].version
 
     def _list(self, revision: int, listed: int) -> None:
         version = make_version(Era(self.era), revision=revision)
