--- a/wagtaildale/calls/trials.py
+++ b/wagtaildale/calls/trials.py
@@ -20,7 +20,7 @@
     from wagtaildale.suspects.fingerprints import Fingerprint
     from wagtaildale.telemetry.events import EventRecorder
 
-# Most requests have been answered by then.
+# Until the place of a trial is free again: most runs are over by then.
 TRIAL_RETRY_SECONDS: Final = 0.2
 
 
--- a/wagtaildale/routing/trials.py
+++ b/wagtaildale/routing/trials.py
@@ -37,7 +37,7 @@
         ends: servers that ended under it, one after the other.
 
     Returns:
-        Some upstreams; one alone for the last trial.
+        Some upstreams; one alone for a request that is held harmful.
     """
     records = {
         record.instance: record
--- a/wagtaildale/suspects/records.py
+++ b/wagtaildale/suspects/records.py
@@ -11,20 +11,20 @@
 
 from wagtaildale.suspects.fingerprints import Fingerprint
 
-# Servers that ended one after the other under a request, each run of it begun
-# when the end before was known here. From so many on it is run alone.
+# Ends are servers that ended one after the other under a request: each run of
+# it began when the end before was known where it ran.
+# From so many ends on a request is run alone.
 TRIAL_ENDS: Final = 2
-# From so many on it is not run, but for the trials below.
+# From so many ends on it is not run, but for one trial after each rest.
 HARMFUL_ENDS: Final = 3
-# How long it rests before it is tried once more, by the ends from the third
-# on; after those it is not run until it is forgotten. Servers that ended one
-# after the other for another cause do not keep an innocent request out.
+# The rests, by ends; after the last one it is not run until it is forgotten.
+# An innocent request gets in again by the first trial or the second.
 RESTS_SECONDS: Final = MappingProxyType({3: 1.0, 4: 60.0})
 # What a caller is told to wait where no trial is to come.
 LONGEST_REST_SECONDS: Final = 60.0
-# A request may have been beside the one that ended a server only.
+# How long a request is remembered after it came last: with one end most only
+# ran beside another one; with more it may be back after a pause.
 SUSPECT_SECONDS: Final = 300.0
-# After a request that ends servers came last.
 HARMFUL_SECONDS: Final = 3600.0
 
 
