Suspicions and tests: who is told first, and how a test talks, stand once

Ends and clearings each gathered neighbours and roots; three builders of tests sent a request and read to the end, each for itself. No change of behaviour.

--- a/wagtaildale/calls/tests/mortal.py
+++ b/wagtaildale/calls/tests/mortal.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.tests.listeners import Listener
-from wagtaildale.calls.tests.pairs import PATIENCE, wait_until
+from wagtaildale.calls.tests.pairs import PATIENCE, talk, wait_until
 from wagtaildale.platform.dialect import PLATFORM_DIALECT
 from wagtaildale.testing.builders import MESH_TEXT, build_record
 from wagtaildale.testing.closing import Closing
@@ -155,13 +155,7 @@
             f'x-request-id: r{next(self._ids)}\r\nx-deadline-ms: 1000\r\n'
             f'content-length: 0\r\nconnection: close\r\n\r\n'
         )
-        address = self.entries[entry].entry
-        with socket.create_connection(address, PATIENCE) as sock:
-            sock.sendall(request.encode())
-            answer = b''
-            while piece := sock.recv(65536):
-                answer += piece
-        return answer
+        return talk(self.entries[entry].entry, request.encode())
 
     def count_arrivals(self, path: str) -> int:
         """Count how often a request has reached a server."""
--- a/wagtaildale/calls/tests/pairs.py
+++ b/wagtaildale/calls/tests/pairs.py
@@ -77,12 +77,17 @@
         return frames[0]
 
     def talk(self, request: bytes) -> bytes:
-        with socket.create_connection(self.near.entry, PATIENCE) as sock:
-            sock.sendall(request)
-            answer = b''
-            while piece := sock.recv(65536):
-                answer += piece
-        return answer
+        return talk(self.near.entry, request)
+
+
+def talk(address: tuple[str, int], request: bytes) -> bytes:
+    """Send a request and give all that comes until the connection ends."""
+    with socket.create_connection(address, PATIENCE) as sock:
+        sock.sendall(request)
+        answer = b''
+        while piece := sock.recv(65536):
+            answer += piece
+    return answer
 
 
 def build_run(
--- a/wagtaildale/calls/tests/replaced.py
+++ b/wagtaildale/calls/tests/replaced.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.tests.listeners import Listener
-from wagtaildale.calls.tests.pairs import PATIENCE
+from wagtaildale.calls.tests.pairs import talk
 from wagtaildale.platform.dialect import PLATFORM_DIALECT
 from wagtaildale.testing.builders import MESH_TEXT, build_record
 from wagtaildale.testing.closing import Closing
@@ -99,12 +99,7 @@
             f'x-request-id: {request_id}\r\nx-deadline-ms: 1000\r\n'
             f'content-length: 0\r\nconnection: close\r\n\r\n'
         )
-        with socket.create_connection(self.entry.entry, PATIENCE) as sock:
-            sock.sendall(request.encode())
-            answer = b''
-            while piece := sock.recv(65536):
-                answer += piece
-        return answer
+        return talk(self.entry.entry, request.encode())
 
     def count_repeats(self) -> int:
         """Count arrivals at backend servers beyond each request's first."""
--- a/wagtaildale/distribution/suspicions.py
+++ b/wagtaildale/distribution/suspicions.py
@@ -42,9 +42,7 @@
     Returns:
         What to send, and what calls go by from now on.
     """
-    topology = find_topology(state.members)
-    peers = (*topology.neighbours, *topology.roots)
-    return _take(state, suspicions, peers=peers, now=now)
+    return _take(state, suspicions, peers=_list_first_told(state), now=now)
 
 
 def take_told(
@@ -124,11 +122,9 @@
     cleared = state.suspects.describe((fingerprint,), now=now)
     if before.ends < TRIAL_ENDS:
         return [SuspectsChanged(suspects=state.suspects.show())]
-    topology = find_topology(state.members)
-    peers = (*topology.neighbours, *topology.roots)
     return [
         SuspectsChanged(suspects=state.suspects.show(), learned=cleared),
-        *_tell(state, (fingerprint,), peers, now=now),
+        *_tell(state, (fingerprint,), _list_first_told(state), now=now),
     ]
 
 
@@ -168,6 +164,11 @@
     return [SuspectsChanged(suspects=state.suspects.show())]
 
 
+def _list_first_told(state: DistributionState) -> tuple[InstanceId, ...]:
+    topology = find_topology(state.members)
+    return (*topology.neighbours, *topology.roots)
+
+
 def _take(
     state: DistributionState,
     suspicions: Iterable[Suspicion],
