Owner: what a backend server says of itself shows in the log and the metrics

The logs could not tell apart why a server that names a limit gets more: no line said that it names one.

Nothing is decided by it yet.

--- a/wagtaildale/calls/backend_run.py
+++ b/wagtaildale/calls/backend_run.py
@@ -16,6 +16,7 @@
 from wagtaildale.calls.heads import pass_on
 from wagtaildale.calls.keyed import KeyedRun
 from wagtaildale.calls.server_ends import CutRun
+from wagtaildale.calls.server_words import read_word
 from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariant
 from wagtaildale.types import Outcome
@@ -164,6 +165,10 @@
             message: the response.
         """
         self._response = BackendResponse(message)
+        if message.status != MISDIRECTED_STATUS:
+            owner = self._owner
+            word = read_word(message, owner.dialect)
+            owner.server.words.take(word, instance=self._target)
 
     def on_body(self) -> None:
         """Take what has come of the response."""
--- a/wagtaildale/calls/dialect.py
+++ b/wagtaildale/calls/dialect.py
@@ -27,6 +27,10 @@
             request; nothing if none says so.
         load: a backend server's running, waiting and slots in a response;
             nothing if none tells.
+        rate_limit: in a response, how many requests a second a backend
+            server takes from all nodes together; nothing if none names it.
+        leaving: set in a response by a backend server that will end;
+            nothing if none says so.
         takes_request_id: whether callers name their requests themselves.
         echoes_request_id: whether a response names its request.
         describes_calls: whether callers are told how a call went.
@@ -44,6 +48,8 @@
     caller_service: bytes | None = None
     not_run: bytes | None = None
     load: bytes | None = None
+    rate_limit: bytes | None = b'wagtaildale-rate-limit'
+    leaving: bytes | None = b'wagtaildale-leaving'
     takes_request_id: bool = False
     echoes_request_id: bool = False
     describes_calls: bool = True
--- a/wagtaildale/calls/server_targets.py
+++ b/wagtaildale/calls/server_targets.py
@@ -6,6 +6,7 @@
 
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.server_identity import ServerIdentity
+from wagtaildale.calls.server_words import ServerWords
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
@@ -26,6 +27,7 @@
     Attributes:
         denial_listeners: are told when the backend server is not the one
             that a request names.
+        words: what the backend server says of itself.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
             recorder: gets an event when the server is another instance.
         """
         self.denial_listeners: list[Callable[[], None]] = []
+        self.words = ServerWords(recorder=recorder)
         self._service = service
         self._identity = ServerIdentity()
         self._find_record = find_record
--- /dev/null
+++ b/wagtaildale/calls/tests/test_server_words.py
@@ -0,0 +1,85 @@
+"""Tests of what backend servers say of themselves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import pytest
+
+from wagtaildale.calls.parsing import MessageParser
+from wagtaildale.calls.server_words import ServerWord, ServerWords, read_word
+from wagtaildale.errors.codes import Code
+from wagtaildale.platform.dialect import PLATFORM_DIALECT
+from wagtaildale.telemetry.events import EventKind
+from wagtaildale.testing.builders import build_recorder
+from wagtaildale.types import InstanceId
+
+if TYPE_CHECKING:
+    from wagtaildale.calls.parsing import Message
+
+SERVER: Final = InstanceId('i-1')
+
+
+def build_response(extra: bytes) -> Message:
+    parser = MessageParser(of_requests=False, head_bytes=4096)
+    parser.feed(b'HTTP/1.1 200 OK\r\n%bcontent-length: 0\r\n\r\n' % extra)
+    message = parser.peek()
+    assert message is not None
+    return message
+
+
+def read(extra: bytes) -> ServerWord:
+    return read_word(build_response(extra), PLATFORM_DIALECT)
+
+
+@pytest.mark.parametrize(
+    ('extra', 'expected'),
+    [
+        (b'', ServerWord()),
+        (b'Server-Limit: 19.1\r\n', ServerWord(per_second=19.1)),
+        (b'Server-Limit: 5\r\n', ServerWord(per_second=5)),
+        (b'Server-Limit: 0\r\n', ServerWord(per_second=0)),
+        (b'Server-Leaving: 1\r\n', ServerWord(is_leaving=True)),
+        (
+            b'Server-Limit: 2.3\r\nServer-Leaving: 1\r\n',
+            ServerWord(per_second=2.3, is_leaving=True),
+        ),
+    ],
+)
+def test_word_is_read(extra: bytes, expected: ServerWord) -> None:
+    assert read(extra) == expected
+
+
+@pytest.mark.parametrize(
+    'text',
+    [b'-1', b'nan', b'inf', b'1e9', b'1,5', b'', b'9' * 400, b'0x10', b'1 2'],
+)
+def test_limit_that_is_no_number_is_refused(text: bytes) -> None:
+    """A server names nonsense, and its owner sends nothing, or everything."""
+    assert read(b'Server-Limit: %b\r\n' % text) == ServerWord(unreadable=text)
+
+
+def test_changes_are_in_the_log() -> None:
+    """Operators cannot see that a server names a limit."""
+    recorder = build_recorder()
+    words = ServerWords(recorder=recorder)
+    said = (
+        ServerWord(per_second=2.5),
+        ServerWord(per_second=2.5),
+        ServerWord(unreadable=b'x'),
+        ServerWord(per_second=3),
+        ServerWord(),
+        ServerWord(is_leaving=True),
+    )
+    for word in said:
+        words.take(word, instance=SERVER)
+    events = recorder.read_since(0)
+    assert [event.kind for event in events] == [
+        EventKind.server_limited,
+        EventKind.server_word_refused,
+        EventKind.server_limited,
+        EventKind.server_unlimited,
+        EventKind.server_leaving,
+    ]
+    assert events[0].inputs == {'per_second': '2.5'}
+    assert events[1].code == Code.server_word_malformed
--- a/wagtaildale/errors/codes.py
+++ b/wagtaildale/errors/codes.py
@@ -68,6 +68,7 @@
     backend_ended = 4024
     request_on_trial = 4025
     request_harmful = 4026
+    server_word_malformed = 4027
 
     address_in_use = 5001
     drain_bound_passed = 5002
@@ -133,6 +134,7 @@
         Code.backend_ended: 'the backend server ended while it ran it',
         Code.request_on_trial: 'servers ended under it: it is run alone',
         Code.request_harmful: 'servers ended under it: it is not run for now',
+        Code.server_word_malformed: 'a backend server says what cannot be read',
         Code.address_in_use: 'a listening address cannot be bound',
         Code.drain_bound_passed: 'work in flight outlived the drain bound',
         Code.invariant_broken: 'an invariant does not hold: a defect',
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from wagtaildale.document.eras import find_era
 from wagtaildale.telemetry.metrics import Metrics
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from wagtaildale.node import Node
 
+NO_LIMIT: Final = -1
+
 
 def make_metrics(node: Node) -> Metrics:
     """Make the instruments of a node.
@@ -73,6 +75,12 @@
         unit='{request}',
         description='Requests that may run at the backend server.',
     )
+    metrics.add_gauge(
+        'wagtaildale.backend.rate_limit',
+        lambda: _read_rate_limit(node),
+        unit='{request}/s',
+        description='Rate that the backend server names; -1 if none.',
+    )
     metrics.add_gauge(
         'wagtaildale.backend.ends',
         lambda: node.calls.owner.trials.ends.count,
@@ -87,6 +95,11 @@
     )
 
 
+def _read_rate_limit(node: Node) -> float:
+    named = node.calls.owner.server.words.last.per_second
+    return NO_LIMIT if named is None else named
+
+
 def _read_version(node: Node, kind: Kind) -> float:
     stores = node.distribution.state.stores
     return stores[kind].held.version
