Tests that fail: a server that names a limit gets as many requests as before

Callers see nothing of it; the server, in need, gets several times what it has named.

All requests in these tests are first attempts (no second attempt, no retry, no health check is sent), so the hypothesis that something goes past a limit that is kept is ruled out, and so is that each machine keeps to it alone: one entry alone sends more. Left is the first: nobody goes by the field.

Entries and owners in one process are now made in a module of their own, which the tests of servers that end share.

--- /dev/null
+++ b/wagtaildale/calls/tests/fleets.py
@@ -0,0 +1,81 @@
+"""Entries and owners in one process, before servers that a test scripts."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import TYPE_CHECKING
+
+from wagtaildale.calls.tests.pairs import talk
+from wagtaildale.platform.dialect import PLATFORM_DIALECT
+from wagtaildale.testing.builders import MESH_TEXT, build_record
+from wagtaildale.testing.closing import Closing
+from wagtaildale.testing.mesh import MeshNode
+from wagtaildale.testing.suspects import SharedSuspects
+
+if TYPE_CHECKING:
+    from wagtaildale.membership.records import InstanceRecord
+
+
+class ScriptedFleet(Closing):
+    """Entries without an upstream, and owners beside servers.
+
+    Attributes:
+        records: of the servers.
+        entries: nodes that callers ask.
+        owners: nodes beside the servers.
+        suspects: what all of them know.
+    """
+
+    def __init__(self, upstreams: int, *, entries: int) -> None:
+        self.records = [
+            build_record(f'i-{number}', host=f'127.0.9.{50 + number}')
+            for number in range(upstreams)
+        ]
+        self._ids = count()
+        self.suspects = SharedSuspects()
+        self.owners = [self._make_node(record) for record in self.records]
+        self.entries = [
+            self._make_node(
+                build_record(f'e{number}', host=f'127.0.9.{80 + number}')
+            )
+            for number in range(entries)
+        ]
+        self.show(*self.records)
+
+    @property
+    def nodes(self) -> list[MeshNode]:
+        """All nodes, the entries first."""
+        return [*self.entries, *self.owners]
+
+    def show(self, *records: InstanceRecord) -> None:
+        """Let every node know these servers."""
+        for node in self.nodes:
+            node.show(*records)
+
+    def ask(self, path: str, *, entry: int = 0, method: str = 'GET') -> bytes:
+        """Send a request to an entry and give the whole answer."""
+        request = (
+            f'{method} {path} HTTP/1.1\r\nhost: m\r\n'
+            f'x-request-id: r{next(self._ids)}\r\nx-deadline-ms: 1000\r\n'
+            f'content-length: 0\r\nconnection: close\r\n\r\n'
+        )
+        return talk(self.entries[entry].entry, request.encode())
+
+    def restart_owner(self, number: int) -> None:
+        """Start an owner's process anew; its server runs on."""
+        record = self.records[number]
+        self.owners[number].close()
+        self.owners[number] = self._make_node(record)
+        self.owners[number].show(*self.records)
+
+    def close(self) -> None:
+        for node in self.nodes:
+            node.close()
+
+    def _make_node(self, record: InstanceRecord) -> MeshNode:
+        return MeshNode(
+            record,
+            mesh_text=MESH_TEXT,
+            dialect=PLATFORM_DIALECT,
+            suspects=self.suspects,
+        )
--- a/wagtaildale/calls/tests/mortal.py
+++ b/wagtaildale/calls/tests/mortal.py
@@ -6,22 +6,16 @@
 import socket
 import threading
 from concurrent.futures import ThreadPoolExecutor
-from itertools import count
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.tests.listeners import Listener
-from wagtaildale.calls.tests.pairs import PATIENCE, talk, wait_until
-from wagtaildale.platform.dialect import PLATFORM_DIALECT
-from wagtaildale.testing.builders import MESH_TEXT, build_record
-from wagtaildale.testing.closing import Closing
-from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
-from wagtaildale.testing.suspects import SharedSuspects
+from wagtaildale.calls.tests.fleets import ScriptedFleet
+from wagtaildale.calls.tests.pairs import PATIENCE, wait_until
+from wagtaildale.testing.mesh import BACKEND_PORT
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wagtaildale.membership.records import InstanceRecord
-
 NAMED: Final = re.compile(rb'x-request-id: (\S+)', re.IGNORECASE)
 DEADLY: Final = '/files/deadly'
 HARMLESS: Final = '/files/1'
@@ -78,40 +72,15 @@
             super().close()
 
 
-class MortalFleet(Closing):
-    """Entries without an upstream, and owners whose servers may end.
-
-    Attributes:
-        entries: nodes that callers ask.
-        owners: nodes beside the servers.
-        suspects: what all of them know.
-    """
+class MortalFleet(ScriptedFleet):
+    """A fleet whose servers may end."""
 
     def __init__(self, upstreams: int, *, entries: int) -> None:
-        self.records = [
-            build_record(f'i-{number}', host=f'127.0.9.{50 + number}')
-            for number in range(upstreams)
-        ]
+        super().__init__(upstreams, entries=entries)
         self._deadly: frozenset[str] = frozenset((DEADLY,))
         self._before: list[str] = []
         self._ends = 0
-        self._ids = count()
-        self.suspects = SharedSuspects()
         self.backends = [self._start(record.host) for record in self.records]
-        self.owners = [self._make_node(record) for record in self.records]
-        self.entries = [
-            self._make_node(
-                build_record(f'e{number}', host=f'127.0.9.{80 + number}')
-            )
-            for number in range(entries)
-        ]
-        for node in self.nodes:
-            node.show(*self.records)
-
-    @property
-    def nodes(self) -> list[MeshNode]:
-        """All nodes, the entries first."""
-        return [*self.entries, *self.owners]
 
     @property
     def ends(self) -> int:
@@ -148,33 +117,15 @@
                 backend.end()
             return [each.result() for each in asked]
 
-    def ask(self, path: str, *, entry: int = 0, method: str = 'GET') -> bytes:
-        """Send a request to an entry and give the whole answer."""
-        request = (
-            f'{method} {path} HTTP/1.1\r\nhost: m\r\n'
-            f'x-request-id: r{next(self._ids)}\r\nx-deadline-ms: 1000\r\n'
-            f'content-length: 0\r\nconnection: close\r\n\r\n'
-        )
-        return talk(self.entries[entry].entry, request.encode())
-
     def count_arrivals(self, path: str) -> int:
         """Count how often a request has reached a server."""
         now = [name for each in self.backends for name in each.arrivals]
         return (*self._before, *now).count(path)
 
     def close(self) -> None:
-        for node in self.nodes:
-            node.close()
+        super().close()
         for backend in self.backends:
             backend.close()
 
     def _start(self, host: str) -> MortalBackend:
         return MortalBackend(host, deadly=self._deadly)
-
-    def _make_node(self, record: InstanceRecord) -> MeshNode:
-        return MeshNode(
-            record,
-            mesh_text=MESH_TEXT,
-            dialect=PLATFORM_DIALECT,
-            suspects=self.suspects,
-        )
--- /dev/null
+++ b/wagtaildale/calls/tests/test_limited.py
@@ -0,0 +1,82 @@
+"""Tests of servers that take only so many requests a second."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Final
+
+import pytest
+
+from wagtaildale.calls.tests.limited import NamingFleet
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from wagtaildale.calls.tests.limited import NamingBackend
+
+ENTRIES: Final = 3
+UPSTREAMS: Final = 3
+VISITS: Final = 60
+PATH: Final = '/files/1'
+LIMIT: Final = 1.0
+# What users bear beyond the limit, whatever its size.
+ALLOWED_SHARE: Final = 1.5
+ALLOWED_MORE: Final = 5
+
+
+@pytest.fixture
+def fleet() -> Iterator[NamingFleet]:
+    with NamingFleet(UPSTREAMS, entries=ENTRIES) as made:
+        yield made
+
+
+def visit(fleet: NamingFleet, times: int = VISITS) -> list[bytes]:
+    return [fleet.ask(PATH, entry=time % ENTRIES) for time in range(times)]
+
+
+def assert_kept(backend: NamingBackend, *, since: float) -> None:
+    late = [at for at in backend.arrivals if at > since]
+    seconds = time.monotonic() - since
+    assert len(late) <= ALLOWED_SHARE * LIMIT * seconds + ALLOWED_MORE
+
+
+def test_server_gets_no_more_than_the_rate_that_it_names(
+    fleet: NamingFleet,
+) -> None:
+    """A server in need names a limit, and gets as many as before."""
+    limited = fleet.backends[0]
+    limited.name_limit(LIMIT)
+    visit(fleet, ENTRIES * UPSTREAMS)
+    since = time.monotonic()
+    answers = visit(fleet)
+    assert_kept(limited, since=since)
+    assert all(answer.startswith(b'HTTP/1.1 200') for answer in answers)
+
+
+def test_rate_is_kept_after_a_restart_of_the_owner(fleet: NamingFleet) -> None:
+    """An owner that has just started lets everything through to a server."""
+    limited = fleet.backends[0]
+    limited.name_limit(LIMIT)
+    visit(fleet, ENTRIES * UPSTREAMS)
+    fleet.restart_owner(0)
+    since = time.monotonic()
+    visit(fleet)
+    assert_kept(limited, since=since)
+
+
+def test_callers_of_a_limited_service_are_refused_at_once(
+    fleet: NamingFleet,
+) -> None:
+    """Every server of a service names a limit."""
+    for backend in fleet.backends:
+        backend.name_limit(LIMIT)
+    visit(fleet, ENTRIES * UPSTREAMS)
+    since = time.monotonic()
+    answers = visit(fleet)
+    for limited in fleet.backends:
+        assert_kept(limited, since=since)
+    refused = [each for each in answers if not each.startswith(b'HTTP/1.1 200')]
+    assert refused
+    for answer in refused:
+        assert answer.startswith(b'HTTP/1.1 503')
+        assert b'retry-after: ' in answer
