Owner: a server gets no more requests than the rate that it names

What callers saw: nothing; the server in need got three times what it had named (257 requests in 4 s, 120 allowed). Cause: nobody read the field. The owner bounds how many requests run at once, and a quick server gets many times its rate with few running.

A token bucket now stands beside the slots, in the gate that every request to the server passes, whoever sends it and why: first attempts, retries, second attempts, trials, calls of calls and runs on a reservation take a token when they are admitted; a health check of the node's own takes one unasked. Tokens grow at the named rate and are kept for half a second, two at least, so that in any 4 s there are at most 4.5 times the rate, or 4 times and two more; one is kept for more important requests that came of late. Rates under one request in two seconds count as that, or the end of a limit would never be heard.

An answer to a request that was sent before the one that named the limit may lower it and not end it. Word belongs to one start of a server: its end, or another instance's answer, ends the limit. Entries bring what they know along with a call (CallFields.rate_milli), and an owner that has not heard its server yet goes by that; its own answers say whether it has (AnswerFields.rate_milli).

What the rate leaves no time for is refused at once, unrun, with code 4028 and a Retry-After that fits the rate, also from the queue when a limit is named or falls. The queue's decisions stand in modules of their own.

The three tests of servers that name a limit failed before (21 requests in 0.13 s at a server that named 1 a second) and pass; the rate is tested on a clock of its own at limits from 0 to 60 and loads from 5 to 600 a second, with limits that fall, rise and end.

--- a/wagtaildale/admission/gate.py
+++ b/wagtaildale/admission/gate.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from msgspec import structs
 
@@ -20,7 +20,6 @@
     GaveUp,
     LeaseGiven,
     RunCame,
-    SlotsTold,
     TicketId,
     TimePassed,
 )
@@ -31,9 +30,13 @@
 
     from wagtaildale.admission.limits import Ending
     from wagtaildale.admission.messages import GateMessage, Verdict
+    from wagtaildale.admission.server_messages import ServerMessage
     from wagtaildale.admission.state import AdmissionState
     from wagtaildale.timers.alarms import Alarm, Alarms
 
+# So that an alarm rings when the token that it is set for is there.
+MOMENT_SECONDS: Final = 0.0005
+
 
 class Gate:
     """Admits, queues and refuses requests for one backend server.
@@ -139,14 +142,13 @@
             ),
         )
 
-    def note_slots(self, slots: int) -> None:
-        """Take the published number of slots.
+    def note_server(self, message: ServerMessage) -> None:
+        """Take what is known of the backend server.
 
         Args:
-            slots: that the backend server has; 0 if it does not tell.
+            message: of its slots, its rate or its start.
         """
-        if slots and (slots != self.state.slots or self.state.adaptive):
-            self._tell(SlotsTold(slots=slots))
+        self._tell(message)
 
     def drain(self) -> None:
         """Admit nothing more; what waits is refused."""
@@ -154,8 +156,10 @@
 
     def _look_again(self) -> None:
         # One alarm for the whole queue, at the first time that a request in
-        # it is held for too long.
-        first = min(waiting.latest for waiting in self.state.queue)
+        # it is held for too long, or may have its token.
+        token_at = self.state.find_token_at(read_clock())
+        latest = min(waiting.latest for waiting in self.state.queue)
+        first = min(latest, token_at + MOMENT_SECONDS)
         alarm = self._alarm
         if alarm is not None and alarm.is_set and alarm.at <= first:
             return
@@ -181,4 +185,6 @@
                 on_verdict(verdict)
             elif verdict.ticket == own:
                 mine = verdict
+        if self.state.queue and self.state.rate.is_named:
+            self._look_again()
         return mine
--- a/wagtaildale/admission/messages.py
+++ b/wagtaildale/admission/messages.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from wagtaildale.admission.limits import Ending
+from wagtaildale.admission.server_messages import ServerMessage
 from wagtaildale.errors.codes import Code
 
 TicketId = NewType('TicketId', int)
@@ -52,16 +53,6 @@
     work_class: str = ''
 
 
-class SlotsTold(Struct, frozen=True, kw_only=True, gc=False):
-    """The backend server has published how many requests it runs at once.
-
-    Attributes:
-        slots: the number; it then bounds what runs, and nothing is guessed.
-    """
-
-    slots: int
-
-
 class LeaseGiven(Struct, frozen=True, kw_only=True, gc=False):
     """A request that was admitted has yet to send its run message.
 
@@ -123,5 +114,5 @@
     | TimePassed
     | GaveUp
     | DrainBegun
-    | SlotsTold
+    | ServerMessage
 )
--- /dev/null
+++ b/wagtaildale/admission/refusals.py
@@ -0,0 +1,78 @@
+"""Why a request does not run, and when to ask again."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtaildale.admission.messages import Refused
+from wagtaildale.errors.codes import Code
+
+if TYPE_CHECKING:
+    from wagtaildale.admission.state import AdmissionState, Waiting
+
+
+def refuse_late(
+    state: AdmissionState,
+    waiting: Waiting,
+    now: float,
+) -> Refused:
+    """Refuse a request that was held for too long.
+
+    Args:
+        state: the gate.
+        waiting: the request.
+        now: seconds.
+
+    Returns:
+        The refusal.
+    """
+    if state.rate.has_token(waiting.rank, now=now):
+        return refuse(state, waiting, Code.past_deadline, now)
+    return refuse(state, waiting, Code.rate_limited, now)
+
+
+def shed(state: AdmissionState, waiting: Waiting, now: float) -> Refused:
+    """Refuse a request that there is no room for.
+
+    Args:
+        state: the gate.
+        waiting: the request.
+        now: seconds.
+
+    Returns:
+        The refusal; its code says whether slots or a rate are short.
+    """
+    ahead = len(state.queue)
+    slot_wait = state.estimate_slot_wait(ahead)
+    if state.rate.find_wait(waiting.rank, ahead=ahead, now=now) > slot_wait:
+        return refuse(state, waiting, Code.rate_limited, now)
+    return Refused(
+        ticket=waiting.ticket,
+        code=Code.overloaded,
+        retry_after=slot_wait + state.service_seconds,
+    )
+
+
+def refuse(
+    state: AdmissionState,
+    waiting: Waiting,
+    code: Code,
+    now: float,
+) -> Refused:
+    """Refuse a request that waits.
+
+    Args:
+        state: the gate.
+        waiting: the request.
+        code: why.
+        now: seconds.
+
+    Returns:
+        The refusal.
+    """
+    ahead = len(state.queue)
+    return Refused(
+        ticket=waiting.ticket,
+        code=code,
+        retry_after=state.estimate_wait(ahead, rank=waiting.rank, now=now),
+    )
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Final
 
 from msgspec import Struct, field
 
 from wagtaildale.admission.condition import Condition
 from wagtaildale.admission.messages import TicketId
+from wagtaildale.admission.rates import RateLimit
 from wagtaildale.admission.usual import UsualTime
 
 FIRST_SECONDS: Final = 0.005
@@ -68,6 +70,7 @@
         class_seconds: smoothed time by class.
         class_usual: what entries are told of that.
         condition: whether the backend server is slower than usual.
+        rate: that the backend server takes, if it names one.
         adaptive: whether the limit follows what is observed.
         shrunk_at: when the limit was lowered last, seconds.
         draining: whether nothing new is admitted.
@@ -84,6 +87,7 @@
     class_seconds: dict[str, float] = field(default_factory=dict)
     class_usual: dict[str, UsualTime] = field(default_factory=dict)
     condition: Condition = field(default_factory=Condition)
+    rate: RateLimit = field(default_factory=RateLimit)
     adaptive: bool = True
     shrunk_at: float = 0
     draining: bool = False
@@ -115,8 +119,10 @@
             now: seconds.
 
         Returns:
-            Whether there is a slot for it.
+            Whether there is a slot for it, and a token of the named rate.
         """
+        if not self.rate.has_token(waiting.rank, now=now):
+            return False
         is_urgent = waiting.due - now < URGENT_TIMES * waiting.seconds
         if is_urgent or waiting.seconds < self.service_seconds:
             return self.room > 0
@@ -149,6 +155,23 @@
         """
         return self.class_usual.get(work_class) or UsualTime()
 
+    def find_token_at(self, now: float) -> float:
+        """Find when the first request in the queue has its token.
+
+        Args:
+            now: seconds.
+
+        Returns:
+            Seconds; infinite where none waits for a token.
+        """
+        if not self.rate.is_named:
+            return inf
+        waits = (
+            self.rate.find_wait(waiting.rank, ahead=0, now=now)
+            for waiting in self.queue
+        )
+        return now + min((wait for wait in waits if wait > 0), default=inf)
+
     def note_target(self, within: float) -> None:
         """Guess from a request's target how long requests take here.
 
@@ -163,7 +186,21 @@
         known = self.guessed_seconds or guess
         self.guessed_seconds = known + (guess - known) * GUESS_GAIN
 
-    def estimate_wait(self, ahead: int) -> float:
+    def estimate_wait(self, ahead: int, *, rank: int, now: float) -> float:
+        """Estimate how long a request waits for a slot and a token.
+
+        Args:
+            ahead: requests that go before it.
+            rank: of its class; 0 goes first.
+            now: seconds.
+
+        Returns:
+            Seconds.
+        """
+        for_token = self.rate.find_wait(rank, ahead=ahead, now=now)
+        return max(for_token, self.estimate_slot_wait(ahead))
+
+    def estimate_slot_wait(self, ahead: int) -> float:
         """Estimate how long a request waits for a slot.
 
         Args:
--- /dev/null
+++ b/wagtaildale/admission/tests/gates.py
@@ -0,0 +1,115 @@
+"""A gate under a steady load, on a clock of its own."""
+
+from __future__ import annotations
+
+import heapq
+from itertools import count
+from typing import TYPE_CHECKING, Final
+
+from wagtaildale.admission.decisions import decide_admission
+from wagtaildale.admission.messages import (
+    Admitted,
+    Arrived,
+    Finished,
+    Refused,
+    TicketId,
+    TimePassed,
+)
+from wagtaildale.admission.server_messages import RateTold, SlotsTold
+from wagtaildale.admission.state import make_admission
+
+if TYPE_CHECKING:
+    from wagtaildale.admission.messages import GateMessage
+
+STEP_SECONDS: Final = 0.001
+RUN_SECONDS: Final = 0.05
+WITHIN_MS: Final = 200
+PATIENCE_SECONDS: Final = 1.2
+SLOTS: Final = 10
+
+
+class LoadedGate:
+    """A gate, its server and callers that ask evenly.
+
+    Attributes:
+        now: seconds.
+        limit: that the server names in its answers; nothing for none.
+        arrivals: when requests went to the server, with their ranks.
+        refusals: of the others, with their ranks.
+    """
+
+    def __init__(self, *, slots: int = SLOTS) -> None:
+        self.now = float(0)
+        self.limit: float | None = None
+        self.state = make_admission(slots)
+        self.arrivals: list[tuple[float, int]] = []
+        self.refusals: list[tuple[Refused, int]] = []
+        self._tickets = count(1)
+        self._ranks: dict[TicketId, int] = {}
+        self._runs: list[tuple[float, float, TicketId]] = []
+        self._tell(SlotsTold(slots=slots))
+
+    def run(self, seconds: float, *, per_second: dict[int, float]) -> None:
+        """Let callers ask for a while.
+
+        Args:
+            seconds: for how long.
+            per_second: requests, by rank.
+        """
+        until = self.now + seconds
+        due = dict.fromkeys(per_second, self.now)
+        while self.now < until:
+            for rank, often in per_second.items():
+                while due[rank] <= self.now:
+                    due[rank] += 1 / often
+                    self.ask(rank)
+            self._pass_time()
+
+    def ask(self, rank: int = 1, *, within_ms: int = WITHIN_MS) -> None:
+        """Let one request come."""
+        ticket = TicketId(next(self._tickets))
+        self._ranks[ticket] = rank
+        self._tell(
+            Arrived(
+                ticket=ticket,
+                within_ms=within_ms,
+                deadline=self.now + PATIENCE_SECONDS,
+                rank=rank,
+            ),
+        )
+
+    def count_arrivals(self, since: float, *, rank: int | None = None) -> int:
+        """Count the requests that went to the server after a moment."""
+        return sum(
+            at >= since and rank in {None, known} for at, known in self.arrivals
+        )
+
+    def find_most(self, window: float, *, since: float = 0) -> int:
+        """Find the most requests that went to the server in any window."""
+        times = [at for at, _rank in self.arrivals if at >= since]
+        return max(
+            (
+                sum(first <= at <= first + window for at in times)
+                for first in times
+            ),
+            default=0,
+        )
+
+    def _pass_time(self) -> None:
+        self.now += STEP_SECONDS
+        while self._runs and self._runs[0][0] <= self.now:
+            _ends_at, begun_at, ticket = heapq.heappop(self._runs)
+            told = RateTold(per_second=self.limit, begun_at=begun_at)
+            self._tell(told)
+            self._tell(Finished(ticket=ticket, seconds=RUN_SECONDS))
+        self._tell(TimePassed())
+
+    def _tell(self, message: GateMessage) -> None:
+        for verdict in decide_admission(message, self.state, now=self.now):
+            rank = self._ranks[verdict.ticket]
+            if isinstance(verdict, Admitted):
+                self.arrivals.append((self.now, rank))
+                run = (self.now + RUN_SECONDS, self.now, verdict.ticket)
+                heapq.heappush(self._runs, run)
+            else:
+                self.refusals.append((verdict, rank))
--- a/wagtaildale/calls/answers.py
+++ b/wagtaildale/calls/answers.py
@@ -59,6 +59,7 @@
         Code.peer_lost,
         Code.request_on_trial,
         Code.request_harmful,
+        Code.rate_limited,
     ),
 )
 
--- a/wagtaildale/calls/attempts.py
+++ b/wagtaildale/calls/attempts.py
@@ -43,7 +43,7 @@
     ),
 )
 # Refusals by the owner itself: nothing has reached a backend server.
-BY_OWNER: Final = STEERED | {Code.overloaded}
+BY_OWNER: Final = STEERED | {Code.overloaded, Code.rate_limited}
 
 
 @final
--- a/wagtaildale/calls/backend_run.py
+++ b/wagtaildale/calls/backend_run.py
@@ -167,8 +167,11 @@
         self._response = BackendResponse(message)
         if message.status != MISDIRECTED_STATUS:
             owner = self._owner
-            word = read_word(message, owner.dialect)
-            owner.server.words.take(word, instance=self._target)
+            owner.server.words.take(
+                read_word(message, owner.dialect),
+                instance=self._target,
+                begun_at=self._times.running_since,
+            )
 
     def on_body(self) -> None:
         """Take what has come of the response."""
--- a/wagtaildale/calls/fields.py
+++ b/wagtaildale/calls/fields.py
@@ -16,6 +16,10 @@
     RequestId,
 )
 
+MILLI: Final = 1000
+# Thousandths of a request a second: no limit is named, or it is not known.
+NO_RATE: Final = -1
+UNHEARD_RATE: Final = -2
 PRIVATE_PREFIX: Final = b'wagtaildale-'
 NO_LEASE: Final = TicketId(0)
 
@@ -48,6 +52,8 @@
             connection to when it handed the message to it; 0 if not told.
         ends: servers that ended under the request, one after the other, as
             far as the entry knows.
+        rate_milli: thousandths of a request a second that its backend server
+            takes, as far as the entry knows; negative if it knows no limit.
     """
 
     request_id: RequestId
@@ -65,6 +71,7 @@
     patient: bool = True
     sent_ms: int = 0
     ends: int = 0
+    rate_milli: int = NO_RATE
 
 
 class AnswerFields(
@@ -99,6 +106,9 @@
             away.
         ends: servers that ended under the request, one after the other, as
             far as the owner knows; told where the request was not answered.
+        rate_milli: thousandths of a request a second that its backend server
+            takes; ``NO_RATE`` if it names no limit, ``UNHEARD_RATE`` if the
+            owner has not heard it yet.
     """
 
     request_id: RequestId
@@ -119,3 +129,28 @@
     class_usual_us: int = 0
     has_arrived: bool = False
     ends: int = 0
+    rate_milli: int = UNHEARD_RATE
+
+
+def encode_rate(per_second: float | None) -> int:
+    """Write a backend server's limit as it goes between nodes.
+
+    Args:
+        per_second: requests that it takes; nothing if it names no limit.
+
+    Returns:
+        Thousandths of a request a second, or ``NO_RATE``.
+    """
+    return NO_RATE if per_second is None else round(per_second * MILLI)
+
+
+def decode_rate(rate_milli: int) -> float | None:
+    """Read a backend server's limit as it comes from another node.
+
+    Args:
+        rate_milli: thousandths of a request a second, or a negative mark.
+
+    Returns:
+        Requests a second; nothing if no limit is told.
+    """
+    return None if rate_milli < 0 else rate_milli / MILLI
--- a/wagtaildale/calls/identity_question.py
+++ b/wagtaildale/calls/identity_question.py
@@ -79,6 +79,7 @@
             length=UNKNOWN_LENGTH,
             idempotent=True,
         )
+        self._targets.words.note_probe()
         self._connection = self._pool.ask(request, self)
         alarms = self._pool.loop.alarms
         self._alarm = alarms.set(ANSWER_SECONDS, self._give_up)
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -12,8 +12,15 @@
 from wagtaildale.calls.dialect import OWN_DIALECT, Dialect
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.frames import Load
-from wagtaildale.calls.fields import AnswerFields, CallFields
+from wagtaildale.calls.fields import (
+    UNHEARD_RATE,
+    AnswerFields,
+    CallFields,
+    decode_rate,
+    encode_rate,
+)
 from wagtaildale.calls.server_targets import ServerTargets
+from wagtaildale.calls.server_words import ServerWords
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
@@ -106,6 +113,7 @@
             service,
             find_record=find_record,
             recorder=recorder,
+            words=ServerWords(gate, recorder=recorder),
         )
         self.pool = BackendPool(
             loop,
@@ -114,11 +122,12 @@
             note_stray=self._note_stray,
         )
         self.trials = trials
+        trials.ends.listeners.append(self.server.words.note_started)
         self._find_record = find_record
         self._recorder = recorder
 
     def check_target(self, fields: CallFields) -> None:
-        """Check that a call is meant for this owner.
+        """Check that a call is meant for this owner, and take its word.
 
         Failure guarded here: an address is reused by another instance, or
         this process was replaced, and a call for the one that was there
@@ -139,6 +148,9 @@
         if not known or not self._serves(fields.instance):
             raise CallFailed(Code.wrong_instance)
         self.server.check(fields)
+        brought = decode_rate(fields.rate_milli)
+        if brought is not None:
+            self.server.words.note_brought(brought, instance=fields.instance)
 
     def describe(
         self,
@@ -184,6 +196,7 @@
             class_us=_to_us(usual.recent),
             class_usual_us=_to_us(usual.told),
             has_arrived=has_arrived,
+            rate_milli=self._describe_rate(),
         )
 
     def tell_condition(self) -> None:
@@ -242,6 +255,12 @@
         record = self._find_record(instance)
         return record is None or record.node_id == self.identity.instance
 
+    def _describe_rate(self) -> int:
+        rate = self.gate.state.rate
+        if rate.is_heard or rate.is_named:
+            return encode_rate(rate.per_second)
+        return UNHEARD_RATE
+
     def _describe_load(self, slowness_percent: int) -> Load:
         state = self.gate.state
         return Load(
--- a/wagtaildale/calls/server_ends.py
+++ b/wagtaildale/calls/server_ends.py
@@ -57,6 +57,7 @@
 
     Attributes:
         count: how often it did.
+        listeners: are told when it did.
     """
 
     def __init__(self, board: SuspectBoard, *, recorder: EventRecorder) -> None:
@@ -67,6 +68,7 @@
             recorder: gets an event when it did.
         """
         self.count = 0
+        self.listeners: list[Callable[[], None]] = []
         self._board = board
         self._recorder = recorder
         self._held: list[CutRun] = []
@@ -90,6 +92,9 @@
         """
         held = self._held
         self._held = []
+        if has_ended:
+            for tell in self.listeners:
+                tell()
         blamed = self._blame(held) if has_ended else []
         for cut in held:
             cut.conclude(cut.ends + 1 if cut in blamed else 0)
--- a/wagtaildale/calls/server_targets.py
+++ b/wagtaildale/calls/server_targets.py
@@ -6,7 +6,6 @@
 
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.server_identity import ServerIdentity
-from wagtaildale.calls.server_words import ServerWords
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
@@ -16,6 +15,7 @@
     from collections.abc import Callable
 
     from wagtaildale.calls.fields import CallFields
+    from wagtaildale.calls.server_words import ServerWords
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.telemetry.events import EventRecorder
     from wagtaildale.types import InstanceId, ServiceName
@@ -36,6 +36,7 @@
         *,
         find_record: Callable[[InstanceId], InstanceRecord | None],
         recorder: EventRecorder,
+        words: ServerWords,
     ) -> None:
         """Begin with nothing known of the server.
 
@@ -43,9 +44,10 @@
             service: of the server.
             find_record: gives what is listed of an instance.
             recorder: gets an event when the server is another instance.
+            words: what the server says of itself.
         """
         self.denial_listeners: list[Callable[[], None]] = []
-        self.words = ServerWords(recorder=recorder)
+        self.words = words
         self._service = service
         self._identity = ServerIdentity()
         self._find_record = find_record
--- a/wagtaildale/calls/server_words.py
+++ b/wagtaildale/calls/server_words.py
@@ -7,14 +7,21 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.server_messages import (
+    ProbeSent,
+    RateBrought,
+    RateTold,
+    ServerStarted,
+)
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
+from wagtaildale.types import InstanceId
 
 if TYPE_CHECKING:
+    from wagtaildale.admission.gate import Gate
     from wagtaildale.calls.dialect import Dialect
     from wagtaildale.calls.parsing import Message
     from wagtaildale.telemetry.events import EventRecorder
-    from wagtaildale.types import InstanceId
 
 DECIMAL: Final = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?')
 LEAVING: Final = b'1'
@@ -60,38 +67,79 @@
 
 
 class ServerWords:
-    """Keeps what the backend server beside a node last said.
+    """Takes what the backend server beside a node says of itself."""
 
-    Attributes:
-        last: its last word.
-    """
-
-    def __init__(self, *, recorder: EventRecorder) -> None:
+    def __init__(self, gate: Gate, *, recorder: EventRecorder) -> None:
         """Begin with nothing heard.
 
         Args:
+            gate: in front of the server; goes by what it says.
             recorder: gets an event with each change.
         """
-        self.last = ServerWord()
+        self._gate = gate
         self._recorder = recorder
-
-    def take(self, word: ServerWord, *, instance: InstanceId) -> None:
+        self._instance = InstanceId('')
+
+    @property
+    def per_second(self) -> float | None:
+        """Requests that the server takes; nothing while it names no limit."""
+        return self._gate.state.rate.per_second
+
+    def take(
+        self,
+        word: ServerWord,
+        *,
+        instance: InstanceId,
+        begun_at: float,
+    ) -> None:
         """Take the word of a response.
 
         Args:
             word: of the server.
-            instance: that the request named.
+            instance: that answered.
+            begun_at: when the request was sent to it, seconds.
         """
-        last = self.last
         if word.unreadable:
             # What cannot be read names no limit, and ends none.
             self._refuse(word, instance)
             return
-        self.last = word
-        if word.per_second != last.per_second:
-            self._record_limit(word, instance)
-        if word.is_leaving and not last.is_leaving:
-            self._recorder.record(EventKind.server_leaving, subject=instance)
+        if instance != self._instance:
+            self._instance = instance
+            self.note_started()
+        known = self.per_second
+        self._gate.note_server(
+            RateTold(per_second=word.per_second, begun_at=begun_at),
+        )
+        if self.per_second != known:
+            self._record_limit(instance)
+
+    def note_brought(self, per_second: float, *, instance: InstanceId) -> None:
+        """Take what an entry has heard of the server's limit.
+
+        Args:
+            per_second: requests that it takes.
+            instance: that was asked.
+        """
+        if self._gate.state.rate.is_heard:
+            return
+        known = self.per_second
+        self._gate.note_server(RateBrought(per_second=per_second))
+        if self.per_second != known:
+            self._record_limit(instance, origin='entry')
+
+    def note_started(self) -> None:
+        """Learn that the server has ended; the next one has said nothing."""
+        if self.per_second is not None:
+            self._recorder.record(
+                EventKind.server_unlimited,
+                subject=self._instance,
+                detail='started anew',
+            )
+        self._gate.note_server(ServerStarted())
+
+    def note_probe(self) -> None:
+        """Count a request of the node's own to the server."""
+        self._gate.note_server(ProbeSent())
 
     def _refuse(self, word: ServerWord, instance: InstanceId) -> None:
         self._recorder.record(
@@ -101,14 +149,20 @@
             detail=repr(word.unreadable[:SHOWN_BYTES]),
         )
 
-    def _record_limit(self, word: ServerWord, instance: InstanceId) -> None:
-        if word.per_second is None:
+    def _record_limit(
+        self,
+        instance: InstanceId,
+        *,
+        origin: str = 'server',
+    ) -> None:
+        per_second = self.per_second
+        if per_second is None:
             self._recorder.record(EventKind.server_unlimited, subject=instance)
             return
         self._recorder.record(
             EventKind.server_limited,
             subject=instance,
-            inputs={'per_second': str(word.per_second)},
+            inputs={'per_second': str(per_second), 'origin': origin},
         )
 
 
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -8,7 +8,12 @@
 
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.fields import CallFields
+from wagtaildale.calls.fields import (
+    UNHEARD_RATE,
+    CallFields,
+    decode_rate,
+    encode_rate,
+)
 from wagtaildale.calls.suspected_call import place_trial
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.candidates import list_candidates
@@ -293,6 +298,8 @@
         class_seconds=answer.class_us / MICROSECONDS,
         class_usual=answer.class_usual_us / MICROSECONDS,
         code=answer.code,
+        is_rate_heard=answer.rate_milli != UNHEARD_RATE,
+        rate=decode_rate(answer.rate_milli),
     )
 
 
@@ -332,6 +339,7 @@
         depth=routed.depth,
         retries=attempts.retries_left,
         ends=attempts.ends,
+        rate_milli=encode_rate(upstream.rate),
         rank=work_class.rank,
         patient=patient,
     )
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from wagtaildale.admission.gate import Gate
+from wagtaildale.admission.server_messages import SlotsTold
 from wagtaildale.admission.state import make_admission
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.budgets import RetryShare, share_retries
@@ -350,7 +351,7 @@
         for record in records:
             if record.host == self._figures.owner.host:
                 if record.backend_port == port:
-                    self.owner.gate.note_slots(record.slots)
+                    self.owner.gate.note_server(SlotsTold(slots=record.slots))
         self.loop.alarms.set(LOOK_SECONDS, self._look)
 
     def _find_record(self, instance: InstanceId) -> InstanceRecord | None:
--- a/wagtaildale/calls/tests/test_outcomes.py
+++ b/wagtaildale/calls/tests/test_outcomes.py
@@ -10,8 +10,8 @@
 
 from wagtaildale.admission.limits import Ending
 from wagtaildale.calls.tests.pairs import OUTCOME, PATIENCE, Pair, wait_until
-from wagtaildale.testing.builders import build_record
-from wagtaildale.testing.mesh import SLOTS, MeshNode
+from wagtaildale.testing.builders import SLOTS, build_record
+from wagtaildale.testing.mesh import MeshNode
 from wagtaildale.types import ListedState
 
 if TYPE_CHECKING:
--- a/wagtaildale/calls/tests/test_server_targets.py
+++ b/wagtaildale/calls/tests/test_server_targets.py
@@ -8,9 +8,14 @@
 
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.server_targets import ServerTargets
+from wagtaildale.calls.server_words import ServerWords
 from wagtaildale.calls.tests.pairs import build_run
 from wagtaildale.errors.codes import Code
-from wagtaildale.testing.builders import build_record, build_recorder
+from wagtaildale.testing.builders import (
+    build_gate,
+    build_record,
+    build_recorder,
+)
 from wagtaildale.types import InstanceId, ListedState, Outcome, ServiceName
 
 if TYPE_CHECKING:
@@ -28,10 +33,12 @@
 ) -> ServerTargets:
     """Build those of a server that has taken the place of another."""
     records = {record.instance: record for record in listed}
+    recorder = build_recorder()
     targets = ServerTargets(
         service,
         find_record=records.get,
-        recorder=build_recorder(),
+        recorder=recorder,
+        words=ServerWords(build_gate(), recorder=recorder),
     )
     targets.note_denied(EARLIER)
     targets.note_named(LATER)
--- a/wagtaildale/calls/tests/test_server_words.py
+++ b/wagtaildale/calls/tests/test_server_words.py
@@ -11,7 +11,7 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.platform.dialect import PLATFORM_DIALECT
 from wagtaildale.telemetry.events import EventKind
-from wagtaildale.testing.builders import build_recorder
+from wagtaildale.testing.builders import build_gate, build_recorder
 from wagtaildale.types import InstanceId
 
 if TYPE_CHECKING:
@@ -62,24 +62,22 @@
 def test_changes_are_in_the_log() -> None:
     """Operators cannot see that a server names a limit."""
     recorder = build_recorder()
-    words = ServerWords(recorder=recorder)
+    words = ServerWords(build_gate(), recorder=recorder)
     said = (
         ServerWord(per_second=2.5),
         ServerWord(per_second=2.5),
         ServerWord(unreadable=b'x'),
         ServerWord(per_second=3),
         ServerWord(),
-        ServerWord(is_leaving=True),
     )
-    for word in said:
-        words.take(word, instance=SERVER)
+    for begun_at, word in enumerate(said):
+        words.take(word, instance=SERVER, begun_at=begun_at)
     events = recorder.read_since(0)
     assert [event.kind for event in events] == [
         EventKind.server_limited,
         EventKind.server_word_refused,
         EventKind.server_limited,
         EventKind.server_unlimited,
-        EventKind.server_leaving,
     ]
-    assert events[0].inputs == {'per_second': '2.5'}
+    assert events[0].inputs == {'per_second': '2.5', 'origin': 'server'}
     assert events[1].code == Code.server_word_malformed
--- a/wagtaildale/errors/codes.py
+++ b/wagtaildale/errors/codes.py
@@ -69,6 +69,7 @@
     request_on_trial = 4025
     request_harmful = 4026
     server_word_malformed = 4027
+    rate_limited = 4028
 
     address_in_use = 5001
     drain_bound_passed = 5002
@@ -135,6 +136,7 @@
         Code.request_on_trial: 'servers ended under it: it is run alone',
         Code.request_harmful: 'servers ended under it: it is not run for now',
         Code.server_word_malformed: 'a backend server says what cannot be read',
+        Code.rate_limited: 'servers take no more requests a second',
         Code.address_in_use: 'a listening address cannot be bound',
         Code.drain_bound_passed: 'work in flight outlived the drain bound',
         Code.invariant_broken: 'an invariant does not hold: a defect',
--- a/wagtaildale/routing/upstream.py
+++ b/wagtaildale/routing/upstream.py
@@ -53,6 +53,9 @@
             owner does not know yet.
         class_usual: the same over a longer time.
         code: of the answer.
+        is_rate_heard: whether it knows whether its server names a limit.
+        rate: requests a second that its server takes; nothing if it names
+            no limit.
     """
 
     incarnation: Incarnation
@@ -64,6 +67,8 @@
     class_seconds: float = 0
     class_usual: float = 0
     code: Code = Code.ok
+    is_rate_heard: bool = False
+    rate: float | None = None
 
 
 class UpstreamStatistics:
@@ -82,6 +87,8 @@
         known_since: when this entry first heard of this incarnation.
         heard_at: when it last said how full it is, seconds.
         speed: how fast it is.
+        rate: requests a second that its backend server takes; nothing if it
+            is not known to name a limit.
     """
 
     __slots__ = (
@@ -94,6 +101,7 @@
         'limit',
         'pending',
         'queued',
+        'rate',
         'slot_seconds',
         'speed',
     )
@@ -116,6 +124,7 @@
         self.known_since = now
         self.heard_at = self.known_since
         self.speed = Speed(now=now)
+        self.rate: float | None = None
 
     def note_begun(self, now: float) -> None:
         """Count a request that goes there.
@@ -151,6 +160,8 @@
         )
         if report.slot_seconds:
             self.slot_seconds = report.slot_seconds
+        if report.is_rate_heard:
+            self.rate = report.rate
         if report.code is Code.draining:
             self.ejection.note_leaving(now)
         if report.code in NO_PRAISE:
--- a/wagtaildale/testing/builders.py
+++ b/wagtaildale/testing/builders.py
@@ -6,6 +6,8 @@
 
 from msgspec import json
 
+from wagtaildale.admission.gate import Gate
+from wagtaildale.admission.state import make_admission
 from wagtaildale.calls.budgets import RetryShare
 from wagtaildale.configuration.compiled import Compiled, compile_mesh
 from wagtaildale.configuration.files import parse_mesh
@@ -17,6 +19,7 @@
     encode_list,
 )
 from wagtaildale.telemetry.events import EventRecorder
+from wagtaildale.timers.alarms import Alarms
 from wagtaildale.types import (
     ClassName,
     DataCentre,
@@ -57,6 +60,7 @@
 OWNER_PORT: Final = 8081
 CONTROL_PORT: Final = 8082
 ADMIN_PORT: Final = 8083
+SLOTS: Final = 4
 
 
 def build_recorder(node: str = 'a') -> EventRecorder:
@@ -71,6 +75,18 @@
     return EventRecorder(InstanceId(node), Incarnation(1))
 
 
+def build_gate(slots: int = SLOTS) -> Gate:
+    """Build an open gate whose alarms nobody rings.
+
+    Args:
+        slots: of its backend server.
+
+    Returns:
+        The gate.
+    """
+    return Gate(make_admission(slots), alarms=Alarms())
+
+
 def build_mesh(text: str = MESH_TEXT) -> MeshEntry:
     """Build a checked operators' file.
 
--- a/wagtaildale/testing/mesh.py
+++ b/wagtaildale/testing/mesh.py
@@ -21,6 +21,7 @@
 from wagtaildale.telemetry.tallies import Tallies
 from wagtaildale.testing.builders import (
     MESH_TEXT,
+    SLOTS,
     build_compiled,
     build_instances,
     build_record,
@@ -40,7 +41,6 @@
 CONNECTIONS: Final = 32
 HEAD_BYTES: Final = 8192
 BODY_BYTES: Final = 4_000_000
-SLOTS: Final = 4
 FAR_AWAY: Final = 1e12
 
 
--- a/wagtaildale/testing/replay/servers.py
+++ b/wagtaildale/testing/replay/servers.py
@@ -13,10 +13,10 @@
     Arrived,
     Finished,
     GaveUp,
-    SlotsTold,
     TicketId,
     TimePassed,
 )
+from wagtaildale.admission.server_messages import SlotsTold
 from wagtaildale.admission.state import make_admission
 from wagtaildale.routing.upstream import OwnerReport
 from wagtaildale.types import Incarnation
