Routing: a server that has said that it leaves gets no more requests

The rule: later than a moment after a machine passed on an answer in which a server says that it leaves, no request from there reaches it, in touch or not. Nobody read the field: a server that is listed as ready got requests until the list named it as leaving, and where an owner refused for that, entries forgot it after 3 s.

An owner now refuses what comes for such a server, and what waits for it, unrun; it names the server with each answer (AnswerFields.leaving) and tells connected entries unasked (Load.leaving). Entries leave it out, in each way of choosing (by expected time, by key, for a trial, beside a silent attempt), whatever the list says and also after the owner's process has started anew, until the server starts anew itself (another born). Where all servers of a service leave, callers are refused at once.

--- a/wagtaildale/admission/decisions.py
+++ b/wagtaildale/admission/decisions.py
@@ -25,12 +25,13 @@
     admit_waiting,
     end_leases,
     judge,
-    refuse_hopeless,
 )
+from wagtaildale.admission.refusals import refuse_all, refuse_hopeless
 from wagtaildale.admission.server_messages import (
     ProbeSent,
     RateBrought,
     RateTold,
+    ServerLeaves,
     ServerStarted,
     SlotsTold,
 )
@@ -219,9 +220,14 @@
     now: float,
 ) -> list[Verdict]:
     state.draining = True
-    refused = [
-        Refused(ticket=waiting.ticket, code=Code.draining)
-        for waiting in state.queue
-    ]
-    state.queue = []
-    return list(refused)
+    return refuse_all(state, Code.draining)
+
+
+@decide_admission.register
+def _decide_server_leaves(
+    message: ServerLeaves,
+    state: AdmissionState,
+    *,
+    now: float,
+) -> list[Verdict]:
+    return refuse_all(state, Code.draining)
--- a/wagtaildale/admission/queue.py
+++ b/wagtaildale/admission/queue.py
@@ -21,7 +21,7 @@
     Refused,
     Verdict,
 )
-from wagtaildale.admission.refusals import refuse, refuse_late, shed
+from wagtaildale.admission.refusals import refuse_late, shed
 from wagtaildale.admission.state import AdmissionState, Waiting
 from wagtaildale.errors.codes import Code
 
@@ -204,29 +204,3 @@
             return waiting
         late = late or waiting
     return late
-
-
-def refuse_hopeless(state: AdmissionState, now: float) -> list[Verdict]:
-    """Refuse those in the queue that a named rate leaves no time for.
-
-    Failure guarded here: a limit is named or falls, and requests that were
-    to run in some milliseconds are held until they are late, only to be
-    refused.
-
-    Args:
-        state: the gate; moved forward in place.
-        now: seconds.
-
-    Returns:
-        The refusals.
-    """
-    kept: list[Waiting] = []
-    verdicts: list[Verdict] = []
-    for waiting in state.queue:
-        wait = state.rate.find_wait(waiting.rank, ahead=len(kept), now=now)
-        if now + wait <= waiting.latest:
-            kept.append(waiting)
-        else:
-            verdicts.append(refuse(state, waiting, Code.rate_limited, now))
-    state.queue = kept
-    return verdicts
--- a/wagtaildale/admission/refusals.py
+++ b/wagtaildale/admission/refusals.py
@@ -8,6 +8,7 @@
 from wagtaildale.errors.codes import Code
 
 if TYPE_CHECKING:
+    from wagtaildale.admission.messages import Verdict
     from wagtaildale.admission.state import AdmissionState, Waiting
 
 
@@ -76,3 +77,44 @@
         code=code,
         retry_after=state.estimate_wait(ahead, rank=waiting.rank, now=now),
     )
+
+
+def refuse_all(state: AdmissionState, code: Code) -> list[Verdict]:
+    """Refuse those in the queue.
+
+    Args:
+        state: the gate; moved forward in place.
+        code: why.
+
+    Returns:
+        The refusals.
+    """
+    waiting = state.queue
+    state.queue = []
+    return [Refused(ticket=each.ticket, code=code) for each in waiting]
+
+
+def refuse_hopeless(state: AdmissionState, now: float) -> list[Verdict]:
+    """Refuse those in the queue that a named rate leaves no time for.
+
+    Failure guarded here: a limit is named or falls, and requests that were
+    to run in some milliseconds are held until they are late, only to be
+    refused.
+
+    Args:
+        state: the gate; moved forward in place.
+        now: seconds.
+
+    Returns:
+        The refusals.
+    """
+    kept: list[Waiting] = []
+    verdicts: list[Verdict] = []
+    for waiting in state.queue:
+        wait = state.rate.find_wait(waiting.rank, ahead=len(kept), now=now)
+        if now + wait <= waiting.latest:
+            kept.append(waiting)
+        else:
+            verdicts.append(refuse(state, waiting, Code.rate_limited, now))
+    state.queue = kept
+    return verdicts
--- a/wagtaildale/admission/server_messages.py
+++ b/wagtaildale/admission/server_messages.py
@@ -42,8 +42,19 @@
     """The backend server has ended; the next one has named nothing."""
 
 
+class ServerLeaves(Struct, frozen=True, kw_only=True, gc=False):
+    """The backend server has said that it leaves: nobody waits for it."""
+
+
 class ProbeSent(Struct, frozen=True, kw_only=True, gc=False):
     """The node has sent the backend server a request of its own."""
 
 
-ServerMessage = SlotsTold | RateTold | RateBrought | ServerStarted | ProbeSent
+ServerMessage = (
+    SlotsTold
+    | RateTold
+    | RateBrought
+    | ServerStarted
+    | ServerLeaves
+    | ProbeSent
+)
--- a/wagtaildale/calls/backend_run.py
+++ b/wagtaildale/calls/backend_run.py
@@ -167,7 +167,7 @@
         self._response = BackendResponse(message)
         if message.status != MISDIRECTED_STATUS:
             owner = self._owner
-            owner.server.words.take(
+            owner.server.take_word(
                 read_word(message, owner.dialect),
                 instance=self._target,
                 begun_at=self._times.running_since,
@@ -206,7 +206,7 @@
                     instance=self._target,
                     fingerprint=owner.trials.identify(self._run),
                     ends=self._ends,
-                    is_leaving=owner.server.is_leaving(self._target),
+                    is_leaving=owner.server.leaving.is_leaving(self._target),
                     conclude=partial(self._conclude_cut, failure),
                 ),
                 pool=owner.pool,
--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -130,6 +130,8 @@
             answer: the owner's word.
         """
         self._entry.targets.note_answer(attempt.target, answer)
+        if answer.leaving is not None:
+            self._entry.note_leaving(answer.leaving)
         self.attempts.ends = max(self.attempts.ends, answer.ends)
 
     def on_answer(self, attempt: Attempt, frame: Answered) -> None:
--- a/wagtaildale/calls/fields.py
+++ b/wagtaildale/calls/fields.py
@@ -9,6 +9,7 @@
 from wagtaildale.admission.messages import MIDDLE_RANK, TicketId
 from wagtaildale.admission.shares import LEAST_PARTS, PARTS, PassShare
 from wagtaildale.errors.codes import Code
+from wagtaildale.routing.leavers import Leaver
 from wagtaildale.types import (
     ANY_INCARNATION,
     Incarnation,
@@ -123,6 +124,7 @@
             owner has not heard it yet.
         share: of the requests of each rank, those that entries may send;
             nothing if all may be.
+        leaving: its backend server, if that has said that it leaves.
     """
 
     request_id: RequestId
@@ -145,6 +147,7 @@
     ends: int = 0
     rate_milli: int = UNHEARD_RATE
     share: PassShare | None = None
+    leaving: Leaver | None = None
 
 
 def encode_rate(per_second: float | None) -> int:
--- a/wagtaildale/calls/frames.py
+++ b/wagtaildale/calls/frames.py
@@ -14,8 +14,13 @@
 
 from wagtaildale.admission.shares import PassShare
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.fields import UNHEARD_RATE, AnswerFields, CallFields
+from wagtaildale.calls.fields import (
+    UNHEARD_RATE,
+    AnswerFields,
+    CallFields,
+)
 from wagtaildale.errors.codes import Code
+from wagtaildale.routing.leavers import Leaver
 from wagtaildale.types import CallNumber, InstanceId
 
 LENGTH: Final = struct.Struct('>I')
@@ -166,6 +171,7 @@
             negative marks as in ``AnswerFields``.
         share: of the requests of each rank, those that entries may send;
             nothing if all may be.
+        leaving: the backend server, if that has said that it leaves.
     """
 
     instance: InstanceId
@@ -176,6 +182,7 @@
     slowness_percent: int = 0
     rate_milli: int = UNHEARD_RATE
     share: PassShare | None = None
+    leaving: Leaver | None = None
 
 
 class Leaving(Struct, frozen=True, array_like=True, tag=13, gc=False):
--- a/wagtaildale/calls/load_teller.py
+++ b/wagtaildale/calls/load_teller.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
+from msgspec import structs
+
 from wagtaildale.admission.shares import ALL_PASS, PassShare
 from wagtaildale.calls.fields import UNHEARD_RATE, encode_rate
 from wagtaildale.calls.frames import Load
@@ -14,6 +16,7 @@
     from collections.abc import Callable
 
     from wagtaildale.admission.gate import Gate
+    from wagtaildale.routing.leavers import Leaver
     from wagtaildale.telemetry.events import EventRecorder
     from wagtaildale.types import InstanceId
 
@@ -56,6 +59,16 @@
             for tell in self.listeners:
                 tell(load)
 
+    def tell_leaving(self, leaving: Leaver) -> None:
+        """Tell that the backend server has said that it leaves.
+
+        Args:
+            leaving: the server.
+        """
+        load = structs.replace(self._describe_load(0), leaving=leaving)
+        for tell in self.listeners:
+            tell(load)
+
     def describe_rate(self) -> int:
         """Describe the rate that the backend server takes.
 
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -115,6 +115,7 @@
             recorder=recorder,
             words=ServerWords(gate, recorder=recorder),
         )
+        self.server.leaving.listeners.append(self.teller.tell_leaving)
         self.pool = BackendPool(
             loop,
             address=backend,
@@ -198,6 +199,7 @@
             has_arrived=has_arrived,
             rate_milli=self.teller.describe_rate(),
             share=self.teller.describe_share(),
+            leaving=self.server.leaving.find_leaver(self.server.name(fields)),
         )
 
     def note_end(
--- a/wagtaildale/calls/server_targets.py
+++ b/wagtaildale/calls/server_targets.py
@@ -6,16 +6,16 @@
 
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.server_identity import ServerIdentity
+from wagtaildale.calls.server_leaving import ServerLeaving
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
-from wagtaildale.types import ListedState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from wagtaildale.calls.fields import CallFields
-    from wagtaildale.calls.server_words import ServerWords
+    from wagtaildale.calls.server_words import ServerWord, ServerWords
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.telemetry.events import EventRecorder
     from wagtaildale.types import InstanceId, ServiceName
@@ -27,6 +27,7 @@
     Attributes:
         denial_listeners: are told when the backend server is not the one
             that a request names.
+        leaving: whether the backend server leaves.
         words: what the backend server says of itself.
     """
 
@@ -47,6 +48,11 @@
             words: what the server says of itself.
         """
         self.denial_listeners: list[Callable[[], None]] = []
+        self.leaving = ServerLeaving(
+            find_record=find_record,
+            recorder=recorder,
+        )
+        self.leaving.listeners.append(words.note_leaving)
         self.words = words
         self._service = service
         self._identity = ServerIdentity()
@@ -66,7 +72,7 @@
         if target is None:
             self._tell_denial()
             raise CallFailed(Code.wrong_instance)
-        if self.is_leaving(fields.instance) or self.is_leaving(target):
+        if any(map(self.leaving.is_leaving, (fields.instance, target))):
             raise CallFailed(Code.draining)
 
     def name(self, fields: CallFields) -> InstanceId:
@@ -81,17 +87,23 @@
         """
         return self._find(fields) or fields.instance
 
-    def is_leaving(self, instance: InstanceId) -> bool:
-        """Tell whether an instance is listed as leaving.
+    def take_word(
+        self,
+        word: ServerWord,
+        *,
+        instance: InstanceId,
+        begun_at: float,
+    ) -> None:
+        """Take what the server says of itself with a response.
 
         Args:
-            instance: any.
-
-        Returns:
-            Whether it has said that it will end.
+            word: of the server.
+            instance: that answered.
+            begun_at: when the request was sent to it, seconds.
         """
-        record = self._find_record(instance)
-        return record is not None and record.state is ListedState.leaving
+        self.words.take(word, instance=instance, begun_at=begun_at)
+        if word.is_leaving:
+            self.leaving.note_said(instance)
 
     def note_denied(self, instance: InstanceId) -> None:
         """Note that the server is not the one that a request named.
--- a/wagtaildale/calls/server_words.py
+++ b/wagtaildale/calls/server_words.py
@@ -11,6 +11,7 @@
     ProbeSent,
     RateBrought,
     RateTold,
+    ServerLeaves,
     ServerStarted,
 )
 from wagtaildale.errors.codes import Code
@@ -21,6 +22,7 @@
     from wagtaildale.admission.gate import Gate
     from wagtaildale.calls.dialect import Dialect
     from wagtaildale.calls.parsing import Message
+    from wagtaildale.routing.leavers import Leaver
     from wagtaildale.telemetry.events import EventRecorder
 
 DECIMAL: Final = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?')
@@ -137,6 +139,14 @@
             )
         self._gate.note_server(ServerStarted())
 
+    def note_leaving(self, _leaver: Leaver) -> None:
+        """Learn that the server leaves: whoever waits for it is refused.
+
+        Args:
+            _leaver: the server.
+        """
+        self._gate.note_server(ServerLeaves())
+
     def note_probe(self) -> None:
         """Count a request of the node's own to the server."""
         self._gate.note_server(ProbeSent())
--- a/wagtaildale/calls/suspected_call.py
+++ b/wagtaildale/calls/suspected_call.py
@@ -25,6 +25,7 @@
     from wagtaildale.calls.attempt import RequestParts
     from wagtaildale.calls.attempts import Attempts
     from wagtaildale.calls.routed import EntryParts, Routed
+    from wagtaildale.routing.leavers import Leavers
     from wagtaildale.routing.view import FleetView
 
 
@@ -78,6 +79,7 @@
     attempts: Attempts,
     *,
     fingerprint: Fingerprint,
+    leavers: Leavers,
 ) -> Placed:
     """Place an attempt of a request that is to run alone.
 
@@ -86,6 +88,7 @@
         routed: the call.
         attempts: those before.
         fingerprint: of the request.
+        leavers: servers that have said that they leave.
 
     Returns:
         Where it goes.
@@ -100,7 +103,9 @@
         ends=attempts.ends,
     )
     untried = (
-        place for place in places if place.instance not in attempts.tried
+        place
+        for place in places
+        if place.instance not in attempts.tried and not leavers.has(place)
     )
     place = next(untried, None)
     if place is None:
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -174,6 +174,7 @@
             self._parts.view.current,
             service=routed.service,
             tried=tried,
+            leavers=statistics.leavers,
         )
         return any(
             record.instance not in tried
@@ -281,7 +282,13 @@
         parts = self._parts
         view = parts.view.current
         if trial is not None:
-            return place_trial(view, routed, attempts, fingerprint=trial)
+            return place_trial(
+                view,
+                routed,
+                attempts,
+                fingerprint=trial,
+                leavers=self._statistics.leavers,
+            )
         useless = attempts.list_useless()
         if routed.idempotency_key:
             return parts.placement.choose_by_key(
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -360,6 +360,9 @@
 
     def _note_load(self, address: Address, load: Load) -> None:
         now = read_clock()
+        if load.leaving is not None:
+            self.entry.note_leaving(load.leaving)
+        limits = self.entry.parts.placement.statistics.limits
         for upstream in self._list_upstreams(address):
             upstream.note_load(
                 in_flight=load.in_flight,
@@ -367,11 +370,7 @@
                 queued=load.queued,
                 now=now,
             )
-            self.entry.parts.placement.statistics.limits.note(
-                upstream.instance,
-                read_limit(load),
-                now=now,
-            )
+            limits.note(upstream.instance, read_limit(load), now=now)
             if load.slowness_percent > 0:
                 upstream.speed.note_condition(
                     load.slowness_percent / PERCENT,
--- a/wagtaildale/routing/candidates.py
+++ b/wagtaildale/routing/candidates.py
@@ -10,6 +10,7 @@
     from collections.abc import Collection, Sequence
 
     from wagtaildale.membership.records import InstanceRecord
+    from wagtaildale.routing.leavers import Leavers
     from wagtaildale.routing.statistics import FleetStatistics
     from wagtaildale.routing.view import FleetView
     from wagtaildale.types import InstanceId, ServiceName
@@ -20,6 +21,7 @@
     *,
     service: ServiceName,
     tried: Collection[InstanceId],
+    leavers: Leavers,
 ) -> list[InstanceRecord]:
     """List the upstreams that may take an attempt.
 
@@ -27,6 +29,7 @@
         view: the snapshot that the call goes by.
         service: whose upstreams.
         tried: instances that earlier attempts of the call went to.
+        leavers: servers that have said that they leave.
 
     Failure guarded here: in a rolling restart the news that an instance is
     back comes a moment after that the last other one leaves, and a call is
@@ -35,13 +38,17 @@
 
     Returns:
         Those not away and not tried; else those away by news and not tried;
-        else all.
+        else all. Those that have said that they leave are never among them.
     """
-    listed = view.upstreams.get(service, ())
+    listed = [
+        record
+        for record in view.upstreams.get(service, ())
+        if not leavers.has(record)
+    ]
     fresh = [record for record in listed if record.instance not in tried]
     present = [record for record in fresh if not view.is_away(record)]
     back = [record for record in fresh if record.state is ListedState.live]
-    return present or back or list(listed)
+    return present or back or listed
 
 
 def leave_out_ejected(
--- a/wagtaildale/routing/placement.py
+++ b/wagtaildale/routing/placement.py
@@ -88,7 +88,7 @@
         """
         ranked = self._rank(view, service)
         return ranked.take(
-            lambda record: not view.is_away(record),
+            partial(self._takes_work, view=view, useless=()),
             weigh=partial(self._weigh, now=now),
         )
 
@@ -173,7 +173,12 @@
         """
         candidates = {
             record.instance: record
-            for record in list_candidates(view, service=service, tried=useless)
+            for record in list_candidates(
+                view,
+                service=service,
+                tried=useless,
+                leavers=self.statistics.leavers,
+            )
         }
         if not candidates:
             return None
@@ -189,11 +194,16 @@
         now: float,
     ) -> Sequence[InstanceRecord]:
         ranked = self._rank(view, service)
-        takes_work = partial(_takes_work, view=view, useless=useless)
+        takes_work = partial(self._takes_work, view=view, useless=useless)
         weigh = partial(self._weigh, now=now)
         subset = ranked.take(takes_work, weigh=weigh)
         if not subset:
-            candidates = list_candidates(view, service=service, tried=useless)
+            candidates = list_candidates(
+                view,
+                service=service,
+                tried=useless,
+                leavers=self.statistics.leavers,
+            )
             subset = ranked.take(candidates.__contains__)
         good = leave_out_ejected(subset, statistics=self.statistics, now=now)
         if len(good) == len(subset):
@@ -208,6 +218,17 @@
         )
         return in_place or good
 
+    def _takes_work(
+        self,
+        record: InstanceRecord,
+        *,
+        view: FleetView,
+        useless: Collection[InstanceId],
+    ) -> bool:
+        if record.instance in useless or view.is_away(record):
+            return False
+        return not self.statistics.leavers.has(record)
+
     def _weigh(self, record: InstanceRecord, *, now: float) -> float:
         return self.statistics.limits.measure_room(record.instance, now=now)
 
@@ -224,12 +245,3 @@
             )
             self._ranked[service] = ranked
         return ranked
-
-
-def _takes_work(
-    record: InstanceRecord,
-    *,
-    view: FleetView,
-    useless: Collection[InstanceId],
-) -> bool:
-    return record.instance not in useless and not view.is_away(record)
--- a/wagtaildale/routing/statistics.py
+++ b/wagtaildale/routing/statistics.py
@@ -13,6 +13,7 @@
 from wagtaildale.admission.shares import find_pass_rank
 from wagtaildale.admission.state import UNKNOWN_SHARE
 from wagtaildale.routing.known_limits import KnownLimits
+from wagtaildale.routing.leavers import Leavers
 from wagtaildale.routing.upstream import UpstreamStatistics
 
 if TYPE_CHECKING:
@@ -45,11 +46,13 @@
 
     Attributes:
         limits: that their servers name.
+        leavers: of them, those whose servers have said that they leave.
     """
 
     def __init__(self) -> None:
         """Begin with none."""
         self.limits = KnownLimits()
+        self.leavers = Leavers()
         self._upstreams: dict[InstanceId, UpstreamStatistics] = {}
         self._usual: dict[str, float] = {}
         self._born: dict[InstanceId, int] = {}
--- a/wagtaildale/routing/tests/test_statistics.py
+++ b/wagtaildale/routing/tests/test_statistics.py
@@ -16,6 +16,7 @@
 from wagtaildale.routing.choice import ChoiceName, Need
 from wagtaildale.routing.choosers import make_chooser
 from wagtaildale.routing.ejection import LEAVING_SECONDS, Ejection
+from wagtaildale.routing.leavers import Leavers
 from wagtaildale.routing.statistics import FleetStatistics
 from wagtaildale.routing.upstream import OwnerReport
 from wagtaildale.routing.view import ViewHolder
@@ -135,7 +136,9 @@
         ),
     )
     holder.take_away(frozenset((InstanceId('b'), InstanceId('c'))))
-    found = list_candidates(holder.current, service=FIELD, tried=())
+    found = list_candidates(
+        holder.current, service=FIELD, tried=(), leavers=Leavers()
+    )
     assert [record.instance for record in found] == ['a']
 
 
@@ -143,13 +146,19 @@
     holder = ViewHolder()
     holder.take_instances(build_instances(build_record('a'), build_record('b')))
     tried = (InstanceId('a'),)
-    found = list_candidates(holder.current, service=FIELD, tried=tried)
+    found = list_candidates(
+        holder.current, service=FIELD, tried=tried, leavers=Leavers()
+    )
     assert [record.instance for record in found] == ['b']
     holder.take_away(frozenset((InstanceId('b'),)))
-    guess = list_candidates(holder.current, service=FIELD, tried=tried)
+    guess = list_candidates(
+        holder.current, service=FIELD, tried=tried, leavers=Leavers()
+    )
     assert [record.instance for record in guess] == ['b']
     both = (InstanceId('a'), InstanceId('b'))
-    again = list_candidates(holder.current, service=FIELD, tried=both)
+    again = list_candidates(
+        holder.current, service=FIELD, tried=both, leavers=Leavers()
+    )
     assert len(again) == 2
 
 
--- a/wagtaildale/telemetry/events.py
+++ b/wagtaildale/telemetry/events.py
@@ -59,6 +59,7 @@
     run_refused = 'run-refused'
     upstream_ejected = 'upstream-ejected'
     upstream_restored = 'upstream-restored'
+    upstream_leaving = 'upstream-leaving'
     server_denied = 'server-denied'
     server_named = 'server-named'
     server_unnamed = 'server-unnamed'
--- a/wagtaildale/telemetry/story.py
+++ b/wagtaildale/telemetry/story.py
@@ -45,6 +45,7 @@
         EventKind.source_recovered,
         EventKind.upstream_ejected,
         EventKind.upstream_restored,
+        EventKind.upstream_leaving,
         EventKind.server_ended,
         EventKind.server_limited,
         EventKind.server_unlimited,
