--- a/standins/backend.py
+++ b/standins/backend.py
@@ -46,6 +46,9 @@
         draining: new requests are shed.
         ends_under: path of the requests under which it ends; empty for none.
         down_ms: until it is back.
+        rate_limit: requests a second that it names in its answers; negative
+            for none.
+        leaving: it says in its answers that it leaves.
     """
 
     service_ms: float = 1
@@ -59,6 +62,8 @@
     draining: bool = False
     ends_under: str = ''
     down_ms: float = 100
+    rate_limit: float = -1
+    leaving: bool = False
 
 
 class BackendCounts(Struct, kw_only=True):
@@ -185,6 +190,20 @@
         """Target of the requests under which it ends."""
         return self.spec.faults.ends_under.encode()
 
+    def write_words(self) -> bytes:
+        """Write what it says of itself in its answers.
+
+        Returns:
+            Header lines.
+        """
+        faults = self.spec.faults
+        words = b''
+        if faults.rate_limit >= 0:
+            words += b'wagtaildale-rate-limit: %.3f\r\n' % faults.rate_limit
+        if faults.leaving:
+            words += b'wagtaildale-leaving: 1\r\n'
+        return words
+
     @property
     def service_seconds(self) -> float:
         """Time that the next request takes."""
@@ -302,7 +321,12 @@
             body += b'\xff' * int(self._target.rsplit(b'/', 1)[1])
         faults = self._backend.spec.faults
         cut = self._backend.draw(faults.cut_share)
-        self._answer(FAULTY if faults.error else OK, body, cut=cut)
+        self._answer(
+            FAULTY if faults.error else OK,
+            body,
+            self._backend.write_words(),
+            cut=cut,
+        )
 
     def _answer(
         self,
--- /dev/null
+++ b/standins/tests/asking.py
@@ -0,0 +1,44 @@
+"""How tests talk to nodes and stand-ins that run as processes."""
+
+from __future__ import annotations
+
+import time
+from http.client import HTTPConnection
+from typing import TYPE_CHECKING, Final
+
+from msgspec import json
+
+from standins.backend import BackendCounts
+from standins.fleet import BACKEND_PORT
+
+if TYPE_CHECKING:
+    from standins.fleet import NodeProcess
+
+PATIENCE: Final = 20.0
+
+
+def ask(node: NodeProcess, path: str) -> int:
+    """Send a lookup to a node and give the status of its answer."""
+    address = (node.record.host, node.record.entry_port)
+    connection = HTTPConnection(*address, timeout=PATIENCE)
+    connection.request('GET', path)
+    status = connection.getresponse().status
+    connection.close()
+    return status
+
+
+def read_counts(node: NodeProcess) -> BackendCounts:
+    """Read what the server beside a node has seen, once it answers."""
+    address = (node.record.host, BACKEND_PORT)
+    deadline = time.monotonic() + PATIENCE
+    while time.monotonic() < deadline:
+        connection = HTTPConnection(*address, timeout=PATIENCE)
+        try:
+            connection.request('GET', '/standin/counts')
+        except ConnectionRefusedError:
+            time.sleep(0.02)
+            continue
+        text = connection.getresponse().read()
+        connection.close()
+        return json.decode(text, type=BackendCounts)
+    raise TimeoutError(f'no server at {address}')
--- a/standins/tests/test_harmful.py
+++ b/standins/tests/test_harmful.py
@@ -4,15 +4,15 @@
 
 import time
 from functools import partial
-from http.client import HTTPConnection
 from typing import TYPE_CHECKING, Final
 
 import pytest
 from click.testing import CliRunner
 from msgspec import json
 
-from standins.backend import BackendCounts, BackendFaults
-from standins.fleet import BACKEND_PORT, Fleet, FleetOptions, Placement
+from standins.backend import BackendFaults
+from standins.fleet import Fleet, FleetOptions, Placement
+from standins.tests.asking import PATIENCE, ask, read_counts
 from wagtaildale.cli.main import main
 from wagtaildale.testing.builders import build_compiled
 
@@ -28,7 +28,6 @@
 ENDED: Final = 'servers ended'
 VISITS: Final = 12
 ENDS_BORNE: Final = 6
-PATIENCE: Final = 20.0
 PLACEMENT: Final = Placement(
     region='midlands',
     data_centres=('derby', 'coventry'),
@@ -47,35 +46,10 @@
         yield started
 
 
-def ask(node: NodeProcess, path: str) -> int:
-    address = (node.record.host, node.record.entry_port)
-    connection = HTTPConnection(*address, timeout=PATIENCE)
-    connection.request('GET', path)
-    status = connection.getresponse().status
-    connection.close()
-    return status
-
-
 def count_ends(fleet: Fleet) -> int:
     return sum(read_counts(node).ends for node in fleet.nodes)
 
 
-def read_counts(node: NodeProcess) -> BackendCounts:
-    address = (node.record.host, BACKEND_PORT)
-    deadline = time.monotonic() + PATIENCE
-    while time.monotonic() < deadline:
-        connection = HTTPConnection(*address, timeout=PATIENCE)
-        try:
-            connection.request('GET', '/standin/counts')
-        except ConnectionRefusedError:
-            time.sleep(0.02)
-            continue
-        text = connection.getresponse().read()
-        connection.close()
-        return json.decode(text, type=BackendCounts)
-    raise TimeoutError(f'no server at {address}')
-
-
 def show(node: NodeProcess, *arguments: str) -> Result:
     address = f'{node.record.host}:{node.record.admin_port}'
     command = ['suspects', '--node', address, *arguments]
