--- a/standins/tests/test_naming.py
+++ b/standins/tests/test_naming.py
@@ -76,14 +76,15 @@
     limited: int,
 ) -> None:
     """Servers name a limit, and each node sends as much as that."""
-    for node in fleet.nodes[:limited]:
+    in_need = fleet.nodes[:limited]
+    for node in in_need:
         set_faults(node, BackendFaults(rate_limit=LIMIT))
     visit(fleet)
     since = time.monotonic()
-    runs = [read_counts(node).runs for node in fleet.nodes]
+    before = [read_counts(each).runs for each in in_need]
     statuses = visit(fleet)
-    for kept, before in zip(fleet.nodes[:limited], runs, strict=False):
-        assert_kept(kept, since=since, before=before)
+    for number, each in enumerate(in_need):
+        assert_kept(each, since=since, before=before[number])
     assert set(statuses) <= {200, 503}
     assert statuses.count(200) >= len(statuses) * (limited < 4)
 
--- a/wagtaildale/admin/reports.py
+++ b/wagtaildale/admin/reports.py
@@ -134,13 +134,28 @@
     return ', '.join(
         (
             f'{record.instance}: {place}',
-            'away' if record.instance in view.away else 'takes work',
+            _describe_work(node, view, record),
             f'{load}% of its limit',
             f'{slowness} times the usual time',
         ),
     )
 
 
+def _describe_work(
+    node: Node,
+    view: FleetView,
+    record: InstanceRecord,
+) -> str:
+    statistics = node.calls.entry.parts.placement.statistics
+    if statistics.leavers.has(record):
+        return 'leaves'
+    if record.instance in view.away:
+        return 'away'
+    now = read_clock()
+    room = statistics.limits.measure_room(record.instance, now=now)
+    return 'takes work' if room >= 1 else f'takes {room:.2f} of its work'
+
+
 def _list_classes(view: FleetView) -> dict[str, WorkClass]:
     if view.table is None:
         return {}
--- a/wagtaildale/admission/shares.py
+++ b/wagtaildale/admission/shares.py
@@ -113,6 +113,19 @@
         self._fade(now)
         self.amounts[rank] = self.amounts.get(rank, 0) + stands_for
 
+    def measure(self, now: float) -> float:
+        """Measure what would come if all of it passed.
+
+        Args:
+            now: seconds.
+
+        Returns:
+            Requests a second.
+        """
+        # Metrics are read by another thread: nothing is moved forward here.
+        kept = exp((self.counted_at - now) / MEMORY_SECONDS)
+        return kept * sum(tuple(self.amounts.values())) / MEMORY_SECONDS
+
     def share_out(self, per_second: float | None, *, now: float) -> PassShare:
         """Share what a server takes out to the ranks.
 
--- a/wagtaildale/routing/known_limits.py
+++ b/wagtaildale/routing/known_limits.py
@@ -68,9 +68,9 @@
         """Begin with none."""
         self._limits: dict[InstanceId, KnownLimit] = {}
 
-    def __bool__(self) -> bool:
-        """Tell whether any upstream is known to name a limit."""
-        return bool(self._limits)
+    def __len__(self) -> int:
+        """Count the upstreams that are known to name a limit."""
+        return len(self._limits)
 
     def note(
         self,
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -7,6 +7,7 @@
 
 from wagtaildale.document.eras import find_era
 from wagtaildale.telemetry.metrics import Metrics
+from wagtaildale.timers.service import read_clock
 from wagtaildale.types import Kind
 
 if TYPE_CHECKING:
@@ -81,6 +82,18 @@
         unit='{request}/s',
         description='Rate that the backend server names; -1 if none.',
     )
+    metrics.add_gauge(
+        'wagtaildale.backend.demand',
+        lambda: node.calls.owner.gate.state.demand.measure(read_clock()),
+        unit='{request}/s',
+        description='Requests that would come if all of them passed.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.upstreams.limited',
+        lambda: len(node.calls.entry.parts.placement.statistics.limits),
+        unit='{upstream}',
+        description='Upstreams known to name a limit.',
+    )
     metrics.add_gauge(
         'wagtaildale.backend.ends',
         lambda: node.calls.owner.trials.ends.count,
