Owners watch their servers: one that is down is asked by nobody until it is back

An owner that sees its server end, or its port refuse, says so to connected entries (Load.is_up, a field that was always true), and again with each try of the port, four a second, until it opens; an entry that connects later is told at once. Word counts for 1.5 s, so that an owner that falls silent is told from a server that ended. Entries leave such a server out, not only half of a service as with ejection, and ask one only where all are down: it may just be back. When it is, what was known of it, a limit, a word of leaving, its failures, is forgotten. Log lines server-down and server-up (down_ms).

What entries hear from owners without a call stands in a module of its own.

--- a/wagtaildale/calls/backend_pool.py
+++ b/wagtaildale/calls/backend_pool.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.backends import BackendConnection
+from wagtaildale.calls.server_watch import ServerWatch
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
@@ -13,6 +14,7 @@
     from wagtaildale.calls.addresses import Address
     from wagtaildale.calls.backends import BackendReceiver, BackendRequest
     from wagtaildale.reactor.loop import Loop
+    from wagtaildale.telemetry.events import EventRecorder
 
 # A request that must not run twice goes out only on a connection that was
 # used this lately: servers forget idle ones, and a reset then leaves open
@@ -21,7 +23,11 @@
 
 
 class BackendPool:
-    """Connections to one backend server, the one used last taken first."""
+    """Connections to one backend server, the one used last taken first.
+
+    Attributes:
+        watch: whether the server takes connections.
+    """
 
     def __init__(
         self,
@@ -30,6 +36,7 @@
         address: Address,
         request_id_field: bytes,
         note_stray: Callable[[], None],
+        recorder: EventRecorder,
     ) -> None:
         """Begin with none.
 
@@ -38,12 +45,14 @@
             address: of the backend server.
             request_id_field: by which responses name their request.
             note_stray: is told of a response to another request.
+            recorder: gets an event when the server goes down, or is up again.
         """
         self.loop = loop
         self.request_id_field = request_id_field
         self.note_stray = note_stray
         self.opened = 0
         self.address = address
+        self.watch = ServerWatch(loop, address, recorder=recorder)
         self._idle: list[BackendConnection] = []
         self._all: set[BackendConnection] = set()
 
--- a/wagtaildale/calls/backends.py
+++ b/wagtaildale/calls/backends.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import errno
 from typing import TYPE_CHECKING, Final, Protocol
 
 from msgspec import Struct
@@ -192,6 +193,7 @@
             return
         self._is_open = True
         self._connecting.cancel()
+        self._pool.watch.note_up()
 
     def on_bytes(self, chunk: bytes) -> None:
         """Take bytes of a response.
@@ -231,6 +233,8 @@
         Args:
             error: why.
         """
+        if not self._is_open and error.errno == errno.ECONNREFUSED:
+            self._pool.watch.note_down()
         self._fail(Code.backend_cut, str(error))
 
     def on_drained(self) -> None:
--- a/wagtaildale/calls/descriptions.py
+++ b/wagtaildale/calls/descriptions.py
@@ -23,7 +23,6 @@
     from wagtaildale.calls.fields import AnswerFields
     from wagtaildale.calls.frames import Load
     from wagtaildale.calls.routed import Routed
-    from wagtaildale.routing.statistics import FleetStatistics
 
 MILLISECONDS: Final = 1000
 MICROSECONDS: Final = 1_000_000
@@ -148,20 +147,3 @@
         rank=work_class.rank,
         patient=sending.patient,
     )
-
-
-def find_pass_rank(routed: Routed, statistics: FleetStatistics) -> int:
-    """Find the rank by which a call goes to limited upstreams.
-
-    Args:
-        routed: the call.
-        statistics: of all upstreams.
-
-    Returns:
-        See ``admission.shares``.
-    """
-    return statistics.find_pass_rank(
-        routed.match.work_class.rank,
-        work_class=name_class(routed),
-        slack_seconds=routed.due - read_clock(),
-    )
--- a/wagtaildale/calls/entry.py
+++ b/wagtaildale/calls/entry.py
@@ -9,8 +9,6 @@
 from wagtaildale.calls.entry_call import EntryCall
 from wagtaildale.calls.hedges import HedgeClocks
 from wagtaildale.calls.targets import Targets
-from wagtaildale.routing.leavers import Leaver
-from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
@@ -77,23 +75,6 @@
             budget.share = share
         self.parts.loop.alarms.set(LOOK_SECONDS, self.look)
 
-    def note_leaving(self, leaver: Leaver) -> None:
-        """Note that a backend server has said that it leaves.
-
-        Args:
-            leaver: the server; its start is that listed here if its owner
-                does not tell.
-        """
-        parts = self.parts
-        record = parts.view.current.records.get(leaver.instance)
-        if not leaver.born and record is not None:
-            leaver = Leaver(leaver.instance, record.born)
-        if parts.placement.statistics.leavers.note(leaver):
-            parts.recorder.record(
-                EventKind.upstream_leaving,
-                subject=leaver.instance,
-            )
-
     def find_budget(self, service: ServiceName) -> RetryBudget:
         """Find the retries that may be spent on a service.
 
--- a/wagtaildale/calls/load_teller.py
+++ b/wagtaildale/calls/load_teller.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING, Final
 
-from msgspec import structs
-
 from wagtaildale.admission.shares import ALL_PASS, PassShare
 from wagtaildale.calls.fields import UNHEARD_RATE, encode_rate
 from wagtaildale.calls.frames import Load
@@ -45,6 +43,8 @@
             recorder: gets an event when the server turns slow, or well.
         """
         self.listeners: list[Callable[[Load], None]] = []
+        self._is_up = True
+        self._leaving: Leaver | None = None
         self._gate = gate
         self._instance = instance
         self._recorder = recorder
@@ -55,9 +55,7 @@
         percent = self._note_condition(now)
         demand = self._gate.state.demand
         if demand.take_change(self._share_out(now), now=now) or percent:
-            load = self._describe_load(percent)
-            for tell in self.listeners:
-                tell(load)
+            self._tell(self._describe_load(percent))
 
     def tell_leaving(self, leaving: Leaver) -> None:
         """Tell that the backend server has said that it leaves.
@@ -65,9 +63,30 @@
         Args:
             leaving: the server.
         """
-        load = structs.replace(self._describe_load(0), leaving=leaving)
-        for tell in self.listeners:
-            tell(load)
+        self._leaving = leaving
+        self._tell(self._describe_load(0))
+
+    def tell_up(self, *, is_up: bool) -> None:
+        """Tell whether the backend server takes connections.
+
+        Args:
+            is_up: whether it does.
+        """
+        if is_up and not self._is_up:
+            # What comes back has said nothing yet.
+            self._leaving = None
+        self._is_up = is_up
+        self._tell(self._describe_load(0))
+
+    def describe_need(self) -> Load | None:
+        """Describe the load to an entry that has just connected.
+
+        Returns:
+            What others were told unasked; nothing of a sound server.
+        """
+        load = self._describe_load(0)
+        is_sound = load.is_up and load.share is None and load.leaving is None
+        return None if is_sound else load
 
     def describe_rate(self) -> int:
         """Describe the rate that the backend server takes.
@@ -111,8 +130,13 @@
             in_flight=len(state.running),
             limit=int(state.limit),
             queued=len(state.queue),
-            is_up=True,
+            is_up=self._is_up,
             slowness_percent=slowness_percent,
             rate_milli=self.describe_rate(),
             share=self.describe_share(),
+            leaving=self._leaving,
         )
+
+    def _tell(self, load: Load) -> None:
+        for tell in self.listeners:
+            tell(load)
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -109,6 +109,13 @@
             instance=identity.instance,
             recorder=recorder,
         )
+        self.pool = BackendPool(
+            loop,
+            address=backend,
+            request_id_field=dialect.request_id,
+            note_stray=self._note_stray,
+            recorder=recorder,
+        )
         self.server = ServerTargets(
             service,
             find_record=find_record,
@@ -116,14 +123,10 @@
             words=ServerWords(gate, recorder=recorder),
         )
         self.server.leaving.listeners.append(self.teller.tell_leaving)
-        self.pool = BackendPool(
-            loop,
-            address=backend,
-            request_id_field=dialect.request_id,
-            note_stray=self._note_stray,
-        )
+        self.pool.watch.listeners.append(self._note_watch)
         self.trials = trials
         trials.ends.listeners.append(self.server.words.note_started)
+        trials.ends.listeners.append(self.pool.watch.note_down)
         self._find_record = find_record
         self._recorder = recorder
 
@@ -248,6 +251,13 @@
     def _note_stray(self) -> None:
         self.strays += 1
 
+    def _note_watch(self) -> None:
+        is_up = self.pool.watch.is_up
+        if is_up:
+            self.server.leaving.note_started()
+            self.server.words.note_started()
+        self.teller.tell_up(is_up=is_up)
+
 
 def _to_us(seconds: float) -> int:
     return round(seconds * MICROSECONDS)
--- a/wagtaildale/calls/peer_pool.py
+++ b/wagtaildale/calls/peer_pool.py
@@ -13,10 +13,11 @@
 from wagtaildale.telemetry.events import EventKind
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from wagtaildale.calls.addresses import Address
     from wagtaildale.calls.frames import Load
+    from wagtaildale.calls.owner_listener import OwnerListener
     from wagtaildale.reactor.loop import Loop
     from wagtaildale.telemetry.events import EventRecorder
 
@@ -35,24 +36,18 @@
         self,
         loop: Loop,
         *,
-        on_load: Callable[[Address, Load], None],
-        on_leaving: Callable[[Address], None],
-        on_silent: Callable[[Address], None],
+        listener: OwnerListener,
         recorder: EventRecorder,
     ) -> None:
         """Begin with none.
 
         Args:
             loop: carries the connections.
-            on_load: is told how full and how fast owners are.
-            on_leaving: is told whose owner takes no new calls.
-            on_silent: is told of whose owner nothing is heard.
+            listener: is told what owners say, and who says nothing.
             recorder: gets an event for each connection that is lost.
         """
         self._loop = loop
-        self._on_load = on_load
-        self._on_leaving = on_leaving
-        self._on_silent = on_silent
+        self._listener = listener
         self._recorder = recorder
         self._peers: dict[Address, RemotePeer] = {}
         # They begin no new call and end with those under way.
@@ -103,7 +98,7 @@
         Args:
             peer: to an owner that takes no new calls.
         """
-        self._on_leaving(peer.address)
+        self._listener.note_leaving(peer.address)
         self._set_aside(peer)
 
     def note_silent(self, peer: RemotePeer) -> None:
@@ -125,7 +120,7 @@
         if newer.answered_at > peer.heard_at:
             peer.note_elsewhere()
             return
-        self._on_silent(peer.address)
+        self._listener.note_silent(peer.address)
         newer.ask()
 
     def note_refused(self, peer: RemotePeer) -> None:
@@ -161,7 +156,7 @@
             peer: to that owner.
             load: its word.
         """
-        self._on_load(peer.address, load)
+        self._listener.note_load(peer.address, load)
 
     def _set_aside(self, peer: RemotePeer) -> None:
         self._leave_out(peer)
--- a/wagtaildale/calls/routed.py
+++ b/wagtaildale/calls/routed.py
@@ -14,6 +14,7 @@
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.heads import KEY_FIELD, pass_on
 from wagtaildale.calls.owner import Owner
+from wagtaildale.calls.owner_listener import OwnerListener
 from wagtaildale.calls.time_given import TimesGiven
 from wagtaildale.calls.peer_pool import PeerPool
 from wagtaildale.calls.peers import LocalPeer
@@ -56,6 +57,7 @@
         owner: of the backend server beside it.
         local: that owner, as an entry speaks to it.
         peers: connections to the other owners.
+        listener: notes what owners say.
         view: what calls are routed by.
         tallies: counts of calls.
         recorder: gets events.
@@ -76,6 +78,7 @@
     owner: Owner
     local: LocalPeer
     peers: PeerPool
+    listener: OwnerListener
     view: ViewHolder
     tallies: Tallies
     recorder: EventRecorder
--- a/wagtaildale/calls/server_ends.py
+++ b/wagtaildale/calls/server_ends.py
@@ -7,30 +7,25 @@
 
 from __future__ import annotations
 
-import errno
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct
 
-from wagtaildale.reactor.stream import open_stream
+from wagtaildale.calls.knock import Knock, Knocked
 from wagtaildale.telemetry.events import EventKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from wagtaildale.calls.backend_pool import BackendPool
-    from wagtaildale.reactor.stream import Stream
     from wagtaildale.suspects.board import SuspectBoard
     from wagtaildale.suspects.fingerprints import Fingerprint
     from wagtaildale.telemetry.events import EventRecorder
-    from wagtaildale.timers.alarms import Alarm
     from wagtaildale.types import InstanceId
 
 # The connections of a process that ends close within a millisecond or so.
 CLOSE_SECONDS: Final = 0.003
-# A port on the same machine answers or refuses at once.
-ANSWER_SECONDS: Final = 0.1
 
 
 class CutRun(Struct, frozen=True, kw_only=True):
@@ -103,7 +98,11 @@
         if pool.has_standing():
             self.conclude(has_ended=False)
         else:
-            _Knock(self, pool)
+            Knock(pool.loop, pool.address, on_word=self._take_knock)
+
+    def _take_knock(self, word: Knocked) -> None:
+        # A port that is silent does not tell.
+        self.conclude(has_ended=word is Knocked.refused)
 
     def _blame(self, held: list[CutRun]) -> list[CutRun]:
         # A server that leaves ends by itself, whatever it runs.
@@ -125,45 +124,5 @@
         return blamed
 
 
-class _Knock:
-    """Tries the server's port; a ``StreamReceiver``."""
-
-    def __init__(self, ends: ServerEnds, pool: BackendPool) -> None:
-        self._ends = ends
-        self._alarm: Alarm = pool.loop.alarms.set(
-            ANSWER_SECONDS,
-            self._give_up,
-        )
-        self._stream: Stream = open_stream(
-            pool.loop,
-            (pool.address.host, pool.address.port),
-            self,
-        )
-
-    def on_open(self) -> None:
-        self._conclude(has_ended=False)
-
-    def on_bytes(self, chunk: bytes) -> None:
-        """Do nothing: nothing was asked."""
-
-    def on_end(self) -> None:
-        """Do nothing: the connection is closed once it is open."""
-
-    def on_lost(self, error: OSError) -> None:
-        self._conclude(has_ended=error.errno == errno.ECONNREFUSED)
-
-    def on_drained(self) -> None:
-        """Do nothing: nothing was sent."""
-
-    def _give_up(self) -> None:
-        # Silent: nobody can say whether it ended.
-        self._conclude(has_ended=False)
-
-    def _conclude(self, *, has_ended: bool) -> None:
-        self._alarm.cancel()
-        self._stream.close()
-        self._ends.conclude(has_ended=has_ended)
-
-
 def _read_ends(cut: CutRun) -> int:
     return cut.ends
--- a/wagtaildale/calls/server_leaving.py
+++ b/wagtaildale/calls/server_leaving.py
@@ -72,6 +72,10 @@
             return Leaver(instance, record.born)
         return None
 
+    def note_started(self) -> None:
+        """Learn that the server has ended; the next one has said nothing."""
+        self._leavers = Leavers()
+
     def note_said(self, instance: InstanceId) -> None:
         """Note that the server has said that it leaves.
 
--- a/wagtaildale/calls/sessions.py
+++ b/wagtaildale/calls/sessions.py
@@ -175,9 +175,15 @@
             call.cancel()
 
     def note_hears_leaving(self) -> None:
-        """Learn that the entry knows ``Leaving``; it may be due already."""
+        """Learn that the entry knows ``Leaving``; it may be due already.
+
+        So may be what other entries were told unasked before this one came.
+        """
         self._hears_leaving = True
         self.announce_leaving()
+        load = self.owner.teller.describe_need()
+        if load is not None:
+            self.reply(load)
 
     def announce_leaving(self) -> None:
         """Tell the entry that the owner takes no new calls, if it does not.
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -10,7 +10,6 @@
 from wagtaildale.calls.descriptions import (
     Sending,
     describe_call,
-    find_pass_rank,
     name_class,
     read_report,
 )
@@ -20,7 +19,7 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.candidates import list_candidates
 from wagtaildale.routing.choice import Need
-from wagtaildale.routing.throttling import Throttled
+from wagtaildale.routing.throttling import Throttled, find_need_rank
 from wagtaildale.routing.upstream import UPSTREAM_FAULTS, UpstreamStatistics
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
@@ -136,7 +135,7 @@
                     rate=self._statistics.limits.find_rate(record.instance),
                     patient=patient and not spare,
                     spare=spare,
-                    pass_rank=find_pass_rank(routed, self._statistics),
+                    pass_rank=_find_need_rank(routed, self._statistics),
                     share=placed.share,
                 ),
             ),
@@ -307,9 +306,18 @@
                 work_class=name_class(routed),
                 slack_seconds=routed.due - now,
                 may_wait=bool(attempts.busy and attempts.refusals_left),
-                pass_rank=find_pass_rank(routed, self._statistics),
+                pass_rank=_find_need_rank(routed, self._statistics),
                 is_spare=spare,
                 was_limited=attempts.was_limited,
             ),
             now=now,
         )
+
+
+def _find_need_rank(routed: Routed, statistics: FleetStatistics) -> int:
+    return find_need_rank(
+        routed.match.work_class.rank,
+        work_class=name_class(routed),
+        slack_seconds=routed.due - read_clock(),
+        statistics=statistics,
+    )
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from concurrent.futures import wait
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct
@@ -13,11 +14,11 @@
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.budgets import RetryShare, share_retries
 from wagtaildale.calls.callers import CallerLimits, CallerPort
-from wagtaildale.calls.descriptions import read_limit
 from wagtaildale.calls.dialect import OWN_DIALECT, Dialect
 from wagtaildale.calls.entry import Entry
 from wagtaildale.calls.identity_question import IdentityQuestion
 from wagtaildale.calls.owner import Identity, Owner
+from wagtaildale.calls.owner_listener import OwnerListener
 from wagtaildale.calls.peer_pool import PeerPool
 from wagtaildale.calls.peers import LocalPeer
 from wagtaildale.calls.ready import ReadyAnswerer
@@ -31,13 +32,11 @@
 from wagtaildale.routing.choice import Chooser
 from wagtaildale.routing.placement import Placement
 from wagtaildale.routing.statistics import FleetStatistics
-from wagtaildale.routing.upstream import UpstreamStatistics
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.settings.model import BoundSettings
 from wagtaildale.suspects.board import SuspectBoard
 from wagtaildale.telemetry.events import EventKind, EventRecorder
 from wagtaildale.telemetry.tallies import Tallies
-from wagtaildale.timers.service import read_clock
 from wagtaildale.types import DataCentre, NodeState, ServiceName
 
 if TYPE_CHECKING:
@@ -45,13 +44,11 @@
 
     from result import Result
 
-    from wagtaildale.calls.frames import Load
     from wagtaildale.errors.faults import Fault
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.types import InstanceId
 
 MILLISECONDS: Final = 1000
-PERCENT: Final = 100
 # How soon what the list tells of the backend server here is taken up.
 LOOK_SECONDS: Final = 0.5
 # How long another thread waits until the loop has done what it asks; far
@@ -175,7 +172,9 @@
             read_limits=self.read_limits,
         )
         self.nodes = PeerPort(self.owner, recorder=around.recorder)
-        self.owner.teller.listeners.append(self._note_own_load)
+        self.owner.teller.listeners.append(
+            partial(self.entry.parts.listener.note_load, figures.owner),
+        )
         self._ready = CallerPort(
             self.loop,
             answerer=ReadyAnswerer(self._read_state),
@@ -303,6 +302,12 @@
     def _make_parts(self) -> EntryParts:
         figures = self._figures
         around = self._around
+        statistics = FleetStatistics()
+        listener = OwnerListener(
+            around.view,
+            statistics=statistics,
+            recorder=around.recorder,
+        )
         return EntryParts(
             service=figures.service,
             own_host=figures.owner.host,
@@ -312,11 +317,10 @@
             local=self.local,
             peers=PeerPool(
                 self.loop,
-                on_load=self._note_load,
-                on_leaving=self._note_leaving,
-                on_silent=self._note_silent,
+                listener=listener,
                 recorder=around.recorder,
             ),
+            listener=listener,
             view=around.view,
             tallies=around.tallies,
             recorder=around.recorder,
@@ -324,7 +328,7 @@
                 self.owner.identity.instance,
                 data_centre=figures.data_centre,
                 chooser=figures.chooser,
-                statistics=FleetStatistics(),
+                statistics=statistics,
             ),
             dialect=figures.dialect,
             times=TimesGiven(),
@@ -358,46 +362,6 @@
     def _find_record(self, instance: InstanceId) -> InstanceRecord | None:
         return self._around.view.current.records.get(instance)
 
-    def _note_load(self, address: Address, load: Load) -> None:
-        now = read_clock()
-        if load.leaving is not None:
-            self.entry.note_leaving(load.leaving)
-        limits = self.entry.parts.placement.statistics.limits
-        for upstream in self._list_upstreams(address):
-            upstream.note_load(
-                in_flight=load.in_flight,
-                limit=load.limit,
-                queued=load.queued,
-                now=now,
-            )
-            limits.note(upstream.instance, read_limit(load), now=now)
-            if load.slowness_percent > 0:
-                upstream.speed.note_condition(
-                    load.slowness_percent / PERCENT,
-                    now=now,
-                )
-
-    def _note_own_load(self, load: Load) -> None:
-        self._note_load(self._figures.owner, load)
-
-    def _note_leaving(self, address: Address) -> None:
-        for upstream in self._list_upstreams(address):
-            upstream.ejection.note_leaving(read_clock())
-
-    def _note_silent(self, address: Address) -> None:
-        for upstream in self._list_upstreams(address):
-            upstream.ejection.note_silent(read_clock())
-
-    def _list_upstreams(self, address: Address) -> list[UpstreamStatistics]:
-        # An owner does not know under which ids it is listed.
-        now = read_clock()
-        statistics = self.entry.parts.placement.statistics
-        return [
-            statistics.find(record.instance, now=now)
-            for record in self._around.view.current.records.values()
-            if Address(record.host, record.owner_port) == address
-        ]
-
     def _note_defect(self, error: BaseException) -> None:
         self._around.recorder.record(
             EventKind.invariant_broken,
--- a/wagtaildale/calls/tests/mortal.py
+++ b/wagtaildale/calls/tests/mortal.py
@@ -75,9 +75,15 @@
 class MortalFleet(ScriptedFleet):
     """A fleet whose servers may end."""
 
-    def __init__(self, upstreams: int, *, entries: int) -> None:
+    def __init__(
+        self,
+        upstreams: int,
+        *,
+        entries: int,
+        deadly: Iterable[str] = (DEADLY,),
+    ) -> None:
         super().__init__(upstreams, entries=entries)
-        self._deadly: frozenset[str] = frozenset((DEADLY,))
+        self._deadly = frozenset(deadly)
         self._before: list[str] = []
         self._ends = 0
         self.backends = [self._start(record.host) for record in self.records]
@@ -117,6 +123,21 @@
                 backend.end()
             return [each.result() for each in asked]
 
+    def end_one(self, path: str) -> None:
+        """End the server that a request has come to, while it runs there."""
+        for backend in self.backends:
+            backend.released.clear()
+        before = [len(backend.arrivals) for backend in self.backends]
+        with ThreadPoolExecutor(1) as callers:
+            asked = callers.submit(self.ask, path)
+            wait_until(lambda: self._find_busy(before) is not None)
+            busy = self._find_busy(before)
+            assert busy is not None
+            busy.end()
+            for backend in self.backends:
+                backend.released.set()
+            asked.result()
+
     def count_arrivals(self, path: str) -> int:
         """Count how often a request has reached a server."""
         now = [name for each in self.backends for name in each.arrivals]
@@ -127,5 +148,13 @@
         for backend in self.backends:
             backend.close()
 
+    def _find_busy(self, before: list[int]) -> MortalBackend | None:
+        busy = (
+            backend
+            for backend, count in zip(self.backends, before, strict=True)
+            if len(backend.arrivals) > count
+        )
+        return next(busy, None)
+
     def _start(self, host: str) -> MortalBackend:
         return MortalBackend(host, deadly=self._deadly)
--- a/wagtaildale/calls/tests/test_backends.py
+++ b/wagtaildale/calls/tests/test_backends.py
@@ -16,6 +16,7 @@
 from wagtaildale.calls.backend_pool import BackendPool
 from wagtaildale.calls.backends import BackendRequest
 from wagtaildale.calls.tests.hand_moved import HandMoved, is_readable
+from wagtaildale.testing.builders import build_recorder
 from wagtaildale.testing.mesh import BACKEND_PORT
 from wagtaildale.types import Outcome
 
@@ -69,6 +70,7 @@
             address=Address(HOST, BACKEND_PORT),
             request_id_field=b'x-request-id',
             note_stray=lambda: None,
+            recorder=build_recorder(),
         )
         self.listener = socket.create_server((HOST, BACKEND_PORT))
 
--- /dev/null
+++ b/wagtaildale/calls/tests/test_contained.py
@@ -0,0 +1,92 @@
+"""Tests of what one request under which servers end may take with it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import pytest
+
+from wagtaildale.calls.tests.mortal import DEADLY, HARMLESS, MortalFleet
+from wagtaildale.calls.tests.pairs import wait_until
+
+if TYPE_CHECKING:
+    from wagtaildale.testing.mesh import MeshNode
+
+ENTRIES: Final = 3
+VISITS: Final = 12
+POPULAR: Final = '/files/popular'
+ANSWERED: Final = b'HTTP/1.1 200'
+
+
+def visit(fleet: MortalFleet, path: str) -> list[bytes]:
+    return [fleet.ask(path, entry=number % ENTRIES) for number in range(VISITS)]
+
+
+@pytest.mark.parametrize('upstreams', [2, 3, 6])
+def test_request_takes_one_server_at_a_time(upstreams: int) -> None:
+    """A request ends a server, and the next one while that is down."""
+    with MortalFleet(upstreams, entries=ENTRIES) as fleet:
+        visit(fleet, DEADLY)
+        assert fleet.ends == 1
+        answers = visit(fleet, HARMLESS)
+        assert all(answer.startswith(ANSWERED) for answer in answers)
+
+
+def test_each_of_several_requests_takes_one_server_at_a_time() -> None:
+    """Two requests together end every server of a service."""
+    paths = (DEADLY, '/files/deadly-2')
+    with MortalFleet(6, entries=ENTRIES, deadly=paths) as fleet:
+        for path in (*paths, *paths):
+            visit(fleet, path)
+        assert fleet.ends == len(paths)
+
+
+def test_request_is_tried_again_where_a_server_ended() -> None:
+    """A request is held back for good, though its server is up again."""
+    with MortalFleet(3, entries=ENTRIES) as fleet:
+        fleet.ask(DEADLY)
+        first = [each.has_ended for each in fleet.backends]
+        fleet.revive()
+        wait_until(lambda: bool(visit(fleet, DEADLY)) and fleet.ends == 2)
+        assert [each.has_ended for each in fleet.backends] == first
+
+
+def test_popular_lookup_beside_it_waits_for_nobody() -> None:
+    """A lookup that all callers send ran on the server that ended."""
+    with MortalFleet(3, entries=ENTRIES) as fleet:
+        visit(fleet, POPULAR)
+        fleet.end_one(POPULAR)
+        answers = visit(fleet, POPULAR)
+        assert all(answer.startswith(ANSWERED) for answer in answers)
+
+
+def test_server_that_ended_is_not_asked_until_it_is_back() -> None:
+    """Each entry finds out anew, every half second, that a server is down."""
+    with MortalFleet(3, entries=ENTRIES) as fleet:
+        wait_until(lambda: all(is_connected(each) for each in fleet.owners))
+        fleet.ask(DEADLY)
+        down = next(
+            owner
+            for owner, each in zip(fleet.owners, fleet.backends, strict=True)
+            if each.has_ended
+        )
+        wait_until(lambda: all(knows_of_down(each) for each in fleet.entries))
+        before = down.owner.pool.opened
+        for _time in range(5):
+            answers = visit(fleet, HARMLESS)
+            assert all(answer.startswith(ANSWERED) for answer in answers)
+        assert down.owner.pool.opened == before
+        fleet.revive()
+        wait_until(
+            lambda: (
+                bool(visit(fleet, HARMLESS)) and down.owner.pool.opened > before
+            ),
+        )
+
+
+def is_connected(owner: MeshNode) -> bool:
+    return owner.calls.nodes.open >= ENTRIES
+
+
+def knows_of_down(entry: MeshNode) -> bool:
+    return bool(entry.calls.entry.parts.placement.statistics.down)
--- a/wagtaildale/routing/leavers.py
+++ b/wagtaildale/routing/leavers.py
@@ -60,6 +60,14 @@
             self._born.pop(next(iter(self._born)))
         return not is_known
 
+    def forget(self, instance: InstanceId) -> None:
+        """Forget what a server said: it has started anew.
+
+        Args:
+            instance: of the server.
+        """
+        self._born.pop(instance, None)
+
     def knows(self, instance: InstanceId) -> bool:
         """Tell whether some start of a server has said that it leaves.
 
--- a/wagtaildale/routing/placement.py
+++ b/wagtaildale/routing/placement.py
@@ -18,7 +18,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Callable, Collection, Sequence
 
     from wagtaildale.routing.choice import Chooser, Need
     from wagtaildale.routing.statistics import FleetStatistics
@@ -196,7 +196,12 @@
         ranked = self._rank(view, service)
         takes_work = partial(self._takes_work, view=view, useless=useless)
         weigh = partial(self._weigh, now=now)
-        subset = ranked.take(takes_work, weigh=weigh)
+        subset = ranked.take(
+            partial(self._is_up, takes_work=takes_work, now=now),
+            weigh=weigh,
+        )
+        # Where all are said to be down, one may just be back.
+        subset = subset or ranked.take(takes_work, weigh=weigh)
         if not subset:
             candidates = list_candidates(
                 view,
@@ -229,6 +234,17 @@
             return False
         return not self.statistics.leavers.has(record)
 
+    def _is_up(
+        self,
+        record: InstanceRecord,
+        *,
+        takes_work: Callable[[InstanceRecord], bool],
+        now: float,
+    ) -> bool:
+        if not takes_work(record):
+            return False
+        return not self.statistics.down.has(record.instance, now=now)
+
     def _weigh(self, record: InstanceRecord, *, now: float) -> float:
         return self.statistics.limits.measure_room(record.instance, now=now)
 
--- a/wagtaildale/routing/statistics.py
+++ b/wagtaildale/routing/statistics.py
@@ -10,8 +10,8 @@
 
 from msgspec import Struct
 
-from wagtaildale.admission.shares import find_pass_rank
 from wagtaildale.admission.state import UNKNOWN_SHARE
+from wagtaildale.routing.down_servers import DownServers
 from wagtaildale.routing.known_limits import KnownLimits
 from wagtaildale.routing.leavers import Leavers
 from wagtaildale.routing.upstream import UpstreamStatistics
@@ -47,12 +47,14 @@
     Attributes:
         limits: that their servers name.
         leavers: of them, those whose servers have said that they leave.
+        down: of them, those whose servers take no connection.
     """
 
     def __init__(self) -> None:
         """Begin with none."""
         self.limits = KnownLimits()
         self.leavers = Leavers()
+        self.down = DownServers()
         self._upstreams: dict[InstanceId, UpstreamStatistics] = {}
         self._usual: dict[str, float] = {}
         self._born: dict[InstanceId, int] = {}
@@ -115,29 +117,6 @@
         """
         return self._usual.get(work_class, 0)
 
-    def find_pass_rank(
-        self,
-        rank: int,
-        *,
-        work_class: str,
-        slack_seconds: float,
-    ) -> int:
-        """Find the rank by which a request goes to limited upstreams.
-
-        Load pattern answered: a service takes a part of what comes, callers
-        come back until they are late, and what passes is answered late.
-
-        Args:
-            rank: of its class; 0 goes first.
-            work_class: service and class.
-            slack_seconds: until its target is missed.
-
-        Returns:
-            See ``shares.find_pass_rank``.
-        """
-        is_late = slack_seconds < self.find_usual_seconds(work_class)
-        return find_pass_rank(rank, is_late=is_late)
-
     def estimate(
         self,
         instance: InstanceId,
@@ -190,8 +169,24 @@
         known = self._born.get(instance, born)
         self._born[instance] = born
         if known != born:
-            self._upstreams[instance] = UpstreamStatistics(instance, now=now)
-            self.limits.forget(instance)
+            self._begin_anew(instance, now)
+
+    def note_watched(
+        self,
+        instance: InstanceId,
+        *,
+        is_up: bool,
+        now: float,
+    ) -> None:
+        """Note whether an upstream's server is up, by its owner's word.
+
+        Args:
+            instance: which one.
+            is_up: whether it takes connections.
+            now: seconds.
+        """
+        if self.down.note(instance, is_up=is_up, now=now):
+            self._begin_anew(instance, now)
 
     def find(
         self,
@@ -243,3 +238,8 @@
             for instance, born in self._born.items()
             if instance in listed
         }
+
+    def _begin_anew(self, instance: InstanceId, now: float) -> None:
+        self._upstreams[instance] = UpstreamStatistics(instance, now=now)
+        self.limits.forget(instance)
+        self.leavers.forget(instance)
--- a/wagtaildale/routing/throttling.py
+++ b/wagtaildale/routing/throttling.py
@@ -13,12 +13,15 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.shares import find_pass_rank
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.routing.choice import Need
     from wagtaildale.routing.known_limits import KnownLimits
+    from wagtaildale.routing.statistics import FleetStatistics
     from wagtaildale.types import InstanceId
 
 # Where all but few pass, a caller that comes back this soon passes as well;
@@ -45,6 +48,31 @@
         return min(LONGEST_RETRY_SECONDS, spread * RETRY_SECONDS / self.share)
 
 
+def find_need_rank(
+    rank: int,
+    *,
+    work_class: str,
+    slack_seconds: float,
+    statistics: FleetStatistics,
+) -> int:
+    """Find the rank by which a request goes to limited upstreams.
+
+    Load pattern answered: a service takes a part of what comes, callers come
+    back until they are late, and what passes is answered late.
+
+    Args:
+        rank: of its class; 0 goes first.
+        work_class: service and class.
+        slack_seconds: until its target is missed.
+        statistics: of all upstreams.
+
+    Returns:
+        See ``admission.shares``.
+    """
+    usual = statistics.find_usual_seconds(work_class)
+    return find_pass_rank(rank, is_late=slack_seconds < usual)
+
+
 def draw_upstreams(
     candidates: Sequence[InstanceRecord],
     *,
--- a/wagtaildale/telemetry/events.py
+++ b/wagtaildale/telemetry/events.py
@@ -64,6 +64,8 @@
     server_named = 'server-named'
     server_unnamed = 'server-unnamed'
     server_ended = 'server-ended'
+    server_down = 'server-down'
+    server_up = 'server-up'
     server_limited = 'server-limited'
     server_unlimited = 'server-unlimited'
     server_leaving = 'server-leaving'
--- a/wagtaildale/telemetry/story.py
+++ b/wagtaildale/telemetry/story.py
@@ -47,6 +47,8 @@
         EventKind.upstream_restored,
         EventKind.upstream_leaving,
         EventKind.server_ended,
+        EventKind.server_down,
+        EventKind.server_up,
         EventKind.server_limited,
         EventKind.server_unlimited,
         EventKind.server_leaving,
--- a/wagtaildale/testing/replay/calls.py
+++ b/wagtaildale/testing/replay/calls.py
@@ -12,7 +12,7 @@
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.choice import Need
-from wagtaildale.routing.throttling import Throttled
+from wagtaildale.routing.throttling import Throttled, find_need_rank
 from wagtaildale.testing.replay.servers import Job, ReplayServer
 from wagtaildale.types import ServiceName
 
@@ -124,7 +124,7 @@
             server=server,
             since=now,
             is_near=is_near,
-            pass_rank=self._find_pass_rank(),
+            pass_rank=self._find_need_rank(),
             share=placed.share,
         )
         self._running.append(sent)
@@ -135,12 +135,13 @@
             partial(self._arrive, sent, spare=spare, patient=patient),
         )
 
-    def _find_pass_rank(self) -> int:
+    def _find_need_rank(self) -> int:
         asked = self._asked
-        return self._entry.placement.statistics.find_pass_rank(
+        return find_need_rank(
             asked.work_class.rank,
             work_class=asked.work_class.name,
             slack_seconds=asked.due - self._clock.now,
+            statistics=self._entry.placement.statistics,
         )
 
     def _place(self, *, spare: bool) -> Placed | Throttled | None:
@@ -156,7 +157,7 @@
                 work_class=asked.work_class.name,
                 slack_seconds=asked.due - now,
                 may_wait=bool(attempts.busy and attempts.refusals_left),
-                pass_rank=self._find_pass_rank(),
+                pass_rank=self._find_need_rank(),
                 is_spare=spare,
                 was_limited=attempts.was_limited,
             ),
