Suspects: a request runs again only where a server ended under it

What callers saw: one request, that came ten times a second, took four of six servers of its service within half a second and ended one at each trial; the class beside it was served a third for seconds. The judgement was right after the second end. What it cost came from where suspects run: anywhere after the first end, at three places after the second, and at servers just up.

Runs of the same request at other servers are given up when word comes, if they may run twice. What the server had answered a moment before is held for innocent. A suspect that comes to a server that is down waits half a second for it at most.

--- a/wagtaildale/calls/backend_run.py
+++ b/wagtaildale/calls/backend_run.py
@@ -94,6 +94,7 @@
         self._target = run.fields.instance
         self._owed = 0
         self._ends = 0
+        self._kept: KeptAnswer | None = None
         self._is_over = False
 
     @property
@@ -103,16 +104,12 @@
 
     def begin(self) -> None:
         """Send the request, or give the answer kept for its key."""
-        try:
-            kept = self._admit()
-        except CallFailed as failure:
-            self._call.on_run_failed(failure)
-            return
-        if kept is None:
-            self._run_now()
+        owner = self._owner
+        if owner.trials.may_end(self._run):
+            # The server that ended under it may be back in a moment.
+            owner.pool.watch.wait_up(self._begin)
         else:
-            self._replies.repeat(self._run.fields, kept)
-            self._call.on_run_repeated()
+            self._begin()
 
     def add(self, piece: Piece) -> None:
         """Pass more of the request's body on.
@@ -220,9 +217,31 @@
             self._replies.acknowledge(self._owed)
             self._owed = 0
 
-    def _admit(self) -> KeptAnswer | None:
-        self._ends = self._owner.trials.admit(self._run)
-        return self._keyed.begin()
+    def _begin(self) -> None:
+        if self._is_over:
+            return
+        try:
+            is_admitted = self._admit()
+        except CallFailed as failure:
+            self._call.on_run_failed(failure)
+            return
+        if self._kept is not None:
+            self._replies.repeat(self._run.fields, self._kept)
+            self._call.on_run_repeated()
+        elif is_admitted:
+            self._run_now()
+
+    def _admit(self) -> bool:
+        ends = self._owner.trials.admit(
+            self._run,
+            up_seconds=self._owner.pool.watch.up_seconds,
+            on_turn=self.begin,
+        )
+        if ends is None:
+            return False
+        self._ends = ends
+        self._kept = self._keyed.begin()
+        return True
 
     def _conclude_cut(self, failure: CallFailed, ends: int) -> None:
         if ends:
@@ -230,6 +249,10 @@
             failure.ends = ends
         self._call.on_run_failed(failure)
 
+    def _give_up(self, failure: CallFailed) -> None:
+        if not (self._is_over or self.is_answering):
+            self._call.on_run_failed(failure)
+
     def _run_now(self) -> None:
         if self._times.is_past_deadline:
             # Failure: a paused process wakes and sends what nobody waits
@@ -261,6 +284,8 @@
             deadline=self._times.deadline,
             instance=self._target,
         )
+        if not self._ends:
+            self._owner.trials.note_begun(self._run, give_up=self._give_up)
         self._connection = self._owner.pool.ask(request, self)
 
     def _pass_on(self) -> None:
--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -252,7 +252,7 @@
             self.routed,
             self.attempts,
             spare=spare,
-            trial=review_suspect(
+            suspect=review_suspect(
                 self._entry.parts,
                 self.routed,
                 self.request,
--- a/wagtaildale/calls/server_ends.py
+++ b/wagtaildale/calls/server_ends.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable
 
     from wagtaildale.calls.backend_pool import BackendPool
+    from wagtaildale.suspects.answered import AnsweredLately
     from wagtaildale.suspects.board import SuspectBoard
     from wagtaildale.suspects.fingerprints import Fingerprint
     from wagtaildale.telemetry.events import EventRecorder
@@ -55,16 +56,27 @@
         listeners: are told when it did.
     """
 
-    def __init__(self, board: SuspectBoard, *, recorder: EventRecorder) -> None:
+    def __init__(
+        self,
+        board: SuspectBoard,
+        *,
+        node: InstanceId,
+        answered: AnsweredLately,
+        recorder: EventRecorder,
+    ) -> None:
         """Prepare.
 
         Args:
             board: is told under which requests a server ended.
+            node: beside the server.
+            answered: those that did not end it a moment ago.
             recorder: gets an event when it did.
         """
         self.count = 0
         self.listeners: list[Callable[[], None]] = []
         self._board = board
+        self._node = node
+        self._answered = answered
         self._recorder = recorder
         self._held: list[CutRun] = []
 
@@ -100,16 +112,27 @@
         else:
             Knock(pool.loop, pool.address, on_word=self._take_knock)
 
+    def _is_proven(self, cut: CutRun) -> bool:
+        return not cut.ends and self._answered.has(cut.fingerprint)
+
     def _take_knock(self, word: Knocked) -> None:
         # A port that is silent does not tell.
         self.conclude(has_ended=word is Knocked.refused)
 
     def _blame(self, held: list[CutRun]) -> list[CutRun]:
         # A server that leaves ends by itself, whatever it runs.
-        blamed = [cut for cut in held if not cut.is_leaving]
-        if not blamed:
+        ended = [cut for cut in held if not cut.is_leaving]
+        if not ended:
             return []
         self.count += 1
+        blamed = [cut for cut in ended if not self._is_proven(cut)]
+        self._answered.forget()
+        self._note_ends(blamed or ended, is_known=bool(blamed))
+        return blamed
+
+    def _note_ends(self, blamed: list[CutRun], *, is_known: bool) -> None:
+        # Where all that ran was answered a moment ago, the end counts, and
+        # holds nobody back: it may be that of another cause.
         # Of runs of the same request, the one that knew of most ends counts.
         blamed.sort(key=_read_ends)
         ends = {cut.fingerprint: cut.ends + 1 for cut in blamed}
@@ -120,8 +143,10 @@
             detail=names,
             inputs={'requests': len(blamed), 'most_ends': max(ends.values())},
         )
-        self._board.note_ends(ends.items())
-        return blamed
+        self._board.note_ends(
+            ends.items(),
+            places=(self._node,) if is_known else (),
+        )
 
 
 def _read_ends(cut: CutRun) -> int:
--- a/wagtaildale/calls/server_watch.py
+++ b/wagtaildale/calls/server_watch.py
@@ -22,6 +22,8 @@
 
 # A server takes seconds to start; each try costs it a connection.
 KNOCK_SECONDS: Final = 0.25
+# A server that is not back by then takes seconds.
+QUICK_SECONDS: Final = 0.5
 MILLISECONDS: Final = 1000
 
 
@@ -51,10 +53,28 @@
         self.is_up = True
         self.changed_at = read_clock()
         self.listeners: list[Callable[[], None]] = []
+        self._waiting: list[Callable[[], None]] = []
         self._loop = loop
         self._address = address
         self._recorder = recorder
 
+    @property
+    def up_seconds(self) -> float:
+        """For how long the server has been up; 0 while it is down."""
+        return read_clock() - self.changed_at if self.is_up else 0
+
+    def wait_up(self, on_over: Callable[[], None]) -> None:
+        """Wait for a server that may be back in a moment.
+
+        Args:
+            on_over: is told when it is up, or is not back soon; perhaps
+                before this returns.
+        """
+        if self.is_up or read_clock() - self.changed_at >= QUICK_SECONDS:
+            on_over()
+        else:
+            self._waiting.append(on_over)
+
     def note_down(self) -> None:
         """Learn that the server takes no connection."""
         if self.is_up:
@@ -77,6 +97,14 @@
         self.is_up = is_up
         self.changed_at = read_clock()
         self._tell()
+        if is_up:
+            self._end_waiting()
+
+    def _end_waiting(self) -> None:
+        waiting = self._waiting
+        self._waiting = []
+        for tell in waiting:
+            tell()
 
     def _tell(self) -> None:
         for tell in self.listeners:
@@ -96,3 +124,5 @@
             # Word of it may have been lost, or an entry is new.
             self._tell()
             self._wait()
+            if read_clock() - self.changed_at >= QUICK_SECONDS:
+                self._end_waiting()
--- a/wagtaildale/calls/suspected_call.py
+++ b/wagtaildale/calls/suspected_call.py
@@ -2,31 +2,52 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
+
+from msgspec import Struct, structs
 
 from wagtaildale.calls.trials import refuse_suspect
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.placement import Placed
 from wagtaildale.routing.trials import list_places
+from wagtaildale.suspects.board import Judgement
 from wagtaildale.suspects.fingerprints import (
     Asked,
     Fingerprint,
     take_fingerprint,
 )
 from wagtaildale.suspects.records import (
+    GONE_SECONDS,
     HARMFUL_ENDS,
     LONGEST_REST_SECONDS,
     Standing,
     find_rest,
 )
+from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
     from wagtaildale.calls.failures import CallFailed
     from wagtaildale.calls.attempt import RequestParts
     from wagtaildale.calls.attempts import Attempts
     from wagtaildale.calls.routed import EntryParts, Routed
-    from wagtaildale.routing.leavers import Leavers
+    from wagtaildale.routing.statistics import FleetStatistics
     from wagtaildale.routing.view import FleetView
+    from wagtaildale.types import InstanceId
+
+# A server that has ended is seldom back sooner.
+RETURN_SECONDS: Final = 1.0
+
+
+class Suspect(Struct, frozen=True, kw_only=True):
+    """A request that may not run at any server.
+
+    Attributes:
+        fingerprint: of the request.
+        judgement: what is known of it.
+    """
+
+    fingerprint: Fingerprint
+    judgement: Judgement
 
 
 def review_suspect(
@@ -34,7 +55,7 @@
     routed: Routed,
     request: RequestParts,
     attempts: Attempts,
-) -> Fingerprint | None:
+) -> Suspect | None:
     """Review whether a request may be sent on, and whether to any server.
 
     Args:
@@ -44,7 +65,7 @@
         attempts: of its call; learn what this node knows of it.
 
     Returns:
-        Its fingerprint if it is to run alone.
+        The request if it may not run at any server.
 
     Raises:
         CallFailed: when it is not to run, with outcome ``not_run``.
@@ -70,51 +91,78 @@
             ends=judgement.ends,
             wait_seconds=judgement.wait_seconds,
         )
-    return fingerprint if judgement.standing is Standing.trial else None
+    if judgement.standing is Standing.trial or judgement.is_confined:
+        return Suspect(fingerprint=fingerprint, judgement=judgement)
+    return None
 
 
-def place_trial(
+def place_suspect(
     view: FleetView,
     routed: Routed,
     attempts: Attempts,
     *,
-    fingerprint: Fingerprint,
-    leavers: Leavers,
-) -> Placed:
-    """Place an attempt of a request that is to run alone.
+    suspect: Suspect,
+    statistics: FleetStatistics,
+) -> Placed | None:
+    """Place an attempt of a request that may not run at any server.
 
     Args:
         view: the snapshot that the call goes by.
         routed: the call.
         attempts: those before.
-        fingerprint: of the request.
-        leavers: servers that have said that they leave.
+        suspect: the request.
+        statistics: of all upstreams.
 
     Returns:
-        Where it goes.
+        Where it goes; nothing if it may run like others, since the servers
+        that ended under it are gone.
 
     Raises:
-        CallFailed: when it was refused wherever it may be tried.
+        CallFailed: when it was refused wherever it may run.
     """
+    judgement = suspect.judgement
+    if not judgement.places and attempts.tried:
+        # Word of the end is still on its way here; this call has seen it.
+        judgement = structs.replace(
+            judgement,
+            places=_find_last_node(view, attempts),
+        )
     places = list_places(
         view,
         routed.service,
-        fingerprint=fingerprint,
-        ends=attempts.ends,
+        fingerprint=suspect.fingerprint,
+        judgement=judgement,
     )
-    untried = (
+    if not places and judgement.age_seconds >= GONE_SECONDS:
+        return None
+    now = read_clock()
+    untried = [
         place
         for place in places
-        if place.instance not in attempts.tried and not leavers.has(place)
-    )
-    place = next(untried, None)
-    if place is None:
+        if place.instance not in attempts.tried
+        and not statistics.leavers.has(place)
+    ]
+    up = [
+        place
+        for place in untried
+        if not statistics.down.has(place.instance, now=now)
+    ]
+    if not untried:
         raise refuse_suspect(
             Code.request_on_trial,
-            fingerprint,
+            suspect.fingerprint,
             ends=attempts.ends,
+            wait_seconds=RETURN_SECONDS,
         )
-    return Placed(record=place, is_only=True)
+    return Placed(record=(up or untried)[0], is_only=True)
+
+
+def _find_last_node(
+    view: FleetView,
+    attempts: Attempts,
+) -> tuple[InstanceId, ...]:
+    record = view.records.get(attempts.tried[-1])
+    return () if record is None else (record.node_id,)
 
 
 def name_harm(failure: CallFailed, attempts: Attempts) -> None:
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -15,7 +15,7 @@
 )
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.fields import CallFields
-from wagtaildale.calls.suspected_call import place_trial
+from wagtaildale.calls.suspected_call import place_suspect
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.candidates import list_candidates
 from wagtaildale.routing.choice import Need
@@ -31,10 +31,10 @@
     from wagtaildale.calls.fields import AnswerFields
     from wagtaildale.calls.peers import Peer
     from wagtaildale.calls.routed import EntryParts, Routed
+    from wagtaildale.calls.suspected_call import Suspect
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.routing.placement import Placed
     from wagtaildale.routing.statistics import FleetStatistics
-    from wagtaildale.suspects.fingerprints import Fingerprint
 
 # A service without a server gets one when the list changes; asking again in
 # some milliseconds only uses up the caller's tries.
@@ -76,7 +76,7 @@
         attempts: Attempts,
         *,
         spare: bool = False,
-        trial: Fingerprint | None = None,
+        suspect: Suspect | None = None,
     ) -> Target:
         """Pick the target of the next attempt and note it as tried.
 
@@ -85,7 +85,7 @@
             attempts: those before; this one is added.
             spare: whether it is to run only where a slot is free, beside an
                 attempt that goes on.
-            trial: fingerprint of a request that is to run alone.
+            suspect: the request, if it may not run at any server.
 
         Returns:
             The target.
@@ -93,12 +93,12 @@
         Raises:
             CallFailed: when no instance takes work.
         """
-        placed = self._place(routed, attempts, trial, spare=spare)
+        placed = self._place(routed, attempts, suspect, spare=spare)
         if placed is None:
             # Failure: a service is overloaded everywhere, and each request
             # is sent round all data centres to be refused in each.
             attempts.refusals_left = 0
-            placed = self._place(routed, attempts, trial, spare=spare)
+            placed = self._place(routed, attempts, suspect, spare=spare)
         if isinstance(placed, Throttled):
             raise CallFailed(
                 Code.rate_limited,
@@ -274,20 +274,22 @@
         self,
         routed: Routed,
         attempts: Attempts,
-        trial: Fingerprint | None,
+        suspect: Suspect | None,
         *,
         spare: bool,
     ) -> Placed | Throttled | None:
         parts = self._parts
         view = parts.view.current
-        if trial is not None:
-            return place_trial(
+        if suspect is not None:
+            placed = place_suspect(
                 view,
                 routed,
                 attempts,
-                fingerprint=trial,
-                leavers=self._statistics.leavers,
+                suspect=suspect,
+                statistics=self._statistics,
             )
+            if placed is not None:
+                return placed
         useless = attempts.list_useless()
         if routed.idempotency_key:
             return parts.placement.choose_by_key(
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from concurrent.futures import wait
+from concurrent.futures import Future, wait
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -158,12 +158,14 @@
             find_record=self._find_record,
             trials=Trials(
                 around.suspects,
+                node=around.identity.instance,
                 dialect=figures.dialect,
                 view=around.view,
                 recorder=around.recorder,
             ),
         )
         self.owner.server.denial_listeners.append(self._make_question().ask)
+        around.suspects.listeners.append(self._review_runs)
         self.local = LocalPeer(self.owner)
         self.entry = Entry(self._make_parts())
         self.callers = CallerPort(
@@ -274,6 +276,16 @@
         if asked.done():
             asked.result()
 
+    def _review_runs(self) -> None:
+        self.loop.submit(self.owner.trials.review).add_done_callback(
+            self._note_outcome,
+        )
+
+    def _note_outcome(self, asked: Future[None]) -> None:
+        error = asked.exception()
+        if error is not None:
+            self._note_defect(error)
+
     def _start(self) -> None:
         self.callers.start()
         self.nodes.start()
--- a/wagtaildale/calls/tests/test_contained.py
+++ b/wagtaildale/calls/tests/test_contained.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Final
 
 import pytest
@@ -51,6 +52,35 @@
         assert [each.has_ended for each in fleet.backends] == first
 
 
+def test_many_at_once_reach_a_server_that_is_back_one_by_one() -> None:
+    """Five callers wait for a server, and all of them reach it at once."""
+    with MortalFleet(3, entries=ENTRIES) as fleet:
+        fleet.ask(DEADLY)
+        fleet.revive()
+        before = fleet.count_arrivals(DEADLY)
+        with ThreadPoolExecutor(5) as callers:
+            for number in range(5):
+                callers.submit(fleet.ask, DEADLY, entry=number % ENTRIES)
+        assert fleet.count_arrivals(DEADLY) <= before + 1
+
+
+def test_run_elsewhere_is_given_up_when_a_server_ends() -> None:
+    """A request runs at two servers, ends one, and then the other one."""
+    with MortalFleet(2, entries=1) as fleet, ThreadPoolExecutor(2) as callers:
+        for backend in fleet.backends:
+            backend.released.clear()
+        wait_until(lambda: all(is_connected(each, 1) for each in fleet.owners))
+        asked = [callers.submit(fleet.ask, POPULAR, entry=0)]
+        wait_until(lambda: fleet.count_arrivals(POPULAR) == 1)
+        asked.append(callers.submit(fleet.ask, POPULAR, entry=0))
+        wait_until(lambda: fleet.count_arrivals(POPULAR) == 2)
+        assert all(each.arrivals for each in fleet.backends)
+        fleet.backends[0].end()
+        answers = [each.result() for each in asked]
+        assert not any(answer.startswith(ANSWERED) for answer in answers)
+        assert not fleet.backends[1].released.is_set()
+
+
 def test_popular_lookup_beside_it_waits_for_nobody() -> None:
     """A lookup that all callers send ran on the server that ended."""
     with MortalFleet(3, entries=ENTRIES) as fleet:
@@ -84,8 +114,8 @@
         )
 
 
-def is_connected(owner: MeshNode) -> bool:
-    return owner.calls.nodes.open >= ENTRIES
+def is_connected(owner: MeshNode, entries: int = ENTRIES) -> bool:
+    return owner.calls.nodes.open >= entries
 
 
 def knows_of_down(entry: MeshNode) -> bool:
--- a/wagtaildale/calls/tests/test_server_ends.py
+++ b/wagtaildale/calls/tests/test_server_ends.py
@@ -7,6 +7,7 @@
 import pytest
 
 from wagtaildale.calls.server_ends import CutRun, ServerEnds
+from wagtaildale.suspects.answered import AnsweredLately
 from wagtaildale.suspects.tests.builders import build_fingerprint
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.testing.builders import build_recorder
@@ -47,9 +48,12 @@
     def __init__(self) -> None:
         self.suspects = SharedSuspects()
         self.recorder = build_recorder()
+        self.answered = AnsweredLately()
         self.told: list[int] = []
         self.ends = ServerEnds(
             self.suspects.make_board(),
+            node=InstanceId('n-1'),
+            answered=self.answered,
             recorder=self.recorder,
         )
 
--- a/wagtaildale/suspects/board.py
+++ b/wagtaildale/suspects/board.py
@@ -13,6 +13,7 @@
     RequestRefused,
 )
 from wagtaildale.suspects.records import (
+    CONFINED_SECONDS,
     TRIAL_ENDS,
     Record,
     Standing,
@@ -21,6 +22,7 @@
     judge,
 )
 from wagtaildale.timers.service import read_clock
+from wagtaildale.types import InstanceId
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -37,11 +39,17 @@
         standing: whether it may.
         ends: servers that ended one after the other under it.
         wait_seconds: what its caller is told to wait where it may not.
+        places: nodes whose servers' end was the last of them.
+        age_seconds: since that was known here.
+        is_confined: whether it runs like others, but there alone.
     """
 
     standing: Standing
     ends: int
     wait_seconds: float
+    places: tuple[InstanceId, ...] = ()
+    age_seconds: float = 0
+    is_confined: bool = False
 
 
 class Suspects(Struct, frozen=True):
@@ -113,7 +121,12 @@
 
 
 class SuspectBoard:
-    """Holds the reference that every call reads and one task swaps."""
+    """Holds the reference that every call reads and one task swaps.
+
+    Attributes:
+        current: what calls go by.
+        listeners: are told in the thread of that task when it was swapped.
+    """
 
     def __init__(self, post: Callable[[Told], None]) -> None:
         """Begin with nothing known.
@@ -122,8 +135,19 @@
             post: takes what calls learn to the task that swaps.
         """
         self.current = Suspects()
+        self.listeners: list[Callable[[], None]] = []
         self._post = post
 
+    def show(self, suspects: Suspects) -> None:
+        """Swap in what is known now.
+
+        Args:
+            suspects: a later snapshot.
+        """
+        self.current = suspects
+        for tell in self.listeners:
+            tell()
+
     def judge(self, fingerprint: Fingerprint, *, told: int) -> Judgement:
         """Judge whether a request may run now; note a harmful one.
 
@@ -139,12 +163,19 @@
         ends = max(told, record.ends)
         since = now if told > record.ends else record.since
         standing = judge(ends, since=since, now=now)
+        is_new = told > record.ends
+        is_fresh = now - since < CONFINED_SECONDS
         if standing is Standing.harmful:
             self._post(RequestRefused(fingerprint))
         return Judgement(
             standing=standing,
             ends=ends,
             wait_seconds=find_wait(ends, since=since, now=now),
+            places=() if is_new else record.places,
+            age_seconds=now - since,
+            is_confined=0 < ends < TRIAL_ENDS
+            and is_fresh
+            and (is_new or bool(record.places)),
         )
 
     def count_grave(self) -> int:
@@ -156,11 +187,17 @@
         records = self.current.records.values()
         return sum(record.ends >= TRIAL_ENDS for record in records)
 
-    def note_ends(self, ends: Iterable[tuple[Fingerprint, int]]) -> None:
+    def note_ends(
+        self,
+        ends: Iterable[tuple[Fingerprint, int]],
+        *,
+        places: tuple[InstanceId, ...],
+    ) -> None:
         """Tell that a server ended while it ran requests.
 
         Args:
             ends: of each request, how many in series that makes.
+            places: this node, if the requests are to run there alone.
         """
         known = self.current.records
         self._post(
@@ -170,6 +207,7 @@
                         fingerprint,
                         known.get(fingerprint, NOTHING_KNOWN).clearings,
                         count,
+                        places=places,
                     )
                     for fingerprint, count in ends
                 ),
--- a/wagtaildale/suspects/records.py
+++ b/wagtaildale/suspects/records.py
@@ -5,11 +5,15 @@
 from enum import Enum
 from math import inf
 from types import MappingProxyType
-from typing import Final, final
+from typing import TYPE_CHECKING, Final, final
 
 from msgspec import Struct
 
 from wagtaildale.suspects.fingerprints import Fingerprint
+from wagtaildale.types import InstanceId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 # Ends are servers that ended one after the other under a request: each run of
 # it began when the end before was known where it ran.
@@ -22,6 +26,13 @@
 RESTS_SECONDS: Final = MappingProxyType({3: 1.0, 4: 60.0})
 # What a caller is told to wait where no trial is to come.
 LONGEST_REST_SECONDS: Final = 60.0
+# For so long after its first end a request runs only where a server ended: most
+# servers are back by then.
+CONFINED_SECONDS: Final = 10.0
+# A server that is not listed for so long is gone for good.
+GONE_SECONDS: Final = 5.0
+# Places that are told of one request; a crash of all is told in part.
+PLACES_MOST: Final = 8
 # How long a request is remembered after it came last: with one end most only
 # ran beside another one; with more it may be back after a pause.
 SUSPECT_SECONDS: Final = 300.0
@@ -45,12 +56,16 @@
         clearings: how often it was answered after servers had ended.
         ends: servers that ended one after the other since then.
         age_s: seconds since it came last.
+        places: nodes whose servers' end was the last of them; several where
+            they ended at the same time. A server that starts again may have
+            another id, the node beside it stays.
     """
 
     fingerprint: Fingerprint
     clearings: int
     ends: int
     age_s: int = 0
+    places: tuple[InstanceId, ...] = ()
 
 
 class Record(Struct, frozen=True, kw_only=True, gc=False):
@@ -61,12 +76,14 @@
         ends: servers that ended one after the other since then.
         since: when this node learned of the last end, seconds.
         seen_at: when the request came last, as far as is known, seconds.
+        places: nodes whose servers' end was the last of them, in order.
     """
 
     clearings: int = 0
     ends: int = 0
     since: float = 0
     seen_at: float = -inf
+    places: tuple[InstanceId, ...] = ()
 
     @property
     def order(self) -> tuple[int, int]:
@@ -79,6 +96,22 @@
         return HARMFUL_SECONDS if self.ends >= TRIAL_ENDS else SUSPECT_SECONDS
 
 
+def join_places(
+    places: Iterable[InstanceId],
+    others: Iterable[InstanceId],
+) -> tuple[InstanceId, ...]:
+    """Join the places that two nodes know of.
+
+    Args:
+        places: of one.
+        others: of the other.
+
+    Returns:
+        The same whichever comes first, and bounded.
+    """
+    return tuple(sorted({*places, *others})[:PLACES_MOST])
+
+
 def judge(ends: int, *, since: float, now: float) -> Standing:
     """Judge whether a request may run.
 
--- a/wagtaildale/suspects/table.py
+++ b/wagtaildale/suspects/table.py
@@ -14,7 +14,12 @@
 
 from wagtaildale.suspects.board import NOTHING_KNOWN, Suspects, show_suspects
 from wagtaildale.suspects.fingerprints import Fingerprint
-from wagtaildale.suspects.records import TRIAL_ENDS, Record, Suspicion
+from wagtaildale.suspects.records import (
+    TRIAL_ENDS,
+    Record,
+    Suspicion,
+    join_places,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -52,10 +57,16 @@
             ends=suspicion.ends,
             since=now,
             seen_at=max(held.seen_at, now - suspicion.age_s),
+            places=join_places(suspicion.places, ()),
         )
         over = now - record.seen_at > record.kept_seconds
-        if over or record.order <= held.order:
+        if over or record.order < held.order:
             return False
+        if record.order == held.order:
+            places = join_places(record.places, held.places)
+            if places == held.places:
+                return False
+            record = structs.replace(record, since=held.since, places=places)
         self._keep(suspicion.fingerprint, record)
         return True
 
@@ -69,7 +80,10 @@
             Whether to tell it what is held here.
         """
         held = self.records.get(suspicion.fingerprint, NOTHING_KNOWN)
-        return held.order > (suspicion.clearings, suspicion.ends)
+        told = (suspicion.clearings, suspicion.ends)
+        if held.order == told:
+            return not set(held.places) <= set(suspicion.places)
+        return held.order > told
 
     def clear(self, fingerprint: Fingerprint, *, now: float) -> Record:
         """Note that a suspected request was run to its end.
@@ -151,14 +165,16 @@
         Returns:
             One suspicion each.
         """
+        records = ((name, self.records[name]) for name in fingerprints)
         return tuple(
             Suspicion(
-                fingerprint,
-                self.records[fingerprint].clearings,
-                self.records[fingerprint].ends,
-                max(0, int(now - self.records[fingerprint].seen_at)),
+                name,
+                record.clearings,
+                record.ends,
+                max(0, int(now - record.seen_at)),
+                record.places,
             )
-            for fingerprint in fingerprints
+            for name, record in records
         )
 
     def list_grave(self) -> list[Fingerprint]:
@@ -182,8 +198,9 @@
         """
         total = 0
         for fingerprint in self.list_grave():
-            order = self.records[fingerprint].order
-            total = crc32(b'%b%d.%d' % (fingerprint, *order), total)
+            record = self.records[fingerprint]
+            total = crc32(b'%b%d.%d' % (fingerprint, *record.order), total)
+            total = crc32(' '.join(record.places).encode(), total)
         return total
 
     def _keep(self, fingerprint: Fingerprint, record: Record) -> None:
--- a/wagtaildale/testing/suspects.py
+++ b/wagtaildale/testing/suspects.py
@@ -48,7 +48,7 @@
             self._take(told)
             shown = self.table.show()
             for board in self._boards:
-                board.current = shown
+                board.show(shown)
 
     @singledispatchmethod
     def _take(self, told: object) -> None:
