Entries: of far more than a server has room for, most is rejected where it comes in

What callers saw while most servers of a service were gone: each request was taken to three of those left, and refused there; 2,100 requests a second came to two owners that ran 165 (replay, four of six servers gone).

An owner whose demand is over 2.5 times its room shares the room out as it does a named limit.

--- a/wagtaildale/calls/load_teller.py
+++ b/wagtaildale/calls/load_teller.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.admission.shares import ALL_PASS, PassShare
+from wagtaildale.admission.shortage import share_out
 from wagtaildale.calls.fields import UNHEARD_RATE, encode_rate
 from wagtaildale.calls.frames import Load
 from wagtaildale.telemetry.events import EventKind
@@ -120,8 +121,7 @@
         return percent
 
     def _share_out(self, now: float) -> PassShare:
-        state = self._gate.state
-        return state.demand.share_out(state.rate.per_second, now=now)
+        return share_out(self._gate.state, now=now)
 
     def _describe_load(self, slowness_percent: int) -> Load:
         state = self._gate.state
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -178,7 +178,7 @@
         return any(
             record.instance not in tried
             and not statistics.is_out(record.instance, now=now)
-            and statistics.limits.find_rate(record.instance) is None
+            and not statistics.limits.has(record.instance)
             for record in candidates
         )
 
--- a/wagtaildale/routing/known_limits.py
+++ b/wagtaildale/routing/known_limits.py
@@ -25,13 +25,17 @@
 
     Attributes:
         per_second: that it names; nothing if it names no limit.
-        share: of the requests of each rank, those that may be sent to it.
+        share: of the requests of each rank, those that may be sent to it;
+            not all also where far more come than it has room for.
     """
 
     per_second: float | None = None
     share: PassShare = ALL_PASS
 
 
+NO_LIMIT: Final = NamedLimit()
+
+
 class KnownLimit(Struct, frozen=True, kw_only=True, gc=False):
     """The limit of one upstream, as its owner last told.
 
@@ -62,14 +66,14 @@
 
 
 class KnownLimits:
-    """The limits of all upstreams whose servers name one."""
+    """The limits of all upstreams that do not take all that may come."""
 
     def __init__(self) -> None:
         """Begin with none."""
         self._limits: dict[InstanceId, KnownLimit] = {}
 
     def __len__(self) -> int:
-        """Count the upstreams that are known to name a limit."""
+        """Count the upstreams that do not take all that may come."""
         return len(self._limits)
 
     def note(
@@ -88,7 +92,7 @@
         """
         if named is None:
             return
-        if named.per_second is None:
+        if named == NO_LIMIT:
             self.forget(instance)
         else:
             self._limits[instance] = KnownLimit(named=named, told_at=now)
@@ -111,6 +115,17 @@
             if instance not in listed:
                 self.forget(instance)
 
+    def has(self, instance: InstanceId) -> bool:
+        """Tell whether an upstream does not take all that may come.
+
+        Args:
+            instance: of the upstream.
+
+        Returns:
+            Whether it names a limit, or is short of room by far.
+        """
+        return instance in self._limits
+
     def find_rate(self, instance: InstanceId) -> float | None:
         """Find how many requests a second an upstream takes.
 
--- a/wagtaildale/routing/tests/test_throttling.py
+++ b/wagtaildale/routing/tests/test_throttling.py
@@ -144,3 +144,23 @@
         limit(mesh, per_second, count=6)
         mesh.run(SECONDS)
         assert_shared_out(mesh, per_second)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('gone', [3, 4])
+def test_what_stands_of_a_service_is_used_to_the_full(
+    seed: int,
+    gone: int,
+) -> None:
+    """Most servers are gone, and each request is refused by three others."""
+    mesh = build_mesh(seed=seed)
+    mesh.leave(gone)
+    mesh.run(SETTLE_SECONDS)
+    mesh.count_anew()
+    mesh.run(SECONDS)
+    stand = list(mesh.servers.values())[gone:]
+    room = sum(each.record.slots for each in stand) * SECONDS
+    assert sum(each.slot_seconds for each in stand) >= 0.95 * room
+    runs = sum(each.runs for each in stand)
+    assert sum(each.asked for each in stand) <= 4 * runs
+    assert mesh.outcomes[BOOKINGS].share_in_time >= 0.8
--- a/wagtaildale/routing/throttling.py
+++ b/wagtaildale/routing/throttling.py
@@ -131,7 +131,7 @@
     need: Need,
     now: float,
 ) -> bool:
-    if need.is_spare and limits.find_rate(instance) is not None:
+    if need.is_spare and limits.has(instance):
         # What a limited server takes is for requests that have no other.
         return False
     share = limits.find_share(instance, need.pass_rank, now=now)
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -92,7 +92,7 @@
         'wagtaildale.upstreams.limited',
         lambda: len(node.calls.entry.parts.placement.statistics.limits),
         unit='{upstream}',
-        description='Upstreams known to name a limit.',
+        description='Upstreams that take a part of what may come.',
     )
     metrics.add_gauge(
         'wagtaildale.backend.ends',
--- a/wagtaildale/testing/replay/calls.py
+++ b/wagtaildale/testing/replay/calls.py
@@ -296,7 +296,7 @@
         return any(
             record.instance not in self._attempts.tried
             and not statistics.is_out(record.instance, now=now)
-            and statistics.limits.find_rate(record.instance) is None
+            and not statistics.limits.has(record.instance)
             for record in listed
         )
 
--- a/wagtaildale/testing/replay/mesh.py
+++ b/wagtaildale/testing/replay/mesh.py
@@ -178,6 +178,7 @@
         for server in self.servers.values():
             server.asked = 0
             server.runs = 0
+            server.slot_seconds = 0
 
     def count_runs(self) -> int:
         """Count the runs that were begun.
--- a/wagtaildale/testing/replay/servers.py
+++ b/wagtaildale/testing/replay/servers.py
@@ -18,6 +18,7 @@
     TimePassed,
 )
 from wagtaildale.admission.server_messages import RateTold, SlotsTold
+from wagtaildale.admission.shortage import share_out
 from wagtaildale.admission.state import make_admission
 from wagtaildale.routing.known_limits import NamedLimit
 from wagtaildale.routing.upstream import OwnerReport
@@ -69,6 +70,7 @@
         slowness: what a fault multiplies its times by.
         asked: requests that came to its owner.
         runs: that were begun.
+        slot_seconds: for which slots were held by runs that are over.
         limit: requests a second that it names; nothing for none.
         state: of its gate.
     """
@@ -98,6 +100,7 @@
         self.slowness = float(1)
         self.asked = 0
         self.runs = 0
+        self.slot_seconds = float(0)
         self.limit: float | None = None
         self.state = make_admission(record.slots)
         self._clock = clock
@@ -194,14 +197,14 @@
         state = self.state
         if not state.rate.is_heard:
             return None
-        rate = state.rate.per_second
         return NamedLimit(
-            per_second=rate,
-            share=state.demand.share_out(rate, now=self._clock.now),
+            per_second=state.rate.per_second,
+            share=share_out(state, now=self._clock.now),
         )
 
     def _leave(self, ticket: TicketId, job: Job, ending: Ending) -> None:
         now = self._clock.now
+        self.slot_seconds += now - job.started_at
         self._tell(
             Finished(
                 ticket=ticket,
@@ -212,8 +215,7 @@
         )
         if self.state.condition.take_change(now=now):
             self._on_condition(self)
-        rate = self.state.rate.per_second
-        share = self.state.demand.share_out(rate, now=now)
+        share = share_out(self.state, now=now)
         if self.state.demand.take_change(share, now=now):
             self._on_limit(self)
 
