Peers' word: suspicions are checked as they are read, leaving only of a node's own server

An entry takes the word that a server leaves from the node beside it alone; said of another it is recorded (message-refused) and changes nothing: one node could have left a service without servers.

--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -131,7 +131,10 @@
         """
         self._entry.targets.note_answer(attempt.target, answer)
         if answer.leaving is not None:
-            self._entry.parts.listener.note_leaver(answer.leaving)
+            self._entry.parts.listener.note_leaver(
+                attempt.target.address,
+                answer.leaving,
+            )
         self.attempts.ends = max(self.attempts.ends, answer.ends)
 
     def on_answer(self, attempt: Attempt, frame: Answered) -> None:
--- a/wagtaildale/calls/owner_listener.py
+++ b/wagtaildale/calls/owner_listener.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from wagtaildale.calls.frames import Load
+    from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.routing.statistics import FleetStatistics
     from wagtaildale.routing.view import ViewHolder
     from wagtaildale.telemetry.events import EventRecorder
@@ -49,18 +50,29 @@
             load: the owner's word.
         """
         if load.leaving is not None:
-            self.note_leaver(load.leaving)
+            self.note_leaver(address, load.leaving)
         for instance in self._list_instances(address):
             self._note_load(instance, load)
 
-    def note_leaver(self, leaver: Leaver) -> None:
+    def note_leaver(self, address: Address, leaver: Leaver) -> None:
         """Note that a backend server has said that it leaves.
 
+        Failure guarded here: a node says so of servers that are not its own,
+        and nobody asks them any more.
+
         Args:
+            address: of whoever tells.
             leaver: the server; its start is that listed here if its owner
                 does not tell.
         """
         record = self._view.current.records.get(leaver.instance)
+        if record is not None and _find_address(record) != address:
+            self._recorder.record(
+                EventKind.message_refused,
+                subject=leaver.instance,
+                detail=f'told by {address.host}:{address.port}',
+            )
+            return
         if not leaver.born and record is not None:
             leaver = Leaver(leaver.instance, record.born)
         if self._statistics.leavers.note(leaver):
@@ -114,5 +126,9 @@
         return [
             record.instance
             for record in self._view.current.records.values()
-            if Address(record.host, record.owner_port) == address
+            if _find_address(record) == address
         ]
+
+
+def _find_address(record: InstanceRecord) -> Address:
+    return Address(record.host, record.owner_port)
--- a/wagtaildale/distribution/tests/test_wire.py
+++ b/wagtaildale/distribution/tests/test_wire.py
@@ -5,17 +5,20 @@
 import zlib
 
 import pytest
+from msgspec import structs
 
 from wagtaildale.distribution.wire import (
     LARGEST_MESSAGE,
     BlobsSent,
     Envelope,
+    SuspectsTold,
     Swap,
     decode_envelope,
     encode_envelope,
 )
 from wagtaildale.errors.codes import Code
 from wagtaildale.membership.news import News
+from wagtaildale.suspects.tests.builders import build_suspicion
 from wagtaildale.testing.assertions import assert_err, assert_ok
 from wagtaildale.testing.builders import build_part
 from wagtaildale.types import Incarnation, InstanceId, Kind, NodeState
@@ -64,3 +67,25 @@
     envelope = Envelope(InstanceId('b'), (), 1, Swap((), True))
     fault = assert_err(decode_envelope(encode_envelope(envelope)))
     assert fault.got == 'no sender'
+
+
+@pytest.mark.parametrize(
+    'wrong',
+    [
+        {'fingerprint': b'short'},
+        {'clearings': -1},
+        {'ends': 10**9},
+        {'age_s': -1},
+        {'places': ('node',) * 9},
+        {'places': ('n' * 300,)},
+    ],
+)
+def test_suspicion_that_makes_no_sense_is_refused(
+    wrong: dict[str, object],
+) -> None:
+    """A node says that a million servers ended under a request."""
+    suspicion = structs.replace(build_suspicion(), **wrong)
+    body = SuspectsTold((suspicion,))
+    envelope = Envelope(InstanceId('b'), (SENDER,), 7, body)
+    refused = decode_envelope(encode_envelope(envelope))
+    assert assert_err(refused).code is Code.message_malformed
--- a/wagtaildale/suspects/fingerprints.py
+++ b/wagtaildale/suspects/fingerprints.py
@@ -18,6 +18,7 @@
 
 SUBJECT_BYTES: Final = 8
 CALLER_BYTES: Final = 4
+FINGERPRINT_BYTES: Final = SUBJECT_BYTES + CALLER_BYTES
 # Of a body: as much as is here before the first attempt of any request.
 BODY_BYTES: Final = 65_536
 LENGTH_BYTES: Final = 8
--- a/wagtaildale/suspects/records.py
+++ b/wagtaildale/suspects/records.py
@@ -5,11 +5,11 @@
 from enum import Enum
 from math import inf
 from types import MappingProxyType
-from typing import TYPE_CHECKING, Final, final
+from typing import TYPE_CHECKING, Annotated, Final, final
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
-from wagtaildale.suspects.fingerprints import Fingerprint
+from wagtaildale.suspects.fingerprints import FINGERPRINT_BYTES, Fingerprint
 from wagtaildale.types import InstanceId
 
 if TYPE_CHECKING:
@@ -31,6 +31,9 @@
 CONFINED_SECONDS: Final = 10.0
 # A server that is not listed for so long is gone for good.
 GONE_SECONDS: Final = 5.0
+# Ends and clearings that are believed: far more than any request comes to.
+COUNT_MOST: Final = 1_000_000
+NAME_MOST: Final = 200
 # Places that are told of one request; a crash of all is told in part.
 PLACES_MOST: Final = 8
 # How long a request is remembered after it came last: with one end most only
@@ -38,6 +41,9 @@
 SUSPECT_SECONDS: Final = 300.0
 HARMFUL_SECONDS: Final = 3600.0
 
+Place = Annotated[InstanceId, Meta(max_length=NAME_MOST)]
+Places = tuple[Place, ...]
+
 
 @final
 class Standing(Enum):
@@ -61,11 +67,14 @@
             another id, the node beside it stays.
     """
 
-    fingerprint: Fingerprint
-    clearings: int
-    ends: int
-    age_s: int = 0
-    places: tuple[InstanceId, ...] = ()
+    fingerprint: Annotated[
+        Fingerprint,
+        Meta(min_length=FINGERPRINT_BYTES, max_length=FINGERPRINT_BYTES),
+    ]
+    clearings: Annotated[int, Meta(ge=0, le=COUNT_MOST)]
+    ends: Annotated[int, Meta(ge=0, le=COUNT_MOST)]
+    age_s: Annotated[int, Meta(ge=0)] = 0
+    places: Annotated[Places, Meta(max_length=PLACES_MOST)] = ()
 
 
 class Record(Struct, frozen=True, kw_only=True, gc=False):
