Look up the announcement of a leaving server for each load report

A server that starts again under its id was sometimes not used: callers got 503 with code 4005 (once in ten runs of its test). An entry closes its connection to the owner of a leaving server at its next refresh, every half second. When it connects again, the owner repeated the announcement that it had kept, without a start time, and the entry took it for the run that is listed now. The test failed when a refresh fell between the announcement and the new start; the new test makes that refresh happen and failed each time (503, code 4005). The owner now looks the announcement up in its list for each report. Ruled out: late answers of the earlier run (requests of the test end before the list changes).

--- a/wagtaildale/calls/load_notifier.py
+++ b/wagtaildale/calls/load_notifier.py
@@ -35,6 +35,7 @@
         *,
         instance: InstanceId,
         recorder: EventRecorder,
+        find_leaving: Callable[[], LeavingServer | None],
     ) -> None:
         """Start without listeners.
 
@@ -43,10 +44,13 @@
             instance: instance of this node, which load reports name.
             recorder: recorder of events when the server becomes slow or
                 recovers.
+            find_leaving: lookup of the announcement that the listed run of
+                the server leaves; made for each report, since the list may
+                show a later run.
         """
         self.listeners: list[Callable[[LoadReport], None]] = []
         self._is_up = True
-        self._leaving: LeavingServer | None = None
+        self._find_leaving = find_leaving
         self._gate = gate
         self._instance = instance
         self._recorder = recorder
@@ -62,13 +66,12 @@
         ):
             self._notify_listeners(self._describe_load(percent))
 
-    def notify_leaving(self, leaving: LeavingServer) -> None:
+    def notify_leaving(self, _leaving_server: LeavingServer) -> None:
         """Notify entries that the backend server is leaving.
 
         Args:
-            leaving: the leaving server.
+            _leaving_server: not used; each report looks it up.
         """
-        self._leaving = leaving
         self._notify_listeners(self._describe_load(0))
 
     def notify_reachability(self, *, is_up: bool) -> None:
@@ -77,9 +80,6 @@
         Args:
             is_up: whether it does.
         """
-        if is_up and not self._is_up:
-            # The restarted server has not announced that it is leaving.
-            self._leaving = None
         self._is_up = is_up
         self._notify_listeners(self._describe_load(0))
 
@@ -143,7 +143,7 @@
             slowness_percent=slowness_percent,
             rate_milli=self.encode_rate_limit(),
             share=self.describe_share(),
-            leaving=self._leaving,
+            leaving=self._find_leaving(),
         )
 
     def _notify_listeners(self, load: LoadReport) -> None:
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -38,6 +38,7 @@
     from wagtaildale.invariants import Invariants
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.reactor.loop import Loop
+    from wagtaildale.routing.leaving_servers import LeavingServer
     from wagtaildale.telemetry.events import EventRecorder, Inputs
 
 MICROSECONDS: Final = 1_000_000
@@ -113,6 +114,7 @@
             gate,
             instance=identity.instance,
             recorder=recorder,
+            find_leaving=self._find_leaving_server,
         )
         self.pool = BackendPool(
             loop,
@@ -261,6 +263,9 @@
         record = self._find_record(instance)
         return record is None or record.node_id == self.identity.instance
 
+    def _find_leaving_server(self) -> LeavingServer | None:
+        return self.targets.leaving.find_last_announcement()
+
     def _count_stray_response(self) -> None:
         self.stray_count += 1
 
--- a/wagtaildale/calls/server_leaving.py
+++ b/wagtaildale/calls/server_leaving.py
@@ -6,14 +6,13 @@
 
 from wagtaildale.routing.leaving_servers import LeavingServer, LeavingServers
 from wagtaildale.telemetry.events import EventKind
-from wagtaildale.types import ListedState
+from wagtaildale.types import InstanceId, ListedState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.telemetry.events import EventRecorder
-    from wagtaildale.types import InstanceId
 
 
 class LeavingTracker:
@@ -40,6 +39,7 @@
         self._find_record = find_record
         self._recorder = recorder
         self._announcements = LeavingServers()
+        self._last_announced = InstanceId('')
 
     def is_leaving(self, instance: InstanceId) -> bool:
         """Tell whether an instance is leaving.
@@ -79,6 +79,14 @@
             return LeavingServer(instance, record.born)
         return None
 
+    def find_last_announcement(self) -> LeavingServer | None:
+        """Find the latest announcement, if it is still in force.
+
+        Returns:
+            As ``find_announcement`` for the last instance that announced it.
+        """
+        return self.find_announcement(self._last_announced)
+
     def note_started(self) -> None:
         """Clear the announcements, because a new server process started."""
         self._announcements = LeavingServers()
@@ -89,6 +97,7 @@
         Args:
             instance: instance that answered.
         """
+        self._last_announced = instance
         record = self._find_record(instance)
         leaving_server = LeavingServer(
             instance, 0 if record is None else record.born
--- a/wagtaildale/calls/tests/test_server_leaving.py
+++ b/wagtaildale/calls/tests/test_server_leaving.py
@@ -88,3 +88,20 @@
     for answer in visit(fleet):
         assert answer.startswith(ANSWERED)
     assert len(restarted.arrivals) > before
+
+
+def test_reconnecting_entry_uses_a_server_that_started_again(
+    fleet: FeedbackFleet,
+) -> None:
+    """An owner repeats the announcement of its server's earlier run."""
+    announce_leaving(fleet)
+    for other in fleet.backends[1:]:
+        other.feedback_headers = LEAVING_HEADER
+    fleet.backends[0].feedback_headers = b''
+    # Connections to owners of leaving servers are closed by a refresh.
+    calls = fleet.entries[0].calls
+    calls.loop.submit(calls.entry.refresh).result()
+    started = structs.replace(fleet.records[0], born=7)
+    fleet.show(started, *fleet.records[1:])
+    for answer in visit(fleet):
+        assert answer.startswith(ANSWERED)
