Receive request bodies on credits of the owner's line, before a slot

Entries sent whole bodies at once, so questions of 1 KB to the same nodes (deadline 300 ms) waited 170 to 314 ms behind them; a slot was leased before the body was sent, so uploads held all slots while their bodies crossed the line.

Change: an entry sends 4 KB of a larger body, and the rest on credits that the owner grants: never more in flight than its line carries in 30 ms, the body with the least left first, unused credits given back after 250 ms. The request asks for a slot once its body is in. An owner refuses a body that its line cannot carry in time before the rest of it is sent, as not run. Until its last piece is sent an attempt that fails has not run. Owners say in their Pong that they collect bodies; to an earlier build nothing changes. Pieces that arrive while a request waits for a slot are kept (they were dropped).

The tests that compare a Pong now expect the new field.

--- a/wagtaildale/assembly.py
+++ b/wagtaildale/assembly.py
@@ -185,6 +185,7 @@
             dialect=parts.integration.dialect,
             reserves=settings.calls.reserves,
             hedges=settings.calls.hedges,
+            line_mbps=limits.line_mbps,
         ),
         dependencies=CallsTaskDependencies(
             identity=parts.identity,
--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -8,6 +8,8 @@
 
 from msgspec import structs
 
+from wagtaildale.admission.incoming_line import UNSOLICITED_BYTES
+from wagtaildale.calls.body_collector import MAX_COLLECTED_BYTES
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.frames import (
     Answered,
@@ -34,23 +36,38 @@
 MILLISECONDS: Final = 1000
 
 
+# Bytes of a body in the first message, to an owner that collects bodies: it
+# grants credits for the rest.
+FIRST_PIECE_BYTES: Final = UNSOLICITED_BYTES
+
+
 @final
 class AttemptState(Enum):
     """Stage of an attempt.
 
     Attributes:
         reserving: a slot was requested; the request is not sent yet.
+        sending: the body is being sent to an owner that runs the request only
+            once all of it has arrived.
         running: the request is sent, or is the first message to be sent.
         answering: the response head has arrived, but not the whole body.
         over: the attempt has ended.
     """
 
     reserving = 'reserving'
+    sending = 'sending'
     running = 'running'
     answering = 'answering'
     over = 'over'
 
 
+# In these states the request cannot have run.
+NOT_RUN_STATES: Final = frozenset(
+    (AttemptState.reserving, AttemptState.sending)
+)
+SENDING_STATES: Final = frozenset((AttemptState.sending, AttemptState.running))
+
+
 class AttemptReceiver(Protocol):
     """The call that an attempt belongs to, as the attempt uses it."""
 
@@ -135,16 +152,17 @@
 class Attempt:
     """Sends the request of a call to one owner; acts as ``PeerReceiver``.
 
-    While only a reservation is pending, cancelling is safe: the request has
-    not run. The run message is sent once. Any end of the attempt after that
-    leaves the outcome unknown, unless the owner states that the request did
-    not run.
+    While only a reservation is pending, or a part of the body is not sent that
+    the owner waits for, cancelling is safe: the request has not run. The run
+    message is sent once. Any end of the attempt after that leaves the outcome
+    unknown, unless the owner states that the request did not run.
 
     Attributes:
         target: upstream of the attempt.
         state: stage of the attempt.
         started_at: start time, seconds on the monotonic clock.
-        is_run_sent: whether the run message was sent.
+        is_run_sent: whether the owner may have what it needs to run the
+            request.
         was_silent: whether the owner has been silent for a while since the
             run message; stays set when it sends something again.
     """
@@ -172,12 +190,17 @@
         self._peer = peer
         self._number = peer.open_call(self)
         self._window = SendWindow()
+        self._sent_bytes = 0
         self._is_body_sent = False
 
     def start(self) -> None:
         """Send the first message."""
         self.target.upstream.note_begun(read_clock())
-        if self._call.request.needs_reservation:
+        if self._is_body_collected():
+            self._window = SendWindow(FIRST_PIECE_BYTES)
+            self.state = AttemptState.sending
+            self._send_run(self.target.fields)
+        elif self._call.request.needs_reservation:
             self.state = AttemptState.reserving
             self._peer.send(Reserve(self._number, self.target.fields))
         else:
@@ -189,15 +212,12 @@
 
     def send_body(self) -> None:
         """Send the available body pieces that the send window allows."""
-        body = self._call.request.body
-        if self.state is not AttemptState.running or body.is_replayable:
+        if self.state not in SENDING_STATES:
             return
         while self._window.is_open and not self._is_body_sent:
-            piece = body.take()
-            self._is_body_sent = body.is_exhausted
+            piece = self._take_piece()
             if not piece and not self._is_body_sent:
                 return
-            self._window.note_sent(len(piece))
             more = not self._is_body_sent
             self._peer.send(BodyPiece(self._number, piece, more))
 
@@ -310,7 +330,7 @@
             failure: failure that the attempt would have if it were cancelled
                 now.
         """
-        if self.state is AttemptState.reserving:
+        if self.state in NOT_RUN_STATES:
             failure.outcome = Outcome.not_run
             self._fail(failure, cancelled=True)
         elif self.state is AttemptState.running:
@@ -328,19 +348,29 @@
         Args:
             failure: reason for the loss.
         """
-        if self.state is AttemptState.reserving:
+        if self.state in NOT_RUN_STATES:
             failure.outcome = Outcome.not_run
         self._fail(failure, cancelled=False)
 
+    def _is_body_collected(self) -> bool:
+        # The body crosses the owner's line on credits, and needs no slot
+        # before it has arrived.
+        body = self._call.request.body
+        return (
+            self._peer.collects_bodies
+            and body.is_replayable
+            and FIRST_PIECE_BYTES < body.length <= MAX_COLLECTED_BYTES
+        )
+
     def _run(self, fields: CallFields) -> None:
-        request = self._call.request
         self.state = AttemptState.running
         self.is_run_sent = True
-        body = request.body.take()
-        self._window.note_sent(len(body))
-        self._is_body_sent = (
-            request.body.is_replayable or request.body.is_exhausted
-        )
+        self._send_run(fields)
+        self.send_body()
+
+    def _send_run(self, fields: CallFields) -> None:
+        request = self._call.request
+        piece = self._take_piece()
         self._peer.send(
             Run(
                 self._number,
@@ -348,12 +378,22 @@
                 request.method,
                 request.target,
                 request.headers,
-                body,
+                piece,
                 more=not self._is_body_sent,
                 length=request.body.length,
             ),
         )
-        self.send_body()
+
+    def _take_piece(self) -> bytes:
+        body = self._call.request.body
+        piece = body.take(self._sent_bytes, limit=self._window.remaining_bytes)
+        self._window.note_sent(len(piece))
+        self._sent_bytes += len(piece)
+        self._is_body_sent = body.is_complete and self._sent_bytes >= body.size
+        if self._is_body_sent and self.state is AttemptState.sending:
+            self.state = AttemptState.running
+            self.is_run_sent = True
+        return piece
 
     def _accept_answer(self, answer: AnswerFields) -> bool:
         # Answers may arrive late or mixed up. One is accepted only if it names
@@ -363,10 +403,10 @@
         if answer.request_id == fields.request_id:
             if answer.attempt == fields.attempt:
                 return True
-        reserving = self.state is AttemptState.reserving
+        has_not_run = self.state in NOT_RUN_STATES
         failure = CallFailed(
             Code.answer_mismatched,
-            outcome=Outcome.not_run if reserving else Outcome.unknown,
+            outcome=Outcome.not_run if has_not_run else Outcome.unknown,
         )
         self._fail(failure, cancelled=True)
         return False
--- a/wagtaildale/calls/bodies.py
+++ b/wagtaildale/calls/bodies.py
@@ -4,17 +4,22 @@
 
 from typing import TYPE_CHECKING, Final
 
+from wagtaildale.calls.body_collector import MAX_COLLECTED_BYTES
 from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.parsing import UNKNOWN_LENGTH
 from wagtaildale.errors.codes import Code
 
 if TYPE_CHECKING:
     from wagtaildale.calls.exchanges import Exchange
 
-# A body of up to this size is read before the first attempt and can be sent to
-# another upstream again. A larger one is forwarded as it arrives, once.
-MAX_REPLAYABLE_BYTES: Final = 65_536
-# Reading from the caller stops above this number of bytes that wait to be
-# forwarded.
+# A body of up to this size is kept, so that it can be sent to another upstream
+# again. A larger one is forwarded as it arrives, once.
+MAX_REPLAYABLE_BYTES: Final = MAX_COLLECTED_BYTES
+# An attempt begins once this much of the body has arrived. The time to read
+# the rest then overlaps with sending.
+MIN_READ_BYTES: Final = 65_536
+# Reading from the caller of a larger body stops above this number of bytes that
+# wait to be forwarded.
 MAX_BUFFERED_BYTES: Final = 262_144
 MAX_PIECE_BYTES: Final = 65_536
 
@@ -39,12 +44,17 @@
         self._exchange = exchange
         self._limit = limit
         self._buffer = bytearray()
-        self._size = 0
+        self._dropped = 0
         self.is_replayable = True
         if exchange.message.length > limit:
             raise _make_too_large_error(limit)
         self.read()
 
+    @property
+    def size(self) -> int:
+        """Number of bytes that have arrived."""
+        return self._dropped + len(self._buffer)
+
     @property
     def is_complete(self) -> bool:
         """Whether the whole body has arrived."""
@@ -52,18 +62,20 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether an attempt may begin."""
-        return self.is_complete or not self.is_replayable
+        """Whether an attempt may begin.
 
-    @property
-    def is_exhausted(self) -> bool:
-        """Whether all of a streamed body has been taken."""
-        return self.is_complete and not self._buffer
+        A body of unknown length is read first as far as it is kept, so that
+        owners know the length of what they receive.
+        """
+        if self.is_complete or not self.is_replayable:
+            return True
+        return self.length != UNKNOWN_LENGTH and self.size > MIN_READ_BYTES
 
     @property
     def length(self) -> int:
-        """Announced length of the body, bytes, or ``UNKNOWN_LENGTH``."""
-        return self._exchange.message.length
+        """Length of the body, bytes, or ``UNKNOWN_LENGTH``."""
+        announced = self._exchange.message.length
+        return self.size if self.is_complete else announced
 
     def read(self) -> None:
         """Read the bytes that arrived since the last call.
@@ -71,38 +83,44 @@
         Raises:
             CallFailed: if the body is above the limit.
         """
-        piece = self._exchange.message.take_body()
-        self._size += len(piece)
-        if self._size > self._limit:
+        self._buffer += self._exchange.message.take_body()
+        if self.size > self._limit:
             raise _make_too_large_error(self._limit)
-        self._buffer += piece
-        if self._size > MAX_REPLAYABLE_BYTES:
+        if self.size > MAX_REPLAYABLE_BYTES:
             self.is_replayable = False
-        if len(self._buffer) > MAX_BUFFERED_BYTES:
-            self._exchange.set_reading(enabled=False)
+            if len(self._buffer) > MAX_BUFFERED_BYTES:
+                self._exchange.set_reading(enabled=False)
 
     def peek(self) -> bytes:
-        """Return the beginning of the body before any of it is sent.
+        """Return the beginning of the body before any of it is dropped.
 
         Returns:
-            The whole body if it can be sent again, otherwise its first piece.
+            The whole body if it is short, otherwise its first piece.
         """
         return bytes(self._buffer[:MAX_PIECE_BYTES])
 
-    def take(self) -> bytes:
-        """Return the bytes to be sent next.
+    def take(self, offset: int, *, limit: int) -> bytes:
+        """Return bytes of the body; drop them if it cannot be sent again.
+
+        Args:
+            offset: position of the first byte.
+            limit: most bytes to return.
 
         Returns:
-            The whole body, which is kept, if it can be sent again; otherwise
-            the next piece, which is removed.
+            The bytes that have arrived, empty if there are none yet.
         """
-        if self.is_replayable:
-            return bytes(self._buffer)
-        piece = bytes(self._buffer[:MAX_PIECE_BYTES])
-        self._buffer = self._buffer[MAX_PIECE_BYTES:]
+        start = offset - self._dropped
+        end = start + min(limit, MAX_PIECE_BYTES)
+        piece = bytes(self._buffer[start:end])
+        if not self.is_replayable:
+            self._drop(start + len(piece))
+        return piece
+
+    def _drop(self, size: int) -> None:
+        self._buffer = self._buffer[size:]
+        self._dropped += size
         if not self.is_complete and len(self._buffer) < MAX_BUFFERED_BYTES:
             self._exchange.set_reading(enabled=True)
-        return piece
 
 
 def _make_too_large_error(limit: int) -> CallFailed:
--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -103,7 +103,8 @@
             self._fail(failure)
             return
         if self._running:
-            self._running[0].send_body()
+            for attempt in self._running:
+                attempt.send_body()
         elif not self.attempts.tried:
             self._start_if_ready()
 
--- a/wagtaildale/calls/frames.py
+++ b/wagtaildale/calls/frames.py
@@ -185,7 +185,16 @@
 
 
 class Pong(Struct, frozen=True, array_like=True, tag=11, gc=False):
-    """The answer to a ping."""
+    """The answer to a ping.
+
+    Attributes:
+        collects_bodies: whether the owner runs a request only once its whole
+            body has arrived, if its length is at most
+            ``body_collector.MAX_COLLECTED_BYTES``. Earlier builds omit the
+            field.
+    """
+
+    collects_bodies: bool = False
 
 
 class LoadReport(Struct, frozen=True, array_like=True, tag=12, gc=False):
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -6,9 +6,11 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.incoming_line import make_incoming_line
 from wagtaildale.admission.ledger import RunLedger
 from wagtaildale.admission.replay_cache import ReplayCache
 from wagtaildale.calls.backend_pool import BackendPool
+from wagtaildale.calls.body_collector import BodyCollector
 from wagtaildale.calls.dialect import DEFAULT_DIALECT, Dialect
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.fields import (
@@ -68,10 +70,10 @@
         invariants: invariants checked on each call.
         dialect: header fields that the backend server uses.
         loop: event loop of the calls.
-        stray_count: number of responses that named another request.
         load_notifier: sender of load updates to the connected entries.
         targets: resolver of the instance that runs a request.
         trials: admission of requests suspected of ending servers.
+        collector: receiver of request bodies that come in pieces.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         dialect: Dialect = DEFAULT_DIALECT,
         find_record: Callable[[InstanceId], InstanceRecord | None],
         trials: SuspectTrials,
+        line_mbps: float = 0,
     ) -> None:
         """Create the owner of a backend server.
 
@@ -101,6 +104,8 @@
             dialect: header fields that the backend server uses.
             find_record: lookup of an instance's record in the list.
             trials: admission of requests suspected of ending servers.
+            line_mbps: bandwidth of the node's line, megabits per second; 0 if
+                not known.
         """
         self.identity = identity
         self.loop = loop
@@ -109,7 +114,7 @@
         self.dialect = dialect
         self.ledger = RunLedger()
         self.replays = ReplayCache()
-        self.stray_count = 0
+        self._stray_count = 0
         self.load_notifier = LoadNotifier(
             gate,
             instance=identity.instance,
@@ -131,12 +136,20 @@
         )
         self.targets.leaving.listeners.append(self.load_notifier.notify_leaving)
         self.pool.watch.listeners.append(self._on_watch_changed)
+        self.collector = BodyCollector(
+            make_incoming_line(line_mbps), alarms=loop.alarms
+        )
         self.trials = trials
         trials.end_detector.listeners.append(self.targets.feedback.note_started)
         trials.end_detector.listeners.append(self.pool.watch.note_down)
         self._find_record = find_record
         self._recorder = recorder
 
+    @property
+    def stray_count(self) -> int:
+        """Number of responses that named another request."""
+        return self._stray_count
+
     def check_target(self, fields: CallFields) -> None:
         """Check that a call is meant for this owner and apply its rate limit.
 
@@ -267,7 +280,7 @@
         return self.targets.leaving.find_last_announcement()
 
     def _count_stray_response(self) -> None:
-        self.stray_count += 1
+        self._stray_count += 1
 
     def _on_watch_changed(self) -> None:
         is_up = self.pool.watch.is_up
--- a/wagtaildale/calls/owner_call.py
+++ b/wagtaildale/calls/owner_call.py
@@ -12,6 +12,7 @@
 from wagtaildale.admission.limits import Ending
 from wagtaildale.admission.messages import Refused, RequestArrived
 from wagtaildale.calls.backend_run import BackendRun
+from wagtaildale.calls.body_collector import ReceivedBody
 from wagtaildale.calls.call_times import CallTimes
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.replies import ReplyWriter
@@ -36,6 +37,7 @@
 # At the deadline the entry gives up by itself. If the owner still has the call
 # this much later, the entry is gone.
 DEADLINE_GRACE_SECONDS: Final = 0.05
+MILLISECONDS: Final = 1000
 # A backend server that answers 503 counts as overloaded.
 OVERLOAD_STATUS: Final = 503
 # Failures that indicate a fault of the backend server rather than of one
@@ -53,14 +55,27 @@
 
 @final
 class CallState(Enum):
-    """State of a call at its owner."""
+    """State of a call at its owner.
 
+    Attributes:
+        receiving: its body is being received; it holds no slot and no place
+            in the queue.
+        waiting: it waits for a slot.
+        reserved: it holds a slot and has not run.
+        running: it was sent to the backend server.
+        over: it has ended.
+    """
+
+    receiving = 'receiving'
     waiting = 'waiting'
     reserved = 'reserved'
     running = 'running'
     over = 'over'
 
 
+UNADMITTED_STATES: Final = frozenset((CallState.receiving, CallState.waiting))
+
+
 class OwnerCall:
     """One call at its owner; a ``RunReceiver``.
 
@@ -95,7 +110,7 @@
         )
         self._fields: CallFields | None = None
         self._ticket: TicketId | None = None
-        self._run_message: Run | None = None
+        self._body: ReceivedBody | None = None
         self._run: BackendRun | None = None
         self._alarm: Alarm | None = None
 
@@ -123,10 +138,12 @@
             delay: time that the message was delayed in transit, in seconds.
         """
         self._times.transit_seconds = delay
-        self._run_message = frame
+        self._body = ReceivedBody(frame, collector=self._owner.collector)
         fields = subtract_delay(frame.fields, delay=delay)
         if fields.lease:
             self._redeem_lease(fields)
+        elif self._body.is_collectable:
+            self._receive_body(self._body, fields)
         else:
             self._request_slot(fields)
 
@@ -138,6 +155,17 @@
         """
         if self._run is not None:
             self._run.send_piece(frame)
+            return
+        if self._body is None:
+            return
+        try:
+            self._body.add(frame)
+        except CallFailed as failure:
+            self._fail(failure)
+            return
+        if self.state is CallState.receiving and self._body.is_complete:
+            self.state = CallState.waiting
+            self._enqueue(self.fields)
 
     def handle_window_update(self, frame: WindowUpdate) -> None:
         """Send more of the response, now that the entry has forwarded some.
@@ -163,7 +191,7 @@
             detail=state.value,
         )
         self._close()
-        if state is CallState.waiting:
+        if state in UNADMITTED_STATES:
             self._cancel_slot_request()
         else:
             self._release_slot(Ending.abandoned)
@@ -206,9 +234,30 @@
         """
         self._fail(failure, is_duplicate=is_duplicate)
 
+    # Body
+
+    def _receive_body(self, body: ReceivedBody, fields: CallFields) -> None:
+        self.state = CallState.receiving
+        if not self._accept_fields(fields):
+            return
+        try:
+            body.collect(
+                max_seconds=self._find_max_transfer_seconds(fields),
+                send_credit=self._replies.send_window_update,
+            )
+        except CallFailed as failure:
+            self._fail(failure)
+
+    def _find_max_transfer_seconds(self, fields: CallFields) -> float:
+        # The body is refused before the rest of it is sent if the request
+        # could not run in time afterwards.
+        run = self._owner.gate.state.estimate_run_seconds(fields.work_class)
+        time_ms = fields.remaining_ms if fields.patient else fields.within_ms
+        return time_ms / MILLISECONDS - run
+
     # Admission
 
-    def _request_slot(self, fields: CallFields) -> None:
+    def _accept_fields(self, fields: CallFields) -> bool:
         self._fields = fields
         owner = self._owner
         times = self._times
@@ -217,15 +266,25 @@
             owner.check_target(fields)
         except CallFailed as failure:
             self._fail(failure)
-            return
-        was_draining = owner.gate.state.draining
+            return False
         self._alarm = owner.loop.alarms.set_at(
             times.deadline + DEADLINE_GRACE_SECONDS,
             self._time_out,
         )
+        return True
+
+    def _request_slot(self, fields: CallFields) -> None:
+        if self._accept_fields(fields):
+            self._enqueue(fields)
+
+    def _enqueue(self, fields: CallFields) -> None:
+        owner = self._owner
+        times = self._times
+        was_draining = owner.gate.state.draining
+        elapsed_ms = round(times.measure_elapsed() * MILLISECONDS)
         ticket = owner.gate.request_slot(
             RequestArrived(
-                within_ms=fields.within_ms,
+                within_ms=max(0, fields.within_ms - elapsed_ms),
                 deadline=times.deadline,
                 rank=fields.rank,
                 patient=fields.patient,
@@ -251,8 +310,8 @@
             return
         self._ticket = verdict.ticket
         self.state = CallState.reserved
-        if self._run_message is not None:
-            self._start_if_target_valid(self._run_message)
+        if self._body is not None:
+            self._start_if_target_valid(self._body)
             return
         self._owner.gate.lease(verdict.ticket, seconds=LEASE_SECONDS)
         self._replies.send_grant(self.fields, lease=verdict.ticket)
@@ -274,10 +333,10 @@
             self._fail(CallFailed(verdict.code))
             return
         self._ticket = verdict.ticket
-        assert self._run_message is not None
-        self._start(self._run_message)
+        assert self._body is not None
+        self._start(self._body)
 
-    def _start_if_target_valid(self, request: Run) -> None:
+    def _start_if_target_valid(self, body: ReceivedBody) -> None:
         try:
             # The server may be listed as leaving while the call waits for a
             # slot; without a second check the call would still reach it.
@@ -285,16 +344,16 @@
         except CallFailed as failure:
             self._fail(failure)
             return
-        self._start(request)
+        self._start(body)
 
-    def _start(self, request: Run) -> None:
+    def _start(self, body: ReceivedBody) -> None:
         self.state = CallState.running
         if self._run is not None:
             # The entry sent two run messages for one call.
             self._run.close()
         self._run = BackendRun(
             self,
-            request,
+            body.build_run(),
             owner=self._owner,
             replies=self._replies,
             times=self._times,
@@ -322,7 +381,7 @@
             self._replies.send_failure(self.fields, failure)
         self._record_failure(failure)
         self._close()
-        if state is CallState.waiting:
+        if state in UNADMITTED_STATES:
             self._cancel_slot_request()
             return
         is_backend_fault = failure.code in BACKEND_FAULTS
@@ -370,4 +429,6 @@
             self._alarm.cancel()
         if self._run is not None:
             self._run.close()
+        if self._body is not None:
+            self._body.close()
         self._channel.forget(self._number)
--- a/wagtaildale/calls/peers.py
+++ b/wagtaildale/calls/peers.py
@@ -88,7 +88,14 @@
 
 
 class Peer(Protocol):
-    """An owner as seen by an entry."""
+    """An owner as seen by an entry.
+
+    Attributes:
+        collects_bodies: whether the owner runs a request only once its whole
+            body has arrived.
+    """
+
+    collects_bodies: bool
 
     def open_call(self, receiver: PeerReceiver) -> CallNumber:
         """Open a call.
@@ -125,6 +132,8 @@
         Args:
             owner: owner of the local backend server.
         """
+        # Nothing crosses a line on the way to the owner in this process.
+        self.collects_bodies = False
         self._loop = owner.loop
         self._calls = CallTable(owner, reply=self._deliver)
         self._receivers: dict[CallNumber, PeerReceiver] = {}
@@ -238,6 +247,8 @@
         is_silent: whether it was retired because nothing was received.
         is_draining: whether its owner accepts no new calls.
         is_closed: whether it is closed.
+        collects_bodies: whether the owner has stated that it collects bodies;
+            see ``Pong``.
         silent_since: start of the current silence, in seconds on the clock.
         last_received_at: time of the last input; 0 before the first.
     """
@@ -264,6 +275,7 @@
         self.is_silent = False
         self.is_draining = False
         self.is_closed = False
+        self.collects_bodies = False
         self._loop = loop
         self._observer = observer
         self._close_at: float | None = None
@@ -420,9 +432,11 @@
     def _handle_frame(self, frame: Frame) -> None:
         if isinstance(frame, Ping):
             self.send(Pong())
+        elif isinstance(frame, Pong):
+            self.collects_bodies = frame.collects_bodies
         elif isinstance(frame, OwnerNotice):
             self._handle_notice(frame)
-        elif not isinstance(frame, Pong):
+        else:
             receiver = self._receivers.get(frame.call)
             if receiver is not None:
                 receiver.on_frame(frame)  # type: ignore[arg-type]
--- a/wagtaildale/calls/sessions.py
+++ b/wagtaildale/calls/sessions.py
@@ -303,7 +303,7 @@
 
 @dispatch_frame.register
 def _handle_ping(frame: Ping, calls: CallTable) -> None:
-    calls.reply(Pong())
+    calls.reply(Pong(collects_bodies=True))
     if frame.accepts_drain_notice:
         calls.on_drain_notice_supported()
 
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -105,6 +105,8 @@
         dialect: header fields used with callers and backend servers.
         reserves: whether a non-idempotent request reserves a slot first.
         hedges: whether slow idempotent requests get a second attempt.
+        line_mbps: bandwidth of the node's line, megabits per second; 0 if not
+            known.
     """
 
     service: ServiceName
@@ -120,6 +122,7 @@
     dialect: Dialect = DEFAULT_DIALECT
     reserves: bool = True
     hedges: bool = True
+    line_mbps: float = 0
 
 
 class CallsTask:
@@ -166,6 +169,7 @@
                 view=dependencies.view,
                 recorder=dependencies.recorder,
             ),
+            line_mbps=settings.line_mbps,
         )
         self.owner.targets.denial_listeners.append(
             self._make_identity_probe().send_if_due
--- a/wagtaildale/calls/windows.py
+++ b/wagtaildale/calls/windows.py
@@ -30,9 +30,18 @@
 
     __slots__ = ('_remaining_bytes',)
 
-    def __init__(self) -> None:
-        """Create a window with the full credit."""
-        self._remaining_bytes = WINDOW_BYTES
+    def __init__(self, size: int = WINDOW_BYTES) -> None:
+        """Create a window with its first credit.
+
+        Args:
+            size: number of bytes that may be sent without further credit.
+        """
+        self._remaining_bytes = size
+
+    @property
+    def remaining_bytes(self) -> int:
+        """Number of bytes that may be sent, never negative."""
+        return max(0, self._remaining_bytes)
 
     @property
     def is_open(self) -> bool:
--- a/wagtaildale/lifecycle/tests/test_owner_stop.py
+++ b/wagtaildale/lifecycle/tests/test_owner_stop.py
@@ -142,7 +142,7 @@
     address = (record.host, record.owner_port)
     with socket.create_connection(address, TIMEOUT_SECONDS) as sock:
         sock.sendall(PLAIN + encode_frame(Ping()))
-        assert sock.recv(READ_BYTES) == encode_frame(Pong())
+        assert sock.recv(READ_BYTES) == encode_frame(Pong(collects_bodies=True))
         stopping_owner.stop.begin()
         assert stopping_owner.stop.wait(seconds=LONG_SECONDS)
         sock.sendall(encode_frame(Ping()))
--- a/wagtaildale/platform/settings.py
+++ b/wagtaildale/platform/settings.py
@@ -184,6 +184,7 @@
             drain_seconds=bounds.stop_seconds - STOP_MARGIN_SECONDS,
             announce_seconds=ANNOUNCE_SECONDS,
             linger_seconds=ANNOUNCE_SECONDS,
+            line_mbps=platform_file.limits.link_mbps,
         ),
         bounds=bounds,
         distribution=DistributionSettings(
--- a/wagtaildale/settings/model.py
+++ b/wagtaildale/settings/model.py
@@ -102,6 +102,9 @@
         linger_seconds: time for which idle connections of callers stay open
             in a planned stop, so that their next response asks them to close,
             seconds.
+        line_mbps: bandwidth of the instance's line, megabits per second; 0 if
+            not known. Bounds the bytes of request bodies that are on their way
+            to the node.
     """
 
     head_bytes: Annotated[int, Meta(ge=MIN_HEAD_BYTES)] = HEAD_BYTES
@@ -116,6 +119,7 @@
     linger_seconds: Annotated[float, Meta(ge=0, le=LONGEST_DRAIN_SECONDS)] = (
         LINGER_SECONDS
     )
+    line_mbps: Annotated[float, Meta(ge=0)] = 0
 
 
 class TeamToken(Struct, frozen=True, kw_only=True):
