--- a/wagtaildale/admission/capacity.py
+++ b/wagtaildale/admission/capacity.py
@@ -30,7 +30,7 @@
         The share of each rank; ``ALL_PASS`` if the server can run them all, or
         if neither a rate limit nor a run time is known.
     """
-    per_second = state.rate.per_second
+    per_second = state.rate.find_rate(now)
     if per_second is None and state.slot_seconds:
         per_second = CAPACITY_FACTOR * state.limit / state.slot_seconds
     return state.demand.compute_pass_share(per_second, now=now)
--- a/wagtaildale/admission/decisions.py
+++ b/wagtaildale/admission/decisions.py
@@ -27,14 +27,18 @@
     decide_arrival,
     expire_leases,
 )
+from wagtaildale.admission.rates import begin_slow_start
 from wagtaildale.admission.refusals import refuse_all, refuse_rate_limited
 from wagtaildale.admission.server_messages import (
+    DataCentreEvacuated,
     LeavingReported,
     ProbeSent,
     RateForwarded,
     RateReported,
     ServerRestarted,
     SlotsPublished,
+    SlowStartBegan,
+    SlowStartEnded,
 )
 from wagtaildale.admission.state import AdmissionState
 from wagtaildale.errors.codes import Code
@@ -232,3 +236,35 @@
     now: float,
 ) -> list[Verdict]:
     return refuse_all(state, Code.draining)
+
+
+@decide_admission.register
+def _decide_data_centre_evacuated(
+    message: DataCentreEvacuated,
+    state: AdmissionState,
+    *,
+    now: float,
+) -> list[Verdict]:
+    return refuse_all(state, Code.evacuated)
+
+
+@decide_admission.register
+def _decide_slow_start_began(
+    message: SlowStartBegan,
+    state: AdmissionState,
+    *,
+    now: float,
+) -> list[Verdict]:
+    begin_slow_start(state.rate, message.bound, now=now)
+    return refuse_rate_limited(state, now)
+
+
+@decide_admission.register
+def _decide_slow_start_ended(
+    message: SlowStartEnded,
+    state: AdmissionState,
+    *,
+    now: float,
+) -> list[Verdict]:
+    state.rate.slow_start = None
+    return admit_waiting(state, now)
--- a/wagtaildale/admission/gate.py
+++ b/wagtaildale/admission/gate.py
@@ -180,13 +180,14 @@
         awaited: TicketId = NO_TICKET,
     ) -> Verdict | None:
         awaited_verdict: Verdict | None = None
-        verdicts = decide_admission(message, self.state, now=read_clock())
+        now = read_clock()
+        verdicts = decide_admission(message, self.state, now=now)
         for verdict in verdicts:
             on_verdict = self._callbacks.pop(verdict.ticket, None)
             if on_verdict is not None:
                 on_verdict(verdict)
             elif verdict.ticket == awaited:
                 awaited_verdict = verdict
-        if self.state.queue and self.state.rate.is_limited:
+        if self.state.queue and self.state.rate.find_rate(now) is not None:
             self._schedule_alarm()
         return awaited_verdict
--- a/wagtaildale/admission/rates.py
+++ b/wagtaildale/admission/rates.py
@@ -13,6 +13,8 @@
 
 from msgspec import Struct, field
 
+from wagtaildale.admission.slow_start import SlowStartBound
+
 # Requests that a server did not get in the last half second may be sent at
 # once, since callers do not send them evenly.
 BURST_SECONDS: Final = 0.5
@@ -38,6 +40,8 @@
             ended the limit, seconds.
         last_seen_by_rank: arrival time of the last request of each rank,
             seconds.
+        slow_start: bound on the rate of a server that has just started; None
+            if it is warm.
     """
 
     per_second: float | None = None
@@ -46,11 +50,24 @@
     counted_at: float = 0
     source_sent_at: float = -inf
     last_seen_by_rank: dict[int, float] = field(default_factory=dict)
+    slow_start: SlowStartBound | None = None
+
+    def find_rate(self, now: float) -> float | None:
+        """Find the rate that the server may get.
 
-    @property
-    def is_limited(self) -> bool:
-        """Whether the server names a rate limit."""
-        return self.per_second is not None
+        Args:
+            now: current time, seconds.
+
+        Returns:
+            Requests per second: the limit that the server names or that of
+            its slow start, whichever is lower; None without a limit.
+        """
+        slow_start = self.slow_start
+        if slow_start is None or now >= slow_start.until:
+            return self.per_second
+        if self.per_second is None:
+            return slow_start.per_second
+        return min(self.per_second, slow_start.per_second)
 
     def note_answer(
         self,
@@ -122,8 +139,8 @@
         Args:
             now: current time, seconds.
         """
-        if self.per_second is not None:
-            self._refill(now)
+        if self.find_rate(now) is not None:
+            self.refill(now)
             self.tokens -= 1
 
     def find_wait(self, rank: int, *, ahead: int, now: float) -> float:
@@ -137,36 +154,71 @@
         Returns:
             Seconds.
         """
-        if self.per_second is None:
+        per_second = self.find_rate(now)
+        if per_second is None:
             return 0
-        self._refill(now)
-        missing = ahead + 1 + self._find_reserved(rank, now) - self.tokens
-        return max(0, missing / _clamp_rate(self.per_second))
-
-    def _find_reserved(self, rank: int, now: float) -> float:
-        # Without a reserved token the first request to arrive takes it, and
-        # a request of high priority finds the bucket empty as often as others.
-        return RESERVED_TOKENS * any(
-            other < rank and now - at < RANK_ACTIVE_SECONDS
-            for other, at in self.last_seen_by_rank.items()
-        )
+        self.refill(now)
+        missing = ahead + 1 + _find_reserved(self, rank, now) - self.tokens
+        return max(0, missing / _clamp_rate(per_second))
+
+    def refill(self, now: float) -> None:
+        """Add the tokens since the bucket was last refilled.
+
+        Args:
+            now: current time, seconds.
+        """
+        per_second = self.find_rate(now)
+        if per_second is None:
+            return
+        rate = _clamp_rate(per_second)
+        grown = self.tokens + (now - self.counted_at) * rate
+        self.tokens = min(grown, _find_burst(self, rate, now))
+        self.counted_at = now
 
     def _set_rate(self, per_second: float | None, now: float) -> None:
-        if self.per_second is None:
+        if self.find_rate(now) is None:
             # The server was overloaded a moment ago: start without a burst.
             self.tokens = 1
             self.counted_at = now
-        self._refill(now)
+        self.refill(now)
         self.per_second = per_second
-        self._refill(now)
+        self.refill(now)
 
-    def _refill(self, now: float) -> None:
-        if self.per_second is None:
-            return
-        rate = _clamp_rate(self.per_second)
-        grown = self.tokens + (now - self.counted_at) * rate
-        self.tokens = min(grown, max(MIN_BURST_TOKENS, rate * BURST_SECONDS))
-        self.counted_at = now
+
+def begin_slow_start(
+    rate: RateLimit, bound: SlowStartBound, *, now: float
+) -> None:
+    """Bound the rate of a server that is cold.
+
+    Args:
+        rate: rate limit of the server; updated in place.
+        bound: rate, and when the slow start ends.
+        now: current time, seconds.
+    """
+    if rate.find_rate(now) is None:
+        # What the server got in the last moment counts towards the bound.
+        rate.tokens = 1
+        rate.counted_at = now
+    rate.refill(now)
+    rate.slow_start = bound
+    rate.refill(now)
+
+
+def _find_reserved(rate: RateLimit, rank: int, now: float) -> float:
+    # Without a reserved token the first request to arrive takes it, and a
+    # request of high priority finds the bucket empty as often as others.
+    return RESERVED_TOKENS * any(
+        other < rank and now - at < RANK_ACTIVE_SECONDS
+        for other, at in rate.last_seen_by_rank.items()
+    )
+
+
+def _find_burst(rate: RateLimit, per_second: float, now: float) -> float:
+    burst = max(MIN_BURST_TOKENS, per_second * BURST_SECONDS)
+    slow_start = rate.slow_start
+    if slow_start is None or now >= slow_start.until:
+        return burst
+    return min(burst, slow_start.burst)
 
 
 def _clamp_rate(per_second: float) -> float:
--- a/wagtaildale/admission/server_messages.py
+++ b/wagtaildale/admission/server_messages.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.slow_start import SlowStartBound
+
 
 class SlotsPublished(Struct, frozen=True, kw_only=True, gc=False):
     """The backend server has published its number of slots.
@@ -47,6 +49,24 @@
     """The backend server is leaving: queued requests are refused."""
 
 
+class DataCentreEvacuated(Struct, frozen=True, kw_only=True, gc=False):
+    """The data centre is evacuated: queued requests are refused."""
+
+
+class SlowStartBegan(Struct, frozen=True, kw_only=True, gc=False):
+    """The backend server is cold, or may be.
+
+    Attributes:
+        bound: what it may get until it is warm.
+    """
+
+    bound: SlowStartBound
+
+
+class SlowStartEnded(Struct, frozen=True, kw_only=True, gc=False):
+    """The backend server has reported that it is warm."""
+
+
 class ProbeSent(Struct, frozen=True, kw_only=True, gc=False):
     """The node has sent its own request, such as a health check."""
 
@@ -57,5 +77,8 @@
     | RateForwarded
     | ServerRestarted
     | LeavingReported
+    | DataCentreEvacuated
+    | SlowStartBegan
+    | SlowStartEnded
     | ProbeSent
 )
--- /dev/null
+++ b/wagtaildale/admission/slow_start.py
@@ -0,0 +1,60 @@
+"""Bounds the rate of a backend server that has just started.
+
+Load pattern: a server, or all servers of a data centre at once, come back and
+are slow for some seconds. They end again if they get their usual rate. Their
+owner alone sees all that reaches a server, so the bound is kept there.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from msgspec import Struct
+
+if TYPE_CHECKING:
+    from wagtaildale.configuration.model import SlowStart
+    from wagtaildale.settings.model import BoundSettings
+
+# Part of the published slack that is used for bursts; the rest covers requests
+# that are sent apart and arrive together.
+SLACK_SHARE: Final = 0.5
+MIN_BURST: Final = 1.0
+
+
+class SlowStartBound(Struct, frozen=True, kw_only=True, gc=False):
+    """Bound on what a server gets until it is warm.
+
+    Attributes:
+        per_second: requests per second.
+        burst: requests that may be sent at once.
+        until: time at which the server is warm, seconds.
+    """
+
+    per_second: float
+    burst: float
+    until: float
+
+
+def build_bound(
+    slow_start: SlowStart,
+    *,
+    bounds: BoundSettings,
+    left_seconds: float,
+    now: float,
+) -> SlowStartBound:
+    """Build the bound of a server that is cold.
+
+    Args:
+        slow_start: slow start of the service's servers.
+        bounds: what the operators tolerate beyond the rate.
+        left_seconds: time until the server is warm, seconds.
+        now: current time, seconds.
+
+    Returns:
+        The bound.
+    """
+    return SlowStartBound(
+        per_second=slow_start.per_second * bounds.slow_start_factor,
+        burst=max(MIN_BURST, bounds.slow_start_slack * SLACK_SHARE),
+        until=now + left_seconds,
+    )
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -177,7 +177,7 @@
         Returns:
             Time in seconds; infinite if no request waits for a token.
         """
-        if not self.rate.is_limited:
+        if self.rate.find_rate(now) is None:
             return inf
         waits = (
             self.rate.find_wait(waiting.rank, ahead=0, now=now)
--- a/wagtaildale/admission/tests/simulated_gate.py
+++ b/wagtaildale/admission/tests/simulated_gate.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from wagtaildale.admission.messages import GateMessage
+    from wagtaildale.admission.server_messages import ServerMessage
 
 STEP_SECONDS: Final = 0.001
 RUN_SECONDS: Final = 0.05
@@ -80,6 +81,10 @@
             ),
         )
 
+    def tell(self, message: ServerMessage) -> None:
+        """Pass on information about the server."""
+        self._dispatch(message)
+
     def count_arrivals(self, since: float, *, rank: int | None = None) -> int:
         """Count the requests sent to the server since a time."""
         return sum(
--- a/wagtaildale/assembly.py
+++ b/wagtaildale/assembly.py
@@ -10,8 +10,8 @@
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.callers import CallerLimits
 from wagtaildale.calls.owner import Identity
-from wagtaildale.calls.task import (
-    CallsTask,
+from wagtaildale.calls.task import CallsTask
+from wagtaildale.calls.task_settings import (
     CallsTaskDependencies,
     CallsTaskSettings,
 )
--- a/wagtaildale/calls/attempts.py
+++ b/wagtaildale/calls/attempts.py
@@ -25,6 +25,7 @@
     (
         Code.wrong_instance,
         Code.draining,
+        Code.evacuated,
         Code.backend_unreachable,
         Code.lease_ended,
         Code.peer_lost,
--- a/wagtaildale/calls/backend_run.py
+++ b/wagtaildale/calls/backend_run.py
@@ -246,6 +246,9 @@
             self._run_now()
 
     def _admit(self) -> bool:
+        # The data centre may have been evacuated, or the server have announced
+        # that it leaves, while a suspected request waited.
+        self._owner.targets.check(self._run_message.fields)
         ends = self._owner.trials.admit(
             self._run_message,
             up_seconds=self._owner.pool.watch.up_seconds,
--- a/wagtaildale/calls/dialect.py
+++ b/wagtaildale/calls/dialect.py
@@ -32,6 +32,8 @@
             not send it.
         leaving: set in a response by a backend server that is about to end;
             None if backend servers do not send it.
+        slow_start_ms: in a health check's answer, milliseconds until a cold
+            backend server is warm; None if backend servers do not send it.
         accepts_request_id: whether callers choose the identifiers of requests.
         echoes_request_id: whether a response contains the request's identifier.
         describes_calls: whether responses tell callers how the call went.
@@ -52,6 +54,7 @@
     load: bytes | None = None
     rate_limit: bytes | None = b'wagtaildale-rate-limit'
     leaving: bytes | None = b'wagtaildale-leaving'
+    slow_start_ms: bytes | None = None
     accepts_request_id: bool = False
     echoes_request_id: bool = False
     describes_calls: bool = True
--- a/wagtaildale/calls/identity_probe.py
+++ b/wagtaildale/calls/identity_probe.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.backend_connection import BackendRequest
@@ -17,6 +18,7 @@
     from wagtaildale.calls.addresses import Address
     from wagtaildale.calls.backend_connection import BackendConnection
     from wagtaildale.calls.backend_pool import BackendPool
+    from wagtaildale.calls.dialect import Dialect
     from wagtaildale.calls.parsing import Message
     from wagtaildale.calls.server_targets import ServerTargets
     from wagtaildale.timers.alarms import Alarm
@@ -27,6 +29,10 @@
 # A server without a free slot answers only after a request has ended. Shorter
 # than the interval, so that at most one probe is in progress.
 PROBE_TIMEOUT_SECONDS: Final = 0.9
+# Milliseconds, as a decimal number with at most nine digits before and after
+# the point.
+DURATION_PATTERN: Final = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?')
+MILLISECONDS: Final = 1000
 
 
 class IdentityProbe:
@@ -37,7 +43,7 @@
         pool: BackendPool,
         *,
         address: Address,
-        field: bytes | None,
+        dialect: Dialect,
         read_health_path: Callable[[], str],
         targets: ServerTargets,
     ) -> None:
@@ -46,15 +52,14 @@
         Args:
             pool: connections to the server.
             address: address of the server.
-            field: header field of a response that names the instance; None
-                if servers do not identify themselves.
+            dialect: header fields in which servers report on themselves.
             read_health_path: callback that returns the path of the health
                 check; empty if there is none.
             targets: receiver of the reported instance, or of the failure.
         """
         self._pool = pool
         self._address = address
-        self._identity_field = field
+        self._dialect = dialect
         self._read_health_path = read_health_path
         self._targets = targets
         self._next_probe_at = float(0)
@@ -67,9 +72,10 @@
         path = self._read_health_path()
         now = read_clock()
         if (
-            self._identity_field is None
+            self._dialect.instance is None
             or not path
             or now < self._next_probe_at
+            or self._targets.is_evacuated()
         ):
             return
         self._next_probe_at = now + PROBE_INTERVAL_SECONDS
@@ -99,11 +105,14 @@
             message: response to the health check.
         """
         self._message = message
-        assert self._identity_field is not None
-        reported = (message.find(self._identity_field) or b'').decode('latin-1')
+        assert self._dialect.instance is not None
+        reported = (message.find(self._dialect.instance) or b'').decode(
+            'latin-1'
+        )
         # The name becomes a header value in every request to the server.
         if reported and reported.isascii() and reported.isprintable():
             self._targets.note_identified(InstanceId(reported))
+            self._note_slow_start(message)
         else:
             failure = CallFailed(
                 Code.answer_mismatched,
@@ -133,6 +142,19 @@
     def on_writable(self) -> None:
         """Do nothing: the request has no body; see ``BackendReceiver``."""
 
+    def _note_slow_start(self, message: Message) -> None:
+        if self._dialect.slow_start_ms is None:
+            return
+        left_ms = message.find(self._dialect.slow_start_ms)
+        if left_ms is None:
+            self._targets.slow_start.note_reported(0)
+        elif DURATION_PATTERN.fullmatch(left_ms):
+            self._targets.slow_start.note_reported(
+                float(left_ms) / MILLISECONDS
+            )
+        else:
+            self._targets.feedback.note_malformed(left_ms)
+
     def _on_timeout(self) -> None:
         if self._connection is not None:
             self._connection.close()
--- a/wagtaildale/calls/load_notifier.py
+++ b/wagtaildale/calls/load_notifier.py
@@ -104,8 +104,9 @@
             is none or if it is not known yet.
         """
         rate = self._gate.state.rate
-        if rate.is_observed or rate.is_limited:
-            return encode_rate(rate.per_second)
+        per_second = rate.find_rate(read_clock())
+        if rate.is_observed or per_second is not None:
+            return encode_rate(per_second)
         return UNKNOWN_RATE
 
     def describe_share(self) -> PassShare | None:
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -36,6 +36,7 @@
 
     from wagtaildale.admission.gate import Gate
     from wagtaildale.calls.addresses import Address
+    from wagtaildale.calls.server_targets import ServerConditions
     from wagtaildale.calls.suspect_trials import SuspectTrials
     from wagtaildale.invariants import Invariants
     from wagtaildale.membership.records import InstanceRecord
@@ -89,6 +90,7 @@
         dialect: Dialect = DEFAULT_DIALECT,
         find_record: Callable[[InstanceId], InstanceRecord | None],
         trials: SuspectTrials,
+        conditions: ServerConditions,
         line_mbps: float = 0,
     ) -> None:
         """Create the owner of a backend server.
@@ -104,6 +106,7 @@
             dialect: header fields that the backend server uses.
             find_record: lookup of an instance's record in the list.
             trials: admission of requests suspected of ending servers.
+            conditions: conditions under which the server gets requests.
             line_mbps: bandwidth of the node's line, megabits per second; 0 if
                 not known.
         """
@@ -133,6 +136,7 @@
             find_record=find_record,
             recorder=recorder,
             feedback=FeedbackTracker(gate, recorder=recorder),
+            conditions=conditions,
         )
         self.targets.leaving.listeners.append(self.load_notifier.notify_leaving)
         self.pool.watch.listeners.append(self._on_watch_changed)
@@ -287,6 +291,7 @@
         if is_up:
             self.targets.leaving.note_started()
             self.targets.feedback.note_started()
+            self.targets.slow_start.note_started()
         self.load_notifier.notify_reachability(is_up=is_up)
 
 
--- a/wagtaildale/calls/server_feedback.py
+++ b/wagtaildale/calls/server_feedback.py
@@ -106,7 +106,7 @@
         """
         if feedback.malformed:
             # A malformed header neither sets nor removes a limit.
-            self._record_malformed(feedback, instance)
+            self.note_malformed(feedback.malformed)
             return
         if instance != self._instance:
             self._instance = instance
@@ -159,16 +159,17 @@
         """Count a probe that the node sends to the server."""
         self._gate.handle_server_message(ProbeSent())
 
-    def _record_malformed(
-        self,
-        feedback: ServerFeedback,
-        instance: InstanceId,
-    ) -> None:
+    def note_malformed(self, text: bytes) -> None:
+        """Record a header of the server that could not be parsed.
+
+        Args:
+            text: value of the header.
+        """
         self._recorder.record(
             EventKind.server_word_refused,
             code=Code.server_word_malformed,
-            subject=instance,
-            detail=repr(feedback.malformed[:MAX_LOGGED_BYTES]),
+            subject=self._instance,
+            detail=repr(text[:MAX_LOGGED_BYTES]),
         )
 
     def _record_limit(
--- a/wagtaildale/calls/server_targets.py
+++ b/wagtaildale/calls/server_targets.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.server_identity import ServerIdentity
 from wagtaildale.calls.server_leaving import LeavingTracker
+from wagtaildale.calls.server_slow_start import SlowStartTracker
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from wagtaildale.calls.fields import CallFields
     from wagtaildale.calls.server_feedback import (
         FeedbackTracker,
@@ -24,6 +26,18 @@
     from wagtaildale.types import InstanceId, ServiceName
 
 
+class ServerConditions(Struct, frozen=True, kw_only=True):
+    """Conditions under which the server gets requests.
+
+    Attributes:
+        slow_start: tracker of whether the server is in slow start.
+        is_evacuated: tells whether the server's data centre is evacuated.
+    """
+
+    slow_start: SlowStartTracker
+    is_evacuated: Callable[[], bool]
+
+
 class ServerTargets:
     """Resolves the instance that runs a request, or refuses the request.
 
@@ -32,6 +46,8 @@
             other than the backend server.
         leaving: tracker of whether the backend server is leaving.
         feedback: tracker of what the backend server reports in responses.
+        slow_start: tracker of whether the backend server is in slow start.
+        is_evacuated: tells whether the server's data centre is evacuated.
     """
 
     def __init__(
@@ -41,6 +57,7 @@
         find_record: Callable[[InstanceId], InstanceRecord | None],
         recorder: EventRecorder,
         feedback: FeedbackTracker,
+        conditions: ServerConditions,
     ) -> None:
         """Start with nothing known of the server.
 
@@ -50,6 +67,7 @@
             recorder: recorder of an event when the server turns out to be
                 another instance.
             feedback: tracker of what the server reports in responses.
+            conditions: conditions under which the server gets requests.
         """
         self.denial_listeners: list[Callable[[], None]] = []
         self.leaving = LeavingTracker(
@@ -59,6 +77,8 @@
         self.leaving.listeners.append(feedback.note_leaving)
         self.feedback = feedback
         self._service = service
+        self.is_evacuated = conditions.is_evacuated
+        self.slow_start = conditions.slow_start
         self._identity = ServerIdentity()
         self._find_record = find_record
         self._recorder = recorder
@@ -72,6 +92,8 @@
         Raises:
             CallFailed: with outcome ``not_run``, if it would not.
         """
+        if self.is_evacuated():
+            raise CallFailed(Code.evacuated)
         target = self._find_target(fields)
         if target is None:
             self._notify_denial()
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -6,52 +6,47 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
-from msgspec import Struct
 
 from wagtaildale.admission.gate import Gate
-from wagtaildale.admission.server_messages import SlotsPublished
 from wagtaildale.admission.state import make_admission
-from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.budgets import RetryLimits, compute_retry_limits
 from wagtaildale.calls.caller_timeouts import CallerTimeouts
 from wagtaildale.calls.callers import CallerLimits, CallerPort
-from wagtaildale.calls.dialect import DEFAULT_DIALECT, Dialect
 from wagtaildale.calls.entry import Entry
 from wagtaildale.calls.identity_probe import IdentityProbe
-from wagtaildale.calls.owner import Identity, Owner
+from wagtaildale.calls.owner import Owner
 from wagtaildale.calls.owner_listener import OwnerListener
 from wagtaildale.calls.peer_pool import PeerPool
 from wagtaildale.calls.peers import LocalPeer
 from wagtaildale.calls.readiness import ReadinessHandler
 from wagtaildale.calls.routed_call import EntryParts
+from wagtaildale.calls.server_review import OwnServer, ServerReview
+from wagtaildale.calls.server_slow_start import SlowStartTracker
+from wagtaildale.calls.server_targets import ServerConditions
 from wagtaildale.calls.sessions import PeerPort
 from wagtaildale.calls.suspect_trials import SuspectTrials
+from wagtaildale.calls.task_settings import (
+    CallsTaskDependencies,
+    CallsTaskSettings,
+)
 from wagtaildale.errors.codes import Code
-from wagtaildale.invariants import Invariants
 from wagtaildale.reactor.loop import Loop
-from wagtaildale.routing.choice import Chooser
 from wagtaildale.routing.placement import Placement
 from wagtaildale.routing.statistics import FleetStatistics
-from wagtaildale.routing.view import ViewHolder
-from wagtaildale.settings.model import BoundSettings
-from wagtaildale.suspects.snapshots import SuspectsHolder
-from wagtaildale.telemetry.events import EventKind, EventRecorder
-from wagtaildale.telemetry.tallies import Tallies
-from wagtaildale.types import DataCentre, NodeState, ServiceName
+from wagtaildale.telemetry.events import EventKind
+from wagtaildale.types import NodeState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from result import Result
 
+    from wagtaildale.configuration.model import Part, SlowStart
     from wagtaildale.errors.faults import Fault
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.types import InstanceId
 
 MILLISECONDS: Final = 1000
-# Interval at which the gate takes over the number of slots that the instance
-# list gives for the local backend server.
-SLOTS_CHECK_SECONDS: Final = 0.5
 # How long a caller from another thread waits for the loop to run a submitted
 # function; far longer than one iteration of the loop.
 SUBMIT_WAIT_SECONDS: Final = 0.5
@@ -64,67 +59,6 @@
 )
 
 
-class CallsTaskDependencies(Struct, frozen=True, kw_only=True):
-    """Parts that the task shares with the rest of the node.
-
-    Attributes:
-        identity: instance and incarnation of this process.
-        view: configuration and instance records that calls are routed by.
-        tallies: counters of calls.
-        recorder: records events.
-        invariants: checks that are made on each call.
-        states: states of the node; the last one is current.
-        suspects: requests during which backend servers have ended.
-    """
-
-    identity: Identity
-    view: ViewHolder
-    tallies: Tallies
-    recorder: EventRecorder
-    invariants: Invariants
-    states: list[NodeState]
-    suspects: SuspectsHolder
-
-
-class CallsTaskSettings(Struct, frozen=True, kw_only=True):
-    """Addresses that calls use, and how calls are carried.
-
-    Attributes:
-        service: service of the local backend server.
-        data_centre: data centre of this node.
-        entry_address: where the entry listens for callers.
-        owner_address: where the owner listens for other nodes.
-        ready_address: where the readiness endpoint listens; None disables it.
-        backend_address: where the local backend server listens.
-        slots: number of requests that the backend server runs at once, used
-            until the instance list gives one.
-        limits: limits on callers, used until a configuration has others.
-        bounds: times and retry share that the platform's operators publish
-            and hold nodes to.
-        chooser: algorithm that chooses an upstream.
-        dialect: header fields used with callers and backend servers.
-        reserves: whether a non-idempotent request reserves a slot first.
-        hedges: whether slow idempotent requests get a second attempt.
-        line_mbps: bandwidth of the node's line, megabits per second; 0 if not
-            known.
-    """
-
-    service: ServiceName
-    data_centre: DataCentre
-    entry_address: Address
-    owner_address: Address
-    ready_address: Address | None = None
-    backend_address: Address
-    slots: int
-    limits: CallerLimits
-    bounds: BoundSettings = BoundSettings()
-    chooser: Chooser
-    dialect: Dialect = DEFAULT_DIALECT
-    reserves: bool = True
-    hedges: bool = True
-    line_mbps: float = 0
-
-
 class CallsTask:
     """Carries callers' requests and other nodes' calls in one event loop.
 
@@ -152,11 +86,12 @@
         self._settings = settings
         self._dependencies = dependencies
         self.loop = Loop(on_defect=self._note_defect, on_late=self._note_late)
+        gate = Gate(make_admission(settings.slots), alarms=self.loop.alarms)
         self.owner = Owner(
             dependencies.identity,
             service=settings.service,
             loop=self.loop,
-            gate=Gate(make_admission(settings.slots), alarms=self.loop.alarms),
+            gate=gate,
             backend=settings.backend_address,
             invariants=dependencies.invariants,
             recorder=dependencies.recorder,
@@ -169,10 +104,29 @@
                 view=dependencies.view,
                 recorder=dependencies.recorder,
             ),
+            conditions=ServerConditions(
+                slow_start=SlowStartTracker(
+                    gate,
+                    read_slow_start=self._read_slow_start,
+                    bounds=settings.bounds,
+                    recorder=dependencies.recorder,
+                ),
+                is_evacuated=self._is_evacuated,
+            ),
             line_mbps=settings.line_mbps,
         )
-        self.owner.targets.denial_listeners.append(
-            self._make_identity_probe().send_if_due
+        probe = self._make_identity_probe()
+        self.owner.targets.denial_listeners.append(probe.send_if_due)
+        self.owner.targets.slow_start.probe_listeners.append(probe.send_if_due)
+        self._review = ServerReview(
+            self.owner,
+            own_server=OwnServer(
+                host=settings.owner_address.host,
+                port=settings.backend_address.port,
+                data_centre=settings.data_centre,
+            ),
+            view=dependencies.view,
+            recorder=dependencies.recorder,
         )
         dependencies.suspects.listeners.append(self._abandon_suspected_runs)
         self.local_peer = LocalPeer(self.owner)
@@ -298,6 +252,15 @@
             self._note_submitted_error,
         )
 
+    def _note_view_changed(self) -> None:
+        self.loop.submit(self._review.run).add_done_callback(
+            self._note_submitted_error,
+        )
+
+    def _is_evacuated(self) -> bool:
+        evacuated = self._dependencies.view.current.evacuated
+        return self._settings.data_centre in evacuated
+
     def _note_submitted_error(self, submitted: Future[None]) -> None:
         error = submitted.exception()
         if error is not None:
@@ -309,7 +272,8 @@
         if self._settings.ready_address is not None:
             self._readiness_port.start()
         self.entry.refresh()
-        self._update_slots()
+        self._review.run()
+        self._dependencies.view.listeners.append(self._note_view_changed)
 
     def _drain(self) -> None:
         self.owner.gate.drain()
@@ -319,15 +283,22 @@
         return IdentityProbe(
             self.owner.pool,
             address=self._settings.backend_address,
-            field=self._settings.dialect.instance,
+            dialect=self._settings.dialect,
             read_health_path=self._read_health_path,
             targets=self.owner.targets,
         )
 
     def _read_health_path(self) -> str:
-        part = self._dependencies.view.current.parts.get(self._settings.service)
+        part = self._find_part()
         return part.health_path if part else ''
 
+    def _read_slow_start(self) -> SlowStart | None:
+        part = self._find_part()
+        return part.slow_start or None if part else None
+
+    def _find_part(self) -> Part | None:
+        return self._dependencies.view.current.parts.get(self._settings.service)
+
     def _make_parts(self) -> EntryParts:
         settings = self._settings
         dependencies = self._dependencies
@@ -379,17 +350,6 @@
             return NodeState.leaving
         return self._dependencies.states[-1]
 
-    def _update_slots(self) -> None:
-        records = self._dependencies.view.current.records.values()
-        port = self._settings.backend_address.port
-        for record in records:
-            if record.host == self._settings.owner_address.host:
-                if record.backend_port == port:
-                    self.owner.gate.handle_server_message(
-                        SlotsPublished(slots=record.slots)
-                    )
-        self.loop.alarms.set(SLOTS_CHECK_SECONDS, self._update_slots)
-
     def _find_record(self, instance: InstanceId) -> InstanceRecord | None:
         return self._dependencies.view.current.records.get(instance)
 
--- a/wagtaildale/calls/tests/feedback_servers.py
+++ b/wagtaildale/calls/tests/feedback_servers.py
@@ -47,8 +47,14 @@
 class FeedbackFleet(ScriptedFleet):
     """A fleet whose servers report feedback."""
 
-    def __init__(self, upstreams: int, *, entries: int) -> None:
-        super().__init__(upstreams, entries=entries)
+    def __init__(
+        self,
+        upstreams: int,
+        *,
+        entries: int,
+        data_centres: tuple[str, ...] = ('derby',),
+    ) -> None:
+        super().__init__(upstreams, entries=entries, data_centres=data_centres)
         self.backends = [FeedbackBackend(each.host) for each in self.records]
 
     def close(self) -> None:
--- a/wagtaildale/calls/tests/fleets.py
+++ b/wagtaildale/calls/tests/fleets.py
@@ -26,9 +26,19 @@
         suspects: known crashes, shared by all nodes.
     """
 
-    def __init__(self, upstreams: int, *, entries: int) -> None:
+    def __init__(
+        self,
+        upstreams: int,
+        *,
+        entries: int,
+        data_centres: tuple[str, ...] = ('derby',),
+    ) -> None:
         self.records = [
-            build_record(f'i-{number}', host=f'127.0.9.{50 + number}')
+            build_record(
+                f'i-{number}',
+                host=f'127.0.9.{50 + number}',
+                data_centre=data_centres[number % len(data_centres)],
+            )
             for number in range(upstreams)
         ]
         self._ids = count()
--- a/wagtaildale/calls/tests/test_server_targets.py
+++ b/wagtaildale/calls/tests/test_server_targets.py
@@ -8,9 +8,11 @@
 
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.server_feedback import FeedbackTracker
-from wagtaildale.calls.server_targets import ServerTargets
+from wagtaildale.calls.server_slow_start import SlowStartTracker
+from wagtaildale.calls.server_targets import ServerConditions, ServerTargets
 from wagtaildale.calls.tests.pairs import build_run
 from wagtaildale.errors.codes import Code
+from wagtaildale.settings.model import BoundSettings
 from wagtaildale.testing.builders import (
     build_gate,
     build_record,
@@ -30,15 +32,26 @@
 def build_targets(
     *listed: InstanceRecord,
     service: ServiceName = SERVICE,
+    is_evacuated: bool = False,
 ) -> ServerTargets:
     """Build the targets of a server that has replaced another one."""
     records = {record.instance: record for record in listed}
     recorder = build_recorder()
+    gate = build_gate()
     targets = ServerTargets(
         service,
         find_record=records.get,
         recorder=recorder,
-        feedback=FeedbackTracker(build_gate(), recorder=recorder),
+        feedback=FeedbackTracker(gate, recorder=recorder),
+        conditions=ServerConditions(
+            slow_start=SlowStartTracker(
+                gate,
+                read_slow_start=lambda: None,
+                bounds=BoundSettings(),
+                recorder=recorder,
+            ),
+            is_evacuated=lambda: is_evacuated,
+        ),
     )
     targets.note_denied(EARLIER)
     targets.note_identified(LATER)
--- a/wagtaildale/configuration/compiled.py
+++ b/wagtaildale/configuration/compiled.py
@@ -145,6 +145,7 @@
         team=TeamName(service.team),
         classes=tuple(_build_class(entry) for entry in service.classes),
         routes=(*_build_own_routes(service), *_build_further_routes(service)),
+        slow_start=service.slow_start,
     )
 
 
--- a/wagtaildale/configuration/model.py
+++ b/wagtaildale/configuration/model.py
@@ -9,7 +9,7 @@
 
 from typing import Annotated, Final
 
-from msgspec import Meta, Struct
+from msgspec import UNSET, Meta, Struct, UnsetType
 
 from wagtaildale.types import ClassName, ServiceName, TeamName
 
@@ -18,6 +18,7 @@
 METHOD_PATTERN: Final = '^(GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS)$'
 LONGEST_DEADLINE_MS: Final = 600_000
 MAX_PERCENT: Final = 100
+LONGEST_SLOW_START_SECONDS: Final = 600
 LONGEST_PATH_CHARACTERS: Final = 512
 LONGEST_NAME_CHARACTERS: Final = 200
 
@@ -93,6 +94,18 @@
     service: Name | None = None
 
 
+class SlowStart(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How the backend servers of a service start.
+
+    Attributes:
+        seconds: time after its start for which a server is cold.
+        per_second: requests per second that a cold server bears.
+    """
+
+    seconds: Annotated[float, Meta(gt=0, le=LONGEST_SLOW_START_SECONDS)]
+    per_second: Annotated[float, Meta(gt=0)]
+
+
 class ServiceEntry(Struct, frozen=True, kw_only=True):
     """One service in an operators' file.
 
@@ -101,12 +114,15 @@
         team: team that owns the service.
         classes: classes of work of the service.
         routes: additional routes to classes.
+        slow_start: how its backend servers start; left out if they bear their
+            usual rate at once.
     """
 
     name: Name
     team: Name
     classes: Annotated[tuple[ClassEntry, ...], Meta(min_length=1)]
     routes: tuple[RouteEntry, ...] = ()
+    slow_start: SlowStart | UnsetType = UNSET
 
 
 class MeshEntry(Struct, frozen=True, kw_only=True):
@@ -208,6 +224,8 @@
             accepts; 0 if unknown.
         health_path: path at which its backend servers report their health and
             identity; empty if they do not.
+        slow_start: how its backend servers start; left out if they bear their
+            usual rate at once.
     """
 
     service: ServiceName
@@ -216,6 +234,7 @@
     routes: tuple[Route, ...]
     connections: int = 0
     health_path: str = ''
+    slow_start: SlowStart | UnsetType = UNSET
 
 
 class PublishedLimits(Struct, frozen=True, kw_only=True):
--- a/wagtaildale/configuration/validation.py
+++ b/wagtaildale/configuration/validation.py
@@ -9,7 +9,7 @@
 from itertools import chain
 from typing import TYPE_CHECKING
 
-from msgspec import MsgspecError, Struct, json, structs
+from msgspec import UNSET, MsgspecError, Struct, json, structs
 from result import Err, Ok, Result
 
 from wagtaildale.configuration.compiled import decode_part
@@ -105,6 +105,9 @@
         routes=tuple(chain.from_iterable(piece.routes for piece in pieces)),
         connections=max(piece.connections for piece in pieces),
         health_path=max(piece.health_path for piece in pieces),
+        slow_start=next(
+            (piece.slow_start for piece in pieces if piece.slow_start), UNSET
+        ),
     )
 
 
--- a/wagtaildale/errors/codes.py
+++ b/wagtaildale/errors/codes.py
@@ -70,6 +70,7 @@
     request_harmful = 4026
     server_word_malformed = 4027
     rate_limited = 4028
+    evacuated = 4029
 
     address_in_use = 5001
     drain_bound_passed = 5002
@@ -137,6 +138,7 @@
         Code.request_harmful: 'servers ended under it: it is not run for now',
         Code.server_word_malformed: 'a backend server says what cannot be read',
         Code.rate_limited: 'servers take no more requests a second',
+        Code.evacuated: 'operators have evacuated the data centre',
         Code.address_in_use: 'a listening address cannot be bound',
         Code.drain_bound_passed: 'work in flight outlived the drain bound',
         Code.invariant_broken: 'an invariant does not hold: a defect',
--- a/wagtaildale/membership/records.py
+++ b/wagtaildale/membership/records.py
@@ -5,7 +5,7 @@
 from functools import lru_cache
 from typing import TYPE_CHECKING, Annotated, Final
 
-from msgspec import Meta, MsgspecError, Struct, json
+from msgspec import UNSET, Meta, MsgspecError, Struct, UnsetType, json
 from result import Err, Ok, Result
 
 from wagtaildale.errors.codes import Code
@@ -51,6 +51,11 @@
             listed.
         born: start time in Unix milliseconds; 0 if not listed. An instance
             that restarts may keep its id.
+        evacuated: true if operators have evacuated the data centre. Left out
+            otherwise, so that lists without evacuations read the same for
+            nodes of an earlier build.
+        slow_start_ms: time until the server is warm, milliseconds, as of its
+            last report; left out if it is warm.
     """
 
     instance: InstanceId
@@ -68,6 +73,18 @@
     backend_port: int = 0
     since: int = 0
     born: int = 0
+    evacuated: bool | UnsetType = UNSET
+    slow_start_ms: Annotated[int, Meta(ge=0)] | UnsetType = UNSET
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether operators have evacuated the data centre."""
+        return self.evacuated is True
+
+    @property
+    def slow_start_left_ms(self) -> int:
+        """Time until the server is warm, milliseconds; 0 if it is."""
+        return 0 if self.slow_start_ms is UNSET else self.slow_start_ms
 
     @property
     def start_order(self) -> tuple[int, int]:
--- a/wagtaildale/platform/configuration.py
+++ b/wagtaildale/platform/configuration.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import TYPE_CHECKING, Final
 from zlib import crc32
 
-from msgspec import Struct, json
+from msgspec import UNSET, MsgspecError, Struct, UnsetType, json, structs
 
 from wagtaildale.configuration.model import (
     LIMITS_ENTRY,
@@ -14,6 +15,7 @@
     PublishedLimits,
     Route,
     Share,
+    SlowStart,
     WorkClass,
 )
 from wagtaildale.types import ClassName, ServiceName, TeamName
@@ -113,11 +115,15 @@
         name: name of the service.
         max_conns: most connections that each backend server accepts.
         health_path: path of the health check of each backend server.
+        cold_s: seconds after its start for which a backend server is cold.
+        cold_per_s: requests per second that a cold one bears; 0 if not bound.
     """
 
     name: str
     max_conns: int = 0
     health_path: str = ''
+    cold_s: float = 0
+    cold_per_s: float = 0
 
 
 class PublishedConfiguration(Struct, frozen=True, kw_only=True):
@@ -136,7 +142,38 @@
     clusters: tuple[Cluster, ...]
 
 
+class PublishedServices(Struct, frozen=True, kw_only=True):
+    """The services of a published value, without its routes.
+
+    Attributes:
+        clusters: the services.
+    """
+
+    clusters: tuple[Cluster, ...] = ()
+
+
 _decoder = json.Decoder(PublishedConfiguration)
+_services_decoder = json.Decoder(PublishedServices)
+
+
+@lru_cache(maxsize=1)
+def list_slow_starting(payload: bytes) -> frozenset[str]:
+    """List the services whose cold backend servers have a rate limit.
+
+    Args:
+        payload: published value, JSON.
+
+    Returns:
+        Names of the services; none if the value cannot be read.
+    """
+    try:
+        services = _services_decoder.decode(payload)
+    except MsgspecError:
+        # Decoding the configuration document reports the error.
+        return frozenset()
+    return frozenset(
+        cluster.name for cluster in services.clusters if cluster.cold_per_s > 0
+    )
 
 
 def decode_configuration(payload: bytes) -> tuple[int, dict[str, bytes]]:
@@ -159,7 +196,9 @@
             connections=cluster.max_conns,
             health_path=cluster.health_path,
         )
-        blobs[cluster.name] = json.encode(part)
+        blobs[cluster.name] = json.encode(
+            structs.replace(part, slow_start=_make_slow_start(cluster))
+        )
     blobs[LIMITS_ENTRY] = json.encode(_make_limits(published.limits))
     return int(published.version, HEXADECIMAL), blobs
 
@@ -208,6 +247,12 @@
     )
 
 
+def _make_slow_start(cluster: Cluster) -> SlowStart | UnsetType:
+    if cluster.cold_s <= 0 or cluster.cold_per_s <= 0:
+        return UNSET
+    return SlowStart(seconds=cluster.cold_s, per_second=cluster.cold_per_s)
+
+
 def _list_rules(published: PublishedConfiguration) -> Iterator[HostRule]:
     for listener in published.listeners:
         for rule in listener.rules:
--- a/wagtaildale/platform/dialect.py
+++ b/wagtaildale/platform/dialect.py
@@ -18,6 +18,7 @@
     load=b'x-server-load',
     rate_limit=b'server-limit',
     leaving=b'server-leaving',
+    slow_start_ms=b'x-cold-ms',
     accepts_request_id=True,
     echoes_request_id=True,
     describes_calls=False,
--- a/wagtaildale/platform/instances.py
+++ b/wagtaildale/platform/instances.py
@@ -4,12 +4,13 @@
 
 from enum import Enum
 from ipaddress import IPv4Address
-from typing import TYPE_CHECKING, Annotated, final
+from typing import TYPE_CHECKING, Annotated, Final, final
 
-from msgspec import Meta, Struct, field, json
+from msgspec import UNSET, Meta, Struct, UnsetType, field, json
 
 from wagtaildale.membership.records import LARGEST_PORT, InstanceRecord
 from wagtaildale.platform.settings import split_address
+from wagtaildale.settings.model import Settings
 from wagtaildale.types import (
     DataCentre,
     InstanceId,
@@ -19,8 +20,9 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
     from wagtaildale.calls.addresses import Address
-    from wagtaildale.settings.model import Settings
 
 
 @final
@@ -50,9 +52,8 @@
 class Status(Struct, frozen=True, kw_only=True, rename='camel'):
     """Properties of a backend server that change while it runs.
 
-    The last two are decoded only to distinguish an entry of a backend server
-    from that of another writer: the slowness of a cold server is measured
-    from its answers.
+    The sequence is decoded only to distinguish an entry of a backend server
+    from that of another writer.
 
     Attributes:
         state: whether the server accepts new work.
@@ -82,6 +83,28 @@
     born: int = 0
 
 
+# A key with this prefix and the name of a data centre evacuates it.
+EVACUATION_PREFIX: Final = 'op/evacuate/'
+
+
+class DecodingContext(Struct, frozen=True, kw_only=True):
+    """What the records of instances are built from besides their entries.
+
+    Attributes:
+        settings: settings of this daemon; all machines use the same ports.
+        regions: region of each data centre.
+        slow_starting: services whose cold servers have a rate limit. The time
+            that a server stays cold is left out for others, so that the record
+            does not change with each report.
+        evacuated: evacuated data centres.
+    """
+
+    settings: Settings
+    regions: dict[str, str]
+    slow_starting: frozenset[str] = frozenset()
+    evacuated: frozenset[str] = frozenset()
+
+
 _decoder = json.Decoder(Entry)
 
 
@@ -90,8 +113,7 @@
     payload: bytes,
     *,
     created: int = 0,
-    settings: Settings,
-    regions: dict[str, str],
+    context: DecodingContext,
 ) -> InstanceRecord:
     """Decode the entry of a backend server.
 
@@ -99,8 +121,7 @@
         instance: id of the instance, the last part of the entry's key.
         payload: value of the entry, JSON.
         created: revision of the store at which the entry was created.
-        settings: settings of this daemon; all machines use the same ports.
-        regions: region of each data centre.
+        context: what the record is built from besides the entry.
 
     Returns:
         The instance record.
@@ -111,14 +132,16 @@
     """
     entry = _decoder.decode(payload)
     address = _check_address(entry.address)
-    _check_names(instance, entry.description.zone, regions)
+    zone = entry.description.zone
+    _check_names(instance, zone, context.regions)
+    settings = context.settings
     leaving = entry.status.state is ReportedState.draining
     return InstanceRecord(
         instance=InstanceId(instance),
         node=InstanceId(address.host),
         service=ServiceName(entry.description.service),
-        data_centre=DataCentre(entry.description.zone),
-        region=Region(regions[entry.description.zone]),
+        data_centre=DataCentre(zone),
+        region=Region(context.regions[zone]),
         host=address.host,
         entry_port=settings.entry_port,
         owner_port=settings.owner_port,
@@ -129,9 +152,36 @@
         state=ListedState.leaving if leaving else ListedState.live,
         since=created,
         born=entry.born,
+        evacuated=zone in context.evacuated or UNSET,
+        slow_start_ms=_find_slow_start_ms(entry, context.slow_starting),
     )
 
 
+def list_evacuated(keys: Iterable[str]) -> frozenset[str]:
+    """List the evacuated data centres.
+
+    Args:
+        keys: keys of all entries of the store.
+
+    Returns:
+        Names of the data centres; some may not exist.
+    """
+    return frozenset(
+        key.removeprefix(EVACUATION_PREFIX)
+        for key in keys
+        if key.startswith(EVACUATION_PREFIX)
+    )
+
+
+def _find_slow_start_ms(
+    entry: Entry, slow_starting: Collection[str]
+) -> int | UnsetType:
+    left_ms = round(entry.status.cold_left_ms)
+    if left_ms <= 0 or entry.description.service not in slow_starting:
+        return UNSET
+    return left_ms
+
+
 def _check_address(text: str) -> Address:
     # Host names are rejected: an entry of another writer may have one, and
     # resolving it would block the task that carries all calls.
--- a/wagtaildale/platform/settings.py
+++ b/wagtaildale/platform/settings.py
@@ -224,6 +224,8 @@
             default.retry_window_seconds,
         ),
         retry_slack=figures.get('budgetSlack', default.retry_slack),
+        slow_start_factor=figures.get('coldOver', default.slow_start_factor),
+        slow_start_slack=figures.get('coldSlack', default.slow_start_slack),
     )
 
 
--- a/wagtaildale/platform/store.py
+++ b/wagtaildale/platform/store.py
@@ -17,8 +17,16 @@
     make_version,
 )
 from wagtaildale.errors.codes import Code
-from wagtaildale.platform.configuration import decode_configuration
-from wagtaildale.platform.instances import decode_instance
+from wagtaildale.platform.configuration import (
+    decode_configuration,
+    list_slow_starting,
+)
+from wagtaildale.platform.instances import (
+    EVACUATION_PREFIX,
+    DecodingContext,
+    decode_instance,
+    list_evacuated,
+)
 from wagtaildale.source.curl import Answer, CurlClient
 from wagtaildale.source.http import describe_status
 from wagtaildale.source.platform import ReadFailure
@@ -199,7 +207,7 @@
         """
         if kind is DocumentKind.configuration:
             return key == CONFIGURATION_KEY
-        return key.startswith(INSTANCE_PREFIX)
+        return key.startswith((INSTANCE_PREFIX, EVACUATION_PREFIX))
 
     def make_document(
         self,
@@ -251,11 +259,17 @@
     ) -> StoredDocument:
         blobs: dict[str, bytes] = {}
         failures: list[ReadFailure] = []
+        context = DecodingContext(
+            settings=self._settings,
+            regions=self._regions,
+            slow_starting=_list_slow_starting(entries),
+            evacuated=list_evacuated(entries),
+        )
         for key, entry in entries.items():
             if not key.startswith(INSTANCE_PREFIX):
                 continue
             try:
-                record = self._decode_record(entry)
+                record = _decode_record(entry, context)
             except (MsgspecError, ValueError) as error:
                 # Skip an unreadable entry: it must not keep the whole
                 # instance list from every node.
@@ -271,15 +285,6 @@
             failures=tuple(failures),
         )
 
-    def _decode_record(self, entry: StoreEntry) -> InstanceRecord:
-        return decode_instance(
-            entry.key.removeprefix(INSTANCE_PREFIX),
-            entry.payload or b'',
-            created=entry.created,
-            settings=self._settings,
-            regions=self._regions,
-        )
-
     def _call(
         self,
         path: str,
@@ -295,6 +300,24 @@
         return _decode_answer(response.ok_value, answer_type)
 
 
+def _decode_record(
+    entry: StoreEntry, context: DecodingContext
+) -> InstanceRecord:
+    return decode_instance(
+        entry.key.removeprefix(INSTANCE_PREFIX),
+        entry.payload or b'',
+        created=entry.created,
+        context=context,
+    )
+
+
+def _list_slow_starting(entries: Mapping[str, StoreEntry]) -> frozenset[str]:
+    configuration = entries.get(CONFIGURATION_KEY)
+    if configuration is None or configuration.payload is None:
+        return frozenset()
+    return list_slow_starting(configuration.payload)
+
+
 def _decode_entry(entry: StoredEntry) -> StoreEntry:
     payload = None if entry.tombstone else _decode_payload(entry.encoded)
     return StoreEntry(
--- a/wagtaildale/routing/tests/test_view.py
+++ b/wagtaildale/routing/tests/test_view.py
@@ -82,3 +82,54 @@
     view.replace_instances(build_instances(build_at('a', port=8145, since=3)))
     view.replace_configuration(build_configuration())
     assert set(view.current.records) == {'a'}
+
+
+def evacuate(record: InstanceRecord) -> InstanceRecord:
+    return structs.replace(record, evacuated=True)
+
+
+def list_upstreams(view: ViewHolder) -> set[InstanceId]:
+    return {record.instance for record in view.current.list_records()}
+
+
+def test_evacuated_data_centre_has_no_upstreams() -> None:
+    """Requests reach servers of a data centre that is being emptied."""
+    near = build_record('near', host='10.1.0.8')
+    far = build_record('far', host='10.1.0.9', data_centre='coventry')
+    view = ViewHolder()
+    view.replace_instances(build_instances(evacuate(near), far))
+    assert list_upstreams(view) == {'far'}
+    assert view.current.evacuated == {'derby'}
+    assert view.current.records.keys() == {'near', 'far'}
+    view.replace_instances(build_instances(near, far))
+    assert list_upstreams(view) == {'near', 'far'}
+
+
+def test_retained_instance_of_an_evacuated_data_centre_is_not_used() -> None:
+    """An entry that lapsed for a moment bears no mark of the evacuation."""
+    listed = build_record('listed', host='10.1.0.8')
+    lapsed = build_record('lapsed', host='10.1.0.9')
+    view = ViewHolder()
+    view.replace_overrides([lapsed])
+    view.replace_instances(build_instances(evacuate(listed)))
+    assert not list_upstreams(view)
+
+
+def test_all_data_centres_may_be_evacuated() -> None:
+    records = [
+        build_record('a', host='10.1.0.8'),
+        build_record('b', host='10.1.0.9', data_centre='coventry'),
+    ]
+    view = ViewHolder()
+    view.replace_instances(build_instances(*map(evacuate, records)))
+    assert not list_upstreams(view)
+    assert view.current.evacuated == {'derby', 'coventry'}
+
+
+def test_each_change_of_records_is_announced() -> None:
+    view = ViewHolder()
+    changes: list[int] = []
+    view.listeners.append(lambda: changes.append(len(view.current.records)))
+    view.replace_instances(build_instances(build_record('a')))
+    view.replace_instances(build_instances())
+    assert changes == [1, 0]
--- a/wagtaildale/routing/view.py
+++ b/wagtaildale/routing/view.py
@@ -16,6 +16,7 @@
 from wagtaildale.routing.table import RoutingTable
 from wagtaildale.types import (
     NO_VERSION,
+    DataCentre,
     InstanceId,
     ListedState,
     ServiceName,
@@ -23,7 +24,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
     from wagtaildale.document.model import Document
 
@@ -39,11 +40,14 @@
         instances_version: version of the instance list.
         upstreams: records of the instances in use, by service: the listed ones
             with the overrides of ``ViewHolder.replace_overrides``, without
-            those whose address a later instance uses and those of services
-            without configuration.
-        records: the same records, by instance id.
+            those whose address a later instance uses, those of services
+            without configuration and those in evacuated data centres.
+        records: the same records, by instance id, also those in evacuated data
+            centres.
         away: ids of instances and nodes that accept no new work.
         caller_limits: rate limits on callers, if the configuration has them.
+        evacuated: data centres whose backend servers get no requests, by order
+            of the operators.
     """
 
     version: Version = NO_VERSION
@@ -54,6 +58,7 @@
     records: dict[InstanceId, InstanceRecord] = {}
     away: frozenset[InstanceId] = frozenset()
     caller_limits: PublishedLimits | None = None
+    evacuated: frozenset[DataCentre] = frozenset()
 
     def is_away(self, record: InstanceRecord) -> bool:
         """Tell whether an instance accepts no new work.
@@ -92,11 +97,17 @@
 
     A call reads ``current`` once and uses that snapshot throughout, so that
     it never mixes two versions.
+
+    Attributes:
+        current: the current snapshot.
+        listeners: callbacks for each change of the records, in the thread that
+            makes the change.
     """
 
     def __init__(self) -> None:
         """Start with the empty view."""
         self.current = FleetView()
+        self.listeners: list[Callable[[], None]] = []
         self._listed: dict[InstanceId, InstanceRecord] = {}
         self._retained: dict[InstanceId, InstanceRecord] = {}
         self._departed: dict[InstanceId, InstanceRecord] = {}
@@ -171,8 +182,17 @@
 
     def _swap_records(self, index: Version) -> None:
         records = leave_out_replaced(self._merge_records())
+        # An instance that the list has lost for a moment has no mark of its
+        # own, so the marks count for the whole data centre.
+        evacuated = frozenset(
+            record.data_centre
+            for record in self._listed.values()
+            if record.is_evacuated
+        )
         upstreams: dict[ServiceName, tuple[InstanceRecord, ...]] = {}
         for record in records.values():
+            if record.data_centre in evacuated:
+                continue
             known = upstreams.get(record.service, ())
             upstreams[record.service] = (*known, record)
         self.current = structs.replace(
@@ -180,4 +200,7 @@
             instances_version=index,
             upstreams=upstreams,
             records=records,
+            evacuated=evacuated,
         )
+        for notify in self.listeners:
+            notify()
--- a/wagtaildale/settings/model.py
+++ b/wagtaildale/settings/model.py
@@ -38,6 +38,7 @@
 RETRY_SHARE: Final = 0.2
 RETRY_WINDOW_SECONDS: Final = 10.0
 RETRY_SLACK: Final = 20.0
+SLOW_START_SLACK: Final = 4.0
 # Share of the time to apply a version: leaves time to repeat a failed read
 # twice.
 READ_SHARE: Final = 0.2
@@ -192,6 +193,9 @@
         retry_share: most retries, as a share of all requests to a service.
         retry_window_seconds: window over which the share is counted, seconds.
         retry_slack: retries allowed beyond the share, over all nodes.
+        slow_start_factor: multiple of the rate that a cold server bears which
+            it may get.
+        slow_start_slack: requests in one second that it may get beyond that.
     """
 
     apply_seconds: Annotated[float, Meta(gt=0)] = APPLY_SECONDS
@@ -200,6 +204,8 @@
     retry_share: Annotated[float, Meta(ge=0)] = RETRY_SHARE
     retry_window_seconds: Annotated[float, Meta(gt=0)] = RETRY_WINDOW_SECONDS
     retry_slack: Annotated[float, Meta(ge=0)] = RETRY_SLACK
+    slow_start_factor: Annotated[float, Meta(gt=0)] = 1
+    slow_start_slack: Annotated[float, Meta(ge=0)] = SLOW_START_SLACK
 
     @property
     def read_seconds(self) -> float:
--- a/wagtaildale/testing/mesh.py
+++ b/wagtaildale/testing/mesh.py
@@ -12,8 +12,8 @@
 from wagtaildale.calls.callers import CallerLimits
 from wagtaildale.calls.dialect import DEFAULT_DIALECT, Dialect
 from wagtaildale.calls.owner import Identity
-from wagtaildale.calls.task import (
-    CallsTask,
+from wagtaildale.calls.task import CallsTask
+from wagtaildale.calls.task_settings import (
     CallsTaskDependencies,
     CallsTaskSettings,
 )
