Order bodies by target, tell entries of lines, give up what cannot arrive

Change: the body whose target ends first goes first, one that misses its target goes last; one that cannot cross in time behind the others is refused before it is sent, one that others keep away until it is of no use is refused then. Owners report the wait for their line and its rate with answers and load reports, and entries count both in the expected time of a body. Four credits are in flight, so that the line is busy while the next one is on its way.

--- a/wagtaildale/admission/incoming_line.py
+++ b/wagtaildale/admission/incoming_line.py
@@ -3,15 +3,18 @@
 Load pattern: many entries send large bodies to one node whose line carries
 less than they send together. Without a bound the bodies fill the buffers of
 the line, and a question of one kilobyte waits behind all of them, longer than
-its caller does. Here the receiver grants credits: the bytes on their way to it
-never exceed what its line carries in ``IN_FLIGHT_SECONDS``, and the body with
-the least left goes first, as in Homa (SIGCOMM 2018).
+its caller does. Here the receiver grants credits, as in Homa (SIGCOMM 2018) and
+Breakwater (OSDI 2020): the bytes on their way to it never exceed what its line
+carries in ``IN_FLIGHT_SECONDS``. The body whose target ends first goes first,
+after it those that miss their target anyway. A body that cannot cross the line
+in time behind the others is refused before it is sent.
 
 Uses no clock and no socket: callers pass the current time.
 """
 
 from __future__ import annotations
 
+from math import inf
 from typing import Final, NewType
 
 from msgspec import Struct, field
@@ -19,6 +22,7 @@
 TransferId = NewType('TransferId', int)
 
 BITS_PER_BYTE: Final = 8
+MILLISECONDS: Final = 1000
 MEGA: Final = 1_000_000
 # Longest time that a small message waits behind bodies on the line.
 IN_FLIGHT_SECONDS: Final = 0.03
@@ -26,8 +30,9 @@
 # the bandwidth of the line is not known.
 MAX_IN_FLIGHT_BYTES: Final = 1_048_576
 MIN_IN_FLIGHT_BYTES: Final = 8192
-# Bytes of one credit: a small message waits behind one piece at most.
-CREDIT_BYTES: Final = 8192
+# Parts of the bytes in flight that one credit is for: while one piece crosses
+# the line, the credits for the next ones are on their way.
+CREDITS_IN_FLIGHT: Final = 4
 # Bytes of a body that a sender may send before it gets a credit.
 UNSOLICITED_BYTES: Final = 4096
 # Part of the line that bodies may fill; the rest carries heads, responses and
@@ -39,6 +44,54 @@
 MAX_PENDING_BYTES: Final = 16_777_216
 
 
+class LineState(Struct, frozen=True, array_like=True, gc=False):
+    """State of a line that entries choose upstreams by.
+
+    Attributes:
+        wait_ms: milliseconds until the accepted bodies have arrived.
+        bytes_per_ms: bytes of bodies that the line carries in a millisecond.
+    """
+
+    wait_ms: int
+    bytes_per_ms: int
+
+
+class LineRate(Struct, frozen=True, gc=False):
+    """Bandwidth of a line.
+
+    Attributes:
+        bytes_per_second: bandwidth; 0 if not known.
+    """
+
+    bytes_per_second: float = 0
+
+    @property
+    def max_in_flight_bytes(self) -> int:
+        """Most bytes of bodies that may be on their way at once."""
+        if not self.bytes_per_second:
+            return MAX_IN_FLIGHT_BYTES
+        size = int(self.bytes_per_second * IN_FLIGHT_SECONDS)
+        return min(MAX_IN_FLIGHT_BYTES, max(MIN_IN_FLIGHT_BYTES, size))
+
+    @property
+    def credit_bytes(self) -> int:
+        """Bytes of one credit."""
+        return self.max_in_flight_bytes // CREDITS_IN_FLIGHT
+
+    def measure_seconds(self, size: int) -> float:
+        """Measure how long bodies take to cross the line.
+
+        Args:
+            size: number of bytes.
+
+        Returns:
+            Seconds; 0 if the bandwidth is not known.
+        """
+        if not self.bytes_per_second:
+            return 0
+        return size / (self.bytes_per_second * BODY_SHARE)
+
+
 class Credit(Struct, frozen=True, kw_only=True, gc=False):
     """Permission to send more of a body.
 
@@ -55,11 +108,15 @@
     """A body that is being received.
 
     Attributes:
+        target_at: time by which the body has to arrive, seconds.
+        useless_at: time after which it is of no use, seconds.
         ungranted: bytes for which the sender has no credit yet.
         in_flight: bytes that were granted and have not arrived.
         progress_at: time of the last credit or arrival, seconds.
     """
 
+    target_at: float
+    useless_at: float
     ungranted: int
     in_flight: int = 0
     progress_at: float
@@ -69,6 +126,27 @@
         """Bytes that have not arrived."""
         return self.ungranted + self.in_flight
 
+    def grant(self, free: int, credit_bytes: int, *, now: float) -> list[int]:
+        """Grant credits for the next bytes.
+
+        Args:
+            free: bytes that the line can take; the last credit may exceed
+                them.
+            credit_bytes: bytes of one credit.
+            now: current time, seconds.
+
+        Returns:
+            Bytes of each credit.
+        """
+        sizes: list[int] = []
+        while self.ungranted and sum(sizes) < free:
+            sizes.append(min(self.ungranted, credit_bytes))
+            self.ungranted -= sizes[-1]
+        if sizes:
+            self.in_flight += sum(sizes)
+            self.progress_at = now
+        return sizes
+
     def is_stalled(self, now: float) -> bool:
         """Tell whether the sender leaves its credit unused.
 
@@ -81,67 +159,126 @@
         return self.in_flight > 0 and now - self.progress_at > STALL_SECONDS
 
 
+class TransferLimits(Struct, frozen=True, kw_only=True, gc=False):
+    """Times in which a body has to arrive.
+
+    Attributes:
+        target_seconds: time after which its request misses its target.
+        deadline_seconds: time after which its request cannot be answered.
+        patient: whether a body that misses the target in any case is accepted.
+    """
+
+    target_seconds: float
+    deadline_seconds: float
+    patient: bool
+
+
 class IncomingLine(Struct, kw_only=True):
     """Bodies on their way into a node, and the credits of their senders.
 
     Attributes:
-        bytes_per_second: bandwidth of the line; 0 if not known.
+        rate: bandwidth of the line.
         transfers: bodies that are being received.
     """
 
-    bytes_per_second: float = 0
+    rate: LineRate = LineRate()
     transfers: dict[TransferId, Transfer] = field(default_factory=dict)
 
-    @property
-    def max_in_flight_bytes(self) -> int:
-        """Most bytes of bodies that may be on their way at once."""
-        if not self.bytes_per_second:
-            return MAX_IN_FLIGHT_BYTES
-        size = int(self.bytes_per_second * IN_FLIGHT_SECONDS)
-        return min(MAX_IN_FLIGHT_BYTES, max(MIN_IN_FLIGHT_BYTES, size))
-
     @property
     def backlog_bytes(self) -> int:
         """Bytes of accepted bodies that have not arrived."""
         return sum(each.remaining for each in self.transfers.values())
 
-    def estimate_seconds(self, size: int) -> float:
+    @property
+    def wait_seconds(self) -> float:
+        """Time until the accepted bodies have arrived, seconds."""
+        return self.rate.measure_seconds(self.backlog_bytes)
+
+    def describe(self) -> LineState | None:
+        """Describe the line for entries.
+
+        Returns:
+            Its state; None if its bandwidth is not known.
+        """
+        if not self.rate.bytes_per_second:
+            return None
+        carried = self.rate.bytes_per_second * BODY_SHARE / MILLISECONDS
+        return LineState(
+            wait_ms=round(self.wait_seconds * MILLISECONDS),
+            bytes_per_ms=max(1, round(carried)),
+        )
+
+    def estimate_seconds(
+        self, size: int, *, target_at: float, now: float
+    ) -> float:
         """Estimate how long a body takes to arrive.
 
         Args:
             size: bytes of the body that have not arrived.
+            target_at: time by which the body has to arrive, seconds.
+            now: current time, seconds.
 
         Returns:
-            Seconds, with the bodies that have less left; 0 if the bandwidth is
+            Seconds, with the bodies that go before it; 0 if the bandwidth is
             not known.
         """
-        if not self.bytes_per_second:
-            return 0
+        body = Transfer(
+            target_at=target_at,
+            useless_at=inf,
+            ungranted=size,
+            progress_at=now,
+        )
+        order = _find_order(body, self.rate, now)
         ahead = sum(
-            min(size, each.remaining) for each in self.transfers.values()
+            each.remaining
+            for each in self.transfers.values()
+            if _find_order(each, self.rate, now) <= order
         )
-        return (ahead + size) / (self.bytes_per_second * BODY_SHARE)
+        return self.rate.measure_seconds(ahead + size)
 
-    def has_room(self, size: int) -> bool:
-        """Tell whether there is memory for another body.
+    def find_overdue_seconds(
+        self, size: int, *, limits: TransferLimits, now: float
+    ) -> float:
+        """Estimate by how much a body would arrive too late.
 
         Args:
             size: bytes of the body that have not arrived.
+            limits: times in which it has to arrive.
+            now: current time, seconds.
 
         Returns:
-            Whether all accepted bodies and this one stay within the limit.
+            Seconds; not above 0 if it arrives in time.
         """
-        return self.backlog_bytes + size <= MAX_PENDING_BYTES
-
-    def begin(self, transfer: TransferId, *, size: int, now: float) -> None:
+        seconds = self.estimate_seconds(
+            size, target_at=now + limits.target_seconds, now=now
+        )
+        is_hopeless = self.rate.measure_seconds(size) > limits.target_seconds
+        if limits.patient and is_hopeless:
+            return seconds - limits.deadline_seconds
+        return seconds - limits.target_seconds
+
+    def begin(
+        self,
+        transfer: TransferId,
+        *,
+        size: int,
+        limits: TransferLimits,
+        now: float,
+    ) -> None:
         """Accept a body.
 
         Args:
             transfer: identifies the body.
             size: bytes of it that have not arrived.
+            limits: times in which it has to arrive.
             now: current time, seconds.
         """
-        self.transfers[transfer] = Transfer(ungranted=size, progress_at=now)
+        self.transfers[transfer] = Transfer(
+            target_at=now + limits.target_seconds,
+            useless_at=now + limits.deadline_seconds,
+            ungranted=size,
+            progress_at=now,
+        )
 
     def note_received(
         self, transfer: TransferId, size: int, *, now: float
@@ -172,6 +309,27 @@
         """
         self.transfers.pop(transfer, None)
 
+    def list_hopeless(self, *, now: float) -> list[TransferId]:
+        """List the bodies that others keep from arriving while they are of use.
+
+        Args:
+            now: current time, seconds.
+
+        Returns:
+            Bodies to give up.
+        """
+        hopeless: list[TransferId] = []
+        ahead = 0
+        for name, transfer in self._list_in_order(now):
+            arrives_at = now + self.rate.measure_seconds(
+                ahead + transfer.remaining
+            )
+            if arrives_at > transfer.useless_at:
+                hopeless.append(name)
+            else:
+                ahead += transfer.remaining
+        return hopeless
+
     def issue_credits(self, *, now: float) -> list[Credit]:
         """Grant credits for what the line can take.
 
@@ -179,33 +337,29 @@
             now: current time, seconds.
 
         Returns:
-            Credits to send, the body with the least left first.
+            Credits to send, in the order of the bodies.
         """
-        free = self.max_in_flight_bytes - sum(
+        free = self.rate.max_in_flight_bytes - sum(
             each.in_flight
             for each in self.transfers.values()
             if not each.is_stalled(now)
         )
         issued: list[Credit] = []
-        for name, transfer in self._rank_waiting(now):
+        for name, transfer in self._list_in_order(now):
             if free <= 0:
                 break
-            size = min(transfer.ungranted, max(CREDIT_BYTES, free))
-            transfer.ungranted -= size
-            transfer.in_flight += size
-            transfer.progress_at = now
-            free -= size
-            issued.append(Credit(transfer=name, size=size))
+            if transfer.is_stalled(now):
+                continue
+            sizes = transfer.grant(free, self.rate.credit_bytes, now=now)
+            free -= sum(sizes)
+            issued.extend(Credit(transfer=name, size=size) for size in sizes)
         return issued
 
-    def _rank_waiting(self, now: float) -> list[tuple[TransferId, Transfer]]:
-        waiting = [
-            (name, transfer)
-            for name, transfer in self.transfers.items()
-            if transfer.ungranted and not transfer.is_stalled(now)
-        ]
-        waiting.sort(key=_read_remaining)
-        return waiting
+    def _list_in_order(self, now: float) -> list[tuple[TransferId, Transfer]]:
+        return sorted(
+            self.transfers.items(),
+            key=lambda entry: _find_order(entry[1], self.rate, now),
+        )
 
 
 def make_incoming_line(line_mbps: float) -> IncomingLine:
@@ -217,8 +371,24 @@
     Returns:
         The state.
     """
-    return IncomingLine(bytes_per_second=line_mbps * MEGA / BITS_PER_BYTE)
+    return IncomingLine(rate=LineRate(line_mbps * MEGA / BITS_PER_BYTE))
+
+
+def _find_order(
+    transfer: Transfer, rate: LineRate, now: float
+) -> tuple[bool, float]:
+    alone = rate.measure_seconds(transfer.remaining)
+    return now + alone > transfer.target_at, transfer.target_at
 
 
-def _read_remaining(entry: tuple[TransferId, Transfer]) -> int:
-    return entry[1].remaining
+def has_room(line: IncomingLine, size: int) -> bool:
+    """Tell whether there is memory for another body.
+
+    Args:
+        line: state of the line.
+        size: bytes of the body that have not arrived.
+
+    Returns:
+        Whether all accepted bodies and this one stay within the limit.
+    """
+    return line.backlog_bytes + size <= MAX_PENDING_BYTES
--- a/wagtaildale/calls/attempts.py
+++ b/wagtaildale/calls/attempts.py
@@ -95,6 +95,7 @@
         obstacle: reason why the last failure was not retried.
         crash_count: number of servers that crashed in succession while
             running the request.
+        body_bytes: size of the request's body; 0 if it is not known.
     """
 
     idempotent: bool
@@ -107,6 +108,7 @@
     was_rate_limited: bool = False
     obstacle: Obstacle = Obstacle.none
     crash_count: int = 0
+    body_bytes: int = 0
 
     def note_rejection(self, instance: InstanceId, code: Code) -> None:
         """Record whether an upstream was overloaded or rate limited.
--- a/wagtaildale/calls/body_collector.py
+++ b/wagtaildale/calls/body_collector.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, Protocol
 
 from msgspec import structs
 
@@ -14,19 +14,35 @@
     STALL_SECONDS,
     IncomingLine,
     TransferId,
+    TransferLimits,
+    has_room,
 )
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
+    from wagtaildale.calls.fields import CallFields
     from wagtaildale.calls.frames import BodyPiece, Run
     from wagtaildale.timers.alarms import Alarm, Alarms
 
 # A larger body is streamed to the backend server as it arrives.
 MAX_COLLECTED_BYTES: Final = 524_288
+MILLISECONDS: Final = 1000
+
+
+class BodySender(Protocol):
+    """The entry that sends a body, as the collector uses it."""
+
+    def send_credit(self, size: int) -> None:
+        """Let the entry send more.
+
+        Args:
+            size: number of bytes.
+        """
+
+    def give_up_body(self) -> None:
+        """Refuse the request: its body cannot arrive in time."""
 
 
 class BodyCollector:
@@ -47,21 +63,21 @@
         self._alarms = alarms
         self._alarm: Alarm | None = None
         self._last_transfer = 0
-        self._senders: dict[TransferId, Callable[[int], None]] = {}
+        self._senders: dict[TransferId, BodySender] = {}
 
     def begin(
         self,
         size: int,
         *,
-        max_seconds: float,
-        send_credit: Callable[[int], None],
+        limits: TransferLimits,
+        sender: BodySender,
     ) -> TransferId:
         """Accept a body and grant its first credit as soon as it fits.
 
         Args:
             size: bytes that have not arrived.
-            max_seconds: time in which the body has to arrive, seconds.
-            send_credit: sends the entry the number of bytes granted.
+            limits: times in which the body has to arrive.
+            sender: the entry that sends the body.
 
         Returns:
             Identifier of the body.
@@ -69,20 +85,21 @@
         Raises:
             CallFailed: if the line cannot carry the body in time.
         """
-        seconds = self.line.estimate_seconds(size)
-        if seconds > max_seconds or not self.line.has_room(size):
+        now = read_clock()
+        overdue = self.line.find_overdue_seconds(size, limits=limits, now=now)
+        if overdue > 0 or not has_room(self.line, size):
             raise CallFailed(
                 Code.overloaded,
                 detail=(
-                    f'the line needs {seconds:.2f} s for the body, '
-                    f'expected at most {max_seconds:.2f} s'
+                    f'the line needs {overdue:.2f} s more for the body than '
+                    'there is time'
                 ),
-                retry_after=max(0, seconds - max_seconds),
+                retry_after=max(0, overdue),
             )
         self._last_transfer += 1
         transfer = TransferId(self._last_transfer)
-        self._senders[transfer] = send_credit
-        self.line.begin(transfer, size=size, now=read_clock())
+        self._senders[transfer] = sender
+        self.line.begin(transfer, size=size, limits=limits, now=now)
         self._issue_credits()
         return transfer
 
@@ -107,8 +124,12 @@
             self._issue_credits()
 
     def _issue_credits(self) -> None:
-        for credit in self.line.issue_credits(now=read_clock()):
-            self._senders[credit.transfer](credit.size)
+        now = read_clock()
+        for transfer in self.line.list_hopeless(now=now):
+            self.line.end(transfer)
+            self._senders.pop(transfer).give_up_body()
+        for credit in self.line.issue_credits(now=now):
+            self._senders[credit.transfer].send_credit(credit.size)
         is_set = self._alarm is not None and self._alarm.is_set
         if self.line.transfers and not is_set:
             # Passes the credit of a stalled sender on to others.
@@ -145,22 +166,22 @@
     def collect(
         self,
         *,
-        max_seconds: float,
-        send_credit: Callable[[int], None],
+        limits: TransferLimits,
+        sender: BodySender,
     ) -> None:
         """Receive the rest of the body on credits.
 
         Args:
-            max_seconds: time in which the body has to arrive, seconds.
-            send_credit: sends the entry the number of bytes granted.
+            limits: times in which the body has to arrive.
+            sender: the entry that sends the body.
 
         Raises:
             CallFailed: if the line cannot carry the body in time.
         """
         self._transfer = self._collector.begin(
             self._run.length - len(self._bytes),
-            max_seconds=max_seconds,
-            send_credit=send_credit,
+            limits=limits,
+            sender=sender,
         )
 
     def add(self, piece: BodyPiece) -> None:
@@ -204,3 +225,22 @@
         """Return credits that are not used."""
         if self._transfer is not None:
             self._collector.end(self._transfer)
+
+
+def find_transfer_limits(
+    fields: CallFields, *, run_seconds: float
+) -> TransferLimits:
+    """Find the times in which the body of a request has to arrive.
+
+    Args:
+        fields: fields of the call.
+        run_seconds: time that the request then takes at the backend server.
+
+    Returns:
+        The times that leave enough for the run.
+    """
+    return TransferLimits(
+        target_seconds=fields.within_ms / MILLISECONDS - run_seconds,
+        deadline_seconds=fields.remaining_ms / MILLISECONDS - run_seconds,
+        patient=fields.patient,
+    )
--- a/wagtaildale/calls/call_descriptions.py
+++ b/wagtaildale/calls/call_descriptions.py
@@ -73,6 +73,7 @@
         class_usual_seconds=answer.class_usual_us / MICROSECONDS,
         code=answer.code,
         server_limit=decode_limit(answer),
+        line=answer.line,
     )
 
 
--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -230,6 +230,7 @@
             deadline=routed.deadline,
             budget=budget,
             retries_left=routed.retries,
+            body_bytes=max(0, exchange.message.length),
         )
         self._request = OutgoingRequest(
             method=exchange.message.method,
--- a/wagtaildale/calls/fields.py
+++ b/wagtaildale/calls/fields.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.incoming_line import LineState
 from wagtaildale.admission.messages import DEFAULT_RANK, TicketId
 from wagtaildale.admission.shares import MIN_PARTS, PARTS_PER_WHOLE, PassShare
 from wagtaildale.errors.codes import Code
@@ -133,6 +134,7 @@
         share: fraction of the requests of each rank that entries may send; None
             if they may send all.
         leaving: the backend server, if it has announced that it leaves.
+        line: state of the owner's line, if its bandwidth is known.
     """
 
     request_id: RequestId
@@ -156,6 +158,7 @@
     rate_milli: int = UNKNOWN_RATE
     share: PassShare | None = None
     leaving: LeavingServer | None = None
+    line: LineState | None = None
 
 
 def encode_rate(per_second: float | None) -> int:
--- a/wagtaildale/calls/frames.py
+++ b/wagtaildale/calls/frames.py
@@ -12,6 +12,7 @@
 
 from msgspec import MsgspecError, Struct, msgpack
 
+from wagtaildale.admission.incoming_line import LineState
 from wagtaildale.admission.shares import PassShare
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.fields import (
@@ -214,6 +215,7 @@
         share: fraction of the requests of each rank that entries may send; None
             if they may send all.
         leaving: the backend server, if it has announced that it leaves.
+        line: state of the owner's line, if its bandwidth is known.
     """
 
     instance: InstanceId
@@ -225,6 +227,7 @@
     rate_milli: int = UNKNOWN_RATE
     share: PassShare | None = None
     leaving: LeavingServer | None = None
+    line: LineState | None = None
 
 
 class DrainNotice(Struct, frozen=True, array_like=True, tag=13, gc=False):
--- a/wagtaildale/calls/load_notifier.py
+++ b/wagtaildale/calls/load_notifier.py
@@ -15,11 +15,43 @@
     from collections.abc import Callable
 
     from wagtaildale.admission.gate import Gate
+    from wagtaildale.admission.incoming_line import LineState
     from wagtaildale.routing.leaving_servers import LeavingServer
     from wagtaildale.telemetry.events import EventRecorder
     from wagtaildale.types import InstanceId
 
 PERCENT: Final = 100
+# Entries are notified when the wait for the line changes by this much, and not
+# more often than the interval.
+LINE_STEP_MS: Final = 250
+LINE_INTERVAL_SECONDS: Final = 0.25
+
+
+class LineSteps:
+    """Tells when the wait for a line has changed enough to notify entries."""
+
+    def __init__(self) -> None:
+        """Start with an idle line."""
+        self._announced_step = 0
+        self._announced_at = float(0)
+
+    def update(self, line: LineState | None, *, now: float) -> bool:
+        """Update the announced wait.
+
+        Args:
+            line: state of the line; None if its bandwidth is not known.
+            now: current time, seconds.
+
+        Returns:
+            Whether entries are to be notified.
+        """
+        step = 0 if line is None else line.wait_ms // LINE_STEP_MS
+        is_early = now - self._announced_at < LINE_INTERVAL_SECONDS
+        if step == self._announced_step or is_early:
+            return False
+        self._announced_step = step
+        self._announced_at = now
+        return True
 
 
 class LoadNotifier:
@@ -36,6 +68,7 @@
         instance: InstanceId,
         recorder: EventRecorder,
         find_leaving: Callable[[], LeavingServer | None],
+        read_line: Callable[[], LineState | None],
     ) -> None:
         """Start without listeners.
 
@@ -47,10 +80,14 @@
             find_leaving: lookup of the announcement that the listed run of
                 the server leaves; made for each report, since the list may
                 show a later run.
+            read_line: returns the state of the node's line; None if its
+                bandwidth is not known.
         """
         self.listeners: list[Callable[[LoadReport], None]] = []
         self._is_up = True
         self._find_leaving = find_leaving
+        self._read_line = read_line
+        self._line_steps = LineSteps()
         self._gate = gate
         self._instance = instance
         self._recorder = recorder
@@ -63,6 +100,7 @@
         if (
             demand.update_announcement(self._compute_share(now), now=now)
             or percent
+            or self._line_steps.update(self._read_line(), now=now)
         ):
             self._notify_listeners(self._describe_load(percent))
 
@@ -145,6 +183,7 @@
             rate_milli=self.encode_rate_limit(),
             share=self.describe_share(),
             leaving=self._find_leaving(),
+            line=self._read_line(),
         )
 
     def _notify_listeners(self, load: LoadReport) -> None:
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner.py
@@ -35,6 +35,7 @@
     from collections.abc import Callable
 
     from wagtaildale.admission.gate import Gate
+    from wagtaildale.admission.incoming_line import LineState
     from wagtaildale.calls.addresses import Address
     from wagtaildale.calls.server_targets import ServerConditions
     from wagtaildale.calls.suspect_trials import SuspectTrials
@@ -123,6 +124,7 @@
             instance=identity.instance,
             recorder=recorder,
             find_leaving=self._find_leaving_server,
+            read_line=self._read_line,
         )
         self.pool = BackendPool(
             loop,
@@ -232,6 +234,7 @@
             was_rejected_by_server=was_rejected_by_server,
             rate_milli=self.load_notifier.encode_rate_limit(),
             share=self.load_notifier.describe_share(),
+            line=self._read_line(),
             leaving=self.targets.leaving.find_announcement(
                 self.targets.resolve_target(fields),
             ),
@@ -283,6 +286,9 @@
     def _find_leaving_server(self) -> LeavingServer | None:
         return self.targets.leaving.find_last_announcement()
 
+    def _read_line(self) -> LineState | None:
+        return self.collector.line.describe()
+
     def _count_stray_response(self) -> None:
         self._stray_count += 1
 
--- a/wagtaildale/calls/owner_call.py
+++ b/wagtaildale/calls/owner_call.py
@@ -12,7 +12,7 @@
 from wagtaildale.admission.limits import Ending
 from wagtaildale.admission.messages import Refused, RequestArrived
 from wagtaildale.calls.backend_run import BackendRun
-from wagtaildale.calls.body_collector import ReceivedBody
+from wagtaildale.calls.body_collector import ReceivedBody, find_transfer_limits
 from wagtaildale.calls.call_times import CallTimes
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.replies import ReplyWriter
@@ -77,7 +77,7 @@
 
 
 class OwnerCall:
-    """One call at its owner; a ``RunReceiver``.
+    """One call at its owner; a ``RunReceiver`` and a ``BodySender``.
 
     Attributes:
         state: current state of the call.
@@ -234,6 +234,24 @@
         """
         self._fail(failure, is_duplicate=is_duplicate)
 
+    def send_credit(self, size: int) -> None:
+        """Let the entry send more of the body; see ``BodySender``.
+
+        Args:
+            size: number of bytes.
+        """
+        self._replies.send_window_update(size)
+
+    def give_up_body(self) -> None:
+        """Refuse the request; see ``BodySender``."""
+        self._fail(
+            CallFailed(
+                Code.past_deadline,
+                detail='the line is too busy for the rest of the body',
+                retry_after=self._owner.collector.line.wait_seconds,
+            ),
+        )
+
     # Body
 
     def _receive_body(self, body: ReceivedBody, fields: CallFields) -> None:
@@ -242,18 +260,18 @@
             return
         try:
             body.collect(
-                max_seconds=self._find_max_transfer_seconds(fields),
-                send_credit=self._replies.send_window_update,
+                limits=find_transfer_limits(
+                    fields,
+                    run_seconds=self._owner.gate.state.estimate_run_seconds(
+                        fields.work_class
+                    ),
+                ),
+                sender=self,
             )
         except CallFailed as failure:
             self._fail(failure)
-
-    def _find_max_transfer_seconds(self, fields: CallFields) -> float:
-        # The body is refused before the rest of it is sent if the request
-        # could not run in time afterwards.
-        run = self._owner.gate.state.estimate_run_seconds(fields.work_class)
-        time_ms = fields.remaining_ms if fields.patient else fields.within_ms
-        return time_ms / MILLISECONDS - run
+            return
+        self._owner.load_notifier.notify_changes()
 
     # Admission
 
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/targets.py
@@ -331,6 +331,7 @@
                 pass_rank=_find_request_pass_rank(routed, self._statistics),
                 is_hedge=is_hedge,
                 was_rate_limited=attempts.was_rate_limited,
+                body_bytes=attempts.body_bytes,
             ),
             now=now,
         )
--- a/wagtaildale/calls/tests/pairs.py
+++ b/wagtaildale/calls/tests/pairs.py
@@ -10,6 +10,7 @@
 from msgspec import json
 
 from standins.backend_thread import BackendThread
+from wagtaildale.admission.incoming_line import make_incoming_line
 from wagtaildale.admission.messages import TicketId
 from wagtaildale.calls.fields import CallFields
 from wagtaildale.calls.frames import (
@@ -36,7 +37,7 @@
     Their instances are ``a`` and ``b``.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, line_mbps: float = 0) -> None:
         entry_record, owner_record = build_record_pair()
         self.backend = BackendThread(
             'b',
@@ -46,6 +47,8 @@
         )
         self.entry_node = MeshNode(entry_record)
         self.owner_node = MeshNode(owner_record)
+        line = self.owner_node.owner.collector.line
+        line.rate = make_incoming_line(line_mbps).rate
         self.entry_node.set_instances(owner_record)
 
     def close(self) -> None:
--- a/wagtaildale/configuration/tests/test_files.py
+++ b/wagtaildale/configuration/tests/test_files.py
@@ -4,10 +4,13 @@
 
 import pytest
 
+from wagtaildale.configuration.compiled import compile_mesh, decode_parts
 from wagtaildale.configuration.files import parse_mesh
+from wagtaildale.configuration.model import SlowStart
 from wagtaildale.errors.codes import Code
 from wagtaildale.testing.assertions import assert_codes, assert_err, assert_ok
 from wagtaildale.testing.builders import MESH_TEXT
+from wagtaildale.types import ServiceName
 
 
 def test_valid_file() -> None:
@@ -40,6 +43,34 @@
     assert (code, str(line)) in places, list(map(str, faults))
 
 
+SLOW_START = 'team = "field"\nslow_start = { seconds = 3, per_second = 7.5 }'
+
+
+def test_slow_start_is_published() -> None:
+    text = MESH_TEXT.replace('team = "field"', SLOW_START)
+    mesh = assert_ok(parse_mesh(text, name='mesh.toml'))
+    compiled = assert_ok(compile_mesh(mesh, version=1))
+    part = decode_parts(compiled)[ServiceName('casefiles')]
+    assert part.slow_start == SlowStart(seconds=3, per_second=7.5)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'code'),
+    [
+        ('seconds = 3', 'seconds = 0', Code.field_invalid),
+        ('per_second = 7.5', 'per_second = -1', Code.field_invalid),
+        ('per_second = 7.5', 'per_second = "x"', Code.field_invalid),
+        (', per_second = 7.5', '', Code.key_missing),
+        ('seconds = 3', 'second = 3', Code.key_unknown),
+    ],
+)
+def test_unusable_slow_start_is_a_fault(old: str, new: str, code: Code) -> None:
+    """A bound that cannot be kept holds back all requests of a service."""
+    text = MESH_TEXT.replace('team = "field"', SLOW_START.replace(old, new))
+    faults = assert_err(parse_mesh(text, name='mesh.toml'))
+    assert code in {fault.code for fault in faults}
+
+
 def test_all_faults_are_reported_together() -> None:
     text = MESH_TEXT.replace('true', '1').replace('"POST"', '"PRINT"')
     faults = assert_err(parse_mesh(text, name='mesh.toml'))
--- a/wagtaildale/routing/choice.py
+++ b/wagtaildale/routing/choice.py
@@ -13,6 +13,7 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.incoming_line import UNSOLICITED_BYTES
 from wagtaildale.admission.messages import DEFAULT_RANK
 from wagtaildale.types import DataCentre
 
@@ -48,6 +49,7 @@
             that has not ended.
         was_rate_limited: whether an upstream refused the request for its rate
             limit.
+        body_bytes: size of the request's body; 0 if it is not known.
     """
 
     data_centre: DataCentre
@@ -57,6 +59,12 @@
     pass_rank: int = DEFAULT_RANK
     is_hedge: bool = False
     was_rate_limited: bool = False
+    body_bytes: int = 0
+
+    @property
+    def has_large_body(self) -> bool:
+        """Whether the body crosses the line of an upstream's node in parts."""
+        return self.body_bytes > UNSOLICITED_BYTES
 
 
 class Chooser(ABC):
--- a/wagtaildale/routing/statistics.py
+++ b/wagtaildale/routing/statistics.py
@@ -150,6 +150,9 @@
             usual = max(0, request.slack_seconds) * ASSUMED_TARGET_SHARE
         usual *= upstream.slowness.estimate(now)
         wait = upstream.estimate_wait(usual, now=now)
+        if request.has_large_body:
+            wait += upstream.line.estimate_wait(now)
+            usual += upstream.line.estimate_transfer(request.body_bytes)
         return Estimate(
             wait=wait,
             run=usual,
--- a/wagtaildale/routing/upstream.py
+++ b/wagtaildale/routing/upstream.py
@@ -9,9 +9,11 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.incoming_line import LineState
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.ejection import Ejection
 from wagtaildale.routing.known_limits import ServerLimit
+from wagtaildale.routing.known_lines import KnownLine
 from wagtaildale.routing.slowness import Slowness, decay_linearly
 from wagtaildale.types import UNKNOWN_INCARNATION, Incarnation, InstanceId
 
@@ -65,6 +67,7 @@
         code: result code of the answer.
         server_limit: rate limit of the backend server; nothing if the owner
             does not know it yet.
+        line: state of the owner's line, if its bandwidth is known.
     """
 
     incarnation: Incarnation
@@ -77,6 +80,7 @@
     class_usual_seconds: float = 0
     code: Code = Code.ok
     server_limit: ServerLimit | None = None
+    line: LineState | None = None
 
 
 class UpstreamStatistics:
@@ -97,6 +101,7 @@
             incarnation, seconds.
         load_reported_at: time of the last load report, seconds.
         slowness: time of its answers over the usual time in the fleet.
+        line: what is known of the line into its node.
     """
 
     __slots__ = (
@@ -107,6 +112,7 @@
         'load_reported_at',
         'incarnation_known_since',
         'limit',
+        'line',
         'pending',
         'queued',
         'slot_seconds',
@@ -131,6 +137,7 @@
         self.incarnation_known_since = now
         self.load_reported_at = self.incarnation_known_since
         self.slowness = Slowness(now=now)
+        self.line = KnownLine()
 
     def note_begun(self, now: float) -> None:
         """Count a request that is sent to the upstream.
@@ -164,6 +171,7 @@
             queued=report.queued,
             now=now,
         )
+        self.line.note(report.line, now=now)
         if report.slot_seconds:
             self.slot_seconds = report.slot_seconds
         if report.code is Code.draining:
--- a/wagtaildale/testing/replay/lines.py
+++ b/wagtaildale/testing/replay/lines.py
@@ -12,6 +12,7 @@
     UNSOLICITED_BYTES,
     IncomingLine,
     TransferId,
+    TransferLimits,
 )
 
 if TYPE_CHECKING:
@@ -22,6 +23,9 @@
 # One-way delay between two nodes beside the time on the line.
 DELAY_SECONDS: Final = 0.002
 QUESTION_BYTES: Final = 1024
+LIMITS: Final = TransferLimits(
+    target_seconds=1, deadline_seconds=3, patient=True
+)
 
 
 class LineLoad(Struct, frozen=True, kw_only=True):
@@ -127,12 +131,17 @@
 
     def _carry(self, size: int, action: Callable[[], None]) -> None:
         begins = max(self._free_at, self._clock.now + DELAY_SECONDS)
-        self._free_at = begins + size / self._line.bytes_per_second
+        self._free_at = begins + size / self._line.rate.bytes_per_second
         self._clock.schedule(self._free_at - self._clock.now, action)
 
     def _begin(self, transfer: TransferId, left: int) -> None:
         if left:
-            self._line.begin(transfer, size=left, now=self._clock.now)
+            self._line.begin(
+                transfer,
+                size=left,
+                limits=LIMITS,
+                now=self._clock.now,
+            )
             self._issue()
         else:
             self._finish(transfer)
