Show evacuations in status, API and stand-in; keep their nodes in reports

Cause: the report on the fleet listed the upstreams that calls may use, so with a data centre evacuated its nodes, and with all of them every node, went out of `status` (seen by the new test). Records of all instances are listed again, and `status` says which data centres are evacuated and how many nodes know.

Before: test_status_shows_an_evacuation failed (no node known).

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import IO, TYPE_CHECKING, Any, Final
 
-from msgspec import Struct, field, json, structs
+from msgspec import UNSET, Struct, field, json, structs
 
 from standins.backend import BackendFaults, BackendSpec
 from standins.client import read_json
@@ -218,17 +218,25 @@
             node.start(self.options)
         self.wait_ready(self.nodes)
 
-    def publish_instances(self, *, leaving: Collection[str] = ()) -> None:
+    def publish_instances(
+        self,
+        *,
+        leaving: Collection[str] = (),
+        evacuated: Collection[str] = (),
+    ) -> None:
         """Publish the current instance list at the platform.
 
         Args:
             leaving: names of the instances to list as leaving.
+            evacuated: data centres to list as evacuated.
         """
         self.list_index += 1
         listed = tuple(
-            structs.replace(record, state=ListedState.leaving)
-            if record.instance in leaving
-            else record
+            structs.replace(
+                record,
+                state=_find_state(record, leaving),
+                evacuated=record.data_centre in evacuated or UNSET,
+            )
             for record in self.records
         )
         self.platform.publish_instances(self.list_index, listed)
@@ -331,6 +339,13 @@
         return report is not None and report.state == 'ready'
 
 
+def _find_state(
+    record: InstanceRecord, leaving: Collection[str]
+) -> ListedState:
+    is_leaving = record.instance in leaving
+    return ListedState.leaving if is_leaving else ListedState.live
+
+
 def _make_records(placement: Placement, network: int) -> list[InstanceRecord]:
     records: list[InstanceRecord] = []
     for service, count in placement.services.items():
--- a/wagtaildale/admin/model.py
+++ b/wagtaildale/admin/model.py
@@ -110,6 +110,7 @@
         reader: whether the node watches the platform.
         documents: states of the replicated documents by kind.
         away: instances that the node considers unreachable.
+        evacuated: data centres that the node knows to be evacuated.
         neighbours: nodes with which it exchanges digests.
         control: counts of the traffic of distribution.
         classes: counts of the calls that its entry has served, by class.
@@ -135,6 +136,7 @@
     invariants_broken: int
     cpu_seconds: float
     resident_bytes: int
+    evacuated: tuple[str, ...] = ()
 
 
 class Timeline(Struct, frozen=True, kw_only=True):
--- a/wagtaildale/admin/reports.py
+++ b/wagtaildale/admin/reports.py
@@ -60,6 +60,7 @@
         invariants_broken=parts.invariants.broken,
         cpu_seconds=time.process_time(),
         resident_bytes=_read_resident_bytes(),
+        evacuated=tuple(sorted(parts.view.current.evacuated)),
     )
 
 
--- a/wagtaildale/cli/status.py
+++ b/wagtaildale/cli/status.py
@@ -139,11 +139,18 @@
                 f'behind: {node_report.instance} holds {document.version}; '
                 f'{latest}: {reason}',
             )
+    _print_evacuations(reports)
     broken = sum(report.invariants_broken for report in reports)
     if broken:
         click.echo(f'INVARIANTS BROKEN: {broken}; please report this defect')
 
 
+def _print_evacuations(reports: list[NodeReport]) -> None:
+    known = Counter(name for report in reports for name in report.evacuated)
+    for name, count in sorted(known.items()):
+        click.echo(f'evacuated: {name}, known to {count} of {len(reports)}')
+
+
 def _join_names(names: tuple[str, ...]) -> str:
     named = ', '.join(names[:MAX_LISTED_NAMES])
     more = len(names) - MAX_LISTED_NAMES
--- a/wagtaildale/cli/tests/test_fleet.py
+++ b/wagtaildale/cli/tests/test_fleet.py
@@ -50,6 +50,13 @@
         time.sleep(0.02)
 
 
+def wait_for_status(text: str) -> None:
+    deadline = time.monotonic() + 5
+    while text not in run('status').stdout:
+        assert time.monotonic() < deadline, f'no status with {text}'
+        time.sleep(0.02)
+
+
 def test_status_of_the_fleet(fleet: Fleet) -> None:
     outcome = run('status')
     assert outcome.exit_code == 0, outcome.output
@@ -59,6 +66,14 @@
     assert len(parts) == 2
 
 
+def test_status_shows_an_evacuation(fleet: Fleet) -> None:
+    """An operator cannot see whether all nodes know of an evacuation."""
+    fleet.publish_instances(evacuated=('derby',))
+    wait_for_status('evacuated: derby, known to 2 of 2')
+    fleet.publish_instances()
+    wait_for_line(fleet.nodes[0], 'evacuation-ended')
+
+
 def test_explain(fleet: Fleet) -> None:
     outcome = run('explain', 'GET', '/files/7')
     assert outcome.exit_code == 0
--- a/wagtaildale/routing/tests/test_view.py
+++ b/wagtaildale/routing/tests/test_view.py
@@ -89,7 +89,11 @@
 
 
 def list_upstreams(view: ViewHolder) -> set[InstanceId]:
-    return {record.instance for record in view.current.list_records()}
+    return {
+        record.instance
+        for records in view.current.upstreams.values()
+        for record in records
+    }
 
 
 def test_evacuated_data_centre_has_no_upstreams() -> None:
--- a/wagtaildale/routing/view.py
+++ b/wagtaildale/routing/view.py
@@ -86,10 +86,9 @@
         """List the records of the instances of all services.
 
         Yields:
-            The record of each instance.
+            The record of each instance, also in evacuated data centres.
         """
-        for records in self.upstreams.values():
-            yield from records
+        yield from self.records.values()
 
 
 class ViewHolder:
