--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/attempt.py
@@ -8,8 +8,6 @@
 
 from msgspec import structs
 
-from wagtaildale.admission.incoming_line import UNSOLICITED_BYTES
-from wagtaildale.calls.body_collector import MAX_COLLECTED_BYTES
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.frames import (
     Answered,
@@ -21,26 +19,20 @@
     Run,
     WindowUpdate,
 )
-from wagtaildale.calls.windows import SendWindow
+from wagtaildale.calls.outgoing_request import OutgoingBody, OutgoingRequest
 from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.bodies import RequestBody
     from wagtaildale.calls.fields import AnswerFields, CallFields
-    from wagtaildale.calls.frames import HeaderPairs, ToEntry
+    from wagtaildale.calls.frames import ToEntry
     from wagtaildale.calls.peers import Peer
     from wagtaildale.calls.targets import AttemptTarget
 
 MILLISECONDS: Final = 1000
 
 
-# Bytes of a body in the first message, to an owner that collects bodies: it
-# grants credits for the rest.
-FIRST_PIECE_BYTES: Final = UNSOLICITED_BYTES
-
-
 @final
 class AttemptState(Enum):
     """Stage of an attempt.
@@ -120,35 +112,6 @@
         """
 
 
-class OutgoingRequest:
-    """The request that every attempt of a call sends."""
-
-    def __init__(
-        self,
-        *,
-        method: bytes,
-        target: bytes,
-        headers: HeaderPairs,
-        body: RequestBody,
-        needs_reservation: bool,
-    ) -> None:
-        """Create the request.
-
-        Args:
-            method: HTTP method.
-            target: path and query as received.
-            headers: headers that are forwarded.
-            body: request body.
-            needs_reservation: whether a slot is reserved before the request
-                runs.
-        """
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.needs_reservation = needs_reservation
-
-
 class Attempt:
     """Sends the request of a call to one owner; acts as ``PeerReceiver``.
 
@@ -189,15 +152,14 @@
         self._call = call
         self._peer = peer
         self._number = peer.open_call(self)
-        self._window = SendWindow()
-        self._sent_bytes = 0
-        self._is_body_sent = False
+        self._body = OutgoingBody(
+            call.request.body, is_collected=peer.collects_bodies
+        )
 
     def start(self) -> None:
         """Send the first message."""
         self.target.upstream.note_begun(read_clock())
-        if self._is_body_collected():
-            self._window = SendWindow(FIRST_PIECE_BYTES)
+        if self._body.is_collected:
             self.state = AttemptState.sending
             self._send_run(self.target.fields)
         elif self._call.request.needs_reservation:
@@ -214,11 +176,11 @@
         """Send the available body pieces that the send window allows."""
         if self.state not in SENDING_STATES:
             return
-        while self._window.is_open and not self._is_body_sent:
+        while self._body.may_send:
             piece = self._take_piece()
-            if not piece and not self._is_body_sent:
+            if not piece and not self._body.is_sent:
                 return
-            more = not self._is_body_sent
+            more = not self._body.is_sent
             self._peer.send(BodyPiece(self._number, piece, more))
 
     def send_credit(self, size: int) -> None:
@@ -315,7 +277,7 @@
             frame: message with the number of bytes that the owner has
                 forwarded.
         """
-        self._window.add_credit(frame.count)
+        self._body.add_credit(frame.count)
         self.send_body()
 
     def on_response_aborted(self) -> None:
@@ -352,16 +314,6 @@
             failure.outcome = Outcome.not_run
         self._fail(failure, cancelled=False)
 
-    def _is_body_collected(self) -> bool:
-        # The body crosses the owner's line on credits, and needs no slot
-        # before it has arrived.
-        body = self._call.request.body
-        return (
-            self._peer.collects_bodies
-            and body.is_replayable
-            and FIRST_PIECE_BYTES < body.length <= MAX_COLLECTED_BYTES
-        )
-
     def _run(self, fields: CallFields) -> None:
         self.state = AttemptState.running
         self.is_run_sent = True
@@ -379,18 +331,14 @@
                 request.target,
                 request.headers,
                 piece,
-                more=not self._is_body_sent,
+                more=not self._body.is_sent,
                 length=request.body.length,
             ),
         )
 
     def _take_piece(self) -> bytes:
-        body = self._call.request.body
-        piece = body.take(self._sent_bytes, limit=self._window.remaining_bytes)
-        self._window.note_sent(len(piece))
-        self._sent_bytes += len(piece)
-        self._is_body_sent = body.is_complete and self._sent_bytes >= body.size
-        if self._is_body_sent and self.state is AttemptState.sending:
+        piece = self._body.take_piece()
+        if self._body.is_sent and self.state is AttemptState.sending:
             self.state = AttemptState.running
             self.is_run_sent = True
         return piece
--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry_call.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.attempt import Attempt, AttemptState, OutgoingRequest
+from wagtaildale.calls.attempt import Attempt, AttemptState
 from wagtaildale.calls.attempts import Attempts, Obstacle, find_final_code
 from wagtaildale.calls.bodies import RequestBody
 from wagtaildale.calls.error_responses import build_error_response
 from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.outgoing_request import OutgoingRequest
 from wagtaildale.calls.report import CallReport
 from wagtaildale.calls.responses import ResponseHead
 from wagtaildale.calls.routed_call import RoutedCall, route_call
--- a/wagtaildale/calls/suspected_call.py
+++ b/wagtaildale/calls/suspected_call.py
@@ -26,7 +26,7 @@
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.attempt import OutgoingRequest
+    from wagtaildale.calls.outgoing_request import OutgoingRequest
     from wagtaildale.calls.attempts import Attempts
     from wagtaildale.calls.failures import CallFailed
     from wagtaildale.calls.routed_call import EntryParts, RoutedCall
