--- a/wagtaildale/settings/tests/test_load.py
+++ b/wagtaildale/settings/tests/test_load.py
@@ -50,6 +50,9 @@
         ('region = "midlands"\n', '', Code.settings_malformed),
         ('[platform]', '[platform', Code.settings_malformed),
         ('host = "127.0.0.1"', 'host = "derby.example"', 1002),
+        ('[platform]', '[limits]\nline_mbps = -1\n[platform]', 1002),
+        ('[platform]', '[bounds]\nslow_start_factor = 0\n[platform]', 1002),
+        ('[platform]', '[bounds]\nslow_start_slack = -1\n[platform]', 1002),
     ],
 )
 def test_invalid_settings_have_their_code(
