--- a/wagtaildale/calls/tests/test_caller_retries.py
+++ b/wagtaildale/calls/tests/test_caller_retries.py
@@ -125,3 +125,27 @@
     for number in range(3 * MAX_FAILED_REQUESTS):
         fail(retries, request=b'%d' % number, now=number / 1000)
     assert retries.count <= MAX_FAILED_REQUESTS
+
+
+def test_varying_timeouts_of_one_request_do_not_count_as_elapsed_time() -> None:
+    """First tries of a popular lookup look like retries of refused ones."""
+    rng = random.Random(1)
+    retries = CallerRetries()
+    for number in range(2000):
+        tried = retries.recognise(
+            LOOKUP,
+            timeout_seconds=LIMIT_SECONDS * rng.uniform(0.85, 1.15),
+            now=number / 100,
+        )
+        assert not tried.elapsed_seconds
+        if rng.random() < 0.1:
+            retries.note_failure(tried)
+
+
+def test_retry_is_recognised_by_an_entry_that_did_not_see_the_first() -> None:
+    """The node that refused a caller has restarted since."""
+    before = CallerRetries()
+    for _request in range(20):
+        fail(before)
+    after = CallerRetries()
+    assert find_elapsed(after, timeout_seconds=3, now=2) > 1.9
--- a/wagtaildale/calls/tests/test_server_slow_start.py
+++ b/wagtaildale/calls/tests/test_server_slow_start.py
@@ -105,3 +105,14 @@
     server.tracker.note_reported(left_seconds)
     assert server.find_rate() is None
     assert not server.probes
+
+
+def test_late_list_does_not_shorten_a_slow_start() -> None:
+    """A list from before a restart ends the slow start too early."""
+    server = TrackedServer()
+    server.tracker.note_started()
+    until = server.gate.state.rate.slow_start
+    server.tracker.note_listed(FIRST, 0.5)
+    assert until is not None
+    assert server.gate.state.rate.slow_start is not None
+    assert server.gate.state.rate.slow_start.until >= until.until
