Metrics: attempts beyond the first by reason, denials, nodes that share the slack

What the collected logs and metrics of the incident could not tell apart: paid retries, redirects without a token, requests that a backend server refused for naming another instance, and among how many nodes an entry divides the slack.

--- a/wagtaildale/calls/budgets.py
+++ b/wagtaildale/calls/budgets.py
@@ -40,12 +40,14 @@
         token_lifetime_seconds: time after which an earned token expires.
         slack: tokens beyond the earned ones, per slack period.
         slack_period_seconds: time after which the slack is renewed.
+        entries: number of entries that the slack is divided among.
     """
 
     tokens_per_request: float
     token_lifetime_seconds: float
     slack: float
     slack_period_seconds: float
+    entries: int
 
 
 def compute_retry_limits(bounds: BoundSettings, *, entries: int) -> RetryLimits:
@@ -64,6 +66,7 @@
         * bounds.retry_window_seconds,
         slack=SPENDABLE_SLACK_SHARE * bounds.retry_slack / max(1, entries),
         slack_period_seconds=bounds.retry_window_seconds,
+        entries=entries,
     )
 
 
--- a/wagtaildale/calls/report.py
+++ b/wagtaildale/calls/report.py
@@ -236,6 +236,7 @@
         tally = self._tallies.find(self._class_name)
         tally.note(self._code, self._outcome, seconds)
         tally.retried += self._retries
+        tally.redirected += self._redirects
         tally.hedged += self._hedges
         if (
             self._outcome is Outcome.answered
--- a/wagtaildale/calls/server_targets.py
+++ b/wagtaildale/calls/server_targets.py
@@ -48,6 +48,8 @@
         feedback: tracker of what the backend server reports in responses.
         slow_start: tracker of whether the backend server is in slow start.
         is_evacuated: tells whether the server's data centre is evacuated.
+        denial_count: number of requests that the backend server refused
+            because they named another instance.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         )
         self.leaving.listeners.append(feedback.note_leaving)
         self.feedback = feedback
+        self.denial_count = 0
         self._service = service
         self.is_evacuated = conditions.is_evacuated
         self.slow_start = conditions.slow_start
@@ -137,6 +140,7 @@
         Args:
             instance: instance that the request named.
         """
+        self.denial_count += 1
         self._identity.note_denied(instance, now=read_clock())
         self._recorder.record(EventKind.server_denied, subject=instance)
         self._notify_denial()
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -100,6 +100,18 @@
         unit='{end}',
         description='Times that the backend server ended under requests.',
     )
+    metrics.add_gauge(
+        'wagtaildale.backend.denials',
+        lambda: node.calls.owner.targets.denial_count,
+        unit='{request}',
+        description='Requests refused for naming another instance.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.retries.entries',
+        lambda: node.calls.entry.parts.read_retry_limits().entries,
+        unit='{node}',
+        description='Nodes among which the slack for retries is divided.',
+    )
     metrics.add_gauge(
         'wagtaildale.requests.suspected',
         node.parts.suspects.count_restricted,
--- a/wagtaildale/telemetry/metrics.py
+++ b/wagtaildale/telemetry/metrics.py
@@ -78,6 +78,12 @@
             unit='{call}',
             description='Calls by class and outcome.',
         )
+        self._meter.create_observable_counter(
+            'wagtaildale.attempts',
+            callbacks=[self._observe_attempts],
+            unit='{attempt}',
+            description='Attempts beyond the first of a call, by reason.',
+        )
 
     def add_gauge(
         self,
@@ -121,6 +127,17 @@
                     {CLASS_LABEL: name, 'outcome': outcome},
                 )
 
+    def _observe_attempts(
+        self,
+        options: CallbackOptions,
+    ) -> Iterable[Observation]:
+        for name, tally in self._tallies.sum_up().items():
+            for reason in ('retried', 'redirected', 'hedged'):
+                yield Observation(
+                    getattr(tally, reason),
+                    {CLASS_LABEL: name, 'reason': reason},
+                )
+
 
 class _GaugeCallback:
     """OpenTelemetry callback that reads the value of one gauge."""
--- a/wagtaildale/telemetry/tallies.py
+++ b/wagtaildale/telemetry/tallies.py
@@ -48,6 +48,8 @@
         not_run: calls refused that certainly did not run.
         unknown: calls that ended with an unknown outcome.
         retried: attempts after the first one of a call.
+        redirected: attempts after an owner rejected the call, of calls that
+            no backend server had received.
         hedged: attempts started while another one was in progress.
         codes: numbers of failures by result code.
         buckets: numbers of calls by duration, with the upper bounds of
@@ -60,6 +62,7 @@
     not_run: int = 0
     unknown: int = 0
     retried: int = 0
+    redirected: int = 0
     hedged: int = 0
     codes: dict[Code, int] = field(default_factory=dict)
     buckets: list[int] = field(
@@ -104,6 +107,7 @@
         self.not_run += other.not_run
         self.unknown += other.unknown
         self.retried += other.retried
+        self.redirected += other.redirected
         self.hedged += other.hedged
         self.seconds += other.seconds
         for code, count in tuple(other.codes.items()):
--- a/wagtaildale/testing/builders.py
+++ b/wagtaildale/testing/builders.py
@@ -227,6 +227,7 @@
         token_lifetime_seconds=10.0,
         slack=slack,
         slack_period_seconds=100.0,
+        entries=1,
     )
 
 
