Two failing tests of repeats while the list names earlier servers

Entries divide the slack for retries by the nodes on the list, which lacks most of them when the platform returns from an outage: 32 retries of slack where 20 are allowed. An owner learns which instance its server is only from a health check, which a full server refuses, although the server names itself in each refusal: 0 of 100 callers served.

--- a/wagtaildale/calls/tests/replaced_servers.py
+++ b/wagtaildale/calls/tests/replaced_servers.py
@@ -31,12 +31,14 @@
 
     Attributes:
         instance: current id; a test changes it to simulate a restart.
+        names_itself: whether it names its instance when it refuses a request.
         arrivals: ids of the requests that arrived.
         runs: ids of the requests that ran.
     """
 
     def __init__(self, instance: str, *, host: str) -> None:
         self.instance = instance
+        self.names_itself = False
         self.arrivals: list[str] = []
         self.runs: list[str] = []
         super().__init__((host, BACKEND_PORT))
@@ -52,7 +54,11 @@
         request_id = _find(REQUEST_ID_PATTERN, head)
         self.arrivals.append(request_id)
         if _find(EXPECTED_INSTANCE_PATTERN, head) != self.instance:
-            return _write_answer(request_id, MISDIRECTED_STATUS)
+            return _write_answer(
+                request_id,
+                MISDIRECTED_STATUS,
+                instance=self.instance if self.names_itself else '',
+            )
         self.runs.append(request_id)
         return _write_answer(request_id, b'200 OK')
 
--- a/wagtaildale/calls/tests/test_budgets.py
+++ b/wagtaildale/calls/tests/test_budgets.py
@@ -8,6 +8,8 @@
 
 from wagtaildale.calls.budgets import RetryBudget, compute_retry_limits
 from wagtaildale.settings.model import BoundSettings
+from wagtaildale.testing.builders import build_record
+from wagtaildale.testing.mesh import MeshNode
 
 BOUNDS = BoundSettings(
     retry_share=0.2,
@@ -16,6 +18,9 @@
 )
 STEP_SECONDS = 0.02
 SEED = 1
+ENTRIES = 16
+# Instances that are still listed when the platform returns from an outage.
+LISTED_AFTER_OUTAGE = 6
 
 
 def simulate_retries(
@@ -84,3 +89,23 @@
         entries=entries, requests_per_second=1.0, seconds=30
     )
     assert 1 <= find_max_in_window(spent) <= BOUNDS.retry_slack
+
+
+def test_slack_of_all_entries_keeps_to_the_limit_while_the_list_is_short() -> (
+    None
+):
+    """Entries that know few others would each take the slack of many."""
+    records = [
+        build_record(f'i-{number}', host=f'127.0.9.{30 + number}')
+        for number in range(ENTRIES)
+    ]
+    with MeshNode(records[0]) as node:
+        node.set_instances(*records)
+        read_limits = node.calls.entry.parts.read_retry_limits
+        read_limits()
+        node.set_instances(*records[:LISTED_AFTER_OUTAGE])
+        limits = read_limits()
+    bounds = BoundSettings()
+    # The slack is renewed once per window, so it can be spent twice in one.
+    most_spent = 2 * ENTRIES * limits.slack
+    assert most_spent <= bounds.retry_slack
--- a/wagtaildale/calls/tests/test_replaced_servers.py
+++ b/wagtaildale/calls/tests/test_replaced_servers.py
@@ -81,6 +81,19 @@
     assert booking.startswith(b'HTTP/1.1 200')
 
 
+def test_server_that_names_itself_in_a_refusal_is_not_asked_again(
+    fleet: ReplacedFleet,
+) -> None:
+    """Callers are refused by healthy servers whose health check is refused."""
+    for backend in fleet.backends:
+        backend.names_itself = True
+    fleet.replace_all()
+    answers = [fleet.ask(f'r{number}') for number in range(REQUESTS)]
+    served = [each for each in answers if each.startswith(b'HTTP/1.1 200')]
+    assert len(served) >= REQUESTS - UPSTREAMS
+    assert len(fleet.list_arrivals()) <= REQUESTS + UPSTREAMS
+
+
 def test_server_that_does_not_identify_itself_is_logged(
     fleet: ReplacedFleet,
 ) -> None:
