Retries: divide the slack by the largest fleet of late, not by a short list

Entries divided the operators' slack for retries by the nodes on the list in force. After an outage of the platform the first lists lack most instances: with 6 of 16 nodes listed all entries together could spend 32 retries of slack in a window where 20 are allowed (test_slack_of_all_entries_keeps_to_the_limit_while_ the_list_is_short, red until now). The number of nodes is now the largest of the last ten minutes; after nodes are removed for good, entries retry a little less for that time.

--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -13,6 +13,7 @@
 from wagtaildale.calls.caller_retries import CallerRetries
 from wagtaildale.calls.callers import CallerLimits, CallerPort
 from wagtaildale.calls.entry import Entry
+from wagtaildale.calls.fleet_size import FleetSize
 from wagtaildale.calls.identity_probe import IdentityProbe
 from wagtaildale.calls.owner import Owner
 from wagtaildale.calls.owner_listener import OwnerListener
@@ -34,6 +35,7 @@
 from wagtaildale.routing.placement import Placement
 from wagtaildale.routing.statistics import FleetStatistics
 from wagtaildale.telemetry.events import EventKind
+from wagtaildale.timers.service import read_clock
 from wagtaildale.types import NodeState
 
 if TYPE_CHECKING:
@@ -85,6 +87,7 @@
         """
         self._settings = settings
         self._dependencies = dependencies
+        self._fleet_size = FleetSize()
         self.loop = Loop(on_defect=self._note_defect, on_late=self._note_late)
         gate = Gate(make_admission(settings.slots), alarms=self.loop.alarms)
         self.owner = Owner(
@@ -334,15 +337,18 @@
             caller_retries=CallerRetries(),
             suspects=dependencies.suspects,
             read_limits=self.read_limits,
-            read_retry_limits=self._compute_retry_share,
+            read_retry_limits=self._compute_retry_limits,
             reserves=settings.reserves,
             hedges=settings.hedges,
         )
 
-    def _compute_retry_share(self) -> RetryLimits:
+    def _compute_retry_limits(self) -> RetryLimits:
         return compute_retry_limits(
             self._settings.bounds,
-            entries=self._dependencies.view.current.count_nodes(),
+            entries=self._fleet_size.update(
+                self._dependencies.view.current.count_nodes(),
+                now=read_clock(),
+            ),
         )
 
     def _read_state(self) -> NodeState:
