Retries: a starting entry does not keep the slack of a fleet of one

New limits now take away slack beyond them, rounded by lot as before, so that shares below one token still add up.

--- a/wagtaildale/calls/budgets.py
+++ b/wagtaildale/calls/budgets.py
@@ -80,12 +80,9 @@
     The share of one entry may be far less than one token. So the initial
     fraction of a token and the rounding of the slack are random, and all
     entries together get what they are allowed.
-
-    Attributes:
-        limits: limits of this entry; may be replaced at any time.
     """
 
-    __slots__ = ('_expiries', '_fraction', '_slack', '_slack_until', 'limits')
+    __slots__ = ('_expiries', '_fraction', '_limits', '_slack', '_slack_until')
 
     def __init__(self, limits: RetryLimits, *, now: float) -> None:
         """Create a budget with the slack of one period.
@@ -94,7 +91,7 @@
             limits: limits of this entry.
             now: current time, seconds.
         """
-        self.limits = limits
+        self._limits = limits
         self._expiries: deque[float] = deque()
         self._fraction = random.random()
         self._slack = 0
@@ -106,6 +103,20 @@
         """Number of tokens, as of the last update."""
         return len(self._expiries) + self._slack
 
+    def replace_limits(self, limits: RetryLimits) -> None:
+        """Replace the limits; slack beyond the new ones is lost.
+
+        An entry that starts gets its first configuration before its first
+        instance list, and would keep the slack of a fleet of one until the end
+        of the period.
+
+        Args:
+            limits: new limits of this entry.
+        """
+        if limits.slack < self._limits.slack:
+            self._slack = min(self._slack, _round_randomly(limits.slack))
+        self._limits = limits
+
     def earn(self, *, now: float) -> None:
         """Add the tokens that a request earns.
 
@@ -113,10 +124,10 @@
             now: current time, seconds.
         """
         self._update_tokens(now)
-        self._fraction += self.limits.tokens_per_request
+        self._fraction += self._limits.tokens_per_request
         if self._fraction >= 1:
             self._fraction -= 1
-            self._expiries.append(now + self.limits.token_lifetime_seconds)
+            self._expiries.append(now + self._limits.token_lifetime_seconds)
 
     def spend(self, *, now: float) -> bool:
         """Spend a token on a retry or hedge.
@@ -140,5 +151,9 @@
         while self._expiries and self._expiries[0] < now:
             self._expiries.popleft()
         if self._slack_until <= now:
-            self._slack_until = now + self.limits.slack_period_seconds
-            self._slack = int(self.limits.slack + random.random())
+            self._slack_until = now + self._limits.slack_period_seconds
+            self._slack = _round_randomly(self._limits.slack)
+
+
+def _round_randomly(number: float) -> int:
+    return int(number + random.random())
--- a/wagtaildale/calls/entry.py
+++ b/wagtaildale/calls/entry.py
@@ -31,6 +31,7 @@
         parts: components of the node that the entry uses.
         targets: selects the upstream of each attempt.
         hedge_delays: delay before a hedge, estimated for each class.
+        retry_limits: limits on retries, as of the last refresh.
     """
 
     def __init__(self, parts: EntryParts) -> None:
@@ -42,6 +43,7 @@
         self.parts = parts
         self.targets = Targets(parts)
         self.hedge_delays = HedgeDelays()
+        self.retry_limits = parts.read_retry_limits()
         self._budgets: dict[ServiceName, RetryBudget] = {}
 
     def handle_request(self, exchange: Exchange) -> None:
@@ -79,10 +81,10 @@
                 if self._needs_connection(record, now)
             },
         )
-        limits = self.parts.read_retry_limits()
+        self.retry_limits = parts.read_retry_limits()
         for budget in self._budgets.values():
-            budget.limits = limits
-        self.parts.loop.alarms.set(REFRESH_SECONDS, self.refresh)
+            budget.replace_limits(self.retry_limits)
+        parts.loop.alarms.set(REFRESH_SECONDS, self.refresh)
 
     def find_or_create_budget(self, service: ServiceName) -> RetryBudget:
         """Return the retry budget of a service, created on first use.
--- a/wagtaildale/calls/tests/test_budgets.py
+++ b/wagtaildale/calls/tests/test_budgets.py
@@ -91,6 +91,17 @@
     assert 1 <= find_max_in_window(spent) <= BOUNDS.retry_slack
 
 
+def test_slack_of_entries_that_start_keeps_to_the_limit() -> None:
+    """Entries would keep the slack of a fleet of one after their first list."""
+    random.seed(SEED)
+    alone = compute_retry_limits(BOUNDS, entries=1)
+    together = compute_retry_limits(BOUNDS, entries=ENTRIES)
+    budgets = [RetryBudget(alone, now=0) for _entry in range(ENTRIES)]
+    for budget in budgets:
+        budget.replace_limits(together)
+    assert sum(budget.tokens for budget in budgets) <= BOUNDS.retry_slack
+
+
 def test_slack_of_all_entries_keeps_to_the_limit_while_the_list_is_short() -> (
     None
 ):
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -108,7 +108,7 @@
     )
     metrics.add_gauge(
         'wagtaildale.retries.entries',
-        lambda: node.calls.entry.parts.read_retry_limits().entries,
+        lambda: node.calls.entry.retry_limits.entries,
         unit='{node}',
         description='Nodes among which the slack for retries is divided.',
     )
