Owner: learn from a refusal which instance the server is

A server that was replaced while the platform is unreachable refuses requests for the earlier instance and names itself in the refusal. The name is taken from the refusal, the server counts as cold until it says otherwise, since a refusal does not say.

--- a/wagtaildale/calls/backend_run.py
+++ b/wagtaildale/calls/backend_run.py
@@ -16,7 +16,7 @@
 from wagtaildale.calls.heads import select_forwarded_headers
 from wagtaildale.calls.idempotency_guard import IdempotencyGuard
 from wagtaildale.calls.server_end_detector import InterruptedRun
-from wagtaildale.calls.server_feedback import parse_feedback
+from wagtaildale.calls.server_feedback import parse_feedback, parse_instance
 from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariant
 from wagtaildale.types import Outcome
@@ -354,7 +354,10 @@
         code = Code.backend_shed
         if message.status == MISDIRECTED_STATUS:
             code = Code.wrong_instance
-            self._owner.targets.note_denied(self._target)
+            self._owner.targets.note_denied(
+                self._target,
+                reported=parse_instance(message, self._owner.dialect),
+            )
         if not message.is_complete and self._connection is not None:
             self._connection.close()
         self._connection = None
--- a/wagtaildale/calls/identity_probe.py
+++ b/wagtaildale/calls/identity_probe.py
@@ -8,9 +8,9 @@
 from wagtaildale.calls.backend_connection import BackendRequest
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.parsing import UNKNOWN_LENGTH
+from wagtaildale.calls.server_feedback import parse_instance
 from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
-from wagtaildale.types import InstanceId
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -105,15 +105,8 @@
             message: response to the health check.
         """
         self._message = message
-        assert self._dialect.instance is not None
-        reported = (message.find(self._dialect.instance) or b'').decode(
-            'latin-1'
-        )
-        # The name becomes a header value in every request to the server.
-        if reported and reported.isascii() and reported.isprintable():
-            self._targets.note_identified(InstanceId(reported))
-            self._note_slow_start(message)
-        else:
+        reported = parse_instance(message, self._dialect)
+        if reported is None:
             failure = CallFailed(
                 Code.answer_mismatched,
                 detail=(
@@ -122,6 +115,9 @@
                 ),
             )
             self._targets.note_unidentified(failure)
+            return
+        self._targets.note_identified(reported)
+        self._note_slow_start(message)
 
     def on_body(self) -> None:
         """Discard the body of the response; see ``BackendReceiver``."""
--- a/wagtaildale/calls/server_feedback.py
+++ b/wagtaildale/calls/server_feedback.py
@@ -71,6 +71,24 @@
     )
 
 
+def parse_instance(message: Message, dialect: Dialect) -> InstanceId | None:
+    """Parse the instance that a server reports to be in a response.
+
+    Args:
+        message: the response.
+        dialect: names of the header fields.
+
+    Returns:
+        The reported instance; None if there is none, or if its name cannot be
+        a header value in requests to the server.
+    """
+    reported = (_find_header(message, dialect.instance) or b'').decode(
+        'latin-1'
+    )
+    is_valid = reported and reported.isascii() and reported.isprintable()
+    return InstanceId(reported) if is_valid else None
+
+
 class FeedbackTracker:
     """Applies the feedback of the backend server beside a node."""
 
--- a/wagtaildale/calls/server_targets.py
+++ b/wagtaildale/calls/server_targets.py
@@ -134,15 +134,26 @@
         if feedback.is_leaving:
             self.leaving.note_announced(instance)
 
-    def note_denied(self, instance: InstanceId) -> None:
+    def note_denied(
+        self,
+        instance: InstanceId,
+        *,
+        reported: InstanceId | None = None,
+    ) -> None:
         """Record that the server is not the instance that a request named.
 
         Args:
             instance: instance that the request named.
+            reported: instance that the server reports to be in its refusal;
+                None if it reports none.
         """
         self.denial_count += 1
         self._identity.note_denied(instance, now=read_clock())
         self._recorder.record(EventKind.server_denied, subject=instance)
+        if reported is not None and reported != instance:
+            self.note_identified(reported)
+            # A refusal does not state whether the server is still cold.
+            self.slow_start.note_unknown()
         self._notify_denial()
 
     def note_identified(self, instance: InstanceId) -> None:
