Slow start: a listed time left never shortens a slow start

A list from before a restart states the time left of the earlier start, 0.5 s of 30 in the test, and ended the slow start of the new one, so a cold server could get its usual rate.

--- a/wagtaildale/calls/server_slow_start.py
+++ b/wagtaildale/calls/server_slow_start.py
@@ -27,8 +27,9 @@
 class SlowStartTracker:
     """Begins and ends the slow start of the server beside a node.
 
-    The list lags by seconds, so it only begins a slow start. It ends by its
-    time, or when the server itself reports in a health check that it is warm.
+    The list lags by seconds, so it only begins or prolongs a slow start. It
+    ends by its time, or when the server itself reports in a health check that
+    it is warm.
 
     Attributes:
         probe_listeners: callbacks that send a health check.
@@ -85,7 +86,10 @@
             return
         self._listed = listed
         slow_start = self._read_slow_start()
-        if slow_start is not None and left_seconds > 0:
+        if slow_start is None or left_seconds <= 0:
+            return
+        begun = self._gate.state.rate.slow_start
+        if begun is None or begun.until < read_clock() + left_seconds:
             self._begin(slow_start, left_seconds, origin='list')
 
     def note_reported(self, left_seconds: float) -> None:
