--- a/wagtaildale/calls/peer_pool.py
+++ b/wagtaildale/calls/peer_pool.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.peers import (
+from wagtaildale.calls.remote_peer import (
     OWNER_DRAINS_REASON,
     REFUSED_REASON,
     SILENT_REASON,
--- a/wagtaildale/calls/routed_call.py
+++ b/wagtaildale/calls/routed_call.py
@@ -18,10 +18,10 @@
     IDEMPOTENCY_KEY_HEADER,
     select_forwarded_headers,
 )
+from wagtaildale.calls.local_peer import LocalPeer
 from wagtaildale.calls.owner import Owner
 from wagtaildale.calls.owner_listener import OwnerListener
 from wagtaildale.calls.peer_pool import PeerPool
-from wagtaildale.calls.peers import LocalPeer
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.loop import Loop
 from wagtaildale.routing.placement import Placement
--- a/wagtaildale/calls/suspected_call.py
+++ b/wagtaildale/calls/suspected_call.py
@@ -26,9 +26,9 @@
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.outgoing_request import OutgoingRequest
     from wagtaildale.calls.attempts import Attempts
     from wagtaildale.calls.failures import CallFailed
+    from wagtaildale.calls.outgoing_request import OutgoingRequest
     from wagtaildale.calls.routed_call import EntryParts, RoutedCall
     from wagtaildale.routing.statistics import FleetStatistics
     from wagtaildale.routing.view import FleetView
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -6,7 +6,6 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
-
 from wagtaildale.admission.gate import Gate
 from wagtaildale.admission.state import make_admission
 from wagtaildale.calls.budgets import RetryLimits, compute_retry_limits
@@ -15,10 +14,10 @@
 from wagtaildale.calls.entry import Entry
 from wagtaildale.calls.fleet_size import FleetSize
 from wagtaildale.calls.identity_probe import IdentityProbe
+from wagtaildale.calls.local_peer import LocalPeer
 from wagtaildale.calls.owner import Owner
 from wagtaildale.calls.owner_listener import OwnerListener
 from wagtaildale.calls.peer_pool import PeerPool
-from wagtaildale.calls.peers import LocalPeer
 from wagtaildale.calls.readiness import ReadinessHandler
 from wagtaildale.calls.routed_call import EntryParts
 from wagtaildale.calls.server_review import OwnServer, ServerReview
--- a/wagtaildale/calls/tests/test_silence.py
+++ b/wagtaildale/calls/tests/test_silence.py
@@ -13,7 +13,7 @@
 from msgspec import json
 
 from standins.backend_thread import BackendThread
-from wagtaildale.calls.peers import REFUSED_REASON
+from wagtaildale.calls.remote_peer import REFUSED_REASON
 from wagtaildale.calls.tests.pairs import (
     TIMEOUT_SECONDS,
     Pair,
--- a/wagtaildale/platform/tests/test_places.py
+++ b/wagtaildale/platform/tests/test_places.py
@@ -5,6 +5,7 @@
 import pytest
 from msgspec import json
 
+from wagtaildale.platform.settings import translate_settings
 from wagtaildale.platform.tests.builders import (
     build_configuration,
     build_entry,
@@ -19,7 +20,6 @@
     list_instances,
     read_feed,
 )
-from wagtaildale.platform.settings import translate_settings
 from wagtaildale.types import DocumentKind
 
 CONFIGURATION = 'op/config'
