Caller retries: a first try with the usual time left is not a retry

A first try of a popular lookup was taken for the retry of a refused one if its caller happened to give up at nearly the same moment, and its target then counted from that other caller's first try. A retry must also have less time left than nine tenths of the shortest first try of the request.

--- a/wagtaildale/calls/caller_retries.py
+++ b/wagtaildale/calls/caller_retries.py
@@ -6,7 +6,8 @@
 caller states how long it still waits, but not how long it has waited, and
 callers differ in their patience. So an entry remembers the requests that it
 could not answer: the same request with the time left that the first one has by
-then is a retry.
+then is a retry, unless callers of that request also come for the first time
+with as little.
 """
 
 from __future__ import annotations
@@ -20,6 +21,9 @@
 # Difference between the time left of a retry and that of the failed request,
 # from delays on the way to the entry.
 TOLERANCE_SECONDS: Final = 0.1
+# A retry has less time left than any first try of the request by this factor.
+# Callers that come back sooner have lost little of their time.
+MAX_RETRY_SHARE: Final = 0.9
 
 
 class CallerTry(Struct, frozen=True, kw_only=True, gc=False):
@@ -30,12 +34,15 @@
         arrived_at: time of arrival, seconds.
         first_arrived_at: time of arrival of the caller's first try, seconds.
         gives_up_at: time at which the caller gives up, seconds.
+        first_timeout_seconds: time that the caller stated in its first try,
+            seconds.
     """
 
     request: bytes
     arrived_at: float
     first_arrived_at: float
     gives_up_at: float
+    first_timeout_seconds: float
 
     @property
     def elapsed_seconds(self) -> float:
@@ -43,6 +50,19 @@
         return self.arrived_at - self.first_arrived_at
 
 
+class FailedRequest(Struct, kw_only=True, gc=False):
+    """A request that failed, with all tries that may come back.
+
+    Attributes:
+        tries: failed tries, in order.
+        shortest_timeout_seconds: shortest time that a caller stated in a first
+            try, seconds.
+    """
+
+    tries: list[CallerTry]
+    shortest_timeout_seconds: float
+
+
 class CallerRetries:
     """Failed requests of callers that may come back.
 
@@ -52,7 +72,7 @@
 
     def __init__(self) -> None:
         """Start without any."""
-        self._failed: dict[bytes, list[CallerTry]] = {}
+        self._failed: dict[bytes, FailedRequest] = {}
         self.count = 0
 
     def recognise(
@@ -71,13 +91,15 @@
         Returns:
             The try, with the arrival of the first one.
         """
-        gives_up_at = now + timeout_seconds
-        failed = self._take(request, gives_up_at, now)
+        failed = self._take(request, timeout_seconds, now)
         return CallerTry(
             request=request,
             arrived_at=now,
             first_arrived_at=failed.first_arrived_at if failed else now,
-            gives_up_at=gives_up_at,
+            gives_up_at=now + timeout_seconds,
+            first_timeout_seconds=failed.first_timeout_seconds
+            if failed
+            else timeout_seconds,
         )
 
     def note_failure(self, failed: CallerTry) -> None:
@@ -88,30 +110,52 @@
         """
         if self.count >= MAX_FAILED_REQUESTS:
             self._drop_oldest()
-        self._failed.setdefault(failed.request, []).append(failed)
+        known = self._failed.get(failed.request)
+        if known is None:
+            self._failed[failed.request] = FailedRequest(
+                tries=[failed],
+                shortest_timeout_seconds=failed.first_timeout_seconds,
+            )
+        else:
+            known.tries.append(failed)
         self.count += 1
 
     def _take(
-        self, request: bytes, gives_up_at: float, now: float
+        self, request: bytes, timeout_seconds: float, now: float
     ) -> CallerTry | None:
-        failed = self._failed.pop(request, [])
-        self.count -= len(failed)
-        kept = [each for each in failed if each.gives_up_at > now]
-        found = min(
-            kept,
-            key=lambda each: abs(each.gives_up_at - gives_up_at),
-            default=None,
-        )
-        if found is not None:
-            if abs(found.gives_up_at - gives_up_at) <= TOLERANCE_SECONDS:
-                kept.remove(found)
-            else:
-                found = None
-        if kept:
-            self._failed[request] = kept
-            self.count += len(kept)
+        known = self._failed.get(request)
+        if known is None:
+            return None
+        found = _find_match(known, timeout_seconds, now)
+        if found is None:
+            known.shortest_timeout_seconds = min(
+                known.shortest_timeout_seconds, timeout_seconds
+            )
+        self.count -= len(known.tries)
+        known.tries = [
+            each
+            for each in known.tries
+            if each is not found and each.gives_up_at > now
+        ]
+        self.count += len(known.tries)
+        if not known.tries:
+            self._failed.pop(request)
         return found
 
     def _drop_oldest(self) -> None:
         oldest = next(iter(self._failed))
-        self.count -= len(self._failed.pop(oldest))
+        self.count -= len(self._failed.pop(oldest).tries)
+
+
+def _find_match(
+    failed: FailedRequest, timeout_seconds: float, now: float
+) -> CallerTry | None:
+    if timeout_seconds > MAX_RETRY_SHARE * failed.shortest_timeout_seconds:
+        return None
+    gives_up_at = now + timeout_seconds
+    found = min(
+        failed.tries,
+        key=lambda each: abs(each.gives_up_at - gives_up_at),
+    )
+    difference = abs(found.gives_up_at - gives_up_at)
+    return found if difference <= TOLERANCE_SECONDS else None
