--- a/benchmarks/hops.py
+++ b/benchmarks/hops.py
@@ -22,10 +22,10 @@
 
 from benchmarks.measurements import Measurement, find_percentile
 from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.callers import CallerLimits, CallerPort
-from wagtaildale.calls.fields import CallFields
-from wagtaildale.calls.frames import FrameReader, Run, encode_frame
-from wagtaildale.calls.responses import ResponseHead
+from wagtaildale.calls.http.callers import CallerLimits, CallerPort
+from wagtaildale.calls.http.responses import ResponseHead
+from wagtaildale.calls.wire.fields import CallFields
+from wagtaildale.calls.wire.frames import FrameReader, Run, encode_frame
 from wagtaildale.reactor.acceptor import Acceptor
 from wagtaildale.reactor.loop import Loop
 from wagtaildale.reactor.stream import Stream
@@ -34,7 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from wagtaildale.calls.exchanges import Exchange
+    from wagtaildale.calls.http.exchanges import Exchange
 
 HOST: Final = '127.0.3.1'
 HTTP_PORT: Final = 8080
--- a/properties/test_attempts.py
+++ b/properties/test_attempts.py
@@ -12,8 +12,8 @@
     rule,
 )
 
-from wagtaildale.calls.attempts import Attempts, find_final_code
-from wagtaildale.calls.budgets import RetryBudget
+from wagtaildale.calls.entry.attempts import Attempts, find_final_code
+from wagtaildale.calls.entry.budgets import RetryBudget
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.table import DEFAULT_RETRIES
--- a/properties/test_inputs.py
+++ b/properties/test_inputs.py
@@ -13,8 +13,8 @@
 from hypothesis import strategies as st
 
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.frames import LENGTH_PREFIX, FrameReader
-from wagtaildale.calls.parsing import MessageParser
+from wagtaildale.calls.http.parsing import MessageParser
+from wagtaildale.calls.wire.frames import LENGTH_PREFIX, FrameReader
 from wagtaildale.configuration.files import parse_mesh
 from wagtaildale.configuration.validation import check_parts
 from wagtaildale.distribution.wire import decode_envelope
--- a/properties/test_transit.py
+++ b/properties/test_transit.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from msgspec import Struct
 
-from wagtaildale.calls.transit import TransitDelayEstimator
+from wagtaildale.calls.wire.transit import TransitDelayEstimator
 
 MILLISECONDS = 1000
 MINUTE_MS = 60_000
--- a/wagtaildale/assembly.py
+++ b/wagtaildale/assembly.py
@@ -8,8 +8,8 @@
 from msgspec import Struct
 
 from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.callers import CallerLimits
-from wagtaildale.calls.owner import Identity
+from wagtaildale.calls.http.callers import CallerLimits
+from wagtaildale.calls.owner.owner import Identity
 from wagtaildale.calls.task import CallsTask
 from wagtaildale.calls.task_settings import (
     CallsTaskDependencies,
--- /dev/null
+++ b/wagtaildale/calls/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to the backend server, and whether it is up."""
--- a/wagtaildale/calls/backend_connection.py
+++ b/wagtaildale/calls/backend/backend_connection.py
@@ -14,15 +14,19 @@
 from msgspec import Struct
 
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.heads import (
+from wagtaildale.calls.http.heads import (
     CHUNKED_ENCODING,
     LAST_CHUNK,
     write_chunk,
     write_request_head,
 )
-from wagtaildale.calls.parsing import UNKNOWN_LENGTH, Message, MessageParser
-from wagtaildale.calls.pending_input import PendingInput, peek_input
-from wagtaildale.calls.responses import BODILESS_STATUSES
+from wagtaildale.calls.http.parsing import (
+    UNKNOWN_LENGTH,
+    Message,
+    MessageParser,
+)
+from wagtaildale.calls.http.pending_input import PendingInput, peek_input
+from wagtaildale.calls.http.responses import BODILESS_STATUSES
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.stream import open_stream
 from wagtaildale.timers.service import read_clock
@@ -32,8 +36,8 @@
     from collections.abc import Sequence
 
     from wagtaildale.calls.addresses import Address
-    from wagtaildale.calls.backend_pool import BackendPool
-    from wagtaildale.calls.parsing import Header
+    from wagtaildale.calls.backend.backend_pool import BackendPool
+    from wagtaildale.calls.http.parsing import Header
 
 MAX_HEAD_BYTES: Final = 65_536
 # The backend server is on the same machine, so connecting takes one round trip
--- a/wagtaildale/calls/backend_pool.py
+++ b/wagtaildale/calls/backend/backend_pool.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.backend_connection import BackendConnection
-from wagtaildale.calls.server_watch import ServerWatch
+from wagtaildale.calls.backend.backend_connection import BackendConnection
+from wagtaildale.calls.backend.server_watch import ServerWatch
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from wagtaildale.calls.addresses import Address
-    from wagtaildale.calls.backend_connection import (
+    from wagtaildale.calls.backend.backend_connection import (
         BackendReceiver,
         BackendRequest,
     )
--- a/wagtaildale/calls/server_end_detector.py
+++ b/wagtaildale/calls/backend/server_end_detector.py
@@ -12,13 +12,13 @@
 
 from msgspec import Struct
 
-from wagtaildale.calls.port_probe import PortProbe, ProbeResult
+from wagtaildale.calls.backend.port_probe import PortProbe, ProbeResult
 from wagtaildale.telemetry.events import EventKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wagtaildale.calls.backend_pool import BackendPool
+    from wagtaildale.calls.backend.backend_pool import BackendPool
     from wagtaildale.suspects.fingerprints import Fingerprint
     from wagtaildale.suspects.recent_answers import RecentAnswers
     from wagtaildale.suspects.snapshots import SuspectsHolder
--- a/wagtaildale/calls/server_watch.py
+++ b/wagtaildale/calls/backend/server_watch.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.port_probe import PortProbe, ProbeResult
+from wagtaildale.calls.backend.port_probe import PortProbe, ProbeResult
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
 
--- a/wagtaildale/calls/attempt.py
+++ b/wagtaildale/calls/entry/attempt.py
@@ -8,8 +8,12 @@
 
 from msgspec import structs
 
+from wagtaildale.calls.entry.outgoing_request import (
+    OutgoingBody,
+    OutgoingRequest,
+)
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.frames import (
+from wagtaildale.calls.wire.frames import (
     Answered,
     BodyPiece,
     Failed,
@@ -19,16 +23,15 @@
     Run,
     WindowUpdate,
 )
-from wagtaildale.calls.outgoing_request import OutgoingBody, OutgoingRequest
 from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.fields import AnswerFields, CallFields
-    from wagtaildale.calls.frames import ToEntry
-    from wagtaildale.calls.peers import Peer
-    from wagtaildale.calls.targets import AttemptTarget
+    from wagtaildale.calls.entry.peers import Peer
+    from wagtaildale.calls.entry.targets import AttemptTarget
+    from wagtaildale.calls.wire.fields import AnswerFields, CallFields
+    from wagtaildale.calls.wire.frames import ToEntry
 
 MILLISECONDS: Final = 1000
 
--- a/wagtaildale/calls/attempts.py
+++ b/wagtaildale/calls/entry/attempts.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct, field
 
-from wagtaildale.calls.budgets import RetryBudget
+from wagtaildale.calls.entry.budgets import RetryBudget
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.table import DEFAULT_RETRIES
 from wagtaildale.suspects.records import TRIAL_ENDS
--- a/wagtaildale/calls/bodies.py
+++ b/wagtaildale/calls/entry/bodies.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.body_collector import MAX_COLLECTED_BYTES
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.parsing import UNKNOWN_LENGTH
+from wagtaildale.calls.http.parsing import UNKNOWN_LENGTH
+from wagtaildale.calls.owner.body_collector import MAX_COLLECTED_BYTES
 from wagtaildale.errors.codes import Code
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.exchanges import Exchange
+    from wagtaildale.calls.http.exchanges import Exchange
 
 # A body of up to this size is kept, so that it can be sent to another upstream
 # again. A larger one is forwarded as it arrives, once.
--- a/wagtaildale/calls/call_descriptions.py
+++ b/wagtaildale/calls/entry/call_descriptions.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from wagtaildale.admission.shares import ALL_PASS, PARTS_PER_WHOLE
-from wagtaildale.calls.fields import (
+from wagtaildale.calls.wire.fields import (
     UNKNOWN_RATE,
     CallFields,
     decode_rate,
@@ -19,10 +19,10 @@
 from wagtaildale.types import UNKNOWN_INCARNATION
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.attempts import Attempts
-    from wagtaildale.calls.fields import AnswerFields
-    from wagtaildale.calls.frames import LoadReport
-    from wagtaildale.calls.routed_call import RoutedCall
+    from wagtaildale.calls.entry.attempts import Attempts
+    from wagtaildale.calls.entry.routed_call import RoutedCall
+    from wagtaildale.calls.wire.fields import AnswerFields
+    from wagtaildale.calls.wire.frames import LoadReport
 
 MILLISECONDS: Final = 1000
 MICROSECONDS: Final = 1_000_000
--- a/wagtaildale/calls/entry.py
+++ b/wagtaildale/calls/entry/entry.py
@@ -5,15 +5,15 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.budgets import RetryBudget
-from wagtaildale.calls.entry_call import EntryCall
-from wagtaildale.calls.hedges import HedgeDelays
-from wagtaildale.calls.targets import Targets
+from wagtaildale.calls.entry.budgets import RetryBudget
+from wagtaildale.calls.entry.entry_call import EntryCall
+from wagtaildale.calls.entry.hedges import HedgeDelays
+from wagtaildale.calls.entry.targets import Targets
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.exchanges import Exchange
-    from wagtaildale.calls.routed_call import EntryParts
+    from wagtaildale.calls.entry.routed_call import EntryParts
+    from wagtaildale.calls.http.exchanges import Exchange
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.types import ServiceName
 
--- a/wagtaildale/calls/entry_call.py
+++ b/wagtaildale/calls/entry/entry_call.py
@@ -4,25 +4,25 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.attempt import Attempt, AttemptState
-from wagtaildale.calls.attempts import Attempts, Obstacle, find_final_code
-from wagtaildale.calls.bodies import RequestBody
-from wagtaildale.calls.error_responses import build_error_response
+from wagtaildale.calls.entry.attempt import Attempt, AttemptState
+from wagtaildale.calls.entry.attempts import Attempts, Obstacle, find_final_code
+from wagtaildale.calls.entry.bodies import RequestBody
+from wagtaildale.calls.entry.outgoing_request import OutgoingRequest
+from wagtaildale.calls.entry.report import CallReport
+from wagtaildale.calls.entry.routed_call import RoutedCall, route_call
+from wagtaildale.calls.entry.suspected_call import find_suspect, mark_harmful
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.outgoing_request import OutgoingRequest
-from wagtaildale.calls.report import CallReport
-from wagtaildale.calls.responses import ResponseHead
-from wagtaildale.calls.routed_call import RoutedCall, route_call
-from wagtaildale.calls.suspected_call import find_suspect, mark_harmful
+from wagtaildale.calls.http.error_responses import build_error_response
+from wagtaildale.calls.http.responses import ResponseHead
 from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.entry import Entry
-    from wagtaildale.calls.exchanges import Exchange
-    from wagtaildale.calls.fields import AnswerFields
-    from wagtaildale.calls.frames import Answered, BodyPiece
+    from wagtaildale.calls.entry.entry import Entry
+    from wagtaildale.calls.http.exchanges import Exchange
+    from wagtaildale.calls.wire.fields import AnswerFields
+    from wagtaildale.calls.wire.frames import Answered, BodyPiece
     from wagtaildale.timers.alarms import Alarm
 
 SHED_STATUS: Final = 503
--- a/wagtaildale/calls/local_peer.py
+++ b/wagtaildale/calls/entry/local_peer.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from wagtaildale.calls.frames import Cancel
-from wagtaildale.calls.sessions import CallTable
+from wagtaildale.calls.owner.sessions import CallTable
+from wagtaildale.calls.wire.frames import Cancel
 from wagtaildale.types import CallNumber
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.frames import ToEntry, ToOwner
-    from wagtaildale.calls.owner import Owner
-    from wagtaildale.calls.peers import PeerReceiver
+    from wagtaildale.calls.entry.peers import PeerReceiver
+    from wagtaildale.calls.owner.owner import Owner
+    from wagtaildale.calls.wire.frames import ToEntry, ToOwner
 
 
 class LocalPeer:
--- a/wagtaildale/calls/outgoing_request.py
+++ b/wagtaildale/calls/entry/outgoing_request.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.admission.incoming_line import UNSOLICITED_BYTES
-from wagtaildale.calls.body_collector import MAX_COLLECTED_BYTES
-from wagtaildale.calls.windows import SendWindow
+from wagtaildale.calls.owner.body_collector import MAX_COLLECTED_BYTES
+from wagtaildale.calls.wire.windows import SendWindow
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.bodies import RequestBody
-    from wagtaildale.calls.frames import HeaderPairs
+    from wagtaildale.calls.entry.bodies import RequestBody
+    from wagtaildale.calls.wire.frames import HeaderPairs
 
 # Bytes of a body in the first message, to an owner that collects bodies: it
 # grants credits for the rest.
--- a/wagtaildale/calls/owner_listener.py
+++ b/wagtaildale/calls/entry/owner_listener.py
@@ -5,13 +5,13 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.call_descriptions import decode_limit
+from wagtaildale.calls.entry.call_descriptions import decode_limit
 from wagtaildale.routing.leaving_servers import LeavingServer
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.frames import LoadReport
+    from wagtaildale.calls.wire.frames import LoadReport
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.routing.statistics import FleetStatistics
     from wagtaildale.routing.view import ViewHolder
--- a/wagtaildale/calls/peer_pool.py
+++ b/wagtaildale/calls/entry/peer_pool.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.remote_peer import (
+from wagtaildale.calls.entry.remote_peer import (
     OWNER_DRAINS_REASON,
     REFUSED_REASON,
     SILENT_REASON,
@@ -16,8 +16,8 @@
     from collections.abc import Iterable
 
     from wagtaildale.calls.addresses import Address
-    from wagtaildale.calls.frames import LoadReport
-    from wagtaildale.calls.owner_listener import OwnerListener
+    from wagtaildale.calls.entry.owner_listener import OwnerListener
+    from wagtaildale.calls.wire.frames import LoadReport
     from wagtaildale.reactor.loop import Loop
     from wagtaildale.telemetry.events import EventRecorder
 
--- a/wagtaildale/calls/peers.py
+++ b/wagtaildale/calls/entry/peers.py
@@ -6,7 +6,7 @@
 
 if TYPE_CHECKING:
     from wagtaildale.calls.failures import CallFailed
-    from wagtaildale.calls.frames import ToEntry, ToOwner
+    from wagtaildale.calls.wire.frames import ToEntry, ToOwner
     from wagtaildale.types import CallNumber
 
 
--- a/wagtaildale/calls/remote_peer.py
+++ b/wagtaildale/calls/entry/remote_peer.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Final, Protocol
 
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.frames import (
+from wagtaildale.calls.wire.frames import (
     COMPRESSED,
     PLAIN,
     Cancel,
@@ -24,7 +24,7 @@
     Ping,
     Pong,
 )
-from wagtaildale.calls.transit import add_send_time
+from wagtaildale.calls.wire.transit import add_send_time
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.stream import open_stream
 from wagtaildale.timers.service import read_clock
@@ -32,8 +32,8 @@
 
 if TYPE_CHECKING:
     from wagtaildale.calls.addresses import Address
-    from wagtaildale.calls.frames import Frame, ToOwner
-    from wagtaildale.calls.peers import PeerReceiver
+    from wagtaildale.calls.entry.peers import PeerReceiver
+    from wagtaildale.calls.wire.frames import Frame, ToOwner
     from wagtaildale.reactor.loop import Loop
 
 # A round trip within a region takes a few milliseconds, and a lost packet is
--- a/wagtaildale/calls/report.py
+++ b/wagtaildale/calls/entry/report.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.attempts import Obstacle
+from wagtaildale.calls.entry.attempts import Obstacle
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
@@ -13,11 +13,11 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from wagtaildale.calls.entry.routed_call import RoutedCall
+    from wagtaildale.calls.entry.targets import AttemptTarget
     from wagtaildale.calls.failures import CallFailed
-    from wagtaildale.calls.fields import AnswerFields
-    from wagtaildale.calls.parsing import Header
-    from wagtaildale.calls.routed_call import RoutedCall
-    from wagtaildale.calls.targets import AttemptTarget
+    from wagtaildale.calls.http.parsing import Header
+    from wagtaildale.calls.wire.fields import AnswerFields
     from wagtaildale.telemetry.events import EventRecorder
     from wagtaildale.telemetry.tallies import Tallies
 
--- a/wagtaildale/calls/routed_call.py
+++ b/wagtaildale/calls/entry/routed_call.py
@@ -9,19 +9,19 @@
 
 from msgspec import Struct
 
-from wagtaildale.calls.budgets import RetryLimits
-from wagtaildale.calls.caller_retries import CallerRetries, CallerTry
-from wagtaildale.calls.callers import CallerLimits
 from wagtaildale.calls.dialect import Dialect
+from wagtaildale.calls.entry.budgets import RetryLimits
+from wagtaildale.calls.entry.caller_retries import CallerRetries, CallerTry
+from wagtaildale.calls.entry.local_peer import LocalPeer
+from wagtaildale.calls.entry.owner_listener import OwnerListener
+from wagtaildale.calls.entry.peer_pool import PeerPool
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.heads import (
+from wagtaildale.calls.http.callers import CallerLimits
+from wagtaildale.calls.http.heads import (
     IDEMPOTENCY_KEY_HEADER,
     select_forwarded_headers,
 )
-from wagtaildale.calls.local_peer import LocalPeer
-from wagtaildale.calls.owner import Owner
-from wagtaildale.calls.owner_listener import OwnerListener
-from wagtaildale.calls.peer_pool import PeerPool
+from wagtaildale.calls.owner.owner import Owner
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.loop import Loop
 from wagtaildale.routing.placement import Placement
@@ -34,8 +34,8 @@
 from wagtaildale.types import DataCentre, RequestId, ServiceName
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.frames import HeaderPairs
-    from wagtaildale.calls.parsing import Message
+    from wagtaildale.calls.http.parsing import Message
+    from wagtaildale.calls.wire.frames import HeaderPairs
 
 REQUEST_ID_BYTES: Final = 16
 MILLISECONDS: Final = 1000
--- a/wagtaildale/calls/suspected_call.py
+++ b/wagtaildale/calls/entry/suspected_call.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct, structs
 
-from wagtaildale.calls.suspect_trials import build_suspect_rejection
+from wagtaildale.calls.owner.suspect_trials import build_suspect_rejection
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.placement import ChosenUpstream
 from wagtaildale.routing.suspected_requests import list_allowed_upstreams
@@ -26,10 +26,10 @@
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.attempts import Attempts
+    from wagtaildale.calls.entry.attempts import Attempts
+    from wagtaildale.calls.entry.outgoing_request import OutgoingRequest
+    from wagtaildale.calls.entry.routed_call import EntryParts, RoutedCall
     from wagtaildale.calls.failures import CallFailed
-    from wagtaildale.calls.outgoing_request import OutgoingRequest
-    from wagtaildale.calls.routed_call import EntryParts, RoutedCall
     from wagtaildale.routing.statistics import FleetStatistics
     from wagtaildale.routing.view import FleetView
     from wagtaildale.types import InstanceId
--- a/wagtaildale/calls/targets.py
+++ b/wagtaildale/calls/entry/targets.py
@@ -7,15 +7,15 @@
 from msgspec import Struct
 
 from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.call_descriptions import (
+from wagtaildale.calls.entry.call_descriptions import (
     SendOptions,
     build_owner_report,
     describe_call,
     format_class_name,
 )
+from wagtaildale.calls.entry.suspected_call import place_suspect
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.fields import CallFields
-from wagtaildale.calls.suspected_call import place_suspect
+from wagtaildale.calls.wire.fields import CallFields
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.candidates import list_service_candidates
 from wagtaildale.routing.choice import RequestContext
@@ -30,11 +30,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from wagtaildale.calls.attempts import Attempts
-    from wagtaildale.calls.fields import AnswerFields
-    from wagtaildale.calls.peers import Peer
-    from wagtaildale.calls.routed_call import EntryParts, RoutedCall
-    from wagtaildale.calls.suspected_call import Suspect
+    from wagtaildale.calls.entry.attempts import Attempts
+    from wagtaildale.calls.entry.peers import Peer
+    from wagtaildale.calls.entry.routed_call import EntryParts, RoutedCall
+    from wagtaildale.calls.entry.suspected_call import Suspect
+    from wagtaildale.calls.wire.fields import AnswerFields
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.routing.placement import ChosenUpstream
     from wagtaildale.routing.statistics import FleetStatistics
--- /dev/null
+++ b/wagtaildale/calls/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP messages, and the connections of callers."""
--- a/wagtaildale/calls/callers.py
+++ b/wagtaildale/calls/http/callers.py
@@ -7,12 +7,12 @@
 
 from msgspec import Struct
 
-from wagtaildale.calls.error_responses import build_error_response
-from wagtaildale.calls.exchanges import Exchange
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.parsing import MessageParser
-from wagtaildale.calls.pending_input import PendingInput, peek_input
-from wagtaildale.calls.responses import ResponseWriter
+from wagtaildale.calls.http.error_responses import build_error_response
+from wagtaildale.calls.http.exchanges import Exchange
+from wagtaildale.calls.http.parsing import MessageParser
+from wagtaildale.calls.http.pending_input import PendingInput, peek_input
+from wagtaildale.calls.http.responses import ResponseWriter
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.acceptor import Acceptor
 from wagtaildale.reactor.stream import Stream
@@ -25,8 +25,8 @@
     from result import Result
 
     from wagtaildale.calls.addresses import Address
-    from wagtaildale.calls.exchanges import RequestHandler
-    from wagtaildale.calls.parsing import Message
+    from wagtaildale.calls.http.exchanges import RequestHandler
+    from wagtaildale.calls.http.parsing import Message
     from wagtaildale.errors.faults import Fault
     from wagtaildale.reactor.loop import Loop
 
--- a/wagtaildale/calls/error_responses.py
+++ b/wagtaildale/calls/http/error_responses.py
@@ -9,7 +9,7 @@
 from msgspec import Struct, json
 
 from wagtaildale.calls.dialect import DEFAULT_DIALECT
-from wagtaildale.calls.responses import ResponseHead
+from wagtaildale.calls.http.responses import ResponseHead
 from wagtaildale.errors.codes import MEANINGS, Code
 from wagtaildale.types import Outcome
 
@@ -18,7 +18,7 @@
 
     from wagtaildale.calls.dialect import Dialect
     from wagtaildale.calls.failures import CallFailed
-    from wagtaildale.calls.parsing import Header
+    from wagtaildale.calls.http.parsing import Header
 
 DEFAULT_STATUS: Final = 503
 # In plain HTTP, ``Retry-After`` holds whole seconds.
--- a/wagtaildale/calls/exchanges.py
+++ b/wagtaildale/calls/http/exchanges.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from wagtaildale.calls.heads import CONTINUE_RESPONSE
-from wagtaildale.calls.responses import ResponseHead, ResponseWriter
+from wagtaildale.calls.http.heads import CONTINUE_RESPONSE
+from wagtaildale.calls.http.responses import ResponseHead, ResponseWriter
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.callers import CallerConnection
-    from wagtaildale.calls.parsing import Message
+    from wagtaildale.calls.http.callers import CallerConnection
+    from wagtaildale.calls.http.parsing import Message
 
 
 class ExchangeReceiver(Protocol):
--- a/wagtaildale/calls/heads.py
+++ b/wagtaildale/calls/http/heads.py
@@ -6,8 +6,8 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.fields import INTERNAL_HEADER_PREFIX
-from wagtaildale.calls.parsing import UNKNOWN_LENGTH, Header, Message
+from wagtaildale.calls.http.parsing import UNKNOWN_LENGTH, Header, Message
+from wagtaildale.calls.wire.fields import INTERNAL_HEADER_PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
--- a/wagtaildale/calls/readiness.py
+++ b/wagtaildale/calls/http/readiness.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.responses import ResponseHead
+from wagtaildale.calls.http.responses import ResponseHead
 from wagtaildale.types import NodeState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wagtaildale.calls.exchanges import Exchange
+    from wagtaildale.calls.http.exchanges import Exchange
 
 READY_PATH: Final = b'/ready'
 READY_STATUS: Final = 200
--- a/wagtaildale/calls/responses.py
+++ b/wagtaildale/calls/http/responses.py
@@ -6,14 +6,14 @@
 
 from msgspec import Struct
 
-from wagtaildale.calls.heads import (
+from wagtaildale.calls.http.heads import (
     CHUNKED_ENCODING,
     CONNECTION_CLOSE,
     LAST_CHUNK,
     write_chunk,
     write_response_head,
 )
-from wagtaildale.calls.parsing import UNKNOWN_LENGTH, Header
+from wagtaildale.calls.http.parsing import UNKNOWN_LENGTH, Header
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- /dev/null
+++ b/wagtaildale/calls/owner/__init__.py
@@ -0,0 +1,1 @@
+"""The owner: from a call of an entry to a run at the backend server."""
--- a/wagtaildale/calls/backend_messages.py
+++ b/wagtaildale/calls/owner/backend_messages.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.backend_connection import BackendRequest
-from wagtaildale.calls.windows import SendWindow
+from wagtaildale.calls.backend.backend_connection import BackendRequest
+from wagtaildale.calls.wire.windows import SendWindow
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.frames import HeaderPairs, Run
-    from wagtaildale.calls.owner import Owner
-    from wagtaildale.calls.parsing import Header, Message
+    from wagtaildale.calls.http.parsing import Header, Message
+    from wagtaildale.calls.owner.owner import Owner
+    from wagtaildale.calls.wire.frames import HeaderPairs, Run
     from wagtaildale.types import InstanceId
 
 MILLISECONDS: Final = 1000
--- a/wagtaildale/calls/backend_run.py
+++ b/wagtaildale/calls/owner/backend_run.py
@@ -6,28 +6,31 @@
 from typing import TYPE_CHECKING, Final, Protocol
 
 from wagtaildale.admission.replay_cache import StoredAnswer
-from wagtaildale.calls.backend_messages import (
+from wagtaildale.calls.backend.server_end_detector import InterruptedRun
+from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.http.heads import select_forwarded_headers
+from wagtaildale.calls.owner.backend_messages import (
     MISDIRECTED_STATUS,
     BackendResponse,
     build_request,
     find_not_run_evidence,
 )
-from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.heads import select_forwarded_headers
-from wagtaildale.calls.idempotency_guard import IdempotencyGuard
-from wagtaildale.calls.server_end_detector import InterruptedRun
-from wagtaildale.calls.server_feedback import parse_feedback, parse_instance
+from wagtaildale.calls.owner.idempotency_guard import IdempotencyGuard
+from wagtaildale.calls.owner.server_feedback import (
+    parse_feedback,
+    parse_instance,
+)
 from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariant
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.backend_connection import BackendConnection
-    from wagtaildale.calls.call_times import CallTimes
-    from wagtaildale.calls.frames import BodyPiece, Run
-    from wagtaildale.calls.owner import Owner
-    from wagtaildale.calls.parsing import Message
-    from wagtaildale.calls.replies import ReplyWriter
+    from wagtaildale.calls.backend.backend_connection import BackendConnection
+    from wagtaildale.calls.http.parsing import Message
+    from wagtaildale.calls.owner.call_times import CallTimes
+    from wagtaildale.calls.owner.owner import Owner
+    from wagtaildale.calls.owner.replies import ReplyWriter
+    from wagtaildale.calls.wire.frames import BodyPiece, Run
 
 # A response up to this size is received completely before any of it is
 # forwarded, so that an interrupted one becomes an error instead of a truncated
--- a/wagtaildale/calls/body_collector.py
+++ b/wagtaildale/calls/owner/body_collector.py
@@ -22,8 +22,8 @@
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.fields import CallFields
-    from wagtaildale.calls.frames import BodyPiece, Run
+    from wagtaildale.calls.wire.fields import CallFields
+    from wagtaildale.calls.wire.frames import BodyPiece, Run
     from wagtaildale.timers.alarms import Alarm, Alarms
 
 # A larger body is streamed to the backend server as it arrives.
--- a/wagtaildale/calls/call_times.py
+++ b/wagtaildale/calls/owner/call_times.py
@@ -7,7 +7,7 @@
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.fields import CallFields
+    from wagtaildale.calls.wire.fields import CallFields
     from wagtaildale.telemetry.events import Inputs
 
 MILLISECONDS: Final = 1000
--- a/wagtaildale/calls/idempotency_guard.py
+++ b/wagtaildale/calls/owner/idempotency_guard.py
@@ -6,13 +6,13 @@
 
 from wagtaildale.admission.replay_cache import KeyState, StoredAnswer
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.heads import IDEMPOTENCY_KEY_HEADER
+from wagtaildale.calls.http.heads import IDEMPOTENCY_KEY_HEADER
 from wagtaildale.errors.codes import Code
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
     from wagtaildale.admission.replay_cache import ReplayCache
-    from wagtaildale.calls.frames import Run
+    from wagtaildale.calls.wire.frames import Run
 
 REPLAYED_HEADER: Final = (b'idempotency-replayed', b'true')
 
--- a/wagtaildale/calls/identity_probe.py
+++ b/wagtaildale/calls/owner/identity_probe.py
@@ -5,10 +5,10 @@
 import re
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.backend_connection import BackendRequest
+from wagtaildale.calls.backend.backend_connection import BackendRequest
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.parsing import UNKNOWN_LENGTH
-from wagtaildale.calls.server_feedback import parse_instance
+from wagtaildale.calls.http.parsing import UNKNOWN_LENGTH
+from wagtaildale.calls.owner.server_feedback import parse_instance
 from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
 
@@ -16,11 +16,11 @@
     from collections.abc import Callable
 
     from wagtaildale.calls.addresses import Address
-    from wagtaildale.calls.backend_connection import BackendConnection
-    from wagtaildale.calls.backend_pool import BackendPool
+    from wagtaildale.calls.backend.backend_connection import BackendConnection
+    from wagtaildale.calls.backend.backend_pool import BackendPool
     from wagtaildale.calls.dialect import Dialect
-    from wagtaildale.calls.parsing import Message
-    from wagtaildale.calls.server_targets import ServerTargets
+    from wagtaildale.calls.http.parsing import Message
+    from wagtaildale.calls.owner.server_targets import ServerTargets
     from wagtaildale.timers.alarms import Alarm
 
 # A health check takes a slot like a request, so probes are not sent more often;
--- a/wagtaildale/calls/load_notifier.py
+++ b/wagtaildale/calls/owner/load_notifier.py
@@ -6,8 +6,8 @@
 
 from wagtaildale.admission.capacity import compute_pass_share
 from wagtaildale.admission.shares import ALL_PASS, PassShare
-from wagtaildale.calls.fields import UNKNOWN_RATE, encode_rate
-from wagtaildale.calls.frames import LoadReport
+from wagtaildale.calls.wire.fields import UNKNOWN_RATE, encode_rate
+from wagtaildale.calls.wire.frames import LoadReport
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
 
--- a/wagtaildale/calls/owner.py
+++ b/wagtaildale/calls/owner/owner.py
@@ -9,18 +9,18 @@
 from wagtaildale.admission.incoming_line import make_incoming_line
 from wagtaildale.admission.ledger import RunLedger
 from wagtaildale.admission.replay_cache import ReplayCache
-from wagtaildale.calls.backend_pool import BackendPool
-from wagtaildale.calls.body_collector import BodyCollector
+from wagtaildale.calls.backend.backend_pool import BackendPool
 from wagtaildale.calls.dialect import DEFAULT_DIALECT, Dialect
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.fields import (
+from wagtaildale.calls.owner.body_collector import BodyCollector
+from wagtaildale.calls.owner.load_notifier import LoadNotifier
+from wagtaildale.calls.owner.server_feedback import FeedbackTracker
+from wagtaildale.calls.owner.server_targets import ServerTargets
+from wagtaildale.calls.wire.fields import (
     AnswerFields,
     CallFields,
     decode_rate,
 )
-from wagtaildale.calls.load_notifier import LoadNotifier
-from wagtaildale.calls.server_feedback import FeedbackTracker
-from wagtaildale.calls.server_targets import ServerTargets
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.types import (
@@ -37,8 +37,8 @@
     from wagtaildale.admission.gate import Gate
     from wagtaildale.admission.incoming_line import LineState
     from wagtaildale.calls.addresses import Address
-    from wagtaildale.calls.server_targets import ServerConditions
-    from wagtaildale.calls.suspect_trials import SuspectTrials
+    from wagtaildale.calls.owner.server_targets import ServerConditions
+    from wagtaildale.calls.owner.suspect_trials import SuspectTrials
     from wagtaildale.invariants import Invariants
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.reactor.loop import Loop
--- a/wagtaildale/calls/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -11,12 +11,15 @@
 
 from wagtaildale.admission.limits import Ending
 from wagtaildale.admission.messages import Refused, RequestArrived
-from wagtaildale.calls.backend_run import BackendRun
-from wagtaildale.calls.body_collector import ReceivedBody, find_transfer_limits
-from wagtaildale.calls.call_times import CallTimes
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.replies import ReplyWriter
-from wagtaildale.calls.transit import subtract_delay
+from wagtaildale.calls.owner.backend_run import BackendRun
+from wagtaildale.calls.owner.body_collector import (
+    ReceivedBody,
+    find_transfer_limits,
+)
+from wagtaildale.calls.owner.call_times import CallTimes
+from wagtaildale.calls.owner.replies import ReplyWriter
+from wagtaildale.calls.wire.transit import subtract_delay
 from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariant
 from wagtaildale.telemetry.events import EventKind
@@ -25,10 +28,15 @@
 
 if TYPE_CHECKING:
     from wagtaildale.admission.messages import TicketId, Verdict
-    from wagtaildale.calls.fields import CallFields
-    from wagtaildale.calls.frames import BodyPiece, Reserve, Run, WindowUpdate
-    from wagtaildale.calls.owner import Owner
-    from wagtaildale.calls.replies import EntryChannel
+    from wagtaildale.calls.owner.owner import Owner
+    from wagtaildale.calls.owner.replies import EntryChannel
+    from wagtaildale.calls.wire.fields import CallFields
+    from wagtaildale.calls.wire.frames import (
+        BodyPiece,
+        Reserve,
+        Run,
+        WindowUpdate,
+    )
     from wagtaildale.timers.alarms import Alarm
 
 # Long enough for a run message over a slow connection, and short enough that
--- a/wagtaildale/calls/replies.py
+++ b/wagtaildale/calls/owner/replies.py
@@ -6,7 +6,8 @@
 
 from msgspec import structs
 
-from wagtaildale.calls.frames import (
+from wagtaildale.calls.owner.idempotency_guard import REPLAYED_HEADER
+from wagtaildale.calls.wire.frames import (
     Answered,
     BodyPiece,
     Failed,
@@ -14,16 +15,15 @@
     ResponseAborted,
     WindowUpdate,
 )
-from wagtaildale.calls.idempotency_guard import REPLAYED_HEADER
 
 if TYPE_CHECKING:
     from wagtaildale.admission.messages import TicketId
     from wagtaildale.admission.replay_cache import StoredAnswer
-    from wagtaildale.calls.call_times import CallTimes
     from wagtaildale.calls.failures import CallFailed
-    from wagtaildale.calls.fields import CallFields
-    from wagtaildale.calls.frames import ToEntry
-    from wagtaildale.calls.owner import Owner
+    from wagtaildale.calls.owner.call_times import CallTimes
+    from wagtaildale.calls.owner.owner import Owner
+    from wagtaildale.calls.wire.fields import CallFields
+    from wagtaildale.calls.wire.frames import ToEntry
     from wagtaildale.types import CallNumber
 
 MILLISECONDS: Final = 1000
--- a/wagtaildale/calls/serial_runs.py
+++ b/wagtaildale/calls/owner/serial_runs.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.frames import Run
+    from wagtaildale.calls.wire.frames import Run
     from wagtaildale.suspects.fingerprints import Subject
 
 RetryCallback = Callable[[], None]
--- a/wagtaildale/calls/server_feedback.py
+++ b/wagtaildale/calls/owner/server_feedback.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from wagtaildale.admission.gate import Gate
     from wagtaildale.calls.dialect import Dialect
-    from wagtaildale.calls.parsing import Message
+    from wagtaildale.calls.http.parsing import Message
     from wagtaildale.routing.leaving_servers import LeavingServer
     from wagtaildale.telemetry.events import EventRecorder
 
--- a/wagtaildale/calls/server_review.py
+++ b/wagtaildale/calls/owner/server_review.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from wagtaildale.calls.owner import Owner
+    from wagtaildale.calls.owner.owner import Owner
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.routing.view import ViewHolder
     from wagtaildale.telemetry.events import EventRecorder
--- a/wagtaildale/calls/server_targets.py
+++ b/wagtaildale/calls/owner/server_targets.py
@@ -8,19 +8,19 @@
 from msgspec import Struct
 
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.server_identity import ServerIdentity
-from wagtaildale.calls.server_leaving import LeavingTracker
-from wagtaildale.calls.server_slow_start import SlowStartTracker
+from wagtaildale.calls.owner.server_identity import ServerIdentity
+from wagtaildale.calls.owner.server_leaving import LeavingTracker
+from wagtaildale.calls.owner.server_slow_start import SlowStartTracker
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.fields import CallFields
-    from wagtaildale.calls.server_feedback import (
+    from wagtaildale.calls.owner.server_feedback import (
         FeedbackTracker,
         ServerFeedback,
     )
+    from wagtaildale.calls.wire.fields import CallFields
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.telemetry.events import EventRecorder
     from wagtaildale.types import InstanceId, ServiceName
--- a/wagtaildale/calls/sessions.py
+++ b/wagtaildale/calls/owner/sessions.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.frames import (
+from wagtaildale.calls.owner.owner_call import OwnerCall
+from wagtaildale.calls.wire.frames import (
     COMPRESSED,
     PLAIN,
     BodyPiece,
@@ -20,8 +21,7 @@
     Run,
     WindowUpdate,
 )
-from wagtaildale.calls.owner_call import OwnerCall
-from wagtaildale.calls.transit import TransitDelayEstimator
+from wagtaildale.calls.wire.transit import TransitDelayEstimator
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.acceptor import Acceptor
 from wagtaildale.reactor.stream import Stream
@@ -36,9 +36,9 @@
     from result import Result
 
     from wagtaildale.calls.addresses import Address
-    from wagtaildale.calls.fields import CallFields
-    from wagtaildale.calls.frames import LoadReport, ToEntry
-    from wagtaildale.calls.owner import Owner
+    from wagtaildale.calls.owner.owner import Owner
+    from wagtaildale.calls.wire.fields import CallFields
+    from wagtaildale.calls.wire.frames import LoadReport, ToEntry
     from wagtaildale.errors.faults import Fault
     from wagtaildale.telemetry.events import EventRecorder
 
--- a/wagtaildale/calls/suspect_trials.py
+++ b/wagtaildale/calls/owner/suspect_trials.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
+from wagtaildale.calls.backend.server_end_detector import ServerEndDetector
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.serial_runs import SerialRuns
-from wagtaildale.calls.server_end_detector import ServerEndDetector
+from wagtaildale.calls.owner.serial_runs import SerialRuns
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.suspected_requests import list_allowed_upstreams
 from wagtaildale.suspects.fingerprints import (
@@ -25,7 +25,7 @@
 
 if TYPE_CHECKING:
     from wagtaildale.calls.dialect import Dialect
-    from wagtaildale.calls.frames import Run
+    from wagtaildale.calls.wire.frames import Run
     from wagtaildale.routing.view import ViewHolder
     from wagtaildale.suspects.fingerprints import Fingerprint
     from wagtaildale.suspects.snapshots import Judgement, SuspectsHolder
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -8,23 +8,23 @@
 
 from wagtaildale.admission.gate import Gate
 from wagtaildale.admission.state import make_admission
-from wagtaildale.calls.budgets import RetryLimits, compute_retry_limits
-from wagtaildale.calls.caller_retries import CallerRetries
-from wagtaildale.calls.callers import CallerLimits, CallerPort
-from wagtaildale.calls.entry import Entry
-from wagtaildale.calls.fleet_size import FleetSize
-from wagtaildale.calls.identity_probe import IdentityProbe
-from wagtaildale.calls.local_peer import LocalPeer
-from wagtaildale.calls.owner import Owner
-from wagtaildale.calls.owner_listener import OwnerListener
-from wagtaildale.calls.peer_pool import PeerPool
-from wagtaildale.calls.readiness import ReadinessHandler
-from wagtaildale.calls.routed_call import EntryParts
-from wagtaildale.calls.server_review import OwnServer, ServerReview
-from wagtaildale.calls.server_slow_start import SlowStartTracker
-from wagtaildale.calls.server_targets import ServerConditions
-from wagtaildale.calls.sessions import PeerPort
-from wagtaildale.calls.suspect_trials import SuspectTrials
+from wagtaildale.calls.entry.budgets import RetryLimits, compute_retry_limits
+from wagtaildale.calls.entry.caller_retries import CallerRetries
+from wagtaildale.calls.entry.entry import Entry
+from wagtaildale.calls.entry.fleet_size import FleetSize
+from wagtaildale.calls.entry.local_peer import LocalPeer
+from wagtaildale.calls.entry.owner_listener import OwnerListener
+from wagtaildale.calls.entry.peer_pool import PeerPool
+from wagtaildale.calls.entry.routed_call import EntryParts
+from wagtaildale.calls.http.callers import CallerLimits, CallerPort
+from wagtaildale.calls.http.readiness import ReadinessHandler
+from wagtaildale.calls.owner.identity_probe import IdentityProbe
+from wagtaildale.calls.owner.owner import Owner
+from wagtaildale.calls.owner.server_review import OwnServer, ServerReview
+from wagtaildale.calls.owner.server_slow_start import SlowStartTracker
+from wagtaildale.calls.owner.server_targets import ServerConditions
+from wagtaildale.calls.owner.sessions import PeerPort
+from wagtaildale.calls.owner.suspect_trials import SuspectTrials
 from wagtaildale.calls.task_settings import (
     CallsTaskDependencies,
     CallsTaskSettings,
--- a/wagtaildale/calls/task_settings.py
+++ b/wagtaildale/calls/task_settings.py
@@ -5,9 +5,9 @@
 from msgspec import Struct
 
 from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.callers import CallerLimits
 from wagtaildale.calls.dialect import DEFAULT_DIALECT, Dialect
-from wagtaildale.calls.owner import Identity
+from wagtaildale.calls.http.callers import CallerLimits
+from wagtaildale.calls.owner.owner import Identity
 from wagtaildale.invariants import Invariants
 from wagtaildale.routing.choice import Chooser
 from wagtaildale.routing.view import ViewHolder
--- a/wagtaildale/calls/tests/pairs.py
+++ b/wagtaildale/calls/tests/pairs.py
@@ -12,8 +12,8 @@
 from standins.backend_thread import BackendThread
 from wagtaildale.admission.incoming_line import make_incoming_line
 from wagtaildale.admission.messages import TicketId
-from wagtaildale.calls.fields import CallFields
-from wagtaildale.calls.frames import (
+from wagtaildale.calls.wire.fields import CallFields
+from wagtaildale.calls.wire.frames import (
     PLAIN,
     Frame,
     FrameReader,
--- a/wagtaildale/calls/tests/scripted_owners.py
+++ b/wagtaildale/calls/tests/scripted_owners.py
@@ -7,8 +7,9 @@
 from typing import TYPE_CHECKING
 
 from wagtaildale.admission.messages import TicketId
-from wagtaildale.calls.fields import NO_LEASE, AnswerFields
-from wagtaildale.calls.frames import (
+from wagtaildale.calls.tests.listeners import Listener
+from wagtaildale.calls.wire.fields import NO_LEASE, AnswerFields
+from wagtaildale.calls.wire.frames import (
     PLAIN,
     Answered,
     FrameReader,
@@ -19,13 +20,12 @@
     Run,
     encode_frame,
 )
-from wagtaildale.calls.tests.listeners import Listener
 from wagtaildale.errors.codes import Code
 from wagtaildale.types import Incarnation, InstanceId, Outcome
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.fields import CallFields
-    from wagtaildale.calls.frames import Frame
+    from wagtaildale.calls.wire.fields import CallFields
+    from wagtaildale.calls.wire.frames import Frame
 
 LEASE = TicketId(7)
 BODY = b'late'
--- a/wagtaildale/calls/tests/test_backend_connection.py
+++ b/wagtaildale/calls/tests/test_backend_connection.py
@@ -13,8 +13,8 @@
 import pytest
 
 from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.backend_connection import BackendRequest
-from wagtaildale.calls.backend_pool import BackendPool
+from wagtaildale.calls.backend.backend_connection import BackendRequest
+from wagtaildale.calls.backend.backend_pool import BackendPool
 from wagtaildale.calls.tests.manual_loop import ManualLoop, is_readable
 from wagtaildale.testing.builders import build_recorder
 from wagtaildale.testing.mesh import BACKEND_PORT
@@ -24,7 +24,7 @@
     from collections.abc import Iterator
 
     from wagtaildale.calls.failures import CallFailed
-    from wagtaildale.calls.parsing import Message
+    from wagtaildale.calls.http.parsing import Message
 
 HOST: Final = '127.0.9.8'
 ANSWER: Final = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi'
--- a/wagtaildale/calls/tests/test_body_credits.py
+++ b/wagtaildale/calls/tests/test_body_credits.py
@@ -8,7 +8,13 @@
 import pytest
 from msgspec import json, structs
 
-from wagtaildale.calls.frames import (
+from wagtaildale.calls.tests.pairs import (
+    TIMEOUT_SECONDS,
+    Pair,
+    build_run,
+    wait_until,
+)
+from wagtaildale.calls.wire.frames import (
     PLAIN,
     Answered,
     BodyPiece,
@@ -19,12 +25,6 @@
     WindowUpdate,
     encode_frame,
 )
-from wagtaildale.calls.tests.pairs import (
-    TIMEOUT_SECONDS,
-    Pair,
-    build_run,
-    wait_until,
-)
 from wagtaildale.errors.codes import Code
 from wagtaildale.types import CallNumber, Outcome
 
--- a/wagtaildale/calls/tests/test_budgets.py
+++ b/wagtaildale/calls/tests/test_budgets.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from wagtaildale.calls.budgets import RetryBudget, compute_retry_limits
+from wagtaildale.calls.entry.budgets import RetryBudget, compute_retry_limits
 from wagtaildale.settings.model import BoundSettings
 from wagtaildale.testing.builders import build_record
 from wagtaildale.testing.mesh import MeshNode
--- a/wagtaildale/calls/tests/test_caller_retries.py
+++ b/wagtaildale/calls/tests/test_caller_retries.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from wagtaildale.calls.caller_retries import (
+from wagtaildale.calls.entry.caller_retries import (
     MAX_FAILED_REQUESTS,
     TOLERANCE_SECONDS,
     CallerRetries,
--- a/wagtaildale/calls/tests/test_callers.py
+++ b/wagtaildale/calls/tests/test_callers.py
@@ -12,12 +12,12 @@
 import pytest
 
 from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.callers import (
+from wagtaildale.calls.http.callers import (
     TIMEOUT_CHECK_SECONDS,
     CallerLimits,
     CallerPort,
 )
-from wagtaildale.calls.responses import ResponseHead
+from wagtaildale.calls.http.responses import ResponseHead
 from wagtaildale.calls.tests.manual_loop import ManualLoop, is_readable
 from wagtaildale.calls.tests.pairs import TIMEOUT_SECONDS
 from wagtaildale.reactor.stream import LINGER_SECONDS
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from wagtaildale.calls.exchanges import Exchange
+    from wagtaildale.calls.http.exchanges import Exchange
 
 ADDRESS: Final = Address('127.0.9.8', 8080)
 REQUEST: Final = b'GET /files/1 HTTP/1.1\r\nhost: m\r\n\r\n'
--- a/wagtaildale/calls/tests/test_faults.py
+++ b/wagtaildale/calls/tests/test_faults.py
@@ -8,15 +8,6 @@
 
 import pytest
 
-from wagtaildale.calls.fields import AnswerFields
-from wagtaildale.calls.frames import (
-    PLAIN,
-    Answered,
-    Failed,
-    FrameReader,
-    Run,
-    encode_frame,
-)
 from wagtaildale.calls.tests.listeners import Listener
 from wagtaildale.calls.tests.pairs import (
     OUTCOME_HEADER,
@@ -25,6 +16,15 @@
     read_code,
     wait_until,
 )
+from wagtaildale.calls.wire.fields import AnswerFields
+from wagtaildale.calls.wire.frames import (
+    PLAIN,
+    Answered,
+    Failed,
+    FrameReader,
+    Run,
+    encode_frame,
+)
 from wagtaildale.errors.codes import Code
 from wagtaildale.types import Incarnation, InstanceId, Outcome, RequestId
 
--- a/wagtaildale/calls/tests/test_fleet_size.py
+++ b/wagtaildale/calls/tests/test_fleet_size.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wagtaildale.calls.fleet_size import MEMORY_SECONDS, FleetSize
+from wagtaildale.calls.entry.fleet_size import MEMORY_SECONDS, FleetSize
 
 
 def test_short_list_does_not_make_the_fleet_smaller() -> None:
--- a/wagtaildale/calls/tests/test_leaving.py
+++ b/wagtaildale/calls/tests/test_leaving.py
@@ -8,7 +8,13 @@
 
 from msgspec import Struct, msgpack
 
-from wagtaildale.calls.frames import (
+from wagtaildale.calls.tests.pairs import (
+    OUTCOME_HEADER,
+    TIMEOUT_SECONDS,
+    build_run,
+    wait_until,
+)
+from wagtaildale.calls.wire.frames import (
     LENGTH_PREFIX,
     PLAIN,
     DrainNotice,
@@ -19,12 +25,6 @@
     Pong,
     encode_frame,
 )
-from wagtaildale.calls.tests.pairs import (
-    OUTCOME_HEADER,
-    TIMEOUT_SECONDS,
-    build_run,
-    wait_until,
-)
 from wagtaildale.errors.codes import Code
 from wagtaildale.types import Outcome
 
--- a/wagtaildale/calls/tests/test_owner_listener.py
+++ b/wagtaildale/calls/tests/test_owner_listener.py
@@ -8,8 +8,8 @@
 from msgspec import structs
 
 from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.frames import LoadReport
-from wagtaildale.calls.owner_listener import OwnerListener
+from wagtaildale.calls.entry.owner_listener import OwnerListener
+from wagtaildale.calls.wire.frames import LoadReport
 from wagtaildale.routing.leaving_servers import LeavingServer
 from wagtaildale.routing.statistics import FleetStatistics
 from wagtaildale.routing.view import ViewHolder
--- a/wagtaildale/calls/tests/test_replaced_servers.py
+++ b/wagtaildale/calls/tests/test_replaced_servers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from wagtaildale.calls import server_identity
+from wagtaildale.calls.owner import server_identity
 from wagtaildale.calls.tests.pairs import wait_until
 from wagtaildale.calls.tests.replaced_servers import ReplacedFleet
 from wagtaildale.settings.model import RETRY_SHARE, RETRY_SLACK
--- a/wagtaildale/calls/tests/test_safety.py
+++ b/wagtaildale/calls/tests/test_safety.py
@@ -9,11 +9,10 @@
 
 from standins.backend_thread import BackendThread
 from wagtaildale.admission.messages import Admitted
-from wagtaildale.calls.attempts import Attempts
-from wagtaildale.calls.budgets import RetryBudget
+from wagtaildale.calls.entry.attempts import Attempts
+from wagtaildale.calls.entry.budgets import RetryBudget
+from wagtaildale.calls.entry.hedges import HedgeDelay
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.frames import Failed
-from wagtaildale.calls.hedges import HedgeDelay
 from wagtaildale.calls.tests.pairs import (
     OUTCOME_HEADER,
     Pair,
@@ -21,6 +20,7 @@
     read_code,
     wait_until,
 )
+from wagtaildale.calls.wire.frames import Failed
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.table import DEFAULT_RETRIES
 from wagtaildale.testing.builders import build_record, build_retry_limits
--- a/wagtaildale/calls/tests/test_server_end_detector.py
+++ b/wagtaildale/calls/tests/test_server_end_detector.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from wagtaildale.calls.server_end_detector import (
+from wagtaildale.calls.backend.server_end_detector import (
     InterruptedRun,
     ServerEndDetector,
 )
--- a/wagtaildale/calls/tests/test_server_feedback.py
+++ b/wagtaildale/calls/tests/test_server_feedback.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from wagtaildale.calls.parsing import MessageParser
-from wagtaildale.calls.server_feedback import (
+from wagtaildale.calls.http.parsing import MessageParser
+from wagtaildale.calls.owner.server_feedback import (
     FeedbackTracker,
     ServerFeedback,
     parse_feedback,
@@ -19,7 +19,7 @@
 from wagtaildale.types import InstanceId
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.parsing import Message
+    from wagtaildale.calls.http.parsing import Message
 
 SERVER: Final = InstanceId('i-1')
 
--- a/wagtaildale/calls/tests/test_server_identity.py
+++ b/wagtaildale/calls/tests/test_server_identity.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wagtaildale.calls.server_identity import (
+from wagtaildale.calls.owner.server_identity import (
     DENIAL_RECHECK_SECONDS,
     MAX_DENIED_INSTANCES,
     ServerIdentity,
--- a/wagtaildale/calls/tests/test_server_slow_start.py
+++ b/wagtaildale/calls/tests/test_server_slow_start.py
@@ -7,7 +7,7 @@
 import pytest
 
 from wagtaildale.admission.gate import Gate
-from wagtaildale.calls.server_slow_start import SlowStartTracker
+from wagtaildale.calls.owner.server_slow_start import SlowStartTracker
 from wagtaildale.configuration.model import SlowStart
 from wagtaildale.settings.model import BoundSettings
 from wagtaildale.telemetry.events import EventKind
--- a/wagtaildale/calls/tests/test_server_targets.py
+++ b/wagtaildale/calls/tests/test_server_targets.py
@@ -7,9 +7,12 @@
 import pytest
 
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.server_feedback import FeedbackTracker
-from wagtaildale.calls.server_slow_start import SlowStartTracker
-from wagtaildale.calls.server_targets import ServerConditions, ServerTargets
+from wagtaildale.calls.owner.server_feedback import FeedbackTracker
+from wagtaildale.calls.owner.server_slow_start import SlowStartTracker
+from wagtaildale.calls.owner.server_targets import (
+    ServerConditions,
+    ServerTargets,
+)
 from wagtaildale.calls.tests.pairs import build_run
 from wagtaildale.errors.codes import Code
 from wagtaildale.settings.model import BoundSettings
--- a/wagtaildale/calls/tests/test_silence.py
+++ b/wagtaildale/calls/tests/test_silence.py
@@ -13,7 +13,7 @@
 from msgspec import json
 
 from standins.backend_thread import BackendThread
-from wagtaildale.calls.remote_peer import REFUSED_REASON
+from wagtaildale.calls.entry.remote_peer import REFUSED_REASON
 from wagtaildale.calls.tests.pairs import (
     TIMEOUT_SECONDS,
     Pair,
--- a/wagtaildale/calls/tests/test_transit.py
+++ b/wagtaildale/calls/tests/test_transit.py
@@ -11,11 +11,11 @@
 import pytest
 from msgspec import msgpack, structs
 
-from wagtaildale.calls.fields import CallFields
-from wagtaildale.calls.frames import Cancel, Reserve, Run
 from wagtaildale.calls.tests.pairs import Pair, build_run
 from wagtaildale.calls.tests.pausable_proxies import PausableProxy
-from wagtaildale.calls.transit import (
+from wagtaildale.calls.wire.fields import CallFields
+from wagtaildale.calls.wire.frames import Cancel, Reserve, Run
+from wagtaildale.calls.wire.transit import (
     MAX_CLOCK_LEAD_SECONDS,
     WINDOW_SECONDS,
     TransitDelayEstimator,
--- /dev/null
+++ b/wagtaildale/calls/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries and owners."""
--- a/wagtaildale/calls/frames.py
+++ b/wagtaildale/calls/wire/frames.py
@@ -15,7 +15,7 @@
 from wagtaildale.admission.incoming_line import LineState
 from wagtaildale.admission.shares import PassShare
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.fields import (
+from wagtaildale.calls.wire.fields import (
     UNKNOWN_RATE,
     AnswerFields,
     CallFields,
--- a/wagtaildale/calls/transit.py
+++ b/wagtaildale/calls/wire/transit.py
@@ -29,12 +29,12 @@
 
 from msgspec import structs
 
-from wagtaildale.calls.frames import Reserve, Run
+from wagtaildale.calls.wire.frames import Reserve, Run
 from wagtaildale.timers.clock_offsets import MinimumOffset
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.fields import CallFields
-    from wagtaildale.calls.frames import ToOwner
+    from wagtaildale.calls.wire.fields import CallFields
+    from wagtaildale.calls.wire.frames import ToOwner
 
 MILLISECONDS: Final = 1000
 # Longer than a connection survives: the kernel closes it after 3 s without
--- a/wagtaildale/lifecycle/tests/test_owner_stop.py
+++ b/wagtaildale/lifecycle/tests/test_owner_stop.py
@@ -10,9 +10,9 @@
 from msgspec import json, structs
 
 from standins.backend_thread import BackendThread
-from wagtaildale.calls.frames import PLAIN, Ping, Pong, encode_frame
 from wagtaildale.calls.tests.pairs import TIMEOUT_SECONDS, Pair, wait_until
 from wagtaildale.calls.tests.relays import Relay
+from wagtaildale.calls.wire.frames import PLAIN, Ping, Pong, encode_frame
 from wagtaildale.lifecycle.stop import Stop
 from wagtaildale.testing.builders import build_record
 from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
--- a/wagtaildale/suspects/fingerprints.py
+++ b/wagtaildale/suspects/fingerprints.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wagtaildale.calls.frames import HeaderPairs
+    from wagtaildale.calls.wire.frames import HeaderPairs
 
 Fingerprint = NewType('Fingerprint', bytes)
 # Identifies a request without its caller: the first bytes of a fingerprint.
--- a/wagtaildale/testing/builders.py
+++ b/wagtaildale/testing/builders.py
@@ -8,7 +8,7 @@
 
 from wagtaildale.admission.gate import Gate
 from wagtaildale.admission.state import make_admission
-from wagtaildale.calls.budgets import RetryLimits
+from wagtaildale.calls.entry.budgets import RetryLimits
 from wagtaildale.configuration.compiled import Compiled, compile_mesh
 from wagtaildale.configuration.files import parse_mesh
 from wagtaildale.configuration.model import MeshEntry, Part, Route, WorkClass
--- a/wagtaildale/testing/mesh.py
+++ b/wagtaildale/testing/mesh.py
@@ -9,9 +9,9 @@
 
 from wagtaildale.admission.messages import RequestArrived, TicketId, Verdict
 from wagtaildale.calls.addresses import Address
-from wagtaildale.calls.callers import CallerLimits
 from wagtaildale.calls.dialect import DEFAULT_DIALECT, Dialect
-from wagtaildale.calls.owner import Identity
+from wagtaildale.calls.http.callers import CallerLimits
+from wagtaildale.calls.owner.owner import Identity
 from wagtaildale.calls.task import CallsTask
 from wagtaildale.calls.task_settings import (
     CallsTaskDependencies,
@@ -37,7 +37,7 @@
 
 if TYPE_CHECKING:
     from wagtaildale.admission.gate import Gate
-    from wagtaildale.calls.owner import Owner
+    from wagtaildale.calls.owner.owner import Owner
     from wagtaildale.membership.records import InstanceRecord
 
 BACKEND_PORT: Final = 8090
--- a/wagtaildale/testing/replay/calls.py
+++ b/wagtaildale/testing/replay/calls.py
@@ -8,7 +8,7 @@
 from msgspec import Struct, structs
 
 from wagtaildale.admission.messages import Refused, RequestArrived, TicketId
-from wagtaildale.calls.attempts import Attempts
+from wagtaildale.calls.entry.attempts import Attempts
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.choice import RequestContext
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wagtaildale.calls.budgets import RetryBudget
+    from wagtaildale.calls.entry.budgets import RetryBudget
     from wagtaildale.routing.placement import ChosenUpstream
     from wagtaildale.testing.replay.clock import VirtualClock
     from wagtaildale.testing.replay.entries import ReplayEntry, ReplayRequest
--- a/wagtaildale/testing/replay/entries.py
+++ b/wagtaildale/testing/replay/entries.py
@@ -6,8 +6,8 @@
 
 from msgspec import Struct
 
-from wagtaildale.calls.budgets import RetryBudget
-from wagtaildale.calls.hedges import HedgeDelays
+from wagtaildale.calls.entry.budgets import RetryBudget
+from wagtaildale.calls.entry.hedges import HedgeDelays
 from wagtaildale.routing.choice import ChooserName
 from wagtaildale.routing.choosers import make_chooser
 from wagtaildale.routing.placement import Placement
