Lists: a version is pushed on with the confirmation that came with it

After an outage of the platform its first list lacks live instances, and nodes keep those in use that learn from the confirmation beside the list that the platform is back. A node that passed the list on described it by the confirmation that it had before, up to the whole outage old, since it noted the new one only after its pushes. Every node below an inner node of the push tree dropped the instances, and callers were refused (4005) until they were listed again. The confirmation is now noted first. It is ignored where it is that of an older version, as elsewhere.

test_lapsed_instances_stay_in_use_below_inner_nodes_of_the_tree failed before; the other test of lapses has four nodes, too few for an inner one.

--- a/wagtaildale/calls/entry/caller_retries.py
+++ b/wagtaildale/calls/entry/caller_retries.py
@@ -21,7 +21,7 @@
 # Difference between the time left of a retry and that of the failed request,
 # from delays on the way to the entry.
 TOLERANCE_SECONDS: Final = 0.1
-# A retry has less time left than any first try of the request by this factor.
+# A retry has less time left than this share of any first try of the request.
 # Callers that come back sooner have lost little of their time.
 MAX_RETRY_SHARE: Final = 0.9
 
--- a/wagtaildale/distribution/bodies.py
+++ b/wagtaildale/distribution/bodies.py
@@ -8,7 +8,6 @@
 from msgspec import Struct
 
 from wagtaildale.distribution.documents import handle_offer, request_delta
-from wagtaildale.distribution.lapses import note_platform_return
 from wagtaildale.distribution.messages import Effect, Send
 from wagtaildale.distribution.readers import (
     find_confirmed_at,
@@ -111,12 +110,10 @@
 @decide_body.register
 def _decide_push(body: Push, context: Context) -> list[Effect]:
     kind = body.delta.kind
-    note_platform_return(
-        context.state,
-        kind=kind,
-        confirmed_at=find_confirmed_at(body.holding, sent_at=context.sent_at),
-        now=context.now,
-    )
+    # First, because the version is pushed on with the confirmation that this
+    # node knows of: with an older one, receivers would not learn that the
+    # platform is back and drop the instances whose entries lapsed.
+    _note_freshness(context, body.holding)
     effects = handle_offer(
         context.state,
         kind=kind,
@@ -126,7 +123,6 @@
         # bypassed the root.
         from_tree=not body.bypasses_tree,
     )
-    _note_freshness(context, body.holding)
     acknowledgement = PushSeen(kind, body.delta.version)
     return [Send(to=context.sender, body=acknowledgement), *effects]
 
--- a/wagtaildale/distribution/tests/test_lapses.py
+++ b/wagtaildale/distribution/tests/test_lapses.py
@@ -21,6 +21,8 @@
 A = NAMES[0]
 D = NAMES[-1]
 OUTAGE_SECONDS = 8
+# Enough for a push tree with inner nodes.
+MANY_NODES = 24
 SERVICE = ServiceName('casefiles')
 
 
@@ -70,6 +72,19 @@
     assert list_known(network, A) == set(NAMES)
 
 
+def test_lapsed_instances_stay_in_use_below_inner_nodes_of_the_tree() -> None:
+    """Nodes refuse for seconds because the list reached them by another."""
+    names = tuple(InstanceId(f'n{number}') for number in range(MANY_NODES))
+    network = FakeNetwork(names, data_centres=('derby',))
+    network.source.publish(build_configuration(1))
+    network.settle()
+    simulate_outage(network, seconds=OUTAGE_SECONDS)
+    network.source.publish(list_without(network, *names[1:]))
+    network.settle()
+    for name in names:
+        assert list_known(network, name) == set(names)
+
+
 def test_instance_that_stays_unlisted_is_released() -> None:
     """Requests go to an instance that crashed during a platform outage.
 
