--- a/wagtaildale/distribution/bodies.py
+++ b/wagtaildale/distribution/bodies.py
@@ -9,10 +9,7 @@
 
 from wagtaildale.distribution.documents import handle_offer, request_delta
 from wagtaildale.distribution.messages import Effect, Send
-from wagtaildale.distribution.readers import (
-    find_confirmed_at,
-    note_freshness,
-)
+from wagtaildale.distribution.readers import note_freshness
 from wagtaildale.distribution.state import DistributionState
 from wagtaildale.distribution.suspicions import (
     compare_checksums,
