Reads of the platform: count those that fail; say how old a confirmation a new reader had

A node whose reads never succeed wrote one source-failed line and nothing more. The counts and the age of the last confirmation tell a node that begins to read too late from one whose reads fail.

--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -234,10 +234,11 @@
     *,
     now: float,
 ) -> list[messages.Effect]:
+    failed_reads = state.failing.get(message.kind, 0) + 1
+    state.failing[message.kind] = failed_reads
     # An outage of hours is logged once, not with every failed read.
-    if message.kind in state.failing:
+    if failed_reads > 1:
         return []
-    state.failing.add(message.kind)
     return [
         messages.SourceChanged(
             kind=message.kind,
@@ -365,8 +366,13 @@
 ) -> list[messages.Effect]:
     if kind not in state.failing:
         return []
-    state.failing.remove(kind)
-    return [messages.SourceChanged(kind=kind, code=Code.ok, detail='')]
+    recovered = messages.SourceChanged(
+        kind=kind,
+        code=Code.ok,
+        detail='',
+        failed_reads=state.failing.pop(kind),
+    )
+    return [recovered]
 
 
 def _reads_blobs(effect: messages.Effect) -> bool:
--- a/wagtaildale/distribution/effects.py
+++ b/wagtaildale/distribution/effects.py
@@ -91,6 +91,7 @@
         kind,
         subject=effect.kind.name,
         detail=f'rank {effect.rank}',
+        inputs=_describe_confirmed(effect.kind, sender.state),
     )
 
 
@@ -134,13 +135,21 @@
     This distinguishes a list that was read late from the platform from one
     that was delayed between nodes.
     """
-    fresh = state.freshness[effect.document.kind]
-    inputs: Inputs = {'origin': effect.origin or PLATFORM_ORIGIN}
-    if fresh.confirmed_at != NEVER:
-        age = read_clock() - fresh.confirmed_at
-        inputs['reader'] = fresh.reader
-        inputs['confirmed_ms_ago'] = round(age * MILLISECONDS)
-    return inputs
+    return {
+        'origin': effect.origin or PLATFORM_ORIGIN,
+        **_describe_confirmed(effect.document.kind, state),
+    }
+
+
+def _describe_confirmed(kind: DocumentKind, state: DistributionState) -> Inputs:
+    fresh = state.freshness[kind]
+    if fresh.confirmed_at == NEVER:
+        return {}
+    age = read_clock() - fresh.confirmed_at
+    return {
+        'reader': fresh.reader,
+        'confirmed_ms_ago': round(age * MILLISECONDS),
+    }
 
 
 @execute.register
@@ -243,13 +252,16 @@
 @execute.register
 def _change_source(effect: messages.SourceChanged, sender: Sender) -> None:
     kind = EventKind.source_failed
+    inputs: Inputs = {}
     if effect.code is Code.ok:
         kind = EventKind.source_recovered
+        inputs = {'failed_reads': effect.failed_reads}
     sender.dependencies.recorder.record(
         kind,
         code=effect.code,
         subject=effect.kind.name,
         detail=effect.detail,
+        inputs=inputs,
     )
 
 
--- a/wagtaildale/distribution/messages.py
+++ b/wagtaildale/distribution/messages.py
@@ -205,11 +205,13 @@
         kind: kind of the document that was read.
         code: reason of the failure; ``ok`` after a recovery.
         detail: text for the log.
+        failed_reads: number of reads that failed before a recovery.
     """
 
     kind: DocumentKind
     code: Code
     detail: str
+    failed_reads: int = 0
 
 
 class PeerBehind(Struct, frozen=True, kw_only=True):
--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -157,7 +157,8 @@
             it is not listed.
         confirmation_due_at: when this node, as a reader, sends its
             confirmation to its data centre, seconds; None if nothing is due.
-        failing: kinds of documents whose last read failed.
+        failing: number of failed reads since the last successful one, by kind
+            of document; empty if the last reads succeeded.
         suspects: requests that were running when a backend server ended.
         swap_count: number of swaps, used to take neighbours in turn.
     """
@@ -178,7 +179,7 @@
     appointed_at: float = NEVER
     listed_at: float | None = None
     confirmation_due_at: float | None = None
-    failing: set[DocumentKind] = field(default_factory=set)
+    failing: dict[DocumentKind, int] = field(default_factory=dict)
     suspects: SuspectTable = field(default_factory=SuspectTable)
     swap_count: int = 0
 
--- a/wagtaildale/distribution/tests/test_sources.py
+++ b/wagtaildale/distribution/tests/test_sources.py
@@ -30,6 +30,9 @@
     network.dispatch(A, answered)
     reported.extend(list_source_changes(network))
     assert reported == [Code.source_unreachable, Code.ok]
+    recovered = network.nodes[A].effects[0]
+    assert isinstance(recovered, messages.SourceChanged)
+    assert recovered.failed_reads == 3
 
 
 def list_source_changes(network: FakeNetwork) -> list[Code]:
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -23,6 +23,7 @@
 from wagtaildale.lifecycle.stop import Stop
 from wagtaildale.membership.state import MembershipState
 from wagtaildale.membership.topology import Member
+from wagtaildale.source.tasks import ReadCounts
 from wagtaildale.telemetry.events import EventKind, EventRecorder
 from wagtaildale.timers.messages import TimerName
 from wagtaildale.timers.service import (
@@ -120,6 +121,19 @@
         """
         return self._open_ports().map(lambda _none: self._start_tasks())
 
+    def count_reads(self) -> ReadCounts:
+        """Count the reads of the platform since the start.
+
+        Returns:
+            Reads of all tasks, and how many of them failed.
+        """
+        watches = self._watches
+        return ReadCounts(
+            reads=self._fetch.reads + sum(watch.reads for watch in watches),
+            failed=self._fetch.failed_reads
+            + sum(watch.failed_reads for watch in watches),
+        )
+
     def find_failure(self) -> BaseException | None:
         """Find a task that has ended although the node still runs.
 
--- a/wagtaildale/source/tasks.py
+++ b/wagtaildale/source/tasks.py
@@ -5,6 +5,7 @@
 import threading
 from typing import TYPE_CHECKING, Any, Final
 
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from wagtaildale.distribution.messages import (
@@ -36,6 +37,13 @@
 FETCH_BURST: Final = 8.0
 
 
+class ReadCounts(Struct, frozen=True, kw_only=True):
+    """Number of reads of the platform, and of those that failed."""
+
+    reads: int
+    failed: int
+
+
 class WatchTask:
     """Watches a feed while this node is an appointed reader.
 
@@ -68,6 +76,7 @@
         self.feed = feed
         self.backoff = Backoff(first_cap_seconds=first_cap_seconds)
         self.reads = 0
+        self.failed_reads = 0
         self._outbox = outbox
         self._wait = wait
         self._gather_seconds = gather_seconds
@@ -111,6 +120,7 @@
         if isinstance(read, Err):
             # After any failure the cursor is reset: the platform may have
             # restarted, or have changed without notice.
+            self.failed_reads += 1
             self.feed.restart()
             _put_failure(self._outbox, self.feed, read.err_value)
             self._stopping.wait(self.backoff.draw())
@@ -142,6 +152,7 @@
         """
         self.inbox: Inbox[ReadBlobs | ReadSource | None] = Inbox()
         self.reads = 0
+        self.failed_reads = 0
         self._feeds = {kind: feed for feed in feeds for kind in feed.kinds}
         self._platform = platform
         self._outbox = outbox
@@ -186,6 +197,7 @@
         self.reads += 1
         read = feed.read(wait=0)
         if isinstance(read, Err):
+            self.failed_reads += 1
             _put_failure(self._outbox, feed, read.err_value)
         else:
             _put_reading(self._outbox, read.ok_value)
@@ -196,6 +208,7 @@
         for digest in order.digests:
             blob = self._fetch_one(order, digest)
             if isinstance(blob, Err):
+                self.failed_reads += 1
                 _put_failure(
                     self._outbox, self._feeds[order.kind], blob.err_value
                 )
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -54,6 +54,18 @@
         unit='1',
         description='Whether this node watches the platform.',
     )
+    metrics.add_gauge(
+        'wagtaildale.platform.reads',
+        lambda: node.count_reads().reads,
+        unit='{read}',
+        description='Reads of the platform since the start.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.platform.reads_failed',
+        lambda: node.count_reads().failed,
+        unit='{read}',
+        description='Reads of the platform that failed since the start.',
+    )
     metrics.add_gauge(
         'wagtaildale.invariants.broken',
         lambda: parts.invariants.broken,
