--- a/wagtaildale/distribution/tests/watched_fleet.py
+++ b/wagtaildale/distribution/tests/watched_fleet.py
@@ -12,7 +12,7 @@
 from wagtaildale.membership.decisions import merge_news
 from wagtaildale.membership.topology import rank_instances
 from wagtaildale.testing.builders import build_configuration, build_instances
-from wagtaildale.testing.network import FakeNetwork, FakeNode
+from wagtaildale.testing.network import FakeNetwork
 from wagtaildale.timers.messages import Tick, TimerName
 from wagtaildale.types import (
     DocumentKind,
@@ -51,7 +51,13 @@
             seconds.
     """
 
-    def __init__(self, count: int, *, slow: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self,
+        count: int,
+        *,
+        slow: tuple[str, ...] = (),
+        slow_mbps: float = SLOW_MBPS,
+    ) -> None:
         names = tuple(f'n{number:02}' for number in range(count))
         self.network = FakeNetwork(
             names,
@@ -70,7 +76,7 @@
         self._next_read_at: dict[InstanceId, float] = {}
         self._versions_read: dict[InstanceId, tuple[Version, ...]] = {}
         for name, node in self.network.nodes.items():
-            mbps = SLOW_MBPS if name in slow else FAST_MBPS
+            mbps = slow_mbps if name in slow else FAST_MBPS
             node.state.tuning = make_tuning(
                 apply_seconds=DRAIN_SECONDS,
                 line_mbps=mbps,
@@ -110,28 +116,38 @@
         self.network.source.publish(listing)
         return version
 
-    def measure_spread(self, version: Version) -> float:
-        """Let time pass until all near nodes hold a list.
+    def measure_spread(
+        self,
+        version: Version,
+        *,
+        kind: DocumentKind = DocumentKind.instances,
+    ) -> float:
+        """Let time pass until all near nodes hold a version.
 
         Returns:
             Seconds that it took, ``MAX_SPREAD_SECONDS`` at most.
         """
         started_at = self.network.now
         while self.network.now - started_at < MAX_SPREAD_SECONDS:
-            if not self.list_outdated(version):
+            if not self.list_outdated(version, kind=kind):
                 break
             self.pass_time(STEP_SECONDS)
         return self.network.now - started_at
 
-    def list_outdated(self, version: Version) -> list[InstanceId]:
-        """List the near nodes that are ready and lack a version of the list."""
+    def list_outdated(
+        self,
+        version: Version,
+        *,
+        kind: DocumentKind = DocumentKind.instances,
+    ) -> list[InstanceId]:
+        """List the near nodes that are ready and lack a version."""
         nodes = self.network.nodes
         return [
             name
             for name in self.near
             if nodes[name].running
             and nodes[name].state.members.state is NodeState.ready
-            and _read_list_version(nodes[name]) < version
+            and nodes[name].state.stores[kind].held.version < version
         ]
 
     def pass_time(self, seconds: float) -> None:
@@ -192,6 +208,18 @@
                 self.network.dispatch(name, _confirm(document))
 
 
+def publish_configuration(network: FakeNetwork) -> Version:
+    """Publish the next version of the configuration.
+
+    Returns:
+        The new version.
+    """
+    shown = _find_shown(network, DocumentKind.configuration)
+    version = Version(shown.version + 1)
+    network.source.publish(build_configuration(version))
+    return version
+
+
 def suspect_node(network: FakeNetwork, instance: InstanceId) -> None:
     """Make all other nodes suspect an instance."""
     members = network.nodes[instance].state.members
@@ -208,10 +236,6 @@
     return network.source.published[kind]
 
 
-def _read_list_version(node: FakeNode) -> Version:
-    return node.state.stores[DocumentKind.instances].held.version
-
-
 def _mark_leaving(record: InstanceRecord) -> InstanceRecord:
     return structs.replace(record, state=ListedState.leaving)
 
--- a/wagtaildale/platform/tests/stores.py
+++ b/wagtaildale/platform/tests/stores.py
@@ -16,6 +16,7 @@
 STATUS_OK: Final = 200
 STATUS_GONE: Final = 410
 POLL_SECONDS: Final = 0.01
+PIECE_SECONDS: Final = 0.02
 MILLISECONDS: Final = 1000
 
 
@@ -39,11 +40,17 @@
 
     Attributes:
         era: era of the store; rises with each restore.
+        pieces: number of pieces in which a body is sent, with a pause after
+            each.
+        stops_after: number of pieces after which a body stops half way; None
+            to send all.
         paths: paths of the received requests, the latest last.
     """
 
     def __init__(self) -> None:
         self.era = 1
+        self.pieces = 1
+        self.stops_after: int | None = None
         self.paths: list[str] = []
         self._changes: tuple[Change, ...] = ()
         self._server = ThreadingHTTPServer(('127.0.0.1', 0), _RequestHandler)
@@ -124,6 +131,7 @@
         return STATUS_OK, {'events': events, 'storeRevision': self.revision}
 
     def close(self) -> None:
+        self.stops_after = None
         self._server.shutdown()
         self._server.server_close()
 
@@ -144,11 +152,21 @@
         self.send_header('Store-Era', str(store.era))
         self.send_header('Content-Length', str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        self._send_body(store, body)
 
     def log_message(self, format: str, *args: Any) -> None:
         """Write nothing."""
 
+    def _send_body(self, store: StandInStore, body: bytes) -> None:
+        size = -(-len(body) // store.pieces)
+        offsets = range(0, len(body), size)[: store.stops_after]
+        for offset in offsets:
+            self.wfile.write(body[offset : offset + size])
+            if store.pieces > 1:
+                time.sleep(PIECE_SECONDS)
+        while store.stops_after is not None:
+            time.sleep(POLL_SECONDS)
+
 
 def _encode_change(change: Change) -> dict[str, Any]:
     if change.payload is None:
--- a/wagtaildale/testing/network.py
+++ b/wagtaildale/testing/network.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from typing import Final
 
@@ -121,7 +122,8 @@
 class FakeNetwork:
     """Nodes, the messages in flight between them, the platform and the time.
 
-    ``sent`` counts the messages of all nodes by the type of their body.
+    ``sent`` counts the messages of all nodes by the type of their body, and
+    ``lost_share`` is the share of them that is lost at random.
 
     Example:
         >>> network = FakeNetwork(('a', 'b'), data_centres=('derby',))
@@ -147,6 +149,7 @@
         self.now = float(100)
         self.in_flight: list[MessageInFlight] = []
         self.sent: Counter[type[Body]] = Counter()
+        self.lost_share = float(0)
         self.partitions: set[frozenset[InstanceId]] = set()
         self.source = FakeSource(
             published={kind: make_empty(kind) for kind in DocumentKind},
@@ -410,6 +413,8 @@
             return
         wrapped = self.wrap(sender, to=to, body=effect.body)
         self.sent[type(effect.body)] += 1
+        if random.random() < self.lost_share:
+            return
         frame = encode_envelope(wrapped.envelope)
         self.in_flight.append(
             MessageInFlight(sender=sender, to=to, frame=frame)
