Reads of the platform: limit the time without a byte, not the time of the answer

Callers got answers of an older version, 404 for routes that had been added, for as long as only nodes on slow lines were left. Each of them appointed itself and no read of any ever ended: the whole answer had a fifth of the time to apply, 0.5 s, and 255 KB take 0.58 s of an idle line of 3.5 Mbit/s; what had come was thrown away and read again.

A store that is silent is found out as soon as before.

--- a/wagtaildale/platform/store.py
+++ b/wagtaildale/platform/store.py
@@ -107,13 +107,17 @@
         self,
         url: str,
         *,
-        timeout_seconds: float,
+        hold_seconds: float,
+        idle_timeout_seconds: float,
     ) -> Result[Answer, ReadFailure]:
         """Send a GET request and wait for its response.
 
         Args:
             url: URL to get.
-            timeout_seconds: longest time for the whole response, seconds.
+            hold_seconds: longest time that the server holds the response back,
+                seconds.
+            idle_timeout_seconds: longest time without a byte of the response
+                beyond that, seconds.
 
         Returns:
             The response, or why there is none.
@@ -137,13 +141,13 @@
             regions: region of each data centre.
             client: HTTP client; one that uses libcurl if left out.
         """
-        answer_timeout_seconds = settings.bounds.read_seconds
+        idle_timeout_seconds = settings.bounds.idle_read_seconds
         self._url = settings.platform.url
         self._settings = settings
         self._regions = regions
-        self._answer_timeout_seconds = answer_timeout_seconds
+        self._idle_timeout_seconds = idle_timeout_seconds
         self._client: HttpClient = client or CurlClient(
-            connect_timeout_ms=round(answer_timeout_seconds * MILLISECONDS),
+            connect_timeout_ms=round(idle_timeout_seconds * MILLISECONDS),
         )
 
     def read_all(self) -> Result[StoreReading, ReadFailure]:
@@ -293,7 +297,8 @@
     ) -> Result[tuple[Decoded, Era], ReadFailure]:
         response = self._client.get(
             f'{self._url}{path}',
-            timeout_seconds=wait + self._answer_timeout_seconds,
+            hold_seconds=wait,
+            idle_timeout_seconds=self._idle_timeout_seconds,
         )
         if isinstance(response, Err):
             return response
--- a/wagtaildale/platform/tests/feeds.py
+++ b/wagtaildale/platform/tests/feeds.py
@@ -39,7 +39,8 @@
         self,
         url: str,
         *,
-        timeout_seconds: float,
+        hold_seconds: float,
+        idle_timeout_seconds: float,
     ) -> Result[Answer, ReadFailure]:
         self.urls.append(url)
         answer = self._answers.pop(0)
--- a/wagtaildale/settings/model.py
+++ b/wagtaildale/settings/model.py
@@ -41,7 +41,7 @@
 SLOW_START_SLACK: Final = 4.0
 # Share of the time to apply a version: leaves time to repeat a failed read
 # twice.
-READ_SHARE: Final = 0.2
+IDLE_READ_SHARE: Final = 0.2
 
 Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
 Host = Annotated[str, Meta(pattern=HOST_PATTERN)]
@@ -208,9 +208,9 @@
     slow_start_slack: Annotated[float, Meta(ge=0)] = SLOW_START_SLACK
 
     @property
-    def read_seconds(self) -> float:
-        """Longest time of a read of the platform beyond its wait, seconds."""
-        return READ_SHARE * min(self.apply_seconds, self.drain_seconds)
+    def idle_read_seconds(self) -> float:
+        """Longest time without a byte of the platform's answer, seconds."""
+        return IDLE_READ_SHARE * min(self.apply_seconds, self.drain_seconds)
 
 
 class LogSettings(Struct, frozen=True, kw_only=True):
--- a/wagtaildale/source/http.py
+++ b/wagtaildale/source/http.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from wagtaildale.settings.model import PlatformSettings
 
-ANSWER_TIMEOUT_SECONDS: Final = 3.0
+IDLE_TIMEOUT_SECONDS: Final = 3.0
 MILLISECONDS: Final = 1000
 INDEX_HEADER: Final = 'x-index:'
 STATUS_OK: Final = 200
@@ -70,7 +70,7 @@
             The part's bytes, None if there is no such part, or why it was
             not read.
         """
-        answer = self._get(f'{self._keys}/parts/{name}', ANSWER_TIMEOUT_SECONDS)
+        answer = self._get(f'{self._keys}/parts/{name}', 0)
         if isinstance(answer, Err):
             return answer
         if answer.ok_value.status == STATUS_NOT_FOUND:
@@ -103,7 +103,7 @@
     ) -> Result[Reading[Payload], ReadFailure]:
         wait_ms = round(wait * MILLISECONDS)
         query = f'{url}?index={index}&wait={wait_ms}ms'
-        fetched = self._get(query, wait + ANSWER_TIMEOUT_SECONDS)
+        fetched = self._get(query, wait)
         if isinstance(fetched, Err):
             return fetched
         answer = fetched.ok_value
@@ -115,8 +115,14 @@
             return Err(ReadFailure(code=Code.part_corrupt, detail=str(error)))
         return Ok(Reading(index=_find_index(answer), payload=decoded))
 
-    def _get(self, url: str, seconds: float) -> Result[Answer, ReadFailure]:
-        fetched = self._client.get(url, timeout_seconds=seconds)
+    def _get(
+        self, url: str, hold_seconds: float
+    ) -> Result[Answer, ReadFailure]:
+        fetched = self._client.get(
+            url,
+            hold_seconds=hold_seconds,
+            idle_timeout_seconds=IDLE_TIMEOUT_SECONDS,
+        )
         if (
             isinstance(fetched, Err)
             or fetched.ok_value.status in READABLE_STATUSES
