Versions: tell other data centres of a configuration at once, group by group

Callers of a data centre that had lost its fast lines got an old version for one to three seconds after the others, once it was over the time to apply. Lists are pushed to all data centres, a configuration was not: it crossed by digests, one a second to one of four neighbours.

The reader now sends its digest to the first two nodes of the other push trees 0.2 s after it has applied a configuration, to the next two 0.25 s later, and to two more; who is behind pulls the delta. A data centre with a reader of its own has the version by then and asks for nothing, so that it costs about 200 bytes a message.

--- a/wagtaildale/distribution/confirmations.py
+++ b/wagtaildale/distribution/confirmations.py
@@ -4,7 +4,10 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.distribution.appointments import is_primary_reader
+from wagtaildale.distribution.appointments import (
+    is_primary_reader,
+    pushes_to_others,
+)
 from wagtaildale.distribution.messages import Send
 from wagtaildale.distribution.readers import set_own_reader
 from wagtaildale.membership.state import get_topology
@@ -65,6 +68,51 @@
     return send_confirmation(state, now=now)
 
 
+def schedule_announcement(state: DistributionState, *, now: float) -> None:
+    """Schedule the announcement of a configuration to other data centres.
+
+    A data centre without a reader of its own then pulls the version at once. It
+    would otherwise wait for digests of its neighbours, one a second. Lists need
+    none: readers push them to all data centres. The announcement comes when the
+    version has spread from the data centre's own reader, if it has one.
+
+    Args:
+        state: state of the node; updated in place.
+        now: current time, seconds.
+    """
+    if pushes_to_others(state) and state.tuning.passes_on:
+        state.announced_groups = 0
+        state.announcement_due_at = now + CONFIRMATION_DELAY_SECONDS
+
+
+def send_due_announcement(
+    state: DistributionState, *, now: float
+) -> list[Effect]:
+    """Send the digest to the next nodes of other data centres if it is due.
+
+    Several groups of nodes are told in turn, since messages may be lost and the
+    first nodes may have just ended.
+
+    Args:
+        state: state of the node; updated in place.
+        now: current time, seconds.
+
+    Returns:
+        Messages to send, if any.
+    """
+    if state.announcement_due_at is None or now < state.announcement_due_at:
+        return []
+    groups = get_topology(state.members).contacts
+    if state.announced_groups >= len(groups) or not state.appointed:
+        state.announcement_due_at = None
+        return []
+    body = state.make_swap(now, is_reply=True)
+    contacts = groups[state.announced_groups]
+    state.announced_groups += 1
+    state.announcement_due_at = now + state.tuning.resend_seconds
+    return [Send(to=contact, body=body) for contact in contacts]
+
+
 def send_confirmation(
     state: DistributionState,
     *,
--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -16,8 +16,10 @@
 from wagtaildale.distribution.bodies import Context, decide_body
 from wagtaildale.distribution.confirmations import (
     claim_confirmations,
+    schedule_announcement,
     schedule_confirmation,
     send_confirmation,
+    send_due_announcement,
     send_due_confirmation,
 )
 from wagtaildale.distribution.documents import handle_offer
@@ -151,6 +153,7 @@
     return [
         *resend_pushes(state, now=now),
         *send_due_confirmation(state, now=now),
+        *send_due_announcement(state, now=now),
         *_check_while_joining(state, now=now),
     ]
 
@@ -182,7 +185,9 @@
     forwarded: list[messages.Effect] = []
     if any(isinstance(each, messages.DocumentUpdated) for each in effects):
         schedule_confirmation(state, now=now)
-        if kind is DocumentKind.instances and pushes_to_others(state):
+        if kind is DocumentKind.configuration:
+            schedule_announcement(state, now=now)
+        elif pushes_to_others(state):
             forwarded = push_to_data_centres(state, kind=kind, now=now)
     elif kind is DocumentKind.configuration:
         forwarded = _send_unless_scheduled(state, now=now)
--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -157,6 +157,10 @@
             it is not listed.
         confirmation_due_at: when this node, as a reader, sends its
             confirmation to its data centre, seconds; None if nothing is due.
+        announced_groups: number of groups of nodes in other data centres that
+            this node, as a reader, has told of its latest change.
+        announcement_due_at: when it tells the next group, seconds; None if it
+            has told all.
         failing: number of failed reads since the last successful one, by kind
             of document; empty if the last reads succeeded.
         suspects: requests that were running when a backend server ended.
@@ -179,6 +183,8 @@
     appointed_at: float = NEVER
     listed_at: float | None = None
     confirmation_due_at: float | None = None
+    announced_groups: int = 0
+    announcement_due_at: float | None = None
     failing: dict[DocumentKind, int] = field(default_factory=dict)
     suspects: SuspectTable = field(default_factory=SuspectTable)
     swap_count: int = 0
--- a/wagtaildale/distribution/task.py
+++ b/wagtaildale/distribution/task.py
@@ -41,12 +41,14 @@
         now: current time, seconds.
 
     Returns:
-        Seconds until the next deadline: of a push, of a confirmation or, while
-        the node is joining, of its next check; at most one second.
+        Seconds until the next deadline: of a push, of a confirmation, of an
+        announcement or, while the node is joining, of its next check; at most
+        one second.
     """
     due = [push.due for push in state.pushes.values()]
-    if state.confirmation_due_at is not None:
-        due.append(state.confirmation_due_at)
+    for due_at in (state.confirmation_due_at, state.announcement_due_at):
+        if due_at is not None:
+            due.append(due_at)
     if state.members.state is NodeState.joining:
         due.append(state.joining.next_check_at)
     return min(MAX_WAIT_SECONDS, max(0, min(due, default=now + 1) - now))
--- a/wagtaildale/membership/topology.py
+++ b/wagtaildale/membership/topology.py
@@ -12,7 +12,7 @@
 from bisect import bisect_right
 from functools import lru_cache
 from hashlib import blake2b
-from itertools import chain
+from itertools import chain, pairwise
 from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct
@@ -29,6 +29,9 @@
 LOCAL_RING_COUNT: Final = 3
 # Two, because one of these nodes may have just ended.
 ROOTS_PER_DATA_CENTRE: Final = 2
+# Number of groups of so many nodes of a data centre that learn of a change in
+# turn: after a loss of power, many of the first nodes may have just ended.
+CONTACT_GROUPS: Final = 3
 FLEET_RING_SALT: Final = 'fleet'
 
 
@@ -154,13 +157,19 @@
             as readers of the platform's list, best first.
         tree: nodes of the data centre in the order of the push tree.
         neighbours: nodes that digests are exchanged with.
-        roots: first two nodes of the push tree of each other data centre.
+        contacts: nodes of the other data centres that learn of a change, in
+            groups: the first two nodes of each push tree, then the next two.
     """
 
     readers: tuple[InstanceId, ...]
     tree: tuple[InstanceId, ...]
     neighbours: tuple[InstanceId, ...]
-    roots: tuple[InstanceId, ...]
+    contacts: tuple[tuple[InstanceId, ...], ...]
+
+    @property
+    def roots(self) -> tuple[InstanceId, ...]:
+        """First two nodes of the push tree of each other data centre."""
+        return self.contacts[0]
 
 
 def compute_topology(
@@ -198,22 +207,29 @@
         readers=tuple(rank_instances('reader', instances=staying)),
         tree=tuple(rank_instances('tree', instances=local)),
         neighbours=tuple(neighbours),
-        roots=_find_roots(members, own.data_centre),
+        contacts=_find_contacts(members, own.data_centre),
     )
 
 
-def _find_roots(
+def _find_contacts(
     members: Sequence[Member],
     own: DataCentre,
-) -> tuple[InstanceId, ...]:
+) -> tuple[tuple[InstanceId, ...], ...]:
     others = {member.data_centre for member in members} - {own}
-    trees = (
+    trees = [
         rank_instances(
             'tree',
             instances=list_local(members, data_centre=data_centre),
         )
         for data_centre in sorted(others)
-    )
+    ]
     return tuple(
-        chain.from_iterable(tree[:ROOTS_PER_DATA_CENTRE] for tree in trees)
+        tuple(chain.from_iterable(tree[first:last] for tree in trees))
+        for first, last in pairwise(
+            range(
+                0,
+                (CONTACT_GROUPS + 1) * ROOTS_PER_DATA_CENTRE,
+                ROOTS_PER_DATA_CENTRE,
+            ),
+        )
     )
