Readers: heartbeats tell the death of a reader before its confirmation is missed

Callers got an old version when the last readers on fast lines died right before a version was published. The wait for a missing confirmation (0.65 of the time to apply, since confirmations come once per watch), the wait for all ranks of the data centre, the review of up to 0.25 s and a first read over a slow line of up to 0.9 s add up to more than the 2.5 s that a version may take.

A reader now sends its digest to the next 32 nodes of its data centre each 0.13 of the time to apply, and says in it that it reads. The next node takes over 0.34 of the time after the last one, in turns spread over 0.06, those on slow lines in as much time again; the first one's heartbeat stops the others, so that one node reads where all read before. No heartbeat is sent between data centres, and none costs a call of the platform. A reader that lives without answers of the platform is found out by its confirmations, as before.

Ruled out: marking the silent reader as suspected, which would clear it from the push trees at once but also take its server out of use for one lost pair of messages.

--- a/wagtaildale/distribution/appointments.py
+++ b/wagtaildale/distribution/appointments.py
@@ -16,6 +16,7 @@
 
 from typing import TYPE_CHECKING
 
+from wagtaildale.distribution.liveness import is_takeover_due, send_heartbeat
 from wagtaildale.distribution.messages import Watch
 from wagtaildale.distribution.staleness import (
     needs_spare_reader,
@@ -41,7 +42,8 @@
         now: current time, seconds.
 
     Returns:
-        Watches to begin or end, one for each kind of document.
+        Watches to begin or end, one for each kind of document, and messages
+        that tell the data centre of it.
     """
     rank = find_rank(state)
     _note_listed(state, now)
@@ -50,9 +52,29 @@
         return []
     state.appointed = wanted
     state.appointed_at = now
-    return [
+    watches = [
         Watch(kind=kind, appointed=wanted, rank=rank) for kind in DocumentKind
     ]
+    return [*watches, *send_heartbeat(state, now=now)]
+
+
+def take_over_if_due(state: DistributionState, *, now: float) -> list[Effect]:
+    """Take over from readers of this data centre that have fallen silent.
+
+    Args:
+        state: state of the node; updated in place.
+        now: current time, seconds.
+
+    Returns:
+        Watches to begin, and messages to send.
+    """
+    if not is_takeover_due(state, now=now):
+        return []
+    effects = review_appointment(state, now=now)
+    if not state.appointed:
+        # It may not read at all, for instance because it is stopping.
+        state.live_readers.clear()
+    return effects
 
 
 def find_rank(state: DistributionState) -> int:
@@ -108,8 +130,10 @@
     spare = rank < tuning.readers + tuning.spare_readers
     if not spare:
         return False
-    return needs_spare_reader(state, rank, now=now) or relieves_slow_reader(
-        state, rank, now=now
+    return (
+        is_takeover_due(state, now=now)
+        or needs_spare_reader(state, rank, now=now)
+        or relieves_slow_reader(state, rank, now=now)
     )
 
 
--- a/wagtaildale/distribution/bodies.py
+++ b/wagtaildale/distribution/bodies.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from wagtaildale.distribution.documents import handle_offer, request_delta
+from wagtaildale.distribution.liveness import note_reader
 from wagtaildale.distribution.messages import Effect, Send
 from wagtaildale.distribution.readers import note_freshness
 from wagtaildale.distribution.state import DistributionState
@@ -79,6 +80,12 @@
 def _decide_swap(body: Swap, context: Context) -> list[Effect]:
     state = context.state
     effects: list[Effect] = []
+    note_reader(
+        state,
+        sender=context.sender,
+        watches=body.watches,
+        sent_at=context.sent_at,
+    )
     holdings = body.holdings if state.tuning.passes_on else ()
     for holding in holdings:
         _note_freshness(context, holding)
--- a/wagtaildale/distribution/confirmations.py
+++ b/wagtaildale/distribution/confirmations.py
@@ -8,6 +8,11 @@
     is_primary_reader,
     pushes_to_others,
 )
+from wagtaildale.distribution.liveness import (
+    list_receivers,
+    make_heartbeat,
+    schedule_heartbeat,
+)
 from wagtaildale.distribution.messages import Send
 from wagtaildale.distribution.readers import set_own_reader
 from wagtaildale.membership.state import get_topology
@@ -15,6 +20,7 @@
 if TYPE_CHECKING:
     from wagtaildale.distribution.messages import Effect
     from wagtaildale.distribution.state import DistributionState
+    from wagtaildale.types import InstanceId
 
 # A change passes down the push tree within this time, even over slow lines.
 CONFIRMATION_DELAY_SECONDS: Final = 0.2
@@ -134,7 +140,17 @@
     state.confirmation_due_at = None
     if not state.appointed or not state.tuning.passes_on:
         return []
-    own = state.members.own.instance
+    schedule_heartbeat(state, now=now)
+    receivers = list_receivers(state)
+    heartbeat = make_heartbeat(state, now=now)
+    body = state.make_swap(now, is_reply=True)
+    return [
+        Send(to=peer, body=heartbeat if peer in receivers else body)
+        for peer in _list_informed(state)
+    ]
+
+
+def _list_informed(state: DistributionState) -> list[InstanceId]:
     readers = get_topology(state.members).readers
     # A spare reader that reads in place of nodes on slow lines informs those
     # nodes too.
@@ -144,7 +160,5 @@
     # reply. If it received nothing, it could neither refute the suspicion,
     # which each message includes, nor learn that its server leaves.
     suspects = state.members.list_local_suspects()
-    body = state.make_swap(now, is_reply=True)
-    return [
-        Send(to=peer, body=body) for peer in (*spares, *suspects) if peer != own
-    ]
+    own = state.members.own.instance
+    return [peer for peer in (*spares, *suspects) if peer != own]
--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -12,6 +12,7 @@
 from wagtaildale.distribution.appointments import (
     pushes_to_others,
     review_appointment,
+    take_over_if_due,
 )
 from wagtaildale.distribution.bodies import Context, decide_body
 from wagtaildale.distribution.confirmations import (
@@ -25,6 +26,10 @@
 from wagtaildale.distribution.documents import handle_offer
 from wagtaildale.distribution.joining import announce_state, review_ready
 from wagtaildale.distribution.lapses import expire_retained
+from wagtaildale.distribution.liveness import (
+    forgive_silence,
+    send_due_heartbeat,
+)
 from wagtaildale.distribution.pushes import push_to_data_centres, resend_pushes
 from wagtaildale.distribution.readers import note_confirmed, read_while_joining
 from wagtaildale.distribution.state import MILLISECONDS, DistributionState
@@ -140,6 +145,7 @@
     # during the pause. The next swap updates this node's view.
     state.pushes.clear()
     state.pending_replies.clear()
+    forgive_silence(state, now=now)
     return swap_digests(state, now=now)
 
 
@@ -154,6 +160,8 @@
         *resend_pushes(state, now=now),
         *send_due_confirmation(state, now=now),
         *send_due_announcement(state, now=now),
+        *send_due_heartbeat(state, now=now),
+        *take_over_if_due(state, now=now),
         *_check_while_joining(state, now=now),
     ]
 
--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -157,6 +157,10 @@
             it is not listed.
         confirmation_due_at: when this node, as a reader, sends its
             confirmation to its data centre, seconds; None if nothing is due.
+        live_readers: when each other reader of this data centre last said that
+            it is one, seconds.
+        heartbeat_due_at: when this node, as a reader, sends its next heartbeat,
+            seconds; None if nothing is due.
         announced_groups: number of groups of nodes in other data centres that
             this node, as a reader, has told of its latest change.
         announcement_due_at: when it tells the next group, seconds; None if it
@@ -183,6 +187,8 @@
     appointed_at: float = NEVER
     listed_at: float | None = None
     confirmation_due_at: float | None = None
+    live_readers: dict[InstanceId, float] = field(default_factory=dict)
+    heartbeat_due_at: float | None = None
     announced_groups: int = 0
     announcement_due_at: float | None = None
     failing: dict[DocumentKind, int] = field(default_factory=dict)
--- a/wagtaildale/distribution/task.py
+++ b/wagtaildale/distribution/task.py
@@ -10,6 +10,7 @@
 from wagtaildale.distribution.decisions import decide
 from wagtaildale.distribution.dependencies import Counts, TaskDependencies
 from wagtaildale.distribution.effects import execute
+from wagtaildale.distribution.liveness import find_takeover_at
 from wagtaildale.distribution.state import MILLISECONDS
 from wagtaildale.distribution.wire import (
     Envelope,
@@ -41,14 +42,18 @@
         now: current time, seconds.
 
     Returns:
-        Seconds until the next deadline: of a push, of a confirmation, of an
-        announcement or, while the node is joining, of its next check; at most
-        one second.
+        Seconds until the next deadline: of a push, of a message that a reader
+        sends, of a takeover or, while the node is joining, of its next check;
+        at most one second.
     """
     due = [push.due for push in state.pushes.values()]
-    for due_at in (state.confirmation_due_at, state.announcement_due_at):
-        if due_at is not None:
-            due.append(due_at)
+    scheduled = (
+        state.confirmation_due_at,
+        state.announcement_due_at,
+        state.heartbeat_due_at,
+        find_takeover_at(state),
+    )
+    due.extend(due_at for due_at in scheduled if due_at is not None)
     if state.members.state is NodeState.joining:
         due.append(state.joining.next_check_at)
     return min(MAX_WAIT_SECONDS, max(0, min(due, default=now + 1) - now))
--- a/wagtaildale/distribution/tuning.py
+++ b/wagtaildale/distribution/tuning.py
@@ -52,6 +52,13 @@
             reads from the platform.
         alone_seconds: how long a new node that has read from the platform
             waits for a reply of a peer.
+        reader_heartbeat_seconds: interval between two heartbeats of a reader;
+            0 for none.
+        reader_silence_seconds: time without a heartbeat after which the next
+            node takes over.
+        takeover_spread_seconds: time over which the nodes of a data centre
+            take over one after the other; those on slow lines follow in as
+            much time again.
         lapse_seconds: time without a confirmation after which entries of live
             instances may have lapsed at the platform.
         passes_on: whether nodes send versions to each other at all.
@@ -76,6 +83,9 @@
     gather_seconds: float = 0
     ask_peers_seconds: float = 1.0
     alone_seconds: float = 2.0
+    reader_heartbeat_seconds: float = 0
+    reader_silence_seconds: float = 0
+    takeover_spread_seconds: float = 0
     lapse_seconds: float = 4.5
     passes_on: bool = True
     read_seconds: float = 0
@@ -99,6 +109,12 @@
 # platform. When a whole fleet starts at once, no seed has a version, and each
 # further tenth of a second is one in which every caller is refused.
 ASK_PEERS_SHARE: Final = 0.05
+# A node on a slow line needs a third of the time for its first read, so the
+# loss of a reader must be known after another third, also when one heartbeat
+# was lost.
+READER_HEARTBEAT_SHARE: Final = 0.13
+READER_SILENCE_SHARE: Final = 0.34
+TAKEOVER_SPREAD_SHARE: Final = 0.06
 # Number of writes that an instance misses before its entry lapses, according
 # to the platform's operators.
 MISSED_HEARTBEATS: Final = 3
@@ -162,6 +178,9 @@
         backoff_seconds=BACKOFF_SHARE * apply_seconds,
         gather_seconds=GATHER_SHARE * apply_seconds,
         ask_peers_seconds=ASK_PEERS_SHARE * apply_seconds,
+        reader_heartbeat_seconds=READER_HEARTBEAT_SHARE * apply_seconds,
+        reader_silence_seconds=READER_SILENCE_SHARE * apply_seconds,
+        takeover_spread_seconds=TAKEOVER_SPREAD_SHARE * apply_seconds,
         # Answers of such a platform are never stale, so that peers need not
         # confirm them.
         alone_seconds=0,
--- a/wagtaildale/distribution/wire.py
+++ b/wagtaildale/distribution/wire.py
@@ -64,11 +64,13 @@
         is_reply: whether it replies to a swap; replies get no reply.
         suspects: checksum of the suspected requests that all nodes must know;
             None if not sent.
+        watches: whether the sender is a reader, in a heartbeat; otherwise None.
     """
 
     holdings: tuple[Holding, ...]
     is_reply: bool
     suspects: int | None = None
+    watches: bool | None = None
 
 
 class Push(Struct, frozen=True, array_like=True, tag=2):
