--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -159,7 +159,7 @@
             confirmation to its data centre, seconds; None if nothing is due.
         live_readers: when each other reader of this data centre last said that
             it is one, seconds.
-        claimed_at: when a node of the data centre last became a reader, seconds.
+        claimed_at: when a node of this data centre last began to read, seconds.
         heartbeat_due_at: when this node, as a reader, sends its next heartbeat,
             seconds; None if nothing is due.
         announced_groups: number of groups of nodes in other data centres that
