--- a/wagtaildale/distribution/tests/test_slow_lines.py
+++ b/wagtaildale/distribution/tests/test_slow_lines.py
@@ -17,6 +17,8 @@
 
 NODES: Final = 44
 SLOW_MBPS: Final = 3.5
+# A full read takes as long as one of 600 KB, for 2,500 routes, at 3.5 Mbit/s.
+LARGE_READ_MBPS: Final = 2.3
 # Two nodes of each data centre are on fast lines.
 FAST_NAMES: Final = tuple(InstanceId(f'n{number:02}') for number in range(4))
 START_SECONDS: Final = 8.0
@@ -31,11 +33,11 @@
 MOST_SLOW_READERS: Final = 4
 
 
-def build_fleet(seed: int) -> WatchedFleet:
+def build_fleet(seed: int, *, slow_mbps: float = SLOW_MBPS) -> WatchedFleet:
     """Build a running fleet with few fast lines, where messages are lost."""
     random.seed(seed)
     slow = tuple(f'n{number:02}' for number in range(len(FAST_NAMES), NODES))
-    fleet = WatchedFleet(NODES, slow=slow, slow_mbps=SLOW_MBPS)
+    fleet = WatchedFleet(NODES, slow=slow, slow_mbps=slow_mbps)
     fleet.read_share = 1
     fleet.network.lost_share = LOST_SHARE
     fleet.pass_time(START_SECONDS)
@@ -107,3 +109,13 @@
         slow = set(fleet.list_near_watchers()) - set(FAST_NAMES)
         most = max(most, len(slow))
     assert most <= MOST_SLOW_READERS
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_large_version_is_in_time_where_only_slow_lines_are_left(
+    seed: int,
+) -> None:
+    """A full read alone takes over half of the time to apply."""
+    fleet = build_fleet(seed, slow_mbps=LARGE_READ_MBPS)
+    kill_fast_nodes(fleet, all_data_centres=True)
+    assert measure_version(fleet) < APPLY_SECONDS
