--- a/wagtaildale/distribution/liveness.py
+++ b/wagtaildale/distribution/liveness.py
@@ -62,31 +62,36 @@
     state.live_readers[sender] = sent_at
 
 
-def find_takeover_at(state: DistributionState) -> float | None:
-    """Find when this node takes over from readers that stay silent.
+def find_takeover_at(state: DistributionState, *, now: float) -> float | None:
+    """Find when this node may have to take over from readers that stay silent.
 
     The nodes of a data centre take over one after the other, by rank; the
     first one's heartbeat stops the others. Those on slow lines come last.
 
     Args:
         state: state of the node.
+        now: current time, seconds.
 
     Returns:
-        Seconds; None if it is a reader itself, or knows of none that could
-        fall silent.
+        Seconds, before the end of the silence only its end; None if it is a
+        reader itself, or knows of none that could fall silent.
     """
     tuning = state.tuning
-    readers = get_topology(state.members).readers
-    rank = state.find_own_rank(readers)
-    if state.appointed or not state.live_readers or rank == NO_RANK:
+    if state.appointed or not state.live_readers:
         return None
     if not tuning.reader_heartbeat_seconds:
         return None
+    silent_at = max(state.live_readers.values()) + tuning.reader_silence_seconds
+    if now < silent_at:
+        # Finding the turn computes the topology again after each change of
+        # the fleet, which is too much work for each message of a large one.
+        return silent_at
+    readers = get_topology(state.members).readers
+    rank = state.find_own_rank(readers)
+    if rank == NO_RANK:
+        return None
     turn = rank / len(readers) + tuning.reads_last
-    delay = (
-        tuning.reader_silence_seconds + turn * tuning.takeover_spread_seconds
-    )
-    return max(state.live_readers.values()) + delay
+    return silent_at + turn * tuning.takeover_spread_seconds
 
 
 def is_takeover_due(state: DistributionState, *, now: float) -> bool:
@@ -99,7 +104,7 @@
     Returns:
         Whether its turn has come.
     """
-    takeover_at = find_takeover_at(state)
+    takeover_at = find_takeover_at(state, now=now)
     return takeover_at is not None and now >= takeover_at
 
 
--- a/wagtaildale/distribution/task.py
+++ b/wagtaildale/distribution/task.py
@@ -51,7 +51,7 @@
         state.confirmation_due_at,
         state.announcement_due_at,
         state.heartbeat_due_at,
-        find_takeover_at(state),
+        find_takeover_at(state, now=now),
     )
     due.extend(due_at for due_at in scheduled if due_at is not None)
     if state.members.state is NodeState.joining:
