--- a/wagtaildale/calls/wire/fields.py
+++ b/wagtaildale/calls/wire/fields.py
@@ -63,6 +63,8 @@
         passed_parts: ten-thousandths of the requests of this rank that the
             entry sends to this owner. To respect a rate limit, an entry sends
             only part of them; the owner estimates the whole demand from this.
+        bulk: whether responses of the class are large; they cross the owner's
+            line in pieces, behind everything else.
     """
 
     request_id: RequestId
@@ -83,6 +85,7 @@
     rate_milli: int = UNLIMITED_RATE
     pass_rank: int = DEFAULT_RANK
     passed_parts: int = PARTS_PER_WHOLE
+    bulk: bool = False
 
     @property
     def represented_requests(self) -> float:
@@ -135,6 +138,11 @@
             if they may send all.
         leaving: the backend server, if it has announced that it leaves.
         line: state of the owner's line, if its bandwidth is known.
+        outgoing_line: large responses that wait to leave the owner's node; None
+            if there is no such class or if the bandwidth is not known.
+        pace_percent: how long work takes on the backend server's machine at
+            this moment, in percent of the usual time, as the server reports it;
+            0 if it does not.
     """
 
     request_id: RequestId
@@ -159,6 +167,8 @@
     share: PassShare | None = None
     leaving: LeavingServer | None = None
     line: LineState | None = None
+    outgoing_line: LineState | None = None
+    pace_percent: int = 0
 
 
 def encode_rate(per_second: float | None) -> int:
--- a/wagtaildale/calls/wire/frames.py
+++ b/wagtaildale/calls/wire/frames.py
@@ -216,6 +216,8 @@
             if they may send all.
         leaving: the backend server, if it has announced that it leaves.
         line: state of the owner's line, if its bandwidth is known.
+        outgoing_line: as in ``AnswerFields``.
+        pace_percent: as in ``AnswerFields``.
     """
 
     instance: InstanceId
@@ -228,6 +230,8 @@
     share: PassShare | None = None
     leaving: LeavingServer | None = None
     line: LineState | None = None
+    outgoing_line: LineState | None = None
+    pace_percent: int = 0
 
 
 class DrainNotice(Struct, frozen=True, array_like=True, tag=13, gc=False):
