Configuration: classes may be bulk; the platform's kind download is idempotent and bulk

Cause: downloads of the platform (kind 'download') were treated as non-idempotent: they reserved a slot and were not tried again. Nodes had no means to tell large responses from others.

Change: a class has 'bulk' in operators' files and in published parts. The field is left out of the published form unless it is true, so that all other parts keep their hashes (two tests compare with the hashes of the build before). Entries send it in CallFields.bulk.

--- a/wagtaildale/calls/entry/call_descriptions.py
+++ b/wagtaildale/calls/entry/call_descriptions.py
@@ -155,4 +155,5 @@
         passed_parts=round(options.share * PARTS_PER_WHOLE),
         rank=work_class.rank,
         patient=options.patient,
+        bulk=work_class.is_bulk,
     )
--- a/wagtaildale/configuration/comparison.py
+++ b/wagtaildale/configuration/comparison.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, final
 
-from msgspec import Struct, structs
+from msgspec import UNSET, Struct, structs
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -81,7 +81,8 @@
             subject = f'{name}/{work_class.name}'
             flat[subject] = 'class'
             for key, setting in structs.asdict(work_class).items():
-                flat[f'{subject}.{key}'] = str(setting)
+                if setting is not UNSET:
+                    flat[f'{subject}.{key}'] = str(setting)
         _flatten_routes(flat, part)
     return flat
 
--- a/wagtaildale/configuration/compiled.py
+++ b/wagtaildale/configuration/compiled.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
-from msgspec import Struct, json
+from msgspec import UNSET, Struct, json
 from result import Err, Ok, Result
 
 from wagtaildale.configuration.model import (
@@ -156,6 +156,7 @@
         within_ms=entry.target.within_ms,
         percent=entry.target.percent,
         deadline_ms=entry.deadline_ms,
+        bulk=entry.bulk or UNSET,
     )
 
 
--- a/wagtaildale/configuration/model.py
+++ b/wagtaildale/configuration/model.py
@@ -68,6 +68,8 @@
         target: latency target.
         deadline_ms: time after which callers no longer wait for an answer,
             milliseconds.
+        bulk: whether its responses are large, so that they would delay those
+            of other classes on the line out of a server's node.
     """
 
     name: Name
@@ -76,6 +78,7 @@
     idempotent: bool
     target: Target
     deadline_ms: Milliseconds
+    bulk: bool = False
 
 
 class RouteEntry(Struct, frozen=True, kw_only=True):
@@ -150,6 +153,9 @@
             milliseconds.
         rank: priority of the class's requests under overload; 0 is served
             first.
+        bulk: whether its responses are large; left out if they are not, so
+            that the encoded form and the hash of such a class stay as in
+            earlier builds.
     """
 
     name: ClassName
@@ -158,6 +164,12 @@
     percent: float
     deadline_ms: int
     rank: int = DEFAULT_RANK
+    bulk: bool | UnsetType = UNSET
+
+    @property
+    def is_bulk(self) -> bool:
+        """Whether responses of the class are large."""
+        return self.bulk is True
 
 
 class Share(Struct, frozen=True, kw_only=True):
--- a/wagtaildale/configuration/tests/test_files.py
+++ b/wagtaildale/configuration/tests/test_files.py
@@ -5,8 +5,13 @@
 import pytest
 
 from wagtaildale.configuration.compiled import compile_mesh, decode_parts
+from wagtaildale.configuration.comparison import (
+    Change,
+    ChangeKind,
+    compare_parts,
+)
 from wagtaildale.configuration.files import parse_mesh
-from wagtaildale.configuration.model import SlowStart
+from wagtaildale.configuration.model import SlowStart, WorkClass
 from wagtaildale.errors.codes import Code
 from wagtaildale.testing.assertions import assert_codes, assert_err, assert_ok
 from wagtaildale.testing.builders import MESH_TEXT
@@ -71,6 +76,69 @@
     assert code in {fault.code for fault in faults}
 
 
+def compile_classes(text: str) -> tuple[WorkClass, ...]:
+    mesh = assert_ok(parse_mesh(text, name='mesh.toml'))
+    compiled = assert_ok(compile_mesh(mesh, version=1))
+    return decode_parts(compiled)[ServiceName('casefiles')].classes
+
+
+@pytest.mark.parametrize('name', ['lookup', 'booking'])
+def test_bulk_is_published_of_any_class(name: str) -> None:
+    text = MESH_TEXT.replace(
+        f'name = "{name}"', f'name = "{name}"\nbulk = true'
+    )
+    bulk = [each.name for each in compile_classes(text) if each.is_bulk]
+    assert bulk == [name]
+
+
+@pytest.mark.parametrize('line', ['bulk = false\n', ''])
+def test_class_that_is_not_bulk_keeps_its_hash(line: str) -> None:
+    """An update of the build changes the hash of every published part.
+
+    Each part would be sent to every node again, though nothing has changed.
+    The hash is that of the build before the field existed.
+    """
+    text = MESH_TEXT.replace('methods = ["GET"]', f'{line}methods = ["GET"]')
+    mesh = assert_ok(parse_mesh(text, name='mesh.toml'))
+    compiled = assert_ok(compile_mesh(mesh, version=1))
+    assert compiled.manifest.parts == {
+        'casefiles': 'b5239fe0bdac2ec8e5d9ae683aa28600'
+    }
+
+
+@pytest.mark.parametrize(
+    ('line', 'code'),
+    [
+        ('bulk = "yes"', Code.field_invalid),
+        ('bulk = 1', Code.field_invalid),
+        ('bulky = true', Code.key_unknown),
+    ],
+)
+def test_unusable_bulk_is_a_fault(line: str, code: Code) -> None:
+    text = MESH_TEXT.replace('name = "lookup"', f'name = "lookup"\n{line}')
+    faults = assert_err(parse_mesh(text, name='mesh.toml'))
+    assert_codes(faults, code)
+
+
+def test_comparison_shows_a_class_that_becomes_bulk() -> None:
+    text = MESH_TEXT.replace('name = "lookup"', 'name = "lookup"\nbulk = true')
+    meshes = [
+        assert_ok(parse_mesh(each, name='mesh.toml'))
+        for each in (MESH_TEXT, text)
+    ]
+    old, new = (
+        decode_parts(assert_ok(compile_mesh(mesh, version=1)))
+        for mesh in meshes
+    )
+    assert compare_parts(old, new=new) == [
+        Change(
+            kind=ChangeKind.added,
+            subject='casefiles/lookup.bulk',
+            new='True',
+        ),
+    ]
+
+
 def test_all_faults_are_reported_together() -> None:
     text = MESH_TEXT.replace('true', '1').replace('"POST"', '"PRINT"')
     faults = assert_err(parse_mesh(text, name='mesh.toml'))
--- a/wagtaildale/platform/configuration.py
+++ b/wagtaildale/platform/configuration.py
@@ -33,7 +33,10 @@
 # routes is 60 KB: 0.14 s of a line of 3.5 Mbit/s, up to five times a second
 # when many versions are published.
 PIECES_PER_SERVICE: Final = 64
-IDEMPOTENT_KIND: Final = 'safe'
+# Kind of the rules whose requests may run more than once and whose responses
+# are large.
+BULK_KIND: Final = 'download'
+IDEMPOTENT_KINDS: Final = frozenset(('safe', BULK_KIND))
 
 
 class Limits(Struct, frozen=True, kw_only=True, rename='camel'):
@@ -79,7 +82,8 @@
 
     Attributes:
         name: name of the rule, unique among all rules.
-        kind: ``safe`` if a request may run more than once.
+        kind: ``safe`` if a request may run more than once, ``download`` if
+            its response is also large; with any other, it runs at most once.
         goal_ms: target for the time to an answer, milliseconds.
         priority: rank of the rule's requests; 0 is the highest.
         match: paths that the rule matches.
@@ -266,11 +270,12 @@
 def _make_class(rule: Rule) -> WorkClass:
     return WorkClass(
         name=ClassName(rule.name),
-        idempotent=rule.kind == IDEMPOTENT_KIND,
+        idempotent=rule.kind in IDEMPOTENT_KINDS,
         within_ms=rule.goal_ms,
         percent=PERCENT,
         deadline_ms=rule.action.timeout_ms,
         rank=rule.priority,
+        bulk=rule.kind == BULK_KIND or UNSET,
     )
 
 
--- a/wagtaildale/platform/tests/test_store.py
+++ b/wagtaildale/platform/tests/test_store.py
@@ -5,12 +5,14 @@
 from typing import Any
 
 import pytest
+from msgspec import json
 from result import Err
 
 from wagtaildale.configuration.compiled import hash_part
 from wagtaildale.configuration.model import Part
 from wagtaildale.configuration.validation import check_parts
 from wagtaildale.errors.codes import Code
+from wagtaildale.platform.configuration import decode_configuration
 from wagtaildale.platform.tests.builders import (
     build_configuration,
     build_entry,
@@ -75,6 +77,41 @@
     assert (route.host, route.path) == ('mesh.example', '/bookings/')
 
 
+@pytest.mark.parametrize(
+    ('kind', 'idempotent', 'bulk'),
+    [
+        ('safe', True, False),
+        ('download', True, True),
+        ('unsafe', False, False),
+        ('upload', False, False),
+    ],
+)
+def test_kind_of_a_rule(kind: str, *, idempotent: bool, bulk: bool) -> None:
+    """Downloads were treated as non-idempotent.
+
+    They reserved a slot before they ran, and those that failed were not
+    tried again.
+    """
+    rule = {**build_rule('r-1', prefix='/maps/'), 'kind': kind}
+    feed, _client = build_feed(
+        build_page(build_item(CONFIGURATION, build_configuration([rule]))),
+    )
+    work_class = find_part(read_feed(feed), 'gopu72b').classes[0]
+    assert (work_class.idempotent, work_class.is_bulk) == (idempotent, bulk)
+
+
+def test_published_form_without_bulk_classes_is_unchanged() -> None:
+    """An update of the build changes the hash of every published part.
+
+    Nodes of two builds would hold different hashes of the same version. The
+    hash is that of the build before the field existed.
+    """
+    _version, blobs = decode_configuration(json.encode(build_configuration()))
+    assert hash_part(blobs['gopu72b#57']).hex() == (
+        'cca68f96a1d134ccff8083bf1ab06bbb'
+    )
+
+
 def test_change_of_one_rule_changes_one_small_piece() -> None:
     """Many versions in a short time delay calls on slow lines.
 
