Entry: refuses large responses that no outgoing line can carry in time

Cause: entries chose upstreams for downloads by slots alone. Responses waited for lines that carried less than was asked, and requests were refused only by one owner after another.

Change: entries keep the outgoing line that each owner reports and learn the mean response size of bulk classes. Other classes and owners without a report are treated as before.

--- a/wagtaildale/calls/entry/entry.py
+++ b/wagtaildale/calls/entry/entry.py
@@ -104,6 +104,16 @@
             self._budgets[service] = budget
         return budget
 
+    def note_response_size(self, work_class: str, size: int) -> None:
+        """Note the size of a complete response of a bulk class.
+
+        Args:
+            work_class: qualified name of the class, ``service/class``.
+            size: bytes of its body.
+        """
+        statistics = self.parts.placement.statistics
+        statistics.response_sizes.note(work_class, size)
+
     def _needs_connection(self, record: InstanceRecord, now: float) -> bool:
         # A leaving owner would close a new connection at once.
         upstream = self.parts.placement.statistics.find(
--- a/wagtaildale/calls/entry/entry_call.py
+++ b/wagtaildale/calls/entry/entry_call.py
@@ -54,6 +54,7 @@
         self._running: list[Attempt] = []
         self._alarms: list[Alarm] = []
         self._uncredited_bytes = 0
+        self._response_bytes = 0
         self._may_have_run = False
         self._error_response: tuple[Attempt, Answered] | None = None
         self._status = 0
@@ -355,8 +356,10 @@
     def _credit_or_finish(
         self, attempt: Attempt, size: int, *, more: bool
     ) -> None:
+        self._response_bytes += size
         if not more:
             self._end()
+            self._note_response_size(attempt)
             self._report.note_response(status=self._status)
             return
         self._uncredited_bytes += size
@@ -364,6 +367,16 @@
             attempt.send_credit(self._uncredited_bytes)
             self._uncredited_bytes = 0
 
+    def _note_response_size(self, attempt: Attempt) -> None:
+        # Server errors are small and come in series; counted, they would make
+        # the downloads after them look small.
+        fields = attempt.target.fields
+        if fields.bulk and self._status < SERVER_ERROR_STATUS:
+            self._report.note_response_size(self._response_bytes)
+            self._entry.note_response_size(
+                fields.work_class, self._response_bytes
+            )
+
     def _respond(self, attempt: Attempt, frame: Answered) -> None:
         targets = self._entry.targets
         for other in self._running:
--- a/wagtaildale/calls/entry/owner_listener.py
+++ b/wagtaildale/calls/entry/owner_listener.py
@@ -122,7 +122,9 @@
             queued=load.queued,
             now=now,
         )
-        upstream.line.note(load.line, now=now)
+        upstream.lines.note(
+            incoming=load.line, outgoing=load.outgoing_line, now=now
+        )
         if load.slowness_percent > 0:
             upstream.slowness.note_reported_slowness(
                 load.slowness_percent / PERCENT,
--- a/wagtaildale/calls/entry/report.py
+++ b/wagtaildale/calls/entry/report.py
@@ -18,7 +18,7 @@
     from wagtaildale.calls.failures import CallFailed
     from wagtaildale.calls.http.parsing import Header
     from wagtaildale.calls.wire.fields import AnswerFields
-    from wagtaildale.telemetry.events import EventRecorder
+    from wagtaildale.telemetry.events import EventRecorder, Inputs
     from wagtaildale.telemetry.tallies import Tallies
 
 NO_CLASS: Final = 'none'
@@ -51,6 +51,7 @@
         self._code = Code.ok
         self._outcome = Outcome.answered
         self._answer: AnswerFields | None = None
+        self._response_inputs: Inputs = {}
 
     def note_routed(self, routed: RoutedCall) -> None:
         """Record the id, class, configuration version and latency target.
@@ -115,6 +116,7 @@
                 'load_age_ms': round(
                     upstream.measure_load_age(read_clock()) * MILLISECONDS,
                 ),
+                **_describe_line(target),
             },
         )
 
@@ -136,6 +138,14 @@
         """
         self._answer = answer
 
+    def note_response_size(self, size: int) -> None:
+        """Record the size of a large response.
+
+        Args:
+            size: bytes of its body.
+        """
+        self._response_inputs = {'response_bytes': size}
+
     def note_failure(
         self,
         failure: CallFailed,
@@ -175,6 +185,7 @@
                 'backend_ms': round(answer.backend_us / MICROSECONDS_PER_MS)
                 if answer
                 else 0,
+                **self._response_inputs,
             },
         )
         self._count()
@@ -243,3 +254,11 @@
             and seconds <= self._latency_target_seconds
         ):
             tally.in_time += 1
+
+
+def _describe_line(target: AttemptTarget) -> Inputs:
+    line = target.upstream.lines.outgoing
+    if not target.fields.bulk or not line.is_known:
+        return {}
+    wait = line.estimate_wait(read_clock())
+    return {'line_wait_ms': round(wait * MILLISECONDS)}
--- a/wagtaildale/calls/entry/targets.py
+++ b/wagtaildale/calls/entry/targets.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.entry.call_descriptions import (
@@ -19,6 +19,7 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.candidates import list_service_candidates
 from wagtaildale.routing.choice import RequestContext
+from wagtaildale.routing.line_check import LinesOverdue
 from wagtaildale.routing.throttling import Throttled, find_request_pass_rank
 from wagtaildale.routing.upstream import (
     UPSTREAM_FAULT_CODES,
@@ -100,12 +101,23 @@
             CallFailed: if no upstream accepts the request.
         """
         placed = self._place(routed, attempts, suspect, is_hedge=is_hedge)
-        if placed is None:
+        is_overdue = isinstance(placed, LinesOverdue) and attempts.overloaded
+        if placed is None or is_overdue:
             # Wait at an upstream instead of trying further ones. Otherwise,
             # if a service is overloaded everywhere, each request is sent to
             # all data centres and rejected in each.
             attempts.rejections_left = 0
             placed = self._place(routed, attempts, suspect, is_hedge=is_hedge)
+        if isinstance(placed, LinesOverdue):
+            raise CallFailed(
+                Code.overloaded,
+                detail=(
+                    f'no outgoing line of service {routed.service} can carry '
+                    f'the response in time: {placed.seconds:.2f} s late at '
+                    f'the best of {placed.upstreams} upstreams'
+                ),
+                retry_after=placed.retry_after,
+            )
         if isinstance(placed, Throttled):
             raise CallFailed(
                 Code.rate_limited,
@@ -236,6 +248,9 @@
         """
         now = read_clock()
         report = build_owner_report(answer)
+        if target.is_local:
+            # Responses of this node's own server cross no line between nodes.
+            report = structs.replace(report, outgoing_line=None)
         self._statistics.note_run_time(
             target.upstream,
             report,
@@ -297,7 +312,7 @@
         suspect: Suspect | None,
         *,
         is_hedge: bool,
-    ) -> ChosenUpstream | Throttled | None:
+    ) -> ChosenUpstream | Throttled | LinesOverdue | None:
         parts = self._parts
         view = parts.view.current
         if suspect is not None:
@@ -332,6 +347,9 @@
                 is_hedge=is_hedge,
                 was_rate_limited=attempts.was_rate_limited,
                 body_bytes=attempts.body_bytes,
+                is_bulk=routed.match.work_class.is_bulk,
+                deadline_seconds=routed.deadline - now,
+                may_probe=not is_hedge and not attempts.tried,
             ),
             now=now,
         )
--- a/wagtaildale/calls/tests/test_owner_listener.py
+++ b/wagtaildale/calls/tests/test_owner_listener.py
@@ -7,6 +7,7 @@
 import pytest
 from msgspec import structs
 
+from wagtaildale.admission.incoming_line import LineState
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.entry.owner_listener import OwnerListener
 from wagtaildale.calls.wire.frames import LoadReport
@@ -100,3 +101,15 @@
     entry.receive(LOAD)
     assert not entry.statistics.server_limits.is_limited(OWN)
     assert not entry.statistics.leaving_servers.is_leaving(entry.records[0])
+
+
+def test_outgoing_line_is_known_from_a_load_message(entry: Entry) -> None:
+    """Only answers told of a backlog, and entries without any learned late."""
+    state = LineState(1500, 625)
+    entry.receive(structs.replace(LOAD, outgoing_line=state))
+    now = read_clock()
+    waits = [
+        entry.statistics.find(name, now=now).lines.outgoing.estimate_wait(now)
+        for name in (OWN, OTHER)
+    ]
+    assert waits == [1.5, 0]
--- a/wagtaildale/routing/choice.py
+++ b/wagtaildale/routing/choice.py
@@ -50,6 +50,10 @@
         was_rate_limited: whether an upstream refused the request for its rate
             limit.
         body_bytes: size of the request's body; 0 if it is not known.
+        is_bulk: whether responses of the class are large.
+        deadline_seconds: seconds until the deadline of the call.
+        may_probe: whether the request may be sent although no outgoing line
+            seems able to carry its response in time; see ``line_check``.
     """
 
     data_centre: DataCentre
@@ -60,6 +64,9 @@
     is_hedge: bool = False
     was_rate_limited: bool = False
     body_bytes: int = 0
+    is_bulk: bool = False
+    deadline_seconds: float = inf
+    may_probe: bool = False
 
     @property
     def has_large_body(self) -> bool:
--- a/wagtaildale/routing/placement.py
+++ b/wagtaildale/routing/placement.py
@@ -13,6 +13,7 @@
     leave_out_ejected,
     list_service_candidates,
 )
+from wagtaildale.routing.line_check import LinesOverdue, select_by_line
 from wagtaildale.routing.subsets import RankedUpstreams, rank_upstreams
 from wagtaildale.routing.throttling import (
     Throttled,
@@ -104,7 +105,7 @@
         avoided: Collection[InstanceId],
         request: RequestContext,
         now: float,
-    ) -> ChosenUpstream | Throttled | None:
+    ) -> ChosenUpstream | Throttled | LinesOverdue | None:
         """Choose the upstream of an attempt.
 
         Args:
@@ -117,9 +118,10 @@
 
         Returns:
             The upstream; ``Throttled`` if no upstream accepts more requests
-            of this pass rank for now; nothing if there is no upstream, or if
-            the request should rather wait at an upstream that refused it
-            (``request.may_wait``).
+            of this pass rank for now; ``LinesOverdue`` if no outgoing line
+            can carry the response in time; nothing if there is no upstream,
+            or if the request should rather wait at an upstream that refused
+            it (``request.may_wait``).
         """
         candidates = self._list_subset_candidates(
             view, service, avoided=avoided, now=now
@@ -141,8 +143,13 @@
                     now=now,
                 ),
             )
+        in_time = select_by_line(
+            admitted, statistics=self.statistics, request=request, now=now
+        )
+        if isinstance(in_time, LinesOverdue):
+            return in_time
         record = self._chooser.choose(
-            admitted,
+            in_time,
             statistics=self.statistics,
             request=request,
             now=now,
--- a/wagtaildale/routing/statistics.py
+++ b/wagtaildale/routing/statistics.py
@@ -14,6 +14,7 @@
 from wagtaildale.routing.down_servers import DownServers
 from wagtaildale.routing.known_limits import KnownLimits
 from wagtaildale.routing.leaving_servers import LeavingServers
+from wagtaildale.routing.response_sizes import ResponseSizes
 from wagtaildale.routing.upstream import UpstreamStatistics
 
 if TYPE_CHECKING:
@@ -50,6 +51,7 @@
         server_limits: rate limits that the backend servers have set.
         leaving_servers: servers that have announced that they leave.
         down_servers: upstreams whose backend servers accept no connections.
+        response_sizes: mean response sizes of the bulk classes.
     """
 
     def __init__(self) -> None:
@@ -57,6 +59,7 @@
         self.server_limits = KnownLimits()
         self.leaving_servers = LeavingServers()
         self.down_servers = DownServers()
+        self.response_sizes = ResponseSizes()
         self._upstreams: dict[InstanceId, UpstreamStatistics] = {}
         self._usual_seconds_by_class: dict[str, float] = {}
         self._started_ms: dict[InstanceId, int] = {}
@@ -151,8 +154,17 @@
         usual *= upstream.slowness.estimate(now)
         wait = upstream.estimate_wait(usual, now=now)
         if request.has_large_body:
-            wait += upstream.line.estimate_wait(now)
-            usual += upstream.line.estimate_transfer(request.body_bytes)
+            line = upstream.lines.incoming
+            wait += line.estimate_wait(now)
+            usual += line.estimate_transfer(request.body_bytes)
+        if request.is_bulk:
+            # The backlog of the line shrinks while the request waits for a
+            # slot, so the two waits are not added.
+            line = upstream.lines.outgoing
+            wait = max(wait, line.estimate_wait(now))
+            usual += line.estimate_transfer(
+                self.response_sizes.find_mean(request.class_name)
+            )
         return Estimate(
             wait=wait,
             run=usual,
--- a/wagtaildale/routing/tests/test_placement.py
+++ b/wagtaildale/routing/tests/test_placement.py
@@ -8,6 +8,7 @@
 
 from wagtaildale.routing.choice import ChooserName, RequestContext
 from wagtaildale.routing.choosers import make_chooser
+from wagtaildale.routing.line_check import LinesOverdue
 from wagtaildale.routing.placement import Placement
 from wagtaildale.routing.statistics import FleetStatistics
 from wagtaildale.routing.throttling import Throttled
@@ -66,7 +67,7 @@
         request=RequestContext(data_centre=DataCentre('derby')),
         now=NOW,
     )
-    assert not isinstance(placed, Throttled)
+    assert not isinstance(placed, Throttled | LinesOverdue)
     return placed.record.instance if placed else ''
 
 
--- a/wagtaildale/routing/upstream.py
+++ b/wagtaildale/routing/upstream.py
@@ -13,7 +13,7 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.ejection import Ejection
 from wagtaildale.routing.known_limits import ServerLimit
-from wagtaildale.routing.known_lines import KnownLine
+from wagtaildale.routing.known_lines import KnownLines
 from wagtaildale.routing.slowness import Slowness, decay_linearly
 from wagtaildale.types import UNKNOWN_INCARNATION, Incarnation, InstanceId
 
@@ -67,7 +67,9 @@
         code: result code of the answer.
         server_limit: rate limit of the backend server; nothing if the owner
             does not know it yet.
-        line: state of the owner's line, if its bandwidth is known.
+        line: state of the line into the owner's node, if its bandwidth is
+            known.
+        outgoing_line: state of the line out of it, if the owner reports it.
     """
 
     incarnation: Incarnation
@@ -81,6 +83,7 @@
     code: Code = Code.ok
     server_limit: ServerLimit | None = None
     line: LineState | None = None
+    outgoing_line: LineState | None = None
 
 
 class UpstreamStatistics:
@@ -101,7 +104,7 @@
             incarnation, seconds.
         load_reported_at: time of the last load report, seconds.
         slowness: time of its answers over the usual time in the fleet.
-        line: what is known of the line into its node.
+        lines: what is known of the lines of its node.
     """
 
     __slots__ = (
@@ -112,7 +115,7 @@
         'load_reported_at',
         'incarnation_known_since',
         'limit',
-        'line',
+        'lines',
         'pending',
         'queued',
         'slot_seconds',
@@ -137,7 +140,7 @@
         self.incarnation_known_since = now
         self.load_reported_at = self.incarnation_known_since
         self.slowness = Slowness(now=now)
-        self.line = KnownLine()
+        self.lines = KnownLines()
 
     def note_begun(self, now: float) -> None:
         """Count a request that is sent to the upstream.
@@ -171,7 +174,9 @@
             queued=report.queued,
             now=now,
         )
-        self.line.note(report.line, now=now)
+        self.lines.note(
+            incoming=report.line, outgoing=report.outgoing_line, now=now
+        )
         if report.slot_seconds:
             self.slot_seconds = report.slot_seconds
         if report.code is Code.draining:
--- a/wagtaildale/testing/replay/calls.py
+++ b/wagtaildale/testing/replay/calls.py
@@ -12,6 +12,7 @@
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.choice import RequestContext
+from wagtaildale.routing.line_check import LinesOverdue
 from wagtaildale.routing.throttling import Throttled, find_request_pass_rank
 from wagtaildale.testing.replay.servers import Job, ReplayServer
 from wagtaildale.types import ServiceName
@@ -102,6 +103,13 @@
         if placed is None:
             attempts.rejections_left = 0
             placed = self._place(is_hedge=is_hedge)
+        if isinstance(placed, LinesOverdue):
+            failure = CallFailed(
+                Code.overloaded,
+                retry_after=placed.retry_after,
+            )
+            self._fail_if_last(failure)
+            return
         if isinstance(placed, Throttled):
             failure = CallFailed(
                 Code.rate_limited,
@@ -151,7 +159,9 @@
             statistics=self._entry.placement.statistics,
         )
 
-    def _place(self, *, is_hedge: bool) -> ChosenUpstream | Throttled | None:
+    def _place(
+        self, *, is_hedge: bool
+    ) -> ChosenUpstream | Throttled | LinesOverdue | None:
         request = self._request
         attempts = self._attempts
         now = self._clock.now
