explain, status: name and show the outgoing line

Cause: the meaning of code 4009 names the slots, which are free when an outgoing line is the reason of a refusal.

Change: explain names the line as the cause where the detail of the entry or the owner does, and no longer an earlier refusal for slots. A node's report has its outgoing line (wait and backlog), status lists lines with a backlog of 250 ms or more, and the explanation of a path shows the wait at each upstream. Owner.describe_outgoing_line returns None until responses are scheduled.

--- a/wagtaildale/admin/model.py
+++ b/wagtaildale/admin/model.py
@@ -98,6 +98,19 @@
     draining: bool
 
 
+class OutgoingLineState(Struct, frozen=True, kw_only=True):
+    """State of the line out of a node, as its owner reports it to entries.
+
+    Attributes:
+        wait_ms: milliseconds until the large responses that wait, and those of
+            the requests that run, have left.
+        backlog_bytes: bytes of these responses.
+    """
+
+    wait_ms: int
+    backlog_bytes: int
+
+
 class NodeReport(Struct, frozen=True, kw_only=True):
     """State of one node.
 
@@ -119,6 +132,8 @@
             0 is a defect.
         cpu_seconds: processor time of the process.
         resident_bytes: resident memory of the process.
+        outgoing_line: state of the line out of the node; null if its
+            bandwidth is not known or no class is bulk.
     """
 
     instance: str
@@ -137,6 +152,7 @@
     cpu_seconds: float
     resident_bytes: int
     evacuated: tuple[str, ...] = ()
+    outgoing_line: OutgoingLineState | None = None
 
 
 class Timeline(Struct, frozen=True, kw_only=True):
@@ -160,6 +176,7 @@
         work_class: service and class, separated by a slash.
         template: path template that matched.
         idempotent: whether the request may be retried.
+        bulk: whether responses of the class are large.
         within_ms: time target of the class.
         percent: percentage of calls that should meet the time target.
         deadline_ms: deadline of the class.
@@ -177,6 +194,7 @@
     percent: float = 0
     deadline_ms: int = 0
     upstreams: tuple[str, ...] = ()
+    bulk: bool = False
 
 
 class ReportPart(Struct, frozen=True, kw_only=True):
--- a/wagtaildale/admin/reports.py
+++ b/wagtaildale/admin/reports.py
@@ -6,6 +6,10 @@
 import time
 from typing import TYPE_CHECKING, Final
 
+from wagtaildale.admin.line_reports import (
+    describe_outgoing_line,
+    report_outgoing_line,
+)
 from wagtaildale.admin.model import (
     BackendState,
     ClassState,
@@ -61,6 +65,7 @@
         cpu_seconds=time.process_time(),
         resident_bytes=_read_resident_bytes(),
         evacuated=tuple(sorted(parts.view.current.evacuated)),
+        outgoing_line=report_outgoing_line(node),
     )
 
 
@@ -116,6 +121,7 @@
         within_ms=work_class.within_ms,
         percent=work_class.percent,
         deadline_ms=work_class.deadline_ms,
+        bulk=work_class.is_bulk,
         upstreams=tuple(
             _describe_upstream(node, view, record)
             for record in view.upstreams.get(match.service, ())
@@ -141,6 +147,7 @@
             _describe_availability(node, view, record),
             f'{load}% of its limit',
             f'{slowness} times the usual time',
+            *describe_outgoing_line(upstream, now=now),
         ),
     )
 
--- a/wagtaildale/calls/owner/owner.py
+++ b/wagtaildale/calls/owner/owner.py
@@ -275,6 +275,15 @@
             },
         )
 
+    def describe_outgoing_line(self) -> LineState | None:
+        """Describe the line out of this node for entries and operators.
+
+        Returns:
+            Its state; None if nothing schedules the responses that leave.
+        """
+        state: LineState | None = None
+        return state
+
     def _serves(self, instance: InstanceId) -> bool:
         if self.dialect.expected_instance is None:
             return instance == self.identity.instance
--- a/wagtaildale/cli/explain.py
+++ b/wagtaildale/cli/explain.py
@@ -27,6 +27,7 @@
     collect_history,
     describe_code,
     find_cause,
+    is_line_refusal,
 )
 
 if TYPE_CHECKING:
@@ -145,8 +146,14 @@
         return
     click.echo(f'end: {end.kind.value}, {describe_code(end.code)}')
     cause = find_cause(history)
-    if cause is not None and cause is not end:
+    if cause is None:
+        return
+    if is_line_refusal(cause):
+        # Without this, the meaning of the code would point to the slots.
+        click.echo(f'cause: {cause.code}, the outgoing line, not the slots')
+    elif cause is not end:
         click.echo(f'cause: {describe_code(cause.code)}')
+    if cause is not end or is_line_refusal(cause):
         click.echo(f'  {_describe(cause)}')
 
 
@@ -194,6 +201,8 @@
         click.echo(f'{header}: no class (version {explanation.version})')
         return
     safety = 'idempotent' if explanation.idempotent else 'not idempotent'
+    if explanation.bulk:
+        safety = f'{safety}, bulk'
     click.echo(
         f'{header}: {explanation.work_class} by {explanation.template}, '
         f'{safety}, version {explanation.version}',
--- a/wagtaildale/cli/status.py
+++ b/wagtaildale/cli/status.py
@@ -30,6 +30,9 @@
 WATCH_INTERVAL_SECONDS: Final = 2.0
 MAX_LISTED_NAMES: Final = 12
 MAX_REPORT_AGE_MS: Final = 3000
+# Shorter waits are left out, so that the list is short in normal operation.
+# Owners report the wait to entries in the same steps.
+MIN_SHOWN_WAIT_MS: Final = 250
 CONFIGURATION: Final = 'configuration'
 
 
@@ -86,17 +89,12 @@
     return [totals[name] for name in sorted(totals)]
 
 
-def _show(client: AdminClient, form: OutputFormat) -> None:
-    found = client.read('/v1/fleet', document_type=FleetReport)
-    if isinstance(found, Err):
-        fail((found.err_value,), form=form, exit_code=EXIT_UNREACHABLE)
-    if form is OutputFormat.json:
-        print_json(found.ok_value)
-    else:
-        _print_fleet(found.ok_value)
-
+def print_fleet(fleet: FleetReport) -> None:
+    """Print the report on a fleet as text.
 
-def _print_fleet(fleet: FleetReport) -> None:
+    Args:
+        fleet: reports of the nodes.
+    """
     reports = [part.report for part in fleet.parts]
     states = Counter(report.state for report in reports)
     listed = ', '.join(f'{count} {name}' for name, count in states.items())
@@ -116,6 +114,16 @@
     )
 
 
+def _show(client: AdminClient, form: OutputFormat) -> None:
+    found = client.read('/v1/fleet', document_type=FleetReport)
+    if isinstance(found, Err):
+        fail((found.err_value,), form=form, exit_code=EXIT_UNREACHABLE)
+    if form is OutputFormat.json:
+        print_json(found.ok_value)
+    else:
+        print_fleet(found.ok_value)
+
+
 def _list_missing(fleet: FleetReport) -> tuple[str, ...]:
     outdated = [
         part.report.instance
@@ -140,6 +148,7 @@
                 f'{latest}: {reason}',
             )
     _print_evacuations(reports)
+    _print_outgoing_lines(reports)
     broken = sum(report.invariants_broken for report in reports)
     if broken:
         click.echo(f'INVARIANTS BROKEN: {broken}; please report this defect')
@@ -151,6 +160,16 @@
         click.echo(f'evacuated: {name}, known to {count} of {len(reports)}')
 
 
+def _print_outgoing_lines(reports: list[NodeReport]) -> None:
+    for report in reports:
+        line = report.outgoing_line
+        if line is not None and line.wait_ms >= MIN_SHOWN_WAIT_MS:
+            click.echo(
+                f'outgoing line of {report.instance}: {line.wait_ms} ms, '
+                f'{line.backlog_bytes} bytes wait',
+            )
+
+
 def _join_names(names: tuple[str, ...]) -> str:
     named = ', '.join(names[:MAX_LISTED_NAMES])
     more = len(names) - MAX_LISTED_NAMES
--- a/wagtaildale/cli/tests/test_explain.py
+++ b/wagtaildale/cli/tests/test_explain.py
@@ -41,6 +41,29 @@
     assert outcome.output == EXPECTED_OUTPUT
 
 
+LINE_LOG_TEXT = """\
+at_ms=1021 node=a incarnation=1 kind=call-refused request=r1 code=4009 \
+version=7 detail="no outgoing line of service maps can carry the response"
+"""
+LINE_OUTPUT = """what the nodes had last learned:
+decisions:
+      +0 ms  a call-refused code=4009 version=7 r1 no outgoing line of service \
+maps can carry the response
+end: call-refused, 4009 overloaded: no slot in time
+cause: 4009, the outgoing line, not the slots
+  a call-refused code=4009 version=7 r1 no outgoing line of service maps can \
+carry the response
+"""
+
+
+def test_refusal_for_the_outgoing_line_names_it(tmp_path: Path) -> None:
+    """The meaning of the code alone tells of slots, which are free."""
+    path = tmp_path / 'fleet.log'
+    path.write_text(LINE_LOG_TEXT)
+    outcome = CliRunner().invoke(main, ['explain', 'r1', str(path)])
+    assert outcome.output == LINE_OUTPUT
+
+
 def test_request_that_is_in_no_log(tmp_path: Path) -> None:
     path = tmp_path / 'fleet.log'
     path.write_text(LOG_TEXT)
--- a/wagtaildale/telemetry/request_history.py
+++ b/wagtaildale/telemetry/request_history.py
@@ -71,6 +71,8 @@
         EventKind.invariant_broken,
     ),
 )
+# Part of the detail of each refusal because of an outgoing line.
+OUTGOING_LINE: Final = 'outgoing line'
 
 
 class RequestHistory(Struct, frozen=True, kw_only=True):
@@ -172,9 +174,27 @@
         if line.code and line is not end and line.request == history.request
     ]
     same_code = [line for line in faults if line.code == end.code]
+    if is_line_refusal(end):
+        # Refusals for another reason, of earlier attempts, are not the cause.
+        line_refusals = [line for line in same_code if is_line_refusal(line)]
+        return (line_refusals or [end])[-1]
     return (same_code or faults or [end])[-1]
 
 
+def is_line_refusal(line: LogLine) -> bool:
+    """Check whether a line reports a refusal because of an outgoing line.
+
+    Entries and owners name the outgoing line in the detail of such a refusal.
+
+    Args:
+        line: line of the log.
+
+    Returns:
+        Whether an outgoing line could not carry the response in time.
+    """
+    return line.code == Code.overloaded and OUTGOING_LINE in line.detail
+
+
 def describe_code(code: int) -> str:
     """Describe a result code.
 
--- a/wagtaildale/telemetry/tests/test_request_history.py
+++ b/wagtaildale/telemetry/tests/test_request_history.py
@@ -79,6 +79,40 @@
     assert history.end.code == Code.overloaded
 
 
+LINE_REFUSAL = build_text(
+    EventKind.call_refused,
+    at_ms=1030,
+    request=REQUEST,
+    code=Code.overloaded.value,
+    detail='no outgoing line of service maps can carry the response in time',
+)
+
+
+def test_cause_of_a_refusal_for_the_line_is_not_an_earlier_full_server() -> (
+    None
+):
+    """A full server refuses first, and then no line is free.
+
+    Operators would add slots, which are not what is missing.
+    """
+    history = collect(REFUSED[0], LINE_REFUSAL)
+    assert find_cause(history) is history.end
+
+
+def test_cause_of_a_refusal_for_the_line_is_the_line_of_its_owner() -> None:
+    owner_refusal = build_text(
+        EventKind.run_refused,
+        at_ms=1010,
+        node=OWNER,
+        request=REQUEST,
+        code=Code.overloaded.value,
+        detail='the outgoing line needs 0.40 s more than there is time',
+    )
+    cause = find_cause(collect(owner_refusal, REFUSED[0], LINE_REFUSAL))
+    assert cause is not None
+    assert (cause.node, cause.at_ms) == (OWNER, 1010)
+
+
 def test_calls_made_for_a_request_belong_to_its_history() -> None:
     called = build_text(
         EventKind.call_failed,
