--- a/wagtaildale/calls/entry/call_descriptions.py
+++ b/wagtaildale/calls/entry/call_descriptions.py
@@ -74,6 +74,7 @@
         code=answer.code,
         server_limit=decode_limit(answer),
         line=answer.line,
+        outgoing_line=answer.outgoing_line,
     )
 
 
@@ -155,4 +156,5 @@
         passed_parts=round(options.share * PARTS_PER_WHOLE),
         rank=work_class.rank,
         patient=options.patient,
+        bulk=work_class.is_bulk,
     )
