Bulk classes: no hedges

Downloads became idempotent with the kind of their route, and so were hedged: each hedge sends a large response over a second line, which is what is scarce.

--- a/wagtaildale/calls/entry/attempts.py
+++ b/wagtaildale/calls/entry/attempts.py
@@ -96,6 +96,7 @@
         crash_count: number of servers that crashed in succession while
             running the request.
         body_bytes: size of the request's body; 0 if it is not known.
+        is_bulk: whether the responses of its class are large.
     """
 
     idempotent: bool
@@ -109,6 +110,7 @@
     obstacle: Obstacle = Obstacle.none
     crash_count: int = 0
     body_bytes: int = 0
+    is_bulk: bool = False
 
     def note_rejection(self, instance: InstanceId, code: Code) -> None:
         """Record whether an upstream was overloaded or rate limited.
@@ -201,9 +203,12 @@
         Returns:
             Whether the request may run twice, a retry is left, no server is
             known to have crashed while running the request, and the hedge
-            would start before the deadline.
+            would start before the deadline. Large responses are never hedged:
+            the second one takes the line's time from others.
         """
         is_allowed = self.retries_left > 0 and not self.crash_count
+        if self.is_bulk:
+            return False
         return self.idempotent and is_allowed and at < self.deadline
 
     def try_hedge(self, *, now: float) -> bool:
--- a/wagtaildale/calls/entry/entry_call.py
+++ b/wagtaildale/calls/entry/entry_call.py
@@ -233,6 +233,7 @@
             budget=budget,
             retries_left=routed.retries,
             body_bytes=max(0, exchange.message.length),
+            is_bulk=work_class.is_bulk,
         )
         self._request = OutgoingRequest(
             method=exchange.message.method,
--- a/wagtaildale/calls/tests/test_bulk_targets.py
+++ b/wagtaildale/calls/tests/test_bulk_targets.py
@@ -87,3 +87,13 @@
         targets.choose(call, build_attempts(first.instance))
     assert refusal.value.code is Code.overloaded
     assert 'outgoing line' in refusal.value.detail
+
+
+def test_large_responses_are_not_hedged() -> None:
+    """A hedge carries a large response over two lines that are full."""
+    attempts = build_attempts()
+    attempts.is_bulk = True
+    assert not attempts.may_hedge(read_clock())
+    assert not attempts.try_hedge(now=read_clock())
+    attempts.is_bulk = False
+    assert attempts.may_hedge(read_clock())
