Reported load: decode it at the owner and send the pace to entries

Cause: backend servers report their load in each response, but no code read the header.

Change: owners decode the header into ServerLoad. The gate keeps the pace, and owners send it in pace_percent of answers and load reports. Entries keep it in the slowness of the upstream: estimate_pace(now), 1 if nothing is known, and has_fresh_pace(now). No decision uses it yet.

--- a/wagtaildale/admission/decisions.py
+++ b/wagtaildale/admission/decisions.py
@@ -32,6 +32,7 @@
 from wagtaildale.admission.server_messages import (
     DataCentreEvacuated,
     LeavingReported,
+    LoadReported,
     ProbeSent,
     RateForwarded,
     RateReported,
@@ -190,9 +191,21 @@
     now: float,
 ) -> list[Verdict]:
     state.rate.note_restart()
+    state.pace.note(0, now=now)
     return admit_waiting(state, now)
 
 
+@decide_admission.register
+def _decide_load_reported(
+    message: LoadReported,
+    state: AdmissionState,
+    *,
+    now: float,
+) -> list[Verdict]:
+    state.pace.note(message.load.pace_percent, now=now)
+    return []
+
+
 @decide_admission.register
 def _decide_probe_sent(
     message: ProbeSent,
--- a/wagtaildale/admission/server_messages.py
+++ b/wagtaildale/admission/server_messages.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.pace import ServerLoad
 from wagtaildale.admission.slow_start import SlowStartBound
 
 
@@ -67,6 +68,16 @@
     """The backend server has reported that it is warm."""
 
 
+class LoadReported(Struct, frozen=True, kw_only=True, gc=False):
+    """The backend server has reported its load in a response.
+
+    Attributes:
+        load: reported load.
+    """
+
+    load: ServerLoad
+
+
 class ProbeSent(Struct, frozen=True, kw_only=True, gc=False):
     """The node has sent its own request, such as a health check."""
 
@@ -80,5 +91,6 @@
     | DataCentreEvacuated
     | SlowStartBegan
     | SlowStartEnded
+    | LoadReported
     | ProbeSent
 )
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -8,6 +8,7 @@
 from msgspec import Struct, field
 
 from wagtaildale.admission.messages import TicketId
+from wagtaildale.admission.pace import ReportedPace
 from wagtaildale.admission.rates import RateLimit
 from wagtaildale.admission.run_times import RunTimes
 from wagtaildale.admission.shares import Demand
@@ -79,6 +80,7 @@
         class_seconds: smoothed run time of each class.
         class_run_times: run times of each class that entries are sent.
         slowness: detects that the backend server is slower than usual.
+        pace: pace that the backend server reports, if any.
         rate: rate limit that the backend server names, if any.
         demand: request rate before entries hold any request back.
         adaptive: whether the limit is adjusted to observed run times.
@@ -97,6 +99,7 @@
     class_seconds: dict[str, float] = field(default_factory=dict)
     class_run_times: dict[str, RunTimes] = field(default_factory=dict)
     slowness: Slowness = field(default_factory=Slowness)
+    pace: ReportedPace = field(default_factory=ReportedPace)
     rate: RateLimit = field(default_factory=RateLimit)
     demand: Demand = field(default_factory=Demand)
     adaptive: bool = True
--- a/wagtaildale/calls/entry/call_descriptions.py
+++ b/wagtaildale/calls/entry/call_descriptions.py
@@ -74,6 +74,7 @@
         code=answer.code,
         server_limit=decode_limit(answer),
         line=answer.line,
+        pace_percent=answer.pace_percent,
     )
 
 
--- a/wagtaildale/calls/entry/owner_listener.py
+++ b/wagtaildale/calls/entry/owner_listener.py
@@ -123,6 +123,7 @@
             now=now,
         )
         upstream.line.note(load.line, now=now)
+        upstream.slowness.note_pace(load.pace_percent, now=now)
         if load.slowness_percent > 0:
             upstream.slowness.note_reported_slowness(
                 load.slowness_percent / PERCENT,
--- a/wagtaildale/calls/owner/load_notifier.py
+++ b/wagtaildale/calls/owner/load_notifier.py
@@ -184,6 +184,7 @@
             share=self.describe_share(),
             leaving=self._find_leaving(),
             line=self._read_line(),
+            pace_percent=state.pace.encode(read_clock()),
         )
 
     def _notify_listeners(self, load: LoadReport) -> None:
--- a/wagtaildale/calls/owner/owner.py
+++ b/wagtaildale/calls/owner/owner.py
@@ -23,6 +23,7 @@
 )
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
+from wagtaildale.timers.service import read_clock
 from wagtaildale.types import (
     UNKNOWN_INCARNATION,
     Incarnation,
@@ -235,6 +236,7 @@
             rate_milli=self.load_notifier.encode_rate_limit(),
             share=self.load_notifier.describe_share(),
             line=self._read_line(),
+            pace_percent=state.pace.encode(read_clock()),
             leaving=self.targets.leaving.find_announcement(
                 self.targets.resolve_target(fields),
             ),
--- a/wagtaildale/calls/owner/server_feedback.py
+++ b/wagtaildale/calls/owner/server_feedback.py
@@ -7,8 +7,10 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.pace import MAX_PERCENT, MIN_PERCENT, ServerLoad
 from wagtaildale.admission.server_messages import (
     LeavingReported,
+    LoadReported,
     ProbeSent,
     RateForwarded,
     RateReported,
@@ -19,6 +21,8 @@
 from wagtaildale.types import InstanceId
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wagtaildale.admission.gate import Gate
     from wagtaildale.calls.dialect import Dialect
     from wagtaildale.calls.http.parsing import Message
@@ -28,6 +32,8 @@
 # Requests per second, as a decimal number with at most nine digits before and
 # after the point.
 RATE_PATTERN: Final = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?')
+# Running requests, waiting requests and slots; the pace in percent may follow.
+LOAD_PATTERN: Final = re.compile(rb'[0-9]{1,9}(,[0-9]{1,9}){2,3}')
 LEAVING_VALUE: Final = b'1'
 # A longer malformed header value is cut to this length in the log.
 MAX_LOGGED_BYTES: Final = 40
@@ -42,11 +48,17 @@
         is_leaving: whether the server announces that it is leaving.
         malformed: value of a header that could not be parsed; empty if all
             could.
+        load: reported load; None if there is none or if it could not be
+            parsed.
+        malformed_load: value of the load header if it could not be parsed;
+            the other headers apply nevertheless.
     """
 
     per_second: float | None = None
     is_leaving: bool = False
     malformed: bytes = b''
+    load: ServerLoad | None = None
+    malformed_load: bytes = b''
 
 
 def parse_feedback(message: Message, dialect: Dialect) -> ServerFeedback:
@@ -61,13 +73,45 @@
     """
     limit = _find_header(message, dialect.rate_limit)
     leaving = _find_header(message, dialect.leaving)
+    load_text = _find_header(message, dialect.load)
+    load = None if load_text is None else parse_load(load_text)
+    malformed_load = b'' if load or load_text is None else load_text
+    malformed = b''
     if limit is not None and RATE_PATTERN.fullmatch(limit) is None:
-        return ServerFeedback(malformed=limit)
-    if leaving is not None and leaving != LEAVING_VALUE:
-        return ServerFeedback(malformed=leaving)
+        malformed = limit
+    elif leaving is not None and leaving != LEAVING_VALUE:
+        malformed = leaving
+    if malformed:
+        return ServerFeedback(
+            malformed=malformed, load=load, malformed_load=malformed_load
+        )
     return ServerFeedback(
-        per_second=None if limit is None else float(limit),
-        is_leaving=leaving is not None,
+        per_second=float(limit) if limit else None,
+        is_leaving=leaving == LEAVING_VALUE,
+        load=load,
+        malformed_load=malformed_load,
+    )
+
+
+def parse_load(text: bytes) -> ServerLoad | None:
+    """Parse the load that a server reports.
+
+    Args:
+        text: value of the header.
+
+    Returns:
+        The load; None if the value is malformed.
+    """
+    if LOAD_PATTERN.fullmatch(text) is None:
+        return None
+    running, waiting, slots, *rest = map(int, text.split(b','))
+    if rest and not MIN_PERCENT <= rest[0] <= MAX_PERCENT:
+        return None
+    return ServerLoad(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        pace_percent=rest[0] if rest else 0,
     )
 
 
@@ -90,7 +134,11 @@
 
 
 class FeedbackTracker:
-    """Applies the feedback of the backend server beside a node."""
+    """Applies the feedback of the backend server beside a node.
+
+    Attributes:
+        load_listeners: callbacks for each load report of the server.
+    """
 
     def __init__(self, gate: Gate, *, recorder: EventRecorder) -> None:
         """Start without feedback.
@@ -99,6 +147,7 @@
             gate: admission control of the server, which applies its limits.
             recorder: recorder of an event for each change.
         """
+        self.load_listeners: list[Callable[[], None]] = []
         self._gate = gate
         self._recorder = recorder
         self._instance = InstanceId('')
@@ -125,16 +174,14 @@
         if feedback.malformed:
             # A malformed header neither sets nor removes a limit.
             self.note_malformed(feedback.malformed)
-            return
-        if instance != self._instance:
-            self._instance = instance
-            self.note_started()
-        previous = self.per_second
-        self._gate.handle_server_message(
-            RateReported(per_second=feedback.per_second, begun_at=begun_at),
-        )
-        if self.per_second != previous:
-            self._record_limit(instance)
+        else:
+            self._apply_limit(feedback, instance=instance, begun_at=begun_at)
+        if feedback.malformed_load:
+            self.note_malformed(feedback.malformed_load)
+        if feedback.load is not None:
+            self._gate.handle_server_message(LoadReported(load=feedback.load))
+            for notify in self.load_listeners:
+                notify()
 
     def apply_forwarded_limit(
         self,
@@ -190,6 +237,23 @@
             detail=repr(text[:MAX_LOGGED_BYTES]),
         )
 
+    def _apply_limit(
+        self,
+        feedback: ServerFeedback,
+        *,
+        instance: InstanceId,
+        begun_at: float,
+    ) -> None:
+        if instance != self._instance:
+            self._instance = instance
+            self.note_started()
+        previous = self.per_second
+        self._gate.handle_server_message(
+            RateReported(per_second=feedback.per_second, begun_at=begun_at),
+        )
+        if self.per_second != previous:
+            self._record_limit(instance)
+
     def _record_limit(
         self,
         instance: InstanceId,
--- a/wagtaildale/calls/tests/test_owner_listener.py
+++ b/wagtaildale/calls/tests/test_owner_listener.py
@@ -100,3 +100,12 @@
     entry.receive(LOAD)
     assert not entry.statistics.server_limits.is_limited(OWN)
     assert not entry.statistics.leaving_servers.is_leaving(entry.records[0])
+
+
+def test_reported_pace_reaches_the_statistics(entry: Entry) -> None:
+    """An entry without a recent answer knows nothing of a slow period."""
+    entry.receive(structs.replace(LOAD, pace_percent=300))
+    now = read_clock()
+    slowness = entry.statistics.find(OWN, now=now).slowness
+    assert slowness.has_fresh_pace(now)
+    assert slowness.estimate_pace(now) > 2
--- a/wagtaildale/calls/tests/test_server_feedback.py
+++ b/wagtaildale/calls/tests/test_server_feedback.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from wagtaildale.admission.pace import ServerLoad
 from wagtaildale.calls.http.parsing import MessageParser
 from wagtaildale.calls.owner.server_feedback import (
     FeedbackTracker,
@@ -89,3 +90,73 @@
     ]
     assert events[0].inputs == {'per_second': '2.5', 'origin': 'server'}
     assert events[1].code == Code.server_word_malformed
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        (b'3,0,8', ServerLoad(running=3, waiting=0, slots=8)),
+        (b'3,2,8,1', ServerLoad(running=3, waiting=2, slots=8, pace_percent=1)),
+        (
+            b'0,0,999999999,10000',
+            ServerLoad(
+                running=0, waiting=0, slots=999_999_999, pace_percent=10_000
+            ),
+        ),
+    ],
+)
+def test_load_is_parsed(text: bytes, expected: ServerLoad) -> None:
+    assert parse(b'X-Server-Load: %b\r\n' % text).load == expected
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        b'3',
+        b'3,0',
+        b'3,0,8,100,1',
+        b'3,0,8,',
+        b'3,0,8,0',
+        b'3,0,8,10001',
+        b'3,0,8,-1',
+        b'3,0,8,1.5',
+        b'3,0,8,nan',
+        b'3, 0, 8',
+        b'3;0;8',
+        b'0,0,1234567890',
+        '3,0,\u0668'.encode(),
+        b'9' * 400,
+    ],
+)
+def test_malformed_load_does_not_affect_the_limit(text: bytes) -> None:
+    """A malformed load removes the rate limit of the same response."""
+    extra = b'Server-Limit: 5\r\nX-Server-Load: %b\r\n' % text
+    assert parse(extra) == ServerFeedback(per_second=5, malformed_load=text)
+
+
+def test_malformed_limit_does_not_affect_the_load() -> None:
+    """A malformed limit hides the load of the same response."""
+    extra = b'Server-Limit: x\r\nX-Server-Load: 1,0,4,250\r\n'
+    assert parse(extra) == ServerFeedback(
+        malformed=b'x',
+        load=ServerLoad(running=1, waiting=0, slots=4, pace_percent=250),
+    )
+
+
+def test_malformed_load_is_logged_and_changes_nothing() -> None:
+    """Nonsense of a server changes what is expected of it, unnoticed."""
+    recorder = build_recorder()
+    gate = build_gate()
+    tracker = FeedbackTracker(gate, recorder=recorder)
+    load = ServerLoad(running=1, waiting=0, slots=4, pace_percent=250)
+    received = (
+        ServerFeedback(load=load),
+        ServerFeedback(malformed_load=b'1,0,4,0'),
+    )
+    for begun_at, feedback in enumerate(received):
+        tracker.apply(feedback, instance=SERVER, begun_at=begun_at)
+    events = recorder.read_since(0)
+    assert [(event.kind, event.code) for event in events] == [
+        (EventKind.server_word_refused, Code.server_word_malformed),
+    ]
+    assert gate.state.pace.percent == load.pace_percent
--- a/wagtaildale/routing/slowness.py
+++ b/wagtaildale/routing/slowness.py
@@ -12,6 +12,8 @@
 
 from typing import Final
 
+from wagtaildale.admission.pace import ReportedPace
+
 # Bounds of a server's time over the usual time of the class. One answer in a
 # hundred takes several times the usual time on any server. The upper bound
 # keeps such an answer from looking like a hanging server.
@@ -38,6 +40,9 @@
 class Slowness:
     """Slowness of one upstream: its time over the usual time of the class.
 
+    Attributes:
+        pace: pace of the server, as its owner last reported it.
+
     Example:
         >>> slowness = Slowness(now=0)
         >>> slowness.note_reported_times(0.6, usual_ratio=0.5, now=10)
@@ -45,7 +50,13 @@
         (0.6, 0.56)
     """
 
-    __slots__ = ('_decay_seconds', '_noted_at', '_slowness', '_usual_ratio')
+    __slots__ = (
+        '_decay_seconds',
+        '_noted_at',
+        '_slowness',
+        '_usual_ratio',
+        'pace',
+    )
 
     def __init__(self, *, now: float) -> None:
         """Start with an upstream that may be cold.
@@ -57,6 +68,7 @@
         self._usual_ratio = float(1)
         self._noted_at = now
         self._decay_seconds = COLD_DECAY_SECONDS
+        self.pace = ReportedPace()
 
     def note_reported_times(
         self,
@@ -95,6 +107,39 @@
         """
         self._set_slowness(_bound(ratio * self._usual_ratio), now)
 
+    def note_pace(self, percent: int, *, now: float) -> None:
+        """Note the pace of the server, which its owner sends in each message.
+
+        Args:
+            percent: current run time in percent of the server's usual one; 0
+                if the server does not report it.
+            now: current time, in seconds.
+        """
+        self.pace.note(percent, now=now)
+
+    def estimate_pace(self, now: float) -> float:
+        """Estimate the current pace of the server.
+
+        Args:
+            now: current time, in seconds.
+
+        Returns:
+            Run time as a multiple of the server's usual one; closer to 1 with
+            the age of the report, and 1 if nothing is known.
+        """
+        return self.pace.estimate(now)
+
+    def has_fresh_pace(self, now: float) -> bool:
+        """Tell whether the owner has reported the pace a moment ago.
+
+        Args:
+            now: current time, in seconds.
+
+        Returns:
+            Whether the last report has a pace that still has an effect.
+        """
+        return self.pace.is_fresh(now)
+
     def note_unfinished_attempt(self, ratio: float, *, now: float) -> None:
         """Note an attempt that was unfinished when another one was answered.
 
--- a/wagtaildale/routing/tests/test_slowness.py
+++ b/wagtaildale/routing/tests/test_slowness.py
@@ -98,3 +98,20 @@
         for each, report in ((other, usual), (upstream, silent)):
             statistics.note_run_time(each, report, class_name='lookup', now=NOW)
     assert upstream.slowness.estimate(NOW) > 1.3
+
+
+def test_pace_is_kept_until_it_is_old() -> None:
+    """An entry waits for work at a server that has become slow."""
+    slowness = Slowness(now=0)
+    slowness.note_pace(250, now=1)
+    assert slowness.estimate_pace(1) == pytest.approx(2.5)
+    assert slowness.has_fresh_pace(1)
+    assert slowness.estimate_pace(2) == 1
+    assert not slowness.has_fresh_pace(2)
+
+
+def test_pace_of_a_new_upstream_is_usual() -> None:
+    """A server that reports no pace counts as one with a fresh report."""
+    slowness = Slowness(now=0)
+    assert slowness.estimate_pace(0) == 1
+    assert not slowness.has_fresh_pace(0)
--- a/wagtaildale/routing/upstream.py
+++ b/wagtaildale/routing/upstream.py
@@ -68,6 +68,7 @@
         server_limit: rate limit of the backend server; nothing if the owner
             does not know it yet.
         line: state of the owner's line, if its bandwidth is known.
+        pace_percent: pace of the backend server; 0 if it does not report it.
     """
 
     incarnation: Incarnation
@@ -81,6 +82,7 @@
     code: Code = Code.ok
     server_limit: ServerLimit | None = None
     line: LineState | None = None
+    pace_percent: int = 0
 
 
 class UpstreamStatistics:
@@ -172,6 +174,7 @@
             now=now,
         )
         self.line.note(report.line, now=now)
+        self.slowness.note_pace(report.pace_percent, now=now)
         if report.slot_seconds:
             self.slot_seconds = report.slot_seconds
         if report.code is Code.draining:
