Reported load: use the pace in admission, choice and notices

Cause: servers on shared machines are slow for half a second. The means over ten and thirty runs that owners report are older than that, and they keep a slow period for long after its end.

Change: an owner expects the usual run time of a class times the pace, and keeps usual times divided by the pace during the run. Runs that differ by a factor of 1.5 from what the reports made expect, in the mean or one by one, contradict the reports; the measured pace is used until they agree again (pace-contradicted, pace-confirmed). Entries multiply the usual speed of an upstream by its pace instead of the slowness of recent runs, and are notified of changes by a factor of 1.4. No slot counts as free for 0.25 s while the server reports waiting requests that its owner did not cause. Servers without a fourth figure are handled as before. New gauge wagtaildale.backend.pace and pace_percent in run-ended and run-refused.

--- a/wagtaildale/admission/decisions.py
+++ b/wagtaildale/admission/decisions.py
@@ -22,6 +22,7 @@
     TimePassed,
     Verdict,
 )
+from wagtaildale.admission.pace import OCCUPIED_SECONDS
 from wagtaildale.admission.queue import (
     admit_waiting,
     decide_arrival,
@@ -191,7 +192,8 @@
     now: float,
 ) -> list[Verdict]:
     state.rate.note_restart()
-    state.pace.note(0, now=now)
+    state.pace.note_report(0, now=now)
+    state.occupied_until = 0
     return admit_waiting(state, now)
 
 
@@ -202,8 +204,17 @@
     *,
     now: float,
 ) -> list[Verdict]:
-    state.pace.note(message.load.pace_percent, now=now)
-    return []
+    load = message.load
+    state.pace.note_report(load.pace_percent, now=now)
+    was_occupied = now < state.occupied_until
+    if not (load.waiting and load.pace_percent):
+        state.occupied_until = 0
+    elif state.free_slots > 0 and not state.occupied_until:
+        # Others use the server, or requests that were given up still run
+        # there. A request that is sent now would wait there. A server that
+        # always reports waiting requests is stopped only once.
+        state.occupied_until = now + OCCUPIED_SECONDS
+    return admit_waiting(state, now) if was_occupied else []
 
 
 @decide_admission.register
--- a/wagtaildale/admission/gate.py
+++ b/wagtaildale/admission/gate.py
@@ -158,7 +158,7 @@
 
     def _schedule_alarm(self) -> None:
         # One alarm serves the whole queue. It fires when the first request in
-        # the queue is overdue or may get its rate limit token.
+        # the queue is overdue or may start without a slot being freed.
         token_at = self.state.find_token_at(read_clock())
         start_by = min(waiting.start_by for waiting in self.state.queue)
         next_at = min(start_by, token_at + ALARM_MARGIN_SECONDS)
@@ -188,6 +188,10 @@
                 on_verdict(verdict)
             elif verdict.ticket == awaited:
                 awaited_verdict = verdict
-        if self.state.queue and self.state.rate.find_rate(now) is not None:
+        is_delayed = (
+            self.state.rate.find_rate(now) is not None
+            or now < self.state.occupied_until
+        )
+        if self.state.queue and is_delayed:
             self._schedule_alarm()
         return awaited_verdict
--- a/wagtaildale/admission/limits.py
+++ b/wagtaildale/admission/limits.py
@@ -65,13 +65,15 @@
         work_class: the request's service and class.
     """
     if ending is not Ending.failed:
-        _record_run_time(state, ending, seconds, work_class)
+        _record_run_time(state, ending, seconds, work_class, now=now)
     if ending is Ending.abandoned:
         return
     if ending is Ending.failed:
         if state.adaptive:
             _lower_limit(state, FAILURE_FACTOR, now)
         return
+    # In a slow period of the server's machine, its usual times do not change.
+    seconds = state.pace.normalise(seconds, now=now)
     if not state.baseline_seconds:
         # The baseline starts from the first run. If it started from an
         # assumed value, every run could look slow next to it, which would
@@ -95,16 +97,29 @@
     ending: Ending,
     seconds: float,
     work_class: str,
+    *,
+    now: float,
 ) -> None:
     usual = state.class_run_times.setdefault(work_class, RunTimes())
     ratio = seconds / usual.reliable_mean if usual.reliable_mean else 0
+    if ratio:
+        is_abandoned = ending is Ending.abandoned
+        note = (
+            state.pace.note_abandoned if is_abandoned else state.pace.note_run
+        )
+        note(
+            ratio,
+            recent_ratio=seconds / usual.recent,
+            seconds=seconds,
+            now=now,
+        )
     if ending is Ending.abandoned:
         usual.note_abandoned(seconds)
         state.slowness.note_abandoned(ratio)
         return
-    usual.note(seconds)
     if ratio:
         state.slowness.note(ratio)
+    usual.note(seconds, usual_seconds=state.pace.normalise(seconds, now=now))
 
 
 def _is_slowed(state: AdmissionState) -> bool:
--- a/wagtaildale/admission/queue.py
+++ b/wagtaildale/admission/queue.py
@@ -69,7 +69,7 @@
     message: RequestArrived,
     now: float,
 ) -> QueuedRequest:
-    seconds = state.estimate_run_seconds(message.work_class)
+    seconds = state.estimate_run_seconds(message.work_class, now=now)
     within = message.within_ms / MILLISECONDS
     target_at = now + within
     start_by = target_at - seconds
--- a/wagtaildale/admission/refusals.py
+++ b/wagtaildale/admission/refusals.py
@@ -47,13 +47,14 @@
         cause.
     """
     ahead = len(state.queue)
-    slot_wait = state.estimate_slot_wait(ahead)
+    slot_wait = state.estimate_slot_wait(ahead, now=now)
     if state.rate.find_wait(waiting.rank, ahead=ahead, now=now) > slot_wait:
         return build_refusal(state, waiting, Code.rate_limited, now)
     return Refused(
         ticket=waiting.ticket,
         code=Code.overloaded,
-        retry_after=slot_wait + state.service_seconds,
+        retry_after=slot_wait
+        + state.service_seconds * state.pace.estimate(now),
     )
 
 
--- a/wagtaildale/admission/run_times.py
+++ b/wagtaildale/admission/run_times.py
@@ -21,8 +21,8 @@
 
     Attributes:
         runs: number of completed runs.
-        mean: mean run time in seconds; of all runs at first, later weighted
-            over about thirty.
+        mean: mean run time at the usual pace in seconds; of all runs at
+            first, later weighted over about thirty.
         recent: mean run time in seconds, weighted over about ten runs.
     """
 
@@ -41,15 +41,16 @@
         """
         return self.mean if self.runs >= MIN_RUNS else 0
 
-    def note(self, seconds: float) -> None:
+    def note(self, seconds: float, *, usual_seconds: float) -> None:
         """Record a completed run.
 
         Args:
             seconds: run time.
+            usual_seconds: run time at the usual pace of the server.
         """
         self.runs += 1
         gain = 1 / self.runs
-        self.mean += (seconds - self.mean) * max(MEAN_GAIN, gain)
+        self.mean += (usual_seconds - self.mean) * max(MEAN_GAIN, gain)
         self.recent += (seconds - self.recent) * max(RECENT_GAIN, gain)
 
     def note_abandoned(self, seconds: float) -> None:
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -8,7 +8,7 @@
 from msgspec import Struct, field
 
 from wagtaildale.admission.messages import TicketId
-from wagtaildale.admission.pace import ReportedPace
+from wagtaildale.admission.pace import Pace
 from wagtaildale.admission.rates import RateLimit
 from wagtaildale.admission.run_times import RunTimes
 from wagtaildale.admission.shares import Demand
@@ -80,7 +80,11 @@
         class_seconds: smoothed run time of each class.
         class_run_times: run times of each class that entries are sent.
         slowness: detects that the backend server is slower than usual.
-        pace: pace that the backend server reports, if any.
+        pace: pace of the backend server, if it reports one. The smoothed run
+            times of a server that reports it are those at the usual pace.
+        occupied_until: time until which no slot counts as free, because the
+            backend server has reported requests that wait there; 0 if its last
+            report had none.
         rate: rate limit that the backend server names, if any.
         demand: request rate before entries hold any request back.
         adaptive: whether the limit is adjusted to observed run times.
@@ -99,7 +103,8 @@
     class_seconds: dict[str, float] = field(default_factory=dict)
     class_run_times: dict[str, RunTimes] = field(default_factory=dict)
     slowness: Slowness = field(default_factory=Slowness)
-    pace: ReportedPace = field(default_factory=ReportedPace)
+    pace: Pace = field(default_factory=Pace)
+    occupied_until: float = 0
     rate: RateLimit = field(default_factory=RateLimit)
     demand: Demand = field(default_factory=Demand)
     adaptive: bool = True
@@ -135,12 +140,15 @@
         Returns:
             Whether a slot and a rate limit token are available to it.
         """
+        if now < self.occupied_until:
+            return False
         if not self.rate.has_token(waiting.rank, now=now):
             return False
         is_urgent = (
             waiting.target_at - now < URGENT_RUN_TIMES * waiting.run_seconds
         )
-        if is_urgent or waiting.run_seconds < self.service_seconds:
+        usual_seconds = self.service_seconds * self.pace.estimate(now)
+        if is_urgent or waiting.run_seconds < usual_seconds:
             return self.free_slots > 0
         return self.free_slots > self.reserved_slots
 
@@ -149,16 +157,18 @@
         """Maximum number of queued requests."""
         return self.slots * QUEUE_PER_SLOT
 
-    def estimate_run_seconds(self, work_class: str) -> float:
+    def estimate_run_seconds(self, work_class: str, *, now: float) -> float:
         """Estimate how long a request of a class runs.
 
         Args:
             work_class: the request's service and class.
+            now: current time, seconds.
 
         Returns:
             Seconds; the mean of all classes before the first run of this one.
         """
-        return self.class_seconds.get(work_class, self.service_seconds)
+        usual = self.class_seconds.get(work_class, self.service_seconds)
+        return usual * self.pace.estimate(now)
 
     def find_run_times(self, work_class: str) -> RunTimes:
         """Find the recent and usual run time of a class.
@@ -172,14 +182,18 @@
         return self.class_run_times.get(work_class) or RunTimes()
 
     def find_token_at(self, now: float) -> float:
-        """Find when the next queued request gets a rate limit token.
+        """Find when a queued request may start without a slot being freed.
 
         Args:
             now: current time, seconds.
 
         Returns:
-            Time in seconds; infinite if no request waits for a token.
+            Time in seconds of the next rate limit token, or of the end of the
+            time in which no slot counts as free; infinite if no request waits
+            for either.
         """
+        if now < self.occupied_until:
+            return self.occupied_until
         if self.rate.find_rate(now) is None:
             return inf
         waits = (
@@ -214,20 +228,23 @@
             Seconds.
         """
         for_token = self.rate.find_wait(rank, ahead=ahead, now=now)
-        return max(for_token, self.estimate_slot_wait(ahead))
+        return max(for_token, self.estimate_slot_wait(ahead, now=now))
 
-    def estimate_slot_wait(self, ahead: int) -> float:
+    def estimate_slot_wait(self, ahead: int, *, now: float) -> float:
         """Estimate how long a request waits for a slot.
 
         Args:
             ahead: number of requests that are served before it.
+            now: current time, seconds.
 
         Returns:
             Seconds.
         """
-        turns = (ahead + 1 - self.free_slots) / max(1, int(self.limit))
+        free_slots = 0 if now < self.occupied_until else self.free_slots
+        turns = (ahead + 1 - free_slots) / max(1, int(self.limit))
         seconds = self.slot_seconds or self.assumed_seconds
-        return max(0, turns) * (seconds or self.service_seconds)
+        seconds = (seconds or self.service_seconds) * self.pace.estimate(now)
+        return max(0, turns) * seconds
 
 
 def make_admission(slots: int) -> AdmissionState:
--- a/wagtaildale/calls/owner/load_notifier.py
+++ b/wagtaildale/calls/owner/load_notifier.py
@@ -6,6 +6,7 @@
 
 from wagtaildale.admission.capacity import compute_pass_share
 from wagtaildale.admission.shares import ALL_PASS, PassShare
+from wagtaildale.calls.owner.pace_steps import PaceSteps
 from wagtaildale.calls.wire.fields import UNKNOWN_RATE, encode_rate
 from wagtaildale.calls.wire.frames import LoadReport
 from wagtaildale.telemetry.events import EventKind
@@ -88,6 +89,7 @@
         self._find_leaving = find_leaving
         self._read_line = read_line
         self._line_steps = LineSteps()
+        self._pace_steps = PaceSteps(recorder)
         self._gate = gate
         self._instance = instance
         self._recorder = recorder
@@ -98,7 +100,8 @@
         percent = self._update_slowness(now)
         demand = self._gate.state.demand
         if (
-            demand.update_announcement(self._compute_share(now), now=now)
+            self._pace_steps.update(self._gate.state.pace, now=now)
+            or demand.update_announcement(self._compute_share(now), now=now)
             or percent
             or self._line_steps.update(self._read_line(), now=now)
         ):
@@ -130,7 +133,10 @@
         """
         load = self._describe_load(0)
         is_unrestricted = (
-            load.is_up and load.share is None and load.leaving is None
+            load.is_up
+            and load.share is None
+            and load.leaving is None
+            and not load.pace_percent
         )
         return None if is_unrestricted else load
 
--- a/wagtaildale/calls/owner/owner.py
+++ b/wagtaildale/calls/owner/owner.py
@@ -141,6 +141,9 @@
             feedback=FeedbackTracker(gate, recorder=recorder),
             conditions=conditions,
         )
+        self.targets.feedback.load_listeners.append(
+            self.load_notifier.notify_changes
+        )
         self.targets.leaving.listeners.append(self.load_notifier.notify_leaving)
         self.pool.watch.listeners.append(self._on_watch_changed)
         self.collector = BodyCollector(
@@ -261,6 +264,9 @@
             detail: further text for operators.
         """
         state = self.gate.state
+        pace_percent = state.pace.encode(read_clock())
+        if pace_percent:
+            inputs = {'pace_percent': pace_percent, **inputs}
         self._recorder.record(
             kind,
             code=code,
--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -271,7 +271,7 @@
                 limits=find_transfer_limits(
                     fields,
                     run_seconds=self._owner.gate.state.estimate_run_seconds(
-                        fields.work_class
+                        fields.work_class, now=read_clock()
                     ),
                 ),
                 sender=self,
--- a/wagtaildale/calls/owner/server_feedback.py
+++ b/wagtaildale/calls/owner/server_feedback.py
@@ -137,7 +137,7 @@
     """Applies the feedback of the backend server beside a node.
 
     Attributes:
-        load_listeners: callbacks for each load report of the server.
+        load_listeners: callbacks for each reported load with a pace.
     """
 
     def __init__(self, gate: Gate, *, recorder: EventRecorder) -> None:
@@ -180,8 +180,7 @@
             self.note_malformed(feedback.malformed_load)
         if feedback.load is not None:
             self._gate.handle_server_message(LoadReported(load=feedback.load))
-            for notify in self.load_listeners:
-                notify()
+            self._notify_load_listeners(feedback.load)
 
     def apply_forwarded_limit(
         self,
@@ -254,6 +253,11 @@
         if self.per_second != previous:
             self._record_limit(instance)
 
+    def _notify_load_listeners(self, load: ServerLoad) -> None:
+        if load.pace_percent:
+            for notify in self.load_listeners:
+                notify()
+
     def _record_limit(
         self,
         instance: InstanceId,
--- a/wagtaildale/calls/tests/test_server_feedback.py
+++ b/wagtaildale/calls/tests/test_server_feedback.py
@@ -159,4 +159,4 @@
     assert [(event.kind, event.code) for event in events] == [
         (EventKind.server_word_refused, Code.server_word_malformed),
     ]
-    assert gate.state.pace.percent == load.pace_percent
+    assert gate.state.pace.reported.percent == load.pace_percent
--- a/wagtaildale/routing/slowness.py
+++ b/wagtaildale/routing/slowness.py
@@ -52,6 +52,8 @@
 
     __slots__ = (
         '_decay_seconds',
+        '_is_unanswered',
+        '_is_usual_known',
         '_noted_at',
         '_slowness',
         '_usual_ratio',
@@ -66,6 +68,8 @@
         """
         self._slowness = COLD_SLOWNESS
         self._usual_ratio = float(1)
+        self._is_usual_known = False
+        self._is_unanswered = False
         self._noted_at = now
         self._decay_seconds = COLD_DECAY_SECONDS
         self.pace = ReportedPace()
@@ -85,7 +89,8 @@
                 usual time.
             now: current time, in seconds.
         """
-        self._usual_ratio = _bound(usual_ratio)
+        self._usual_ratio = usual_ratio
+        self._is_usual_known = True
         self._set_slowness(_bound(ratio), now)
 
     def note_measured_time(self, ratio: float, *, now: float) -> None:
@@ -105,7 +110,7 @@
             ratio: time of its recent answers over its own usual time.
             now: current time, in seconds.
         """
-        self._set_slowness(_bound(ratio * self._usual_ratio), now)
+        self._set_slowness(_bound(ratio * _bound(self._usual_ratio)), now)
 
     def note_pace(self, percent: int, *, now: float) -> None:
         """Note the pace of the server, which its owner sends in each message.
@@ -116,6 +121,7 @@
             now: current time, in seconds.
         """
         self.pace.note(percent, now=now)
+        self._is_unanswered = False
 
     def estimate_pace(self, now: float) -> float:
         """Estimate the current pace of the server.
@@ -149,6 +155,7 @@
         """
         if _bound(ratio) > self.estimate(now):
             self._set_slowness(_bound(ratio), now)
+            self._is_unanswered = not self.pace.is_fresh(now)
 
     def estimate(self, now: float) -> float:
         """Estimate the upstream's current slowness.
@@ -163,9 +170,25 @@
         Returns:
             Time of its answers as a multiple of the usual time.
         """
+        if not self.pace.is_known:
+            return self._estimate_from_times(now)
+        pace = self.pace.estimate(now)
+        if self._is_unanswered or not self._is_usual_known:
+            return max(self._estimate_from_times(now), _bound(pace))
+        # Recent run times are older than a slow period, so the pace replaces
+        # them. Only the product is bounded: an owner divides the usual time by
+        # the reported pace, so a wrong report of a constant pace cancels out.
+        share = (now - self._noted_at) / USUAL_SPEED_DECAY_SECONDS
+        return _bound(
+            decay_linearly(self._usual_ratio, to=1, share=share) * pace
+        )
+
+    def _estimate_from_times(self, now: float) -> float:
         age = now - self._noted_at
         usual = decay_linearly(
-            self._usual_ratio, to=1, share=age / USUAL_SPEED_DECAY_SECONDS
+            _bound(self._usual_ratio),
+            to=1,
+            share=age / USUAL_SPEED_DECAY_SECONDS,
         )
         if age >= self._decay_seconds:
             return usual
--- a/wagtaildale/routing/statistics.py
+++ b/wagtaildale/routing/statistics.py
@@ -10,6 +10,7 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.pace import USUAL_PERCENT
 from wagtaildale.admission.state import ASSUMED_TARGET_SHARE
 from wagtaildale.routing.down_servers import DownServers
 from wagtaildale.routing.known_limits import KnownLimits
@@ -80,7 +81,10 @@
         """
         if report.run_seconds <= 0:
             return
-        seconds = report.class_usual_seconds or report.run_seconds
+        # Measured times take precedence: the product is near the time that
+        # the owner measures, whatever pace the server reports.
+        pace = report.pace_percent / USUAL_PERCENT or 1
+        seconds = report.class_usual_seconds * pace or report.run_seconds
         usual = self._usual_seconds_by_class.get(class_name, seconds)
         self._usual_seconds_by_class[class_name] = (
             usual + (seconds - usual) * USUAL_GAIN
--- a/wagtaildale/routing/tests/test_slowness.py
+++ b/wagtaildale/routing/tests/test_slowness.py
@@ -115,3 +115,36 @@
     slowness = Slowness(now=0)
     assert slowness.estimate_pace(0) == 1
     assert not slowness.has_fresh_pace(0)
+
+
+def test_pace_replaces_recent_run_times_but_not_the_usual_speed() -> None:
+    """A server is avoided for seconds after a slow period of half a second."""
+    slowness = Slowness(now=0)
+    slowness.note_reported_times(3.0, usual_ratio=1.5, now=1)
+    slowness.note_pace(100, now=1)
+    assert slowness.estimate(1) == pytest.approx(1.5)
+    slowness.note_pace(200, now=1.1)
+    assert slowness.estimate(1.1) == pytest.approx(3.0, rel=0.01)
+    assert slowness.estimate(2) == pytest.approx(1.5, rel=0.02)
+
+
+def test_constant_wrong_pace_cancels_out() -> None:
+    """A server that reports any constant pace is avoided or overloaded.
+
+    The owner divides the usual time by the reported pace.
+    """
+    slowness = Slowness(now=0)
+    slowness.note_reported_times(1.0, usual_ratio=10.0, now=1)
+    slowness.note_pace(10, now=1)
+    assert slowness.estimate(1) == pytest.approx(1.0)
+
+
+def test_hanging_server_is_avoided_without_a_pace() -> None:
+    """A server that hangs reports nothing, and its last pace was usual."""
+    slowness = Slowness(now=0)
+    slowness.note_reported_times(1.0, usual_ratio=1.0, now=1)
+    slowness.note_pace(100, now=1)
+    slowness.note_unfinished_attempt(3.0, now=2)
+    assert slowness.estimate(2) == pytest.approx(3.0)
+    slowness.note_pace(100, now=2.5)
+    assert slowness.estimate(2.5) == pytest.approx(1.0)
--- a/wagtaildale/routing/upstream.py
+++ b/wagtaildale/routing/upstream.py
@@ -57,7 +57,7 @@
         limit: concurrency limit of the backend server, in requests.
         queued: number of requests waiting for a slot.
         slot_seconds: smoothed seconds that a request of any class holds a
-            slot; 0 if not known yet.
+            slot at the usual pace; 0 if not known yet.
         run_seconds: seconds that the answered request took at the backend
             server; 0 if it did not run.
         class_seconds: smoothed seconds of the last few requests of the same
@@ -283,7 +283,8 @@
         ahead = float(self.pending)
         if self.measure_load_age(now) < STALE_LOAD_SECONDS:
             ahead = max(ahead, self.in_flight + self.queued)
-        slot_seconds = self.slot_seconds or run_seconds
+        slot_seconds = self.slot_seconds * self.slowness.estimate_pace(now)
+        slot_seconds = slot_seconds or run_seconds
         return max(0, ahead + 1 - self.limit) * slot_seconds / self.limit
 
     def measure_load(self, now: float) -> float:
--- a/wagtaildale/telemetry/events.py
+++ b/wagtaildale/telemetry/events.py
@@ -78,6 +78,8 @@
     request_cleared = 'request-cleared'
     backend_slow = 'backend-slow'
     backend_well = 'backend-well'
+    pace_contradicted = 'pace-contradicted'
+    pace_confirmed = 'pace-confirmed'
     settings_kept = 'settings-kept'
     invariant_broken = 'invariant-broken'
 
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -88,12 +88,7 @@
         unit='{request}',
         description='Requests that may run at the backend server.',
     )
-    metrics.add_gauge(
-        'wagtaildale.backend.rate_limit',
-        lambda: _read_rate_limit(node),
-        unit='{request}/s',
-        description='Rate that the backend server names; -1 if none.',
-    )
+    _add_report_gauges(metrics, node)
     metrics.add_gauge(
         'wagtaildale.backend.demand',
         lambda: node.calls.owner.gate.state.demand.measure(read_clock()),
@@ -132,6 +127,21 @@
     )
 
 
+def _add_report_gauges(metrics: Metrics, node: Node) -> None:
+    metrics.add_gauge(
+        'wagtaildale.backend.rate_limit',
+        lambda: _read_rate_limit(node),
+        unit='{request}/s',
+        description='Rate that the backend server names; -1 if none.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.backend.pace',
+        lambda: node.calls.owner.gate.state.pace.encode(read_clock()),
+        unit='%',
+        description='Run time in percent of the usual; 0 if not reported.',
+    )
+
+
 def _read_rate_limit(node: Node) -> float:
     rate_limit = node.calls.owner.targets.feedback.per_second
     return NO_LIMIT if rate_limit is None else rate_limit
--- a/wagtaildale/testing/replay/__init__.py
+++ b/wagtaildale/testing/replay/__init__.py
@@ -11,6 +11,7 @@
 from wagtaildale.testing.replay.load import LoadClass, Outcomes
 from wagtaildale.testing.replay.mesh import ReplayMesh
 from wagtaildale.testing.replay.servers import ReplayServer
+from wagtaildale.testing.replay.slow_periods import SlowPeriods
 
 __all__ = (
     'Caller',
@@ -18,5 +19,6 @@
     'Outcomes',
     'ReplayMesh',
     'ReplayServer',
+    'SlowPeriods',
     'VirtualClock',
 )
--- a/wagtaildale/testing/replay/entries.py
+++ b/wagtaildale/testing/replay/entries.py
@@ -110,6 +110,17 @@
                 ratio, now=self.mesh.clock.now
             )
 
+    def note_pace(self, server: ReplayServer, percent: int) -> None:
+        """Record an announced pace, if the upstream is in the subset.
+
+        Args:
+            server: the upstream.
+            percent: its current run time in percent of its usual one.
+        """
+        upstream = self._find_in_subset(server)
+        if upstream is not None:
+            upstream.slowness.note_pace(percent, now=self.mesh.clock.now)
+
     def note_limit(self, server: ReplayServer, limit: ServerLimit) -> None:
         """Record an announced rate limit, if the upstream is in the subset.
 
--- a/wagtaildale/testing/replay/load.py
+++ b/wagtaildale/testing/replay/load.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from math import log
+from math import log, pi, sin
 
 from msgspec import Struct
 
@@ -27,6 +27,10 @@
         tries: number of tries that a caller makes, the first one included.
         calls: name of the class that runs call; empty if they call none.
         calls_share: share of the runs that make such a call.
+        swing: amplitude of the demand of a data centre, as a share of its
+            mean.
+        swing_seconds: period of the demand; data centres have their peaks one
+            after the other.
     """
 
     name: str
@@ -41,6 +45,23 @@
     tries: int = 3
     calls: str = ''
     calls_share: float = 0
+    swing: float = 0
+    swing_seconds: float = 17
+
+    def draw_arrival(self, now: float, *, phase: float) -> bool:
+        """Draw whether a request drawn at the peak rate arrives.
+
+        Args:
+            now: current time, seconds.
+            phase: share of the period by which the demand of the data centre
+                is behind.
+
+        Returns:
+            Whether it arrives at the current demand.
+        """
+        angle = 2 * pi * (now / self.swing_seconds - phase)
+        demand = 1 + self.swing * sin(angle)
+        return random.random() * (1 + self.swing) < demand
 
     def draw_run_seconds(self) -> float:
         """Draw the run time of a request at a backend server of speed 1.
--- a/wagtaildale/testing/replay/mesh.py
+++ b/wagtaildale/testing/replay/mesh.py
@@ -91,6 +91,7 @@
                 cold=cold,
                 on_slowness=self._announce_slowness,
                 on_limit=self._announce_limit,
+                on_pace=self._announce_pace,
             )
             self.servers[name] = server
             self._add_entry(server)
@@ -198,6 +199,14 @@
                 partial(entry.note_slowness, server, ratio),
             )
 
+    def _announce_pace(self, server: ReplayServer) -> None:
+        percent = server.state.pace.encode(self.clock.now)
+        for entry in self.entries.values():
+            self.clock.schedule(
+                REMOTE_DELAY_SECONDS,
+                partial(entry.note_pace, server, percent),
+            )
+
     def _announce_limit(self, server: ReplayServer) -> None:
         limit = server.describe_limit()
         assert limit is not None
@@ -216,12 +225,22 @@
         )
 
     def _schedule_request(self, work_class: LoadClass, until: float) -> None:
-        gap = random.expovariate(work_class.per_second)
+        peak = work_class.per_second * (1 + work_class.swing)
+        gap = random.expovariate(peak)
         if self.clock.now + gap < until:
             self.clock.schedule(gap, partial(self._send, work_class, until))
 
     def _send(self, work_class: LoadClass, until: float) -> None:
         entry = random.choice(list(self.entries.values()))
-        outcomes = self.outcomes[work_class.name]
-        Caller(entry, work_class, outcomes=outcomes).send()
+        if not work_class.swing or work_class.draw_arrival(
+            self.clock.now, phase=self._find_phase(entry)
+        ):
+            outcomes = self.outcomes[work_class.name]
+            Caller(entry, work_class, outcomes=outcomes).send()
         self._schedule_request(work_class, until)
+
+    def _find_phase(self, entry: ReplayEntry) -> float:
+        data_centres = sorted(
+            {each.data_centre for each in self.entries.values()}
+        )
+        return data_centres.index(entry.data_centre) / len(data_centres)
--- a/wagtaildale/testing/replay/servers.py
+++ b/wagtaildale/testing/replay/servers.py
@@ -18,7 +18,12 @@
     TicketId,
     TimePassed,
 )
-from wagtaildale.admission.server_messages import RateReported, SlotsPublished
+from wagtaildale.admission.pace import USUAL_PERCENT, ServerLoad
+from wagtaildale.admission.server_messages import (
+    LoadReported,
+    RateReported,
+    SlotsPublished,
+)
 from wagtaildale.admission.state import make_admission
 from wagtaildale.routing.known_limits import ServerLimit
 from wagtaildale.routing.upstream import OwnerReport
@@ -70,6 +75,8 @@
         record: record of the instance, as listed.
         speed: speed of the backend server; at 2, runs take half as long.
         slowness: factor by which a simulated fault multiplies run times.
+        read_pace: returns the pace that the backend server reports, percent;
+            none if it reports no pace.
         requests_received: number of requests that its owner received.
         runs: number of runs that were started.
         slot_seconds: total time that ended runs held slots.
@@ -87,6 +94,7 @@
         cold: bool,
         on_slowness: Callable[[ReplayServer], None],
         on_limit: Callable[[ReplayServer], None],
+        on_pace: Callable[[ReplayServer], None],
     ) -> None:
         """Start the upstream and publish its slots to the gate.
 
@@ -98,10 +106,12 @@
             on_slowness: called when its announced slowness changes.
             on_limit: called when entries should send it more or fewer
                 requests.
+            on_pace: called when entries are to be notified of its pace.
         """
         self.record = record
         self.speed = speed
         self.slowness = float(1)
+        self.read_pace: Callable[[], int] | None = None
         self.requests_received = 0
         self.runs = 0
         self.slot_seconds = float(0)
@@ -110,6 +120,7 @@
         self._clock = clock
         self._on_slowness = on_slowness
         self._on_limit = on_limit
+        self._on_pace = on_pace
         self._cold_until = clock.now + COLD_SECONDS if cold else float(0)
         self._jobs: dict[TicketId, Job] = {}
         self._last_ticket = 0
@@ -171,6 +182,7 @@
         self._decide(
             RateReported(per_second=self.limit, begun_at=job.started_at)
         )
+        self._report_load()
         self._free_slot(ticket, job, Ending.good)
         job.on_done(self._clock.now - job.started_at)
 
@@ -196,8 +208,17 @@
             class_usual_seconds=run_times.reliable_mean,
             code=code,
             server_limit=self.describe_limit(),
+            pace_percent=state.pace.encode(self._clock.now),
         )
 
+    def find_true_pace(self) -> int:
+        """Find the pace that an exact report has.
+
+        Returns:
+            Factor by which run times are longer now, in percent.
+        """
+        return round(self.slowness * USUAL_PERCENT)
+
     def describe_limit(self) -> ServerLimit | None:
         """Describe how many requests the backend server takes.
 
@@ -212,6 +233,21 @@
             share=compute_pass_share(state, now=self._clock.now),
         )
 
+    def _report_load(self) -> None:
+        if self.read_pace is not None:
+            load = ServerLoad(
+                running=len(self.state.running),
+                waiting=0,
+                slots=self.record.slots,
+                pace_percent=self.read_pace(),
+            )
+            self._decide(LoadReported(load=load))
+            self._announce_pace()
+
+    def _announce_pace(self) -> None:
+        if self.state.pace.update_announcement(self._clock.now):
+            self._on_pace(self)
+
     def _free_slot(self, ticket: TicketId, job: Job, ending: Ending) -> None:
         now = self._clock.now
         self.slot_seconds += now - job.started_at
@@ -223,6 +259,7 @@
                 work_class=job.work_class.name,
             ),
         )
+        self._announce_pace()
         if self.state.slowness.update_announcement(now=now):
             self._on_slowness(self)
         share = compute_pass_share(self.state, now=now)
