--- a/wagtaildale/admission/decisions.py
+++ b/wagtaildale/admission/decisions.py
@@ -22,6 +22,7 @@
     TimePassed,
     Verdict,
 )
+from wagtaildale.admission.pace import OCCUPIED_SECONDS
 from wagtaildale.admission.queue import (
     admit_waiting,
     decide_arrival,
@@ -32,6 +33,7 @@
 from wagtaildale.admission.server_messages import (
     DataCentreEvacuated,
     LeavingReported,
+    LoadReported,
     ProbeSent,
     RateForwarded,
     RateReported,
@@ -190,9 +192,31 @@
     now: float,
 ) -> list[Verdict]:
     state.rate.note_restart()
+    state.pace.note_report(0, now=now)
+    state.occupied_until = 0
     return admit_waiting(state, now)
 
 
+@decide_admission.register
+def _decide_load_reported(
+    message: LoadReported,
+    state: AdmissionState,
+    *,
+    now: float,
+) -> list[Verdict]:
+    load = message.load
+    state.pace.note_report(load.pace_percent, now=now)
+    was_occupied = now < state.occupied_until
+    if not (load.waiting and load.pace_percent):
+        state.occupied_until = 0
+    elif state.free_slots > 0 and not state.occupied_until:
+        # Others use the server, or requests that were given up still run
+        # there. A request that is sent now would wait there. A server that
+        # always reports waiting requests is stopped only once.
+        state.occupied_until = now + OCCUPIED_SECONDS
+    return admit_waiting(state, now) if was_occupied else []
+
+
 @decide_admission.register
 def _decide_probe_sent(
     message: ProbeSent,
--- a/wagtaildale/calls/entry/call_descriptions.py
+++ b/wagtaildale/calls/entry/call_descriptions.py
@@ -75,6 +75,7 @@
         server_limit=decode_limit(answer),
         line=answer.line,
         outgoing_line=answer.outgoing_line,
+        pace_percent=answer.pace_percent,
     )
 
 
--- a/wagtaildale/calls/entry/owner_listener.py
+++ b/wagtaildale/calls/entry/owner_listener.py
@@ -125,6 +125,7 @@
         upstream.lines.note(
             incoming=load.line, outgoing=load.outgoing_line, now=now
         )
+        upstream.slowness.note_pace(load.pace_percent, now=now)
         if load.slowness_percent > 0:
             upstream.slowness.note_reported_slowness(
                 load.slowness_percent / PERCENT,
--- a/wagtaildale/calls/owner/owner.py
+++ b/wagtaildale/calls/owner/owner.py
@@ -23,6 +23,7 @@
 )
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
+from wagtaildale.timers.service import read_clock
 from wagtaildale.types import (
     UNKNOWN_INCARNATION,
     Incarnation,
@@ -140,6 +141,9 @@
             feedback=FeedbackTracker(gate, recorder=recorder),
             conditions=conditions,
         )
+        self.targets.feedback.load_listeners.append(
+            self.load_notifier.notify_changes
+        )
         self.targets.leaving.listeners.append(self.load_notifier.notify_leaving)
         self.pool.watch.listeners.append(self._on_watch_changed)
         self.collector = BodyCollector(
@@ -235,6 +239,7 @@
             rate_milli=self.load_notifier.encode_rate_limit(),
             share=self.load_notifier.describe_share(),
             line=self._read_line(),
+            pace_percent=state.pace.encode(read_clock()),
             leaving=self.targets.leaving.find_announcement(
                 self.targets.resolve_target(fields),
             ),
@@ -259,6 +264,9 @@
             detail: further text for operators.
         """
         state = self.gate.state
+        pace_percent = state.pace.encode(read_clock())
+        if pace_percent:
+            inputs = {'pace_percent': pace_percent, **inputs}
         self._recorder.record(
             kind,
             code=code,
--- a/wagtaildale/calls/tests/test_owner_listener.py
+++ b/wagtaildale/calls/tests/test_owner_listener.py
@@ -113,3 +113,12 @@
         for name in (OWN, OTHER)
     ]
     assert waits == [1.5, 0]
+
+
+def test_reported_pace_reaches_the_statistics(entry: Entry) -> None:
+    """An entry without a recent answer knows nothing of a slow period."""
+    entry.receive(structs.replace(LOAD, pace_percent=300))
+    now = read_clock()
+    slowness = entry.statistics.find(OWN, now=now).slowness
+    assert slowness.has_fresh_pace(now)
+    assert slowness.estimate_pace(now) > 2
--- a/wagtaildale/routing/slowness.py
+++ b/wagtaildale/routing/slowness.py
@@ -12,6 +12,8 @@
 
 from typing import Final
 
+from wagtaildale.admission.pace import ReportedPace
+
 # Bounds of a server's time over the usual time of the class. One answer in a
 # hundred takes several times the usual time on any server. The upper bound
 # keeps such an answer from looking like a hanging server.
@@ -38,6 +40,9 @@
 class Slowness:
     """Slowness of one upstream: its time over the usual time of the class.
 
+    Attributes:
+        pace: pace of the server, as its owner last reported it.
+
     Example:
         >>> slowness = Slowness(now=0)
         >>> slowness.note_reported_times(0.6, usual_ratio=0.5, now=10)
@@ -45,7 +50,15 @@
         (0.6, 0.56)
     """
 
-    __slots__ = ('_decay_seconds', '_noted_at', '_slowness', '_usual_ratio')
+    __slots__ = (
+        '_decay_seconds',
+        '_is_unanswered',
+        '_is_usual_known',
+        '_noted_at',
+        '_slowness',
+        '_usual_ratio',
+        'pace',
+    )
 
     def __init__(self, *, now: float) -> None:
         """Start with an upstream that may be cold.
@@ -55,8 +68,11 @@
         """
         self._slowness = COLD_SLOWNESS
         self._usual_ratio = float(1)
+        self._is_usual_known = False
+        self._is_unanswered = False
         self._noted_at = now
         self._decay_seconds = COLD_DECAY_SECONDS
+        self.pace = ReportedPace()
 
     def note_reported_times(
         self,
@@ -73,7 +89,8 @@
                 usual time.
             now: current time, in seconds.
         """
-        self._usual_ratio = _bound(usual_ratio)
+        self._usual_ratio = usual_ratio
+        self._is_usual_known = True
         self._set_slowness(_bound(ratio), now)
 
     def note_measured_time(self, ratio: float, *, now: float) -> None:
@@ -93,7 +110,41 @@
             ratio: time of its recent answers over its own usual time.
             now: current time, in seconds.
         """
-        self._set_slowness(_bound(ratio * self._usual_ratio), now)
+        self._set_slowness(_bound(ratio * _bound(self._usual_ratio)), now)
+
+    def note_pace(self, percent: int, *, now: float) -> None:
+        """Note the pace of the server, which its owner sends in each message.
+
+        Args:
+            percent: current run time in percent of the server's usual one; 0
+                if the server does not report it.
+            now: current time, in seconds.
+        """
+        self.pace.note(percent, now=now)
+        self._is_unanswered = False
+
+    def estimate_pace(self, now: float) -> float:
+        """Estimate the current pace of the server.
+
+        Args:
+            now: current time, in seconds.
+
+        Returns:
+            Run time as a multiple of the server's usual one; closer to 1 with
+            the age of the report, and 1 if nothing is known.
+        """
+        return self.pace.estimate(now)
+
+    def has_fresh_pace(self, now: float) -> bool:
+        """Tell whether the owner has reported the pace a moment ago.
+
+        Args:
+            now: current time, in seconds.
+
+        Returns:
+            Whether the last report has a pace that still has an effect.
+        """
+        return self.pace.is_fresh(now)
 
     def note_unfinished_attempt(self, ratio: float, *, now: float) -> None:
         """Note an attempt that was unfinished when another one was answered.
@@ -104,6 +155,7 @@
         """
         if _bound(ratio) > self.estimate(now):
             self._set_slowness(_bound(ratio), now)
+            self._is_unanswered = not self.pace.is_fresh(now)
 
     def estimate(self, now: float) -> float:
         """Estimate the upstream's current slowness.
@@ -118,9 +170,25 @@
         Returns:
             Time of its answers as a multiple of the usual time.
         """
+        if not self.pace.is_known:
+            return self._estimate_from_times(now)
+        pace = self.pace.estimate(now)
+        if self._is_unanswered or not self._is_usual_known:
+            return max(self._estimate_from_times(now), _bound(pace))
+        # Recent run times are older than a slow period, so the pace replaces
+        # them. Only the product is bounded: an owner divides the usual time by
+        # the reported pace, so a wrong report of a constant pace cancels out.
+        share = (now - self._noted_at) / USUAL_SPEED_DECAY_SECONDS
+        return _bound(
+            decay_linearly(self._usual_ratio, to=1, share=share) * pace
+        )
+
+    def _estimate_from_times(self, now: float) -> float:
         age = now - self._noted_at
         usual = decay_linearly(
-            self._usual_ratio, to=1, share=age / USUAL_SPEED_DECAY_SECONDS
+            _bound(self._usual_ratio),
+            to=1,
+            share=age / USUAL_SPEED_DECAY_SECONDS,
         )
         if age >= self._decay_seconds:
             return usual
--- a/wagtaildale/routing/upstream.py
+++ b/wagtaildale/routing/upstream.py
@@ -57,7 +57,7 @@
         limit: concurrency limit of the backend server, in requests.
         queued: number of requests waiting for a slot.
         slot_seconds: smoothed seconds that a request of any class holds a
-            slot; 0 if not known yet.
+            slot at the usual pace; 0 if not known yet.
         run_seconds: seconds that the answered request took at the backend
             server; 0 if it did not run.
         class_seconds: smoothed seconds of the last few requests of the same
@@ -70,6 +70,7 @@
         line: state of the line into the owner's node, if its bandwidth is
             known.
         outgoing_line: state of the line out of it, if the owner reports it.
+        pace_percent: pace of the backend server; 0 if it does not report it.
     """
 
     incarnation: Incarnation
@@ -84,6 +85,7 @@
     server_limit: ServerLimit | None = None
     line: LineState | None = None
     outgoing_line: LineState | None = None
+    pace_percent: int = 0
 
 
 class UpstreamStatistics:
@@ -177,6 +179,7 @@
         self.lines.note(
             incoming=report.line, outgoing=report.outgoing_line, now=now
         )
+        self.slowness.note_pace(report.pace_percent, now=now)
         if report.slot_seconds:
             self.slot_seconds = report.slot_seconds
         if report.code is Code.draining:
@@ -285,7 +288,8 @@
         ahead = float(self.pending)
         if self.measure_load_age(now) < STALE_LOAD_SECONDS:
             ahead = max(ahead, self.in_flight + self.queued)
-        slot_seconds = self.slot_seconds or run_seconds
+        slot_seconds = self.slot_seconds * self.slowness.estimate_pace(now)
+        slot_seconds = slot_seconds or run_seconds
         return max(0, ahead + 1 - self.limit) * slot_seconds / self.limit
 
     def measure_load(self, now: float) -> float:
