Late binding: ask for a free slot before a short request queues

Cause: a short request queues at the first owner that expects to be in time, and never learns of a slot that becomes free at a neighbour. With few slots and old reports, most waits are at the wrong server.

The entry then asks another one or queues the request, without a retry, a token or a rejection. In effect for short requests of services of which a fresh answer carries a pace.

--- a/wagtaildale/admission/messages.py
+++ b/wagtaildale/admission/messages.py
@@ -32,6 +32,7 @@
             ``admission.shares``.
         stands_for: number of callers' requests that it was sampled from,
             itself included.
+        asks_free_slot: whether it is refused unless it can start at once.
     """
 
     within_ms: int
@@ -42,6 +43,7 @@
     work_class: str = ''
     pass_rank: int = DEFAULT_RANK
     stands_for: float = 1
+    asks_free_slot: bool = False
 
 
 class RequestFinished(Struct, frozen=True, kw_only=True, gc=False):
--- a/wagtaildale/admission/queue.py
+++ b/wagtaildale/admission/queue.py
@@ -52,6 +52,9 @@
         return [Refused(ticket=message.ticket, code=code)]
     waiting = _build_queued(state, message, now)
     ahead = _count_ahead(state, waiting, now)
+    may_start = state.can_run(waiting, now) and not ahead
+    if _misses_free_slot(state, message, may_start=may_start, now=now):
+        return [refuse_overloaded(state, waiting, now)]
     state.note_target_seconds(message.within_ms / MILLISECONDS)
     state.rate.note_request(message.rank, now=now)
     state.demand.note(
@@ -59,11 +62,26 @@
         stands_for=message.stands_for,
         now=now,
     )
-    if state.can_run(waiting, now) and not ahead:
+    if may_start:
         return [_admit(state, waiting, now)]
     return _enqueue(state, waiting, patient=message.patient, now=now)
 
 
+def _misses_free_slot(
+    state: AdmissionState,
+    message: RequestArrived,
+    *,
+    may_start: bool,
+    now: float,
+) -> bool:
+    # The request comes back to this owner or goes to another one, and counts
+    # as demand there. A server with a rate limit handles it as any other
+    # request, so that the limit is shared by rank.
+    if not message.asks_free_slot or may_start:
+        return False
+    return state.rate.find_rate(now) is None
+
+
 def _build_queued(
     state: AdmissionState,
     message: RequestArrived,
--- a/wagtaildale/calls/entry/attempts.py
+++ b/wagtaildale/calls/entry/attempts.py
@@ -87,7 +87,9 @@
             to the calls that it causes downstream.
         rejections_left: number of upstreams that may still reject the call
             before it waits at one of them.
-        tried: upstreams that attempts were sent to, in order.
+        tried: upstreams that attempts were sent to, in order, without those
+            that had no free slot.
+        refused_slots: upstreams that were asked for a free slot and had none.
         overloaded: upstreams of these that rejected the call because they were
             overloaded.
         was_rate_limited: whether an upstream rejected the call because of its
@@ -104,12 +106,45 @@
     retries_left: int = DEFAULT_RETRIES
     rejections_left: int = MAX_REJECTIONS
     tried: list[InstanceId] = field(default_factory=list)
+    refused_slots: list[InstanceId] = field(default_factory=list)
     overloaded: list[InstanceId] = field(default_factory=list)
     was_rate_limited: bool = False
     obstacle: Obstacle = Obstacle.none
     crash_count: int = 0
     body_bytes: int = 0
 
+    @property
+    def sent_count(self) -> int:
+        """Number of attempts that were sent."""
+        return len(self.tried) + len(self.refused_slots)
+
+    def try_after_missing_slot(
+        self, failure: CallFailed, *, instance: InstanceId, now: float
+    ) -> bool:
+        """Allow another attempt if an upstream had no free slot.
+
+        The upstream was only asked: no server has received the request, and
+        the upstream may still queue it. So this spends neither a retry, nor a
+        token, nor one of the rejections.
+
+        Args:
+            failure: failure of an attempt that asked for a free slot.
+            instance: upstream of that attempt.
+            now: current time, seconds.
+
+        Returns:
+            Whether the failure is such a refusal and the call may be sent
+            again. The upstream then no longer counts as tried.
+        """
+        if failure.code is not Code.overloaded or now >= self.deadline:
+            return False
+        never_ran = failure.outcome is Outcome.not_run
+        if not never_ran or failure.was_rejected_by_server:
+            return False
+        self.tried.remove(instance)
+        self.refused_slots.append(instance)
+        return True
+
     def note_rejection(self, instance: InstanceId, code: Code) -> None:
         """Record whether an upstream was overloaded or rate limited.
 
@@ -122,13 +157,27 @@
         elif code is Code.rate_limited:
             self.was_rate_limited = True
 
-    def list_excluded(self) -> frozenset[InstanceId]:
+    @property
+    def may_ask_free_slot(self) -> bool:
+        """Whether the next attempt may ask for a free slot.
+
+        Retries queue, which bounds the number of messages of a call.
+        """
+        return not self.tried and not self.crash_count
+
+    def list_excluded(self, *, asks: bool = False) -> frozenset[InstanceId]:
         """List the upstreams that the next attempt avoids.
 
+        Args:
+            asks: whether the attempt asks for a free slot.
+
         Returns:
-            Upstreams already tried. Once no rejections are left, overloaded
+            Upstreams already tried, and those without a free slot if the
+            attempt asks for one. Once no rejections are left, overloaded
             ones are allowed again: the request then waits at one of them.
         """
+        if asks:
+            return frozenset(self.refused_slots)
         if self.rejections_left:
             return frozenset(self.tried)
         return frozenset(self.tried).difference(self.overloaded)
--- a/wagtaildale/calls/entry/call_descriptions.py
+++ b/wagtaildale/calls/entry/call_descriptions.py
@@ -38,7 +38,9 @@
     Attributes:
         patient: whether the attempt may wait for a slot past its target time.
         needs_free_slot: whether the attempt runs only if a slot is free at
-            once.
+            once; it counts as past its target there.
+        asks_free_slot: whether the attempt is refused unless a slot is free at
+            once, and keeps its target.
         rate: known rate limit of the server in requests per second, if any.
         pass_rank: rank for the sampling of requests to limited servers; see
             ``admission.shares``.
@@ -48,6 +50,7 @@
 
     patient: bool
     needs_free_slot: bool
+    asks_free_slot: bool
     rate: float | None
     pass_rank: int
     share: float
@@ -140,7 +143,7 @@
         remaining -= DEADLINE_MARGIN_SECONDS
     return CallFields(
         request_id=routed.request_id,
-        attempt=len(attempts.tried),
+        attempt=attempts.sent_count,
         work_class=format_class_name(routed),
         idempotent=work_class.idempotent,
         within_ms=int(target_seconds * MILLISECONDS),
@@ -155,4 +158,5 @@
         passed_parts=round(options.share * PARTS_PER_WHOLE),
         rank=work_class.rank,
         patient=options.patient,
+        asks_free_slot=options.asks_free_slot,
     )
--- a/wagtaildale/calls/entry/entry_call.py
+++ b/wagtaildale/calls/entry/entry_call.py
@@ -131,7 +131,9 @@
             attempt: attempt that was answered.
             answer: fields of the answer.
         """
-        self._entry.targets.note_answer(attempt.target, answer)
+        self._entry.targets.note_answer(
+            attempt.target, answer, since=attempt.started_at
+        )
         if answer.leaving is not None:
             self._entry.parts.listener.note_server_leaving(
                 attempt.target.address,
@@ -266,6 +268,7 @@
             self.routed,
             self.attempts,
             is_hedge=is_hedge,
+            may_ask=self.request.has_small_body,
             suspect=find_suspect(
                 self._entry.parts,
                 self.routed,
@@ -281,7 +284,14 @@
         now = read_clock()
         replayable = self.request.body.is_replayable
         attempts = self.attempts
-        attempts.note_rejection(attempt.target.fields.instance, failure.code)
+        fields = attempt.target.fields
+        if fields.asks_free_slot and attempts.try_after_missing_slot(
+            failure, instance=fields.instance, now=now
+        ):
+            self._report.note_missing_slot(failure)
+            self._start_attempt()
+            return
+        attempts.note_rejection(fields.instance, failure.code)
         if attempts.try_redirect(failure, now=now) and replayable:
             self._report.note_redirect(failure)
             self._start_attempt()
--- a/wagtaildale/calls/entry/outgoing_request.py
+++ b/wagtaildale/calls/entry/outgoing_request.py
@@ -45,6 +45,20 @@
         self.body = body
         self.needs_reservation = needs_reservation
 
+    @property
+    def has_small_body(self) -> bool:
+        """Whether the body is there, can be sent again and needs no credits.
+
+        Only such a request asks for a free slot: a refusal of any other would
+        end the call, or cost the transfer of its body.
+        """
+        body = self.body
+        return (
+            body.is_complete
+            and body.is_replayable
+            and body.size <= UNSOLICITED_BYTES
+        )
+
 
 class OutgoingBody:
     """The body of a request as one attempt sends it.
--- a/wagtaildale/calls/entry/report.py
+++ b/wagtaildale/calls/entry/report.py
@@ -46,6 +46,7 @@
         self._latency_target_seconds = float(0)
         self._retries = 0
         self._redirects = 0
+        self._missing_slots = 0
         self._upstreams: list[str] = []
         self._hedges = 0
         self._code = Code.ok
@@ -82,6 +83,15 @@
         self._redirects += 1
         self._record(EventKind.call_redirected, failure)
 
+    def note_missing_slot(self, failure: CallFailed) -> None:
+        """Record that an owner had no free slot for the call.
+
+        Args:
+            failure: failure of the attempt that asked for the slot.
+        """
+        self._missing_slots += 1
+        self._record(EventKind.call_redirected, failure)
+
     def note_attempt(self, target: AttemptTarget) -> None:
         """Record the start of an attempt.
 
@@ -237,6 +247,7 @@
         tally.note(self._code, self._outcome, seconds)
         tally.retried += self._retries
         tally.redirected += self._redirects
+        tally.no_free_slot += self._missing_slots
         tally.hedged += self._hedges
         if (
             self._outcome is Outcome.answered
--- a/wagtaildale/calls/entry/targets.py
+++ b/wagtaildale/calls/entry/targets.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct
 
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.entry.call_descriptions import (
+    MICROSECONDS,
+    MILLISECONDS,
     SendOptions,
     build_owner_report,
     describe_call,
@@ -17,6 +20,11 @@
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.wire.fields import CallFields
 from wagtaildale.errors.codes import Code
+from wagtaildale.routing.binding import (
+    DEFAULT_POLICY,
+    BindingRequest,
+    LateBinding,
+)
 from wagtaildale.routing.candidates import list_service_candidates
 from wagtaildale.routing.choice import RequestContext
 from wagtaildale.routing.throttling import Throttled, find_request_pass_rank
@@ -26,6 +34,7 @@
 )
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
+from wagtaildale.types import DataCentre
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -53,6 +62,7 @@
         is_local: whether the owner is in this process.
         is_in_other_data_centre: whether the owner is in another data centre
             than the entry.
+        data_centre: data centre of the owner.
         fields: description of the call for the owner.
         upstream: statistics of the upstream.
     """
@@ -60,6 +70,7 @@
     address: Address
     is_local: bool
     is_in_other_data_centre: bool
+    data_centre: DataCentre
     fields: CallFields
     upstream: UpstreamStatistics
 
@@ -74,6 +85,9 @@
             parts: components of the node that the entry uses.
         """
         self._parts = parts
+        self._binding = LateBinding(
+            DEFAULT_POLICY, statistics=parts.placement.statistics
+        )
 
     def choose(
         self,
@@ -81,6 +95,7 @@
         attempts: Attempts,
         *,
         is_hedge: bool = False,
+        may_ask: bool = False,
         suspect: Suspect | None = None,
     ) -> AttemptTarget:
         """Choose the target of the next attempt and mark it as tried.
@@ -90,6 +105,8 @@
             attempts: previous attempts; the new one is added.
             is_hedge: whether the attempt is a hedge, which runs only if a slot
                 is free at once.
+            may_ask: whether the request can be sent again after an upstream
+                was asked for a free slot.
             suspect: suspected request, if it may run only at certain
                 servers.
 
@@ -99,7 +116,23 @@
         Raises:
             CallFailed: if no upstream accepts the request.
         """
-        placed = self._place(routed, attempts, suspect, is_hedge=is_hedge)
+        placed: ChosenUpstream | Throttled | None = None
+        if may_ask and suspect is None and not is_hedge:
+            placed = self._binding.place(
+                _describe_binding(routed, attempts),
+                partial(
+                    self._place,
+                    routed,
+                    attempts,
+                    suspect,
+                    is_hedge=False,
+                    asks=True,
+                ),
+                now=read_clock(),
+            )
+        asks = placed is not None
+        if not asks:
+            placed = self._place(routed, attempts, suspect, is_hedge=is_hedge)
         if placed is None:
             # Wait at an upstream instead of trying further ones. Otherwise,
             # if a service is overloaded everywhere, each request is sent to
@@ -137,6 +170,7 @@
             address=Address(record.host, record.owner_port),
             is_local=record.host == self._parts.own_host,
             is_in_other_data_centre=self.is_in_other_data_centre(record),
+            data_centre=record.data_centre,
             fields=describe_call(
                 routed,
                 upstream,
@@ -145,8 +179,9 @@
                     rate=self._statistics.server_limits.find_rate(
                         record.instance
                     ),
-                    patient=patient and not is_hedge,
+                    patient=patient and not is_hedge and not asks,
                     needs_free_slot=is_hedge,
+                    asks_free_slot=asks,
                     pass_rank=_find_request_pass_rank(routed, self._statistics),
                     share=placed.pass_share,
                 ),
@@ -227,15 +262,25 @@
         """
         return record.data_centre != self._parts.data_centre
 
-    def note_answer(self, target: AttemptTarget, answer: AnswerFields) -> None:
+    def note_answer(
+        self, target: AttemptTarget, answer: AnswerFields, *, since: float
+    ) -> None:
         """Update the statistics from an answer of a target's owner.
 
         Args:
             target: target of the attempt.
             answer: fields of the answer.
+            since: start time of the attempt, seconds on the monotonic clock.
         """
         now = read_clock()
         report = build_owner_report(answer)
+        self._binding.note_pace(
+            target.fields.instance, answer.pace_percent, now=now
+        )
+        if answer.owner_us:
+            self._binding.note_round_trip(
+                target.data_centre, now - since - answer.owner_us / MICROSECONDS
+            )
         self._statistics.note_run_time(
             target.upstream,
             report,
@@ -297,6 +342,7 @@
         suspect: Suspect | None,
         *,
         is_hedge: bool,
+        asks: bool = False,
     ) -> ChosenUpstream | Throttled | None:
         parts = self._parts
         view = parts.view.current
@@ -310,7 +356,7 @@
             )
             if placed is not None:
                 return placed
-        excluded = attempts.list_excluded()
+        excluded = attempts.list_excluded(asks=asks)
         if routed.idempotency_key:
             return parts.placement.choose_by_key(
                 view,
@@ -337,6 +383,18 @@
         )
 
 
+def _describe_binding(routed: RoutedCall, attempts: Attempts) -> BindingRequest:
+    work_class = routed.match.work_class
+    return BindingRequest(
+        class_name=format_class_name(routed),
+        target_seconds=work_class.within_ms / MILLISECONDS,
+        upstreams=routed.view.upstreams.get(routed.service, ()),
+        refused=attempts.refused_slots,
+        # The owner of a key has the answer to its first request.
+        may_ask=attempts.may_ask_free_slot and not routed.idempotency_key,
+    )
+
+
 def _find_request_pass_rank(
     routed: RoutedCall, statistics: FleetStatistics
 ) -> int:
--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -48,6 +48,8 @@
 MILLISECONDS: Final = 1000
 # A backend server that answers 503 counts as overloaded.
 OVERLOAD_STATUS: Final = 503
+# Tells a refusal for want of a free slot from an overload in logs.
+NO_FREE_SLOT_DETAIL: Final = 'no free slot'
 # Failures that indicate a fault of the backend server rather than of one
 # request.
 BACKEND_FAULTS: Final = frozenset(
@@ -317,6 +319,7 @@
                 work_class=fields.work_class,
                 pass_rank=fields.pass_rank,
                 stands_for=fields.represented_requests,
+                asks_free_slot=fields.asks_free_slot,
             ),
             self._handle_verdict,
         )
@@ -331,7 +334,11 @@
     def _handle_verdict(self, verdict: Verdict) -> None:
         if isinstance(verdict, Refused):
             self._fail(
-                CallFailed(verdict.code, retry_after=verdict.retry_after),
+                CallFailed(
+                    verdict.code,
+                    detail=_describe_refusal(verdict, self.fields),
+                    retry_after=verdict.retry_after,
+                ),
             )
             return
         self._ticket = verdict.ticket
@@ -458,3 +465,8 @@
         if self._body is not None:
             self._body.close()
         self._channel.forget(self._number)
+
+
+def _describe_refusal(refused: Refused, fields: CallFields) -> str:
+    is_for_slot = refused.code is Code.overloaded and fields.asks_free_slot
+    return NO_FREE_SLOT_DETAIL if is_for_slot else ''
--- a/wagtaildale/calls/wire/fields.py
+++ b/wagtaildale/calls/wire/fields.py
@@ -65,6 +65,9 @@
             only part of them; the owner estimates the whole demand from this.
         bulk: whether responses of the class are large; they cross the owner's
             line in pieces, behind everything else.
+        asks_free_slot: whether the owner refuses the call unless it can start
+            at once; such a refusal does not count as demand. Owners of earlier
+            builds ignore it and may queue the call.
     """
 
     request_id: RequestId
@@ -86,6 +89,7 @@
     pass_rank: int = DEFAULT_RANK
     passed_parts: int = PARTS_PER_WHOLE
     bulk: bool = False
+    asks_free_slot: bool = False
 
     @property
     def represented_requests(self) -> float:
--- a/wagtaildale/telemetry/metrics.py
+++ b/wagtaildale/telemetry/metrics.py
@@ -132,7 +132,7 @@
         options: CallbackOptions,
     ) -> Iterable[Observation]:
         for name, tally in self._tallies.sum_up().items():
-            for reason in ('retried', 'redirected', 'hedged'):
+            for reason in ('retried', 'redirected', 'hedged', 'no_free_slot'):
                 yield Observation(
                     getattr(tally, reason),
                     {CLASS_LABEL: name, 'reason': reason},
--- a/wagtaildale/telemetry/tallies.py
+++ b/wagtaildale/telemetry/tallies.py
@@ -51,6 +51,8 @@
         redirected: attempts after an owner rejected the call, of calls that
             no backend server had received.
         hedged: attempts started while another one was in progress.
+        no_free_slot: attempts that were refused for want of a free slot; the
+            call was then sent again.
         codes: numbers of failures by result code.
         buckets: numbers of calls by duration, with the upper bounds of
             ``BUCKET_BOUNDS_SECONDS``; the last bucket has no upper bound.
@@ -64,6 +66,7 @@
     retried: int = 0
     redirected: int = 0
     hedged: int = 0
+    no_free_slot: int = 0
     codes: dict[Code, int] = field(default_factory=dict)
     buckets: list[int] = field(
         default_factory=lambda: [
@@ -109,6 +112,7 @@
         self.retried += other.retried
         self.redirected += other.redirected
         self.hedged += other.hedged
+        self.no_free_slot += other.no_free_slot
         self.seconds += other.seconds
         for code, count in tuple(other.codes.items()):
             self.codes[code] = self.codes.get(code, 0) + count
--- a/wagtaildale/testing/replay/calls.py
+++ b/wagtaildale/testing/replay/calls.py
@@ -11,6 +11,7 @@
 from wagtaildale.calls.entry.attempts import Attempts
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.errors.codes import Code
+from wagtaildale.routing.binding import BindingRequest
 from wagtaildale.routing.choice import RequestContext
 from wagtaildale.routing.throttling import Throttled, find_request_pass_rank
 from wagtaildale.testing.replay.servers import Job, ReplayServer
@@ -44,6 +45,7 @@
             ``admission.shares``.
         share: share of the requests of this rank that may be sent to the
             upstream.
+        asks_free_slot: whether it is refused unless a slot is free.
         ticket: ticket of the request at the upstream; none before it arrives.
         is_over: whether the attempt was answered, refused or abandoned.
     """
@@ -53,6 +55,7 @@
     is_local: bool
     pass_rank: int
     share: float
+    asks_free_slot: bool = False
     ticket: TicketId | None = None
     is_over: bool = False
 
@@ -97,8 +100,13 @@
             is_hedge: whether it is a hedge, which runs only if the upstream
                 has a free slot.
         """
-        placed = self._place(is_hedge=is_hedge)
         attempts = self._attempts
+        placed: ChosenUpstream | Throttled | None = None
+        if not is_hedge:
+            placed = self._place_free_slot()
+        asks = placed is not None
+        if not asks:
+            placed = self._place(is_hedge=is_hedge)
         if placed is None:
             attempts.rejections_left = 0
             placed = self._place(is_hedge=is_hedge)
@@ -133,13 +141,19 @@
             is_local=is_local,
             pass_rank=self._find_request_pass_rank(),
             share=placed.pass_share,
+            asks_free_slot=asks,
         )
         self._running.append(attempt)
         entry.placement.statistics.find(instance, now=now).note_begun(now)
         self._schedule_hedge(attempt)
         self._clock.schedule(
             _find_network_delay(attempt),
-            partial(self._arrive, attempt, is_hedge=is_hedge, patient=patient),
+            partial(
+                self._arrive,
+                attempt,
+                is_hedge=is_hedge,
+                patient=patient and not asks,
+            ),
         )
 
     def _find_request_pass_rank(self) -> int:
@@ -151,14 +165,31 @@
             statistics=self._entry.placement.statistics,
         )
 
-    def _place(self, *, is_hedge: bool) -> ChosenUpstream | Throttled | None:
+    def _place_free_slot(self) -> ChosenUpstream | None:
+        work_class = self._request.work_class
+        view = self._entry.mesh.view.current
+        return self._entry.binding.place(
+            BindingRequest(
+                class_name=work_class.name,
+                target_seconds=work_class.target_seconds,
+                upstreams=view.upstreams.get(work_class.service, ()),
+                refused=self._attempts.refused_slots,
+                may_ask=self._attempts.may_ask_free_slot,
+            ),
+            partial(self._place, is_hedge=False, asks=True),
+            now=self._clock.now,
+        )
+
+    def _place(
+        self, *, is_hedge: bool, asks: bool = False
+    ) -> ChosenUpstream | Throttled | None:
         request = self._request
         attempts = self._attempts
         now = self._clock.now
         return self._entry.placement.choose(
             self._entry.mesh.view.current,
             request.work_class.service,
-            avoided=attempts.list_excluded(),
+            avoided=attempts.list_excluded(asks=asks),
             request=RequestContext(
                 data_centre=self._entry.data_centre,
                 class_name=request.work_class.name,
@@ -188,6 +219,7 @@
                 work_class=request.work_class.name,
                 pass_rank=attempt.pass_rank,
                 stands_for=1 / attempt.share,
+                asks_free_slot=attempt.asks_free_slot,
             ),
             Job(
                 work_class=request.work_class,
@@ -226,7 +258,17 @@
         attempts = self._attempts
         now = self._clock.now
         failure = CallFailed(refused.code, retry_after=refused.retry_after)
-        attempts.note_rejection(attempt.server.record.instance, refused.code)
+        instance = attempt.server.record.instance
+        if (
+            attempt.asks_free_slot
+            and not self._running
+            and attempts.try_after_missing_slot(
+                failure, instance=instance, now=now
+            )
+        ):
+            self.send_attempt()
+            return
+        attempts.note_rejection(instance, refused.code)
         may_redirect = attempts.try_redirect(failure, now=now)
         if may_redirect or attempts.try_retry(
             failure, now=now, replayable=True
@@ -268,6 +310,9 @@
         statistics = self._entry.placement.statistics
         upstream = statistics.find(instance, now=now)
         upstream.note_answer(report, now=now)
+        self._entry.binding.note_round_trip(
+            attempt.server.record.data_centre, 2 * _find_network_delay(attempt)
+        )
         statistics.server_limits.note(instance, report.server_limit, now=now)
         statistics.note_run_time(
             upstream,
--- a/wagtaildale/testing/replay/entries.py
+++ b/wagtaildale/testing/replay/entries.py
@@ -8,6 +8,7 @@
 
 from wagtaildale.calls.entry.budgets import RetryBudget
 from wagtaildale.calls.entry.hedges import HedgeDelays
+from wagtaildale.routing.binding import LateBinding
 from wagtaildale.routing.choice import ChooserName
 from wagtaildale.routing.choosers import make_chooser
 from wagtaildale.routing.placement import Placement
@@ -59,6 +60,7 @@
         mesh: simulated mesh that the node belongs to.
         placement: chooses the upstream of each attempt.
         hedge_delays: delays before a hedge, by class.
+        binding: decides which attempts ask for a free slot.
     """
 
     def __init__(
@@ -85,6 +87,9 @@
             chooser=make_chooser(ChooserName.expected_time),
             statistics=FleetStatistics(),
         )
+        self.binding = LateBinding(
+            mesh.binding_policy, statistics=self.placement.statistics
+        )
         self._budgets: dict[str, RetryBudget] = {}
 
     def take_request(self, request: ReplayRequest) -> None:
--- a/wagtaildale/testing/replay/mesh.py
+++ b/wagtaildale/testing/replay/mesh.py
@@ -9,6 +9,7 @@
 
 from msgspec import structs
 
+from wagtaildale.routing.binding import DEFAULT_POLICY, BindingPolicy
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.testing.builders import build_instances, build_record
 from wagtaildale.testing.replay.callers import Caller, NestedCall
@@ -36,6 +37,8 @@
         view: view of the listed upstreams that all entries share.
         servers: upstreams by instance.
         entries: entries by the instance of the upstream beside them.
+        binding_policy: policy by which entries that are added later bind
+            requests to queues.
         outcomes: counts of outcomes by class name.
     """
 
@@ -51,6 +54,7 @@
         self.view = ViewHolder()
         self.servers: dict[InstanceId, ReplayServer] = {}
         self.entries: dict[InstanceId, ReplayEntry] = {}
+        self.binding_policy: BindingPolicy = DEFAULT_POLICY
         self.outcomes = {each.name: Outcomes() for each in classes}
         self._classes = {each.name: each for each in classes}
         self._version = 0
