Late binding: queue at once for 0.1 s after an overload

Cause: where all servers are full, asking for free slots only adds messages.

Change: after an upstream refused a request of a class for overload, the entry's requests of the class queue at once for 0.1 s.

--- a/wagtaildale/calls/entry/targets.py
+++ b/wagtaildale/calls/entry/targets.py
@@ -319,9 +319,13 @@
             target: target of the attempt.
             failure: failure of the attempt.
         """
+        now = read_clock()
+        fields = target.fields
+        if failure.code is Code.overloaded and not fields.asks_free_slot:
+            self._binding.note_overload(fields.work_class, now=now)
         if failure.code not in UPSTREAM_FAULT_CODES:
             return
-        if target.upstream.ejection.note_failure(read_clock()):
+        if target.upstream.ejection.note_failure(now):
             self._parts.recorder.record(
                 EventKind.upstream_ejected,
                 code=failure.code,
--- a/wagtaildale/routing/binding.py
+++ b/wagtaildale/routing/binding.py
@@ -38,6 +38,11 @@
 # Interval at which the reports of a service are searched for a pace. Searching
 # 100 upstreams takes 13 us, which is too long for every request.
 CHECK_SECONDS: Final = 0.1
+# Time for which requests of a class queue at once after an upstream refused one
+# of them for overload. Where all servers are full, asking only adds messages:
+# at 1.3 of the capacity it cost 0.02 of the calls within target, and nothing
+# with this pause. With 0.5 s, half of the gain at 0.85 was lost.
+OVERLOAD_PAUSE_SECONDS: Final = 0.1
 
 
 class BindingPolicy(ABC):
@@ -142,6 +147,7 @@
         self._statistics = statistics
         self._round_trips: dict[DataCentre, float] = {}
         self._checks: dict[str, tuple[float, bool]] = {}
+        self._overloaded_at: dict[str, float] = {}
 
     def note_round_trip(self, data_centre: DataCentre, seconds: float) -> None:
         """Note the time that an answer took, less the time at its owner.
@@ -156,6 +162,16 @@
             min(known, seconds) + longer * ROUND_TRIP_GAIN
         )
 
+    def note_overload(self, class_name: str, *, now: float) -> None:
+        """Note that an upstream refused a request for overload.
+
+        Args:
+            class_name: name of service and class of the request, which did
+                not ask for a free slot.
+            now: current time, in seconds.
+        """
+        self._overloaded_at[class_name] = now
+
     def place(
         self,
         request: BindingRequest,
@@ -189,7 +205,11 @@
         ):
             return False
         usual = self._statistics.find_usual_seconds(request.class_name)
-        if request.target_seconds >= MAX_TARGET_RUN_TIMES * usual:
+        overloaded_at = self._overloaded_at.get(request.class_name, -inf)
+        if (
+            request.target_seconds >= MAX_TARGET_RUN_TIMES * usual
+            or now - overloaded_at < OVERLOAD_PAUSE_SECONDS
+        ):
             return False
         return self._has_fresh_pace(request, now)
 
--- a/wagtaildale/routing/tests/test_binding.py
+++ b/wagtaildale/routing/tests/test_binding.py
@@ -7,6 +7,7 @@
 import pytest
 
 from wagtaildale.routing.binding import (
+    OVERLOAD_PAUSE_SECONDS,
     BindingPolicy,
     BindingRequest,
     FreeSlotFirst,
@@ -145,6 +146,14 @@
     assert not asks(build_binding(statistics))
 
 
+def test_overloaded_service_is_not_asked() -> None:
+    """Under overload, each request costs messages for slots that nobody has."""
+    binding = build_binding(build_statistics())
+    binding.note_overload(CLASS_NAME, now=NOW)
+    assert not asks(binding)
+    assert asks(binding, now=NOW + OVERLOAD_PAUSE_SECONDS)
+
+
 def test_a_pause_does_not_lengthen_the_round_trip() -> None:
     """One pause of a process ends late binding for seconds."""
     binding = build_binding(build_statistics())
--- a/wagtaildale/testing/replay/calls.py
+++ b/wagtaildale/testing/replay/calls.py
@@ -268,6 +268,10 @@
         ):
             self.send_attempt()
             return
+        if refused.code is Code.overloaded and not attempt.asks_free_slot:
+            self._entry.binding.note_overload(
+                self._request.work_class.name, now=now
+            )
         attempts.note_rejection(instance, refused.code)
         may_redirect = attempts.try_redirect(failure, now=now)
         if may_redirect or attempts.try_retry(
