--- a/wagtaildale/calls/entry/targets.py
+++ b/wagtaildale/calls/entry/targets.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct, structs
 
 from wagtaildale.calls.addresses import Address
 from wagtaildale.calls.entry.call_descriptions import (
+    MICROSECONDS,
+    MILLISECONDS,
     SendOptions,
     build_owner_report,
     describe_call,
@@ -17,6 +20,11 @@
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.wire.fields import CallFields
 from wagtaildale.errors.codes import Code
+from wagtaildale.routing.binding import (
+    DEFAULT_POLICY,
+    BindingRequest,
+    LateBinding,
+)
 from wagtaildale.routing.candidates import list_service_candidates
 from wagtaildale.routing.choice import RequestContext
 from wagtaildale.routing.line_check import LinesOverdue
@@ -27,9 +35,10 @@
 )
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
+from wagtaildale.types import DataCentre
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from wagtaildale.calls.entry.attempts import Attempts
     from wagtaildale.calls.entry.peers import Peer
@@ -54,6 +63,7 @@
         is_local: whether the owner is in this process.
         is_in_other_data_centre: whether the owner is in another data centre
             than the entry.
+        data_centre: data centre of the owner.
         fields: description of the call for the owner.
         upstream: statistics of the upstream.
     """
@@ -61,6 +71,7 @@
     address: Address
     is_local: bool
     is_in_other_data_centre: bool
+    data_centre: DataCentre
     fields: CallFields
     upstream: UpstreamStatistics
 
@@ -75,6 +86,9 @@
             parts: components of the node that the entry uses.
         """
         self._parts = parts
+        self._binding = LateBinding(
+            DEFAULT_POLICY, statistics=parts.placement.statistics
+        )
 
     def choose(
         self,
@@ -82,6 +96,7 @@
         attempts: Attempts,
         *,
         is_hedge: bool = False,
+        may_ask: bool = False,
         suspect: Suspect | None = None,
     ) -> AttemptTarget:
         """Choose the target of the next attempt and mark it as tried.
@@ -91,6 +106,8 @@
             attempts: previous attempts; the new one is added.
             is_hedge: whether the attempt is a hedge, which runs only if a slot
                 is free at once.
+            may_ask: whether the request can be sent again after an upstream
+                was asked for a free slot.
             suspect: suspected request, if it may run only at certain
                 servers.
 
@@ -100,14 +117,19 @@
         Raises:
             CallFailed: if no upstream accepts the request.
         """
-        placed = self._place(routed, attempts, suspect, is_hedge=is_hedge)
-        is_overdue = isinstance(placed, LinesOverdue) and attempts.overloaded
-        if placed is None or is_overdue:
-            # Wait at an upstream instead of trying further ones. Otherwise,
-            # if a service is overloaded everywhere, each request is sent to
-            # all data centres and rejected in each.
-            attempts.rejections_left = 0
-            placed = self._place(routed, attempts, suspect, is_hedge=is_hedge)
+        placed: ChosenUpstream | Throttled | LinesOverdue | None = None
+        place = partial(
+            self._place, routed, attempts, suspect, is_hedge=is_hedge
+        )
+        if may_ask and suspect is None and not is_hedge:
+            placed = self._binding.place(
+                _describe_binding(routed, attempts),
+                partial(place, asks=True),
+                now=read_clock(),
+            )
+        asks = placed is not None
+        if placed is None:
+            placed = _place_or_queue(attempts, place)
         if isinstance(placed, LinesOverdue):
             raise CallFailed(
                 Code.overloaded,
@@ -149,6 +171,7 @@
             address=Address(record.host, record.owner_port),
             is_local=record.host == self._parts.own_host,
             is_in_other_data_centre=self.is_in_other_data_centre(record),
+            data_centre=record.data_centre,
             fields=describe_call(
                 routed,
                 upstream,
@@ -157,8 +180,9 @@
                     rate=self._statistics.server_limits.find_rate(
                         record.instance
                     ),
-                    patient=patient and not is_hedge,
+                    patient=patient and not is_hedge and not asks,
                     needs_free_slot=is_hedge,
+                    asks_free_slot=asks,
                     pass_rank=_find_request_pass_rank(routed, self._statistics),
                     share=placed.pass_share,
                 ),
@@ -239,18 +263,25 @@
         """
         return record.data_centre != self._parts.data_centre
 
-    def note_answer(self, target: AttemptTarget, answer: AnswerFields) -> None:
+    def note_answer(
+        self, target: AttemptTarget, answer: AnswerFields, *, since: float
+    ) -> None:
         """Update the statistics from an answer of a target's owner.
 
         Args:
             target: target of the attempt.
             answer: fields of the answer.
+            since: start time of the attempt, seconds on the monotonic clock.
         """
         now = read_clock()
         report = build_owner_report(answer)
         if target.is_local:
             # Responses of this node's own server cross no line between nodes.
             report = structs.replace(report, outgoing_line=None)
+        if answer.owner_us:
+            self._binding.note_round_trip(
+                target.data_centre, now - since - answer.owner_us / MICROSECONDS
+            )
         self._statistics.note_run_time(
             target.upstream,
             report,
@@ -292,9 +323,13 @@
             target: target of the attempt.
             failure: failure of the attempt.
         """
+        now = read_clock()
+        fields = target.fields
+        if failure.code is Code.overloaded and not fields.asks_free_slot:
+            self._binding.note_overload(fields.work_class, now=now)
         if failure.code not in UPSTREAM_FAULT_CODES:
             return
-        if target.upstream.ejection.note_failure(read_clock()):
+        if target.upstream.ejection.note_failure(now):
             self._parts.recorder.record(
                 EventKind.upstream_ejected,
                 code=failure.code,
@@ -312,6 +347,7 @@
         suspect: Suspect | None,
         *,
         is_hedge: bool,
+        asks: bool = False,
     ) -> ChosenUpstream | Throttled | LinesOverdue | None:
         parts = self._parts
         view = parts.view.current
@@ -325,7 +361,7 @@
             )
             if placed is not None:
                 return placed
-        excluded = attempts.list_excluded()
+        excluded = attempts.list_excluded(asks=asks)
         if routed.idempotency_key:
             return parts.placement.choose_by_key(
                 view,
@@ -355,6 +391,18 @@
         )
 
 
+def _describe_binding(routed: RoutedCall, attempts: Attempts) -> BindingRequest:
+    work_class = routed.match.work_class
+    return BindingRequest(
+        class_name=format_class_name(routed),
+        target_seconds=work_class.within_ms / MILLISECONDS,
+        upstreams=routed.view.upstreams.get(routed.service, ()),
+        refused=attempts.refused_slots,
+        # The owner of a key has the answer to its first request.
+        may_ask=attempts.may_ask_free_slot and not routed.idempotency_key,
+    )
+
+
 def _find_request_pass_rank(
     routed: RoutedCall, statistics: FleetStatistics
 ) -> int:
@@ -364,3 +412,18 @@
         slack_seconds=routed.latency_target_at - read_clock(),
         statistics=statistics,
     )
+
+
+def _place_or_queue(
+    attempts: Attempts,
+    place: Callable[[], ChosenUpstream | Throttled | LinesOverdue | None],
+) -> ChosenUpstream | Throttled | LinesOverdue | None:
+    placed = place()
+    is_overdue = isinstance(placed, LinesOverdue) and attempts.overloaded
+    if placed is None or is_overdue:
+        # Wait at an upstream instead of trying further ones. Otherwise, if a
+        # service is overloaded everywhere, each request is sent to all data
+        # centres and rejected in each.
+        attempts.rejections_left = 0
+        placed = place()
+    return placed
--- a/wagtaildale/calls/tests/test_bulk.py
+++ b/wagtaildale/calls/tests/test_bulk.py
@@ -25,7 +25,7 @@
 from wagtaildale.telemetry.tallies import Tallies
 from wagtaildale.testing.builders import MESH_TEXT, OWNER_PORT
 from wagtaildale.timers.service import read_clock
-from wagtaildale.types import Incarnation, InstanceId
+from wagtaildale.types import DataCentre, Incarnation, InstanceId
 
 if TYPE_CHECKING:
     from wagtaildale.calls.wire.fields import CallFields
@@ -191,6 +191,7 @@
         address=Address('127.0.9.2', OWNER_PORT),
         is_local=False,
         is_in_other_data_centre=False,
+        data_centre=DataCentre('derby'),
         fields=structs.replace(build_run().fields, bulk=bulk),
         upstream=upstream,
     )
