Owner: send responses of bulk classes at the rate of the line

Cause: an owner sends up to 262,144 bytes of each response at once, and a response keeps its slot until it has been forwarded. Change: responses of bulk calls from other nodes leave through ResponseSender where line_mbps is set. The slot and the run time end when the server is done. Answers and load reports carry outgoing_line. Other calls add the size of each message to a counter.

--- a/wagtaildale/calls/entry/peer_pool.py
+++ b/wagtaildale/calls/entry/peer_pool.py
@@ -33,6 +33,9 @@
     """Connections of an entry to the owners that it calls.
 
     A ``PeerObserver`` of its connections.
+
+    Attributes:
+        sent_bytes: bytes that all connections have sent.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
                 silent.
             recorder: records an event for each lost connection.
         """
+        self.sent_bytes = 0
         self._loop = loop
         self._listener = listener
         self._recorder = recorder
--- a/wagtaildale/calls/entry/remote_peer.py
+++ b/wagtaildale/calls/entry/remote_peer.py
@@ -59,7 +59,13 @@
 
 
 class PeerObserver(Protocol):
-    """Receives the events of connections to owners."""
+    """Receives the events of connections to owners.
+
+    Attributes:
+        sent_bytes: bytes that all connections have sent.
+    """
+
+    sent_bytes: int
 
     def note_load(self, peer: RemotePeer, load: LoadReport) -> None:
         """Handle a load report of an owner.
@@ -208,7 +214,9 @@
         timed_frame = add_send_time(
             frame, elapsed_seconds=read_clock() - self._connecting_since
         )
-        self._stream.send(self._writer.write(timed_frame))
+        encoded = self._writer.write(timed_frame)
+        self._observer.sent_bytes += len(encoded)
+        self._stream.send(encoded)
 
     def close_call(self, number: CallNumber, *, cancelled: bool) -> None:
         """Close a call; see ``Peer``.
--- a/wagtaildale/calls/owner/backend_run.py
+++ b/wagtaildale/calls/owner/backend_run.py
@@ -5,6 +5,8 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final, Protocol
 
+from msgspec import structs
+
 from wagtaildale.admission.replay_cache import StoredAnswer
 from wagtaildale.calls.backend.server_end_detector import InterruptedRun
 from wagtaildale.calls.failures import CallFailed
@@ -30,6 +32,7 @@
     from wagtaildale.calls.owner.call_times import CallTimes
     from wagtaildale.calls.owner.owner import Owner
     from wagtaildale.calls.owner.replies import ReplyWriter
+    from wagtaildale.calls.owner.response_sender import PacedResponse
     from wagtaildale.calls.wire.frames import BodyPiece, Run
 
 # A response up to this size is received completely before any of it is
@@ -41,6 +44,13 @@
 class RunReceiver(Protocol):
     """The call that a run belongs to."""
 
+    def on_run_read(self, status: int) -> None:
+        """Handle a paced response that was read; its delivery goes on.
+
+        Args:
+            status: HTTP status.
+        """
+
     def on_run_finished(self, status: int) -> None:
         """Handle the end of a run whose whole response was forwarded.
 
@@ -68,7 +78,10 @@
 
 
 class BackendRun:
-    """Runs a request and forwards its answer; a ``BackendReceiver``."""
+    """Runs a request and forwards its answer.
+
+    A ``BackendReceiver``, and a ``PieceWriter`` of a paced response.
+    """
 
     def __init__(
         self,
@@ -92,6 +105,7 @@
         self._run_message = run
         self._owner = owner
         self._replies = replies
+        self._paced = replies.paced
         self._times = times
         self._idempotency = IdempotencyGuard(run, owner.replays)
         self._connection: BackendConnection | None = None
@@ -100,11 +114,15 @@
         self._unacknowledged_bytes = 0
         self._known_server_ends = 0
         self._stored_answer: StoredAnswer | None = None
+        self._head: StoredAnswer | None = None
+        self._is_read = False
         self._is_over = False
 
     @property
     def is_answering(self) -> bool:
         """Whether the head of the answer was forwarded."""
+        if self._paced is not None:
+            return self._paced.is_started
         return self._response is not None and self._response.is_started
 
     def begin(self) -> None:
@@ -138,7 +156,9 @@
         Args:
             count: number of bytes that the entry has forwarded.
         """
-        if self._response is not None:
+        if self._paced is not None:
+            self._paced.note_acknowledged(count)
+        elif self._response is not None:
             self._response.window.add_credit(count)
             self._forward()
 
@@ -234,6 +254,36 @@
             self._replies.send_window_update(self._unacknowledged_bytes)
             self._unacknowledged_bytes = 0
 
+    def write_piece(self, piece: bytes, *, more: bool) -> None:
+        """Send the next piece of a paced response; see ``PieceWriter``.
+
+        Args:
+            piece: bytes of the body.
+            more: whether more of the body follows.
+        """
+        head = self._head
+        if head is None:
+            self._replies.send_body(piece, more=more)
+            return
+        self._head = None
+        assert self._response is not None
+        self._replies.send_response(
+            self._run_message.fields,
+            structs.replace(head, body=piece),
+            more=more,
+            length=self._response.message.length,
+        )
+
+    def on_delivered(self) -> None:
+        """End the run of a paced response; see ``PieceWriter``."""
+        assert self._response is not None
+        self._call.on_run_finished(self._response.message.status)
+
+    def on_room(self) -> None:
+        """Continue to read the response; see ``PieceWriter``."""
+        if self._connection is not None:
+            self._connection.set_reading(is_wanted=True)
+
     def _start(self) -> None:
         if self._is_over:
             return
@@ -270,7 +320,7 @@
         self._call.on_run_failed(failure)
 
     def _abort(self, failure: CallFailed) -> None:
-        if not (self._is_over or self.is_answering):
+        if not (self._is_over or self._is_read or self.is_answering):
             self._call.on_run_failed(failure)
 
     def _run_now(self) -> None:
@@ -318,6 +368,9 @@
         if response is None or self._is_over:
             return
         message = response.message
+        if self._paced is not None and not self._is_refusal(response):
+            self._forward_paced(response, self._paced)
+            return
         if response.is_started:
             self._forward_piece(response)
         elif find_not_run_evidence(self._owner, message) is None:
@@ -333,6 +386,49 @@
         elif self._connection is not None:
             self._connection.set_reading(is_wanted=response.window.is_open)
 
+    def _is_refusal(self, response: BackendResponse) -> bool:
+        if response.is_started:
+            return False
+        return find_not_run_evidence(self._owner, response.message) is not None
+
+    def _forward_paced(
+        self, response: BackendResponse, paced: PacedResponse
+    ) -> None:
+        if self._is_read:
+            return
+        message = response.message
+        if not response.is_started:
+            response.is_started = True
+            self._begin_paced(response, paced)
+        if message.is_complete:
+            self._note_read(message)
+        piece = bytes(response.buffer)
+        response.buffer.clear()
+        if piece or message.is_complete:
+            paced.add(piece, more=not message.is_complete)
+        if self._connection is not None and not self._is_over:
+            self._connection.set_reading(is_wanted=paced.has_room)
+
+    def _note_read(self, message: Message) -> None:
+        self._is_read = True
+        self._connection = None
+        self._owner.trials.note_answered(self._run_message)
+        self._owner.trials.release(self._run_message)
+        self._call.on_run_read(message.status)
+
+    def _begin_paced(
+        self, response: BackendResponse, paced: PacedResponse
+    ) -> None:
+        message = response.message
+        self._head = StoredAnswer(
+            status=message.status,
+            headers=tuple(select_forwarded_headers(message)),
+            body=b'',
+        )
+        answer = structs.replace(self._head, body=bytes(response.buffer))
+        self._idempotency.settle(answer if message.is_complete else None)
+        paced.begin(self, length=message.length)
+
     def _forward_piece(self, response: BackendResponse) -> None:
         complete = response.message.is_complete
         if response.window.is_open and (response.buffer or complete):
--- a/wagtaildale/calls/owner/call_times.py
+++ b/wagtaildale/calls/owner/call_times.py
@@ -21,6 +21,8 @@
         deadline: time at which the caller gives up.
         run_started_at: time at which the request was sent to the backend
             server; ``arrived_at`` until then.
+        run_ended_at: time at which the backend server was done with the
+            response; None until then, and if the response is not paced.
         transit_seconds: time that the last message was delayed in transit.
     """
 
@@ -29,6 +31,7 @@
         self.arrived_at = read_clock()
         self.deadline = self.arrived_at
         self.run_started_at = self.arrived_at
+        self.run_ended_at: float | None = None
         self.transit_seconds = float(0)
 
     @property
@@ -53,6 +56,11 @@
     def start_run(self) -> None:
         """Record that the request is sent to the backend server now."""
         self.run_started_at = read_clock()
+        self.run_ended_at = None
+
+    def end_run(self) -> None:
+        """Record that the backend server is done with the response."""
+        self.run_ended_at = read_clock()
 
     def measure_elapsed(self) -> float:
         """Measure the time since the call arrived at the owner.
@@ -69,7 +77,10 @@
             Duration in seconds; counted from the arrival of the call if the
             request was not sent.
         """
-        return read_clock() - self.run_started_at
+        ended_at = self.run_ended_at
+        if ended_at is None:
+            ended_at = read_clock()
+        return ended_at - self.run_started_at
 
     def describe_wait(self, *, has_run: bool) -> Inputs:
         """Build the log inputs for the time before the run.
@@ -97,6 +108,17 @@
         """
         return {'took_ms': _to_ms(self.measure_run()) if has_run else 0}
 
+    def describe_line(self) -> Inputs:
+        """Build the log inputs for the time that the response waited to leave.
+
+        Returns:
+            Milliseconds since the server was done with the response; nothing
+            if the response was not paced.
+        """
+        if self.run_ended_at is None:
+            return {}
+        return {'line_ms': _to_ms(read_clock() - self.run_ended_at)}
+
 
 def _to_ms(seconds: float) -> int:
     return round(seconds * MILLISECONDS)
--- a/wagtaildale/calls/owner/load_notifier.py
+++ b/wagtaildale/calls/owner/load_notifier.py
@@ -68,7 +68,7 @@
         instance: InstanceId,
         recorder: EventRecorder,
         find_leaving: Callable[[], LeavingServer | None],
-        read_line: Callable[[], LineState | None],
+        read_lines: Callable[[], tuple[LineState | None, LineState | None]],
     ) -> None:
         """Start without listeners.
 
@@ -80,14 +80,16 @@
             find_leaving: lookup of the announcement that the listed run of
                 the server leaves; made for each report, since the list may
                 show a later run.
-            read_line: returns the state of the node's line; None if its
+            read_lines: returns the state of the node's line for bodies that
+                come in, and for large responses that leave; None if its
                 bandwidth is not known.
         """
         self.listeners: list[Callable[[LoadReport], None]] = []
         self._is_up = True
         self._find_leaving = find_leaving
-        self._read_line = read_line
+        self._read_lines = read_lines
         self._line_steps = LineSteps()
+        self._outgoing_line_steps = LineSteps()
         self._gate = gate
         self._instance = instance
         self._recorder = recorder
@@ -97,10 +99,12 @@
         now = read_clock()
         percent = self._update_slowness(now)
         demand = self._gate.state.demand
+        incoming, outgoing = self._read_lines()
         if (
             demand.update_announcement(self._compute_share(now), now=now)
             or percent
-            or self._line_steps.update(self._read_line(), now=now)
+            or self._line_steps.update(incoming, now=now)
+            or self._outgoing_line_steps.update(outgoing, now=now)
         ):
             self._notify_listeners(self._describe_load(percent))
 
@@ -173,6 +177,7 @@
 
     def _describe_load(self, slowness_percent: int) -> LoadReport:
         state = self._gate.state
+        incoming, outgoing = self._read_lines()
         return LoadReport(
             instance=self._instance,
             in_flight=len(state.running),
@@ -183,7 +188,8 @@
             rate_milli=self.encode_rate_limit(),
             share=self.describe_share(),
             leaving=self._find_leaving(),
-            line=self._read_line(),
+            line=incoming,
+            outgoing_line=outgoing,
         )
 
     def _notify_listeners(self, load: LoadReport) -> None:
--- a/wagtaildale/calls/owner/owner.py
+++ b/wagtaildale/calls/owner/owner.py
@@ -8,12 +8,14 @@
 
 from wagtaildale.admission.incoming_line import make_incoming_line
 from wagtaildale.admission.ledger import RunLedger
+from wagtaildale.admission.outgoing_line import make_outgoing_line
 from wagtaildale.admission.replay_cache import ReplayCache
 from wagtaildale.calls.backend.backend_pool import BackendPool
 from wagtaildale.calls.dialect import DEFAULT_DIALECT, Dialect
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.owner.body_collector import BodyCollector
 from wagtaildale.calls.owner.load_notifier import LoadNotifier
+from wagtaildale.calls.owner.response_sender import ResponseSender
 from wagtaildale.calls.owner.server_feedback import FeedbackTracker
 from wagtaildale.calls.owner.server_targets import ServerTargets
 from wagtaildale.calls.wire.fields import (
@@ -124,7 +126,7 @@
             instance=identity.instance,
             recorder=recorder,
             find_leaving=self._find_leaving_server,
-            read_line=self._read_line,
+            read_lines=self._read_lines,
         )
         self.pool = BackendPool(
             loop,
@@ -145,12 +147,20 @@
         self.collector = BodyCollector(
             make_incoming_line(line_mbps), alarms=loop.alarms
         )
+        self._response_sender = ResponseSender(
+            make_outgoing_line(line_mbps), alarms=loop.alarms
+        )
         self.trials = trials
         trials.end_detector.listeners.append(self.targets.feedback.note_started)
         trials.end_detector.listeners.append(self.pool.watch.note_down)
         self._find_record = find_record
         self._recorder = recorder
 
+    @property
+    def response_sender(self) -> ResponseSender:
+        """Sender of the large responses of this node."""
+        return self._response_sender
+
     @property
     def stray_count(self) -> int:
         """Number of responses that named another request."""
@@ -234,7 +244,8 @@
             was_rejected_by_server=was_rejected_by_server,
             rate_milli=self.load_notifier.encode_rate_limit(),
             share=self.load_notifier.describe_share(),
-            line=self._read_line(),
+            line=self.collector.line.describe(),
+            outgoing_line=self._response_sender.line_state,
             leaving=self.targets.leaving.find_announcement(
                 self.targets.resolve_target(fields),
             ),
@@ -286,8 +297,8 @@
     def _find_leaving_server(self) -> LeavingServer | None:
         return self.targets.leaving.find_last_announcement()
 
-    def _read_line(self) -> LineState | None:
-        return self.collector.line.describe()
+    def _read_lines(self) -> tuple[LineState | None, LineState | None]:
+        return self.collector.line.describe(), self._response_sender.line_state
 
     def _count_stray_response(self) -> None:
         self._stray_count += 1
--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -45,6 +45,10 @@
 # At the deadline the entry gives up by itself. If the owner still has the call
 # this much later, the entry is gone.
 DEADLINE_GRACE_SECONDS: Final = 0.05
+# After its deadline, a response is delivered as long as a piece of it leaves in
+# each such period. Without a limit, responses that others keep away from a full
+# line would fill the memory and stop reading from the server.
+DELIVERY_CHECK_SECONDS: Final = 1.0
 MILLISECONDS: Final = 1000
 # A backend server that answers 503 counts as overloaded.
 OVERLOAD_STATUS: Final = 503
@@ -71,6 +75,8 @@
         waiting: it waits for a slot.
         reserved: it holds a slot and has not run.
         running: it was sent to the backend server.
+        delivering: the backend server is done with it, and its response waits
+            for the line; it holds no slot.
         over: it has ended.
     """
 
@@ -78,10 +84,12 @@
     waiting = 'waiting'
     reserved = 'reserved'
     running = 'running'
+    delivering = 'delivering'
     over = 'over'
 
 
 UNADMITTED_STATES: Final = frozenset((CallState.receiving, CallState.waiting))
+RUN_STATES: Final = frozenset((CallState.running, CallState.delivering))
 
 
 class OwnerCall:
@@ -192,9 +200,10 @@
         self._owner.record_end(
             EventKind.run_ended,
             self.fields,
-            inputs=self._times.describe_wait(
-                has_run=state is CallState.running,
-            ),
+            inputs={
+                **self._times.describe_wait(has_run=state in RUN_STATES),
+                **self._times.describe_line(),
+            },
             code=Code.caller_gone,
             detail=state.value,
         )
@@ -204,6 +213,17 @@
         else:
             self._release_slot(Ending.abandoned)
 
+    def on_run_read(self, status: int) -> None:
+        """Free the slot while the response is delivered; see ``RunReceiver``.
+
+        Args:
+            status: HTTP status.
+        """
+        self._times.end_run()
+        self.state = CallState.delivering
+        self._release_slot(_find_ending(status))
+        self._ticket = None
+
     def on_run_finished(self, status: int) -> None:
         """End a call that was answered; see ``RunReceiver``.
 
@@ -217,11 +237,15 @@
                 'status': status,
                 **self._times.describe_wait(has_run=True),
                 **self._times.describe_run(has_run=True),
+                **self._times.describe_line(),
             },
         )
+        was_delivering = self.state is CallState.delivering
         self._close()
-        is_shed = status == OVERLOAD_STATUS
-        self._release_slot(Ending.failed if is_shed else Ending.good)
+        self._release_slot(_find_ending(status))
+        if was_delivering:
+            # The wait for the line may have changed by a step.
+            self._owner.load_notifier.notify_changes()
 
     def on_run_replayed(self) -> None:
         """End a call answered from a stored answer; see ``RunReceiver``."""
@@ -289,7 +313,7 @@
         times = self._times
         times.update_deadline(fields, received_at=times.arrived_at)
         try:
-            owner.check_target(fields)
+            self._check_fields(fields)
         except CallFailed as failure:
             self._fail(failure)
             return False
@@ -299,6 +323,19 @@
         )
         return True
 
+    def _check_fields(self, fields: CallFields) -> None:
+        owner = self._owner
+        owner.check_target(fields)
+        if not fields.bulk or self._replies.paced is not None:
+            return
+        if self._channel.uses_line:
+            self._replies.paced = owner.response_sender.expect(
+                fields,
+                run_seconds=owner.gate.state.estimate_run_seconds(
+                    fields.work_class
+                ),
+            )
+
     def _request_slot(self, fields: CallFields) -> None:
         if self._accept_fields(fields):
             self._enqueue(fields)
@@ -377,6 +414,7 @@
         if self._run is not None:
             # The entry sent two run messages for one call.
             self._run.close()
+            self._replies.stop_pacing()
         self._run = BackendRun(
             self,
             body.build_run(),
@@ -389,7 +427,14 @@
     # Ends
 
     def _time_out(self) -> None:
-        has_run = self.state is CallState.running
+        paced = self._replies.paced
+        if paced is not None and self.state is CallState.delivering:
+            if paced.check_progress():
+                self._alarm = self._owner.loop.alarms.set(
+                    DELIVERY_CHECK_SECONDS, self._time_out
+                )
+                return
+        has_run = self.state in RUN_STATES
         self._fail(
             CallFailed(
                 Code.timed_out,
@@ -419,7 +464,7 @@
             self._run.update_duplicate_records(failure)
 
     def _record_failure(self, failure: CallFailed) -> None:
-        has_run = self.state is CallState.running
+        has_run = self.state in RUN_STATES
         self._owner.record_end(
             EventKind.run_ended if has_run else EventKind.run_refused,
             self.fields,
@@ -428,6 +473,7 @@
                 **failure.describe_crashes(),
                 **self._times.describe_wait(has_run=has_run),
                 **self._times.describe_run(has_run=has_run),
+                **self._times.describe_line(),
             },
             code=failure.code,
             detail=failure.detail,
@@ -457,4 +503,9 @@
             self._run.close()
         if self._body is not None:
             self._body.close()
+        self._replies.stop_pacing()
         self._channel.forget(self._number)
+
+
+def _find_ending(status: int) -> Ending:
+    return Ending.failed if status == OVERLOAD_STATUS else Ending.good
--- a/wagtaildale/calls/owner/replies.py
+++ b/wagtaildale/calls/owner/replies.py
@@ -22,6 +22,7 @@
     from wagtaildale.calls.failures import CallFailed
     from wagtaildale.calls.owner.call_times import CallTimes
     from wagtaildale.calls.owner.owner import Owner
+    from wagtaildale.calls.owner.response_sender import PacedResponse
     from wagtaildale.calls.wire.fields import CallFields
     from wagtaildale.calls.wire.frames import ToEntry
     from wagtaildale.types import CallNumber
@@ -32,6 +33,10 @@
 class EntryChannel(Protocol):
     """Connection back to the entry that a call came from."""
 
+    @property
+    def uses_line(self) -> bool:
+        """Whether messages to the entry leave this node."""
+
     def reply(self, frame: ToEntry) -> None:
         """Send a message to the entry.
 
@@ -48,7 +53,11 @@
 
 
 class ReplyWriter:
-    """Writes the messages to the entry for one call."""
+    """Writes the messages to the entry for one call.
+
+    Attributes:
+        paced: the response, if it is sent in pieces at the rate of the line.
+    """
 
     def __init__(
         self,
@@ -66,11 +75,18 @@
             channel: connection to the entry.
             times: times of the call.
         """
+        self.paced: PacedResponse | None = None
         self._owner = owner
         self._number = number
         self._channel = channel
         self._times = times
 
+    def stop_pacing(self) -> None:
+        """Drop what waits for the line; a further response is not paced."""
+        if self.paced is not None:
+            self.paced.close()
+            self.paced = None
+
     def send_grant(self, fields: CallFields, *, lease: TicketId) -> None:
         """Send the lease of the slot that is held for the call.
 
--- a/wagtaildale/calls/owner/sessions.py
+++ b/wagtaildale/calls/owner/sessions.py
@@ -137,6 +137,7 @@
     Attributes:
         owner: owner of the backend server.
         reply: sends a message to the entry.
+        uses_line: whether messages to the entry leave this node.
     """
 
     def __init__(
@@ -144,15 +145,18 @@
         owner: Owner,
         *,
         reply: Callable[[ToEntry], None],
+        uses_line: bool = False,
     ) -> None:
         """Create a table without calls.
 
         Args:
             owner: owner of the backend server.
             reply: sends a message to the entry.
+            uses_line: whether messages to the entry leave this node.
         """
         self.owner = owner
         self.reply = reply
+        self.uses_line = uses_line
         self._accepts_drain_notice = False
         self._calls: dict[CallNumber, OwnerCall] = {}
         self._transit_delay = TransitDelayEstimator(opened_at=read_clock())
@@ -331,7 +335,7 @@
         self._stream = Stream(port.owner.loop, sock, self)
         self._reader: FrameReader | None = None
         self._writer = FrameWriter(compressed=False)
-        self.calls = CallTable(port.owner, reply=self._send)
+        self.calls = CallTable(port.owner, reply=self._send, uses_line=True)
 
     @property
     def active_calls(self) -> int:
@@ -411,7 +415,9 @@
             self.calls.handle_frame(frame)
 
     def _send(self, frame: ToEntry) -> None:
-        self._stream.send(self._writer.write(frame))
+        encoded = self._writer.write(frame)
+        self._port.owner.response_sender.sent_bytes += len(encoded)
+        self._stream.send(encoded)
 
 
 def _read_compression_mark(mark: bytes) -> bool:
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -132,7 +132,11 @@
         )
         dependencies.suspects.listeners.append(self._abandon_suspected_runs)
         self.local_peer = LocalPeer(self.owner)
-        self.entry = Entry(self._make_parts())
+        parts = self._make_parts()
+        self.entry = Entry(parts)
+        self.owner.response_sender.other_counters.append(
+            lambda: parts.peers.sent_bytes
+        )
         self.caller_port = CallerPort(
             self.loop,
             request_handler=self.entry,
--- a/wagtaildale/calls/tests/pairs.py
+++ b/wagtaildale/calls/tests/pairs.py
@@ -47,8 +47,10 @@
         )
         self.entry_node = MeshNode(entry_record)
         self.owner_node = MeshNode(owner_record)
-        line = self.owner_node.owner.collector.line
-        line.rate = make_incoming_line(line_mbps).rate
+        owner = self.owner_node.owner
+        rate = make_incoming_line(line_mbps).rate
+        owner.collector.line.rate = rate
+        owner.response_sender.line.use.rate = rate
         self.entry_node.set_instances(owner_record)
 
     def close(self) -> None:
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -102,6 +102,10 @@
         self._fetch = make_fetch(self.parts)
         self.distribution = self._make_distribution()
         self.calls = make_calls(self.parts)
+        response_sender = self.calls.owner.response_sender
+        response_sender.other_counters.append(
+            lambda: self.distribution.sockets.sent_bytes
+        )
         self.stop = Stop(
             calls=self.calls,
             inbox=self.parts.inbox,
