--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -14,6 +14,7 @@
     from wagtaildale.node import Node
 
 NO_LIMIT: Final = -1
+MILLISECONDS: Final = 1000
 
 
 def make_metrics(node: Node) -> Metrics:
@@ -28,7 +29,8 @@
     parts = node.parts
     metrics = Metrics(parts.tallies, instance=parts.identity.instance)
     state = node.distribution.state
-    _add_backend_gauges(metrics, node)
+    for add_gauges in (_add_backend_gauges, _add_line_gauges):
+        add_gauges(metrics, node)
     for kind in DocumentKind:
         metrics.add_gauge(
             f'wagtaildale.{kind.name}.version',
@@ -132,6 +134,33 @@
     )
 
 
+def _add_line_gauges(metrics: Metrics, node: Node) -> None:
+    sender = node.calls.owner.response_sender
+    metrics.add_gauge(
+        'wagtaildale.line.outgoing.backlog',
+        lambda: sender.backlog_bytes,
+        unit='By',
+        description='Large responses that have not left, as far as expected.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.line.outgoing.wait',
+        lambda: _read_line_wait(node),
+        unit='s',
+        description='Time until these responses have left.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.line.refusals',
+        lambda: sender.refusal_count,
+        unit='{request}',
+        description='Requests refused for want of bandwidth for the response.',
+    )
+
+
+def _read_line_wait(node: Node) -> float:
+    state = node.calls.owner.response_sender.line_state
+    return 0 if state is None else state.wait_ms / MILLISECONDS
+
+
 def _read_rate_limit(node: Node) -> float:
     rate_limit = node.calls.owner.targets.feedback.per_second
     return NO_LIMIT if rate_limit is None else rate_limit
