--- a/wagtaildale/calls/owner/load_notifier.py
+++ b/wagtaildale/calls/owner/load_notifier.py
@@ -69,7 +69,7 @@
         instance: InstanceId,
         recorder: EventRecorder,
         find_leaving: Callable[[], LeavingServer | None],
-        read_line: Callable[[], LineState | None],
+        read_lines: Callable[[], tuple[LineState | None, LineState | None]],
     ) -> None:
         """Start without listeners.
 
@@ -81,14 +81,15 @@
             find_leaving: lookup of the announcement that the listed run of
                 the server leaves; made for each report, since the list may
                 show a later run.
-            read_line: returns the state of the node's line; None if its
+            read_lines: returns the state of the node's line for bodies that
+                come in, and for large responses that leave; None if its
                 bandwidth is not known.
         """
         self.listeners: list[Callable[[LoadReport], None]] = []
         self._is_up = True
         self._find_leaving = find_leaving
-        self._read_line = read_line
-        self._line_steps = LineSteps()
+        self._read_lines = read_lines
+        self._line_steps = (LineSteps(), LineSteps())
         self._pace_steps = PaceSteps(recorder)
         self._gate = gate
         self._instance = instance
@@ -103,7 +104,7 @@
             self._pace_steps.update(self._gate.state.pace, now=now)
             or demand.update_announcement(self._compute_share(now), now=now)
             or percent
-            or self._line_steps.update(self._read_line(), now=now)
+            or _update_line_steps(self._line_steps, self._read_lines(), now)
         ):
             self._notify_listeners(self._describe_load(percent))
 
@@ -179,6 +180,7 @@
 
     def _describe_load(self, slowness_percent: int) -> LoadReport:
         state = self._gate.state
+        incoming, outgoing = self._read_lines()
         return LoadReport(
             instance=self._instance,
             in_flight=len(state.running),
@@ -189,10 +191,24 @@
             rate_milli=self.encode_rate_limit(),
             share=self.describe_share(),
             leaving=self._find_leaving(),
-            line=self._read_line(),
             pace_percent=state.pace.encode(read_clock()),
+            line=incoming,
+            outgoing_line=outgoing,
         )
 
     def _notify_listeners(self, load: LoadReport) -> None:
         for notify in self.listeners:
             notify(load)
+
+
+def _update_line_steps(
+    line_steps: tuple[LineSteps, LineSteps],
+    lines: tuple[LineState | None, LineState | None],
+    now: float,
+) -> bool:
+    return any(
+        [
+            steps.update(line, now=now)
+            for steps, line in zip(line_steps, lines, strict=True)
+        ]
+    )
