--- a/wagtaildale/calls/tests/test_reported_load.py
+++ b/wagtaildale/calls/tests/test_reported_load.py
@@ -6,16 +6,23 @@
 
 import pytest
 
-from wagtaildale.admission.pace import Pace
+from wagtaildale.admission.gate import Gate
+from wagtaildale.admission.messages import RequestArrived
+from wagtaildale.admission.pace import OCCUPIED_SECONDS, Pace, ServerLoad
+from wagtaildale.admission.server_messages import LoadReported
+from wagtaildale.admission.state import make_admission
 from wagtaildale.calls.owner.pace_steps import PaceSteps
 from wagtaildale.calls.tests.feedback_servers import FeedbackFleet
 from wagtaildale.calls.tests.pairs import wait_until
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.testing.builders import build_recorder
+from wagtaildale.timers.alarms import Alarms
+from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from wagtaildale.admission.messages import Verdict
     from wagtaildale.admission.pace import ReportedPace
 
 PATH: Final = '/files/1'
@@ -97,3 +104,18 @@
         EventKind.pace_confirmed,
     ]
     assert events[0].inputs['reported_percent'] == SLOW_PERCENT
+
+
+def test_gate_wakes_when_slots_count_again() -> None:
+    """A request waits until its target although the server is idle."""
+    alarms = Alarms()
+    gate = Gate(make_admission(2), alarms=alarms)
+    now = read_clock()
+    verdicts: list[Verdict] = []
+    for _request in range(2):
+        arrived = RequestArrived(within_ms=10_000, deadline=now + 20)
+        gate.request_slot(arrived, on_verdict=verdicts.append)
+        load = ServerLoad(running=1, waiting=1, slots=2, pace_percent=100)
+        gate.handle_server_message(LoadReported(load=load))
+    assert len(verdicts) == 1
+    assert alarms.find_delay(now) < 2 * OCCUPIED_SECONDS
