Distribution: derive the wait for parts from peers from the time to apply

Cause: a node that reads from the platform which parts a version has waits for them from peers until 5 s after its start, whatever the bound (2 to 12 s). Nothing was due at the end of the wait either: the next read of the whole document found it over.

Change: the wait is 0.4 of the time to apply (4.8 s of 12 s, as long as first readers need for 360 parts), for the named choices of the settings as well. It is a deadline of the task, at which the missing parts are read.

--- a/wagtaildale/assembly.py
+++ b/wagtaildale/assembly.py
@@ -15,7 +15,7 @@
     CallsTaskDependencies,
     CallsTaskSettings,
 )
-from wagtaildale.distribution.tuning import TUNINGS, Tuning
+from wagtaildale.distribution.tuning import Tuning, choose_tuning
 from wagtaildale.integration import (
     OWN_INTEGRATION,
     Integration,
@@ -108,7 +108,11 @@
         tallies=Tallies(),
         inbox=inbox,
         states=[NodeState.joining],
-        tuning=tuning or TUNINGS[settings.distribution.spread],
+        tuning=tuning
+        or choose_tuning(
+            settings.distribution.spread,
+            apply_seconds=settings.bounds.apply_seconds,
+        ),
         integration=integration,
         suspects=SuspectsHolder(inbox.put),
     )
--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -23,7 +23,10 @@
     send_due_announcement,
     send_due_confirmation,
 )
-from wagtaildale.distribution.documents import handle_offer
+from wagtaildale.distribution.documents import (
+    handle_offer,
+    read_overdue_parts,
+)
 from wagtaildale.distribution.joining import announce_state, review_ready
 from wagtaildale.distribution.lapses import expire_retained
 from wagtaildale.distribution.liveness import (
@@ -162,6 +165,7 @@
         *send_due_announcement(state, now=now),
         *send_due_heartbeat(state, now=now),
         *take_over_if_due(state, now=now),
+        *read_overdue_parts(state, now=now),
         *_check_while_joining(state, now=now),
     ]
 
--- a/wagtaildale/distribution/documents.py
+++ b/wagtaildale/distribution/documents.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from functools import singledispatch
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from wagtaildale.distribution.lapses import update_list
 from wagtaildale.distribution.messages import (
@@ -32,12 +32,10 @@
         DeltaOffered,
         OutlineOffered,
     )
-    from wagtaildale.types import InstanceId
+    from wagtaildale.types import Digest, InstanceId
 
     Offer = DeltaOffered | OutlineOffered | BlobsOffered
 
-PEER_WAIT_SECONDS: Final = 5.0
-
 
 def handle_offer(
     state: DistributionState,
@@ -131,14 +129,48 @@
     # Only appointed readers read parts from the platform immediately, so that
     # many new nodes do not all read every part at once. The others receive the
     # parts from readers, and read them after a while if no peer has sent them.
-    is_overdue = now - state.joining.started_at > PEER_WAIT_SECONDS
+    if state.appointed or now >= state.peer_wait_ends_at:
+        return [_read_blobs(state, outcome.kind, outcome.digests)]
+    state.joining.awaited_kinds.add(outcome.kind)
+    return []
+
+
+def read_overdue_parts(state: DistributionState, *, now: float) -> list[Effect]:
+    """Read the parts from the platform that no peer has sent in time.
+
+    Args:
+        state: state of the node; updated in place.
+        now: current time, seconds.
+
+    Returns:
+        Reads of the missing parts, if any are overdue.
+    """
+    awaited_kinds = state.joining.awaited_kinds
+    if not awaited_kinds or now < state.peer_wait_ends_at:
+        return []
+    awaited = {
+        kind: pending
+        for kind in awaited_kinds
+        if (pending := state.stores[kind].pending) is not None
+    }
+    awaited_kinds.clear()
+    return [
+        _read_blobs(state, kind, pending.list_missing())
+        for kind, pending in awaited.items()
+    ]
+
+
+def _read_blobs(
+    state: DistributionState,
+    kind: DocumentKind,
+    digests: tuple[Digest, ...],
+) -> ReadBlobs:
     readers = get_topology(state.members).readers
-    read = ReadBlobs(
-        kind=outcome.kind,
-        digests=outcome.digests,
+    return ReadBlobs(
+        kind=kind,
+        digests=digests,
         is_first_reader=state.appointed and state.find_own_rank(readers) == 0,
     )
-    return [read] if state.appointed or is_overdue else []
 
 
 def request_delta(
--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -127,6 +127,8 @@
         read_count: number of reads from the platform.
         next_check_at: time of the next check whether the node is ready,
             seconds.
+        awaited_kinds: kinds of documents whose version was read from the
+            platform, and whose parts are awaited from peers.
     """
 
     started_at: float
@@ -135,6 +137,7 @@
     next_read_at: float = NEVER
     read_count: int = 0
     next_check_at: float = NEVER
+    awaited_kinds: set[DocumentKind] = field(default_factory=set)
 
 
 class DistributionState(Struct, kw_only=True):
@@ -197,6 +200,11 @@
     suspects: SuspectTable = field(default_factory=SuspectTable)
     swap_count: int = 0
 
+    @property
+    def peer_wait_ends_at(self) -> float:
+        """When this node stops waiting for parts from peers, seconds."""
+        return self.joining.started_at + self.tuning.peer_wait_seconds
+
     def describe_holding(self, kind: DocumentKind, now: float) -> Holding:
         """Describe the current version of a document and its freshness.
 
--- a/wagtaildale/distribution/task.py
+++ b/wagtaildale/distribution/task.py
@@ -43,8 +43,8 @@
 
     Returns:
         Seconds until the next deadline: of a push, of a message that a reader
-        sends, of a takeover or, while the node is joining, of its next check;
-        at most one second.
+        sends, of a takeover, of parts awaited from peers or, while the node is
+        joining, of its next check; at most one second.
     """
     due = [push.due for push in state.pushes.values()]
     scheduled = (
@@ -54,6 +54,8 @@
         find_takeover_at(state, now=now),
     )
     due.extend(due_at for due_at in scheduled if due_at is not None)
+    if state.joining.awaited_kinds:
+        due.append(state.peer_wait_ends_at)
     if state.members.state is NodeState.joining:
         due.append(state.joining.next_check_at)
     return min(MAX_WAIT_SECONDS, max(0, min(due, default=now + 1) - now))
--- a/wagtaildale/distribution/tuning.py
+++ b/wagtaildale/distribution/tuning.py
@@ -10,7 +10,7 @@
 from types import MappingProxyType
 from typing import Final, final
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 
 @final
@@ -52,6 +52,9 @@
             reads from the platform.
         alone_seconds: how long a new node that has read from the platform
             waits for a reply of a peer.
+        peer_wait_seconds: how long after its start a node that does not watch
+            the platform waits for parts of a version from peers before it
+            reads them from the platform.
         reader_heartbeat_seconds: interval between two heartbeats of a reader;
             0 for none.
         reader_silence_seconds: time without a heartbeat after which the next
@@ -83,6 +86,7 @@
     gather_seconds: float = 0
     ask_peers_seconds: float = 1.0
     alone_seconds: float = 2.0
+    peer_wait_seconds: float = 4.8
     reader_heartbeat_seconds: float = 0
     reader_silence_seconds: float = 0
     takeover_spread_seconds: float = 0
@@ -109,6 +113,10 @@
 # platform. When a whole fleet starts at once, no seed has a version, and each
 # further tenth of a second is one in which every caller is refused.
 ASK_PEERS_SHARE: Final = 0.05
+# The first readers fetch 360 parts in 4 s, a third of 12 s, and the others then
+# receive them from peers. More than half of the time is left to read the parts
+# from the platform instead.
+PEER_WAIT_SHARE: Final = 0.4
 # A node on a slow line needs a third of the time for its first read, so the
 # loss of a reader must be known after another third, also when one heartbeat
 # was lost.
@@ -143,6 +151,22 @@
 )
 
 
+def choose_tuning(spread: Spread, *, apply_seconds: float) -> Tuning:
+    """Choose the parameters that operators name in the settings.
+
+    Args:
+        spread: name of the choice.
+        apply_seconds: time in which a version must be in force everywhere,
+            seconds.
+
+    Returns:
+        The parameters, with a wait for parts that follows from the bound.
+    """
+    return structs.replace(
+        TUNINGS[spread], peer_wait_seconds=PEER_WAIT_SHARE * apply_seconds
+    )
+
+
 def make_tuning(
     *,
     apply_seconds: float,
@@ -178,6 +202,7 @@
         backoff_seconds=BACKOFF_SHARE * apply_seconds,
         gather_seconds=GATHER_SHARE * apply_seconds,
         ask_peers_seconds=ASK_PEERS_SHARE * apply_seconds,
+        peer_wait_seconds=PEER_WAIT_SHARE * apply_seconds,
         reader_heartbeat_seconds=READER_HEARTBEAT_SHARE * apply_seconds,
         reader_silence_seconds=READER_SILENCE_SHARE * apply_seconds,
         takeover_spread_seconds=TAKEOVER_SPREAD_SHARE * apply_seconds,
