--- a/wagtaildale/admin/line_reports.py
+++ b/wagtaildale/admin/line_reports.py
@@ -20,12 +20,13 @@
     Returns:
         State of the line; None if its owner does not schedule responses.
     """
-    line = node.calls.owner.describe_outgoing_line()
+    sender = node.calls.owner.response_sender
+    line = sender.line_state
     if line is None:
         return None
     return OutgoingLineState(
         wait_ms=line.wait_ms,
-        backlog_bytes=line.wait_ms * line.bytes_per_ms,
+        backlog_bytes=round(sender.backlog_bytes),
     )
 
 
