Tests: downloads at once, load reports and the entry's bytes on the line

Guards against pieces that reach the wrong caller, entries that do not learn of a backlog, and requests of the node's own entry that are not counted.

--- a/wagtaildale/calls/tests/test_large_responses.py
+++ b/wagtaildale/calls/tests/test_large_responses.py
@@ -375,6 +375,61 @@
     assert len(body) > size
 
 
+def test_many_downloads_at_once_arrive_unmixed(
+    pair: Pair, raw_entry: RawEntry
+) -> None:
+    """Pieces of one response reach the caller of another."""
+    sizes = {CallNumber(1 + each): 5_000 * each for each in range(12)}
+    for call, size in sizes.items():
+        raw_entry.ask(call=call, size=size)
+    bodies = dict.fromkeys(sizes, b'')
+    cancelled = CallNumber(12)
+    raw_entry.send(Cancel(cancelled))
+    expected = set(sizes) - {cancelled}
+    left = set(expected)
+    while left:
+        frame = raw_entry.receive()
+        assert isinstance(frame, Answered | BodyPiece)
+        raw_entry.acknowledge(frame)
+        bodies[frame.call] += frame.body
+        if not frame.more:
+            left.discard(frame.call)
+    for call in expected:
+        target = b'/photos/%d"' % sizes[call]
+        head, ending = bodies[call].split(b'}', 1)
+        assert target in head
+        assert ending == b'\xff' * sizes[call]
+    sender = pair.owner_node.owner.response_sender
+    wait_until(lambda: not sender.line.responses)
+
+
+def test_entries_are_notified_of_the_wait(
+    pair: Pair, raw_entry: RawEntry
+) -> None:
+    """Entries send downloads to a node whose line is full."""
+    reports: list[LoadReport] = []
+    pair.owner_node.owner.load_notifier.listeners.append(reports.append)
+    raw_entry.ask(size=500_000)
+    raw_entry.receive_response()
+    waits = [
+        each.outgoing_line.wait_ms
+        for each in reports
+        if each.outgoing_line is not None
+    ]
+    assert waits
+    assert max(waits) >= 250
+
+
+def test_bytes_of_the_entry_count_against_the_rate() -> None:
+    """Downloads fill a line that the node's own requests need."""
+    pair = Pair(line_mbps=LINE_MBPS)
+    pair.ask('POST', '/bookings', b'x' * 100_000)
+    sender = pair.entry_node.owner.response_sender
+    counted = sum(read() for read in sender.other_counters)
+    assert counted > 100_000
+    pair.close()
+
+
 def test_planned_stop_sends_what_waits(pair: Pair, raw_entry: RawEntry) -> None:
     """A node that stops cuts off the downloads that wait for its line."""
     raw_entry.ask()
