--- a/wagtaildale/routing/binding.py
+++ b/wagtaildale/routing/binding.py
@@ -219,10 +219,11 @@
         )
         if now - checked_at < CHECK_SECONDS:
             return is_fresh
-        find = self._statistics.find
+        known = self._statistics.known
         is_fresh = any(
-            find(record.instance, now=now).slowness.has_fresh_pace(now)
+            known[record.instance].slowness.has_fresh_pace(now)
             for record in request.upstreams
+            if record.instance in known
         )
         self._checks[request.class_name] = (now, is_fresh)
         return is_fresh
--- a/wagtaildale/routing/statistics.py
+++ b/wagtaildale/routing/statistics.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from math import inf
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct
@@ -51,6 +52,9 @@
         server_limits: rate limits that the backend servers have set.
         leaving_servers: servers that have announced that they leave.
         down_servers: upstreams whose backend servers accept no connections.
+        known: read-only view of the statistics by upstream. Unlike ``find``,
+            it creates none, which would count the upstream as cold from then
+            on.
     """
 
     def __init__(self) -> None:
@@ -59,6 +63,7 @@
         self.leaving_servers = LeavingServers()
         self.down_servers = DownServers()
         self._upstreams: dict[InstanceId, UpstreamStatistics] = {}
+        self.known = MappingProxyType(self._upstreams)
         self._usual_seconds_by_class: dict[str, float] = {}
         self._started_ms: dict[InstanceId, int] = {}
 
@@ -244,11 +249,9 @@
         Args:
             listed: instances that are still listed.
         """
-        self._upstreams = {
-            instance: upstream
-            for instance, upstream in self._upstreams.items()
-            if instance in listed or upstream.pending
-        }
+        for known in tuple(self._upstreams.values()):
+            if known.instance not in listed and not known.pending:
+                self._upstreams.pop(known.instance)
         self.server_limits.keep_only(self._upstreams)
         self._started_ms = {
             instance: started_ms
