--- a/wagtaildale/routing/binding.py
+++ b/wagtaildale/routing/binding.py
@@ -40,9 +40,9 @@
 # 100 upstreams takes 13 us, which is too long for every request.
 CHECK_SECONDS: Final = 0.1
 # Time for which requests of a class queue at once after an upstream refused one
-# of them for overload. Where all servers are full, asking only adds messages:
-# at 1.3 of the capacity it cost 0.020 of the calls within target, and 0.003
-# with this pause. With 0.5 s, over half of the gain at 0.85 was lost.
+# of them for overload. Where all servers are full, asking only adds messages.
+# A longer pause would also suspend it at moderate load, where single servers
+# refuse requests now and then.
 OVERLOAD_PAUSE_SECONDS: Final = 0.1
 
 
