--- a/wagtaildale/admission/outgoing_line.py
+++ b/wagtaildale/admission/outgoing_line.py
@@ -31,21 +31,23 @@
 
 # A piece is released while at most LEAD_SECONDS of earlier bytes are on the
 # line, so that alarms that fire late by a millisecond leave no gap. Both
-# together, with the heads of the packets, are the longest time that a small
+# together, with the headers of the packets, are the longest time that a small
 # message waits for large responses: 10 ms.
 PIECE_SECONDS: Final = 0.0045
 LEAD_SECONDS: Final = 0.005
 MIN_PIECE_BYTES: Final = 512
 # One read from the server; frames of BodyPiece are built for it.
 MAX_PIECE_BYTES: Final = 65_536
-# A packet of 1,448 bytes has heads of TCP, IP and Ethernet. Without them the
-# pace is 1% above what a line of 5 Mbit/s carries, and its buffers fill.
+# Each packet of 1,448 bytes of payload has headers of TCP, IP and Ethernet. If
+# they were not counted, pieces would be released faster than the line carries
+# them, and its buffers would fill.
 PACKET_BYTES: Final = 1448
-PACKET_HEAD_BYTES: Final = 66
-# Part of the bandwidth that is used, so that a line that is a little slower
+PACKET_HEADER_BYTES: Final = 66
+# Part of the bandwidth at which pieces are released, so that a line that is a little slower
 # than configured does not build a queue.
-PACE_SHARE: Final = 0.98
-# Part of the bandwidth that bytes of messages get, beside heads and the above.
+USED_BANDWIDTH_SHARE: Final = 0.98
+# Part of the bandwidth that is left for the bytes of messages, without packet
+# headers and the unused part.
 PAYLOAD_SHARE: Final = 0.9
 # Bytes that were sent and are not acknowledged: this much time of the line,
 # and a round trip between data centres.
@@ -160,8 +162,8 @@
             now: current time, seconds.
         """
         packets = 1 + size // PACKET_BYTES
-        line_bytes = size + packets * PACKET_HEAD_BYTES
-        seconds = line_bytes / (self.rate.bytes_per_second * PACE_SHARE)
+        line_bytes = size + packets * PACKET_HEADER_BYTES
+        seconds = line_bytes / (self.rate.bytes_per_second * USED_BANDWIDTH_SHARE)
         self.busy_until = max(self.busy_until, now) + seconds
 
 
--- a/wagtaildale/admission/pace.py
+++ b/wagtaildale/admission/pace.py
@@ -26,10 +26,9 @@
 # Reports kept to find the pace during a run: a second of a server that answers
 # sixty requests a second, which is longer than most runs.
 MAX_KEPT_REPORTS: Final = 64
-# Weight of a run in the comparison with the reports. The mean of about twenty
-# runs that spread by a third differs from theirs by less than a tenth, so
-# chance alone does not contradict a report. A pace that is wrong by a factor of
-# 2.5 is found after five to eight runs.
+# Weight of a run in the comparison with the reports. The mean covers about
+# twenty runs, so that the spread of single run times alone does not contradict
+# a report.
 COMPARISON_GAIN: Final = 0.1
 # Weight of a run in the measured pace: five runs make up most of it.
 MEASURED_GAIN: Final = 0.2
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -83,8 +83,9 @@
         pace: pace of the backend server, if it reports one. The smoothed run
             times of a server that reports it are those at the usual pace.
         occupied_until: time until which no slot counts as free, because the
-            backend server has reported requests that wait there; 0 if its last
-            report had none.
+            backend server has reported requests that wait there. It stays set
+            after that time until a report without waiting requests, so that a
+            server that always reports some is not stopped again.
         rate: rate limit that the backend server names, if any.
         demand: request rate before entries hold any request back.
         adaptive: whether the limit is adjusted to observed run times.
--- a/wagtaildale/distribution/tuning.py
+++ b/wagtaildale/distribution/tuning.py
@@ -113,9 +113,9 @@
 # platform. When a whole fleet starts at once, no seed has a version, and each
 # further tenth of a second is one in which every caller is refused.
 ASK_PEERS_SHARE: Final = 0.05
-# The first readers fetch 360 parts in 4 s, a third of 12 s, and the others then
-# receive them from peers. More than half of the time is left to read the parts
-# from the platform instead.
+# The first readers need up to a third of the time to fetch all parts, and the
+# others then receive them from peers. More than half of the time is left to
+# read the parts from the platform instead.
 PEER_WAIT_SHARE: Final = 0.4
 # A node on a slow line needs a third of the time for its first read, so the
 # loss of a reader must be known after another third, also when one heartbeat
--- a/wagtaildale/routing/binding.py
+++ b/wagtaildale/routing/binding.py
@@ -36,13 +36,13 @@
 # replaces it at once: measured times include pauses of either process, which
 # only ever lengthen them.
 ROUND_TRIP_GAIN: Final = 0.05
-# Interval at which the reports of a service are searched for a pace. Searching
-# 100 upstreams takes 13 us, which is too long for every request.
+# Interval at which the reports of a service are searched for a pace. A search
+# covers all upstreams, which would take too long for every request.
 CHECK_SECONDS: Final = 0.1
 # Time for which requests of a class queue at once after an upstream refused one
 # of them for overload. Where all servers are full, asking only adds messages.
-# A longer pause would also suspend it at moderate load, where single servers
-# refuse requests now and then.
+# A longer pause would suspend asking at moderate load as well, where single
+# servers refuse requests now and then.
 OVERLOAD_PAUSE_SECONDS: Final = 0.1
 
 
