--- a/wagtaildale/admission/outgoing_line.py
+++ b/wagtaildale/admission/outgoing_line.py
@@ -43,8 +43,8 @@
 # them, and its buffers would fill.
 PACKET_BYTES: Final = 1448
 PACKET_HEADER_BYTES: Final = 66
-# Part of the bandwidth at which pieces are released, so that a line that is a little slower
-# than configured does not build a queue.
+# Part of the bandwidth at which pieces are released, so that a line that is a
+# little slower than configured does not build a queue.
 USED_BANDWIDTH_SHARE: Final = 0.98
 # Part of the bandwidth that is left for the bytes of messages, without packet
 # headers and the unused part.
@@ -163,7 +163,9 @@
         """
         packets = 1 + size // PACKET_BYTES
         line_bytes = size + packets * PACKET_HEADER_BYTES
-        seconds = line_bytes / (self.rate.bytes_per_second * USED_BANDWIDTH_SHARE)
+        seconds = line_bytes / (
+            self.rate.bytes_per_second * USED_BANDWIDTH_SHARE
+        )
         self.busy_until = max(self.busy_until, now) + seconds
 
 
@@ -565,6 +567,43 @@
     return OutgoingLine(use=LineUse(rate=rate))
 
 
+def check_response(
+    line: OutgoingLine,
+    work_class: str,
+    *,
+    limits: ResponseLimits,
+    run_seconds: float,
+    now: float,
+) -> float:
+    """Decide whether a new request is refused because of the line.
+
+    Args:
+        line: large responses that leave the node.
+        work_class: service and class of the request.
+        limits: times in which its response has to leave.
+        run_seconds: time that the request takes at the server.
+        now: current time, seconds.
+
+    Returns:
+        Seconds by which its response would leave too late; 0 if the
+        request is accepted.
+    """
+    # On an idle line the request always runs. Otherwise a class with a few
+    # huge responses would be refused for good.
+    if not line.responses:
+        return 0
+    # With the mean alone, every larger response is late when the line is
+    # full.
+    size = line.sizes.find(work_class)
+    overdue = line.find_overdue_seconds(
+        size.mean + size.deviation,
+        limits=limits,
+        run_seconds=run_seconds,
+        now=now,
+    )
+    return max(0, overdue)
+
+
 def _measure_ahead(
     line: OutgoingLine, order: tuple[bool, int, float, float], now: float
 ) -> float:
--- a/wagtaildale/calls/owner/response_sender.py
+++ b/wagtaildale/calls/owner/response_sender.py
@@ -6,7 +6,11 @@
 from math import inf
 from typing import TYPE_CHECKING, Final, Protocol
 
-from wagtaildale.admission.outgoing_line import ResponseId, ResponseLimits
+from wagtaildale.admission.outgoing_line import (
+    ResponseId,
+    ResponseLimits,
+    check_response,
+)
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
@@ -104,18 +108,15 @@
             return None
         now = read_clock()
         self._count_others(now)
-        size = line.sizes.find(fields.work_class)
         limits = find_response_limits(fields)
-        overdue = line.find_overdue_seconds(
-            size.mean + size.deviation,
+        overdue = check_response(
+            line,
+            fields.work_class,
             limits=limits,
             run_seconds=run_seconds,
             now=now,
         )
-        # With the mean alone, every larger response is late when the line is
-        # full. On an idle line the request always runs: otherwise a class with
-        # a few huge responses would be refused for good.
-        if overdue > 0 and line.responses:
+        if overdue > 0:
             self.refusal_count += 1
             raise CallFailed(
                 Code.overloaded,
@@ -129,7 +130,8 @@
         name = ResponseId(self._last_response)
         response = PacedResponse(self, name, work_class=fields.work_class)
         self._responses[name] = response
-        line.expect(name, size=size.mean, limits=limits, now=now)
+        size = line.sizes.find(fields.work_class).mean
+        line.expect(name, size=size, limits=limits, now=now)
         self._update_state(now)
         return response
 
--- a/wagtaildale/testing/replay/outgoing_lines.py
+++ b/wagtaildale/testing/replay/outgoing_lines.py
@@ -14,6 +14,7 @@
     OutgoingLine,
     ResponseId,
     ResponseLimits,
+    check_response,
 )
 from wagtaildale.testing.replay.load import LoadClass
 from wagtaildale.testing.replay.servers import Job, ReplayServer
@@ -25,11 +26,13 @@
 MS_PER_SECOND: Final = 1000
 # One-way delay between the owner and the entries, beside the time on the line.
 DELAY_SECONDS: Final = 0.002
-# Bytes of a message beside the body, with those of TCP, IP and Ethernet.
+# Bytes of the head of a response beside its body, and of a message with a piece
+# of it.
 HEAD_BYTES: Final = 250
 FRAME_BYTES: Final = 80
+# Payload of a packet, and its headers of TCP, IP and Ethernet.
 PACKET_BODY_BYTES: Final = 1448
-PACKET_HEAD_BYTES: Final = 66
+PACKET_HEADER_BYTES: Final = 66
 
 
 class ResponseLoad(Struct, frozen=True, kw_only=True):
@@ -197,21 +200,22 @@
             patient=True,
             rank=work_class.rank,
         )
-        size = line.sizes.find(work_class.name)
-        overdue = line.find_overdue_seconds(
-            size.mean + size.deviation,
+        overdue = check_response(
+            line,
+            work_class.name,
             limits=limits,
             run_seconds=self._server.state.estimate_run_seconds(
                 work_class.name, now=now
             ),
             now=now,
         )
-        if overdue > 0 and line.responses:
+        if overdue > 0:
             counts = self.counts[work_class.name]
             counts.refused_by_line += 1
             counts.retry_after.append(overdue)
             return False
-        line.expect(response.name, size=size.mean, limits=limits, now=now)
+        size = line.sizes.find(work_class.name).mean
+        line.expect(response.name, size=size, limits=limits, now=now)
         self._responses[response.name] = response
         return True
 
@@ -272,7 +276,7 @@
     def _carry(self, response: _Response, size: int, *, is_last: bool) -> None:
         now = self._clock.now
         packets = 1 + size // PACKET_BODY_BYTES
-        size += packets * PACKET_HEAD_BYTES
+        size += packets * PACKET_HEADER_BYTES
         begins = max(self._free_at, now)
         self._free_at = begins + size / self._per_second
         if response.load.bulk:
