--- a/properties/test_admission.py
+++ b/properties/test_admission.py
@@ -83,7 +83,7 @@
     def wait(self, seconds: float) -> None:
         until = self.now + seconds
         # The gate sets an alarm for the time at which slots count again.
-        next_at = self.state.find_token_at(self.now)
+        next_at = self.state.find_next_start_at(self.now)
         if next_at <= until:
             self.now = next_at
             self._dispatch(TimePassed())
--- a/wagtaildale/admission/gate.py
+++ b/wagtaildale/admission/gate.py
@@ -159,9 +159,9 @@
     def _schedule_alarm(self) -> None:
         # One alarm serves the whole queue. It fires when the first request in
         # the queue is overdue or may start without a slot being freed.
-        token_at = self.state.find_token_at(read_clock())
+        next_start_at = self.state.find_next_start_at(read_clock())
         start_by = min(waiting.start_by for waiting in self.state.queue)
-        next_at = min(start_by, token_at + ALARM_MARGIN_SECONDS)
+        next_at = min(start_by, next_start_at + ALARM_MARGIN_SECONDS)
         alarm = self._alarm
         if alarm is not None and alarm.is_set and alarm.at <= next_at:
             return
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -182,7 +182,7 @@
         """
         return self.class_run_times.get(work_class) or RunTimes()
 
-    def find_token_at(self, now: float) -> float:
+    def find_next_start_at(self, now: float) -> float:
         """Find when a queued request may start without a slot being freed.
 
         Args:
--- a/wagtaildale/admission/tests/test_pace.py
+++ b/wagtaildale/admission/tests/test_pace.py
@@ -273,7 +273,7 @@
     gate.arrive()
     gate.report(100, waiting=1)
     assert not gate.arrive()
-    assert gate.state.find_token_at(gate.now) == OCCUPIED_SECONDS
+    assert gate.state.find_next_start_at(gate.now) == OCCUPIED_SECONDS
     gate.now += OCCUPIED_SECONDS
     verdicts = decide_admission(TimePassed(), gate.state, now=gate.now)
     assert isinstance(verdicts[0], Admitted)
--- a/wagtaildale/calls/entry/attempts.py
+++ b/wagtaildale/calls/entry/attempts.py
@@ -167,18 +167,20 @@
         """
         return not self.tried and not self.crash_count
 
-    def list_excluded(self, *, asks: bool = False) -> frozenset[InstanceId]:
+    def list_excluded(
+        self, *, asks_free_slot: bool = False
+    ) -> frozenset[InstanceId]:
         """List the upstreams that the next attempt avoids.
 
         Args:
-            asks: whether the attempt asks for a free slot.
+            asks_free_slot: whether the attempt asks for a free slot.
 
         Returns:
             Upstreams already tried, and those without a free slot if the
             attempt asks for one. Once no rejections are left, overloaded
             ones are allowed again: the request then waits at one of them.
         """
-        if asks:
+        if asks_free_slot:
             return frozenset(self.refused_slots)
         if self.rejections_left:
             return frozenset(self.tried)
--- a/wagtaildale/calls/entry/entry_call.py
+++ b/wagtaildale/calls/entry/entry_call.py
@@ -270,7 +270,7 @@
             self.routed,
             self.attempts,
             is_hedge=is_hedge,
-            may_ask=self.request.has_small_body,
+            may_ask_free_slot=self.request.has_small_body,
             suspect=find_suspect(
                 self._entry.parts,
                 self.routed,
--- a/wagtaildale/calls/entry/targets.py
+++ b/wagtaildale/calls/entry/targets.py
@@ -96,7 +96,7 @@
         attempts: Attempts,
         *,
         is_hedge: bool = False,
-        may_ask: bool = False,
+        may_ask_free_slot: bool = False,
         suspect: Suspect | None = None,
     ) -> AttemptTarget:
         """Choose the target of the next attempt and mark it as tried.
@@ -106,8 +106,8 @@
             attempts: previous attempts; the new one is added.
             is_hedge: whether the attempt is a hedge, which runs only if a slot
                 is free at once.
-            may_ask: whether the request can be sent again after an upstream
-                was asked for a free slot.
+            may_ask_free_slot: whether the request can be sent again if an
+                upstream that is asked for a free slot has none.
             suspect: suspected request, if it may run only at certain
                 servers.
 
@@ -121,13 +121,13 @@
         place = partial(
             self._place, routed, attempts, suspect, is_hedge=is_hedge
         )
-        if may_ask and suspect is None and not is_hedge:
+        if may_ask_free_slot and suspect is None and not is_hedge:
             placed = self._binding.place(
                 _describe_binding(routed, attempts),
-                partial(place, asks=True),
+                partial(place, asks_free_slot=True),
                 now=read_clock(),
             )
-        asks = placed is not None
+        asks_free_slot = placed is not None
         if placed is None:
             placed = _place_or_queue(attempts, place)
         if isinstance(placed, LinesOverdue):
@@ -180,9 +180,9 @@
                     rate=self._statistics.server_limits.find_rate(
                         record.instance
                     ),
-                    patient=patient and not is_hedge and not asks,
+                    patient=patient and not is_hedge and not asks_free_slot,
                     needs_free_slot=is_hedge,
-                    asks_free_slot=asks,
+                    asks_free_slot=asks_free_slot,
                     pass_rank=_find_request_pass_rank(routed, self._statistics),
                     share=placed.pass_share,
                 ),
@@ -347,7 +347,7 @@
         suspect: Suspect | None,
         *,
         is_hedge: bool,
-        asks: bool = False,
+        asks_free_slot: bool = False,
     ) -> ChosenUpstream | Throttled | LinesOverdue | None:
         parts = self._parts
         view = parts.view.current
@@ -361,7 +361,7 @@
             )
             if placed is not None:
                 return placed
-        excluded = attempts.list_excluded(asks=asks)
+        excluded = attempts.list_excluded(asks_free_slot=asks_free_slot)
         if routed.idempotency_key:
             return parts.placement.choose_by_key(
                 view,
@@ -399,7 +399,8 @@
         upstreams=routed.view.upstreams.get(routed.service, ()),
         refused=attempts.refused_slots,
         # The owner of a key has the answer to its first request.
-        may_ask=attempts.may_ask_free_slot and not routed.idempotency_key,
+        may_ask_free_slot=attempts.may_ask_free_slot
+        and not routed.idempotency_key,
     )
 
 
--- a/wagtaildale/calls/tests/test_slot_refusals.py
+++ b/wagtaildale/calls/tests/test_slot_refusals.py
@@ -42,7 +42,7 @@
     attempts = build_attempts()
     assert attempts.try_after_missing_slot(NOT_RUN, instance=A, now=1)
     assert not attempts.list_excluded()
-    assert attempts.list_excluded(asks=True) == {A}
+    assert attempts.list_excluded(asks_free_slot=True) == {A}
     assert attempts.sent_count == 1
 
 
--- a/wagtaildale/routing/binding.py
+++ b/wagtaildale/routing/binding.py
@@ -121,15 +121,15 @@
         target_seconds: target of the class, seconds.
         upstreams: upstreams of the service.
         refused: upstreams that had no free slot for the request.
-        may_ask: whether an attempt that is refused can be followed by another
-            one without a retry, and its upstream is free to choose.
+        may_ask_free_slot: whether an attempt that is refused can be followed
+            by another one without a retry, and its upstream is free to choose.
     """
 
     class_name: str
     target_seconds: float
     upstreams: Sequence[InstanceRecord]
     refused: Sequence[InstanceId] = ()
-    may_ask: bool = True
+    may_ask_free_slot: bool = True
 
 
 class LateBinding:
@@ -184,7 +184,8 @@
 
         Args:
             request: the request.
-            choose: chooses the upstream of an attempt that asks.
+            choose: chooses the upstream of an attempt that asks for a free
+                slot.
             now: current time, in seconds.
 
         Returns:
@@ -193,7 +194,7 @@
         if not self._is_in_effect(request, now):
             return None
         placed = choose()
-        if isinstance(placed, ChosenUpstream) and self._may_ask(
+        if isinstance(placed, ChosenUpstream) and self._may_ask_upstream(
             request, placed
         ):
             return placed
@@ -201,7 +202,7 @@
 
     def _is_in_effect(self, request: BindingRequest, now: float) -> bool:
         refusals = len(request.refused)
-        if not request.may_ask or not self._policy.asks_free_slot(
+        if not request.may_ask_free_slot or not self._policy.asks_free_slot(
             refusals=refusals
         ):
             return False
@@ -229,7 +230,9 @@
         self._checks[request.class_name] = (now, is_fresh)
         return is_fresh
 
-    def _may_ask(self, request: BindingRequest, placed: ChosenUpstream) -> bool:
+    def _may_ask_upstream(
+        self, request: BindingRequest, placed: ChosenUpstream
+    ) -> bool:
         record = placed.record
         # With a single upstream, the request would be sent to it twice.
         is_alone = placed.is_only_candidate and not request.refused
--- a/wagtaildale/routing/tests/test_binding.py
+++ b/wagtaildale/routing/tests/test_binding.py
@@ -66,7 +66,7 @@
     *,
     target_seconds: float = TARGET_SECONDS,
     refused: tuple[InstanceId, ...] = (),
-    may_ask: bool = True,
+    may_ask_free_slot: bool = True,
     is_only_candidate: bool = False,
     now: float = NOW,
 ) -> bool:
@@ -76,7 +76,7 @@
         target_seconds=target_seconds,
         upstreams=RECORDS,
         refused=refused,
-        may_ask=may_ask,
+        may_ask_free_slot=may_ask_free_slot,
     )
     chosen = ChosenUpstream(
         record=RECORDS[0], is_only_candidate=is_only_candidate
@@ -134,7 +134,7 @@
 
 def test_bound_requests_do_not_ask() -> None:
     """A request with an idempotency key leaves the owner of its key."""
-    assert not asks(build_binding(build_statistics()), may_ask=False)
+    assert not asks(build_binding(build_statistics()), may_ask_free_slot=False)
 
 
 def test_limited_upstreams_are_not_asked() -> None:
--- a/wagtaildale/testing/replay/calls.py
+++ b/wagtaildale/testing/replay/calls.py
@@ -105,8 +105,8 @@
         placed: ChosenUpstream | Throttled | LinesOverdue | None = None
         if not is_hedge:
             placed = self._place_free_slot()
-        asks = placed is not None
-        if not asks:
+        asks_free_slot = placed is not None
+        if not asks_free_slot:
             placed = self._place(is_hedge=is_hedge)
         if placed is None:
             attempts.rejections_left = 0
@@ -149,7 +149,7 @@
             is_local=is_local,
             pass_rank=self._find_request_pass_rank(),
             share=placed.pass_share,
-            asks_free_slot=asks,
+            asks_free_slot=asks_free_slot,
         )
         self._running.append(attempt)
         entry.placement.statistics.find(instance, now=now).note_begun(now)
@@ -160,7 +160,7 @@
                 self._arrive,
                 attempt,
                 is_hedge=is_hedge,
-                patient=patient and not asks,
+                patient=patient and not asks_free_slot,
             ),
         )
 
@@ -182,14 +182,14 @@
                 target_seconds=work_class.target_seconds,
                 upstreams=view.upstreams.get(work_class.service, ()),
                 refused=self._attempts.refused_slots,
-                may_ask=self._attempts.may_ask_free_slot,
+                may_ask_free_slot=self._attempts.may_ask_free_slot,
             ),
-            partial(self._place, is_hedge=False, asks=True),
+            partial(self._place, is_hedge=False, asks_free_slot=True),
             now=self._clock.now,
         )
 
     def _place(
-        self, *, is_hedge: bool, asks: bool = False
+        self, *, is_hedge: bool, asks_free_slot: bool = False
     ) -> ChosenUpstream | Throttled | LinesOverdue | None:
         request = self._request
         attempts = self._attempts
@@ -197,7 +197,7 @@
         return self._entry.placement.choose(
             self._entry.mesh.view.current,
             request.work_class.service,
-            avoided=attempts.list_excluded(asks=asks),
+            avoided=attempts.list_excluded(asks_free_slot=asks_free_slot),
             request=RequestContext(
                 data_centre=self._entry.data_centre,
                 class_name=request.work_class.name,
--- a/wagtaildale/testing/replay/servers.py
+++ b/wagtaildale/testing/replay/servers.py
@@ -147,7 +147,7 @@
                 self._clock.schedule(
                     wait + ALARM_MARGIN_SECONDS, self._pass_time
                 )
-        self._schedule_token_check()
+        self._schedule_start_check()
         return ticket
 
     def cancel(self, ticket: TicketId) -> None:
@@ -268,10 +268,10 @@
 
     def _pass_time(self) -> None:
         self._decide(TimePassed())
-        self._schedule_token_check()
+        self._schedule_start_check()
 
-    def _schedule_token_check(self) -> None:
-        wait = self.state.find_token_at(self._clock.now) - self._clock.now
+    def _schedule_start_check(self) -> None:
+        wait = self.state.find_next_start_at(self._clock.now) - self._clock.now
         if wait < inf:
             self._clock.schedule(wait + ALARM_MARGIN_SECONDS, self._pass_time)
 
