--- a/wagtaildale/calls/entry/outgoing_request.py
+++ b/wagtaildale/calls/entry/outgoing_request.py
@@ -47,7 +47,7 @@
 
     @property
     def has_small_body(self) -> bool:
-        """Whether the body is there, can be sent again and needs no credits.
+        """Whether the body has arrived, can be sent again and needs no credits.
 
         Only such a request asks for a free slot: a refusal of any other would
         end the call, or cost the transfer of its body.
--- a/wagtaildale/calls/owner/backend_run.py
+++ b/wagtaildale/calls/owner/backend_run.py
@@ -45,7 +45,9 @@
     """The call that a run belongs to."""
 
     def on_run_read(self, status: int) -> None:
-        """Handle a paced response that was read; its delivery goes on.
+        """Handle that a paced response was read to its end.
+
+        Its delivery goes on.
 
         Args:
             status: HTTP status.
@@ -407,7 +409,7 @@
         if piece or message.is_complete:
             paced.add(piece, more=not message.is_complete)
         if self._connection is not None and not self._is_over:
-            self._connection.set_reading(is_wanted=paced.has_room)
+            self._connection.set_reading(is_wanted=paced.request_room())
 
     def _note_read(self, message: Message) -> None:
         self._is_read = True
--- a/wagtaildale/calls/owner/load_notifier.py
+++ b/wagtaildale/calls/owner/load_notifier.py
@@ -206,6 +206,7 @@
     lines: tuple[LineState | None, LineState | None],
     now: float,
 ) -> bool:
+    # A list, since each line has to be updated even if another has changed.
     return any(
         [
             steps.update(line, now=now)
--- a/wagtaildale/calls/owner/response_sender.py
+++ b/wagtaildale/calls/owner/response_sender.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from math import inf
 from typing import TYPE_CHECKING, Final, Protocol
 
@@ -11,6 +10,7 @@
     ResponseLimits,
     check_response,
 )
+from wagtaildale.admission.retry_delays import spread_retry_delay
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
@@ -27,8 +27,6 @@
     from wagtaildale.timers.alarms import Alarm, Alarms
 
 MILLISECONDS: Final = 1000
-# Callers that were refused together would otherwise come back together.
-RETRY_SPREAD: Final = 0.5
 # Sent bytes are removed from the buffer together, since each removal copies
 # the rest.
 COMPACTION_BYTES: Final = 65_536
@@ -98,7 +96,7 @@
             run_seconds: time that the request takes at the server.
 
         Returns:
-            The response; None if the bandwidth of the line is not known.
+            The response; None if the bandwidth of the line is not state.
 
         Raises:
             CallFailed: if the line cannot carry the response in time.
@@ -124,25 +122,27 @@
                     f'the outgoing line needs {overdue:.2f} s more for the '
                     'response than there is time'
                 ),
-                retry_after=overdue * (1 + RETRY_SPREAD * random.random()),
+                retry_after=spread_retry_delay(overdue),
             )
         self._last_response += 1
-        name = ResponseId(self._last_response)
-        response = PacedResponse(self, name, work_class=fields.work_class)
-        self._responses[name] = response
+        response_id = ResponseId(self._last_response)
+        response = PacedResponse(
+            self, response_id, work_class=fields.work_class
+        )
+        self._responses[response_id] = response
         size = line.sizes.find(fields.work_class).mean
-        line.expect(name, size=size, limits=limits, now=now)
+        line.expect(response_id, size=size, limits=limits, now=now)
         self._update_state(now)
         return response
 
-    def end(self, name: ResponseId) -> None:
+    def end(self, response_id: ResponseId) -> None:
         """Remove a response that has left or is no longer wanted.
 
         Args:
-            name: identifies the response.
+            response_id: identifies the response.
         """
-        if self._responses.pop(name, None) is not None:
-            self.line.end(name)
+        if self._responses.pop(response_id, None) is not None:
+            self.line.end(response_id)
             now = read_clock()
             self._update_state(now)
             # Not released here: a call may end while pieces are being sent.
@@ -155,17 +155,19 @@
         self._update_state(now)
         self._set_alarm(self.line.find_next_at(now))
 
-    def note_piece_sent(self, name: ResponseId, size: int, now: float) -> None:
+    def note_piece_sent(
+        self, response_id: ResponseId, size: int, now: float
+    ) -> None:
         """Count a piece that was just sent.
 
         Args:
-            name: identifies the response.
+            response_id: identifies the response.
             size: bytes of its body.
             now: current time, seconds.
         """
         sent = self._take_count()
         self.line.use.note_piece_sent(sent, now=now)
-        self.line.responses[name].note_sent(size, now=now)
+        self.line.responses[response_id].note_sent(size, now=now)
 
     def _send_pieces(self) -> None:
         line = self.line
@@ -210,17 +212,21 @@
     """One large response, from the arrival of its request until it has left."""
 
     def __init__(
-        self, sender: ResponseSender, name: ResponseId, *, work_class: str
+        self,
+        sender: ResponseSender,
+        response_id: ResponseId,
+        *,
+        work_class: str,
     ) -> None:
         """Create the response before its request runs.
 
         Args:
             sender: sender of all large responses.
-            name: identifies the response.
+            response_id: identifies the response.
             work_class: service and class of the request.
         """
         self._sender = sender
-        self._name = name
+        self._id = response_id
         self._work_class = work_class
         self._pending = bytearray()
         self._sent_bytes = 0
@@ -235,14 +241,15 @@
         """Whether the first piece was sent."""
         return self._sent_pieces > 0
 
-    @property
-    def has_room(self) -> bool:
-        """Whether more of the response may be read from the server.
+    def request_room(self) -> bool:
+        """Ask whether more of the response may be read from the server.
 
-        If there is no room now, the writer is told when there is.
+        Returns:
+            Whether there is room for more; if not, the writer is notified
+            once there is.
         """
         line = self._sender.line
-        has_room = self._name in line.responses and line.has_room(self._name)
+        has_room = self._id in line.responses and line.has_room(self._id)
         self._is_paused = not has_room
         return has_room
 
@@ -254,9 +261,9 @@
             length: announced length of the body, bytes; negative if unknown.
         """
         self._writer = writer
-        known = self._find_known()
-        if known is not None and length >= 0:
-            known.note_length(length)
+        state = self._find_state()
+        if state is not None and length >= 0:
+            state.note_length(length)
 
     def add(self, piece: bytes, *, more: bool) -> None:
         """Add bytes that were read from the server.
@@ -265,15 +272,15 @@
             piece: bytes of the body.
             more: whether more of the body follows.
         """
-        known = self._find_known()
-        if known is None:
+        state = self._find_state()
+        if state is None:
             return
         self._pending += piece
         self._is_complete = not more
-        known.note_received(len(piece), is_complete=not more)
+        state.note_received(len(piece), is_complete=not more)
         if not more:
             sizes = self._sender.line.sizes
-            sizes.note(self._work_class, known.received)
+            sizes.note(self._work_class, state.received)
         self._sender.release()
 
     def note_acknowledged(self, size: int) -> None:
@@ -282,9 +289,9 @@
         Args:
             size: number of bytes.
         """
-        known = self._find_known()
-        if known is not None:
-            known.note_acknowledged(size, now=read_clock())
+        state = self._find_state()
+        if state is not None:
+            state.note_acknowledged(size, now=read_clock())
             self._sender.release()
 
     def send_piece(self, size: int, *, now: float) -> None:
@@ -305,7 +312,7 @@
         assert self._writer is not None
         self._sent_pieces += 1
         self._writer.write_piece(piece, more=more)
-        self._sender.note_piece_sent(self._name, len(piece), now)
+        self._sender.note_piece_sent(self._id, len(piece), now)
         if not more:
             self._writer.on_delivered()
             self.close()
@@ -321,18 +328,18 @@
         return has_progress
 
     def resume_if_paused(self) -> None:
-        """Let the writer read on if there is room again."""
-        if self._is_paused and self.has_room and self._writer is not None:
+        """Notify the writer if it waits for room and there is some."""
+        if self._is_paused and self.request_room() and self._writer is not None:
             self._writer.on_room()
 
     def close(self) -> None:
         """Give up what has not been sent."""
         self._pending = bytearray()
         self._sent_bytes = 0
-        self._sender.end(self._name)
+        self._sender.end(self._id)
 
-    def _find_known(self) -> OutgoingResponse | None:
-        return self._sender.line.responses.get(self._name)
+    def _find_state(self) -> OutgoingResponse | None:
+        return self._sender.line.responses.get(self._id)
 
 
 def find_response_limits(fields: CallFields) -> ResponseLimits:
--- a/wagtaildale/routing/line_check.py
+++ b/wagtaildale/routing/line_check.py
@@ -16,6 +16,8 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.retry_delays import spread_retry_delay
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -27,9 +29,6 @@
 # Their answers carry new reports, so an entry whose reports are old notices
 # the end of a backlog.
 PROBE_SHARE: Final = 0.05
-# Most that is added to a retry delay, as a fraction of it, so that callers
-# that were refused together do not return together.
-RETRY_SPREAD: Final = 0.5
 
 
 class LinesOverdue(Struct, frozen=True, kw_only=True, gc=False):
@@ -46,7 +45,7 @@
     @property
     def retry_after(self) -> float:
         """Seconds after which the caller may retry."""
-        return self.seconds * (1 + RETRY_SPREAD * random.random())
+        return spread_retry_delay(self.seconds)
 
 
 def select_by_line(
--- a/wagtaildale/routing/tests/test_line_check.py
+++ b/wagtaildale/routing/tests/test_line_check.py
@@ -9,12 +9,12 @@
 from msgspec import structs
 
 from wagtaildale.admission.incoming_line import LineState
+from wagtaildale.admission.retry_delays import RETRY_SPREAD
 from wagtaildale.routing.choice import ChooserName, RequestContext
 from wagtaildale.routing.choosers import make_chooser
 from wagtaildale.routing.known_lines import KnownLines
 from wagtaildale.routing.line_check import (
     PROBE_SHARE,
-    RETRY_SPREAD,
     LinesOverdue,
     select_by_line,
 )
