--- a/wagtaildale/admission/tests/test_outgoing_line.py
+++ b/wagtaildale/admission/tests/test_outgoing_line.py
@@ -1,4 +1,4 @@
-"""Tests of the order and the pace in which large responses leave a node."""
+"""Tests of the order and the rate in which large responses leave a node."""
 
 from __future__ import annotations
 
--- a/wagtaildale/routing/tests/test_reported_pace.py
+++ b/wagtaildale/routing/tests/test_reported_pace.py
@@ -27,7 +27,7 @@
 DATA_CENTRES: Final = ('a', 'b', 'c', 'd')
 SERVERS: Final = 28
 SLOTS: Final = 3
-OTHERS: Final = 56
+OTHER_ENTRIES: Final = 56
 SPEEDS: Final = (0.7, 1.2, 1.0, 1.7, 0.8, 1.4, 0.9)
 CALL_SECONDS: Final = 0.019
 LOOKUP_SECONDS: Final = 0.065
@@ -87,7 +87,7 @@
         target_seconds=0.087,
         deadline_seconds=0.35,
         rank=0,
-        swing=0.55,
+        demand_amplitude=0.55,
     )
     lookup = LoadClass(
         name=LOOKUPS,
@@ -97,7 +97,7 @@
         target_seconds=0.257,
         deadline_seconds=1.0,
         rank=1,
-        swing=0.55,
+        demand_amplitude=0.55,
     )
     mesh = ReplayMesh([call, lookup], seed=seed)
     mesh.binding_policy = policy
@@ -111,7 +111,9 @@
     servers = list(mesh.servers.values())
     # Entries beside servers of another service: an entry gets a report about
     # any one server less often than its slow periods come.
-    mesh.add(ServiceName('other'), count=OTHERS, data_centres=DATA_CENTRES)
+    mesh.add(
+        ServiceName('other'), count=OTHER_ENTRIES, data_centres=DATA_CENTRES
+    )
     for server in servers:
         server.read_pace = find_reader(server)
     SlowPeriods().schedule(servers[::SLOW_EVERY], clock=mesh.clock)
--- a/wagtaildale/testing/replay/downloads.py
+++ b/wagtaildale/testing/replay/downloads.py
@@ -43,10 +43,14 @@
 BYTES_PER_MS: Final = 625
 MEAN_BYTES: Final = 90_000
 MAX_BYTES: Final = 540_000
+# Standard deviation of the logarithm of the size.
 SIZE_SPREAD: Final = 0.8
 TARGET_SECONDS: Final = 1.824
 DEADLINE_SECONDS: Final = 2.432
+# One-way delay between an entry and an owner.
 DELAY_SECONDS: Final = 0.001
+# Shortest interval of the reports of an owner, and the change of its wait that
+# causes one.
 REPORT_SECONDS: Final = 0.25
 STEP_SECONDS: Final = 0.25
 MS_PER_SECOND: Final = 1000
--- a/wagtaildale/testing/replay/load.py
+++ b/wagtaildale/testing/replay/load.py
@@ -27,10 +27,10 @@
         tries: number of tries that a caller makes, the first one included.
         calls: name of the class that runs call; empty if they call none.
         calls_share: share of the runs that make such a call.
-        swing: amplitude of the demand of a data centre, as a share of its
-            mean.
-        swing_seconds: period of the demand; data centres have their peaks one
-            after the other.
+        demand_amplitude: amplitude of the oscillating demand of a data centre,
+            as a share of its mean; 0 if the demand is constant.
+        demand_period_seconds: period of the demand; data centres have their
+            peaks one after the other.
     """
 
     name: str
@@ -45,8 +45,8 @@
     tries: int = 3
     calls: str = ''
     calls_share: float = 0
-    swing: float = 0
-    swing_seconds: float = 17
+    demand_amplitude: float = 0
+    demand_period_seconds: float = 17
 
     def draw_arrival(self, now: float, *, phase: float) -> bool:
         """Draw whether a request drawn at the peak rate arrives.
@@ -59,9 +59,9 @@
         Returns:
             Whether it arrives at the current demand.
         """
-        angle = 2 * pi * (now / self.swing_seconds - phase)
-        demand = 1 + self.swing * sin(angle)
-        return random.random() * (1 + self.swing) < demand
+        angle = 2 * pi * (now / self.demand_period_seconds - phase)
+        demand = 1 + self.demand_amplitude * sin(angle)
+        return random.random() * (1 + self.demand_amplitude) < demand
 
     def draw_run_seconds(self) -> float:
         """Draw the run time of a request at a backend server of speed 1.
--- a/wagtaildale/testing/replay/mesh.py
+++ b/wagtaildale/testing/replay/mesh.py
@@ -229,14 +229,14 @@
         )
 
     def _schedule_request(self, work_class: LoadClass, until: float) -> None:
-        peak = work_class.per_second * (1 + work_class.swing)
+        peak = work_class.per_second * (1 + work_class.demand_amplitude)
         gap = random.expovariate(peak)
         if self.clock.now + gap < until:
             self.clock.schedule(gap, partial(self._send, work_class, until))
 
     def _send(self, work_class: LoadClass, until: float) -> None:
         entry = random.choice(list(self.entries.values()))
-        if not work_class.swing or work_class.draw_arrival(
+        if not work_class.demand_amplitude or work_class.draw_arrival(
             self.clock.now, phase=self._find_phase(entry)
         ):
             outcomes = self.outcomes[work_class.name]
