--- a/wagtaildale/calls/wire/fields.py
+++ b/wagtaildale/calls/wire/fields.py
@@ -126,10 +126,11 @@
         lease: lease of the granted slot, in the answer to a reservation.
         retry_ms: milliseconds after which a retry makes sense, in a refusal.
         slot_us: average microseconds for which a request of any class holds a
-            slot of the backend server; 0 before the first.
+            slot of the backend server, at its usual pace; 0 before the first.
         class_us: current run time in microseconds of requests of this class at
             the backend server; 0 before the first.
-        class_usual_us: the same over a longer time.
+        class_usual_us: the same over a longer time and at the usual pace of
+            the server; 0 before enough runs.
         was_rejected_by_server: whether the backend server itself, not the
             owner, refused the request.
         ends: number of successive backend servers that ended during the
--- a/wagtaildale/routing/upstream.py
+++ b/wagtaildale/routing/upstream.py
@@ -63,7 +63,7 @@
         class_seconds: smoothed seconds of the last few requests of the same
             class at the backend server; 0 if not known yet.
         class_usual_seconds: smoothed seconds of the class over a longer
-            time; 0 if not known yet.
+            time, at the usual pace; 0 if not known yet.
         code: result code of the answer.
         server_limit: rate limit of the backend server; nothing if the owner
             does not know it yet.
