--- a/wagtaildale/calls/tests/test_large_responses.py
+++ b/wagtaildale/calls/tests/test_large_responses.py
@@ -282,7 +282,7 @@
     wait_until(lambda: not line.responses)
     wait_until(lambda: not pair.owner_node.calls.active_calls)
     assert pair.owner_node.owner.response_sender.backlog_bytes == 0
-    assert not pair.owner_node.gate.state.running
+    wait_until(lambda: not pair.owner_node.gate.state.running)
 
 
 def test_request_is_refused_if_the_line_is_too_busy(
@@ -482,7 +482,7 @@
     assert isinstance(failed, Failed)
     assert failed.fields.outcome is Outcome.unknown
     wait_until(lambda: not sender.line.responses)
-    assert not pair.owner_node.gate.state.running
+    wait_until(lambda: not pair.owner_node.gate.state.running)
 
 
 def test_delivery_that_stalls_ends_after_the_deadline(
--- a/wagtaildale/calls/tests/test_late_binding.py
+++ b/wagtaildale/calls/tests/test_late_binding.py
@@ -16,7 +16,7 @@
 from wagtaildale.calls.tests.pairs import TIMEOUT_SECONDS, wait_until
 from wagtaildale.calls.wire.frames import FrameReader, Reserve, Run
 from wagtaildale.routing.binding import DEFAULT_MAX_REFUSALS
-from wagtaildale.routing.slowness import MIN_SLOWNESS
+from wagtaildale.routing.slowness import MAX_SLOWNESS, MIN_SLOWNESS
 from wagtaildale.testing.builders import (
     MESH_TEXT,
     SLOTS,
@@ -148,11 +148,16 @@
 
 
 def prefer(entry: MeshNode, instance: InstanceId) -> None:
-    """Let an upstream look faster than all others."""
+    """Let an upstream look much faster than all others.
+
+    One of several upstreams with similar times is chosen at random.
+    """
     now = read_clock()
-    statistics = entry.calls.entry.parts.placement.statistics
-    slowness = statistics.find(instance, now=now).slowness
-    slowness.note_reported_times(MIN_SLOWNESS, usual_ratio=1, now=now)
+    parts = entry.calls.entry.parts
+    for listed in parts.view.current.records:
+        ratio = MIN_SLOWNESS if listed == instance else MAX_SLOWNESS
+        upstream = parts.placement.statistics.find(listed, now=now)
+        upstream.slowness.note_reported_times(ratio, usual_ratio=ratio, now=now)
 
 
 def test_booking_is_sent_elsewhere_if_an_owner_dies_while_asked(
