Add a review case: one unreadable entry ends every node

Cause: PlatformStore skips an entry of the store only for MsgspecError and ValueError. An entry that nests deeper than Python's recursion limit raises RecursionError, which ends the reading task and with it the process.

Added: review/1 with a script, and the stand-ins of the platform, upstreams and clients that it uses.

--- /dev/null
+++ b/review/harness/fleet.py
@@ -0,0 +1,135 @@
+"""A small deployment: store, upstreams and the nodes beside them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Final
+
+from harness.clients import HOST
+from harness.node_settings import APP_PORT, build_settings
+from harness.nodes import Node, pick_hosts, wait_until
+from harness.record import Record
+from harness.store import Store
+from harness.upstreams import HEALTH_PATH, Upstream
+
+SERVICE: Final = 'huvo11a'
+VERSION: Final = '0000000c'
+BORN_MS: Final = 1_790_000_000_000
+MAX_SEEDS: Final = 3
+
+
+class Fleet:
+    """Nodes with one upstream each; all of one service."""
+
+    def __init__(
+        self, record: Record, *, zones: tuple[str, ...], slots: int
+    ) -> None:
+        self.record = record
+        self.store = Store()
+        self.zones = zones
+        self.slots = slots
+        hosts = pick_hosts(len(zones))
+        self.upstreams = [
+            Upstream(
+                f'i-{number:08x}',
+                host,
+                port=APP_PORT,
+                slots=slots,
+                record=record,
+            )
+            for number, host in enumerate(hosts, start=1)
+        ]
+        self.nodes = [
+            Node(
+                host,
+                settings=build_settings(
+                    host,
+                    zone=zone,
+                    service=SERVICE,
+                    seeds=hosts[:MAX_SEEDS],
+                    store=self.store.address,
+                ),
+                record=record,
+            )
+            for host, zone in zip(hosts, zones, strict=True)
+        ]
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for node in self.nodes:
+            node.close()
+        for upstream in self.upstreams:
+            upstream.close()
+        self.store.close()
+
+    def start(self, rule: dict[str, Any]) -> bool:
+        """Publish one rule and all upstreams; tell whether all got ready."""
+        self.store.write_json('op/config', _build_configuration(rule))
+        for index, node in enumerate(self.nodes):
+            self.store.write_json(self.name_entry(index), self.entry(index))
+            node.start()
+        return wait_until(self._are_ready)
+
+    def name_entry(self, index: int) -> str:
+        """Return the key of an upstream's entry."""
+        return f'servers/{self.upstreams[index].instance}'
+
+    def entry(self, index: int) -> dict[str, Any]:
+        """Build the entry of an upstream."""
+        return {
+            'address': f'{self.nodes[index].host}:{APP_PORT}',
+            'zone': self.zones[index],
+            'version': 'v1',
+            'info': {
+                'service': SERVICE,
+                'version': 'v1',
+                'zone': self.zones[index],
+                'slots': self.slots,
+            },
+            'status': {'state': 'ready', 'sequence': 1, 'coldLeftMs': 0},
+            'born': BORN_MS,
+        }
+
+    def _are_ready(self) -> bool:
+        return all(node.is_ready() for node in self.nodes)
+
+
+def build_rule(*, goal_ms: int, timeout_ms: int) -> dict[str, Any]:
+    """Build a rule for requests that may run more than once."""
+    return {
+        'name': 'report',
+        'kind': 'safe',
+        'goalMs': goal_ms,
+        'priority': 2,
+        'match': {'prefix': '/report/'},
+        'action': {'timeoutMs': timeout_ms, 'attempts': 2, 'service': SERVICE},
+    }
+
+
+def open_record(folder: Path) -> Record:
+    """Open the record of a case."""
+    return Record(folder / 'record.txt')
+
+
+def _build_configuration(rule: dict[str, Any]) -> dict[str, Any]:
+    return {
+        'version': VERSION,
+        'limits': {
+            'maxHeaderBytes': 8192,
+            'maxBodyBytes': 1048576,
+            'headerTimeoutMs': 5000,
+            'idleTimeoutMs': 15000,
+        },
+        'listeners': [{'host': HOST, 'rules': [rule]}],
+        'clusters': [
+            {'name': SERVICE, 'maxConns': 130, 'healthPath': HEALTH_PATH}
+        ],
+    }
