--- a/review/harness/clients.py
+++ b/review/harness/clients.py
@@ -31,6 +31,7 @@
         self.sent_at = float(0)
         self.ended_at = float(0)
         self.status = 0
+        self.retry_after_seconds = float(0)
         self.ending = ''
 
     @property
@@ -89,6 +90,8 @@
         response = connection.getresponse()
         response.read()
         request.status = response.status
+        retry_after = response.getheader('Retry-After', '0')
+        request.retry_after_seconds = float(retry_after)
         if response.will_close:
             self.close()
         return f'status {response.status}'
--- a/review/harness/load.py
+++ b/review/harness/load.py
@@ -66,4 +66,5 @@
                 self._path, limit_ms=self._limit_ms, method=self._method
             )
             self.requests.append((node, request))
+            self._is_over.wait(request.retry_after_seconds)
         client.close()
