Add a review case: a removed upstream is sent work from the queue

Cause: an owner takes a server without a record as one that stays. A server that is removed from the list without having reported draining gets what waits in the queue of the node beside it.

Added: review/3 with a script.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,76 @@
+"""An upstream whose entry is removed is sent requests from a node's queue."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Final
+
+from harness.fleet import Fleet, build_rule, open_record
+from harness.load import Load
+from harness.nodes import pause
+from harness.record import read_clock
+from harness.verdicts import Verdict, has_trouble
+
+ZONES: Final = ('zone-a', 'zone-a', 'zone-b')
+SLOTS: Final = 2
+CLIENTS_OF_A_NODE: Final = 16
+GOAL_MS: Final = 4000
+LIMIT_MS: Final = 12000
+WORK_PATH: Final = '/report/600'
+CALM_SECONDS: Final = 8
+AFTER_SECONDS: Final = 8
+# `drainMs` of the settings.
+DRAIN_SECONDS: Final = 2
+
+
+def run_case(fleet: Fleet) -> Verdict:
+    """Run the case."""
+    rule = build_rule(goal_ms=GOAL_MS, timeout_ms=LIMIT_MS)
+    if not fleet.start(rule):
+        return Verdict.not_run
+    load = Load(
+        fleet,
+        clients=CLIENTS_OF_A_NODE,
+        method='GET',
+        path=WORK_PATH,
+        limit_ms=LIMIT_MS,
+    )
+    pause(CALM_SECONDS)
+    if has_trouble():
+        fleet.store.remove(fleet.name_entry(-1))
+        instance = fleet.upstreams[-1].instance
+        fleet.record.note(f'the entry of {instance} is removed')
+    removed_at = read_clock()
+    pause(AFTER_SECONDS)
+    load.stop()
+    fleet.record.note(f'{load.count_served()} requests served')
+    return judge(fleet, removed_at) if has_trouble() else Verdict.held
+
+
+def judge(fleet: Fleet, removed_at: float) -> Verdict:
+    """Find runs that begin too late at the upstream."""
+    late = [
+        run
+        for run in fleet.upstreams[-1].runs
+        if run.begun_at > removed_at + DRAIN_SECONDS
+    ]
+    for run in late:
+        begun = run.begun_at - removed_at
+        fleet.record.note(
+            f'{run.request_id} ran {begun:.3f} s after the entry was removed'
+        )
+    return Verdict.broken if late else Verdict.held
+
+
+def main() -> Verdict:
+    """Run the case and note its verdict."""
+    record = open_record(Path(__file__).parent)
+    with Fleet(record, zones=ZONES, slots=SLOTS) as fleet:
+        verdict = run_case(fleet)
+    record.note(verdict.name)
+    return verdict
+
+
+if __name__ == '__main__':
+    sys.exit(main())
