--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,35 +19,44 @@
 LIMIT_MS: Final = 12000
 WORK_PATH: Final = '/report/600'
 CALM_SECONDS: Final = 8
-AFTER_SECONDS: Final = 8
-# `drainMs` of the settings.
+AFTER_SECONDS: Final = 4
+# `drainMs` of the settings, and how much longer the upstream serves.
 DRAIN_SECONDS: Final = 2
+LEAVING_SECONDS: Final = 1
 
 
 def run_case(fleet: Fleet) -> Verdict:
     """Run the case."""
     rule = build_rule(goal_ms=GOAL_MS, timeout_ms=LIMIT_MS)
-    if not fleet.start(rule):
+    if not fleet.start({**rule, 'kind': 'unsafe'}):
         return Verdict.not_run
     load = Load(
         fleet,
         clients=CLIENTS_OF_A_NODE,
-        method='GET',
+        method='POST',
         path=WORK_PATH,
         limit_ms=LIMIT_MS,
     )
     pause(CALM_SECONDS)
-    if has_trouble():
-        fleet.store.remove(fleet.name_entry(-1))
-        instance = fleet.upstreams[-1].instance
-        fleet.record.note(f'the entry of {instance} is removed')
     removed_at = read_clock()
+    if has_trouble():
+        remove_last(fleet)
     pause(AFTER_SECONDS)
     load.stop()
     fleet.record.note(f'{load.count_served()} requests served')
     return judge(fleet, removed_at) if has_trouble() else Verdict.held
 
 
+def remove_last(fleet: Fleet) -> None:
+    """Let the last upstream leave without a report that it drains."""
+    upstream = fleet.upstreams[-1]
+    fleet.store.remove(fleet.name_entry(-1))
+    fleet.record.note(f'the entry of {upstream.instance} is removed')
+    pause(DRAIN_SECONDS + LEAVING_SECONDS)
+    upstream.close()
+    fleet.record.note(f'{upstream.instance} has ended')
+
+
 def judge(fleet: Fleet, removed_at: float) -> Verdict:
     """Find runs that begin too late at the upstream."""
     late = [
@@ -58,7 +67,8 @@
     for run in late:
         begun = run.begun_at - removed_at
         fleet.record.note(
-            f'{run.request_id} ran {begun:.3f} s after the entry was removed'
+            f'{run.request_id} ran {begun:.3f} s after the entry was removed, '
+            f'answered: {run.is_answered}'
         )
     return Verdict.broken if late else Verdict.held
 
--- a/review/harness/upstreams.py
+++ b/review/harness/upstreams.py
@@ -47,6 +47,7 @@
         self.waiting = 0
         self.running = 0
         self.changed = threading.Condition()
+        self.has_ended = threading.Event()
         self._record = record
         self._server = _Server((host, port), _RequestHandler)
         self._server.upstream = self
@@ -84,11 +85,12 @@
     def end(self, run: Run, *, is_answered: bool) -> None:
         """Note that a run has ended."""
         run.is_answered = is_answered
-        how = 'answered' if is_answered else 'finds the connection closed for'
+        how = 'answered' if is_answered else 'broke off or could not answer'
         self._record.note(f'{self.instance} {how} {run.request_id}')
 
     def close(self) -> None:
-        """Stop listening."""
+        """End: stop listening, and break off what is running."""
+        self.has_ended.set()
         self._server.shutdown()
         self._server.server_close()
 
@@ -149,15 +151,20 @@
         work = int(self.path.rpartition('/')[2]) / MILLISECONDS
         run = upstream.begin(request_id, work)
         left = deadline - read_clock()
-        threading.Event().wait(min(work, left))
+        has_ended = upstream.has_ended.wait(min(work, left))
         upstream.return_slot()
         try:
-            self._respond(STATUS_OK if work <= left else STATUS_LATE, ())
+            self._finish(work <= left, has_ended=has_ended)
         except OSError:
             upstream.end(run, is_answered=False)
             raise
         upstream.end(run, is_answered=True)
 
+    def _finish(self, is_in_time: bool, *, has_ended: bool) -> None:
+        if has_ended:
+            raise ConnectionAbortedError
+        self._respond(STATUS_OK if is_in_time else STATUS_LATE, ())
+
     def _respond(
         self, status: int, headers: tuple[tuple[str, str], ...]
     ) -> None:
