--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,16 +9,21 @@
 from typing import Final
 
 from harness.fleet import Fleet, build_rule, open_record
-from harness.load import Load
+from harness.load import Load, Traffic
 from harness.nodes import Node, pause, wait_until
 from harness.verdicts import Verdict, has_trouble
 
 ZONES: Final = ('zone-a', 'zone-a', 'zone-a', 'zone-b', 'zone-b', 'zone-b')
 SLOTS: Final = 9
-CLIENTS_OF_A_NODE: Final = 3
 GOAL_MS: Final = 200
 LIMIT_MS: Final = 1200
-WORK_PATH: Final = '/report/60'
+TRAFFIC: Final = Traffic(
+    clients=3,
+    spread_seconds=0.1,
+    method='GET',
+    path='/report/60',
+    limit_ms=LIMIT_MS,
+)
 CALM_SECONDS: Final = 5
 WATCHED_SECONDS: Final = 40
 # The platform starts a process that has ended again after a short delay.
@@ -61,13 +66,7 @@
     record = fleet.record
     if not fleet.start(build_rule(goal_ms=GOAL_MS, timeout_ms=LIMIT_MS)):
         return Verdict.not_run
-    load = Load(
-        fleet,
-        clients=CLIENTS_OF_A_NODE,
-        method='GET',
-        path=WORK_PATH,
-        limit_ms=LIMIT_MS,
-    )
+    load = Load(fleet, TRAFFIC)
     pause(CALM_SECONDS)
     served_in_calm = load.count_served()
     if has_trouble():
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,17 +7,23 @@
 from typing import Final
 
 from harness.fleet import Fleet, build_rule, open_record
-from harness.load import Load
+from harness.load import Load, Traffic
 from harness.nodes import pause
 from harness.record import read_clock
 from harness.verdicts import Verdict, has_trouble
 
 ZONES: Final = ('zone-a', 'zone-a', 'zone-b')
 SLOTS: Final = 2
-CLIENTS_OF_A_NODE: Final = 16
 GOAL_MS: Final = 4000
 LIMIT_MS: Final = 12000
-WORK_PATH: Final = '/report/600'
+CLIENTS_OF_A_NODE: Final = 16
+TRAFFIC: Final = Traffic(
+    clients=CLIENTS_OF_A_NODE,
+    spread_seconds=2,
+    method='POST',
+    path='/report/600',
+    limit_ms=LIMIT_MS,
+)
 CALM_SECONDS: Final = 8
 AFTER_SECONDS: Final = 4
 # `drainMs` of the settings, and how much longer the upstream serves.
@@ -30,13 +36,7 @@
     rule = build_rule(goal_ms=GOAL_MS, timeout_ms=LIMIT_MS)
     if not fleet.start({**rule, 'kind': 'unsafe'}):
         return Verdict.not_run
-    load = Load(
-        fleet,
-        clients=CLIENTS_OF_A_NODE,
-        method='POST',
-        path=WORK_PATH,
-        limit_ms=LIMIT_MS,
-    )
+    load = Load(fleet, TRAFFIC)
     pause(CALM_SECONDS)
     removed_at = read_clock()
     if has_trouble():
--- a/review/harness/load.py
+++ b/review/harness/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from dataclasses import dataclass
 from itertools import product
 from typing import Final
 
@@ -10,33 +11,41 @@
 from harness.fleet import Fleet
 from harness.nodes import Node, pause
 
-STAGGER_SECONDS: Final = 0.4
+PAUSE_SECONDS: Final = 0.05
+
+
+@dataclass(frozen=True)
+class Traffic:
+    """What the clients of each node send.
+
+    Attributes:
+        clients: clients of a node, each with one request at a time.
+        spread_seconds: time in which they begin one after the other.
+        method: HTTP method.
+        path: path of the requests.
+        limit_ms: time limit of a request, milliseconds.
+    """
+
+    clients: int
+    spread_seconds: float
+    method: str
+    path: str
+    limit_ms: int
 
 
 class Load:
-    """Clients of all nodes, each with one request at a time."""
+    """Clients of all nodes, each with a connection that is kept."""
 
-    def __init__(
-        self,
-        fleet: Fleet,
-        *,
-        clients: int,
-        method: str,
-        path: str,
-        limit_ms: int,
-    ) -> None:
+    def __init__(self, fleet: Fleet, traffic: Traffic) -> None:
         self.requests: list[tuple[Node, Request]] = []
-        self._limit_ms = limit_ms
-        self._method = method
-        self._path = path
-        self._pause_seconds = STAGGER_SECONDS / clients
+        self._traffic = traffic
         self._is_over = threading.Event()
         self._threads = [
             threading.Thread(
                 target=self._call,
                 args=(node, number, Client(node.outbound, record=fleet.record)),
             )
-            for node, number in product(fleet.nodes, range(clients))
+            for node, number in product(fleet.nodes, range(traffic.clients))
         ]
         for thread in self._threads:
             thread.start()
@@ -60,10 +69,11 @@
         ]
 
     def _call(self, node: Node, number: int, client: Client) -> None:
-        pause(number * STAGGER_SECONDS)
-        while not self._is_over.wait(self._pause_seconds):
+        traffic = self._traffic
+        pause(number * traffic.spread_seconds / traffic.clients)
+        while not self._is_over.wait(PAUSE_SECONDS):
             request = client.send(
-                self._path, limit_ms=self._limit_ms, method=self._method
+                traffic.path, limit_ms=traffic.limit_ms, method=traffic.method
             )
             self.requests.append((node, request))
             self._is_over.wait(request.retry_after_seconds)
--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -5,10 +5,12 @@
 import json
 import threading
 from base64 import b64encode
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import BaseHTTPRequestHandler
 from typing import Any, Final
 from urllib.parse import parse_qs, urlsplit
 
+from harness.servers import StandInServer
+
 FIRST_REVISION: Final = 1
 MILLISECONDS: Final = 1000
 STATUS_OK: Final = 200
@@ -22,8 +24,7 @@
         self._changed = threading.Condition()
         self._history: list[dict[str, Any]] = []
         self._present: dict[str, dict[str, Any]] = {}
-        self._server = ThreadingHTTPServer(('127.0.0.1', 0), _RequestHandler)
-        self._server.daemon_threads = True
+        self._server = StandInServer(('127.0.0.1', 0), _RequestHandler)
         self._server.store = self  # type: ignore[attr-defined]
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
--- a/review/harness/upstreams.py
+++ b/review/harness/upstreams.py
@@ -8,10 +8,11 @@
 
 import threading
 from hashlib import blake2b
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import BaseHTTPRequestHandler
 from typing import Any, Final
 
 from harness.record import Record, read_clock
+from harness.servers import StandInServer
 
 MILLISECONDS: Final = 1000
 QUEUE_LENGTH: Final = 48
@@ -98,9 +99,7 @@
         return self.running < self.slots
 
 
-class _Server(ThreadingHTTPServer):
-    daemon_threads = True
-    request_queue_size = 128
+class _Server(StandInServer):
     upstream: Upstream
 
 
