Add a review case: versions in quick succession stop the readers

Cause: an answer of the store above 4,000,000 bytes is refused. A watch that is due more than that fails, keeps its cursor, and is due more the next time, until the store drops the history.

The case of a stop is review/3 now.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import Final
 
-from harness.fleet import Fleet, build_rule, open_record
+from harness.configurations import build_rule
+from harness.fleet import Fleet, open_record
 from harness.load import Load, Traffic
 from harness.nodes import Node, pause, wait_until
 from harness.verdicts import Verdict, has_trouble
@@ -36,6 +37,7 @@
 # The rule bears two ends of a process, and one machine with more.
 ENDS_BORNE: Final = 2
 MACHINES_BORNE: Final = 1
+DEFECT: Final = 'kind=node-stopped code='
 LOGGED_CHARACTERS: Final = 400
 
 
@@ -85,7 +87,7 @@
     ends = [len(node.exits) for node in fleet.nodes]
     fleet.record.note(f'processes ended by themselves, by machine: {ends}')
     for node in fleet.nodes:
-        fleet.record.note(node.find_defect()[:LOGGED_CHARACTERS])
+        fleet.record.note(node.find_line(DEFECT)[:LOGGED_CHARACTERS])
     often = sum(count > ENDS_BORNE for count in ends)
     return Verdict.broken if often > MACHINES_BORNE else Verdict.held
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,34 +1,39 @@
-"""An upstream whose entry is removed is sent requests from a node's queue."""
+"""A node that stops takes requests that it can't finish before its end."""
 
 from __future__ import annotations
 
 import sys
 from pathlib import Path
+from signal import SIGTERM
 from typing import Final
 
-from harness.fleet import Fleet, build_rule, open_record
+from harness.clients import Request
+from harness.configurations import build_rule
+from harness.fleet import Fleet, open_record
 from harness.load import Load, Traffic
 from harness.nodes import pause
 from harness.record import read_clock
 from harness.verdicts import Verdict, has_trouble
 
+# The last node is the only one of its zone: while it stops, fewer than half of
+# the zone's nodes are in, so the platform keeps sending it new work.
 ZONES: Final = ('zone-a', 'zone-a', 'zone-b')
-SLOTS: Final = 2
-GOAL_MS: Final = 4000
-LIMIT_MS: Final = 12000
-CLIENTS_OF_A_NODE: Final = 24
+SLOTS: Final = 9
+GOAL_MS: Final = 3000
+LIMIT_MS: Final = 8000
 TRAFFIC: Final = Traffic(
-    clients=CLIENTS_OF_A_NODE,
-    spread_seconds=4,
+    clients=8,
+    spread_seconds=2,
     method='POST',
-    path='/report/600',
+    path='/report/2000',
     limit_ms=LIMIT_MS,
 )
-CALM_SECONDS: Final = 8
-AFTER_SECONDS: Final = 4
-# `drainMs` of the settings, and how much longer the upstream serves.
-DRAIN_SECONDS: Final = 2
-LEAVING_SECONDS: Final = 1
+CALM_SECONDS: Final = 6
+GRACE_SECONDS: Final = 6
+# A request that was sent later than this after the SIGTERM counts as lost also
+# if its upstream is still at work in the last sixth of the grace period.
+EXCUSED_SECONDS: Final = 3
+AFTER_SECONDS: Final = 3
 
 
 def run_case(fleet: Fleet) -> Verdict:
@@ -38,39 +43,38 @@
         return Verdict.not_run
     load = Load(fleet, TRAFFIC)
     pause(CALM_SECONDS)
-    removed_at = read_clock()
+    stopped_at = read_clock()
+    node = fleet.nodes[-1]
     if has_trouble():
-        remove_last(fleet)
+        node.send_signal(SIGTERM)
+        node.wait_for_end(GRACE_SECONDS)
     pause(AFTER_SECONDS)
     load.stop()
     fleet.record.note(f'{load.count_served()} requests served')
-    return judge(fleet, removed_at) if has_trouble() else Verdict.held
+    return judge(fleet, load.list_cut(node), stopped_at)
 
 
-def remove_last(fleet: Fleet) -> None:
-    """Let the last upstream leave without a report that it drains."""
-    upstream = fleet.upstreams[-1]
-    fleet.store.remove(fleet.name_entry(-1))
-    fleet.record.note(f'the entry of {upstream.instance} is removed')
-    pause(DRAIN_SECONDS + LEAVING_SECONDS)
-    upstream.close()
-    fleet.record.note(f'{upstream.instance} has ended')
-
-
-def judge(fleet: Fleet, removed_at: float) -> Verdict:
-    """Find runs that begin too late at the upstream."""
-    late = [
-        run
-        for run in fleet.upstreams[-1].runs
-        if run.begun_at > removed_at + DRAIN_SECONDS
+def judge(fleet: Fleet, cut: list[Request], stopped_at: float) -> Verdict:
+    """Find requests that the rule counts as lost."""
+    runs = {
+        run.request_id: run
+        for upstream in fleet.upstreams
+        for run in upstream.runs
+    }
+    lost = [
+        request
+        for request in cut
+        if request.request_id in runs
+        and request.sent_at > stopped_at + EXCUSED_SECONDS
     ]
-    for run in late:
-        begun = run.begun_at - removed_at
+    for request in lost:
+        sent = request.sent_at - stopped_at
+        ended = request.ended_at - stopped_at
         fleet.record.note(
-            f'{run.request_id} ran {begun:.3f} s after the entry was removed, '
-            f'answered: {run.is_answered}'
+            f'{request.request_id} was sent {sent:.3f} s after the SIGTERM '
+            f'and run; its connection ended {ended:.3f} s after it'
         )
-    return Verdict.broken if late else Verdict.held
+    return Verdict.broken if lost else Verdict.held
 
 
 def main() -> Verdict:
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -6,28 +6,37 @@
 from types import TracebackType
 from typing import Any, Final
 
-from harness.clients import HOST
+from harness.configurations import (
+    CONFIGURATION_KEY,
+    FIRST_VERSION,
+    SERVICE,
+    build_configuration,
+)
 from harness.node_settings import APP_PORT, build_settings
 from harness.nodes import Node, pick_hosts, wait_until
 from harness.record import Record
 from harness.store import Store
-from harness.upstreams import HEALTH_PATH, Upstream
+from harness.upstreams import Upstream
 
-SERVICE: Final = 'huvo11a'
-VERSION: Final = '0000000c'
 BORN_MS: Final = 1_790_000_000_000
 MAX_SEEDS: Final = 3
 
 
 class Fleet:
-    """Nodes with one upstream each; all of one service."""
+    """Nodes with one upstream each, of one service if none are named."""
 
     def __init__(
-        self, record: Record, *, zones: tuple[str, ...], slots: int
+        self,
+        record: Record,
+        *,
+        zones: tuple[str, ...],
+        slots: int,
+        services: tuple[str, ...] = (),
     ) -> None:
         self.record = record
         self.store = Store()
         self.zones = zones
+        self.services = services or (SERVICE,) * len(zones)
         self.slots = slots
         hosts = pick_hosts(len(zones))
         self.upstreams = [
@@ -46,13 +55,15 @@
                 settings=build_settings(
                     host,
                     zone=zone,
-                    service=SERVICE,
+                    service=service,
                     seeds=hosts[:MAX_SEEDS],
                     store=self.store.address,
                 ),
                 record=record,
             )
-            for host, zone in zip(hosts, zones, strict=True)
+            for host, zone, service in zip(
+                hosts, zones, self.services, strict=True
+            )
         ]
 
     def __enter__(self) -> Fleet:
@@ -72,7 +83,9 @@
 
     def start(self, rule: dict[str, Any]) -> bool:
         """Publish one rule and all upstreams; tell whether all got ready."""
-        self.store.write_json('op/config', _build_configuration(rule))
+        self.store.write_json(
+            CONFIGURATION_KEY, build_configuration(FIRST_VERSION, (rule,))
+        )
         for index, node in enumerate(self.nodes):
             self.store.write_json(self.name_entry(index), self.entry(index))
             node.start()
@@ -89,7 +102,7 @@
             'zone': self.zones[index],
             'version': 'v1',
             'info': {
-                'service': SERVICE,
+                'service': self.services[index],
                 'version': 'v1',
                 'zone': self.zones[index],
                 'slots': self.slots,
@@ -102,34 +115,6 @@
         return all(node.is_ready() for node in self.nodes)
 
 
-def build_rule(*, goal_ms: int, timeout_ms: int) -> dict[str, Any]:
-    """Build a rule for requests that may run more than once."""
-    return {
-        'name': 'report',
-        'kind': 'safe',
-        'goalMs': goal_ms,
-        'priority': 2,
-        'match': {'prefix': '/report/'},
-        'action': {'timeoutMs': timeout_ms, 'attempts': 2, 'service': SERVICE},
-    }
-
-
 def open_record(folder: Path) -> Record:
     """Open the record of a case."""
     return Record(folder / 'record.txt')
-
-
-def _build_configuration(rule: dict[str, Any]) -> dict[str, Any]:
-    return {
-        'version': VERSION,
-        'limits': {
-            'maxHeaderBytes': 8192,
-            'maxBodyBytes': 1048576,
-            'headerTimeoutMs': 5000,
-            'idleTimeoutMs': 15000,
-        },
-        'listeners': [{'host': HOST, 'rules': [rule]}],
-        'clusters': [
-            {'name': SERVICE, 'maxConns': 130, 'healthPath': HEALTH_PATH}
-        ],
-    }
--- a/review/harness/node_settings.py
+++ b/review/harness/node_settings.py
@@ -47,7 +47,7 @@
         'ip': host,
         'zone': zone,
         'region': REGION,
-        'zones': {'zone-a': REGION, 'zone-b': REGION},
+        'zones': {'zone-a': REGION, 'zone-b': REGION, 'zone-c': REGION},
         'listenAddrs': {name: f'{host}:{port}' for name, port in PORTS.items()},
         'internalPortRange': [7380, 7395],
         'seedNodes': [f'{seed}:{CONTROL_PORT}' for seed in seeds],
--- a/review/harness/nodes.py
+++ b/review/harness/nodes.py
@@ -26,7 +26,6 @@
 POLL_SECONDS: Final = 0.02
 PROBE_SECONDS: Final = 0.5
 STATUS_OK: Final = 200
-DEFECT: Final = 'kind=node-stopped code='
 _never = threading.Event()
 
 
@@ -65,11 +64,11 @@
         """Address for requests of clients."""
         return self.host, PORTS['outbound']
 
-    def find_defect(self) -> str:
-        """Return the line of the log with the last defect, if any."""
+    def find_line(self, text: str) -> str:
+        """Return the last line of the log that has a text, if any."""
         written = (self._folder / 'log').read_text().splitlines()
-        defects = [line for line in written if DEFECT in line]
-        return defects[-1] if defects else f'{self.host} logged no defect'
+        found = [line for line in written if text in line]
+        return found[-1] if found else f'{self.host} logged no {text}'
 
     def start(self) -> None:
         """Start the process."""
--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -9,20 +9,21 @@
 from typing import Any, Final
 from urllib.parse import parse_qs, urlsplit
 
+from harness.history import History
 from harness.servers import StandInServer
 
-FIRST_REVISION: Final = 1
 MILLISECONDS: Final = 1000
 STATUS_OK: Final = 200
 STATUS_MISSING: Final = 404
+STATUS_GONE: Final = 410
 
 
 class Store:
-    """Items with one revision counter; keeps the whole history."""
+    """Items with one revision counter, and a history of some seconds."""
 
     def __init__(self) -> None:
         self._changed = threading.Condition()
-        self._history: list[dict[str, Any]] = []
+        self._history = History()
         self._present: dict[str, dict[str, Any]] = {}
         self._server = StandInServer(('127.0.0.1', 0), _RequestHandler)
         self._server.store = self  # type: ignore[attr-defined]
@@ -37,7 +38,7 @@
     def write(self, key: str, payload: bytes) -> None:
         """Write an item."""
         with self._changed:
-            revision = FIRST_REVISION + len(self._history)
+            revision = self._history.next_revision
             known = self._present.get(key, {'created': revision})
             written = {
                 'key': key,
@@ -57,7 +58,7 @@
     def remove(self, key: str) -> None:
         """Remove an item."""
         with self._changed:
-            revision = FIRST_REVISION + len(self._history)
+            revision = self._history.next_revision
             self._present.pop(key)
             self._history.append(
                 {'key': key, 'revision': revision, 'tombstone': True}
@@ -93,7 +94,7 @@
                 for key in sorted(self._present)
                 if key.startswith(prefix) and key > after
             ]
-            revision = len(self._history)
+            revision = self._history.revision
         answer = {'items': found, 'hasMore': False, 'storeRevision': revision}
         return STATUS_OK, answer
 
@@ -101,23 +102,18 @@
         after = int(query['after'])
         prefix = query.get('prefix', '')
         with self._changed:
+            if self._history.is_dropped(after):
+                return STATUS_GONE, {}
             self._changed.wait_for(
-                lambda: self._find_events(prefix, after),
+                lambda: self._history.find(prefix, after),
                 timeout=int(query['waitMs']) / MILLISECONDS,
             )
             answer = {
-                'events': self._find_events(prefix, after),
-                'storeRevision': len(self._history),
+                'events': self._history.find(prefix, after),
+                'storeRevision': self._history.revision,
             }
         return STATUS_OK, answer
 
-    def _find_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
-        return [
-            event
-            for event in self._history[after:]
-            if event['key'].startswith(prefix)
-        ]
-
 
 class _RequestHandler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
