--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,20 +2,21 @@
 
 from __future__ import annotations
 
-import sys
 import threading
 from functools import partial
-from pathlib import Path
 from typing import Final
 
+from harness.cases import conduct
 from harness.configurations import build_rule
-from harness.fleet import Fleet, open_record
+from harness.fleet import Deployment, Fleet
 from harness.load import Load, Traffic
 from harness.nodes import Node, pause, wait_until
 from harness.verdicts import Verdict, has_trouble
 
-ZONES: Final = ('zone-a', 'zone-a', 'zone-a', 'zone-b', 'zone-b', 'zone-b')
-SLOTS: Final = 9
+DEPLOYMENT: Final = Deployment(
+    zones=('zone-a', 'zone-a', 'zone-a', 'zone-b', 'zone-b', 'zone-b'),
+    slots=9,
+)
 GOAL_MS: Final = 200
 LIMIT_MS: Final = 1200
 TRAFFIC: Final = Traffic(
@@ -55,7 +56,8 @@
 def watch(nodes: list[Node], seconds: float) -> None:
     """Start all processes that end again, as the platform does."""
     keepers = [
-        threading.Thread(target=keep_up, args=(node, seconds)) for node in nodes
+        threading.Thread(target=keep_up, args=(node, seconds), daemon=True)
+        for node in nodes
     ]
     for keeper in keepers:
         keeper.start()
@@ -92,18 +94,9 @@
     return Verdict.broken if often > MACHINES_BORNE else Verdict.held
 
 
-def main() -> Verdict:
-    """Run the case and note its verdict."""
-    record = open_record(Path(__file__).parent)
-    with Fleet(record, zones=ZONES, slots=SLOTS) as fleet:
-        verdict = run_case(fleet)
-    record.note(verdict.name)
-    return verdict
-
-
 def _has_ended(node: Node) -> bool:
     return node.find_exit() is not None
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    conduct(__file__, DEPLOYMENT, run_case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import sys
-from pathlib import Path
 from signal import SIGTERM
 from typing import Final
 
+from harness.cases import conduct
 from harness.clients import Request
 from harness.configurations import build_rule
-from harness.fleet import Fleet, open_record
+from harness.fleet import Deployment, Fleet
 from harness.load import Load, Traffic
 from harness.nodes import pause
 from harness.record import read_clock
@@ -17,9 +16,12 @@
 
 # The last node is the only one of its zone: while it stops, fewer than half of
 # the zone's nodes are in, so the platform keeps sending it new work.
-ZONES: Final = ('zone-a', 'zone-a', 'zone-b')
-SLOTS: Final = 9
+DEPLOYMENT: Final = Deployment(
+    zones=('zone-a', 'zone-a', 'zone-b'),
+    slots=9,
+)
 GOAL_MS: Final = 3000
+TIMEOUT_MS: Final = 4000
 LIMIT_MS: Final = 8000
 TRAFFIC: Final = Traffic(
     clients=8,
@@ -38,7 +40,7 @@
 
 def run_case(fleet: Fleet) -> Verdict:
     """Run the case."""
-    rule = build_rule(goal_ms=GOAL_MS, timeout_ms=LIMIT_MS)
+    rule = build_rule(goal_ms=GOAL_MS, timeout_ms=TIMEOUT_MS)
     if not fleet.start({**rule, 'kind': 'unsafe'}):
         return Verdict.not_run
     load = Load(fleet, TRAFFIC)
@@ -77,14 +79,5 @@
     return Verdict.broken if lost else Verdict.held
 
 
-def main() -> Verdict:
-    """Run the case and note its verdict."""
-    record = open_record(Path(__file__).parent)
-    with Fleet(record, zones=ZONES, slots=SLOTS) as fleet:
-        verdict = run_case(fleet)
-    record.note(verdict.name)
-    return verdict
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    conduct(__file__, DEPLOYMENT, run_case)
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pathlib import Path
+from dataclasses import dataclass
 from types import TracebackType
 from typing import Any, Final
 
@@ -22,29 +22,38 @@
 MAX_SEEDS: Final = 3
 
 
+@dataclass(frozen=True)
+class Deployment:
+    """A small deployment.
+
+    Attributes:
+        zones: zone of each machine.
+        slots: requests that an upstream works on at once.
+        services: service of each machine's upstream; one for all if empty.
+    """
+
+    zones: tuple[str, ...]
+    slots: int
+    services: tuple[str, ...] = ()
+
+
 class Fleet:
     """Nodes with one upstream each, of one service if none are named."""
 
-    def __init__(
-        self,
-        record: Record,
-        *,
-        zones: tuple[str, ...],
-        slots: int,
-        services: tuple[str, ...] = (),
-    ) -> None:
+    def __init__(self, record: Record, deployment: Deployment) -> None:
+        zones = deployment.zones
         self.record = record
         self.store = Store()
         self.zones = zones
-        self.services = services or (SERVICE,) * len(zones)
-        self.slots = slots
+        self.services = deployment.services or (SERVICE,) * len(zones)
+        self.slots = deployment.slots
         hosts = pick_hosts(len(zones))
         self.upstreams = [
             Upstream(
                 f'i-{number:08x}',
                 host,
                 port=APP_PORT,
-                slots=slots,
+                slots=deployment.slots,
                 record=record,
             )
             for number, host in enumerate(hosts, start=1)
@@ -113,8 +122,3 @@
 
     def _are_ready(self) -> bool:
         return all(node.is_ready() for node in self.nodes)
-
-
-def open_record(folder: Path) -> Record:
-    """Open the record of a case."""
-    return Record(folder / 'record.txt')
--- a/review/harness/load.py
+++ b/review/harness/load.py
@@ -44,6 +44,7 @@
             threading.Thread(
                 target=self._call,
                 args=(node, number, Client(node.outbound, record=fleet.record)),
+                daemon=True,
             )
             for node, number in product(fleet.nodes, range(traffic.clients))
         ]
--- a/review/harness/nodes.py
+++ b/review/harness/nodes.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
+from shutil import rmtree
 from typing import Final
 
 from harness.node_settings import APP_PORT, PORTS
@@ -136,6 +137,7 @@
         if self._process is not None:
             self._process.kill()
         self.wait_for_end(READY_SECONDS)
+        rmtree(self._folder)
 
 
 def wait_until(
--- a/review/harness/record.py
+++ b/review/harness/record.py
@@ -27,8 +27,3 @@
         with self._lock:
             self._stream.write(f'{read_clock():8.3f} s  {text}\n')
             self._stream.flush()
-
-    def close(self) -> None:
-        """Close the file."""
-        with self._lock:
-            self._stream.close()
