Observability: say how the server was listed when a request was sent

The log could not tell a request sent by a late list from one sent to a server in no list. run-ended and run-refused now name the listing (listed) and the list (list); the metric wagtaildale.backend.unlisted counts requests sent to servers that were not listed as live.

--- a/wagtaildale/calls/owner/backend_run.py
+++ b/wagtaildale/calls/owner/backend_run.py
@@ -33,6 +33,7 @@
     from wagtaildale.calls.owner.owner import Owner
     from wagtaildale.calls.owner.replies import ReplyWriter
     from wagtaildale.calls.owner.response_sender import PacedResponse
+    from wagtaildale.calls.owner.server_listing import ServerListing
     from wagtaildale.calls.wire.frames import BodyPiece, Run
 
 # A response up to this size is received completely before any of it is
@@ -114,6 +115,7 @@
         self._connection: BackendConnection | None = None
         self._response: BackendResponse | None = None
         self._target = run.fields.instance
+        self._listing: ServerListing | None = None
         self._unacknowledged_bytes = 0
         self._known_server_ends = 0
         self._stored_answer: StoredAnswer | None = None
@@ -128,6 +130,11 @@
             return self._paced.is_started
         return self._response is not None and self._response.is_started
 
+    @property
+    def listing(self) -> ServerListing | None:
+        """How the server was listed when the request was sent to it."""
+        return self._listing
+
     def begin(self) -> None:
         """Start the run, unless its idempotency key has a stored answer.
 
@@ -354,6 +361,9 @@
         self._target = self._owner.targets.resolve_target(
             self._run_message.fields
         )
+        self._listing = self._owner.targets.find_listing(
+            self._target, is_sent=True
+        )
         request = build_request(
             self._owner,
             self._run_message,
--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -37,6 +37,7 @@
         Run,
         WindowUpdate,
     )
+    from wagtaildale.telemetry.events import Inputs
     from wagtaildale.timers.alarms import Alarm
 
 # Long enough for a run message over a slow connection, and short enough that
@@ -203,6 +204,7 @@
             EventKind.run_ended,
             self.fields,
             inputs={
+                **self._describe_listing(),
                 **self._times.describe_wait(has_run=state in RUN_STATES),
                 **self._times.describe_line(),
             },
@@ -237,6 +239,7 @@
             self.fields,
             inputs={
                 'status': status,
+                **self._describe_listing(),
                 **self._times.describe_wait(has_run=True),
                 **self._times.describe_run(has_run=True),
                 **self._times.describe_line(),
@@ -474,6 +477,7 @@
             inputs={
                 'outcome': failure.outcome.value,
                 **failure.describe_crashes(),
+                **self._describe_listing(),
                 **self._times.describe_wait(has_run=has_run),
                 **self._times.describe_run(has_run=has_run),
                 **self._times.describe_line(),
@@ -482,6 +486,12 @@
             detail=failure.detail,
         )
 
+    def _describe_listing(self) -> Inputs:
+        listing = None if self._run is None else self._run.listing
+        if listing is None:
+            listing = self._owner.targets.find_listing(self.fields.instance)
+        return listing.describe()
+
     def _cancel_slot_request(self) -> None:
         if self._ticket is not None:
             self._owner.gate.cancel(self._ticket)
--- a/wagtaildale/calls/owner/server_targets.py
+++ b/wagtaildale/calls/owner/server_targets.py
@@ -10,10 +10,16 @@
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.owner.server_identity import ServerIdentity
 from wagtaildale.calls.owner.server_leaving import LeavingTracker
+from wagtaildale.calls.owner.server_listing import (
+    Listed,
+    ServerListing,
+    find_listing,
+)
 from wagtaildale.calls.owner.server_slow_start import SlowStartTracker
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
+from wagtaildale.types import NO_VERSION, Version
 
 if TYPE_CHECKING:
     from wagtaildale.calls.owner.server_feedback import (
@@ -32,10 +38,12 @@
     Attributes:
         slow_start: tracker of whether the server is in slow start.
         is_evacuated: tells whether the server's data centre is evacuated.
+        read_list_version: tells the version of the instance list.
     """
 
     slow_start: SlowStartTracker
     is_evacuated: Callable[[], bool]
+    read_list_version: Callable[[], Version] = lambda: NO_VERSION
 
 
 class ServerTargets:
@@ -50,6 +58,8 @@
         is_evacuated: tells whether the server's data centre is evacuated.
         denial_count: number of requests that the backend server refused
             because they named another instance.
+        unlisted_count: number of requests that were sent although the list
+            did not have the server as live.
     """
 
     def __init__(
@@ -79,6 +89,8 @@
         self.leaving.listeners.append(feedback.note_leaving)
         self.feedback = feedback
         self.denial_count = 0
+        self.unlisted_count = 0
+        self._read_list_version = conditions.read_list_version
         self._service = service
         self.is_evacuated = conditions.is_evacuated
         self.slow_start = conditions.slow_start
@@ -116,6 +128,25 @@
         """
         return self._find_target(fields) or fields.instance
 
+    def find_listing(
+        self, instance: InstanceId, *, is_sent: bool = False
+    ) -> ServerListing:
+        """Find how the list has an instance now.
+
+        Args:
+            instance: instance to look up.
+            is_sent: whether a request is sent to it now, which is counted.
+
+        Returns:
+            The listing.
+        """
+        listing = find_listing(
+            self._find_record(instance), version=self._read_list_version()
+        )
+        if is_sent and listing.listed is not Listed.live:
+            self.unlisted_count += 1
+        return listing
+
     def apply_feedback(
         self,
         feedback: ServerFeedback,
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -45,7 +45,7 @@
     from wagtaildale.configuration.model import Part, SlowStart
     from wagtaildale.errors.faults import Fault
     from wagtaildale.membership.records import InstanceRecord
-    from wagtaildale.types import InstanceId
+    from wagtaildale.types import InstanceId, Version
 
 MILLISECONDS: Final = 1000
 # How long a caller from another thread waits for the loop to run a submitted
@@ -114,6 +114,7 @@
                     recorder=dependencies.recorder,
                 ),
                 is_evacuated=self._is_evacuated,
+                read_list_version=self._read_list_version,
             ),
             line_mbps=settings.line_mbps,
         )
@@ -359,6 +360,9 @@
             return NodeState.leaving
         return self._dependencies.states[-1]
 
+    def _read_list_version(self) -> Version:
+        return self._dependencies.view.current.instances_version
+
     def _find_record(self, instance: InstanceId) -> InstanceRecord | None:
         return self._dependencies.view.current.records.get(instance)
 
--- a/wagtaildale/calls/tests/test_server_targets.py
+++ b/wagtaildale/calls/tests/test_server_targets.py
@@ -7,55 +7,26 @@
 import pytest
 
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.owner.server_feedback import FeedbackTracker
-from wagtaildale.calls.owner.server_slow_start import SlowStartTracker
-from wagtaildale.calls.owner.server_targets import (
-    ServerConditions,
-    ServerTargets,
-)
 from wagtaildale.calls.tests.pairs import build_run
+from wagtaildale.calls.tests.targets import SERVICE, build_targets
 from wagtaildale.errors.codes import Code
-from wagtaildale.settings.model import BoundSettings
-from wagtaildale.testing.builders import (
-    build_gate,
-    build_record,
-    build_recorder,
-)
+from wagtaildale.testing.builders import build_record
 from wagtaildale.types import InstanceId, ListedState, Outcome, ServiceName
 
 if TYPE_CHECKING:
+    from wagtaildale.calls.owner.server_targets import ServerTargets
     from wagtaildale.membership.records import InstanceRecord
 
 EARLIER = InstanceId('earlier')
 LATER = InstanceId('later')
-# The service of the class that ``build_run`` names.
-SERVICE = ServiceName('casefiles')
 
 
-def build_targets(
+def build_replaced_targets(
     *listed: InstanceRecord,
     service: ServiceName = SERVICE,
-    is_evacuated: bool = False,
 ) -> ServerTargets:
     """Build the targets of a server that has replaced another one."""
-    records = {record.instance: record for record in listed}
-    recorder = build_recorder()
-    gate = build_gate()
-    targets = ServerTargets(
-        service,
-        find_record=records.get,
-        recorder=recorder,
-        feedback=FeedbackTracker(gate, recorder=recorder),
-        conditions=ServerConditions(
-            slow_start=SlowStartTracker(
-                gate,
-                read_slow_start=lambda: None,
-                bounds=BoundSettings(),
-                recorder=recorder,
-            ),
-            is_evacuated=lambda: is_evacuated,
-        ),
-    )
+    targets = build_targets(*listed, service=service)
     targets.note_denied(EARLIER)
     targets.note_identified(LATER)
     return targets
@@ -71,7 +42,7 @@
 
 def test_replacement_server_gets_the_request() -> None:
     fields = build_run(instance=EARLIER).fields
-    targets = build_targets()
+    targets = build_replaced_targets()
     targets.check(fields)
     assert targets.resolve_target(fields) == LATER
 
@@ -83,22 +54,22 @@
     node and the listed service of the server must match the request.
     """
     assert_refused(
-        build_targets(service=ServiceName('payroll')),
+        build_replaced_targets(service=ServiceName('payroll')),
         Code.wrong_instance,
     )
     listed = build_record(LATER, service='payroll')
-    assert_refused(build_targets(listed), Code.wrong_instance)
+    assert_refused(build_replaced_targets(listed), Code.wrong_instance)
 
 
 def test_leaving_server_does_not_get_the_request() -> None:
     listed = build_record(LATER, state=ListedState.leaving)
-    assert_refused(build_targets(listed), Code.draining)
+    assert_refused(build_replaced_targets(listed), Code.draining)
 
 
 def test_listeners_are_notified_of_each_refusal() -> None:
     """The server is never asked again if the first identity probe is lost."""
     notified: list[None] = []
-    targets = build_targets(service=ServiceName('payroll'))
+    targets = build_replaced_targets(service=ServiceName('payroll'))
     targets.denial_listeners.append(lambda: notified.append(None))
     assert_refused(targets, Code.wrong_instance)
     assert_refused(targets, Code.wrong_instance)
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -130,6 +130,12 @@
 
 
 def _add_report_gauges(metrics: Metrics, node: Node) -> None:
+    metrics.add_gauge(
+        'wagtaildale.backend.unlisted',
+        lambda: node.calls.owner.targets.unlisted_count,
+        unit='{request}',
+        description='Requests sent to a server that was not listed as live.',
+    )
     metrics.add_gauge(
         'wagtaildale.backend.rate_limit',
         lambda: _read_rate_limit(node),
