--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,4 @@
 
 soak: setup
 	$(BIN)/python -m benchmarks.soak --seconds $(SECONDS) --seed $(SEED)
+	$(BIN)/python -m benchmarks.drains --seconds $(SECONDS) --seed $(SEED)
--- /dev/null
+++ b/standins/tests/test_drains.py
@@ -0,0 +1,46 @@
+"""Short seeded runs of deployments whose servers leave."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from standins.deployment.profiles import HAILMARK, PDP_GATES, STARTNUMMER
+from standins.deployment.run import DeploymentRun, RunPlan
+from standins.deployment.scenarios import SCENARIOS
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from standins.deployment.model import Deployment
+
+SECONDS = 12.0
+SEED = 73
+
+
+@pytest.mark.parametrize(
+    ('deployment', 'scenario', 'network'),
+    [
+        (HAILMARK, 'waits', '127.19.1'),
+        (PDP_GATES, 'stops', '127.19.2'),
+        (STARTNUMMER, 'pauses', '127.19.3'),
+    ],
+    ids=['hailmark', 'pdp', 'startnummer'],
+)
+def test_servers_that_left_get_no_requests(
+    deployment: Deployment, scenario: str, network: str, tmp_path: Path
+) -> None:
+    """Requests reach servers whose entry says leaving or is removed."""
+    plan = RunPlan(
+        scenario=SCENARIOS[scenario],
+        seconds=SECONDS,
+        seed=SEED,
+        network=network,
+        folder=tmp_path,
+    )
+    outcome = asyncio.run(DeploymentRun(deployment, plan).run())
+    assert outcome.departures
+    assert outcome.served
+    assert not outcome.broken
--- a/wagtaildale/calls/tests/test_outcomes.py
+++ b/wagtaildale/calls/tests/test_outcomes.py
@@ -15,7 +15,11 @@
     Pair,
     wait_until,
 )
-from wagtaildale.testing.builders import SLOTS, build_record
+from wagtaildale.testing.builders import (
+    SLOTS,
+    build_instances,
+    build_record,
+)
 from wagtaildale.testing.mesh import MeshNode
 from wagtaildale.types import ListedState
 
@@ -23,6 +27,7 @@
     from collections.abc import Iterator
 
     from wagtaildale.admission.messages import TicketId
+    from wagtaildale.document.model import Document
 
 
 @pytest.fixture
@@ -79,24 +84,35 @@
             assert json.decode(text)['by'] == 'b'
 
 
-def test_call_that_waits_at_a_leaving_server_does_not_run_there(
-    pair: Pair,
-) -> None:
-    """A lookup waits for a slot when its server is listed as leaving.
-
-    Without this, the lookup runs when a slot becomes free, however long
-    after later requests are sent elsewhere.
-    """
+def assert_waiting_call_does_not_run(pair: Pair, later: Document) -> None:
+    """Assert that a call that waits when a list is applied is not run."""
     owner_node = pair.owner_node
     held = [owner_node.hold_slot().ticket for _slot in range(SLOTS)]
     with ThreadPoolExecutor(1) as executor:
         asked = executor.submit(pair.ask, 'GET', '/files/1')
         wait_until(lambda: bool(owner_node.gate.state.queue))
-        owner_node.set_instances(
-            structs.replace(owner_node.record, state=ListedState.leaving)
-        )
+        owner_node.view.replace_instances(later)
         for ticket in held:
             free_slot(owner_node, ticket)
         response, _text = asked.result(TIMEOUT_SECONDS)
     assert pair.backend.counts.runs == 0
     assert response.headers[OUTCOME_HEADER].startswith('not-run')
+
+
+def test_call_that_waits_at_a_leaving_server_does_not_run_there(
+    pair: Pair,
+) -> None:
+    """A lookup waits for a slot when its server is listed as leaving.
+
+    Without this, the lookup runs when a slot becomes free, however long
+    after later requests are sent elsewhere.
+    """
+    leaving = structs.replace(pair.owner_node.record, state=ListedState.leaving)
+    assert_waiting_call_does_not_run(pair, build_instances(leaving, version=2))
+
+
+def test_call_that_waits_at_a_removed_server_does_not_run_there(
+    pair: Pair,
+) -> None:
+    """A server without an entry counts as not leaving."""
+    assert_waiting_call_does_not_run(pair, build_instances(version=2))
