Owner: a server missing from a later list than the entry's gets nothing

Callers saw nothing; a removed server got requests until it ended, and cut them then. Cause: an owner refused what its list had as leaving, and took a missing record for not leaving, at arrival, at the end of the wait, at a lease and at a trial. What waited at the owner, or came late or from an entry with an older list, reached servers that had no entry any more, however late.

A call now names the list by which its server was chosen (list_version). If the server is missing from a later list of the owner, the call is refused as not run and goes elsewhere. A server that the owner's older list does not have yet is served as before; so are calls of earlier builds, which name no list.

--- a/wagtaildale/calls/entry/call_descriptions.py
+++ b/wagtaildale/calls/entry/call_descriptions.py
@@ -23,6 +23,7 @@
     from wagtaildale.calls.entry.routed_call import RoutedCall
     from wagtaildale.calls.wire.fields import AnswerFields
     from wagtaildale.calls.wire.frames import LoadReport
+    from wagtaildale.types import Version
 
 MILLISECONDS: Final = 1000
 MICROSECONDS: Final = 1_000_000
@@ -46,6 +47,8 @@
             ``admission.shares``.
         share: fraction of the requests of this rank that the entry sends to
             this upstream, to respect its rate limit.
+        list_version: version of the instance list that the upstream was chosen
+            from.
     """
 
     patient: bool
@@ -54,6 +57,7 @@
     rate: float | None
     pass_rank: int
     share: float
+    list_version: Version
 
 
 def build_owner_report(answer: AnswerFields) -> OwnerReport:
@@ -162,4 +166,5 @@
         patient=options.patient,
         bulk=work_class.is_bulk,
         asks_free_slot=options.asks_free_slot,
+        list_version=options.list_version,
     )
--- a/wagtaildale/calls/entry/targets.py
+++ b/wagtaildale/calls/entry/targets.py
@@ -185,6 +185,7 @@
                     asks_free_slot=asks_free_slot,
                     pass_rank=_find_request_pass_rank(routed, self._statistics),
                     share=placed.pass_share,
+                    list_version=self._parts.view.current.instances_version,
                 ),
             ),
             upstream=upstream,
--- a/wagtaildale/calls/owner/server_listing.py
+++ b/wagtaildale/calls/owner/server_listing.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from wagtaildale.types import ListedState, Version
+from wagtaildale.types import NO_VERSION, ListedState, Version
 
 if TYPE_CHECKING:
     from wagtaildale.membership.records import InstanceRecord
@@ -40,6 +40,23 @@
     listed: Listed
     version: Version
 
+    def shows_removal(self, seen_version: Version) -> bool:
+        """Tell whether this list shows that the instance was removed.
+
+        The instance may also be missing because it is new and this list is
+        older than the entry's.
+
+        Args:
+            seen_version: version of a list that has the instance; 0 if
+                unknown.
+
+        Returns:
+            Whether the instance is missing from a later list.
+        """
+        if self.listed is not Listed.absent or seen_version == NO_VERSION:
+            return False
+        return self.version > seen_version
+
     def describe(self) -> Inputs:
         """Build the log inputs.
 
--- a/wagtaildale/calls/owner/server_targets.py
+++ b/wagtaildale/calls/owner/server_targets.py
@@ -113,7 +113,14 @@
         if target is None:
             self._notify_denial()
             raise CallFailed(Code.wrong_instance)
-        if any(map(self.leaving.is_leaving, (fields.instance, target))):
+        is_leaving = any(
+            map(self.leaving.is_leaving, (fields.instance, target))
+        )
+        # An instance that another one has replaced is not listed any more.
+        is_removed = target == fields.instance and self.find_listing(
+            target
+        ).shows_removal(fields.list_version)
+        if is_leaving or is_removed:
             raise CallFailed(Code.draining)
 
     def resolve_target(self, fields: CallFields) -> InstanceId:
--- a/wagtaildale/calls/tests/test_server_targets.py
+++ b/wagtaildale/calls/tests/test_server_targets.py
@@ -5,13 +5,20 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from msgspec import structs
 
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.tests.pairs import build_run
 from wagtaildale.calls.tests.targets import SERVICE, build_targets
 from wagtaildale.errors.codes import Code
 from wagtaildale.testing.builders import build_record
-from wagtaildale.types import InstanceId, ListedState, Outcome, ServiceName
+from wagtaildale.types import (
+    InstanceId,
+    ListedState,
+    Outcome,
+    ServiceName,
+    Version,
+)
 
 if TYPE_CHECKING:
     from wagtaildale.calls.owner.server_targets import ServerTargets
@@ -74,3 +81,21 @@
     assert_refused(targets, Code.wrong_instance)
     assert_refused(targets, Code.wrong_instance)
     assert len(notified) == 2
+
+
+def test_removed_server_gets_nothing_from_an_entry_that_is_behind() -> None:
+    """An entry that was late with its list sends to a removed server."""
+    run = build_run(instance=LATER)
+    fields = structs.replace(run.fields, list_version=Version(6))
+    targets = build_targets(list_version=Version(7))
+    with pytest.raises(CallFailed) as caught:
+        targets.check(fields)
+    assert caught.value.code is Code.draining
+    assert caught.value.outcome is Outcome.not_run
+
+
+def test_owner_that_is_behind_serves_a_new_server() -> None:
+    """A new server is refused until its own node has heard of it."""
+    run = build_run(instance=LATER)
+    fields = structs.replace(run.fields, list_version=Version(7))
+    build_targets(list_version=Version(6)).check(fields)
--- a/wagtaildale/calls/wire/fields.py
+++ b/wagtaildale/calls/wire/fields.py
@@ -12,11 +12,13 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.leaving_servers import LeavingServer
 from wagtaildale.types import (
+    NO_VERSION,
     UNKNOWN_INCARNATION,
     Incarnation,
     InstanceId,
     Outcome,
     RequestId,
+    Version,
 )
 
 MILLI_PER_UNIT: Final = 1000
@@ -68,6 +70,8 @@
         asks_free_slot: whether the owner refuses the call unless it can start
             at once; such a refusal does not count as demand. Owners of earlier
             builds ignore it and may queue the call.
+        list_version: version of the instance list by which the entry chose the
+            server; 0 if unknown.
     """
 
     request_id: RequestId
@@ -90,6 +94,7 @@
     passed_parts: int = PARTS_PER_WHOLE
     bulk: bool = False
     asks_free_slot: bool = False
+    list_version: Version = NO_VERSION
 
     @property
     def represented_requests(self) -> float:
