--- a/standins/deployment/fleet.py
+++ b/standins/deployment/fleet.py
@@ -163,7 +163,11 @@
     connection = HTTPConnection(host, READY_PORT, timeout=PROBE_SECONDS)
     with closing(connection):
         try:
-            connection.request('GET', '/ready')
+            return _ask(connection) == STATUS_OK
         except (OSError, HTTPException):
             return False
-        return connection.getresponse().status == STATUS_OK
+
+
+def _ask(connection: HTTPConnection) -> int:
+    connection.request('GET', '/ready')
+    return connection.getresponse().status
