Distribution: tell the node of a removed server by the list that lacks it

Cause: members are the nodes beside listed servers. With the entry of its server a node left the push tree, was sent no list any more, and found out when it read by itself.

A reader now sends a list also to the nodes of its data centre whose servers the list before still had. Without an answer they read by themselves as before.

--- a/wagtaildale/distribution/documents.py
+++ b/wagtaildale/distribution/documents.py
@@ -13,7 +13,7 @@
     Send,
     VersionRefused,
 )
-from wagtaildale.distribution.pushes import push_version
+from wagtaildale.distribution.pushes import push_to_removed, push_version
 from wagtaildale.distribution.state import DistributionState
 from wagtaildale.distribution.wire import BlobPull, Pull
 from wagtaildale.document.decisions import decide_offer
@@ -85,16 +85,19 @@
 ) -> list[Effect]:
     document = outcome.document
     changes: list[Effect] = []
+    told: list[Effect] = []
     if document.kind is DocumentKind.instances:
+        before = state.members.records
         # These come before the list itself, so that calls never use the list
         # without its exceptions.
         changes = update_list(state, document=document, now=now)
+        told = push_to_removed(state, before=before, now=now)
     updated = DocumentUpdated(
         before=outcome.before,
         document=document,
         origin=outcome.origin,
     )
-    return [*changes, updated]
+    return [*changes, updated, *told]
 
 
 @_handle_outcome.register
--- a/wagtaildale/distribution/pushes.py
+++ b/wagtaildale/distribution/pushes.py
@@ -7,7 +7,7 @@
 
 from msgspec import structs
 
-from wagtaildale.distribution.messages import PeerBehind, Send
+from wagtaildale.distribution.messages import PeerBehind, Send, SendSeed
 from wagtaildale.distribution.state import DistributionState, PendingPush
 from wagtaildale.distribution.swaps import make_fleet_change
 from wagtaildale.distribution.wire import Push, Swap
@@ -15,16 +15,20 @@
 from wagtaildale.membership.decisions import note_missed_reply
 from wagtaildale.membership.state import get_topology
 from wagtaildale.membership.topology import list_children
+from wagtaildale.types import DocumentKind
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from wagtaildale.distribution.messages import Effect
     from wagtaildale.document.model import Delta
-    from wagtaildale.types import DocumentKind, InstanceId
+    from wagtaildale.membership.records import InstanceRecord
+    from wagtaildale.types import InstanceId
 
 MAX_INLINE_BYTES: Final = 65_536
 MAX_PUSH_ATTEMPTS: Final = 2
+# Bounds the messages of a reader after entries have lapsed in an outage.
+MAX_REMOVED_TOLD: Final = 32
 
 
 def push_version(
@@ -89,6 +93,40 @@
     ]
 
 
+def push_to_removed(
+    state: DistributionState,
+    *,
+    before: Mapping[InstanceId, InstanceRecord],
+    now: float,
+) -> list[Effect]:
+    """Push a list to the nodes whose servers it no longer has.
+
+    Such a node is a member no more and is sent no further lists. It would go
+    on calling its own server until it reads from the platform itself.
+
+    Args:
+        state: state of the node, with the new list.
+        before: records of the list before, by id of the node.
+        now: current time, seconds.
+
+    Returns:
+        Messages of a reader to nodes of its data centre.
+    """
+    if not (state.tuning.passes_on and state.appointed):
+        return []
+    removed = [
+        record
+        for node, record in before.items()
+        if node not in state.members.records
+        and record.data_centre == state.members.own.data_centre
+    ]
+    body = _make_push(state, DocumentKind.instances, now)
+    return [
+        SendSeed(address=record.control_address, body=body)
+        for record in removed[:MAX_REMOVED_TOLD]
+    ]
+
+
 def resend_pushes(state: DistributionState, *, now: float) -> list[Effect]:
     """Resend unacknowledged pushes, and bypass peers that do not reply.
 
@@ -150,12 +188,18 @@
         due=now + state.tuning.resend_seconds,
         attempts=attempts,
     )
+    return Send(to=peer, body=_make_push(state, kind, now))
+
+
+def _make_push(
+    state: DistributionState, kind: DocumentKind, now: float
+) -> Push | Swap:
+    store = state.stores[kind]
     holding = state.describe_holding(kind, now)
-    base = store.history[0]
-    delta = make_delta(base, target=store.held)
+    delta = make_delta(store.history[0], target=store.held)
     if _measure(delta) > MAX_INLINE_BYTES:
-        return Send(to=peer, body=Swap((holding,), is_reply=False))
-    return Send(to=peer, body=Push(delta, holding))
+        return Swap((holding,), is_reply=False)
+    return Push(delta, holding)
 
 
 def _mark_bypassing(send: Send) -> Send:
