Known red: a node starts by messages that waited while it was down

ZeroMQ queues what peers send to an address without a listener; a first message counts as not delayed, and queued heartbeats count as replies.

--- a/wagtaildale/distribution/tests/test_joining.py
+++ b/wagtaildale/distribution/tests/test_joining.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -17,9 +18,14 @@
     read_version,
 )
 from wagtaildale.distribution.tuning import make_tuning
+from wagtaildale.distribution.wire import Body, Push
+from wagtaildale.document.model import make_delta
 from wagtaildale.testing.builders import build_configuration
 from wagtaildale.types import DocumentKind, InstanceId, NodeState
 
+if TYPE_CHECKING:
+    from wagtaildale.testing.network import FakeNetwork
+
 B = InstanceId('b')
 ROUNDS_TO_JOIN = 5
 
@@ -146,3 +152,38 @@
         network.run_round(seconds=0.05)
     states = {node.state.members.state for node in network.nodes.values()}
     assert states == {NodeState.ready}
+
+
+def list_pushes(network: FakeNetwork, sender: InstanceId) -> list[Body]:
+    """List pushes of all documents that a node holds, and its heartbeat."""
+    state = network.nodes[sender].state
+    pushes: list[Body] = [
+        Push(
+            make_delta(store.history[0], target=store.held),
+            state.describe_holding(kind, network.now),
+        )
+        for kind, store in state.stores.items()
+    ]
+    return [*pushes, state.make_swap(network.now, is_reply=True)]
+
+
+def test_messages_to_the_process_before_start_no_node() -> None:
+    """A node serves by a list that waited in queues while it was down."""
+    network = build_network(tuning=make_tuning(apply_seconds=2.0))
+    queued = [
+        network.wrap(sender, to=B, body=body)
+        for sender in network.nodes
+        if sender != B
+        for body in list_pushes(network, sender)
+    ]
+    network.nodes[B].running = False
+    offer(network, build_configuration(4))
+    network.restart(B)
+    for message in queued:
+        network.dispatch(B, message)
+    network.flush()
+    for _round in range(ROUNDS_TO_JOIN):
+        network.run_round(seconds=ROUND_SECONDS)
+    node = network.nodes[B]
+    assert node.held_versions[DocumentKind.configuration] == [4]
+    assert node.state.members.state is NodeState.ready
