Soak of deployments: addresses of their own for each run, one disturbance a node

Two runs in one process shared addresses, and a node that was stopped and killed at once was started twice: the second process outlived the run, and the next run ended with AddressInUseError.

--- a/benchmarks/drains.py
+++ b/benchmarks/drains.py
@@ -15,6 +15,7 @@
 
 import click
 
+from standins.deployment.machines import choose_network
 from standins.deployment.profiles import DEPLOYMENTS
 from standins.deployment.run import DeploymentRun, RunPlan
 from standins.deployment.scenarios import SCENARIOS
@@ -58,7 +59,7 @@
         scenario=SCENARIOS[names[1]],
         seconds=seconds,
         seed=seed,
-        network=_choose_network(),
+        network=choose_network(),
         folder=folder.resolve(),
     )
     run = DeploymentRun(DEPLOYMENTS[names[0]], plan)
@@ -67,12 +68,6 @@
     sys.exit(1 if outcome.broken else 0)
 
 
-def _choose_network() -> str:
-    # Runs side by side have different ids, and so different addresses.
-    third, second = divmod(os.getpid(), 200)
-    return f'127.{second + 20}.{third % 200 + 20}'
-
-
 def _print_summary(outcome: RunOutcome, names: str, plan: RunPlan) -> None:
     for late in outcome.late:
         click.echo(_describe(late))
--- a/standins/deployment/disturbances.py
+++ b/standins/deployment/disturbances.py
@@ -140,6 +140,7 @@
         machine = self._choose_calm()
         if machine is None:
             return
+        machine.is_busy = True
         machine.signal_node(number)
         try:
             await asyncio.to_thread(machine.wait_node_end, GRACE_SECONDS)
@@ -148,24 +149,25 @@
         await asyncio.sleep(self._random.uniform(0, LONGEST_RESTART_SECONDS))
         if not machine.is_gone:
             machine.start_node()
+        machine.is_busy = False
 
     async def _pause_node(self) -> None:
         machine = self._choose_calm()
         if machine is None:
             return
-        machine.is_paused = True
+        machine.is_busy = True
         machine.signal_node(signal.SIGSTOP)
         await asyncio.sleep(
             self._random.uniform(0, self._scenario.pause_seconds)
         )
         machine.signal_node(signal.SIGCONT)
-        machine.is_paused = False
+        machine.is_busy = False
 
     def _choose_calm(self) -> Machine | None:
         calm = [
             each
             for each in self._fleet.machines
-            if each.is_node_running() and not (each.is_paused or each.is_gone)
+            if each.is_node_running() and not (each.is_busy or each.is_gone)
         ]
         return self._random.choice(calm) if calm else None
 
--- a/standins/deployment/machines.py
+++ b/standins/deployment/machines.py
@@ -25,8 +25,12 @@
 # Folder of the checkout that nodes run from, to compare an earlier landing.
 CHECKOUT_VARIABLE: Final = 'DRAINS_CHECKOUT'
 ARRIVALS_NAME: Final = 'arrivals'
+NETWORKS: Final = 200
+FIRST_NETWORK: Final = 20
 END_SECONDS: Final = 10.0
 
+_run_numbers = itertools.count()
+
 
 class Machine:
     """A node and the backend server beside it.
@@ -41,7 +45,7 @@
         disturbances: times in which the node was not left alone.
         node: process of the node, if it was started.
         server: process of the backend server, if it was started.
-        is_paused: whether the node is paused.
+        is_busy: whether the node is stopped, started or paused by a run.
         is_gone: whether its server has ended for good.
         is_listed: whether the store has the server as ready.
     """
@@ -67,7 +71,7 @@
         self.disturbances: list[Disturbance] = []
         self.node: subprocess.Popen[bytes] | None = None
         self.server: subprocess.Popen[bytes] | None = None
-        self.is_paused = False
+        self.is_busy = False
         self.is_gone = False
         self.is_listed = False
         self._speed = speed
@@ -197,6 +201,17 @@
                 process.wait(END_SECONDS)
 
 
+def choose_network() -> str:
+    """Choose IP addresses that runs side by side do not share.
+
+    Returns:
+        First three parts of the addresses, on the loopback interface.
+    """
+    third, second = divmod(os.getpid(), NETWORKS)
+    third = (third + next(_run_numbers)) % NETWORKS
+    return f'127.{FIRST_NETWORK + second}.{FIRST_NETWORK + third}'
+
+
 def start_clients(plan: ClientPlan) -> subprocess.Popen[bytes]:
     """Start a process of callers.
 
--- a/standins/tests/test_drains.py
+++ b/standins/tests/test_drains.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from standins.deployment.machines import choose_network
 from standins.deployment.profiles import HAILMARK, PDP_GATES, STARTNUMMER
 from standins.deployment.run import DeploymentRun, RunPlan
 from standins.deployment.scenarios import SCENARIOS
@@ -21,23 +22,23 @@
 
 
 @pytest.mark.parametrize(
-    ('deployment', 'scenario', 'network'),
+    ('deployment', 'scenario'),
     [
-        (HAILMARK, 'waits', '127.19.1'),
-        (PDP_GATES, 'stops', '127.19.2'),
-        (STARTNUMMER, 'pauses', '127.19.3'),
+        (HAILMARK, 'waits'),
+        (PDP_GATES, 'stops'),
+        (STARTNUMMER, 'pauses'),
     ],
     ids=['hailmark', 'pdp', 'startnummer'],
 )
 def test_servers_that_left_get_no_requests(
-    deployment: Deployment, scenario: str, network: str, tmp_path: Path
+    deployment: Deployment, scenario: str, tmp_path: Path
 ) -> None:
     """Requests reach servers whose entry says leaving or is removed."""
     plan = RunPlan(
         scenario=SCENARIOS[scenario],
         seconds=SECONDS,
         seed=SEED,
-        network=network,
+        network=choose_network(),
         folder=tmp_path,
     )
     outcome = asyncio.run(DeploymentRun(deployment, plan).run())
