Routing: a server that is listed as leaving is nobody's fallback

Found by reading the paths again. An entry that had tried all other servers, or knew of none but leaving ones, chose a server that its own list names as leaving, and left it to the owner to refuse. A caller waited for that refusal, and an owner without a list yet, as after a restart, let the request through: the one path on which a server that has said it leaves gets work from a node that knows. A suspected request was placed so as well.

All three ways of choosing now leave such servers out; where all leave, callers are refused at once.

--- a/wagtaildale/calls/entry/suspected_call.py
+++ b/wagtaildale/calls/entry/suspected_call.py
@@ -8,6 +8,7 @@
 
 from wagtaildale.calls.owner.suspect_trials import build_suspect_rejection
 from wagtaildale.errors.codes import Code
+from wagtaildale.routing.candidates import is_known_to_leave
 from wagtaildale.routing.placement import ChosenUpstream
 from wagtaildale.routing.suspected_requests import list_allowed_upstreams
 from wagtaildale.suspects.fingerprints import (
@@ -147,7 +148,9 @@
         record
         for record in allowed
         if record.instance not in attempts.tried
-        and not statistics.leaving_servers.is_leaving(record)
+        and not is_known_to_leave(
+            record, leaving_servers=statistics.leaving_servers
+        )
     ]
     up = [
         record
--- a/wagtaildale/routing/candidates.py
+++ b/wagtaildale/routing/candidates.py
@@ -41,20 +41,34 @@
     Returns:
         Upstreams that are neither away nor avoided; if there are none, those
         that are not avoided and that only gossip reports as away; if there
-        are none either, all. Servers that have announced that they leave are
-        never included.
+        are none either, all. Servers that are listed as leaving or have
+        announced it are never included.
     """
-    listed = [
+    staying = [
         record
         for record in view.upstreams.get(service, ())
-        if not leaving_servers.is_leaving(record)
+        if not is_known_to_leave(record, leaving_servers=leaving_servers)
     ]
-    untried = [record for record in listed if record.instance not in avoided]
+    untried = [record for record in staying if record.instance not in avoided]
     present = [record for record in untried if not view.is_away(record)]
-    listed_live = [
-        record for record in untried if record.state is ListedState.live
-    ]
-    return present or listed_live or listed
+    return present or untried or staying
+
+
+def is_known_to_leave(
+    record: InstanceRecord, *, leaving_servers: LeavingServers
+) -> bool:
+    """Tell whether a server is known to leave.
+
+    Args:
+        record: the server's record in the instance list.
+        leaving_servers: servers that have announced that they leave.
+
+    Returns:
+        Whether it is listed as leaving or has announced it.
+    """
+    if record.state is ListedState.leaving:
+        return True
+    return leaving_servers.is_leaving(record)
 
 
 def leave_out_ejected(
--- a/wagtaildale/routing/tests/test_placement.py
+++ b/wagtaildale/routing/tests/test_placement.py
@@ -20,6 +20,7 @@
     DataCentre,
     Incarnation,
     InstanceId,
+    ListedState,
     ServiceName,
 )
 
@@ -103,6 +104,24 @@
     assert place(placement, build_view('a'), avoided=('a',)) == 'a'
 
 
+def test_server_listed_as_leaving_is_no_fallback() -> None:
+    """A request that all others refused is sent to a leaving server."""
+    holder = ViewHolder()
+    leaving = build_record('b', state=ListedState.leaving)
+    holder.replace_instances(build_instances(build_record('a'), leaving))
+    placement = build_placement()
+    for avoided in ((), ('a',), ('a', 'b')):
+        assert place(placement, holder, avoided=avoided) == 'a'
+
+
+def test_service_whose_servers_all_leave_has_no_upstream() -> None:
+    """A request waits for the refusal of a leaving server's owner."""
+    holder = ViewHolder()
+    leaving = build_record('a', state=ListedState.leaving)
+    holder.replace_instances(build_instances(leaving))
+    assert not place(build_placement(), holder)
+
+
 def test_ejected_upstreams_are_replaced_from_the_whole_service() -> None:
     """If a third of a large service fails, its subset must not shrink."""
     placement = build_placement()
