Owner: refuse waiting calls when their server leaves, not when a slot is free

Found by reading the mend again. A call whose server was listed as leaving or removed waited on for a slot that it would not get; the owner knew at once, and said so only at the end of the wait. Callers got not-run with too little time left for another server, or a passed deadline (4008).

Each change of the list reviews the calls that wait for a slot or their body, with the same check as at their arrival. They hold no slot, so not-run is true.

Before: both cases of the test ended with 4008, leaving and removed.

--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-from enum import Enum
-from typing import TYPE_CHECKING, Final, final
+from typing import TYPE_CHECKING, Final
 
 from wagtaildale.admission.limits import Ending
 from wagtaildale.admission.messages import Refused, RequestArrived
@@ -17,6 +16,14 @@
     ReceivedBody,
     find_transfer_limits,
 )
+from wagtaildale.calls.owner.call_states import (
+    BACKEND_FAULTS,
+    RUN_STATES,
+    UNADMITTED_STATES,
+    CallState,
+    describe_refusal,
+    find_ending,
+)
 from wagtaildale.calls.owner.call_times import CallTimes
 from wagtaildale.calls.owner.replies import ReplyWriter
 from wagtaildale.calls.wire.transit import subtract_delay
@@ -51,52 +58,12 @@
 # line would fill the memory and stop reading from the server.
 DELIVERY_CHECK_SECONDS: Final = 1.0
 MILLISECONDS: Final = 1000
-# A backend server that answers 503 counts as overloaded.
-OVERLOAD_STATUS: Final = 503
-# Tells a refusal for want of a free slot from an overload in logs.
-NO_FREE_SLOT_DETAIL: Final = 'no free slot'
-# Failures that indicate a fault of the backend server rather than of one
-# request.
-BACKEND_FAULTS: Final = frozenset(
-    (
-        Code.backend_cut,
-        Code.backend_ended,
-        Code.backend_shed,
-        Code.backend_unreachable,
-        Code.timed_out,
-    ),
-)
-
-
-@final
-class CallState(Enum):
-    """State of a call at its owner.
-
-    Attributes:
-        receiving: its body is being received; it holds no slot and no place
-            in the queue.
-        waiting: it waits for a slot.
-        reserved: it holds a slot and has not run.
-        running: it was sent to the backend server.
-        delivering: the backend server is done with it, and its response waits
-            for the line; it holds no slot.
-        over: it has ended.
-    """
-
-    receiving = 'receiving'
-    waiting = 'waiting'
-    reserved = 'reserved'
-    running = 'running'
-    delivering = 'delivering'
-    over = 'over'
-
-
-UNADMITTED_STATES: Final = frozenset((CallState.receiving, CallState.waiting))
-RUN_STATES: Final = frozenset((CallState.running, CallState.delivering))
 
 
 class OwnerCall:
-    """One call at its owner; a ``RunReceiver`` and a ``BodySender``.
+    """One call at its owner.
+
+    A ``RunReceiver``, a ``BodySender`` and a ``WaitingCall``.
 
     Attributes:
         state: current state of the call.
@@ -217,6 +184,14 @@
         else:
             self._release_slot(Ending.abandoned)
 
+    def refuse(self, failure: CallFailed) -> None:
+        """End the call before it is sent; see ``WaitingCall``.
+
+        Args:
+            failure: cause of the refusal.
+        """
+        self._fail(failure)
+
     def on_run_read(self, status: int) -> None:
         """Free the slot while the response is delivered; see ``RunReceiver``.
 
@@ -225,7 +200,7 @@
         """
         self._times.end_run()
         self.state = CallState.delivering
-        self._release_slot(_find_ending(status))
+        self._release_slot(find_ending(status))
         self._ticket = None
 
     def on_run_finished(self, status: int) -> None:
@@ -246,7 +221,7 @@
             },
         )
         self._close()
-        self._release_slot(_find_ending(status))
+        self._release_slot(find_ending(status))
 
     def on_run_replayed(self) -> None:
         """End a call answered from a stored answer; see ``RunReceiver``."""
@@ -291,6 +266,7 @@
         self.state = CallState.receiving
         if not self._accept_fields(fields):
             return
+        self._owner.targets.waiting_calls.add(self)
         try:
             body.collect(
                 limits=find_transfer_limits(
@@ -361,6 +337,7 @@
         )
         if self.state is CallState.waiting:
             self._ticket = ticket
+            owner.targets.waiting_calls.add(self)
         owner.invariants.check(
             Invariant.leaving_gets_none,
             holds=not was_draining or self.state is CallState.over,
@@ -372,11 +349,12 @@
             self._fail(
                 CallFailed(
                     verdict.code,
-                    detail=_describe_refusal(verdict, self.fields),
+                    detail=describe_refusal(verdict, self.fields),
                     retry_after=verdict.retry_after,
                 ),
             )
             return
+        self._owner.targets.waiting_calls.discard(self)
         self._ticket = verdict.ticket
         self.state = CallState.reserved
         if self._body is not None:
@@ -511,6 +489,7 @@
 
     def _close(self) -> None:
         self.state = CallState.over
+        self._owner.targets.waiting_calls.discard(self)
         if self._alarm is not None:
             self._alarm.cancel()
         if self._run is not None:
@@ -519,12 +498,3 @@
             self._body.close()
         self._replies.stop_pacing()
         self._channel.forget(self._number)
-
-
-def _describe_refusal(refused: Refused, fields: CallFields) -> str:
-    is_for_slot = refused.code is Code.overloaded and fields.asks_free_slot
-    return NO_FREE_SLOT_DETAIL if is_for_slot else ''
-
-
-def _find_ending(status: int) -> Ending:
-    return Ending.failed if status == OVERLOAD_STATUS else Ending.good
--- a/wagtaildale/calls/owner/server_review.py
+++ b/wagtaildale/calls/owner/server_review.py
@@ -68,6 +68,7 @@
         """Review the records; call it in the loop's thread."""
         self._review_start()
         self._review_evacuation()
+        self._owner.targets.waiting_calls.review()
         for record in self._list_own_records():
             self._owner.gate.handle_server_message(
                 SlotsPublished(slots=record.slots)
--- a/wagtaildale/calls/owner/server_targets.py
+++ b/wagtaildale/calls/owner/server_targets.py
@@ -16,6 +16,7 @@
     find_listing,
 )
 from wagtaildale.calls.owner.server_slow_start import SlowStartTracker
+from wagtaildale.calls.owner.waiting_calls import WaitingCalls
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
@@ -53,6 +54,7 @@
         denial_listeners: callbacks for each request that names an instance
             other than the backend server.
         leaving: tracker of whether the backend server is leaving.
+        waiting_calls: calls that have not been sent to the backend server.
         feedback: tracker of what the backend server reports in responses.
         slow_start: tracker of whether the backend server is in slow start.
         is_evacuated: tells whether the server's data centre is evacuated.
@@ -78,7 +80,8 @@
             find_record: lookup of an instance's record in the list.
             recorder: recorder of an event when the server turns out to be
                 another instance.
-            feedback: tracker of what the server reports in responses.
+            waiting_calls: calls that have not been sent to the backend server.
+        feedback: tracker of what the server reports in responses.
             conditions: conditions under which the server gets requests.
         """
         self.denial_listeners: list[Callable[[], None]] = []
@@ -87,6 +90,7 @@
             recorder=recorder,
         )
         self.leaving.listeners.append(feedback.note_leaving)
+        self.waiting_calls = WaitingCalls(self.check)
         self.feedback = feedback
         self.denial_count = 0
         self.unlisted_count = 0
--- a/wagtaildale/calls/tests/test_outcomes.py
+++ b/wagtaildale/calls/tests/test_outcomes.py
@@ -10,11 +10,13 @@
 
 from wagtaildale.admission.limits import Ending
 from wagtaildale.calls.tests.pairs import (
+    read_code,
     OUTCOME_HEADER,
     TIMEOUT_SECONDS,
     Pair,
     wait_until,
 )
+from wagtaildale.errors.codes import Code
 from wagtaildale.testing.builders import (
     SLOTS,
     build_instances,
@@ -116,3 +118,27 @@
 ) -> None:
     """A server without an entry counts as not leaving."""
     assert_waiting_call_does_not_run(pair, build_instances(version=2))
+
+
+@pytest.mark.parametrize('state', [None, ListedState.leaving])
+def test_waiting_call_is_refused_when_its_server_leaves(
+    pair: Pair, state: ListedState | None
+) -> None:
+    """A call waits on for a slot that it will not get."""
+    owner_node = pair.owner_node
+    for _slot in range(SLOTS):
+        owner_node.hold_slot()
+    listed = (
+        ()
+        if state is None
+        else (structs.replace(owner_node.record, state=state),)
+    )
+    with ThreadPoolExecutor(1) as executor:
+        asked = executor.submit(pair.ask, 'GET', '/files/1')
+        wait_until(lambda: bool(owner_node.gate.state.queue))
+        owner_node.view.replace_instances(build_instances(*listed, version=2))
+        wait_until(lambda: not owner_node.gate.state.queue)
+        response, text = asked.result(TIMEOUT_SECONDS)
+    assert response.headers[OUTCOME_HEADER].startswith('not-run')
+    assert read_code(text) is Code.draining
+    assert len(owner_node.gate.state.running) == SLOTS
