Soak of deployments: an outage that was over does not excuse a request

The verdict excused a request if the store had been disturbed at any time since the acknowledgement. By the rule it counts when the store acknowledges and in the time before the request was taken. Stricter; the words of two modules and the moment of the acknowledgement, which was taken after a signal, go with it.

--- a/standins/deployment/disturbances.py
+++ b/standins/deployment/disturbances.py
@@ -114,12 +114,14 @@
             await self._fleet.remove_entry(machine)
         else:
             await self._fleet.write_entry(machine, state='draining')
+        acked_at = time.monotonic()
+        if not is_removed:
             machine.signal_server(signal.SIGUSR1)
         self.departures.append(
             Departure(
                 instance=machine.instance,
                 host=machine.host,
-                acked_at=time.monotonic(),
+                acked_at=acked_at,
                 was_announced=not is_removed,
             )
         )
--- a/standins/deployment/machines.py
+++ b/standins/deployment/machines.py
@@ -42,7 +42,7 @@
         instance: id of the backend server.
         settings_path: settings file of the node.
         log_path: log of the node.
-        disturbances: times in which the node was not left alone.
+        disturbances: disturbances of the node.
         node: process of the node, if it was started.
         server: process of the backend server, if it was started.
         is_busy: whether the node is stopped, started or paused by a run.
@@ -100,7 +100,7 @@
         self.end_disturbance()
 
     def start_server(self, deployment: Deployment) -> None:
-        """Start the backend server under a new id, and wait until it listens.
+        """Start the backend server under a new id.
 
         Args:
             deployment: deployment that it belongs to.
@@ -174,11 +174,11 @@
             self.server.send_signal(number)
 
     def begin_disturbance(self) -> None:
-        """Note that the node is not left alone from now on."""
+        """Record that a disturbance of the node begins."""
         self.disturbances.append(Disturbance(begins_at=time.monotonic()))
 
     def end_disturbance(self) -> None:
-        """Note that the node is left alone again."""
+        """Record that all disturbances of the node have ended."""
         now = time.monotonic()
         if not self.disturbances:
             self.begin_disturbance()
--- a/standins/deployment/verdict.py
+++ b/standins/deployment/verdict.py
@@ -1,9 +1,9 @@
 """Judges whether requests reached servers that had left, without any clock.
 
 A request is late if it reaches a server later than the drain time after the
-store took the word that the server leaves, or the removal of its entry. It is
-excused if a node on its way or the store was disturbed shortly before. Refusals
-by another server do not count.
+store acknowledged that the server is leaving, or the removal of its entry. It
+is excused if a node on its way was disturbed shortly before, or if the store
+was, then or when it acknowledged. Refusals by another server do not count.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 
 class Disturbance(Struct, kw_only=True):
-    """A time in which a node or the store was not left alone.
+    """A time in which a node or the store was disturbed.
 
     Attributes:
         begins_at: begin, seconds on the monotonic clock.
@@ -39,9 +39,10 @@
     Attributes:
         instance: id of the server.
         host: IP address of its machine.
-        acked_at: when the store took its word or removed its entry, seconds
-            on the monotonic clock.
-        was_announced: whether its entry said so; it was only removed if not.
+        acked_at: when the store acknowledged the report or the removal of its
+            entry, seconds on the monotonic clock.
+        was_announced: whether it reported that it leaves; otherwise its entry
+            was only removed.
     """
 
     instance: str
@@ -70,7 +71,7 @@
         departure: the server.
         arrival: arrival of the request.
         entry_host: node that took the request from its caller.
-        late_seconds: time since the word of the server's leaving.
+        late_seconds: time since the store acknowledged.
         is_excused: whether a node or the store was disturbed.
     """
 
@@ -129,24 +130,26 @@
     sent = evidence.sent.get(arrival.request_id)
     entry_host = _find_entry_host(arrival.request_id, sent)
     taken_at = arrival.at if sent is None else sent.at
-    since = min(taken_at, departure.acked_at) - bounds.stable_seconds
-    is_store_disturbed = _has_any(
-        evidence.store_disturbances, since=since, until=arrival.at
+    disturbances = (
+        evidence.disturbances.get(entry_host, ()),
+        evidence.disturbances.get(departure.host, ()),
+        evidence.store_disturbances,
     )
-    is_node_disturbed = any(
-        _has_any(
-            evidence.disturbances.get(host, ()),
-            since=taken_at - bounds.stable_seconds,
-            until=arrival.at,
-        )
-        for host in (entry_host, departure.host)
+    is_way_disturbed = any(
+        _has_any(each, since=taken_at - bounds.stable_seconds, until=arrival.at)
+        for each in disturbances
+    )
+    is_ack_disturbed = _has_any(
+        evidence.store_disturbances,
+        since=departure.acked_at - bounds.stable_seconds,
+        until=departure.acked_at,
     )
     return LateRequest(
         departure=departure,
         arrival=arrival,
         entry_host=entry_host,
         late_seconds=arrival.at - departure.acked_at,
-        is_excused=is_node_disturbed or is_store_disturbed,
+        is_excused=is_way_disturbed or is_ack_disturbed,
     )
 
 
--- a/standins/tests/test_drain_verdict.py
+++ b/standins/tests/test_drain_verdict.py
@@ -4,6 +4,8 @@
 
 from math import inf
 
+from msgspec import structs
+
 from standins.deployment.model import Arrival, ArrivalEnd, SentRequest
 from standins.deployment.verdict import (
     Bounds,
@@ -29,12 +31,13 @@
     end: ArrivalEnd = ArrivalEnd.run,
     node: Disturbance | None = None,
     store: Disturbance | None = None,
+    taken_at: float = 101,
 ) -> LateRequest | None:
     arrival = Arrival(request_id='r', instance='i-1', at=at, end=end)
     evidence = Evidence(
         departures=[LEFT],
         arrivals=[arrival],
-        sent={'r': SENT},
+        sent={'r': structs.replace(SENT, at=taken_at)},
         disturbances={SENT.host: [node] if node else []},
         store_disturbances=[store] if store else [],
     )
@@ -47,8 +50,9 @@
     *,
     node: Disturbance | None = None,
     store: Disturbance | None = None,
+    taken_at: float = 101,
 ) -> bool:
-    late = judge(at, node=node, store=store)
+    late = judge(at, node=node, store=store, taken_at=taken_at)
     assert late is not None
     return late.is_excused
 
@@ -76,3 +80,10 @@
 
 def test_silent_store_excuses_while_it_lasts() -> None:
     assert is_excused(103, store=Disturbance(begins_at=90, ends_at=inf))
+
+
+def test_store_that_recovered_does_not_excuse() -> None:
+    """An outage between the acknowledgement and the request excuses it."""
+    outage = Disturbance(begins_at=100.5, ends_at=101)
+    assert not is_excused(110, store=outage, taken_at=109)
+    assert is_excused(110, store=outage, taken_at=103)
