--- a/wagtaildale/distribution/documents.py
+++ b/wagtaildale/distribution/documents.py
@@ -85,19 +85,19 @@
 ) -> list[Effect]:
     document = outcome.document
     changes: list[Effect] = []
-    told: list[Effect] = []
+    pushes: list[Effect] = []
     if document.kind is DocumentKind.instances:
         before = state.members.records
         # These come before the list itself, so that calls never use the list
         # without its exceptions.
         changes = update_list(state, document=document, now=now)
-        told = push_to_removed(state, before=before, now=now)
+        pushes = push_to_removed(state, before=before, now=now)
     updated = DocumentUpdated(
         before=outcome.before,
         document=document,
         origin=outcome.origin,
     )
-    return [*changes, updated, *told]
+    return [*changes, updated, *pushes]
 
 
 @_handle_outcome.register
--- a/wagtaildale/distribution/pushes.py
+++ b/wagtaildale/distribution/pushes.py
@@ -28,7 +28,7 @@
 MAX_INLINE_BYTES: Final = 65_536
 MAX_PUSH_ATTEMPTS: Final = 2
 # Bounds the messages of a reader after entries have lapsed in an outage.
-MAX_REMOVED_TOLD: Final = 32
+MAX_PUSHES_TO_REMOVED: Final = 32
 
 
 def push_version(
@@ -101,8 +101,8 @@
 ) -> list[Effect]:
     """Push a list to the nodes whose servers it no longer has.
 
-    Such a node is a member no more and is sent no further lists. It would go
-    on calling its own server until it reads from the platform itself.
+    Such a node is no longer a member and receives no further lists. Without
+    this push it would call its own server until it reads the platform itself.
 
     Args:
         state: state of the node, with the new list.
@@ -123,7 +123,7 @@
     body = _make_push(state, DocumentKind.instances, now)
     return [
         SendSeed(address=record.control_address, body=body)
-        for record in removed[:MAX_REMOVED_TOLD]
+        for record in removed[:MAX_PUSHES_TO_REMOVED]
     ]
 
 
