Decoding: whatever a decoder raises is a numbered failure

Cause: msgspec raises RecursionError for a nested value in a field that it skips. platform/store.py expected MsgspecError and ValueError, so the error ended the task that reads, and the daemon ends a process whose task has ended. Where a type mismatch comes first, the entry was skipped before too.

The class is an error of a decoder that its caller does not expect. Found on the way: a TOML number of over 4,300 digits, an address of the platform's settings without a port, and a data centre without a region ended a program with a traceback; an index of the product's own platform of over 4,300 digits would have ended the task.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 
 lint: setup
 	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
 	$(BIN)/flake8 .
 
 types: setup
--- a/wagtaildale/admin/client.py
+++ b/wagtaildale/admin/client.py
@@ -7,9 +7,10 @@
 from urllib.parse import urlencode
 
 import pycurl
-from msgspec import MsgspecError, Struct, json
-from result import Err, Ok, Result
+from msgspec import Struct
+from result import Err, Result
 
+from wagtaildale.decoding.json_documents import decode_json
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
 
@@ -109,10 +110,8 @@
     def _decode(
         self, body: bytes, document_type: type[Document]
     ) -> Result[Document, Fault]:
-        try:
-            return Ok(json.decode(body, type=document_type))
-        except MsgspecError as error:
-            return Err(self._describe(str(error)))
+        decoded = decode_json(body, document_type, code=Code.admin_unreachable)
+        return decoded.map_err(lambda failure: self._describe(failure.detail))
 
     def _describe_status(self, status: int) -> Fault:
         if status == STATUS_NOT_FOUND:
--- a/wagtaildale/calls/wire/frames.py
+++ b/wagtaildale/calls/wire/frames.py
@@ -10,7 +10,8 @@
 import zlib
 from typing import Final
 
-from msgspec import MsgspecError, Struct, msgpack
+from msgspec import Struct, msgpack
+from result import Err
 
 from wagtaildale.admission.incoming_line import LineState
 from wagtaildale.admission.shares import PassShare
@@ -20,6 +21,7 @@
     AnswerFields,
     CallFields,
 )
+from wagtaildale.decoding.messages import MessageDecoder, decode_message
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.leaving_servers import LeavingServer
 from wagtaildale.types import CallNumber, InstanceId
@@ -273,7 +275,7 @@
 )
 
 _encoder = msgpack.Encoder()
-_decoder: msgpack.Decoder[Frame] = msgpack.Decoder(Frame)
+_decoder: MessageDecoder[Frame] = MessageDecoder(Frame)
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -405,10 +407,8 @@
     Raises:
         CallFailed: if the message is invalid.
     """
-    try:
-        return _decoder.decode(encoded)
-    except (MsgspecError, RecursionError) as error:
-        raise CallFailed(
-            Code.message_malformed,
-            detail=str(error),
-        ) from None
+    decoded = decode_message(encoded, _decoder)
+    if isinstance(decoded, Err):
+        failure = decoded.err_value
+        raise CallFailed(failure.code, detail=failure.detail)
+    return decoded.ok_value
--- a/wagtaildale/configuration/compiled.py
+++ b/wagtaildale/configuration/compiled.py
@@ -18,12 +18,14 @@
     ServiceEntry,
     WorkClass,
 )
+from wagtaildale.decoding.json_documents import decode_json
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault, Faults
 from wagtaildale.types import ClassName, Digest, ServiceName, TeamName
 
 if TYPE_CHECKING:
     from wagtaildale.configuration.model import MeshEntry
+    from wagtaildale.decoding.failures import DecodingFailure
 
 MANIFEST_NAME: Final = 'manifest.json'
 PARTS_FOLDER: Final = 'parts'
@@ -33,8 +35,6 @@
 # in pieces, or of 2,000 services.
 DECODE_CACHE_SIZE: Final = 4096
 
-_part_decoder = json.Decoder(Part)
-
 
 class Compiled(Struct, frozen=True, kw_only=True):
     """A manifest and the parts that it names.
@@ -62,19 +62,16 @@
 
 
 @lru_cache(maxsize=DECODE_CACHE_SIZE)
-def decode_part(blob: bytes) -> Part:
+def decode_part(blob: bytes) -> Result[Part, DecodingFailure]:
     """Decode a part; decoded parts are cached by content.
 
     Args:
         blob: encoded part.
 
     Returns:
-        The part.
-
-    Raises:
-        MsgspecError: if the bytes are not a valid part.
+        The part, or why the bytes are not a valid part.
     """
-    return _part_decoder.decode(blob)
+    return decode_json(blob, Part, code=Code.part_corrupt)
 
 
 def compile_mesh(
@@ -118,7 +115,10 @@
     Returns:
         The part of each service.
     """
-    return {name: decode_part(blob) for name, blob in compiled.parts.items()}
+    return {
+        name: decode_part(blob).unwrap()
+        for name, blob in compiled.parts.items()
+    }
 
 
 def write_compiled(compiled: Compiled, *, folder: Path) -> None:
--- a/wagtaildale/configuration/files.py
+++ b/wagtaildale/configuration/files.py
@@ -2,23 +2,24 @@
 
 from __future__ import annotations
 
-import tomllib
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import msgspec
 from result import Err, Ok, Result
 
 from wagtaildale.configuration.model import MeshEntry
 from wagtaildale.configuration.positions import KeyPath, find_line
 from wagtaildale.configuration.semantics import check_semantics
 from wagtaildale.configuration.shapes import Finding, check_shape
+from wagtaildale.decoding.toml_files import convert_table, decode_toml
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault, Faults
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from wagtaildale.decoding.failures import DecodingFailure
+
 
 def read_mesh(path: Path | str) -> Result[MeshEntry, Faults]:
     """Read and check an operators' file.
@@ -66,20 +67,17 @@
     Returns:
         The mesh, or all faults of the text with their lines.
     """
-    try:
-        table = tomllib.loads(text)
-    except (tomllib.TOMLDecodeError, RecursionError) as error:
-        fault = Fault(
-            code=Code.file_malformed,
-            where=name,
-            got=str(error),
-            expected='TOML 1.0',
-        )
-        return Err((fault,))
+    decoded = decode_toml(text, code=Code.file_malformed)
+    if isinstance(decoded, Err):
+        return Err((_make_fault(decoded.err_value, name, 'TOML 1.0'),))
+    table = decoded.ok_value
     findings = check_shape(table, shape=MeshEntry)
     if findings:
         return Err(place_findings(findings, text=text, name=name))
-    mesh = msgspec.convert(table, MeshEntry)
+    converted = convert_table(table, MeshEntry, code=Code.field_invalid)
+    if isinstance(converted, Err):
+        return Err((_make_fault(converted.err_value, name, 'a mesh'),))
+    mesh = converted.ok_value
     findings = check_semantics(mesh)
     if findings:
         return Err(place_findings(findings, text=text, name=name))
@@ -105,6 +103,15 @@
     return tuple(_add_line(finding, text, name) for finding in findings)
 
 
+def _make_fault(failure: DecodingFailure, name: str, expected: str) -> Fault:
+    return Fault(
+        code=failure.code,
+        where=name,
+        got=failure.detail,
+        expected=expected,
+    )
+
+
 def _add_line(finding: Finding, text: str, name: str) -> Fault:
     line = find_line(text, path=finding.path)
     key = _format_path(finding.path)
--- a/wagtaildale/configuration/shapes.py
+++ b/wagtaildale/configuration/shapes.py
@@ -9,9 +9,11 @@
 from types import MappingProxyType
 from typing import Any, Final, get_args, get_origin, get_type_hints
 
-from msgspec import Struct, ValidationError, convert, structs
+from msgspec import Struct, structs
+from result import Err
 
 from wagtaildale.configuration.positions import KeyPath
+from wagtaildale.decoding.toml_files import convert_table
 from wagtaildale.errors.codes import Code
 
 Table = dict[str, Any]
@@ -125,10 +127,9 @@
 
 
 def _convert_leaf(raw_value: Any, hint: Any, path: KeyPath) -> list[Finding]:
-    try:
-        convert(raw_value, hint)
-    except ValidationError as error:
-        return [_describe_invalid(path, raw_value, str(error))]
+    converted = convert_table(raw_value, hint, code=Code.field_invalid)
+    if isinstance(converted, Err):
+        return [_describe_invalid(path, raw_value, converted.err_value.detail)]
     return []
 
 
--- a/wagtaildale/configuration/validation.py
+++ b/wagtaildale/configuration/validation.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+from functools import partial
 from itertools import chain
 from typing import TYPE_CHECKING
 
-from msgspec import UNSET, MsgspecError, Struct, json, structs
+from msgspec import UNSET, Struct, structs
 from result import Err, Ok, Result
 
 from wagtaildale.configuration.compiled import decode_part
@@ -20,6 +21,7 @@
     PublishedLimits,
 )
 from wagtaildale.configuration.paths import is_rest_last, normalise_template
+from wagtaildale.decoding.json_documents import decode_json
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
 from wagtaildale.types import ServiceName
@@ -28,6 +30,7 @@
     from collections.abc import Iterator, Mapping
 
     from wagtaildale.configuration.model import Route
+    from wagtaildale.decoding.failures import DecodingFailure
 
 
 class Configuration(Struct, frozen=True, kw_only=True):
@@ -86,10 +89,10 @@
 
 
 def _decode(name: str, blob: bytes) -> Result[Part, Fault]:
-    try:
-        part = decode_part(blob)
-    except MsgspecError as error:
-        return Err(_make_fault(Code.part_corrupt, name, str(error), 'a part'))
+    decoded = decode_part(blob)
+    if isinstance(decoded, Err):
+        return Err(_describe_failure(decoded.err_value, name, 'a part'))
+    part = decoded.ok_value
     if part.service != name.partition(PIECE_SEPARATOR)[0]:
         expected = f'the part of {name}'
         return Err(_make_fault(Code.part_corrupt, name, part.service, expected))
@@ -116,17 +119,12 @@
 ) -> Result[PublishedLimits | None, Fault]:
     if blob is None:
         return Ok(None)
-    try:
-        return Ok(json.decode(blob, type=PublishedLimits))
-    except MsgspecError as error:
-        return Err(
-            _make_fault(
-                Code.part_corrupt,
-                LIMITS_ENTRY,
-                str(error),
-                'limits on callers',
-            ),
+    decoded = decode_json(blob, PublishedLimits, code=Code.part_corrupt)
+    return decoded.map_err(
+        partial(
+            _describe_failure, name=LIMITS_ENTRY, expected='limits on callers'
         )
+    )
 
 
 def _list_routes(parts: Mapping[ServiceName, Part]) -> Iterator[Route]:
@@ -179,5 +177,11 @@
     return {(method, template) for method in route.methods}
 
 
+def _describe_failure(
+    failure: DecodingFailure, name: str, expected: str
+) -> Fault:
+    return _make_fault(failure.code, name, failure.detail, expected)
+
+
 def _make_fault(code: Code, where: str, got: str, expected: str) -> Fault:
     return Fault(code=code, where=where, got=got, expected=expected)
--- a/wagtaildale/distribution/lapses.py
+++ b/wagtaildale/distribution/lapses.py
@@ -171,5 +171,5 @@
 
 
 def _decode_records(document: Document) -> dict[InstanceId, InstanceRecord]:
-    records = map(decode_record, document.blobs.values())
+    records = (decode_record(blob).unwrap() for blob in document.blobs.values())
     return {record.instance: record for record in records}
--- a/wagtaildale/distribution/wire.py
+++ b/wagtaildale/distribution/wire.py
@@ -9,9 +9,10 @@
 import zlib
 from typing import Final
 
-from msgspec import MsgspecError, Struct, msgpack
-from result import Err, Ok, Result
+from msgspec import Struct, msgpack
+from result import Err, Result
 
+from wagtaildale.decoding.messages import MessageDecoder, decode_message
 from wagtaildale.document.model import Delta, Outline
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
@@ -166,7 +167,7 @@
 
 
 _encoder = msgpack.Encoder()
-_decoder = msgpack.Decoder(Envelope)
+_decoder = MessageDecoder(Envelope)
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -195,12 +196,15 @@
         The message, or a fault if it cannot be decoded.
     """
     try:
-        envelope = _decoder.decode(_decompress(frame))
-    except (MsgspecError, RecursionError, zlib.error) as error:
+        message = _decompress(frame)
+    except zlib.error as error:
         return Err(_describe(str(error)))
-    if not envelope.news:
+    decoded = decode_message(message, _decoder)
+    if isinstance(decoded, Err):
+        return Err(_describe(decoded.err_value.detail))
+    if not decoded.ok_value.news:
         return Err(_describe('no sender'))
-    return Ok(envelope)
+    return decoded
 
 
 def _decompress(frame: bytes) -> bytes:
--- a/wagtaildale/membership/records.py
+++ b/wagtaildale/membership/records.py
@@ -5,9 +5,11 @@
 from functools import lru_cache
 from typing import TYPE_CHECKING, Annotated, Final
 
-from msgspec import UNSET, Meta, MsgspecError, Struct, UnsetType, json
+from msgspec import UNSET, Meta, Struct, UnsetType, json
 from result import Err, Ok, Result
 
+from wagtaildale.decoding.addresses import LARGEST_PORT
+from wagtaildale.decoding.json_documents import decode_json
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
 from wagtaildale.types import (
@@ -21,8 +23,10 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from wagtaildale.decoding.failures import DecodingFailure
+
 RECORD_CACHE_SIZE: Final = 8192
-LARGEST_PORT: Final = 65535
+
 
 Port = Annotated[int, Meta(ge=1, le=LARGEST_PORT)]
 
@@ -120,24 +124,17 @@
     instances: tuple[InstanceRecord, ...]
 
 
-record_decoder = json.Decoder(InstanceRecord)
-
-
 @lru_cache(maxsize=RECORD_CACHE_SIZE)
-def decode_record(blob: bytes) -> InstanceRecord:
+def decode_record(blob: bytes) -> Result[InstanceRecord, DecodingFailure]:
     """Decode a record; results are cached by content.
 
     Args:
         blob: record as JSON.
 
     Returns:
-        The record.
-
-    Raises:
-        MsgspecError: of msgspec, if the bytes are not valid JSON or not a
-            valid record.
+        The record, or why the bytes are not a valid record.
     """
-    return record_decoder.decode(blob)
+    return decode_json(blob, InstanceRecord, code=Code.part_corrupt)
 
 
 def encode_list(listing: InstanceList) -> dict[str, bytes]:
@@ -197,10 +194,10 @@
     """
     records: dict[InstanceId, InstanceRecord] = {}
     for name, blob in blobs.items():
-        try:
-            record = decode_record(blob)
-        except MsgspecError as error:
-            return Err(_make_fault(name, str(error)))
+        decoded = decode_record(blob)
+        if isinstance(decoded, Err):
+            return Err(_make_fault(name, decoded.err_value.detail))
+        record = decoded.ok_value
         if record.instance != name:
             return Err(_make_fault(name, record.instance))
         records[record.instance] = record
--- a/wagtaildale/platform/configuration.py
+++ b/wagtaildale/platform/configuration.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from functools import lru_cache
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Annotated, Final
 from zlib import crc32
 
-from msgspec import UNSET, MsgspecError, Struct, UnsetType, json, structs
+from msgspec import UNSET, Meta, Struct, UnsetType, json, structs
+from result import Err, Result
 
 from wagtaildale.configuration.model import (
     LIMITS_ENTRY,
@@ -18,12 +19,17 @@
     SlowStart,
     WorkClass,
 )
-from wagtaildale.types import ClassName, ServiceName, TeamName
+from wagtaildale.decoding.failures import DecodingFailure
+from wagtaildale.decoding.json_documents import decode_json
+from wagtaildale.errors.codes import Code
+from wagtaildale.source.store import StoredDocument
+from wagtaildale.types import ClassName, ServiceName, TeamName, Version
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 HEXADECIMAL: Final = 16
+VERSION_PATTERN: Final = '^[0-9a-fA-F]{1,8}$'
 # The platform publishes no teams and no percentages, so that all services
 # belong to the operators and share one percentage.
 TEAM: Final = TeamName('operators')
@@ -140,7 +146,7 @@
         clusters: the services.
     """
 
-    version: str
+    version: Annotated[str, Meta(pattern=VERSION_PATTERN)]
     limits: Limits
     listeners: tuple[HostRules, ...]
     clusters: tuple[Cluster, ...]
@@ -156,10 +162,6 @@
     clusters: tuple[Cluster, ...] = ()
 
 
-_decoder = json.Decoder(PublishedConfiguration)
-_services_decoder = json.Decoder(PublishedServices)
-
-
 @lru_cache(maxsize=1)
 def list_slow_starting(payload: bytes) -> frozenset[str]:
     """List the services whose cold backend servers have a rate limit.
@@ -170,29 +172,36 @@
     Returns:
         Names of the services; none if the value cannot be read.
     """
-    try:
-        services = _services_decoder.decode(payload)
-    except MsgspecError:
+    services = decode_json(payload, PublishedServices, code=Code.part_corrupt)
+    if isinstance(services, Err):
         # Decoding the configuration document reports the error.
         return frozenset()
     return frozenset(
-        cluster.name for cluster in services.clusters if cluster.cold_per_s > 0
+        cluster.name
+        for cluster in services.ok_value.clusters
+        if cluster.cold_per_s > 0
     )
 
 
-def decode_configuration(payload: bytes) -> tuple[int, dict[str, bytes]]:
+def decode_configuration(
+    payload: bytes,
+) -> Result[StoredDocument, DecodingFailure]:
     """Decode the published value into a version and its entries.
 
     Args:
         payload: published value, JSON.
 
     Returns:
-        The version, and the encoded entries by name.
-
-    Raises:
-        MsgspecError: if the value does not have the published format.
+        The version and the encoded entries, or why the value is not a
+        configuration.
     """
-    published = _decoder.decode(payload)
+    decoded = decode_json(
+        payload, PublishedConfiguration, code=Code.part_corrupt
+    )
+    return decoded.map(_make_document)
+
+
+def _make_document(published: PublishedConfiguration) -> StoredDocument:
     blobs = _encode_rule_pieces(published)
     for cluster in published.clusters:
         part = _make_part(
@@ -204,7 +213,9 @@
             structs.replace(part, slow_start=_make_slow_start(cluster))
         )
     blobs[LIMITS_ENTRY] = json.encode(_make_limits(published.limits))
-    return int(published.version, HEXADECIMAL), blobs
+    return StoredDocument(
+        version=Version(int(published.version, HEXADECIMAL)), blobs=blobs
+    )
 
 
 def _encode_rule_pieces(published: PublishedConfiguration) -> dict[str, bytes]:
--- a/wagtaildale/platform/instances.py
+++ b/wagtaildale/platform/instances.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 from enum import Enum
-from ipaddress import IPv4Address
+from functools import partial
 from typing import TYPE_CHECKING, Annotated, Final, final
 
-from msgspec import UNSET, Meta, Struct, UnsetType, field, json
+from msgspec import UNSET, Meta, Struct, UnsetType, field
+from result import Err, Ok, Result
 
-from wagtaildale.membership.records import LARGEST_PORT, InstanceRecord
-from wagtaildale.platform.settings import split_address
+from wagtaildale.calls.addresses import Address
+from wagtaildale.decoding.addresses import decode_address
+from wagtaildale.decoding.failures import DecodingFailure
+from wagtaildale.decoding.json_documents import decode_json
+from wagtaildale.errors.codes import Code
+from wagtaildale.membership.records import InstanceRecord
 from wagtaildale.settings.model import Settings
 from wagtaildale.types import (
     DataCentre,
@@ -22,7 +27,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
-    from wagtaildale.calls.addresses import Address
+
+LONGEST_SHOWN_CHARACTERS: Final = 100
 
 
 @final
@@ -105,16 +111,13 @@
     evacuated: frozenset[str] = frozenset()
 
 
-_decoder = json.Decoder(Entry)
-
-
 def decode_instance(
     instance: str,
     payload: bytes,
     *,
     created: int = 0,
     context: DecodingContext,
-) -> InstanceRecord:
+) -> Result[InstanceRecord, DecodingFailure]:
     """Decode the entry of a backend server.
 
     Args:
@@ -124,20 +127,33 @@
         context: what the record is built from besides the entry.
 
     Returns:
-        The instance record.
-
-    Raises:
-        MsgspecError: if the value does not have the format of an entry.
-        ValueError: if the id, address or data centre is not usable.
+        The instance record, or why the entry names no backend server to use.
     """
-    entry = _decoder.decode(payload)
-    address = _check_address(entry.address)
+    decoded = decode_json(payload, Entry, code=Code.part_corrupt)
+    if isinstance(decoded, Err):
+        return decoded
+    entry = decoded.ok_value
+    checked = _check_names(instance, entry.description.zone, context.regions)
+    if isinstance(checked, Err):
+        return checked
+    address = decode_address(entry.address, code=Code.part_corrupt)
+    return address.map(
+        partial(_make_record, entry, InstanceId(instance), created, context)
+    )
+
+
+def _make_record(
+    entry: Entry,
+    instance: InstanceId,
+    created: int,
+    context: DecodingContext,
+    address: Address,
+) -> InstanceRecord:
     zone = entry.description.zone
-    _check_names(instance, zone, context.regions)
     settings = context.settings
     leaving = entry.status.state is ReportedState.draining
     return InstanceRecord(
-        instance=InstanceId(instance),
+        instance=instance,
         node=InstanceId(address.host),
         service=ServiceName(entry.description.service),
         data_centre=DataCentre(zone),
@@ -182,21 +198,19 @@
     return left_ms
 
 
-def _check_address(text: str) -> Address:
-    # Host names are rejected: an entry of another writer may have one, and
-    # resolving it would block the task that carries all calls.
-    address = split_address(text)
-    IPv4Address(address.host)
-    if not 1 <= address.port <= LARGEST_PORT:
-        raise ValueError(f'got port {address.port}, expected 1 to 65535')
-    return address
-
-
-def _check_names(instance: str, zone: str, regions: dict[str, str]) -> None:
+def _check_names(
+    instance: str, zone: str, regions: dict[str, str]
+) -> Result[None, DecodingFailure]:
     # The id is sent in a header of every request to the backend server.
     if not instance.isascii() or not instance.isprintable() or not instance:
-        raise ValueError(f'got id {instance!r}, expected printable ASCII text')
+        return _refuse(f'got id {instance!r}, expected printable ASCII text')
     if zone not in regions:
-        raise ValueError(
-            f'got data centre {zone!r}, expected one listed in zones'
+        return _refuse(
+            f'got data centre {zone[:LONGEST_SHOWN_CHARACTERS]!r},'
+            ' expected one listed in zones'
         )
+    return Ok(None)
+
+
+def _refuse(detail: str) -> Err[DecodingFailure]:
+    return Err(DecodingFailure(code=Code.part_corrupt, detail=detail))
--- a/wagtaildale/platform/settings.py
+++ b/wagtaildale/platform/settings.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Annotated, Final
 
-from msgspec import Meta, MsgspecError, Struct, json
+from msgspec import Meta, Struct
 from result import Err, Ok, Result
 
-from wagtaildale.calls.addresses import Address
 from wagtaildale.configuration.files import read_text
+from wagtaildale.decoding.addresses import decode_address
+from wagtaildale.decoding.failures import DecodingFailure
+from wagtaildale.decoding.json_documents import decode_json
 from wagtaildale.distribution.tuning import HEARTBEAT_SECONDS
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
@@ -27,6 +30,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from wagtaildale.calls.addresses import Address
+
     from wagtaildale.errors.faults import Faults
 
 DESCRIPTORS_FOR_FILES: Final = 200
@@ -139,16 +144,11 @@
     text = read_text(path)
     if isinstance(text, Err):
         return text
-    try:
-        return Ok(json.decode(text.ok_value, type=PlatformFile))
-    except MsgspecError as error:
-        fault = Fault(
-            code=Code.settings_malformed,
-            where=str(path),
-            got=str(error),
-            expected="the platform's settings as a JSON object",
-        )
-        return Err((fault,))
+    decoded = decode_json(
+        text.ok_value, PlatformFile, code=Code.settings_malformed
+    )
+    checked = decoded.and_then(_check_file)
+    return checked.map_err(partial(_describe_failure, str(path)))
 
 
 def translate_settings(platform_file: PlatformFile) -> Settings:
@@ -160,7 +160,7 @@
     Returns:
         Settings of the daemon.
     """
-    backend = split_address(platform_file.app_addr)
+    backend = _parse_address(platform_file.app_addr)
     bounds = read_bounds(platform_file.bounds)
     descriptors = platform_file.limits.max_fds - DESCRIPTORS_FOR_FILES
     return Settings(
@@ -170,10 +170,10 @@
         data_centre=DataCentre(platform_file.zone),
         region=Region(platform_file.zones[platform_file.zone]),
         host=platform_file.ip,
-        entry_port=split_address(platform_file.listen_addrs.outbound).port,
-        owner_port=split_address(platform_file.listen_addrs.inbound).port,
-        ready_port=split_address(platform_file.listen_addrs.ready).port,
-        control_port=split_address(platform_file.listen_addrs.control).port,
+        entry_port=_parse_address(platform_file.listen_addrs.outbound).port,
+        owner_port=_parse_address(platform_file.listen_addrs.inbound).port,
+        ready_port=_parse_address(platform_file.listen_addrs.ready).port,
+        control_port=_parse_address(platform_file.listen_addrs.control).port,
         admin_port=ADMIN_PORT,
         backend=BackendSettings(host=backend.host, port=backend.port),
         platform=PlatformSettings(
@@ -211,7 +211,7 @@
     figures: dict[str, float] = {}
     for text in entries:
         name, _separator, figure = text.partition('=')
-        if figure.replace('.', '', 1).isdigit():
+        if figure.isascii() and figure.replace('.', '', 1).isdigit():
             figures[name] = float(figure)
     default = BoundSettings()
     return BoundSettings(
@@ -239,14 +239,35 @@
     return figures[name] / MILLISECONDS
 
 
-def split_address(text: str) -> Address:
-    """Split an address into host and port.
+def _check_file(
+    platform_file: PlatformFile,
+) -> Result[PlatformFile, DecodingFailure]:
+    listen = platform_file.listen_addrs
+    for text in (
+        platform_file.app_addr,
+        listen.inbound,
+        listen.outbound,
+        listen.ready,
+        listen.control,
+    ):
+        address = decode_address(text, code=Code.settings_malformed)
+        if isinstance(address, Err):
+            return address
+    if platform_file.zone in platform_file.zones:
+        return Ok(platform_file)
+    detail = f'got data centre {platform_file.zone!r}, which has no region'
+    return Err(DecodingFailure(code=Code.settings_malformed, detail=detail))
+
+
+def _describe_failure(path: str, failure: DecodingFailure) -> Faults:
+    fault = Fault(
+        code=failure.code,
+        where=path,
+        got=failure.detail,
+        expected="the platform's settings as a JSON object",
+    )
+    return (fault,)
 
-    Args:
-        text: host and port, separated by a colon.
 
-    Returns:
-        The address.
-    """
-    host, _colon, port = text.rpartition(':')
-    return Address(host, int(port))
+def _parse_address(text: str) -> Address:
+    return decode_address(text, code=Code.settings_malformed).unwrap()
--- a/wagtaildale/platform/store.py
+++ b/wagtaildale/platform/store.py
@@ -2,21 +2,27 @@
 
 from __future__ import annotations
 
-from base64 import b64decode
-from typing import TYPE_CHECKING, Final, Protocol, TypeVar
+from typing import TYPE_CHECKING, Final, Protocol
 from urllib.parse import quote
 
-from msgspec import MsgspecError, Struct, field, json
+from msgspec import json
 from result import Err, Ok, Result
 
+from wagtaildale.decoding.base64_texts import decode_base64
 from wagtaildale.document.eras import (
-    FIRST_ERA,
     Era,
     find_era,
     find_revision,
     make_version,
 )
 from wagtaildale.errors.codes import Code
+from wagtaildale.platform.answers import (
+    AnswerType,
+    Changes,
+    Page,
+    StoredEntry,
+    decode_answer,
+)
 from wagtaildale.platform.configuration import (
     decode_configuration,
     list_slow_starting,
@@ -28,8 +34,7 @@
     list_evacuated,
 )
 from wagtaildale.source.curl import Answer, CurlClient
-from wagtaildale.source.http import describe_status
-from wagtaildale.source.platform import ReadFailure
+from wagtaildale.source.platform import ReadFailure, make_read_failure
 from wagtaildale.source.store import (
     Store,
     StoredDocument,
@@ -41,63 +46,13 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from wagtaildale.decoding.failures import DecodingFailure
     from wagtaildale.membership.records import InstanceRecord
     from wagtaildale.settings.model import Settings
 
 CONFIGURATION_KEY: Final = 'op/config'
 INSTANCE_PREFIX: Final = 'servers/'
-STATUS_OK: Final = 200
-STATUS_GONE: Final = 410
 MILLISECONDS: Final = 1000
-# Sent in every response; rises when the store is restored from an older copy.
-ERA_HEADER: Final = 'store-era:'
-ERA_DIGITS: Final = 6
-
-Decoded = TypeVar('Decoded')
-
-
-class StoredEntry(Struct, frozen=True, kw_only=True):
-    """An item of the store, or a change of an item.
-
-    Attributes:
-        key: key of the item.
-        revision: revision of the last change.
-        created: revision at which the item was created.
-        encoded: value of the item in base64; missing if it was removed.
-        tombstone: whether the item was removed.
-    """
-
-    key: str
-    revision: int
-    created: int = 0
-    encoded: str = field(name='value', default='')
-    tombstone: bool = False
-
-
-class Page(Struct, frozen=True, kw_only=True, rename='camel'):
-    """One page of the response to a range read.
-
-    Attributes:
-        entries: items on this page; the platform's term is items.
-        has_more: whether further pages follow.
-        store_revision: revision of the store when the page was read.
-    """
-
-    entries: tuple[StoredEntry, ...] = field(name='items')
-    has_more: bool
-    store_revision: int
-
-
-class Changes(Struct, frozen=True, kw_only=True, rename='camel'):
-    """Response to a watch.
-
-    Attributes:
-        events: changes, oldest first.
-        store_revision: revision from which the next watch continues.
-    """
-
-    events: tuple[StoredEntry, ...]
-    store_revision: int
 
 
 class HttpClient(Protocol):
@@ -230,31 +185,9 @@
         Returns:
             The document, or why it cannot be built.
         """
-        try:
-            document = self._build(kind, entries, version)
-        except (MsgspecError, ValueError) as error:
-            return Err(ReadFailure(code=Code.part_corrupt, detail=str(error)))
-        return Ok(document)
-
-    def _build(
-        self,
-        kind: DocumentKind,
-        entries: Mapping[str, StoreEntry],
-        version: Version,
-    ) -> StoredDocument:
         if kind is DocumentKind.configuration:
-            return self._build_configuration(entries)
-        return self._build_instance_list(entries, version)
-
-    def _build_configuration(
-        self,
-        entries: Mapping[str, StoreEntry],
-    ) -> StoredDocument:
-        entry = entries.get(CONFIGURATION_KEY)
-        if entry is None or entry.payload is None:
-            return StoredDocument(version=NO_VERSION, blobs={})
-        version, blobs = decode_configuration(entry.payload)
-        return StoredDocument(version=Version(version), blobs=blobs)
+            return _build_configuration(entries)
+        return Ok(self._build_instance_list(entries, version))
 
     def _build_instance_list(
         self,
@@ -272,16 +205,13 @@
         for key, entry in entries.items():
             if not key.startswith(INSTANCE_PREFIX):
                 continue
-            try:
-                record = _decode_record(entry, context)
-            except (MsgspecError, ValueError) as error:
+            decoded = _decode_record(entry, context)
+            if isinstance(decoded, Err):
                 # Skip an unreadable entry: it must not keep the whole
                 # instance list from every node.
-                detail = f'{key} at {entry.revision}: {error}'
-                failures.append(
-                    ReadFailure(code=Code.part_corrupt, detail=detail),
-                )
+                failures.append(_describe_entry(entry, decoded.err_value))
             else:
+                record = decoded.ok_value
                 blobs[record.instance] = json.encode(record)
         return StoredDocument(
             version=version,
@@ -293,8 +223,8 @@
         self,
         path: str,
         wait: float,
-        answer_type: type[Decoded],
-    ) -> Result[tuple[Decoded, Era], ReadFailure]:
+        answer_type: type[AnswerType],
+    ) -> Result[tuple[AnswerType, Era], ReadFailure]:
         response = self._client.get(
             f'{self._url}{path}',
             hold_seconds=wait,
@@ -302,12 +232,28 @@
         )
         if isinstance(response, Err):
             return response
-        return _decode_answer(response.ok_value, answer_type)
+        return decode_answer(response.ok_value, answer_type)
+
+
+def _build_configuration(
+    entries: Mapping[str, StoreEntry],
+) -> Result[StoredDocument, ReadFailure]:
+    entry = entries.get(CONFIGURATION_KEY)
+    if entry is None or entry.payload is None:
+        return Ok(StoredDocument(version=NO_VERSION, blobs={}))
+    return decode_configuration(entry.payload).map_err(make_read_failure)
+
+
+def _describe_entry(entry: StoreEntry, failure: DecodingFailure) -> ReadFailure:
+    return ReadFailure(
+        code=failure.code,
+        detail=f'{entry.key} at {entry.revision}: {failure.detail}',
+    )
 
 
 def _decode_record(
     entry: StoreEntry, context: DecodingContext
-) -> InstanceRecord:
+) -> Result[InstanceRecord, DecodingFailure]:
     return decode_instance(
         entry.key.removeprefix(INSTANCE_PREFIX),
         entry.payload or b'',
@@ -334,12 +280,10 @@
 
 
 def _decode_payload(encoded: str) -> bytes:
-    try:
-        return b64decode(encoded, validate=True)
-    except ValueError:
-        # Passed on as it is: decoding the document reports that it cannot
-        # be read.
-        return encoded.encode()
+    decoded = decode_base64(encoded, code=Code.part_corrupt)
+    # A value that is not base64 is passed on as it is: decoding the document
+    # reports that it cannot be read.
+    return decoded.unwrap_or(encoded.encode())
 
 
 def _join_pages(
@@ -359,30 +303,3 @@
             era=era,
         ),
     )
-
-
-def _decode_answer(
-    answer: Answer,
-    answer_type: type[Decoded],
-) -> Result[tuple[Decoded, Era], ReadFailure]:
-    if answer.status == STATUS_GONE:
-        detail = 'the store has dropped the changes after this revision'
-        return Err(ReadFailure(code=Code.history_gone, detail=detail))
-    if answer.status != STATUS_OK:
-        return Err(describe_status(answer.status))
-    try:
-        decoded = json.decode(answer.body, type=answer_type)
-    except MsgspecError as error:
-        return Err(ReadFailure(code=Code.part_corrupt, detail=str(error)))
-    return _find_era(answer).map(lambda era: (decoded, era))
-
-
-def _find_era(answer: Answer) -> Result[Era, ReadFailure]:
-    era_lines = [line for line in answer.headers if line.startswith(ERA_HEADER)]
-    if not era_lines:
-        return Ok(FIRST_ERA)
-    digits = era_lines[-1].removeprefix(ERA_HEADER).strip()
-    if digits.isdecimal() and len(digits) <= ERA_DIGITS:
-        return Ok(Era(int(digits)))
-    detail = f'got era {digits!r}, expected a short decimal number'
-    return Err(ReadFailure(code=Code.part_corrupt, detail=detail))
--- a/wagtaildale/platform/tests/builders.py
+++ b/wagtaildale/platform/tests/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json as stdlib_json
 from base64 import b64encode
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Final
@@ -38,6 +39,14 @@
 )
 
 
+# Deeper than the recursion limit of the interpreter.
+NESTED_DEPTH: Final = 20_000
+NESTED_FIELD: Final = b'{"notes": %b%b, ' % (
+    b'[' * NESTED_DEPTH,
+    b']' * NESTED_DEPTH,
+)
+
+
 def build_file(**changes: Any) -> PlatformFile:
     """Build the fields of a settings file.
 
@@ -157,12 +166,14 @@
     }
 
 
-def build_item(key: str, entry: Any, *, revision: int = 5) -> dict[str, Any]:
-    """Build an item of the store.
+def build_raw_item(
+    key: str, payload: bytes, *, revision: int = 5
+) -> dict[str, Any]:
+    """Build an item of the store from bytes.
 
     Args:
         key: key of the item.
-        entry: value of the item, not yet encoded.
+        payload: value of the item.
         revision: revision of the item's creation and last change.
 
     Returns:
@@ -170,8 +181,24 @@
     """
     return {
         'key': key,
-        'value': b64encode(json.encode(entry)).decode(),
+        'value': b64encode(payload).decode(),
         'revision': revision,
         'created': revision,
         'lease': 0,
     }
+
+
+def build_item(key: str, entry: Any, *, revision: int = 5) -> dict[str, Any]:
+    """Build an item of the store.
+
+    Args:
+        key: key of the item.
+        entry: value of the item, not yet encoded.
+        revision: revision of the item's creation and last change.
+
+    Returns:
+        The item in the format of the store.
+    """
+    return build_raw_item(
+        key, stdlib_json.dumps(entry).encode(), revision=revision
+    )
--- a/wagtaildale/platform/tests/test_settings.py
+++ b/wagtaildale/platform/tests/test_settings.py
@@ -12,7 +12,11 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.lifecycle import stop
 from wagtaildale.platform.settings import read_settings, translate_settings
-from wagtaildale.platform.tests.builders import SETTINGS, build_file
+from wagtaildale.platform.tests.builders import (
+    NESTED_FIELD,
+    SETTINGS,
+    build_file,
+)
 from wagtaildale.telemetry import log
 
 
@@ -46,6 +50,9 @@
         b'[]',
         json.encode({**SETTINGS, 'limits': {'maxFds': 'many'}}),
         json.encode({**SETTINGS, 'heartbeatMs': 0}),
+        json.encode({**SETTINGS, 'appAddr': '10.4.0.13'}),
+        json.encode({**SETTINGS, 'zone': 'atlantis'}),
+        NESTED_FIELD + json.encode({**SETTINGS}).lstrip(b'{'),
     ],
 )
 def test_malformed_file_is_a_fault(tmp_path: Path, text: bytes) -> None:
--- a/wagtaildale/platform/tests/test_store.py
+++ b/wagtaildale/platform/tests/test_store.py
@@ -14,9 +14,12 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.platform.configuration import decode_configuration
 from wagtaildale.platform.tests.builders import (
+    NESTED_DEPTH,
+    NESTED_FIELD,
     build_configuration,
     build_entry,
     build_item,
+    build_raw_item,
     build_rule,
 )
 from wagtaildale.platform.tests.feeds import (
@@ -33,6 +36,7 @@
 CONFIGURATION = 'op/config'
 FIRST = 'servers/i-1'
 SECOND = 'servers/i-2'
+NAMED_SERVER = json.encode(build_entry()).lstrip(b'{')
 
 
 def find_part(reading: FeedReading, service: str) -> Part:
@@ -106,7 +110,8 @@
     Nodes of two builds would hold different hashes of the same version. The
     hash is that of the build before the field existed.
     """
-    _version, blobs = decode_configuration(json.encode(build_configuration()))
+    payload = json.encode(build_configuration())
+    blobs = decode_configuration(payload).unwrap().blobs
     assert hash_part(blobs['gopu72b#57']).hex() == (
         'cca68f96a1d134ccff8083bf1ab06bbb'
     )
@@ -174,6 +179,10 @@
         build_item(SECOND, build_entry(status={'state': 'ready'})),
         build_item('servers/', build_entry()),
         build_item('servers/i-2\r\nhost: x', build_entry()),
+        build_raw_item(SECOND, NESTED_FIELD + NAMED_SERVER),
+        build_raw_item(SECOND, NESTED_FIELD + b'"status": 7}'),
+        build_raw_item(SECOND, b'[' * NESTED_DEPTH),
+        build_item(SECOND, build_entry(address='10.1.0.9:' + '9' * 5000)),
     ],
 )
 def test_unreadable_entry_is_skipped_and_reported_once(
@@ -183,7 +192,8 @@
 
     Used as it is, it makes the whole list unreadable for every node, sends
     requests to a wrong address, or blocks the task that carries calls while
-    a host name is resolved.
+    a host name is resolved. One that raises an unexpected error ends every
+    node's process, again after each start.
     """
     feed, _client = build_feed(
         build_page(build_item(FIRST, build_entry()), unreadable),
@@ -198,11 +208,21 @@
     assert not read_feed(feed).refused
 
 
-def test_unreadable_configuration_does_not_hold_up_the_list() -> None:
+@pytest.mark.parametrize(
+    'unreadable',
+    [
+        b'{"version": "x"}',
+        NESTED_FIELD + json.encode(build_configuration()).lstrip(b'{'),
+        NESTED_FIELD + b'"clusters": []}',
+    ],
+)
+def test_unreadable_configuration_does_not_hold_up_the_list(
+    unreadable: bytes,
+) -> None:
     """A configuration of another format keeps the list from every node."""
     feed, _client = build_feed(
         build_page(
-            build_item(CONFIGURATION, {'version': 'x'}),
+            build_raw_item(CONFIGURATION, unreadable),
             build_item(FIRST, build_entry()),
         ),
     )
--- a/wagtaildale/settings/load.py
+++ b/wagtaildale/settings/load.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import os
-import tomllib
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from msgspec import convert, structs
+from msgspec import structs
 from result import Err, Ok, Result
 
 from wagtaildale.configuration.files import place_findings, read_text
 from wagtaildale.configuration.shapes import check_shape
+from wagtaildale.decoding.toml_files import convert_table, decode_toml
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault, Faults
 from wagtaildale.settings.model import Settings
@@ -45,15 +45,20 @@
     Returns:
         The settings, or all faults of the text.
     """
-    try:
-        table = tomllib.loads(text)
-    except (tomllib.TOMLDecodeError, RecursionError) as error:
-        return Err((_make_malformed_fault(name, str(error), 'TOML 1.0'),))
+    decoded = decode_toml(text, code=Code.settings_malformed)
+    if isinstance(decoded, Err):
+        detail = decoded.err_value.detail
+        return Err((_make_malformed_fault(name, detail, 'TOML 1.0'),))
+    table = decoded.ok_value
     findings = check_shape(table, shape=Settings)
     if findings:
         faults = place_findings(findings, text=text, name=name)
         return Err(_replace_code(faults, Code.settings_malformed))
-    settings = convert(table, Settings)
+    converted = convert_table(table, Settings, code=Code.settings_malformed)
+    if isinstance(converted, Err):
+        detail = converted.err_value.detail
+        return Err((_make_malformed_fault(name, detail, 'settings'),))
+    settings = converted.ok_value
     faults = _check_conflicts(settings, name)
     return Err(faults) if faults else Ok(settings)
 
--- a/wagtaildale/source/http.py
+++ b/wagtaildale/source/http.py
@@ -4,14 +4,19 @@
 
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
-from msgspec import MsgspecError, json
 from result import Err, Ok, Result
 
 from wagtaildale.configuration.model import Manifest
+from wagtaildale.decoding.json_documents import decode_json
 from wagtaildale.errors.codes import Code
 from wagtaildale.membership.records import InstanceList
 from wagtaildale.source.curl import Answer, CurlClient
-from wagtaildale.source.platform import Platform, ReadFailure, Reading
+from wagtaildale.source.platform import (
+    Platform,
+    ReadFailure,
+    Reading,
+    make_read_failure,
+)
 
 if TYPE_CHECKING:
     from wagtaildale.settings.model import PlatformSettings
@@ -19,6 +24,8 @@
 IDLE_TIMEOUT_SECONDS: Final = 3.0
 MILLISECONDS: Final = 1000
 INDEX_HEADER: Final = 'x-index:'
+# Those of the largest 64-bit number.
+INDEX_DIGITS: Final = 20
 STATUS_OK: Final = 200
 STATUS_NOT_FOUND: Final = 404
 STATUS_NOT_MODIFIED: Final = 304
@@ -109,11 +116,10 @@
         answer = fetched.ok_value
         if answer.status != STATUS_OK:
             return Ok(_make_empty_reading(answer))
-        try:
-            decoded = json.decode(answer.body, type=payload_type)
-        except MsgspecError as error:
-            return Err(ReadFailure(code=Code.part_corrupt, detail=str(error)))
-        return Ok(Reading(index=_find_index(answer), payload=decoded))
+        decoded = decode_json(answer.body, payload_type, code=Code.part_corrupt)
+        if isinstance(decoded, Err):
+            return Err(make_read_failure(decoded.err_value))
+        return Ok(Reading(index=_find_index(answer), payload=decoded.ok_value))
 
     def _get(
         self, url: str, hold_seconds: float
@@ -140,7 +146,8 @@
     for line in answer.headers:
         if line.startswith(INDEX_HEADER):
             digits = line.removeprefix(INDEX_HEADER).strip()
-            return int(digits) if digits.isdecimal() else 0
+            is_index = digits.isdecimal() and len(digits) <= INDEX_DIGITS
+            return int(digits) if is_index else 0
     return 0
 
 
--- a/wagtaildale/source/platform.py
+++ b/wagtaildale/source/platform.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from wagtaildale.configuration.model import Manifest
+from wagtaildale.decoding.failures import DecodingFailure
 from wagtaildale.errors.codes import Code
 from wagtaildale.membership.records import InstanceList
 
@@ -44,6 +45,18 @@
     detail: str
 
 
+def make_read_failure(failure: DecodingFailure) -> ReadFailure:
+    """Describe a read whose payload cannot be decoded.
+
+    Args:
+        failure: why it cannot be decoded.
+
+    Returns:
+        The failure of the read.
+    """
+    return ReadFailure(code=failure.code, detail=failure.detail)
+
+
 class Platform(ABC):
     """Read-only access to a platform."""
 
--- a/wagtaildale/testing/mesh.py
+++ b/wagtaildale/testing/mesh.py
@@ -189,7 +189,7 @@
 
 
 def _set_health_path(blob: bytes, health_path: str) -> bytes:
-    part = structs.replace(decode_part(blob), health_path=health_path)
+    part = structs.replace(decode_part(blob).unwrap(), health_path=health_path)
     return json.encode(part)
 
 
