Tasks: an error that nothing expects does not end a process by what the platform holds

A read that raises has failed with 3012; the feed forgets what it read, and the next read follows after the backoff. A message whose handling raises is dropped, logged (invariant-broken, 5003) and counted. Skipped entries are counted too.

Before: the tests of the read and the message ended their tasks.

--- a/wagtaildale/admin/port.py
+++ b/wagtaildale/admin/port.py
@@ -4,6 +4,7 @@
 
 import select
 import socket
+import time
 from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok, Result
@@ -11,12 +12,14 @@
 from wagtaildale.admin.scopes import TokenAuthenticator, make_authenticator
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
+from wagtaildale.telemetry.events import EventKind
 
 if TYPE_CHECKING:
     from wagtaildale.admin.server import AdminServer
     from wagtaildale.node import Node
 
 BACKLOG: Final = 128
+RETRY_SECONDS: Final = 1.0
 
 
 class AdminPort:
@@ -72,10 +75,11 @@
         listener = self._listener
         if listener is None:
             return
-        ready = select.select([listener, self._stop_receiver], [], [])[0]
-        if self._stop_receiver in ready:
-            return
-        self._server = self._load_server(listener)
+        while self._server is None:
+            ready = select.select([listener, self._stop_receiver], [], [])[0]
+            if self._stop_receiver in ready:
+                return
+            self._server = self._try_to_load(listener)
         self._server.run()
 
     def stop(self) -> None:
@@ -84,6 +88,19 @@
         if self._server is not None:
             self._server.stop()
 
+    def _try_to_load(self, listener: socket.socket) -> AdminServer | None:
+        try:
+            return self._load_server(listener)
+        except OSError as error:
+            # A node without descriptors to spare still carries calls.
+            self._node.parts.recorder.record(
+                EventKind.admin_failed,
+                code=Code.admin_unreachable,
+                detail=str(error),
+            )
+            time.sleep(RETRY_SECONDS)
+            return None
+
     def _load_server(self, listener: socket.socket) -> AdminServer:
         # Imported with the first request, see the doc text of the class.
         from wagtaildale.admin.server import AdminServer
--- a/wagtaildale/admin/server.py
+++ b/wagtaildale/admin/server.py
@@ -68,7 +68,6 @@
         """
         logging.getLogger('werkzeug').setLevel(logging.ERROR)
         self._node = node
-        self._metrics = make_metrics(node)
         self._fleet = FleetReporter(node)
         self._authenticator = authenticator
         host, port = listener.getsockname()
@@ -79,6 +78,9 @@
             threaded=True,
             fd=listener.fileno(),
         )
+        # Last: metrics can be registered only once, and making the server may
+        # fail and be tried again.
+        self._metrics = make_metrics(node)
 
     def __call__(
         self,
--- a/wagtaildale/admin/tests/test_server.py
+++ b/wagtaildale/admin/tests/test_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import subprocess
 import sys
 import threading
@@ -103,3 +104,32 @@
         text=True,
     )
     assert done.stdout.strip() == '[]'
+
+
+class IdleServer:
+    """A server that runs at once to its end."""
+
+    def run(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+
+def test_server_that_cannot_be_made_is_made_again(
+    admin: AdminPort,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A node without descriptors to spare ends when its metrics are read."""
+    outcomes = [OSError('too many open files'), IdleServer()]
+
+    def load_server(port: AdminPort, listener: socket.socket) -> IdleServer:
+        outcome = outcomes.pop(0)
+        if isinstance(outcome, OSError):
+            raise outcome
+        return outcome
+
+    monkeypatch.setattr(AdminPort, '_load_server', load_server)
+    with socket.create_connection((HOST, build_settings().admin_port)):
+        assert returns_in_time(admin.run)
+    assert not outcomes
--- a/wagtaildale/distribution/dependencies.py
+++ b/wagtaildale/distribution/dependencies.py
@@ -24,6 +24,9 @@
         malformed: received frames that cannot be decoded.
         misdirected: received messages that are addressed to another instance.
         unsent: messages that no connection accepted.
+        refused_entries: entries of the platform that were skipped, since
+            they cannot be read.
+        defects: messages whose handling ended by an unexpected error.
     """
 
     messages_in: int = 0
@@ -31,6 +34,8 @@
     malformed: int = 0
     misdirected: int = 0
     unsent: int = 0
+    refused_entries: int = 0
+    defects: int = 0
 
 
 class TaskDependencies(Struct, kw_only=True):
--- a/wagtaildale/distribution/effects.py
+++ b/wagtaildale/distribution/effects.py
@@ -8,7 +8,7 @@
 
 from wagtaildale.distribution import messages
 from wagtaildale.distribution.checks import CHECKS
-from wagtaildale.distribution.dependencies import TaskDependencies
+from wagtaildale.distribution.dependencies import Counts, TaskDependencies
 from wagtaildale.distribution.state import (
     MILLISECONDS,
     NEVER,
@@ -39,6 +39,7 @@
 
     state: DistributionState
     dependencies: TaskDependencies
+    counts: Counts
 
     def send(self, instance: InstanceId, body: Body) -> None:
         """Send a message to an instance.
@@ -297,6 +298,7 @@
 def _record_entry_refusal(
     effect: messages.EntryRefused, sender: Sender
 ) -> None:
+    sender.counts.refused_entries += 1
     sender.dependencies.recorder.record(
         EventKind.entry_refused,
         code=effect.code,
--- a/wagtaildale/distribution/task.py
+++ b/wagtaildale/distribution/task.py
@@ -6,6 +6,7 @@
 
 from result import Err
 
+from wagtaildale.decoding.failures import LONGEST_DETAIL_CHARACTERS
 from wagtaildale.distribution import messages
 from wagtaildale.distribution.decisions import decide
 from wagtaildale.distribution.dependencies import Counts, TaskDependencies
@@ -167,8 +168,18 @@
             self.dependencies.recorder.record(
                 EventKind.woke_late, detail=detail
             )
-        for effect in decide(message, self.state, now=read_clock()):
-            execute(effect, self)
+        try:
+            for effect in decide(message, self.state, now=read_clock()):
+                execute(effect, self)
+        except Exception as error:
+            # Ending the process would not help if the message was made from
+            # what the platform holds: the next one would end by it too.
+            self.counts.defects += 1
+            self.dependencies.recorder.record(
+                EventKind.invariant_broken,
+                code=Code.invariant_broken,
+                detail=repr(error)[:LONGEST_DETAIL_CHARACTERS],
+            )
 
     def _encode(self, to: InstanceId, body: Body) -> bytes:
         envelope = Envelope(
--- a/wagtaildale/distribution/tests/test_task.py
+++ b/wagtaildale/distribution/tests/test_task.py
@@ -98,3 +98,25 @@
     news = state.members.find_news(peer)
     assert news is not None
     assert news.state is NodeState.ready
+
+
+class UnforeseenMessage:
+    """A message that no decision is registered for."""
+
+
+def test_unexpected_error_of_a_message_does_not_end_the_task() -> None:
+    """A message made from what the platform holds ends each new process."""
+    network = build_network(8)
+    own = InstanceId('a')
+    state = network.nodes[own].state
+    peer = get_topology(state.members).neighbours[0]
+    reply = network.wrap(peer, to=own, body=Swap((), is_reply=True))
+    inbox: Inbox[Any] = Inbox()
+    inbox.put(UnforeseenMessage())
+    inbox.put(Tick(name=TimerName.digest, now=read_clock()))
+    task = make_task(
+        state, ReplySockets(encode_envelope(reply.envelope)), inbox
+    )
+    task.run()
+    assert task.counts.defects == 1
+    assert task.counts.messages_out
--- a/wagtaildale/errors/codes.py
+++ b/wagtaildale/errors/codes.py
@@ -42,6 +42,7 @@
     message_misdirected = 3009
     delta_mismatch = 3010
     history_gone = 3011
+    read_defect = 3012
 
     request_malformed = 4001
     request_too_large = 4002
@@ -111,6 +112,7 @@
         Code.message_misdirected: 'a message meant for another instance',
         Code.delta_mismatch: 'a delta that does not give what it names',
         Code.history_gone: 'the platform has dropped the changes asked for',
+        Code.read_defect: 'reading the platform failed by a defect',
         Code.request_malformed: 'the request is not valid HTTP',
         Code.request_too_large: 'head or body over the limit',
         Code.no_route: 'no class matches method and path',
--- a/wagtaildale/source/feed.py
+++ b/wagtaildale/source/feed.py
@@ -14,14 +14,21 @@
 from result import Err, Ok, Result
 
 from wagtaildale.configuration.compiled import hash_part
+from wagtaildale.decoding.failures import describe_error
 from wagtaildale.distribution.messages import (
     EntryRefused,
     SourceConfirmed,
     SourceRead,
 )
 from wagtaildale.document.model import Outline
+from wagtaildale.errors.codes import Code
 from wagtaildale.membership.records import InstanceList, encode_list
-from wagtaildale.source.platform import Platform, ReadFailure, Reading
+from wagtaildale.source.platform import (
+    Platform,
+    ReadFailure,
+    Reading,
+    make_read_failure,
+)
 from wagtaildale.types import NO_VERSION, Digest, DocumentKind, Version
 
 if TYPE_CHECKING:
@@ -78,6 +85,31 @@
         report what has changed since the last read.
         """
 
+    def forget(self) -> None:
+        """Drop what was read; the next read returns all documents."""
+        self.restart()
+
+
+def read_feed(feed: Feed, *, wait: float) -> Result[FeedReading, ReadFailure]:
+    """Read a feed; an error that nothing expects is a failed read.
+
+    Without this, it would end the task and with it the process, and the next
+    process would read the same from the platform and end too.
+
+    Args:
+        feed: feed to read.
+        wait: longest time that the platform holds the read open, seconds.
+
+    Returns:
+        What the feed returned, or why nothing was read.
+    """
+    try:
+        return feed.read(wait=wait)
+    except Exception as error:
+        feed.forget()
+        failure = describe_error(error, code=Code.read_defect)
+        return Err(make_read_failure(failure))
+
 
 class DocumentFeed(Feed):
     """Feed of one document, for platforms with a key for each document."""
--- a/wagtaildale/source/platform.py
+++ b/wagtaildale/source/platform.py
@@ -6,10 +6,10 @@
 from typing import Generic, TypeVar
 
 from msgspec import Struct
-from result import Result
+from result import Err, Result
 
 from wagtaildale.configuration.model import Manifest
-from wagtaildale.decoding.failures import DecodingFailure
+from wagtaildale.decoding.failures import DecodingFailure, describe_error
 from wagtaildale.errors.codes import Code
 from wagtaildale.membership.records import InstanceList
 
@@ -107,3 +107,22 @@
         Returns:
             The list, or why it was not read.
         """
+
+
+def read_part(
+    platform: Platform, name: str
+) -> Result[bytes | None, ReadFailure]:
+    """Read a part; an error that nothing expects is a failed read.
+
+    Args:
+        platform: platform to read from.
+        name: content hash of the part, hexadecimal.
+
+    Returns:
+        What the platform returned, or why nothing was read.
+    """
+    try:
+        return platform.read_part(name)
+    except Exception as error:
+        failure = describe_error(error, code=Code.read_defect)
+        return Err(make_read_failure(failure))
--- a/wagtaildale/source/store.py
+++ b/wagtaildale/source/store.py
@@ -199,6 +199,10 @@
         cursor, or that it no longer can.
         """
 
+    def forget(self) -> None:
+        """Reset the cursor; see ``Feed``."""
+        self._revision = None
+
     def _read_all(self) -> Result[FeedReading, ReadFailure]:
         full_read = self._store.read_all()
         read = full_read.and_then(partial(_check_era, held=self._era))
--- a/wagtaildale/source/tasks.py
+++ b/wagtaildale/source/tasks.py
@@ -16,8 +16,9 @@
     Watch,
 )
 from wagtaildale.errors.codes import Code
+from wagtaildale.source.feed import read_feed
 from wagtaildale.source.pacing import FIRST_CAP_SECONDS, Backoff, TokenBucket
-from wagtaildale.source.platform import Platform, ReadFailure
+from wagtaildale.source.platform import Platform, ReadFailure, read_part
 from wagtaildale.timers.inbox import Inbox
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import Digest
@@ -115,7 +116,7 @@
         # The time spent gathering further changes is taken off the watch.
         # Otherwise other nodes, which measure the time since the reader's
         # last message, would take the reader for lost.
-        read = self.feed.read(wait=self._wait - self._gathered_seconds)
+        read = read_feed(self.feed, wait=self._wait - self._gathered_seconds)
         self._gathered_seconds = 0
         if isinstance(read, Err):
             # After any failure the cursor is reset: the platform may have
@@ -195,7 +196,7 @@
         self._stopping.wait(self._buckets[False].take(now=read_clock()))
         feed.restart()
         self.reads += 1
-        read = feed.read(wait=0)
+        read = read_feed(feed, wait=0)
         if isinstance(read, Err):
             self.failed_reads += 1
             _put_failure(self._outbox, feed, read.err_value)
@@ -239,7 +240,7 @@
         if self._platform is None:
             return Ok(None)
         self.reads += 1
-        read = self._platform.read_part(digest.hex())
+        read = read_part(self._platform, digest.hex())
         if isinstance(read, Ok):
             self._backoff.reset()
         return read
--- a/wagtaildale/source/tests/test_tasks.py
+++ b/wagtaildale/source/tests/test_tasks.py
@@ -13,11 +13,13 @@
 from wagtaildale.configuration.compiled import hash_part
 from wagtaildale.distribution.messages import (
     ReadBlobs,
+    ReadSource,
     SourceBlobs,
     SourceFailed,
     SourceRead,
     Watch,
 )
+from wagtaildale.errors.codes import Code
 from wagtaildale.settings.model import PlatformSettings
 from wagtaildale.source.feed import (
     DocumentFeed,
@@ -219,3 +221,66 @@
     assert feed.waits[:3] == pytest.approx(
         [WATCH_SECONDS, WATCH_SECONDS * 3 / 4, WATCH_SECONDS]
     )
+
+
+class FailingFeed(Feed):
+    """Raises an error that nothing expects, until it is told to stop.
+
+    Attributes:
+        is_failing: whether the next read raises.
+        times_forgotten: how often the feed had to drop what it had read.
+    """
+
+    kinds = (DocumentKind.configuration,)
+
+    def __init__(self) -> None:
+        self.is_failing = True
+        self.times_forgotten = 0
+
+    def read(self, *, wait: float) -> Result[FeedReading, ReadFailure]:
+        if self.is_failing:
+            raise RecursionError('unexpected')
+        changed = make_read(
+            DocumentKind.configuration, version=Version(1), blobs={}
+        )
+        return Ok(FeedReading(changed=(changed,)))
+
+    def restart(self) -> None:
+        """Do nothing: this feed has no cursor."""
+
+    def forget(self) -> None:
+        self.times_forgotten += 1
+
+
+def test_unexpected_error_of_a_read_does_not_end_its_task() -> None:
+    """One entry of the platform ends each node that reads it, at each start."""
+    outbox: Inbox[Any] = Inbox()
+    feed = FailingFeed()
+    watch = WatchTask(
+        feed, outbox=outbox, wait=WATCH_SECONDS, first_cap_seconds=WATCH_SECONDS
+    )
+    fetch = FetchTask([feed], platform=None, outbox=outbox)
+    threads = [
+        threading.Thread(target=task.run, daemon=True)
+        for task in (watch, fetch)
+    ]
+    for thread in threads:
+        thread.start()
+    watch.inbox.put(
+        Watch(kind=DocumentKind.configuration, appointed=True, rank=0)
+    )
+    fetch.inbox.put(ReadSource(kind=DocumentKind.configuration))
+    failures = [outbox.take(timeout=PATIENCE) for _task in threads]
+    feed.is_failing = False
+    later = outbox.take(timeout=PATIENCE)
+    while isinstance(later, SourceFailed):
+        later = outbox.take(timeout=PATIENCE)
+    watch.stop()
+    fetch.stop()
+    for thread in threads:
+        thread.join(PATIENCE)
+    assert {getattr(each, 'code', None) for each in failures} == {
+        Code.read_defect
+    }
+    assert feed.times_forgotten >= 2
+    assert isinstance(later, SourceRead)
--- a/wagtaildale/telemetry/events.py
+++ b/wagtaildale/telemetry/events.py
@@ -81,6 +81,7 @@
     pace_contradicted = 'pace-contradicted'
     pace_confirmed = 'pace-confirmed'
     settings_kept = 'settings-kept'
+    admin_failed = 'admin-failed'
     invariant_broken = 'invariant-broken'
 
 
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -29,7 +29,11 @@
     parts = node.parts
     metrics = Metrics(parts.tallies, instance=parts.identity.instance)
     state = node.distribution.state
-    for add_gauges in (_add_backend_gauges, _add_line_gauges):
+    for add_gauges in (
+        _add_platform_gauges,
+        _add_backend_gauges,
+        _add_line_gauges,
+    ):
         add_gauges(metrics, node)
     for kind in DocumentKind:
         metrics.add_gauge(
@@ -56,6 +60,16 @@
         unit='1',
         description='Whether this node watches the platform.',
     )
+    metrics.add_gauge(
+        'wagtaildale.invariants.broken',
+        lambda: parts.invariants.broken,
+        unit='1',
+        description='Invariants found broken: anything but 0 is a defect.',
+    )
+    return metrics
+
+
+def _add_platform_gauges(metrics: Metrics, node: Node) -> None:
     metrics.add_gauge(
         'wagtaildale.platform.reads',
         lambda: node.count_reads().reads,
@@ -68,13 +82,19 @@
         unit='{read}',
         description='Reads of the platform that failed since the start.',
     )
+    counts = node.distribution.counts
     metrics.add_gauge(
-        'wagtaildale.invariants.broken',
-        lambda: parts.invariants.broken,
-        unit='1',
-        description='Invariants found broken: anything but 0 is a defect.',
+        'wagtaildale.platform.refused_entries',
+        lambda: counts.refused_entries,
+        unit='{entry}',
+        description='Entries of the platform skipped as unreadable.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.distribution.defects',
+        lambda: counts.defects,
+        unit='{message}',
+        description='Messages dropped by a defect: anything but 0 is one.',
     )
-    return metrics
 
 
 def _add_backend_gauges(metrics: Metrics, node: Node) -> None:
