Instance list: the same bounds where entries are read and where records are

A start of 2^70 ms cannot be written to a message between nodes (OverflowError, 64 bits), a slot count of 400 digits is no float, a service name of a megabyte would be part of the list at every node. Such entries named a server; they are skipped now.

Both decoders use the same types. Before: 6 new cases were taken for servers.

--- a/wagtaildale/membership/records.py
+++ b/wagtaildale/membership/records.py
@@ -27,8 +27,14 @@
 
 RECORD_CACHE_SIZE: Final = 8192
 
+# Integers beyond this are no longer exact as floats, and beyond 64 bits they
+# cannot be sent to another node.
+LARGEST_INTEGER: Final = 9_007_199_254_740_991
+LARGEST_SLOT_COUNT: Final = 1_000_000
 
 Port = Annotated[int, Meta(ge=1, le=LARGEST_PORT)]
+SlotCount = Annotated[int, Meta(ge=0, le=LARGEST_SLOT_COUNT)]
+Milliseconds = Annotated[int, Meta(ge=0, le=LARGEST_INTEGER)]
 
 
 class InstanceRecord(Struct, frozen=True, kw_only=True):
@@ -73,12 +79,12 @@
     admin_port: Port
     state: ListedState = ListedState.live
     node: InstanceId = InstanceId('')
-    slots: Annotated[int, Meta(ge=0)] = 0
+    slots: SlotCount = 0
     backend_port: int = 0
     since: int = 0
-    born: int = 0
+    born: Milliseconds = 0
     evacuated: bool | UnsetType = UNSET
-    slow_start_ms: Annotated[int, Meta(ge=0)] | UnsetType = UNSET
+    slow_start_ms: Milliseconds | UnsetType = UNSET
 
     @property
     def is_evacuated(self) -> bool:
--- a/wagtaildale/platform/instances.py
+++ b/wagtaildale/platform/instances.py
@@ -14,7 +14,12 @@
 from wagtaildale.decoding.failures import DecodingFailure
 from wagtaildale.decoding.json_documents import decode_json
 from wagtaildale.errors.codes import Code
-from wagtaildale.membership.records import InstanceRecord
+from wagtaildale.membership.records import (
+    LARGEST_INTEGER,
+    LARGEST_SLOT_COUNT,
+    InstanceRecord,
+    Milliseconds,
+)
 from wagtaildale.settings.model import Settings
 from wagtaildale.types import (
     DataCentre,
@@ -28,6 +33,8 @@
     from collections.abc import Collection, Iterable
 
 
+# A longer name would take a large share of the list that every node holds.
+LONGEST_SERVICE_CHARACTERS: Final = 1000
 LONGEST_SHOWN_CHARACTERS: Final = 100
 
 
@@ -49,10 +56,10 @@
         slots: most requests that the server runs at once.
     """
 
-    service: str
+    service: Annotated[str, Meta(max_length=LONGEST_SERVICE_CHARACTERS)]
     version: str
     zone: str
-    slots: Annotated[int, Meta(ge=1)]
+    slots: Annotated[int, Meta(ge=1, le=LARGEST_SLOT_COUNT)]
 
 
 class Status(Struct, frozen=True, kw_only=True, rename='camel'):
@@ -70,7 +77,7 @@
 
     state: ReportedState
     sequence: int
-    cold_left_ms: float
+    cold_left_ms: Annotated[float, Meta(le=LARGEST_INTEGER)]
 
 
 class Entry(Struct, frozen=True, kw_only=True):
@@ -86,7 +93,7 @@
     address: str
     description: Description = field(name='info')
     status: Status
-    born: int = 0
+    born: Milliseconds = 0
 
 
 # A key with this prefix and the name of a data centre evacuates it.
--- a/wagtaildale/platform/tests/test_store.py
+++ b/wagtaildale/platform/tests/test_store.py
@@ -182,6 +182,12 @@
         build_raw_item(SECOND, NESTED_FIELD + NAMED_SERVER),
         build_raw_item(SECOND, NESTED_FIELD + b'"status": 7}'),
         build_raw_item(SECOND, b'[' * NESTED_DEPTH),
+        build_item(SECOND, build_entry(born=2**53)),
+        build_item(SECOND, build_entry(born=10**400)),
+        build_item(SECOND, build_entry(born=-1)),
+        build_item(SECOND, build_entry(slots=10**400)),
+        build_item(SECOND, build_entry(slots=2**40)),
+        build_item(SECOND, build_entry(service='s' * 100_000)),
         build_item(SECOND, build_entry(address='10.1.0.9:' + '9' * 5000)),
     ],
 )
