--- a/benchmarks/drains.py
+++ b/benchmarks/drains.py
@@ -15,10 +15,10 @@
 
 import click
 
-from standins.deployment.machines import choose_network
 from standins.deployment.profiles import DEPLOYMENTS
 from standins.deployment.run import DeploymentRun, RunPlan
 from standins.deployment.scenarios import SCENARIOS
+from wagtaildale.testing.loopback import choose_network
 
 if TYPE_CHECKING:
     from standins.deployment.run import RunOutcome
--- a/standins/deployment/machines.py
+++ b/standins/deployment/machines.py
@@ -25,12 +25,8 @@
 # Folder of the checkout that nodes run from, to compare an earlier landing.
 CHECKOUT_VARIABLE: Final = 'DRAINS_CHECKOUT'
 ARRIVALS_NAME: Final = 'arrivals'
-NETWORKS: Final = 200
-FIRST_NETWORK: Final = 20
 END_SECONDS: Final = 10.0
 
-_run_numbers = itertools.count()
-
 
 class Machine:
     """A node and the backend server beside it.
@@ -201,17 +197,6 @@
                 process.wait(END_SECONDS)
 
 
-def choose_network() -> str:
-    """Choose IP addresses that runs side by side do not share.
-
-    Returns:
-        First three parts of the addresses, on the loopback interface.
-    """
-    third, second = divmod(os.getpid(), NETWORKS)
-    third = (third + next(_run_numbers)) % NETWORKS
-    return f'127.{FIRST_NETWORK + second}.{FIRST_NETWORK + third}'
-
-
 def start_clients(plan: ClientPlan) -> subprocess.Popen[bytes]:
     """Start a process of callers.
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -79,7 +79,7 @@
         log_level: log level of the nodes.
         extra_arguments: additional command-line arguments of each node.
         extra_settings: TOML appended to the settings of each node.
-        network: third octet of the IP address of the first instance.
+        network: first three parts of the IP address of the first instance.
     """
 
     spread: str = 'prompt'
@@ -88,7 +88,7 @@
     log_level: str = 'info'
     extra_arguments: tuple[str, ...] = ()
     extra_settings: str = ''
-    network: int = 1
+    network: str = '127.0.1'
 
 
 class NodeProcess:
@@ -346,7 +346,7 @@
     return ListedState.leaving if is_leaving else ListedState.live
 
 
-def _make_records(placement: Placement, network: int) -> list[InstanceRecord]:
+def _make_records(placement: Placement, network: str) -> list[InstanceRecord]:
     records: list[InstanceRecord] = []
     for service, count in placement.services.items():
         for number in range(count):
@@ -368,9 +368,10 @@
     return records
 
 
-def _make_host(position: int, first: int) -> str:
-    network, number = divmod(position, NODES_PER_NETWORK)
-    return f'127.0.{first + network}.{number + 1}'
+def _make_host(position: int, first: str) -> str:
+    further, number = divmod(position, NODES_PER_NETWORK)
+    prefix, _point, third = first.rpartition('.')
+    return f'{prefix}.{int(third) + further}.{number + 1}'
 
 
 def _check_addresses(records: list[InstanceRecord]) -> None:
--- a/standins/tests/test_crashing_requests.py
+++ b/standins/tests/test_crashing_requests.py
@@ -15,6 +15,7 @@
 from standins.tests.node_client import TIMEOUT_SECONDS, read_counts, send_lookup
 from wagtaildale.cli.main import main
 from wagtaildale.testing.builders import build_compiled
+from wagtaildale.testing.loopback import choose_network
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -23,7 +24,7 @@
 
     from standins.fleet import NodeProcess
 
-NETWORK: Final = 45
+NETWORK: Final = choose_network()
 CRASH_PATH: Final = '/files/deadly'
 CRASH_REASON: Final = 'servers ended'
 LOOKUPS: Final = 12
--- a/standins/tests/test_drains.py
+++ b/standins/tests/test_drains.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from standins.deployment.machines import choose_network
 from standins.deployment.profiles import HAILMARK, PDP_GATES, STARTNUMMER
 from standins.deployment.run import DeploymentRun, RunPlan
 from standins.deployment.scenarios import SCENARIOS
+from wagtaildale.testing.loopback import choose_network
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/standins/tests/test_fleet.py
+++ b/standins/tests/test_fleet.py
@@ -18,12 +18,13 @@
     FleetOptions,
     Placement,
 )
+from wagtaildale.testing.loopback import choose_network
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-NETWORK: Final = 43
-USED_ADDRESS: Final = (f'127.0.{NETWORK}.2', ADMIN_PORT)
+NETWORK: Final = choose_network()
+USED_ADDRESS: Final = (f'{NETWORK}.2', ADMIN_PORT)
 DEMO_HOST: Final = '127.0.1.1'
 PLACEMENT: Final = Placement(
     region='midlands',
--- a/standins/tests/test_limits_and_leaving.py
+++ b/standins/tests/test_limits_and_leaving.py
@@ -13,13 +13,14 @@
 from standins.fleet import BACKEND_PORT, Fleet, FleetOptions, Placement
 from standins.tests.node_client import read_counts, send_lookup
 from wagtaildale.testing.builders import build_compiled
+from wagtaildale.testing.loopback import choose_network
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from standins.fleet import NodeProcess
 
-NETWORK: Final = 46
+NETWORK: Final = choose_network()
 PATH: Final = '/files/1'
 TIMEOUT_SECONDS: Final = 20.0
 LOOKUPS: Final = 80
--- a/wagtaildale/admin/tests/test_server.py
+++ b/wagtaildale/admin/tests/test_server.py
@@ -21,11 +21,12 @@
 from wagtaildale.platform.tests.builders import build_settings
 from wagtaildale.testing.assertions import assert_ok
 from wagtaildale.testing.builders import build_recorder
+from wagtaildale.testing.loopback import make_host
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-HOST = '127.0.9.40'
+HOST = make_host(40)
 
 
 @pytest.fixture
@@ -121,7 +122,10 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A node without descriptors to spare ends when its metrics are read."""
-    outcomes = [OSError('too many open files'), IdleServer()]
+    outcomes: list[OSError | IdleServer] = [
+        OSError('too many open files'),
+        IdleServer(),
+    ]
 
     def load_server(port: AdminPort, listener: socket.socket) -> IdleServer:
         outcome = outcomes.pop(0)
--- a/wagtaildale/calls/tests/fleets.py
+++ b/wagtaildale/calls/tests/fleets.py
@@ -9,6 +9,7 @@
 from wagtaildale.platform.dialect import PLATFORM_DIALECT
 from wagtaildale.testing.builders import MESH_TEXT, build_record
 from wagtaildale.testing.closing import Closing
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.testing.mesh import MeshNode
 from wagtaildale.testing.suspects import SharedSuspects
 
@@ -36,7 +37,7 @@
         self.records = [
             build_record(
                 f'i-{number}',
-                host=f'127.0.9.{50 + number}',
+                host=make_host(50 + number),
                 data_centre=data_centres[number % len(data_centres)],
             )
             for number in range(upstreams)
@@ -46,7 +47,7 @@
         self.owners = [self._make_node(record) for record in self.records]
         self.entries = [
             self._make_node(
-                build_record(f'e{number}', host=f'127.0.9.{80 + number}')
+                build_record(f'e{number}', host=make_host(80 + number))
             )
             for number in range(entries)
         ]
--- a/wagtaildale/calls/tests/replaced_servers.py
+++ b/wagtaildale/calls/tests/replaced_servers.py
@@ -11,6 +11,7 @@
 from wagtaildale.platform.dialect import PLATFORM_DIALECT
 from wagtaildale.testing.builders import MESH_TEXT, build_record
 from wagtaildale.testing.closing import Closing
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
 
 if TYPE_CHECKING:
@@ -78,7 +79,7 @@
 
     def __init__(self, count: int) -> None:
         self.records = [
-            build_record(f'i-{number}', host=f'127.0.9.{30 + number}')
+            build_record(f'i-{number}', host=make_host(30 + number))
             for number in range(count)
         ]
         self.backends = [
@@ -86,7 +87,7 @@
             for record in self.records
         ]
         self.owners = [_make_node(record) for record in self.records]
-        self.entry = _make_node(build_record('e', host='127.0.9.29'))
+        self.entry = _make_node(build_record('e', host=make_host(29)))
         for node in (self.entry, *self.owners):
             node.set_instances(*self.records)
 
--- a/wagtaildale/calls/tests/test_backend_connection.py
+++ b/wagtaildale/calls/tests/test_backend_connection.py
@@ -17,6 +17,7 @@
 from wagtaildale.calls.backend.backend_pool import BackendPool
 from wagtaildale.calls.tests.manual_loop import ManualLoop, is_readable
 from wagtaildale.testing.builders import build_recorder
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.testing.mesh import BACKEND_PORT
 from wagtaildale.types import Outcome
 
@@ -26,7 +27,7 @@
     from wagtaildale.calls.failures import CallFailed
     from wagtaildale.calls.http.parsing import Message
 
-HOST: Final = '127.0.9.8'
+HOST: Final = make_host(8)
 ANSWER: Final = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi'
 LAST_ANSWER: Final = ANSWER.replace(
     b'\r\n\r\n', b'\r\nconnection: close\r\n\r\n'
--- a/wagtaildale/calls/tests/test_budgets.py
+++ b/wagtaildale/calls/tests/test_budgets.py
@@ -9,6 +9,7 @@
 from wagtaildale.calls.entry.budgets import RetryBudget, compute_retry_limits
 from wagtaildale.settings.model import BoundSettings
 from wagtaildale.testing.builders import build_record
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.testing.mesh import MeshNode
 
 BOUNDS = BoundSettings(
@@ -107,7 +108,7 @@
 ):
     """Entries that know few others would each take the slack of many."""
     records = [
-        build_record(f'i-{number}', host=f'127.0.9.{30 + number}')
+        build_record(f'i-{number}', host=make_host(30 + number))
         for number in range(ENTRIES)
     ]
     with MeshNode(records[0]) as node:
--- a/wagtaildale/calls/tests/test_bulk.py
+++ b/wagtaildale/calls/tests/test_bulk.py
@@ -24,6 +24,7 @@
 from wagtaildale.telemetry.events import EventKind, EventRecorder
 from wagtaildale.telemetry.tallies import Tallies
 from wagtaildale.testing.builders import MESH_TEXT, OWNER_PORT
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import DataCentre, Incarnation, InstanceId
 
@@ -188,7 +189,7 @@
     state = LineState(1500, 625)
     upstream.lines.note(incoming=None, outgoing=state, now=read_clock())
     return AttemptTarget(
-        address=Address('127.0.9.2', OWNER_PORT),
+        address=Address(make_host(2), OWNER_PORT),
         is_local=False,
         is_in_other_data_centre=False,
         data_centre=DataCentre('derby'),
--- a/wagtaildale/calls/tests/test_bulk_targets.py
+++ b/wagtaildale/calls/tests/test_bulk_targets.py
@@ -15,6 +15,7 @@
 from wagtaildale.calls.tests.pairs import Pair
 from wagtaildale.errors.codes import Code
 from wagtaildale.testing.builders import MESH_TEXT, build_retry_limits
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import InstanceId, RequestId
 
@@ -73,7 +74,7 @@
     monkeypatch.setattr('wagtaildale.routing.line_check.PROBE_SHARE', 0)
     pair.entry_node.publish(BULK_TEXT)
     first = pair.owner_node.record
-    second = structs.replace(first, instance=InstanceId('c'), host='127.0.9.3')
+    second = structs.replace(first, instance=InstanceId('c'), host=make_host(3))
     pair.entry_node.set_instances(first, second)
     report_line(pair, first.instance, LineState(0, 625))
     report_line(pair, second.instance, OVERDUE)
--- a/wagtaildale/calls/tests/test_callers.py
+++ b/wagtaildale/calls/tests/test_callers.py
@@ -21,6 +21,7 @@
 from wagtaildale.calls.tests.manual_loop import ManualLoop, is_readable
 from wagtaildale.calls.tests.pairs import TIMEOUT_SECONDS
 from wagtaildale.reactor.stream import LINGER_SECONDS
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
@@ -28,7 +29,7 @@
 
     from wagtaildale.calls.http.exchanges import Exchange
 
-ADDRESS: Final = Address('127.0.9.8', 8080)
+ADDRESS: Final = Address(make_host(8), 8080)
 REQUEST: Final = b'GET /files/1 HTTP/1.1\r\nhost: m\r\n\r\n'
 LAST_REQUEST: Final = REQUEST.replace(
     b'\r\n\r\n', b'\r\nconnection: close\r\n\r\n'
--- a/wagtaildale/calls/tests/test_dialect.py
+++ b/wagtaildale/calls/tests/test_dialect.py
@@ -14,12 +14,13 @@
 from wagtaildale.calls.tests.pairs import TIMEOUT_SECONDS
 from wagtaildale.platform.dialect import PLATFORM_DIALECT
 from wagtaildale.testing.builders import MESH_TEXT, build_record
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-HOST: Final = '127.0.9.7'
+HOST: Final = make_host(7)
 REQUEST_ID: Final = b'9c41d07be2a35f68'
 DEADLINE_MS: Final = 700
 
--- a/wagtaildale/calls/tests/test_late_binding.py
+++ b/wagtaildale/calls/tests/test_late_binding.py
@@ -22,6 +22,7 @@
     SLOTS,
     build_record,
 )
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import InstanceId
 
@@ -168,7 +169,7 @@
     report_pace(fleet)
     warm_up(fleet, method, path)
     entry = fleet.entries[0]
-    record = build_record('dying', host='127.0.9.60')
+    record = build_record('dying', host=make_host(60))
     with closing(ClosingOwner((record.host, record.owner_port))) as owner:
         entry.set_instances(*fleet.records, record)
         prefer(entry, record.instance)
--- a/wagtaildale/calls/tests/test_outcomes.py
+++ b/wagtaildale/calls/tests/test_outcomes.py
@@ -10,10 +10,10 @@
 
 from wagtaildale.admission.limits import Ending
 from wagtaildale.calls.tests.pairs import (
-    read_code,
     OUTCOME_HEADER,
     TIMEOUT_SECONDS,
     Pair,
+    read_code,
     wait_until,
 )
 from wagtaildale.errors.codes import Code
@@ -22,6 +22,7 @@
     build_instances,
     build_record,
 )
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.testing.mesh import MeshNode
 from wagtaildale.types import ListedState
 
@@ -35,7 +36,7 @@
 @pytest.fixture
 def rejecting_owner(pair: Pair) -> Iterator[MeshNode]:
     """A second owner, which rejects every request."""
-    node = MeshNode(build_record('c', host='127.0.9.3'))
+    node = MeshNode(build_record('c', host=make_host(3)))
     node.drain()
     pair.entry_node.set_instances(pair.owner_node.record, node.record)
     yield node
--- a/wagtaildale/calls/tests/test_owner_listener.py
+++ b/wagtaildale/calls/tests/test_owner_listener.py
@@ -21,12 +21,13 @@
     build_record,
     build_recorder,
 )
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import InstanceId
 
 OWN: Final = InstanceId('mine')
 OTHER: Final = InstanceId('other')
-ADDRESS: Final = Address('127.0.9.1', OWNER_PORT)
+ADDRESS: Final = Address(make_host(1), OWNER_PORT)
 LOAD: Final = LoadReport(OWN, 0, 4, 0, is_up=True)
 
 
@@ -39,7 +40,7 @@
         self.view = ViewHolder()
         self.records = (
             structs.replace(build_record(OWN, host=ADDRESS.host), born=7),
-            build_record(OTHER, host='127.0.9.2'),
+            build_record(OTHER, host=make_host(2)),
         )
         self.view.replace_instances(build_instances(*self.records))
         self.listener = OwnerListener(
--- a/wagtaildale/calls/tests/test_safety.py
+++ b/wagtaildale/calls/tests/test_safety.py
@@ -24,6 +24,7 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.table import DEFAULT_RETRIES
 from wagtaildale.testing.builders import build_record, build_retry_limits
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
 from wagtaildale.types import DataCentre, Incarnation, Outcome
 
@@ -99,7 +100,7 @@
     Until it hangs, the server is the faster one, so that lookups go there;
     hedges of lookups at the other server would not test this.
     """
-    other = build_record('c', host='127.0.9.3')
+    other = build_record('c', host=make_host(3))
     backend = BackendThread('c', host=other.host, port=BACKEND_PORT)
     with backend, MeshNode(other):
         pair.entry_node.set_instances(pair.owner_node.record, other)
@@ -122,7 +123,7 @@
 
 def test_failing_upstream_is_ejected(pair: Pair) -> None:
     """A server that fails at once looks idle and would attract all calls."""
-    other = build_record('c', host='127.0.9.3')
+    other = build_record('c', host=make_host(3))
     backend = BackendThread('c', host=other.host, port=BACKEND_PORT)
     with backend, MeshNode(other):
         pair.entry_node.set_instances(pair.owner_node.record, other)
@@ -235,7 +236,7 @@
 
 
 def test_shed_lookup_is_retried_at_another_server(pair: Pair) -> None:
-    other = build_record('c', host='127.0.9.3')
+    other = build_record('c', host=make_host(3))
     backend = BackendThread('c', host=other.host, port=BACKEND_PORT)
     with backend, MeshNode(other):
         pair.entry_node.set_instances(pair.owner_node.record, other)
@@ -340,7 +341,7 @@
     after a few failures, skip the first one.
     """
     gone = [
-        build_record(f'gone{number}', host=f'127.0.9.{100 + number}')
+        build_record(f'gone{number}', host=make_host(100 + number))
         for number in range(3)
     ]
     remote = structs.replace(
--- a/wagtaildale/calls/tests/test_silence.py
+++ b/wagtaildale/calls/tests/test_silence.py
@@ -24,6 +24,7 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.lifecycle.stop import Stop
 from wagtaildale.testing.builders import MESH_TEXT, build_record
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
 from wagtaildale.timers.inbox import Inbox
 
@@ -137,7 +138,7 @@
     owner: SilentOwner,
 ) -> None:
     """A lookup waits for a silent owner while another one is idle."""
-    other = build_record('c', host='127.0.9.3')
+    other = build_record('c', host=make_host(3))
     backend = BackendThread('c', host=other.host, port=BACKEND_PORT)
     near = pair_without_owner.entry_node
     with backend, MeshNode(other), ThreadPoolExecutor() as executor:
@@ -157,7 +158,7 @@
     When the owner became silent there was no other one, or no retry left. The
     entry must check again with each ping whether the call can move.
     """
-    other = build_record('c', host='127.0.9.3')
+    other = build_record('c', host=make_host(3))
     backend = BackendThread('c', host=other.host, port=BACKEND_PORT)
     silent = closing(
         start_owner(pair_without_owner, silent_pings=NEVER_ANSWERED_PINGS)
--- a/wagtaildale/cli/tests/test_fleet.py
+++ b/wagtaildale/cli/tests/test_fleet.py
@@ -17,14 +17,15 @@
 from standins.fleet import Fleet, FleetOptions, NodeProcess, Placement
 from wagtaildale.cli.main import main
 from wagtaildale.testing.builders import MESH_TEXT, build_compiled
+from wagtaildale.testing.loopback import choose_network
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from click.testing import Result
 
-NETWORK = 41
-NODE = f'127.0.{NETWORK}.1:8083'
+NETWORK = choose_network()
+NODE = f'{NETWORK}.1:8083'
 PLACEMENT = Placement(
     region='midlands',
     data_centres=('derby',),
--- a/wagtaildale/distribution/tests/test_sockets.py
+++ b/wagtaildale/distribution/tests/test_sockets.py
@@ -10,13 +10,14 @@
 
 from wagtaildale.distribution.sockets import NodeSockets, ReceivedFrame
 from wagtaildale.keys.pairs import KeyPair
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.types import InstanceId
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-HERE = 'tcp://127.0.8.1:8082'
-THERE = 'tcp://127.0.8.2:8082'
+HERE = f'tcp://{make_host(1)}:8082'
+THERE = f'tcp://{make_host(2)}:8082'
 TIMEOUT_SECONDS = 5.0
 SILENCE_SECONDS = 0.3
 SENDER = InstanceId('sender')
--- a/wagtaildale/lifecycle/tests/test_owner_stop.py
+++ b/wagtaildale/lifecycle/tests/test_owner_stop.py
@@ -15,6 +15,7 @@
 from wagtaildale.calls.wire.frames import PLAIN, Ping, Pong, encode_frame
 from wagtaildale.lifecycle.stop import Stop
 from wagtaildale.testing.builders import build_record
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
 from wagtaildale.timers.inbox import Inbox
 
@@ -39,7 +40,7 @@
 READ_BYTES = 4096
 # Far longer than a stop takes with no work in flight.
 LONG_SECONDS = 1e9
-RELAY_HOST = '127.0.9.4'
+RELAY_HOST = make_host(4)
 
 
 class StoppingOwner:
@@ -95,7 +96,7 @@
     owner = (pair.owner_node.record.host, pair.owner_node.record.owner_port)
     relayed = structs.replace(pair.owner_node.record, host=RELAY_HOST)
     relay = Relay((relayed.host, relayed.owner_port), owner=owner)
-    other = build_record('c', host='127.0.9.3')
+    other = build_record('c', host=make_host(3))
     backend = BackendThread('c', host=other.host, port=BACKEND_PORT)
     with backend, MeshNode(other), ThreadPoolExecutor(2) as executor:
         pair.entry_node.set_instances(relayed)
--- a/wagtaildale/platform/settings.py
+++ b/wagtaildale/platform/settings.py
@@ -31,7 +31,6 @@
     from pathlib import Path
 
     from wagtaildale.calls.addresses import Address
-
     from wagtaildale.errors.faults import Faults
 
 DESCRIPTORS_FOR_FILES: Final = 200
--- a/wagtaildale/platform/tests/test_stores.py
+++ b/wagtaildale/platform/tests/test_stores.py
@@ -24,6 +24,7 @@
 from wagtaildale.platform.tests.stores import StandInStore
 from wagtaildale.settings.model import PlatformSettings
 from wagtaildale.source.store import StoreFeed
+from wagtaildale.testing.loopback import make_host
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -33,7 +34,7 @@
 CONFIGURATION: Final = 'op/config'
 FIRST: Final = 'servers/i-1'
 SECOND: Final = 'servers/i-2'
-HOSTS: Final = ('127.0.47.1', '127.0.47.2')
+HOSTS: Final = (make_host(1), make_host(2))
 BACKEND_PORT: Final = 8145
 CONTROL_PORT: Final = 8529
 
--- a/wagtaildale/reactor/tests/test_stream.py
+++ b/wagtaildale/reactor/tests/test_stream.py
@@ -11,11 +11,12 @@
 from wagtaildale.calls.tests.pairs import wait_until
 from wagtaildale.reactor.loop import Loop
 from wagtaildale.reactor.stream import open_stream
+from wagtaildale.testing.loopback import make_host
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-ADDRESS: Final = ('127.0.9.8', 8081)
+ADDRESS: Final = (make_host(8), 8081)
 STEP_SECONDS: Final = 0.01
 # Makes closing the socket send a reset.
 LINGER_RESET: Final = struct.pack('ii', 1, 0)
--- a/wagtaildale/testing/mesh.py
+++ b/wagtaildale/testing/mesh.py
@@ -32,6 +32,7 @@
     build_recorder,
 )
 from wagtaildale.testing.closing import Closing
+from wagtaildale.testing.loopback import make_host
 from wagtaildale.testing.suspects import SharedSuspects
 from wagtaildale.types import DocumentKind, Incarnation, NodeState, Version
 
@@ -222,6 +223,6 @@
         Two records with different loopback addresses.
     """
     return (
-        build_record('a', host='127.0.9.1'),
-        build_record('b', host='127.0.9.2'),
+        build_record('a', host=make_host(1)),
+        build_record('b', host=make_host(2)),
     )
