Stop: a second SIGTERM does not cut the work in flight

Supervisors and process groups send SIGTERM twice without meaning haste. SIGINT during the stop still ends the wait; haste is SIGKILL. Before, the new test failed for SIGTERM.

--- a/wagtaildale/daemon.py
+++ b/wagtaildale/daemon.py
@@ -63,7 +63,7 @@
 
         Args:
             recorder: recorder of an event for each SIGHUP.
-            stop_waiting: called on a second signal to stop.
+            stop_waiting: called on SIGINT during a stop.
         """
         self._is_stopping = False
         self._inbox: Inbox[int] = Inbox()
@@ -89,7 +89,9 @@
         return self._is_stopping
 
     def _on_stop_signal(self, number: int, frame: FrameType | None) -> None:
-        if self._is_stopping:
+        # Supervisors and process groups send SIGTERM more than once without
+        # meaning haste; a person at a terminal does.
+        if self._is_stopping and number == signal.SIGINT:
             self._stop_waiting()
         self._is_stopping = True
         self._inbox.put(number)
@@ -121,8 +123,8 @@
     """Run one node of the mesh beside its backend server.
 
     SIGTERM starts the planned stop: no new work is accepted and work in
-    flight is finished. A second SIGTERM ends the wait. SIGHUP has no effect
-    and is recorded.
+    flight is finished. A further SIGTERM changes nothing; SIGINT during the
+    stop ends the wait. SIGHUP has no effect and is recorded.
 
     Args:
         settings_file: path of the settings file.
--- a/wagtaildale/lifecycle/tests/test_signals.py
+++ b/wagtaildale/lifecycle/tests/test_signals.py
@@ -101,3 +101,22 @@
     assert not signals.wait(0)
     kinds = [event.kind for event in recorder.read_since(0)]
     assert kinds == [EventKind.settings_kept]
+
+
+@pytest.mark.parametrize(
+    ('further', 'ends_wait'), [(signal.SIGTERM, False), (signal.SIGINT, True)]
+)
+def test_only_an_interrupt_during_the_stop_ends_its_wait(
+    further: signal.Signals, ends_wait: bool
+) -> None:
+    """A supervisor sends SIGTERM twice, and all work in flight is cut."""
+    ended_waits: list[bool] = []
+    signals = Signals(
+        build_recorder(), stop_waiting=lambda: ended_waits.append(True)
+    )
+    for number in (signal.SIGTERM, further):
+        signal_handler = signal.getsignal(number)
+        assert callable(signal_handler)
+        signal_handler(number, None)
+    assert signals.wait(0)
+    assert bool(ended_waits) is ends_wait
