Stop: pass on only what can be answered before the process ends

An entry learns for each class how long answers take once a server begins (smoothed time plus four deviations, or the largest of about two hundred). From SIGTERM on, a request is passed on only if that fits, or if its caller gives up before; unknown classes count with their deadline. What does not fit is rejected at once with 4030, as not run, with Retry-After and a closing connection. The same holds for retries, hedges, redirects and second questions for a slot. Owners are told the latest start with a call (start_within_ms), and for open calls by a new message to owners that understand it; they refuse at once what waits too long, and the rest at that moment. A stopping owner compares in the same way and sends calls elsewhere.

Rejecting all or closing the port sooner was ruled out: callers of a data centre whose nodes all stop have nowhere else to go. OPEN_PORT_SHARE is unchanged.

The test of a peer that never closes compares with the new Pong.

--- a/wagtaildale/admission/messages.py
+++ b/wagtaildale/admission/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Final, NewType
 
 from msgspec import Struct
@@ -33,6 +34,8 @@
         stands_for: number of callers' requests that it was sampled from,
             itself included.
         asks_free_slot: whether it is refused unless it can start at once.
+        latest_start: time after which it may not start, since its answer would
+            not reach the caller, seconds on the clock.
     """
 
     within_ms: int
@@ -44,6 +47,7 @@
     pass_rank: int = DEFAULT_RANK
     stands_for: float = 1
     asks_free_slot: bool = False
+    latest_start: float = inf
 
 
 class RequestFinished(Struct, frozen=True, kw_only=True, gc=False):
--- a/wagtaildale/admission/queue.py
+++ b/wagtaildale/admission/queue.py
@@ -99,8 +99,9 @@
         target_at=target_at,
         ticket=message.ticket,
         deadline=message.deadline,
-        start_by=min(start_by, message.deadline),
+        start_by=min(start_by, message.deadline, message.latest_start),
         run_seconds=seconds,
+        latest_start=message.latest_start,
     )
 
 
@@ -125,6 +126,8 @@
 
 
 def _may_queue(waiting: QueuedRequest, start: float, *, patient: bool) -> bool:
+    if start > waiting.latest_start:
+        return False
     if waiting.is_in_time(start):
         return start + waiting.run_seconds <= waiting.deadline
     if not patient or start > waiting.start_by:
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -41,6 +41,7 @@
         deadline: time after which no response is awaited, seconds.
         start_by: time at which it is refused if it has not started, seconds.
         run_seconds: expected run time, seconds.
+        latest_start: time after which it may not start, seconds.
     """
 
     rank: int
@@ -49,6 +50,7 @@
     deadline: float
     start_by: float
     run_seconds: float
+    latest_start: float = inf
 
     def is_in_time(self, now: float) -> bool:
         """Tell whether the request meets its target if it starts now.
--- a/wagtaildale/calls/entry/attempt.py
+++ b/wagtaildale/calls/entry/attempt.py
@@ -8,6 +8,7 @@
 
 from msgspec import structs
 
+from wagtaildale.calls.entry.call_descriptions import describe_start_limit
 from wagtaildale.calls.entry.outgoing_request import (
     OutgoingBody,
     OutgoingRequest,
@@ -21,6 +22,7 @@
     Reserve,
     ResponseAborted,
     Run,
+    StartLimit,
     WindowUpdate,
 )
 from wagtaildale.errors.codes import Code
@@ -175,6 +177,19 @@
         """Cancel the attempt; the owner stops work on the call."""
         self._end(cancelled=True)
 
+    def limit_start(self, latest_start: float) -> None:
+        """Tell the owner when the run may start at the latest.
+
+        Args:
+            latest_start: latest start, seconds on the monotonic clock.
+        """
+        limits_it = self._peer.accepts_start_limits
+        if limits_it and self.state is not AttemptState.answering:
+            start_within_ms = describe_start_limit(
+                latest_start, now=read_clock()
+            )
+            self._peer.send(StartLimit(self._number, start_within_ms))
+
     def send_body(self) -> None:
         """Send the available body pieces that the send window allows."""
         if self.state not in SENDING_STATES:
--- a/wagtaildale/calls/entry/attempts.py
+++ b/wagtaildale/calls/entry/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from math import inf
 from typing import TYPE_CHECKING, Final, final
 
 from msgspec import Struct, field
@@ -63,6 +64,8 @@
         no_retries_left: the call has used up its retries.
         budget_spent: the retry budget of the service is used up.
         ends_servers: several servers crashed while running the request.
+        stopping: the node ends before the answer of another attempt could be
+            there.
     """
 
     none = ''
@@ -73,6 +76,7 @@
     no_retries_left = 'no-retries-left'
     budget_spent = 'budget-spent'
     ends_servers = 'ends-servers'
+    stopping = 'stopping'
 
 
 class Attempts(Struct, kw_only=True):
@@ -99,6 +103,8 @@
             running the request.
         body_bytes: size of the request's body; 0 if it is not known.
         is_bulk: whether the responses of its class are large.
+        latest_start: time after which no attempt may start, since the answer
+            would come after the end of this process, seconds.
     """
 
     idempotent: bool
@@ -114,12 +120,25 @@
     crash_count: int = 0
     body_bytes: int = 0
     is_bulk: bool = False
+    latest_start: float = inf
 
     @property
     def sent_count(self) -> int:
         """Number of attempts that were sent."""
         return len(self.tried) + len(self.refused_slots)
 
+    def is_too_late(self, at: float) -> bool:
+        """Check whether an attempt would start too late for its answer.
+
+        Args:
+            at: time at which it would start, seconds.
+
+        Returns:
+            Whether the deadline has passed then, or the process would end
+            before the answer.
+        """
+        return at >= self.deadline or at > self.latest_start
+
     def try_after_missing_slot(
         self, failure: CallFailed, *, instance: InstanceId, now: float
     ) -> bool:
@@ -138,7 +157,7 @@
             Whether the failure is such a refusal and the call may be sent
             again. The upstream then no longer counts as tried.
         """
-        if failure.code is not Code.overloaded or now >= self.deadline:
+        if failure.code is not Code.overloaded or self.is_too_late(now):
             return False
         never_ran = failure.outcome is Outcome.not_run
         if not never_ran or failure.was_rejected_by_server:
@@ -235,7 +254,7 @@
         if (
             not never_ran
             or failure.code not in OWNER_REJECTION_CODES
-            or now >= self.deadline
+            or self.is_too_late(now)
         ):
             return False
         # A replaced server rejects requests that name the instance before it.
@@ -254,13 +273,13 @@
         Returns:
             Whether the request may run twice, a retry is left, no server is
             known to have crashed while running the request, and the hedge
-            would start before the deadline. Large responses are never hedged:
+            would not start too late. Large responses are never hedged:
             the second one takes the line's time from others.
         """
         is_allowed = self.retries_left > 0 and not self.crash_count
         if self.is_bulk:
             return False
-        return self.idempotent and is_allowed and at < self.deadline
+        return self.idempotent and is_allowed and not self.is_too_late(at)
 
     def try_hedge(self, *, now: float) -> bool:
         """Spend a retry and a budget token on a hedge, if one is allowed.
@@ -290,6 +309,7 @@
         checks = (
             (not replayable, Obstacle.body_given),
             (now >= self.deadline, Obstacle.past_deadline),
+            (self.is_too_late(now), Obstacle.stopping),
             (failure.code not in RETRYABLE_CODES, Obstacle.final_failure),
             # A non-idempotent request that may have run is never retried.
             (may_have_run and not self.idempotent, Obstacle.may_have_run),
--- a/wagtaildale/calls/entry/call_descriptions.py
+++ b/wagtaildale/calls/entry/call_descriptions.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct
 
 from wagtaildale.admission.shares import ALL_PASS, PARTS_PER_WHOLE
 from wagtaildale.calls.wire.fields import (
+    NO_START_LIMIT,
     UNKNOWN_RATE,
     CallFields,
     decode_rate,
@@ -167,4 +169,34 @@
         bulk=work_class.is_bulk,
         asks_free_slot=options.asks_free_slot,
         list_version=options.list_version,
+        start_within_ms=describe_start_limit(attempts.latest_start, now=now),
     )
+
+
+def describe_start_limit(latest_start: float, *, now: float) -> int:
+    """Describe for an owner when a run may start at the latest.
+
+    Args:
+        latest_start: latest start, seconds; infinite if there is no limit.
+        now: current time, seconds.
+
+    Returns:
+        Milliseconds from now, or ``NO_START_LIMIT``.
+    """
+    if latest_start == inf:
+        return NO_START_LIMIT
+    return max(0, int((latest_start - now) * MILLISECONDS))
+
+
+def find_run_start(answer: AnswerFields, *, attempt_started_at: float) -> float:
+    """Find when the server began with a request, as seen from the entry.
+
+    Args:
+        answer: fields of the answer.
+        attempt_started_at: start of the attempt, seconds.
+
+    Returns:
+        Start of the attempt, later by what the request waited at the owner.
+    """
+    waited_us = max(0, answer.owner_us - answer.backend_us)
+    return attempt_started_at + waited_us / MICROSECONDS
--- a/wagtaildale/calls/entry/entry.py
+++ b/wagtaildale/calls/entry/entry.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.addresses import Address
+from wagtaildale.calls.answer_times import AnswerTimes
 from wagtaildale.calls.entry.budgets import RetryBudget
 from wagtaildale.calls.entry.entry_call import EntryCall
 from wagtaildale.calls.entry.hedges import HedgeDelays
 from wagtaildale.calls.entry.targets import Targets
+from wagtaildale.calls.stop_schedule import NOT_STOPPING, StopSchedule
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
@@ -32,6 +34,8 @@
         targets: selects the upstream of each attempt.
         hedge_delays: delay before a hedge, estimated for each class.
         retry_limits: limits on retries, as of the last refresh.
+        answer_times: times of answers, estimated for each class.
+        stop_schedule: when this process ends, if it stops.
     """
 
     def __init__(self, parts: EntryParts) -> None:
@@ -44,7 +48,10 @@
         self.targets = Targets(parts)
         self.hedge_delays = HedgeDelays()
         self.retry_limits = parts.read_retry_limits()
+        self.answer_times = AnswerTimes()
+        self.stop_schedule = NOT_STOPPING
         self._budgets: dict[ServiceName, RetryBudget] = {}
+        self._calls: set[EntryCall] = set()
 
     def handle_request(self, exchange: Exchange) -> None:
         """Start to answer a request; see ``RequestHandler``.
@@ -54,8 +61,27 @@
         """
         call = EntryCall(self, exchange)
         exchange.receiver = call
+        self._calls.add(call)
         call.start()
 
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Pass on only what can be answered before this process ends.
+
+        Args:
+            schedule: when the process ends.
+        """
+        self.stop_schedule = schedule
+        for call in tuple(self._calls):
+            call.limit_start()
+
+    def forget(self, call: EntryCall) -> None:
+        """Remove a finished call.
+
+        Args:
+            call: call of this entry.
+        """
+        self._calls.discard(call)
+
     def refresh(self) -> None:
         """Update connections, statistics and budgets from the current view.
 
--- a/wagtaildale/calls/entry/entry_call.py
+++ b/wagtaildale/calls/entry/entry_call.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.entry.attempt import Attempt, AttemptState
 from wagtaildale.calls.entry.attempts import Attempts, Obstacle, find_final_code
 from wagtaildale.calls.entry.bodies import RequestBody
+from wagtaildale.calls.entry.call_descriptions import (
+    find_run_start,
+    format_class_name,
+)
 from wagtaildale.calls.entry.outgoing_request import OutgoingRequest
 from wagtaildale.calls.entry.report import CallReport
 from wagtaildale.calls.entry.routed_call import RoutedCall, route_call
@@ -48,6 +53,7 @@
         self._entry = entry
         self._exchange = exchange
         self._report = CallReport(entry.parts.tallies, entry.parts.recorder)
+        self._run_started_at = float(0)
         self._routed: RoutedCall | None = None
         self._request: OutgoingRequest | None = None
         self._attempts: Attempts | None = None
@@ -87,8 +93,28 @@
             return
         alarms = self._entry.parts.loop.alarms
         self._alarms.append(alarms.set_at(self.deadline, self._time_out))
+        self.limit_start()
         self._start_if_ready()
 
+    def limit_start(self) -> None:
+        """Start nothing that cannot be answered before this process ends."""
+        schedule = self._entry.stop_schedule
+        if self._is_over or not schedule.is_stopping:
+            return
+        latest_start = schedule.find_latest_start(
+            seconds=self._entry.answer_times.find_bound(
+                format_class_name(self.routed)
+            ),
+            deadline=self.deadline,
+        )
+        if latest_start == inf:
+            return
+        self.attempts.latest_start = latest_start
+        for attempt in self._running:
+            attempt.limit_start(latest_start)
+        alarms = self._entry.parts.loop.alarms
+        self._alarms.append(alarms.set_at(latest_start, self._end_unsent))
+
     def on_body(self) -> None:
         """Read more of the request body; see ``ExchangeReceiver``."""
         if self._is_over or self._request is None:
@@ -157,6 +183,9 @@
         )
         hedge_delay.add_sample(read_clock() - attempt.started_at)
         self._may_have_run = True
+        self._run_started_at = find_run_start(
+            frame.fields, attempt_started_at=attempt.started_at
+        )
         if not self._retry_after_error(attempt, frame):
             self._respond(attempt, frame)
 
@@ -264,7 +293,16 @@
         self._plan_hedge(attempt)
         attempt.start()
 
+    def _check_start(self) -> None:
+        now = read_clock()
+        if now > self.attempts.latest_start:
+            raise CallFailed(
+                Code.stopping,
+                detail='its class takes longer than this node runs',
+            )
+
     def _make_attempt(self, *, is_hedge: bool) -> Attempt:
+        self._check_start()
         targets = self._entry.targets
         target = targets.choose(
             self.routed,
@@ -370,6 +408,7 @@
         self._response_bytes += size
         if not more:
             self._end()
+            self._note_answer_time(attempt)
             self._note_response_size(attempt)
             self._report.note_response(status=self._status)
             return
@@ -378,6 +417,14 @@
             attempt.send_credit(self._uncredited_bytes)
             self._uncredited_bytes = 0
 
+    def _note_answer_time(self, attempt: Attempt) -> None:
+        # Server errors come sooner than answers.
+        if self._status < SERVER_ERROR_STATUS:
+            self._entry.answer_times.note(
+                attempt.target.fields.work_class,
+                read_clock() - self._run_started_at,
+            )
+
     def _note_response_size(self, attempt: Attempt) -> None:
         # Server errors are small and come in series; counted, they would make
         # the downloads after them look small.
@@ -425,6 +472,14 @@
         )
         self._fail(failure)
 
+    def _end_unsent(self) -> None:
+        """Reject the request if it has not run: its time is over."""
+        has_run = self._may_have_run or any(
+            attempt.is_run_sent for attempt in self._running
+        )
+        if not has_run:
+            self._fail(CallFailed(Code.stopping))
+
     def _fail_unless_attempts_run(self, failure: CallFailed) -> None:
         # An attempt that is still running, even a silent one, may succeed.
         if not self._running:
@@ -441,6 +496,10 @@
             # before the next upstream rejected it. "Not run" is true only of
             # the last one, so the caller must not get it.
             failure.outcome = Outcome.unknown
+        if failure.code is Code.stopping:
+            failure.retry_after = self._entry.stop_schedule.compute_retry_after(
+                read_clock()
+            )
         self._end()
         self._note_failed_try()
         self._report.note_failure(failure, obstacle=self._find_obstacle())
@@ -472,6 +531,7 @@
 
     def _end(self) -> None:
         self._is_over = True
+        self._entry.forget(self)
         for alarm in self._alarms:
             alarm.cancel()
         running = self._running
--- a/wagtaildale/calls/entry/hedges.py
+++ b/wagtaildale/calls/entry/hedges.py
@@ -10,10 +10,8 @@
 from math import inf
 from typing import Final
 
-# Gains and factor of the estimator are those of RFC 6298.
-SMOOTHING_GAIN: Final = 0.125
-DEVIATION_GAIN: Final = 0.25
-DEVIATION_FACTOR: Final = 4
+from wagtaildale.calls.smoothed_time import SmoothedTime
+
 # Lower limit of the delay, and samples that are needed before any hedge.
 MIN_DELAY_SECONDS: Final = 0.002
 MIN_SAMPLES: Final = 20
@@ -29,13 +27,11 @@
         True
     """
 
-    __slots__ = ('_deviation', '_samples', '_smoothed')
+    __slots__ = ('_smoothed',)
 
     def __init__(self) -> None:
         """Create an estimator without samples."""
-        self._smoothed = float(0)
-        self._deviation = float(0)
-        self._samples = 0
+        self._smoothed = SmoothedTime()
 
     def add_sample(self, seconds: float) -> None:
         """Add the response time of one attempt.
@@ -44,15 +40,7 @@
             seconds: time from the start of the attempt, which includes the
                 wait for a reservation, to the response head.
         """
-        if self._samples:
-            error = seconds - self._smoothed
-            self._smoothed += SMOOTHING_GAIN * error
-            deviation_error = abs(error) - self._deviation
-            self._deviation += DEVIATION_GAIN * deviation_error
-        else:
-            self._smoothed = seconds
-            self._deviation = seconds / 2
-        self._samples += 1
+        self._smoothed.add_sample(seconds)
 
     def find_delay(self, *, within_ms: float = inf) -> float | None:
         """Return the delay after which an attempt is hedged.
@@ -69,10 +57,10 @@
         Returns:
             Delay in seconds, or ``None`` while there are too few samples.
         """
-        if self._samples < MIN_SAMPLES:
+        if self._smoothed.samples < MIN_SAMPLES:
             return None
-        delay = self._smoothed + DEVIATION_FACTOR * self._deviation
-        return max(MIN_DELAY_SECONDS, min(delay, within_ms / MILLISECONDS))
+        delay = min(self._smoothed.bound, within_ms / MILLISECONDS)
+        return max(MIN_DELAY_SECONDS, delay)
 
 
 class HedgeDelays:
--- a/wagtaildale/calls/entry/local_peer.py
+++ b/wagtaildale/calls/entry/local_peer.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wagtaildale.calls.owner.sessions import CallTable
+from wagtaildale.calls.owner.call_table import CallTable
 from wagtaildale.calls.wire.frames import Cancel
 from wagtaildale.types import CallNumber
 
@@ -25,6 +25,7 @@
         """
         # Nothing crosses a line on the way to the owner in this process.
         self.collects_bodies = False
+        self.accepts_start_limits = True
         self._loop = owner.loop
         self._calls = CallTable(owner, reply=self._deliver)
         self._receivers: dict[CallNumber, PeerReceiver] = {}
--- a/wagtaildale/calls/entry/peers.py
+++ b/wagtaildale/calls/entry/peers.py
@@ -44,9 +44,11 @@
     Attributes:
         collects_bodies: whether the owner runs a request only once its whole
             body has arrived.
+        accepts_start_limits: whether the owner understands ``StartLimit``.
     """
 
     collects_bodies: bool
+    accepts_start_limits: bool
 
     def open_call(self, receiver: PeerReceiver) -> CallNumber:
         """Open a call.
--- a/wagtaildale/calls/entry/remote_peer.py
+++ b/wagtaildale/calls/entry/remote_peer.py
@@ -124,6 +124,8 @@
         is_closed: whether it is closed.
         collects_bodies: whether the owner has stated that it collects bodies;
             see ``Pong``.
+        accepts_start_limits: whether the owner has stated that it understands
+            ``StartLimit``.
         silent_since: start of the current silence, in seconds on the clock.
         last_received_at: time of the last input; 0 before the first.
     """
@@ -151,6 +153,7 @@
         self.is_draining = False
         self.is_closed = False
         self.collects_bodies = False
+        self.accepts_start_limits = False
         self._loop = loop
         self._observer = observer
         self._close_at: float | None = None
@@ -311,6 +314,7 @@
             self.send(Pong())
         elif isinstance(frame, Pong):
             self.collects_bodies = frame.collects_bodies
+            self.accepts_start_limits = frame.accepts_start_limits
         elif isinstance(frame, OwnerNotice):
             self._handle_notice(frame)
         else:
--- a/wagtaildale/calls/http/error_responses.py
+++ b/wagtaildale/calls/http/error_responses.py
@@ -61,6 +61,7 @@
         Code.request_on_trial,
         Code.request_harmful,
         Code.rate_limited,
+        Code.stopping,
     ),
 )
 
--- a/wagtaildale/calls/owner/call_times.py
+++ b/wagtaildale/calls/owner/call_times.py
@@ -82,6 +82,14 @@
             ended_at = read_clock()
         return ended_at - self.run_started_at
 
+    def measure_until_now(self) -> float:
+        """Measure the time since the request was sent, with its delivery.
+
+        Returns:
+            Duration in seconds.
+        """
+        return read_clock() - self.run_started_at
+
     def describe_wait(self, *, has_run: bool) -> Inputs:
         """Build the log inputs for the time before the run.
 
--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.admission.limits import Ending
 from wagtaildale.admission.messages import Refused, RequestArrived
+from wagtaildale.admission.starts import estimate_start
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.owner.backend_run import BackendRun
 from wagtaildale.calls.owner.body_collector import (
@@ -25,6 +27,7 @@
     find_ending,
 )
 from wagtaildale.calls.owner.call_times import CallTimes
+from wagtaildale.calls.owner.latest_start import ENTRY_ENDS_DETAIL, LatestStart
 from wagtaildale.calls.owner.replies import ReplyWriter
 from wagtaildale.calls.wire.transit import subtract_delay
 from wagtaildale.errors.codes import Code
@@ -42,6 +45,7 @@
         BodyPiece,
         Reserve,
         Run,
+        StartLimit,
         WindowUpdate,
     )
     from wagtaildale.telemetry.events import Inputs
@@ -58,6 +62,7 @@
 # line would fill the memory and stop reading from the server.
 DELIVERY_CHECK_SECONDS: Final = 1.0
 MILLISECONDS: Final = 1000
+SERVER_ERROR_STATUS: Final = 500
 
 
 class OwnerCall:
@@ -88,6 +93,7 @@
         self._number = number
         self._channel = channel
         self._times = CallTimes()
+        self._latest_start = LatestStart()
         self._replies = ReplyWriter(
             owner,
             number,
@@ -99,6 +105,7 @@
         self._body: ReceivedBody | None = None
         self._run: BackendRun | None = None
         self._alarm: Alarm | None = None
+        self._start_alarm: Alarm | None = None
 
     @property
     def fields(self) -> CallFields:
@@ -162,6 +169,16 @@
         if self._run is not None:
             self._run.note_forwarded(frame.count)
 
+    def handle_start_limit(self, frame: StartLimit) -> None:
+        """Refuse the call if it cannot start in time; see ``StartLimit``.
+
+        Args:
+            frame: message with the limit.
+        """
+        self._latest_start.limit(frame.start_within_ms)
+        if self.state in UNADMITTED_STATES:
+            self._limit_wait()
+
     def cancel(self) -> None:
         """Stop the call because nobody waits for its answer."""
         state = self.state
@@ -220,6 +237,11 @@
                 **self._times.describe_line(),
             },
         )
+        if status < SERVER_ERROR_STATUS:
+            answer_times = self._owner.targets.finish_check.answer_times
+            answer_times.note(
+                self.fields.work_class, self._times.measure_until_now()
+            )
         self._close()
         self._release_slot(find_ending(status))
 
@@ -289,6 +311,7 @@
         owner = self._owner
         times = self._times
         times.update_deadline(fields, received_at=times.arrived_at)
+        self._latest_start.limit(fields.start_within_ms)
         try:
             self._check_fields(fields)
         except CallFailed as failure:
@@ -298,11 +321,38 @@
             times.deadline + DEADLINE_GRACE_SECONDS,
             self._time_out,
         )
-        return True
+        self._limit_wait()
+        return self.state is not CallState.over
+
+    def _limit_wait(self) -> None:
+        latest_start = self._latest_start.at
+        if latest_start == inf:
+            return
+        starts_at = estimate_start(
+            self._owner.gate.state, self._ticket, now=read_clock()
+        )
+        if starts_at > latest_start:
+            self._refuse_unstarted()
+            return
+        if self._start_alarm is not None:
+            self._start_alarm.cancel()
+        self._start_alarm = self._owner.loop.alarms.set_at(
+            latest_start, self._refuse_unstarted
+        )
+
+    def _refuse_unstarted(self) -> None:
+        if self.state in UNADMITTED_STATES:
+            self._fail(
+                CallFailed(Code.stopping, detail=ENTRY_ENDS_DETAIL),
+            )
+
+    def _check_start(self, fields: CallFields) -> None:
+        self._owner.check_target(fields)
+        self._latest_start.check()
 
     def _check_fields(self, fields: CallFields) -> None:
         owner = self._owner
-        owner.check_target(fields)
+        self._check_start(fields)
         if not fields.bulk or self._replies.paced is not None:
             return
         if self._channel.uses_line:
@@ -332,6 +382,7 @@
                 pass_rank=fields.pass_rank,
                 stands_for=fields.represented_requests,
                 asks_free_slot=fields.asks_free_slot,
+                latest_start=self._latest_start.at,
             ),
             self._handle_verdict,
         )
@@ -369,7 +420,7 @@
         self._fields = fields
         self._times.update_deadline(fields, received_at=read_clock())
         try:
-            self._owner.check_target(fields)
+            self._check_start(fields)
         except CallFailed as failure:
             self._ticket = None
             self._fail(failure)
@@ -387,7 +438,7 @@
         try:
             # The server may be listed as leaving while the call waits for a
             # slot; without a second check the call would still reach it.
-            self._owner.check_target(self.fields)
+            self._check_start(self.fields)
         except CallFailed as failure:
             self._fail(failure)
             return
@@ -492,6 +543,8 @@
         self._owner.targets.waiting_calls.discard(self)
         if self._alarm is not None:
             self._alarm.cancel()
+        if self._start_alarm is not None:
+            self._start_alarm.cancel()
         if self._run is not None:
             self._run.close()
         if self._body is not None:
--- a/wagtaildale/calls/owner/server_targets.py
+++ b/wagtaildale/calls/owner/server_targets.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.owner.finish_check import FinishCheck
 from wagtaildale.calls.owner.server_identity import ServerIdentity
 from wagtaildale.calls.owner.server_leaving import LeavingTracker
 from wagtaildale.calls.owner.server_listing import (
@@ -62,6 +63,7 @@
             because they named another instance.
         unlisted_count: number of requests that were sent although the list
             did not have the server as live.
+        finish_check: check of runs against the end of this process.
     """
 
     def __init__(
@@ -80,8 +82,7 @@
             find_record: lookup of an instance's record in the list.
             recorder: recorder of an event when the server turns out to be
                 another instance.
-            waiting_calls: calls that have not been sent to the backend server.
-        feedback: tracker of what the server reports in responses.
+            feedback: tracker of what the server reports in responses.
             conditions: conditions under which the server gets requests.
         """
         self.denial_listeners: list[Callable[[], None]] = []
@@ -94,6 +95,7 @@
         self.feedback = feedback
         self.denial_count = 0
         self.unlisted_count = 0
+        self.finish_check = FinishCheck()
         self._read_list_version = conditions.read_list_version
         self._service = service
         self.is_evacuated = conditions.is_evacuated
@@ -124,7 +126,7 @@
         is_removed = target == fields.instance and self.find_listing(
             target
         ).shows_removal(fields.list_version)
-        if is_leaving or is_removed:
+        if is_leaving or is_removed or not self.finish_check.can_finish(fields):
             raise CallFailed(Code.draining)
 
     def resolve_target(self, fields: CallFields) -> InstanceId:
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -42,6 +42,7 @@
 
     from result import Result
 
+    from wagtaildale.calls.stop_schedule import StopSchedule
     from wagtaildale.configuration.model import Part, SlowStart
     from wagtaildale.errors.faults import Fault
     from wagtaildale.membership.records import InstanceRecord
@@ -200,9 +201,16 @@
         """Make ``run`` return."""
         self.loop.stop()
 
-    def announce_drain_to_callers(self) -> None:
-        """Tell callers to close their connections; thread-safe."""
-        self._run_in_loop(self.caller_port.drain)
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Tell callers to close their connections; thread-safe.
+
+        From now on only what can be answered before the process ends is passed
+        on.
+
+        Args:
+            schedule: when the process ends.
+        """
+        self._run_in_loop(partial(self._begin_stop, schedule))
 
     def drain(self) -> None:
         """Accept no new work; thread-safe."""
@@ -282,6 +290,11 @@
         self._review.run()
         self._dependencies.view.listeners.append(self._note_view_changed)
 
+    def _begin_stop(self, schedule: StopSchedule) -> None:
+        self.caller_port.drain()
+        self.owner.targets.finish_check.stop_schedule = schedule
+        self.entry.begin_stop(schedule)
+
     def _drain(self) -> None:
         self.owner.gate.drain()
         self.peer_port.announce_drain()
--- a/wagtaildale/calls/wire/fields.py
+++ b/wagtaildale/calls/wire/fields.py
@@ -26,6 +26,8 @@
 # known whether it names one.
 UNLIMITED_RATE: Final = -1
 UNKNOWN_RATE: Final = -2
+# Value of a limit on the start that is not there.
+NO_START_LIMIT: Final = -1
 INTERNAL_HEADER_PREFIX: Final = b'wagtaildale-'
 NO_LEASE: Final = TicketId(0)
 
@@ -72,6 +74,10 @@
             builds ignore it and may queue the call.
         list_version: version of the instance list by which the entry chose the
             server; 0 if unknown.
+        start_within_ms: milliseconds within which the run must start for its
+            answer to reach the caller, as the entry's process ends;
+            ``NO_START_LIMIT`` if it does not. Owners of earlier builds ignore
+            it.
     """
 
     request_id: RequestId
@@ -95,6 +101,7 @@
     bulk: bool = False
     asks_free_slot: bool = False
     list_version: Version = NO_VERSION
+    start_within_ms: int = NO_START_LIMIT
 
     @property
     def represented_requests(self) -> float:
--- a/wagtaildale/calls/wire/frames.py
+++ b/wagtaildale/calls/wire/frames.py
@@ -195,9 +195,11 @@
             body has arrived, if its length is at most
             ``body_collector.MAX_COLLECTED_BYTES``. Earlier builds omit the
             field.
+        accepts_start_limits: whether the owner understands ``StartLimit``.
     """
 
     collects_bodies: bool = False
+    accepts_start_limits: bool = False
 
 
 class LoadReport(Struct, frozen=True, array_like=True, tag=12, gc=False):
@@ -245,7 +247,25 @@
     """
 
 
-ToOwner = Reserve | Run | BodyPiece | WindowUpdate | Cancel | Ping | Pong
+class StartLimit(Struct, frozen=True, array_like=True, tag=14, gc=False):
+    """Limits when the run of a call may start, since its entry's process ends.
+
+    A call that has not started by then is refused as not run; one that has
+    started goes on. Sent only to an owner that has declared support in a
+    ``Pong``.
+
+    Attributes:
+        call: number of the call on this connection.
+        start_within_ms: milliseconds within which the run must start.
+    """
+
+    call: CallNumber
+    start_within_ms: int
+
+
+ToOwner = (
+    Reserve | Run | BodyPiece | WindowUpdate | Cancel | Ping | Pong | StartLimit
+)
 ToEntry = (
     Granted
     | Failed
@@ -272,6 +292,7 @@
     | Pong
     | LoadReport
     | DrainNotice
+    | StartLimit
 )
 
 _encoder = msgpack.Encoder()
--- a/wagtaildale/calls/wire/transit.py
+++ b/wagtaildale/calls/wire/transit.py
@@ -29,6 +29,7 @@
 
 from msgspec import structs
 
+from wagtaildale.calls.wire.fields import NO_START_LIMIT
 from wagtaildale.calls.wire.frames import Reserve, Run
 from wagtaildale.timers.clock_offsets import MinimumOffset
 
@@ -110,10 +111,14 @@
     delay_ms = int(delay * MILLISECONDS)
     if delay_ms <= 0:
         return fields
+    start_within_ms = fields.start_within_ms
+    if start_within_ms != NO_START_LIMIT:
+        start_within_ms = max(0, start_within_ms - delay_ms)
     return structs.replace(
         fields,
         within_ms=max(0, fields.within_ms - delay_ms),
         remaining_ms=max(0, fields.remaining_ms - delay_ms),
+        start_within_ms=start_within_ms,
     )
 
 
--- a/wagtaildale/errors/codes.py
+++ b/wagtaildale/errors/codes.py
@@ -72,6 +72,7 @@
     server_word_malformed = 4027
     rate_limited = 4028
     evacuated = 4029
+    stopping = 4030
 
     address_in_use = 5001
     drain_bound_passed = 5002
@@ -141,6 +142,7 @@
         Code.server_word_malformed: 'a backend server says what cannot be read',
         Code.rate_limited: 'servers take no more requests a second',
         Code.evacuated: 'operators have evacuated the data centre',
+        Code.stopping: 'the node would end before its answer is there',
         Code.address_in_use: 'a listening address cannot be bound',
         Code.drain_bound_passed: 'work in flight outlived the drain bound',
         Code.invariant_broken: 'an invariant does not hold: a defect',
--- a/wagtaildale/lifecycle/stop.py
+++ b/wagtaildale/lifecycle/stop.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import time
+from math import inf
 from typing import TYPE_CHECKING, Final
 
+from wagtaildale.calls.stop_schedule import StopSchedule
 from wagtaildale.distribution.messages import Leave
 from wagtaildale.errors.codes import Code
 from wagtaildale.settings.model import ANNOUNCE_SECONDS, LINGER_SECONDS
@@ -51,6 +53,9 @@
     - A run message is on the wire when the owner closes, and the entry cannot
       know that it never ran. Entries close first; until then such a message
       is refused as not run.
+    - A request is passed on, runs, and is cut when the process ends. From the
+      beginning of the stop each one is compared with the time that is left;
+      one that does not fit is rejected as not run.
     - A request that runs here makes a call of its own and fails because the
       callers' port is closed. The port stays open for such requests.
     """
@@ -84,16 +89,26 @@
         self._is_wait_ended = False
 
     def stop_waiting(self) -> None:
-        """End the wait for work in flight, on a second signal."""
+        """End the wait for work in flight at once."""
         self._is_wait_ended = True
 
-    def begin(self) -> None:
-        """Start the stop: ask callers to use other nodes."""
+    def begin(self, *, seconds: float = inf) -> None:
+        """Start the stop: ask callers to use other nodes.
+
+        Args:
+            seconds: time until the process ends, seconds.
+        """
         self._recorder.record(
             EventKind.node_leaving,
             detail='callers are asked to use other nodes',
         )
-        self._calls.announce_drain_to_callers()
+        now = read_clock()
+        self._calls.begin_stop(
+            StopSchedule(
+                callers_move_at=now + self._announce_seconds,
+                ends_at=now + seconds,
+            )
+        )
 
     def wait(self, *, seconds: float) -> bool:
         """Wait until nothing is in flight.
--- a/wagtaildale/lifecycle/tests/test_owner_stop.py
+++ b/wagtaildale/lifecycle/tests/test_owner_stop.py
@@ -143,7 +143,8 @@
     address = (record.host, record.owner_port)
     with socket.create_connection(address, TIMEOUT_SECONDS) as sock:
         sock.sendall(PLAIN + encode_frame(Ping()))
-        assert sock.recv(READ_BYTES) == encode_frame(Pong(collects_bodies=True))
+        pong = Pong(collects_bodies=True, accepts_start_limits=True)
+        assert sock.recv(READ_BYTES) == encode_frame(pong)
         stopping_owner.stop.begin()
         assert stopping_owner.stop.wait(seconds=LONG_SECONDS)
         sock.sendall(encode_frame(Ping()))
--- a/wagtaildale/node.py
+++ b/wagtaildale/node.py
@@ -157,8 +157,9 @@
         Returns:
             Whether all work in flight was finished in time.
         """
-        self.stop.begin()
-        done = self.stop.wait(seconds=self.parts.settings.limits.drain_seconds)
+        seconds = self.parts.settings.limits.drain_seconds
+        self.stop.begin(seconds=seconds)
+        done = self.stop.wait(seconds=seconds)
         self.parts.recorder.record(EventKind.node_stopped)
         for task in self._list_tasks():
             task.stop()
