Backend connections: an idle time of thousands of digits is no error

A Keep-Alive timeout of over 4,300 digits raised ValueError in the loop: the connection was neither used again nor closed. The test failed with that error before. It counts as no idle time now, as other malformed ones do.

--- a/wagtaildale/calls/backend/backend_connection.py
+++ b/wagtaildale/calls/backend/backend_connection.py
@@ -46,6 +46,7 @@
 CONNECT_TIMEOUT_SECONDS: Final = 0.4
 # Idle time of a connection whose server sends no Keep-Alive timeout.
 DEFAULT_IDLE_SECONDS: Final = 4.0
+LONGEST_IDLE_DIGITS: Final = 9
 # Subtracted from the server's Keep-Alive timeout, so that no request is sent
 # while the server closes the connection.
 IDLE_MARGIN_SECONDS: Final = 1.0
@@ -370,5 +371,6 @@
     if start < 0:
         return DEFAULT_IDLE_SECONDS
     digits = keep_alive[start + len(TIMEOUT_PREFIX) :].split(b',')[0].strip()
-    seconds = int(digits) if digits.isdigit() else 0
+    is_number = digits.isdigit() and len(digits) <= LONGEST_IDLE_DIGITS
+    seconds = int(digits) if is_number else 0
     return max(0, seconds - IDLE_MARGIN_SECONDS)
--- a/wagtaildale/calls/tests/test_backend_connection.py
+++ b/wagtaildale/calls/tests/test_backend_connection.py
@@ -176,3 +176,15 @@
         sock.sendall(LAST_ANSWER)
     bench.step_until(receiver.has_outcome)
     assert receiver.statuses == [200]
+
+
+def test_idle_time_of_thousands_of_digits_is_no_error(
+    bench: Bench,
+) -> None:
+    """A connection is neither used again nor closed after such an answer."""
+    long_idle_time = b'\r\nkeep-alive: timeout=' + b'9' * 5000 + b'\r\n\r\n'
+    receiver = bench.send_request()
+    answer = ANSWER.replace(b'\r\n\r\n', long_idle_time)
+    bench.answer(bench.accept(), receiver, answer)
+    assert receiver.statuses == [200]
+    assert not bench.defects
