Stop: a class of unknown length does not end the stop with an error

The latest start of a class without an answer so far was minus infinity; telling it to the owner of a waiting call raised OverflowError in the loop, and the planned stop went on without the rest of the calls. The new test failed with that error before. It is 0, long past, now.

--- a/wagtaildale/calls/entry/entry_call.py
+++ b/wagtaildale/calls/entry/entry_call.py
@@ -110,7 +110,7 @@
         if latest_start == inf:
             return
         self.attempts.latest_start = latest_start
-        for attempt in self._running:
+        for attempt in tuple(self._running):
             attempt.limit_start(latest_start)
         alarms = self._entry.parts.loop.alarms
         self._alarms.append(alarms.set_at(latest_start, self._end_unsent))
--- a/wagtaildale/calls/stop_schedule.py
+++ b/wagtaildale/calls/stop_schedule.py
@@ -45,12 +45,12 @@
 
         Returns:
             Seconds on the monotonic clock; infinite if the caller gives up
-            before the process ends.
+            before the process ends, and 0, long past, if the time is unknown.
         """
         answered_by = self.ends_at - DELIVERY_SECONDS
         if deadline <= answered_by:
             return inf
-        return answered_by - seconds
+        return max(0, answered_by - seconds)
 
     def compute_retry_after(self, now: float) -> float:
         """Compute when a rejected caller should come back.
--- a/wagtaildale/lifecycle/tests/test_remaining_time.py
+++ b/wagtaildale/lifecycle/tests/test_remaining_time.py
@@ -164,6 +164,21 @@
     assert not pair.owner_node.gate.state.queue
 
 
+def test_waiting_request_of_an_unknown_class_is_rejected_at_once(
+    stopping: StoppingPair,
+) -> None:
+    """A stop ends with an error: the latest start of a class is not finite."""
+    pair = stopping.pair
+    for _slot in range(pair.owner_node.gate.state.slots):
+        pair.owner_node.hold_slot()
+    with ThreadPoolExecutor(1) as executor:
+        asked = executor.submit(stopping.ask, LOOKUP)
+        wait_until(lambda: bool(pair.owner_node.gate.state.queue))
+        stopping.begin_stop(pair.entry_node, seconds=SHORT_SECONDS)
+        assert_rejected_unrun(*asked.result(TIMEOUT_SECONDS))
+    assert not stopping.runs
+
+
 def test_request_that_waits_still_starts_in_time(
     stopping: StoppingPair,
 ) -> None:
