--- a/wagtaildale/calls/tests/test_leaving.py
+++ b/wagtaildale/calls/tests/test_leaving.py
@@ -68,7 +68,9 @@
     """
     entry = EntryConnection(pair)
     entry.send(DRAIN_AWARE_PING)
-    assert entry.receive(1) == [Pong(collects_bodies=True)]
+    assert entry.receive(1) == [
+        Pong(collects_bodies=True, accepts_start_limits=True)
+    ]
     pair.owner_node.calls.drain()
     assert entry.receive(1) == [DrainNotice()]
     entry.send(build_run(idempotent=True))
@@ -85,7 +87,10 @@
     pair.owner_node.calls.drain()
     entry = EntryConnection(pair)
     entry.send(DRAIN_AWARE_PING)
-    assert entry.receive(2) == [Pong(collects_bodies=True), DrainNotice()]
+    assert entry.receive(2) == [
+        Pong(collects_bodies=True, accepts_start_limits=True),
+        DrainNotice(),
+    ]
     entry.sock.close()
 
 
@@ -98,14 +103,16 @@
     """
     entry = EntryConnection(pair)
     entry.send(Ping())
-    assert entry.receive(1) == [Pong(collects_bodies=True)]
+    assert entry.receive(1) == [
+        Pong(collects_bodies=True, accepts_start_limits=True)
+    ]
     pair.owner_node.calls.drain()
     entry.send(build_run(idempotent=True))
     entry.send(Ping())
     failed, pong = entry.receive(2)
     entry.sock.close()
     assert isinstance(failed, Failed)
-    assert pong == Pong(collects_bodies=True)
+    assert pong == Pong(collects_bodies=True, accepts_start_limits=True)
 
 
 def test_owner_of_an_earlier_build_ignores_the_new_field() -> None:
@@ -137,7 +144,9 @@
     # by now.
     entry = EntryConnection(pair)
     entry.send(Ping())
-    assert entry.receive(1) == [Pong(collects_bodies=True)]
+    assert entry.receive(1) == [
+        Pong(collects_bodies=True, accepts_start_limits=True)
+    ]
     assert pair.owner_node.calls.peer_port.open_connections == 1
     entry.sock.close()
 
