--- a/benchmarks/drains.py
+++ b/benchmarks/drains.py
@@ -65,17 +65,25 @@
     run = DeploymentRun(DEPLOYMENTS[names[0]], plan)
     outcome = asyncio.run(run.run())
     _print_summary(outcome, ' '.join(names), plan)
-    sys.exit(1 if outcome.broken else 0)
+    sys.exit(1 if outcome.broken or outcome.lost else 0)
 
 
 def _print_summary(outcome: RunOutcome, names: str, plan: RunPlan) -> None:
     for late in outcome.late:
         click.echo(_describe(late))
+    for lost in outcome.lost:
+        click.echo(
+            f'lost {lost.sent.request_id} sent '
+            f'{lost.sent.at - lost.stopped_at:.3f} s after SIGTERM, cut '
+            f'{lost.sent.ended_at - lost.stopped_at:.3f} s after it, '
+            f'has_run={bool(lost.arrivals)}'
+        )
     click.echo(
         f'drains {names} seed={plan.seed} good={not outcome.broken} '
         f'requests={outcome.requests} served={outcome.served} '
         f'arrivals={outcome.arrivals} departures={outcome.departures} '
         f'late={len(outcome.late)} broken={len(outcome.broken)} '
+        f'lost={len(outcome.lost)} '
         f'folder={plan.folder}'
     )
 
--- a/standins/deployment/client.py
+++ b/standins/deployment/client.py
@@ -128,6 +128,7 @@
         self._clients = clients
         self._host = ''
         self._streams: Streams | None = None
+        self._was_cut = False
 
     async def run(self) -> None:
         """Send one request after the other."""
@@ -178,6 +179,7 @@
             sent,
             ended_at=time.monotonic(),
             status=answer.status if answer else 0,
+            was_cut=self._was_cut,
         )
         self._clients.note(sent)
         return Attempt(sent=sent, answer=answer)
@@ -186,10 +188,14 @@
         self, streams: Streams, request: bytes, seconds: float
     ) -> Answer | None:
         answer: Answer | None = None
+        self._was_cut = False
         try:
             async with asyncio.timeout(seconds):
                 answer = await exchange(streams, request)
-        except (OSError, EOFError, TimeoutError):
+        except TimeoutError:
+            self._close()
+        except (OSError, EOFError):
+            self._was_cut = True
             self._close()
         if answer is not None and not answer.keeps_open:
             self._close()
--- a/standins/deployment/machines.py
+++ b/standins/deployment/machines.py
@@ -153,7 +153,7 @@
             number: the signal.
         """
         if number is not signal.SIGCONT:
-            self.begin_disturbance()
+            self.begin_disturbance(is_planned=number is signal.SIGTERM)
         if self.is_node_running():
             assert self.node is not None
             self.node.send_signal(number)
@@ -169,9 +169,15 @@
         if self.server is not None and self.server.poll() is None:
             self.server.send_signal(number)
 
-    def begin_disturbance(self) -> None:
-        """Record that a disturbance of the node begins."""
-        self.disturbances.append(Disturbance(begins_at=time.monotonic()))
+    def begin_disturbance(self, *, is_planned: bool = False) -> None:
+        """Record that a disturbance of the node begins.
+
+        Args:
+            is_planned: whether it is a planned stop.
+        """
+        self.disturbances.append(
+            Disturbance(begins_at=time.monotonic(), is_planned=is_planned)
+        )
 
     def end_disturbance(self) -> None:
         """Record that all disturbances of the node have ended."""
--- a/standins/deployment/model.py
+++ b/standins/deployment/model.py
@@ -250,6 +250,7 @@
         ended_at: time of its end, seconds on the monotonic clock; 0 if it had
             not ended.
         status: status of the answer; 0 if there was none.
+        was_cut: whether its connection ended before the answer.
     """
 
     request_id: str
@@ -258,3 +259,4 @@
     at: float
     ended_at: float = 0
     status: int = 0
+    was_cut: bool = False
--- a/standins/deployment/run.py
+++ b/standins/deployment/run.py
@@ -13,6 +13,7 @@
 from standins.deployment.fleet import STATUS_OK, DeploymentFleet
 from standins.deployment.machines import ARRIVALS_NAME, start_clients
 from standins.deployment.model import Arrival, Burst, ClientPlan, SentRequest
+from standins.deployment.stop_verdict import LostRequest, find_lost_requests
 from standins.deployment.verdict import (
     Bounds,
     Evidence,
@@ -62,6 +63,7 @@
         arrivals: requests that reached a server.
         departures: servers that left.
         late: requests that reached a server too late, the excused ones too.
+        lost: requests that planned stops have cut without an excuse.
     """
 
     requests: int
@@ -69,6 +71,7 @@
     arrivals: int
     departures: int
     late: tuple[LateRequest, ...]
+    lost: tuple[LostRequest, ...]
 
     @property
     def broken(self) -> tuple[LateRequest, ...]:
@@ -163,6 +166,9 @@
             arrivals=len(evidence.arrivals),
             departures=len(evidence.departures),
             late=tuple(find_late_requests(evidence, bounds=bounds)),
+            lost=tuple(
+                find_lost_requests(evidence, stable_seconds=STABLE_SECONDS)
+            ),
         )
 
     def _gather_evidence(self, folder: Path) -> Evidence:
--- a/standins/deployment/verdict.py
+++ b/standins/deployment/verdict.py
@@ -27,10 +27,12 @@
     Attributes:
         begins_at: begin, seconds on the monotonic clock.
         ends_at: end; infinite while it lasts.
+        is_planned: whether it is a planned stop.
     """
 
     begins_at: float
     ends_at: float = inf
+    is_planned: bool = False
 
 
 class Departure(Struct, frozen=True, kw_only=True):
--- a/standins/tests/test_drains.py
+++ b/standins/tests/test_drains.py
@@ -45,3 +45,4 @@
     assert outcome.departures
     assert outcome.served
     assert not outcome.broken
+    assert not outcome.lost
