Tests: the counts of a call are read once it is counted

Traced with a plugin that prints each decision: the entry did ask and was refused; the caller has its answer a moment before the entry counts the call. The test waits until the three calls are counted; what it asserts is the same.

--- a/wagtaildale/calls/tests/test_late_binding.py
+++ b/wagtaildale/calls/tests/test_late_binding.py
@@ -35,6 +35,7 @@
 # A run takes a sixth of the target of a lookup, and a tenth of the target is
 # far longer than a round trip on any test machine.
 RUN_SECONDS: Final = 0.1
+WARM_UP_CALLS: Final = 2
 SHORT_TARGETS: Final = MESH_TEXT.replace('within_ms = 150', 'within_ms = 600')
 PACE_HEADER: Final = b'x-server-load: 1,0,4,100\r\n'
 LOOKUP: Final = ('GET', '/files/1', 'casefiles/lookup')
@@ -58,7 +59,7 @@
 
 def warm_up(fleet: FeedbackFleet, method: str, path: str) -> None:
     """Let the entry learn run times, the round trip and a pace, if any."""
-    for _call in range(2):
+    for _call in range(WARM_UP_CALLS):
         assert fleet.ask(path, method=method).startswith(b'HTTP/1.1 200')
 
 
@@ -109,6 +110,9 @@
     runs = sum(len(backend.arrivals) for backend in fleet.backends)
     answer = ask_while_full(fleet, method, path)
     assert answer.startswith(b'HTTP/1.1 200')
+    # The caller has its answer before the entry has counted the call.
+    tallies = fleet.entries[0].tallies
+    wait_until(lambda: tallies.sum_up()[class_name].total == WARM_UP_CALLS + 1)
     assert count_missing_slots(fleet, class_name) == DEFAULT_MAX_REFUSALS
     assert sum(len(each.arrivals) for each in fleet.backends) == runs + 1
     tally = fleet.entries[0].tallies.sum_up()[class_name]
