Stop: an owner that ends too soon for a class still gets others

Found by reading the change again. A stopping owner refused a class that does not fit with 4007, by which entries take it for leaving and send it nothing for three seconds, short classes included. It refuses with 4030 now, which goes elsewhere as free as 4007, and leaves the owner in use for what fits. If there is no other upstream, the caller hears 4030 with Retry-After, not that there is none. What an owner refuses since it would wait too long for the entry's end is tried at another one too.

Before: the entry took the owner for leaving (new assertion).

--- a/wagtaildale/calls/entry/attempts.py
+++ b/wagtaildale/calls/entry/attempts.py
@@ -48,6 +48,7 @@
 OWNER_REJECTION_CODES: Final = REDIRECTED_CODES | {
     Code.overloaded,
     Code.rate_limited,
+    Code.stopping,
 }
 
 
--- a/wagtaildale/calls/entry/entry_call.py
+++ b/wagtaildale/calls/entry/entry_call.py
@@ -332,7 +332,8 @@
             self._start_attempt()
             return
         attempts.note_rejection(fields.instance, failure.code)
-        if attempts.try_redirect(failure, now=now) and replayable:
+        may_redirect = replayable and self._may_help_elsewhere(failure)
+        if may_redirect and attempts.try_redirect(failure, now=now):
             self._report.note_redirect(failure)
             self._start_attempt()
         elif self._try_retry(failure):
@@ -345,6 +346,14 @@
             mark_harmful(failure, attempts)
             self._fail_unless_attempts_run(failure)
 
+    def _may_help_elsewhere(self, failure: CallFailed) -> bool:
+        # Without another upstream the caller would be told that there is none.
+        if failure.code is not Code.stopping:
+            return True
+        return self._entry.targets.has_untried_upstream(
+            self.routed, self.attempts
+        )
+
     def _try_retry(self, failure: CallFailed) -> bool:
         return self.attempts.try_retry(
             failure,
@@ -496,10 +505,9 @@
             # before the next upstream rejected it. "Not run" is true only of
             # the last one, so the caller must not get it.
             failure.outcome = Outcome.unknown
-        if failure.code is Code.stopping:
-            failure.retry_after = self._entry.stop_schedule.compute_retry_after(
-                read_clock()
-            )
+        schedule = self._entry.stop_schedule
+        if failure.code is Code.stopping and schedule.is_stopping:
+            failure.retry_after = schedule.compute_retry_after(read_clock())
         self._end()
         self._note_failed_try()
         self._report.note_failure(failure, obstacle=self._find_obstacle())
--- a/wagtaildale/calls/owner/finish_check.py
+++ b/wagtaildale/calls/owner/finish_check.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.answer_times import AnswerTimes
+from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.stop_schedule import NOT_STOPPING
+from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
@@ -29,20 +31,27 @@
         self.answer_times = AnswerTimes()
         self.stop_schedule = NOT_STOPPING
 
-    def can_finish(self, fields: CallFields) -> bool:
-        """Check whether a run that starts now is answered in time.
+    def check(self, fields: CallFields) -> None:
+        """Check that a run that starts now is answered in time.
 
         Args:
             fields: fields of the call.
 
-        Returns:
-            Whether the process ends after the answer, as far as known.
+        Raises:
+            CallFailed: with outcome ``not_run``, if the process ends before
+                the answer, as far as known.
         """
-        if not self.stop_schedule.is_stopping:
-            return True
+        schedule = self.stop_schedule
+        if not schedule.is_stopping:
+            return
         now = read_clock()
-        latest_start = self.stop_schedule.find_latest_start(
+        latest_start = schedule.find_latest_start(
             seconds=self.answer_times.find_bound(fields.work_class),
             deadline=now + fields.remaining_ms / MILLISECONDS,
         )
-        return now <= latest_start
+        if now > latest_start:
+            raise CallFailed(
+                Code.stopping,
+                detail='the process of the owner ends too soon',
+                retry_after=schedule.compute_retry_after(now),
+            )
--- a/wagtaildale/calls/owner/server_targets.py
+++ b/wagtaildale/calls/owner/server_targets.py
@@ -126,8 +126,9 @@
         is_removed = target == fields.instance and self.find_listing(
             target
         ).shows_removal(fields.list_version)
-        if is_leaving or is_removed or not self.finish_check.can_finish(fields):
+        if is_leaving or is_removed:
             raise CallFailed(Code.draining)
+        self.finish_check.check(fields)
 
     def resolve_target(self, fields: CallFields) -> InstanceId:
         """Resolve the instance that runs a request.
--- a/wagtaildale/lifecycle/tests/test_remaining_time.py
+++ b/wagtaildale/lifecycle/tests/test_remaining_time.py
@@ -24,6 +24,7 @@
 from wagtaildale.testing.loopback import make_host
 from wagtaildale.testing.mesh import BACKEND_PORT, MeshNode
 from wagtaildale.timers.inbox import Inbox
+from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -205,6 +206,21 @@
         assert asked.result(TIMEOUT_SECONDS)[0].status == 200
 
 
+def test_only_owner_that_ends_too_soon_refuses_as_not_run(
+    stopping: StoppingPair,
+) -> None:
+    """A caller is told that there is no server, and comes back at once."""
+    stopping.warm_up(LOOKUP)
+    runs = stopping.runs
+    stopping.begin_stop(stopping.pair.owner_node, seconds=SCARCE_SECONDS)
+    response, text = stopping.ask(LOOKUP)
+    assert response.status == 503
+    assert read_code(text) is Code.stopping
+    assert response.headers[OUTCOME_HEADER].startswith('not-run')
+    assert int(response.headers['retry-after']) >= 1
+    assert stopping.runs == runs
+
+
 def test_owner_that_ends_too_soon_sends_a_call_elsewhere(
     stopping: StoppingPair,
 ) -> None:
@@ -220,5 +236,10 @@
         pair.entry_node.set_instances(pair.owner_node.record, other)
         answers = [stopping.ask(LOOKUP) for _request in range(4)]
     assert {response.status for response, _text in answers} == {200}
+    entry = pair.entry_node.calls.entry
+    upstream = entry.parts.placement.statistics.find(
+        pair.owner_node.record.instance, now=read_clock()
+    )
+    assert not upstream.ejection.is_leaving(read_clock())
     assert {json.decode(text)['by'] for _response, text in answers} == {'c'}
     assert stopping.runs == runs
