Slow start: log and count what a cold server gets in a second

The logs could not tell a bound that begins late from one that ends too soon or is passed by: nothing said what the server had been sent in the second before, nor how old the health answer was. slow-start-began and -ended now carry sent_in_second, lasted_ms and asked_ms_ago; run-ended of a request to a cold server carries cold_ms and sent_in_second; two gauges count such requests and the most in one second. No decision changes.

--- a/wagtaildale/admission/decisions.py
+++ b/wagtaildale/admission/decisions.py
@@ -37,6 +37,7 @@
     ProbeSent,
     RateForwarded,
     RateReported,
+    RequestSent,
     ServerRestarted,
     SlotsPublished,
     SlowStartBegan,
@@ -80,6 +81,18 @@
     return [*verdicts, *decide_arrival(state, message, now)]
 
 
+@decide_admission.register
+def _decide_sent(
+    message: RequestSent,
+    state: AdmissionState,
+    *,
+    now: float,
+) -> list[Verdict]:
+    if message.ticket in state.running:
+        state.rate.recent_sends.note(message.ticket, now=now)
+    return []
+
+
 @decide_admission.register
 def _decide_finished(
     message: RequestFinished,
@@ -224,7 +237,7 @@
     *,
     now: float,
 ) -> list[Verdict]:
-    state.rate.take_token(now=now)
+    state.rate.take_token(None, now=now)
     return []
 
 
--- a/wagtaildale/admission/queue.py
+++ b/wagtaildale/admission/queue.py
@@ -163,7 +163,7 @@
     state: AdmissionState, waiting: QueuedRequest, now: float
 ) -> Admitted:
     state.running[waiting.ticket] = now
-    state.rate.take_token(now=now)
+    state.rate.take_token(waiting.ticket, now=now)
     return Admitted(ticket=waiting.ticket)
 
 
--- a/wagtaildale/admission/rates.py
+++ b/wagtaildale/admission/rates.py
@@ -9,12 +9,16 @@
 from __future__ import annotations
 
 from math import inf
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct, field
 
+from wagtaildale.admission.recent_sends import RecentSends
 from wagtaildale.admission.slow_start import SlowStartBound
 
+if TYPE_CHECKING:
+    from wagtaildale.admission.messages import TicketId
+
 # Requests that a server did not get in the last half second may be sent at
 # once, since callers do not send them evenly.
 BURST_SECONDS: Final = 0.5
@@ -42,6 +46,7 @@
             seconds.
         slow_start: bound on the rate of a server that has just started; None
             if it is warm.
+        recent_sends: requests that the server was sent in the last second.
     """
 
     per_second: float | None = None
@@ -51,6 +56,7 @@
     source_sent_at: float = -inf
     last_seen_by_rank: dict[int, float] = field(default_factory=dict)
     slow_start: SlowStartBound | None = None
+    recent_sends: RecentSends = field(default_factory=RecentSends)
 
     def find_rate(self, now: float) -> float | None:
         """Find the rate that the server may get.
@@ -133,12 +139,14 @@
         """
         return self.find_wait(rank, ahead=0, now=now) <= 0
 
-    def take_token(self, *, now: float) -> None:
+    def take_token(self, ticket: TicketId | None, *, now: float) -> None:
         """Take a token for a request that is sent to the server.
 
         Args:
+            ticket: ticket of the request; None for the node's own.
             now: current time, seconds.
         """
+        self.recent_sends.note(ticket, now=now)
         if self.find_rate(now) is not None:
             self.refill(now)
             self.tokens -= 1
--- a/wagtaildale/admission/server_messages.py
+++ b/wagtaildale/admission/server_messages.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from msgspec import Struct
 
 from wagtaildale.admission.pace import ServerLoad
 from wagtaildale.admission.slow_start import SlowStartBound
 
+if TYPE_CHECKING:
+    from wagtaildale.admission.messages import TicketId
+
 
 class SlotsPublished(Struct, frozen=True, kw_only=True, gc=False):
     """The backend server has published its number of slots.
@@ -78,6 +83,19 @@
     load: ServerLoad
 
 
+class RequestSent(Struct, frozen=True, kw_only=True, gc=False):
+    """An admitted request is being sent.
+
+    It may have waited since its admission: for its run message, or for a
+    server that restarts.
+
+    Attributes:
+        ticket: ticket of the request.
+    """
+
+    ticket: TicketId
+
+
 class ProbeSent(Struct, frozen=True, kw_only=True, gc=False):
     """The node has sent its own request, such as a health check."""
 
@@ -92,5 +110,6 @@
     | SlowStartBegan
     | SlowStartEnded
     | LoadReported
+    | RequestSent
     | ProbeSent
 )
--- a/wagtaildale/admission/tests/test_rates.py
+++ b/wagtaildale/admission/tests/test_rates.py
@@ -138,7 +138,7 @@
     """Otherwise health checks exceed the limit of a server under load."""
     rate = RateLimit()
     rate.note_answer(1, begun_at=0, now=0)
-    rate.take_token(now=0)
+    rate.take_token(None, now=0)
     before = rate.find_wait(USUAL, ahead=0, now=0)
     gate = SimulatedGate()
     gate.state.rate = rate
--- a/wagtaildale/calls/owner/backend_run.py
+++ b/wagtaildale/calls/owner/backend_run.py
@@ -46,6 +46,9 @@
 class RunReceiver(Protocol):
     """The call that a run belongs to."""
 
+    def on_run_sent(self) -> None:
+        """Handle that the request is being sent to the backend server."""
+
     def on_run_read(self, status: int) -> None:
         """Handle that a paced response was read to its end.
 
@@ -374,6 +377,7 @@
             self._owner.trials.note_begun(
                 self._run_message, abandon=self._abort
             )
+        self._call.on_run_sent()
         self._connection = self._owner.pool.send_request(request, self)
 
     def _forward(self) -> None:
--- a/wagtaildale/calls/owner/identity_probe.py
+++ b/wagtaildale/calls/owner/identity_probe.py
@@ -63,6 +63,7 @@
         self._read_health_path = read_health_path
         self._targets = targets
         self._next_probe_at = float(0)
+        self._asked_at = float(0)
         self._connection: BackendConnection | None = None
         self._message: Message | None = None
         self._alarm: Alarm | None = None
@@ -79,6 +80,7 @@
         ):
             return
         self._next_probe_at = now + PROBE_INTERVAL_SECONDS
+        self._asked_at = now
         host = f'{self._address.host}:{self._address.port}'
         request = BackendRequest(
             request_id=b'',
@@ -143,10 +145,10 @@
             return
         left_ms = message.find(self._dialect.slow_start_ms)
         if left_ms is None:
-            self._targets.slow_start.note_reported(0)
+            self._targets.slow_start.note_reported(0, asked_at=self._asked_at)
         elif DURATION_PATTERN.fullmatch(left_ms):
             self._targets.slow_start.note_reported(
-                float(left_ms) / MILLISECONDS
+                float(left_ms) / MILLISECONDS, asked_at=self._asked_at
             )
         else:
             self._targets.feedback.note_malformed(left_ms)
--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -11,6 +11,7 @@
 
 from wagtaildale.admission.limits import Ending
 from wagtaildale.admission.messages import Refused, RequestArrived
+from wagtaildale.admission.server_messages import RequestSent
 from wagtaildale.admission.starts import estimate_start
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.owner.backend_run import BackendRun
@@ -100,6 +101,7 @@
             channel=channel,
             times=self._times,
         )
+        self._slow_start_inputs: Inputs = {}
         self._fields: CallFields | None = None
         self._ticket: TicketId | None = None
         self._body: ReceivedBody | None = None
@@ -209,6 +211,14 @@
         """
         self._fail(failure)
 
+    def on_run_sent(self) -> None:
+        """Count the request while the server is cold; see ``RunReceiver``."""
+        if self._ticket is not None:
+            self._owner.gate.handle_server_message(
+                RequestSent(ticket=self._ticket)
+            )
+        self._slow_start_inputs = self._owner.targets.slow_start.note_sent()
+
     def on_run_read(self, status: int) -> None:
         """Free the slot while the response is delivered; see ``RunReceiver``.
 
@@ -519,7 +529,7 @@
         listing = None if self._run is None else self._run.listing
         if listing is None:
             listing = self._owner.targets.find_listing(self.fields.instance)
-        return listing.describe()
+        return {**listing.describe(), **self._slow_start_inputs}
 
     def _cancel_slot_request(self) -> None:
         if self._ticket is not None:
--- a/wagtaildale/calls/owner/server_slow_start.py
+++ b/wagtaildale/calls/owner/server_slow_start.py
@@ -18,7 +18,7 @@
     from wagtaildale.admission.gate import Gate
     from wagtaildale.configuration.model import SlowStart
     from wagtaildale.settings.model import BoundSettings
-    from wagtaildale.telemetry.events import EventRecorder
+    from wagtaildale.telemetry.events import EventRecorder, Inputs
     from wagtaildale.types import InstanceId
 
 MILLISECONDS: Final = 1000
@@ -33,6 +33,9 @@
 
     Attributes:
         probe_listeners: callbacks that send a health check.
+        sent_count: number of requests sent to a server in slow start.
+        most_sent: largest number of requests in one second that a server in
+            slow start was sent.
     """
 
     def __init__(
@@ -53,11 +56,15 @@
             recorder: recorder of events when a slow start begins or ends.
         """
         self.probe_listeners: list[Callable[[], None]] = []
+        self.sent_count = 0
+        self.most_sent = 0
         self._gate = gate
+        self._rate = gate.state.rate
         self._read_slow_start = read_slow_start
         self._bounds = bounds
         self._recorder = recorder
         self._listed: tuple[InstanceId, float] | None = None
+        self._begun_at = float(0)
 
     def note_started(self) -> None:
         """Record that the server has started."""
@@ -88,40 +95,77 @@
         slow_start = self._read_slow_start()
         if slow_start is None or left_seconds <= 0:
             return
-        begun = self._gate.state.rate.slow_start
+        begun = self._rate.slow_start
         if begun is None or begun.until < read_clock() + left_seconds:
             self._begin(slow_start, left_seconds, origin='list')
 
-    def note_reported(self, left_seconds: float) -> None:
+    def note_sent(self) -> Inputs:
+        """Count a request that is sent to the server.
+
+        Returns:
+            Log inputs for the request; empty if the server is warm.
+        """
+        bound = self._rate.slow_start
+        now = read_clock()
+        if bound is None or now >= bound.until:
+            return {}
+        sent = self._rate.recent_sends.count(now)
+        self.sent_count += 1
+        self.most_sent = max(self.most_sent, sent)
+        return {
+            'cold_ms': _to_ms(bound.until - now),
+            'sent_in_second': sent,
+        }
+
+    def note_reported(self, left_seconds: float, *, asked_at: float) -> None:
         """Record what the server reports of itself.
 
         Args:
             left_seconds: time until it is warm, seconds; 0 if it is.
+            asked_at: when the health check was sent, seconds.
         """
         slow_start = self._read_slow_start()
         if slow_start is None:
             return
         if left_seconds > 0:
             self._begin(slow_start, left_seconds, origin='server')
-        elif self._gate.state.rate.slow_start is not None:
-            self._gate.handle_server_message(SlowStartEnded())
-            self._recorder.record(EventKind.slow_start_ended)
+        elif self._rate.slow_start is not None:
+            self._end(asked_at)
+
+    def _end(self, asked_at: float) -> None:
+        now = read_clock()
+        self._gate.handle_server_message(SlowStartEnded())
+        self._recorder.record(
+            EventKind.slow_start_ended,
+            inputs={
+                'lasted_ms': _to_ms(now - self._begun_at),
+                'asked_ms_ago': _to_ms(now - asked_at),
+                'sent_in_second': self._rate.recent_sends.count(now),
+            },
+        )
 
     def _begin(
         self, slow_start: SlowStart, left_seconds: float, *, origin: str
     ) -> None:
+        now = read_clock()
         bound = build_bound(
             slow_start,
             bounds=self._bounds,
             left_seconds=left_seconds,
-            now=read_clock(),
+            now=now,
         )
+        self._begun_at = now
         self._gate.handle_server_message(SlowStartBegan(bound=bound))
         self._recorder.record(
             EventKind.slow_start_began,
             inputs={
                 'origin': origin,
-                'left_ms': round(left_seconds * MILLISECONDS),
+                'left_ms': _to_ms(left_seconds),
                 'per_second': str(bound.per_second),
+                'sent_in_second': self._rate.recent_sends.count(now),
             },
         )
+
+
+def _to_ms(seconds: float) -> int:
+    return round(seconds * MILLISECONDS)
--- a/wagtaildale/calls/tests/test_server_slow_start.py
+++ b/wagtaildale/calls/tests/test_server_slow_start.py
@@ -67,9 +67,9 @@
     """A server that is warm gets a cold one's rate for seconds."""
     server = TrackedServer()
     server.tracker.note_unknown()
-    server.tracker.note_reported(0)
+    server.tracker.note_reported(0, asked_at=read_clock())
     assert server.find_rate() is None
-    server.tracker.note_reported(2)
+    server.tracker.note_reported(2, asked_at=read_clock())
     assert server.find_rate() == 11.25
     kinds = [event.kind for event in server.recorder.read_since(0)]
     assert kinds.count(EventKind.slow_start_began) == 2
@@ -80,7 +80,7 @@
     """Each new list makes the slow start of a server begin again."""
     server = TrackedServer()
     server.tracker.note_listed(FIRST, 2)
-    server.tracker.note_reported(0)
+    server.tracker.note_reported(0, asked_at=read_clock())
     server.tracker.note_listed(FIRST, 2)
     assert server.find_rate() is None
     server.tracker.note_listed(SECOND, 2)
@@ -102,7 +102,7 @@
     server.tracker.note_started()
     server.tracker.note_unknown()
     server.tracker.note_listed(FIRST, left_seconds)
-    server.tracker.note_reported(left_seconds)
+    server.tracker.note_reported(left_seconds, asked_at=read_clock())
     assert server.find_rate() is None
     assert not server.probes
 
