Slow start: an owner without a configuration sends its server a handful

Until the configuration is known its server is now in doubt: at most slow_start_slack requests in one second, half of them at once, which is less than any slow start allows. The first configuration ends that bound, or replaces it by the service's own and asks the server. A platform that publishes no bounds for slow starts has none, and nothing changes there.

--- a/wagtaildale/admission/slow_start.py
+++ b/wagtaildale/admission/slow_start.py
@@ -11,6 +11,8 @@
 
 from msgspec import Struct
 
+from wagtaildale.configuration.model import LONGEST_SLOW_START_SECONDS
+
 if TYPE_CHECKING:
     from wagtaildale.configuration.model import SlowStart
     from wagtaildale.settings.model import BoundSettings
@@ -55,6 +57,32 @@
     """
     return SlowStartBound(
         per_second=slow_start.per_second * bounds.slow_start_factor,
-        burst=max(MIN_BURST, bounds.slow_start_slack * SLACK_SHARE),
+        burst=_find_burst(bounds),
         until=now + left_seconds,
     )
+
+
+def build_unconfigured_bound(
+    bounds: BoundSettings, *, now: float
+) -> SlowStartBound:
+    """Build the bound of a server of which no configuration is known.
+
+    A cold server bears more than the slack alone, whatever its rate is.
+
+    Args:
+        bounds: what the operators tolerate beyond the rate.
+        now: current time, seconds.
+
+    Returns:
+        The bound.
+    """
+    burst = _find_burst(bounds)
+    return SlowStartBound(
+        per_second=max(0, bounds.slow_start_slack - burst),
+        burst=burst,
+        until=now + LONGEST_SLOW_START_SECONDS,
+    )
+
+
+def _find_burst(bounds: BoundSettings) -> float:
+    return max(MIN_BURST, bounds.slow_start_slack * SLACK_SHARE)
--- a/wagtaildale/calls/owner/server_review.py
+++ b/wagtaildale/calls/owner/server_review.py
@@ -79,11 +79,14 @@
             )
 
     def _review_start(self) -> None:
-        # This process may have started together with its server, or beside
-        # one that has just become cold.
-        if not self._has_configuration and self._view.current.table is not None:
-            self._has_configuration = True
-            self._owner.targets.slow_start.note_unknown()
+        if self._has_configuration:
+            return
+        slow_start = self._owner.targets.slow_start
+        self._has_configuration = self._view.current.table is not None
+        if self._has_configuration:
+            slow_start.note_configured()
+        else:
+            slow_start.note_unconfigured()
 
     def _review_evacuation(self) -> None:
         is_evacuated = self._owner.targets.is_evacuated()
--- a/wagtaildale/calls/owner/server_slow_start.py
+++ b/wagtaildale/calls/owner/server_slow_start.py
@@ -8,7 +8,10 @@
     SlowStartBegan,
     SlowStartEnded,
 )
-from wagtaildale.admission.slow_start import build_bound
+from wagtaildale.admission.slow_start import (
+    build_bound,
+    build_unconfigured_bound,
+)
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
 
@@ -16,6 +19,7 @@
     from collections.abc import Callable
 
     from wagtaildale.admission.gate import Gate
+    from wagtaildale.admission.slow_start import SlowStartBound
     from wagtaildale.configuration.model import SlowStart
     from wagtaildale.settings.model import BoundSettings
     from wagtaildale.telemetry.events import EventRecorder, Inputs
@@ -65,6 +69,29 @@
         self._recorder = recorder
         self._listed: tuple[InstanceId, float] | None = None
         self._begun_at = float(0)
+        self._is_unconfigured = False
+
+    def note_unconfigured(self) -> None:
+        """Record that no configuration tells yet how the server starts."""
+        if self._is_unconfigured or not self._bounds.expects_slow_start:
+            return
+        self._is_unconfigured = True
+        self._apply(
+            build_unconfigured_bound(self._bounds, now=read_clock()),
+            origin='unconfigured',
+        )
+
+    def note_configured(self) -> None:
+        """Record that the first configuration is known.
+
+        The process may have started together with its server, or beside one
+        that has just become cold.
+        """
+        self._is_unconfigured = False
+        if self._read_slow_start() is None:
+            self._gate.handle_server_message(SlowStartEnded())
+        else:
+            self.note_unknown()
 
     def note_started(self) -> None:
         """Record that the server has started."""
@@ -147,20 +174,23 @@
     def _begin(
         self, slow_start: SlowStart, left_seconds: float, *, origin: str
     ) -> None:
-        now = read_clock()
         bound = build_bound(
             slow_start,
             bounds=self._bounds,
             left_seconds=left_seconds,
-            now=now,
+            now=read_clock(),
         )
+        self._apply(bound, origin=origin)
+
+    def _apply(self, bound: SlowStartBound, *, origin: str) -> None:
+        now = read_clock()
         self._begun_at = now
         self._gate.handle_server_message(SlowStartBegan(bound=bound))
         self._recorder.record(
             EventKind.slow_start_began,
             inputs={
                 'origin': origin,
-                'left_ms': _to_ms(left_seconds),
+                'left_ms': _to_ms(bound.until - now),
                 'per_second': str(bound.per_second),
                 'sent_in_second': self._rate.recent_sends.count(now),
             },
--- a/wagtaildale/platform/settings.py
+++ b/wagtaildale/platform/settings.py
@@ -225,6 +225,7 @@
         retry_slack=figures.get('budgetSlack', default.retry_slack),
         slow_start_factor=figures.get('coldOver', default.slow_start_factor),
         slow_start_slack=figures.get('coldSlack', default.slow_start_slack),
+        expects_slow_start='coldOver' in figures or 'coldSlack' in figures,
     )
 
 
--- a/wagtaildale/platform/tests/test_places.py
+++ b/wagtaildale/platform/tests/test_places.py
@@ -100,3 +100,10 @@
         build_file(bounds=['coldOver=1.5', 'coldSlack=8', 'evacuateMs=5000'])
     ).bounds
     assert (bounds.slow_start_factor, bounds.slow_start_slack) == (1.5, 8)
+    assert bounds.expects_slow_start
+
+
+def test_platform_without_slow_starts_bounds_no_fresh_owner() -> None:
+    """A node that restarts turns away what its warm server could take."""
+    bounds = translate_settings(build_file(bounds=['graceS=6'])).bounds
+    assert not bounds.expects_slow_start
--- a/wagtaildale/settings/model.py
+++ b/wagtaildale/settings/model.py
@@ -196,6 +196,8 @@
         slow_start_factor: multiple of the rate that a cold server bears which
             it may get.
         slow_start_slack: requests in one second that it may get beyond that.
+        expects_slow_start: whether servers may start slowly; a node that has
+            no configuration yet then bounds what its server gets.
     """
 
     apply_seconds: Annotated[float, Meta(gt=0)] = APPLY_SECONDS
@@ -206,6 +208,7 @@
     retry_slack: Annotated[float, Meta(ge=0)] = RETRY_SLACK
     slow_start_factor: Annotated[float, Meta(gt=0)] = 1
     slow_start_slack: Annotated[float, Meta(ge=0)] = SLOW_START_SLACK
+    expects_slow_start: bool = True
 
     @property
     def idle_read_seconds(self) -> float:
