Slow start: a bound that begins late counts what was sent before

The gate now remembers the requests of the last second, from the moment at which each is sent, and admits none beyond what the bound allows in any second. That holds for slots leased under the old rate too: they count until their requests are sent, and again from then on. A start that the owner saw forgets what its predecessor got, except for what still runs.

--- a/wagtaildale/admission/decisions.py
+++ b/wagtaildale/admission/decisions.py
@@ -292,6 +292,8 @@
     *,
     now: float,
 ) -> list[Verdict]:
+    if message.has_started:
+        state.rate.recent_sends.keep(state.running)
     begin_slow_start(state.rate, message.bound, now=now)
     return refuse_rate_limited(state, now)
 
--- a/wagtaildale/admission/rates.py
+++ b/wagtaildale/admission/rates.py
@@ -24,7 +24,7 @@
 BURST_SECONDS: Final = 0.5
 # One token for a request, and one that is reserved for higher priorities.
 MIN_BURST_TOKENS: Final = 2.0
-RESERVED_TOKENS: Final = 1.0
+RESERVED_TOKENS: Final = 1
 # With a limit of zero no response would ever arrive to raise it again.
 MIN_PER_SECOND: Final = 0.5
 # A token is reserved for a rank for this long after its last request.
@@ -166,8 +166,13 @@
         if per_second is None:
             return 0
         self.refill(now)
-        missing = ahead + 1 + _find_reserved(self, rank, now) - self.tokens
-        return max(0, missing / _clamp_rate(per_second))
+        ahead += _find_reserved(self, rank, now)
+        missing = ahead + 1 - self.tokens
+        return max(
+            0,
+            missing / _clamp_rate(per_second),
+            self._find_slow_start_wait(ahead, now),
+        )
 
     def refill(self, now: float) -> None:
         """Add the tokens since the bucket was last refilled.
@@ -183,6 +188,16 @@
         self.tokens = min(grown, _find_burst(self, rate, now))
         self.counted_at = now
 
+    def _find_slow_start_wait(self, ahead: int, now: float) -> float:
+        # The bound may begin after the server turned cold: what it got before
+        # counts towards what it bears in one second.
+        slow_start = self.slow_start
+        if slow_start is None or now >= slow_start.until:
+            return 0
+        return self.recent_sends.find_wait(
+            most=slow_start.most_in_second, ahead=ahead, now=now
+        )
+
     def _set_rate(self, per_second: float | None, now: float) -> None:
         if self.find_rate(now) is None:
             # The server was overloaded a moment ago: start without a burst.
@@ -212,7 +227,7 @@
     rate.refill(now)
 
 
-def _find_reserved(rate: RateLimit, rank: int, now: float) -> float:
+def _find_reserved(rate: RateLimit, rank: int, now: float) -> int:
     # Without a reserved token the first request to arrive takes it, and a
     # request of high priority finds the bucket empty as often as others.
     return RESERVED_TOKENS * any(
--- a/wagtaildale/admission/server_messages.py
+++ b/wagtaildale/admission/server_messages.py
@@ -64,9 +64,12 @@
 
     Attributes:
         bound: what it may get until it is warm.
+        has_started: whether a new server process has just started, which got
+            nothing of what was sent before, except for what still runs.
     """
 
     bound: SlowStartBound
+    has_started: bool = False
 
 
 class SlowStartEnded(Struct, frozen=True, kw_only=True, gc=False):
--- a/wagtaildale/admission/slow_start.py
+++ b/wagtaildale/admission/slow_start.py
@@ -36,6 +36,11 @@
     burst: float
     until: float
 
+    @property
+    def most_in_second(self) -> int:
+        """Most requests that may be sent in any second; at least one."""
+        return max(1, int(self.per_second + self.burst))
+
 
 def build_bound(
     slow_start: SlowStart,
--- a/wagtaildale/admission/tests/test_slow_start.py
+++ b/wagtaildale/admission/tests/test_slow_start.py
@@ -12,7 +12,10 @@
     SlowStartEnded,
 )
 from wagtaildale.admission.slow_start import SlowStartBound, build_bound
-from wagtaildale.admission.tests.simulated_gate import SimulatedGate
+from wagtaildale.admission.tests.simulated_gate import (
+    RUN_SECONDS,
+    SimulatedGate,
+)
 from wagtaildale.configuration.model import SlowStart
 from wagtaildale.settings.model import BoundSettings
 
@@ -60,6 +63,35 @@
     assert gate.count_arrivals(2) <= 7.5 * 1.5 + 8
 
 
+@pytest.mark.parametrize('late_seconds', [0.1, 0.3])
+def test_bound_that_begins_late_counts_what_was_sent_before(
+    late_seconds: float,
+) -> None:
+    """A server gets its usual rate and the bound of a cold one in a second."""
+    gate = SimulatedGate(slots=3)
+    gate.run(2, per_second={USUAL: 500})
+    turned_at = gate.now
+    gate.run(late_seconds, per_second={USUAL: 500})
+    bound = build_slow_start(7.5, factor=1.5, slack=8, now=gate.now)
+    gate.tell(SlowStartBegan(bound=bound))
+    gate.run(2, per_second={USUAL: 500})
+    assert (
+        gate.find_max_arrivals(WINDOW_SECONDS, since=turned_at) <= 7.5 * 1.5 + 8
+    )
+
+
+def test_server_that_started_gets_its_bound_at_once() -> None:
+    """What its predecessor got keeps requests from a server for a second."""
+    gate = SimulatedGate()
+    gate.run(2, per_second={USUAL: 500})
+    gate.run(2 * RUN_SECONDS, per_second={})
+    bound = build_slow_start(7.5, factor=1.5, slack=8, now=gate.now)
+    gate.tell(SlowStartBegan(bound=bound, has_started=True))
+    since = gate.now
+    gate.run(0.5, per_second={USUAL: 500})
+    assert gate.count_arrivals(since) >= 0.5 * 7.5 * 1.5
+
+
 def test_warm_server_gets_its_usual_rate() -> None:
     """The bound stays in force after the slow start."""
     gate = SimulatedGate()
--- a/wagtaildale/calls/owner/server_slow_start.py
+++ b/wagtaildale/calls/owner/server_slow_start.py
@@ -26,6 +26,7 @@
     from wagtaildale.types import InstanceId
 
 MILLISECONDS: Final = 1000
+STARTED: Final = 'started'
 
 
 class SlowStartTracker:
@@ -97,7 +98,7 @@
         """Record that the server has started."""
         slow_start = self._read_slow_start()
         if slow_start is not None:
-            self._begin(slow_start, slow_start.seconds, origin='started')
+            self._begin(slow_start, slow_start.seconds, origin=STARTED)
 
     def note_unknown(self) -> None:
         """Record that the server may have started without notice; ask it."""
@@ -185,7 +186,9 @@
     def _apply(self, bound: SlowStartBound, *, origin: str) -> None:
         now = read_clock()
         self._begun_at = now
-        self._gate.handle_server_message(SlowStartBegan(bound=bound))
+        self._gate.handle_server_message(
+            SlowStartBegan(bound=bound, has_started=origin == STARTED)
+        )
         self._recorder.record(
             EventKind.slow_start_began,
             inputs={
