Slow start: a server that may have restarted at rest counts as cold until it answers

Nothing noticed the end, since no request failed. An open connection proves that its process still runs; without one, and 0.25 s after the last answer, a server of a service with slow starts is in doubt: it gets the rate of a cold one, and is asked by a health check as soon as requests follow each other. A single request now and then is no reason to ask. Health checks in doubt are repeated until one is answered; one was sent before, and none if another had been sent less than a second ago.

Two tests hold for warm servers: they get their usual rate after a rest, and no health check a request. Event records move to a module of their own.

--- a/wagtaildale/admission/rates.py
+++ b/wagtaildale/admission/rates.py
@@ -68,13 +68,27 @@
             Requests per second: the limit that the server names or that of
             its slow start, whichever is lower; None without a limit.
         """
-        slow_start = self.slow_start
-        if slow_start is None or now >= slow_start.until:
+        slow_start = self.find_slow_start(now)
+        if slow_start is None:
             return self.per_second
         if self.per_second is None:
             return slow_start.per_second
         return min(self.per_second, slow_start.per_second)
 
+    def find_slow_start(self, now: float) -> SlowStartBound | None:
+        """Find the bound of a cold server.
+
+        Args:
+            now: current time, seconds.
+
+        Returns:
+            The bound that is in force; None if the server is warm.
+        """
+        slow_start = self.slow_start
+        if slow_start is None or now >= slow_start.until:
+            return None
+        return slow_start
+
     def note_answer(
         self,
         per_second: float | None,
@@ -171,7 +185,7 @@
         return max(
             0,
             missing / _clamp_rate(per_second),
-            self._find_slow_start_wait(ahead, now),
+            _find_slow_start_wait(self, ahead, now),
         )
 
     def refill(self, now: float) -> None:
@@ -188,16 +202,6 @@
         self.tokens = min(grown, _find_burst(self, rate, now))
         self.counted_at = now
 
-    def _find_slow_start_wait(self, ahead: int, now: float) -> float:
-        # The bound may begin after the server turned cold: what it got before
-        # counts towards what it bears in one second.
-        slow_start = self.slow_start
-        if slow_start is None or now >= slow_start.until:
-            return 0
-        return self.recent_sends.find_wait(
-            most=slow_start.most_in_second, ahead=ahead, now=now
-        )
-
     def _set_rate(self, per_second: float | None, now: float) -> None:
         if self.find_rate(now) is None:
             # The server was overloaded a moment ago: start without a burst.
@@ -227,6 +231,17 @@
     rate.refill(now)
 
 
+def _find_slow_start_wait(rate: RateLimit, ahead: int, now: float) -> float:
+    # The bound may begin after the server turned cold: what it got before
+    # counts towards what it bears in one second.
+    slow_start = rate.find_slow_start(now)
+    if slow_start is None:
+        return 0
+    return rate.recent_sends.find_wait(
+        most=slow_start.most_in_second, ahead=ahead, now=now
+    )
+
+
 def _find_reserved(rate: RateLimit, rank: int, now: float) -> int:
     # Without a reserved token the first request to arrive takes it, and a
     # request of high priority finds the bucket empty as often as others.
@@ -238,8 +253,8 @@
 
 def _find_burst(rate: RateLimit, per_second: float, now: float) -> float:
     burst = max(MIN_BURST_TOKENS, per_second * BURST_SECONDS)
-    slow_start = rate.slow_start
-    if slow_start is None or now >= slow_start.until:
+    slow_start = rate.find_slow_start(now)
+    if slow_start is None:
         return burst
     return min(burst, slow_start.burst)
 
--- a/wagtaildale/calls/backend/backend_connection.py
+++ b/wagtaildale/calls/backend/backend_connection.py
@@ -152,6 +152,16 @@
         """Whether the connection is open at both ends."""
         return self._is_open and self.has_no_input
 
+    @property
+    def is_alive(self) -> bool:
+        """Whether the connection was accepted and the server has not ended it.
+
+        Unlike ``is_established``, it stays true while a response is read.
+        """
+        return (
+            self._is_open and peek_input(self._stream) is not PendingInput.ended
+        )
+
     def send_request(
         self,
         request: BackendRequest,
@@ -211,6 +221,7 @@
             return
         self._is_open = True
         self._connect_alarm.cancel()
+        self._pool.note_contact()
         self._pool.watch.note_up()
 
     def on_bytes(self, chunk: bytes) -> None:
@@ -322,6 +333,7 @@
         # whole request, is not reused: what follows on it is undefined.
         is_in_sync = self._stray is None and not self._parser.has_more()
         is_fully_sent = not request.more and not self._stream.unsent_bytes
+        self._pool.note_contact()
         if message.keep_alive and is_in_sync and is_fully_sent:
             self.used_at = read_clock()
             self.idle_until = self.used_at + _read_idle_seconds(message)
--- a/wagtaildale/calls/backend/backend_pool.py
+++ b/wagtaildale/calls/backend/backend_pool.py
@@ -63,6 +63,7 @@
         self.opened_count = 0
         self.address = address
         self.watch = ServerWatch(loop, address, recorder=recorder)
+        self._contact_at = float(0)
         self._idle: list[BackendConnection] = []
         self._all: set[BackendConnection] = set()
 
@@ -112,6 +113,21 @@
         """
         return any(connection.is_established for connection in self._all)
 
+    def note_contact(self) -> None:
+        """Record that the server has accepted a connection or answered."""
+        self._contact_at = read_clock()
+
+    def find_contact(self) -> float:
+        """Find until when the server process is known to have run.
+
+        Returns:
+            Seconds on the clock; the current time if a connection is open,
+            since a process that ends closes all of its connections.
+        """
+        if any(connection.is_alive for connection in self._all):
+            self.note_contact()
+        return self._contact_at
+
     def close(self) -> None:
         """Close every connection."""
         for connection in tuple(self._all):
--- a/wagtaildale/calls/owner/identity_probe.py
+++ b/wagtaildale/calls/owner/identity_probe.py
@@ -29,6 +29,8 @@
 # A server without a free slot answers only after a request has ended. Shorter
 # than the interval, so that at most one probe is in progress.
 PROBE_TIMEOUT_SECONDS: Final = 0.9
+# While no probe can be sent, for example in an evacuated data centre.
+MIN_REPEAT_SECONDS: Final = 0.25
 # Milliseconds, as a decimal number with at most nine digits before and after
 # the point.
 DURATION_PATTERN: Final = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?')
@@ -67,6 +69,18 @@
         self._connection: BackendConnection | None = None
         self._message: Message | None = None
         self._alarm: Alarm | None = None
+        self._repeat_alarm: Alarm | None = None
+
+    def send_until_answered(self) -> None:
+        """Send probes until the server has told whether it is cold."""
+        if not self._targets.slow_start.is_in_doubt:
+            return
+        self.send_if_due()
+        if self._repeat_alarm is None or not self._repeat_alarm.is_set:
+            wait = max(MIN_REPEAT_SECONDS, self._next_probe_at - read_clock())
+            self._repeat_alarm = self._pool.loop.alarms.set(
+                wait, self.send_until_answered
+            )
 
     def send_if_due(self) -> None:
         """Send a probe, at most one every ``PROBE_INTERVAL_SECONDS``."""
--- a/wagtaildale/calls/owner/owner.py
+++ b/wagtaildale/calls/owner/owner.py
@@ -15,6 +15,7 @@
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.owner.body_collector import BodyCollector
 from wagtaildale.calls.owner.load_notifier import LoadNotifier
+from wagtaildale.calls.owner.rest_review import RestReview
 from wagtaildale.calls.owner.response_sender import ResponseSender
 from wagtaildale.calls.owner.server_feedback import FeedbackTracker
 from wagtaildale.calls.owner.server_targets import ServerTargets
@@ -148,6 +149,11 @@
         )
         self.targets.leaving.listeners.append(self.load_notifier.notify_leaving)
         self.pool.watch.listeners.append(self._on_watch_changed)
+        self._rest_review = RestReview(
+            self.targets.slow_start,
+            rate=gate.state.rate,
+            find_contact=self.pool.find_contact,
+        )
         self.collector = BodyCollector(
             make_incoming_line(line_mbps), alarms=loop.alarms
         )
@@ -178,7 +184,8 @@
         that the call names. It also rejects new work when the owner already
         knows that the instance is leaving but the entry does not, and when
         the server has identified itself as another instance and would refuse
-        the request again.
+        the request again. A server that may have restarted unnoticed counts as
+        cold from now on.
 
         Args:
             fields: fields of the call.
@@ -200,6 +207,7 @@
                 forwarded_limit,
                 instance=fields.instance,
             )
+        self._rest_review.run()
 
     def build_answer_fields(
         self,
@@ -314,6 +322,7 @@
     def _on_watch_changed(self) -> None:
         is_up = self.pool.watch.is_up
         if is_up:
+            self.pool.note_contact()
             self.targets.leaving.note_started()
             self.targets.feedback.note_started()
             self.targets.slow_start.note_started()
--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -217,7 +217,8 @@
             self._owner.gate.handle_server_message(
                 RequestSent(ticket=self._ticket)
             )
-        self._slow_start_inputs = self._owner.targets.slow_start.note_sent()
+        slow_start = self._owner.targets.slow_start
+        self._slow_start_inputs = slow_start.record.note_sent()
 
     def on_run_read(self, status: int) -> None:
         """Free the slot while the response is delivered; see ``RunReceiver``.
--- a/wagtaildale/calls/owner/server_review.py
+++ b/wagtaildale/calls/owner/server_review.py
@@ -83,10 +83,7 @@
             return
         slow_start = self._owner.targets.slow_start
         self._has_configuration = self._view.current.table is not None
-        if self._has_configuration:
-            slow_start.note_configured()
-        else:
-            slow_start.note_unconfigured()
+        slow_start.review_configuration(is_configured=self._has_configuration)
 
     def _review_evacuation(self) -> None:
         is_evacuated = self._owner.targets.is_evacuated()
@@ -99,6 +96,7 @@
         else:
             # The servers may have been restarted meanwhile.
             self._owner.targets.slow_start.note_unknown()
+            self._owner.targets.slow_start.ask()
             kind = EventKind.evacuation_ended
         self._recorder.record(
             kind,
--- a/wagtaildale/calls/owner/server_slow_start.py
+++ b/wagtaildale/calls/owner/server_slow_start.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from enum import Enum
+from typing import TYPE_CHECKING, final
 
 from wagtaildale.admission.server_messages import (
     SlowStartBegan,
@@ -12,7 +13,7 @@
     build_bound,
     build_unconfigured_bound,
 )
-from wagtaildale.telemetry.events import EventKind
+from wagtaildale.calls.owner.slow_start_record import SlowStartRecord
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
@@ -22,11 +23,30 @@
     from wagtaildale.admission.slow_start import SlowStartBound
     from wagtaildale.configuration.model import SlowStart
     from wagtaildale.settings.model import BoundSettings
-    from wagtaildale.telemetry.events import EventRecorder, Inputs
+    from wagtaildale.telemetry.events import EventRecorder
     from wagtaildale.types import InstanceId
 
-MILLISECONDS: Final = 1000
-STARTED: Final = 'started'
+
+@final
+class SlowStartOrigin(Enum):
+    """What tells that a server is cold, or may be.
+
+    Attributes:
+        unconfigured: no configuration tells yet how servers start.
+        unknown: the node has started, an evacuation has ended, or the server
+            turned out to be another instance.
+        rest: it may have restarted while nothing was sent to it.
+        started: it was down and is up.
+        listed: the instance list.
+        server: its answer to a health check.
+    """
+
+    unconfigured = 'unconfigured'
+    unknown = 'unknown'
+    rest = 'rest'
+    started = 'started'
+    listed = 'list'
+    server = 'server'
 
 
 class SlowStartTracker:
@@ -34,13 +54,13 @@
 
     The list lags by seconds, so it only begins or prolongs a slow start. It
     ends by its time, or when the server itself reports in a health check that
-    it is warm.
+    it is warm. A server that may have started unnoticed is in doubt: it counts
+    as cold until it has answered a health check.
 
     Attributes:
-        probe_listeners: callbacks that send a health check.
-        sent_count: number of requests sent to a server in slow start.
-        most_sent: largest number of requests in one second that a server in
-            slow start was sent.
+        probe_listeners: callbacks that send health checks until one is
+            answered.
+        record: events and counts of slow starts.
     """
 
     def __init__(
@@ -61,53 +81,70 @@
             recorder: recorder of events when a slow start begins or ends.
         """
         self.probe_listeners: list[Callable[[], None]] = []
-        self.sent_count = 0
-        self.most_sent = 0
+        self.record = SlowStartRecord(gate.state.rate, recorder=recorder)
         self._gate = gate
         self._rate = gate.state.rate
         self._read_slow_start = read_slow_start
         self._bounds = bounds
-        self._recorder = recorder
         self._listed: tuple[InstanceId, float] | None = None
-        self._begun_at = float(0)
         self._is_unconfigured = False
+        self._is_asked = False
 
-    def note_unconfigured(self) -> None:
-        """Record that no configuration tells yet how the server starts."""
-        if self._is_unconfigured or not self._bounds.expects_slow_start:
-            return
-        self._is_unconfigured = True
-        self._apply(
-            build_unconfigured_bound(self._bounds, now=read_clock()),
-            origin='unconfigured',
-        )
+    @property
+    def is_applicable(self) -> bool:
+        """Whether servers of the service are known to start slowly."""
+        return self._read_slow_start() is not None
+
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether the server counts as cold until it answers."""
+        is_bounded = self._rate.find_slow_start(read_clock()) is not None
+        return self._is_asked and is_bounded
 
-    def note_configured(self) -> None:
-        """Record that the first configuration is known.
+    def review_configuration(self, *, is_configured: bool) -> None:
+        """Bound the server until the first configuration is known.
 
-        The process may have started together with its server, or beside one
-        that has just become cold.
+        This process may have started together with its server, or beside one
+        that has just become cold. It is asked once there is a configuration.
+
+        Args:
+            is_configured: whether a configuration is known.
         """
-        self._is_unconfigured = False
-        if self._read_slow_start() is None:
+        if is_configured:
+            self._is_unconfigured = False
             self._gate.handle_server_message(SlowStartEnded())
-        else:
             self.note_unknown()
+            self.ask()
+        elif self._bounds.expects_slow_start and not self._is_unconfigured:
+            self._is_unconfigured = True
+            bound = build_unconfigured_bound(self._bounds, now=read_clock())
+            self._apply(bound, origin=SlowStartOrigin.unconfigured)
 
     def note_started(self) -> None:
         """Record that the server has started."""
         slow_start = self._read_slow_start()
         if slow_start is not None:
-            self._begin(slow_start, slow_start.seconds, origin=STARTED)
+            self._begin(
+                slow_start, slow_start.seconds, origin=SlowStartOrigin.started
+            )
+
+    def note_unknown(
+        self, *, origin: SlowStartOrigin = SlowStartOrigin.unknown
+    ) -> None:
+        """Record that the server may have started without notice.
 
-    def note_unknown(self) -> None:
-        """Record that the server may have started without notice; ask it."""
+        Args:
+            origin: what casts the doubt.
+        """
         slow_start = self._read_slow_start()
-        if slow_start is None:
-            return
-        self._begin(slow_start, slow_start.seconds, origin='unknown')
-        for send_probe in self.probe_listeners:
-            send_probe()
+        if slow_start is not None:
+            self._begin(slow_start, slow_start.seconds, origin=origin)
+
+    def ask(self) -> None:
+        """Ask the server whether it is cold, until it answers."""
+        self._is_asked = True
+        for send_probes in self.probe_listeners:
+            send_probes()
 
     def note_listed(self, instance: InstanceId, left_seconds: float) -> None:
         """Record what the instance list states of the server.
@@ -116,34 +153,16 @@
             instance: listed instance.
             left_seconds: time until it is warm, seconds; 0 if it is.
         """
+        slow_start = self._read_slow_start()
         listed = (instance, left_seconds)
-        if listed == self._listed:
+        if slow_start is None or listed == self._listed:
             return
         self._listed = listed
-        slow_start = self._read_slow_start()
-        if slow_start is None or left_seconds <= 0:
+        if left_seconds <= 0:
             return
         begun = self._rate.slow_start
         if begun is None or begun.until < read_clock() + left_seconds:
-            self._begin(slow_start, left_seconds, origin='list')
-
-    def note_sent(self) -> Inputs:
-        """Count a request that is sent to the server.
-
-        Returns:
-            Log inputs for the request; empty if the server is warm.
-        """
-        bound = self._rate.slow_start
-        now = read_clock()
-        if bound is None or now >= bound.until:
-            return {}
-        sent = self._rate.recent_sends.count(now)
-        self.sent_count += 1
-        self.most_sent = max(self.most_sent, sent)
-        return {
-            'cold_ms': _to_ms(bound.until - now),
-            'sent_in_second': sent,
-        }
+            self._begin(slow_start, left_seconds, origin=SlowStartOrigin.listed)
 
     def note_reported(self, left_seconds: float, *, asked_at: float) -> None:
         """Record what the server reports of itself.
@@ -156,24 +175,18 @@
         if slow_start is None:
             return
         if left_seconds > 0:
-            self._begin(slow_start, left_seconds, origin='server')
+            self._begin(slow_start, left_seconds, origin=SlowStartOrigin.server)
         elif self._rate.slow_start is not None:
-            self._end(asked_at)
-
-    def _end(self, asked_at: float) -> None:
-        now = read_clock()
-        self._gate.handle_server_message(SlowStartEnded())
-        self._recorder.record(
-            EventKind.slow_start_ended,
-            inputs={
-                'lasted_ms': _to_ms(now - self._begun_at),
-                'asked_ms_ago': _to_ms(now - asked_at),
-                'sent_in_second': self._rate.recent_sends.count(now),
-            },
-        )
+            self._is_asked = False
+            self._gate.handle_server_message(SlowStartEnded())
+            self.record.record_ended(asked_at=asked_at)
 
     def _begin(
-        self, slow_start: SlowStart, left_seconds: float, *, origin: str
+        self,
+        slow_start: SlowStart,
+        left_seconds: float,
+        *,
+        origin: SlowStartOrigin,
     ) -> None:
         bound = build_bound(
             slow_start,
@@ -183,22 +196,10 @@
         )
         self._apply(bound, origin=origin)
 
-    def _apply(self, bound: SlowStartBound, *, origin: str) -> None:
-        now = read_clock()
-        self._begun_at = now
+    def _apply(self, bound: SlowStartBound, *, origin: SlowStartOrigin) -> None:
+        self._is_asked = False
+        has_started = origin is SlowStartOrigin.started
         self._gate.handle_server_message(
-            SlowStartBegan(bound=bound, has_started=origin == STARTED)
+            SlowStartBegan(bound=bound, has_started=has_started)
         )
-        self._recorder.record(
-            EventKind.slow_start_began,
-            inputs={
-                'origin': origin,
-                'left_ms': _to_ms(bound.until - now),
-                'per_second': str(bound.per_second),
-                'sent_in_second': self._rate.recent_sends.count(now),
-            },
-        )
-
-
-def _to_ms(seconds: float) -> int:
-    return round(seconds * MILLISECONDS)
+        self.record.record_begun(bound, origin=origin.value)
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -121,7 +121,9 @@
         )
         probe = self._make_identity_probe()
         self.owner.targets.denial_listeners.append(probe.send_if_due)
-        self.owner.targets.slow_start.probe_listeners.append(probe.send_if_due)
+        self.owner.targets.slow_start.probe_listeners.append(
+            probe.send_until_answered
+        )
         self._review = ServerReview(
             self.owner,
             own_server=OwnServer(
--- a/wagtaildale/calls/tests/cold_servers.py
+++ b/wagtaildale/calls/tests/cold_servers.py
@@ -17,6 +17,7 @@
 )
 from wagtaildale.platform.dialect import PLATFORM_DIALECT
 from wagtaildale.settings.model import BoundSettings
+from wagtaildale.telemetry.events import EventKind
 from wagtaildale.testing.builders import MESH_TEXT, build_record
 from wagtaildale.testing.closing import Closing
 from wagtaildale.testing.loopback import make_host
@@ -71,6 +72,10 @@
         with suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
+        self.end_connections()
+
+    def end_connections(self) -> None:
+        """Close all connections, as a server does with idle ones."""
         with self._lock:
             ended = self._sockets
             self._sockets = []
@@ -181,6 +186,13 @@
             for caller in range(CALLERS):
                 executor.submit(self._ask_until, until, caller)
 
+    def count_ends(self) -> int:
+        """Count the slow starts that the server's answers have ended."""
+        return sum(
+            event.kind is EventKind.slow_start_ended
+            for event in self.owner_node.recorder.read_since(0)
+        )
+
     def ask(self, request_id: str) -> bytes:
         """Send one request and return the whole answer."""
         request = (
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -162,16 +162,16 @@
         unit='{request}/s',
         description='Rate that the backend server names; -1 if none.',
     )
-    slow_start = node.calls.owner.targets.slow_start
+    record = node.calls.owner.targets.slow_start.record
     metrics.add_gauge(
         'wagtaildale.backend.slow_start_requests',
-        lambda: slow_start.sent_count,
+        lambda: record.sent_count,
         unit='{request}',
         description='Requests sent to the backend server in slow start.',
     )
     metrics.add_gauge(
         'wagtaildale.backend.slow_start_peak',
-        lambda: slow_start.most_sent,
+        lambda: record.most_sent,
         unit='{request}/s',
         description='Most requests in one second of a slow start.',
     )
