Slow start: stale and false health answers do not end it

An answer to a probe from before the bound began is now ignored, and a server that was seen to start stays cold for the published time whatever it reports.

--- a/wagtaildale/calls/owner/server_slow_start.py
+++ b/wagtaildale/calls/owner/server_slow_start.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from math import inf
 from typing import TYPE_CHECKING, final
 
 from wagtaildale.admission.server_messages import (
@@ -89,6 +90,7 @@
         self._listed: tuple[InstanceId, float] | None = None
         self._is_unconfigured = False
         self._is_asked = False
+        self._started_at = -inf
 
     @property
     def is_applicable(self) -> bool:
@@ -122,6 +124,7 @@
 
     def note_started(self) -> None:
         """Record that the server has started."""
+        self._started_at = read_clock()
         slow_start = self._read_slow_start()
         if slow_start is not None:
             self._begin(
@@ -167,15 +170,21 @@
     def note_reported(self, left_seconds: float, *, asked_at: float) -> None:
         """Record what the server reports of itself.
 
+        Answers may be false: a server that was seen to start stays cold,
+        whatever it reports. An answer to a health check from before the bound
+        began tells nothing about what began it.
+
         Args:
             left_seconds: time until it is warm, seconds; 0 if it is.
             asked_at: when the health check was sent, seconds.
         """
         slow_start = self._read_slow_start()
-        if slow_start is None:
+        if slow_start is None or asked_at < self.record.begun_at:
             return
         if left_seconds > 0:
             self._begin(slow_start, left_seconds, origin=SlowStartOrigin.server)
+        elif read_clock() < self._started_at + slow_start.seconds:
+            return
         elif self._rate.slow_start is not None:
             self._is_asked = False
             self._gate.handle_server_message(SlowStartEnded())
@@ -191,7 +200,7 @@
         bound = build_bound(
             slow_start,
             bounds=self._bounds,
-            left_seconds=left_seconds,
+            left_seconds=min(left_seconds, slow_start.seconds),
             now=read_clock(),
         )
         self._apply(bound, origin=origin)
--- a/wagtaildale/calls/tests/test_cold_servers.py
+++ b/wagtaildale/calls/tests/test_cold_servers.py
@@ -70,3 +70,14 @@
         time.sleep(REST_SECONDS)
         assert warm_pair.ask(f'r{number}').startswith(ANSWERED)
     assert warm_pair.server.health_checks <= asked + 1
+
+
+def test_server_is_asked_until_it_answers() -> None:
+    """A lost health check leaves a warm server with a cold one's rate."""
+    with ColdPair(is_configured=False) as pair:
+        pair.server.cold_seconds = 0
+        pair.server.answers_health = False
+        pair.configure_owner()
+        wait_until(lambda: pair.server.health_checks == 1)
+        pair.server.answers_health = True
+        wait_until(lambda: pair.count_ends() == 1)
--- a/wagtaildale/calls/tests/test_server_slow_start.py
+++ b/wagtaildale/calls/tests/test_server_slow_start.py
@@ -24,6 +24,7 @@
     """A server with its gate and tracker.
 
     Attributes:
+        slow_start: how servers of the service start.
         gate: admission control of the server.
         tracker: tracker of its slow start.
         probes: number of health checks that were sent.
@@ -31,10 +32,11 @@
 
     def __init__(self, slow_start: SlowStart | None = SLOW_START) -> None:
         self.gate: Gate = build_gate()
+        self.slow_start = slow_start
         self.recorder = build_recorder()
         self.tracker = SlowStartTracker(
             self.gate,
-            read_slow_start=lambda: slow_start,
+            read_slow_start=lambda: self.slow_start,
             bounds=BoundSettings(slow_start_factor=1.5, slow_start_slack=8),
             recorder=self.recorder,
         )
@@ -45,6 +47,11 @@
         """Find the rate that the server may get."""
         return self.gate.state.rate.find_rate(read_clock())
 
+    def find_left_seconds(self) -> float:
+        """Find how long the bound is still in force."""
+        bound = self.gate.state.rate.slow_start
+        return 0 if bound is None else bound.until - read_clock()
+
     def _count_probe(self) -> None:
         self.probes += 1
 
@@ -76,6 +83,44 @@
     assert kinds.count(EventKind.slow_start_ended) == 1
 
 
+@pytest.mark.parametrize('left_seconds', [0, 0.5])
+def test_answer_from_before_a_start_does_not_count(left_seconds: float) -> None:
+    """A health check sent before a restart ends the slow start after it."""
+    server = TrackedServer()
+    asked_at = read_clock()
+    server.tracker.note_unknown()
+    server.tracker.note_started()
+    server.tracker.note_reported(left_seconds, asked_at=asked_at)
+    assert server.find_left_seconds() > 29
+
+
+def test_false_answer_does_not_end_a_start_that_was_seen() -> None:
+    """A server that has just started reports that it is warm."""
+    server = TrackedServer()
+    server.tracker.note_started()
+    server.tracker.note_reported(0, asked_at=read_clock())
+    assert server.find_rate() == 11.25
+
+
+@pytest.mark.parametrize('left_seconds', [31, 999_999])
+def test_slow_start_is_no_longer_than_published(left_seconds: float) -> None:
+    """A false answer or entry bounds a warm server for days."""
+    server = TrackedServer()
+    server.tracker.note_reported(left_seconds, asked_at=read_clock())
+    assert server.find_left_seconds() <= 30
+    server.tracker.note_listed(FIRST, left_seconds)
+    assert server.find_left_seconds() <= 30
+
+
+def test_first_list_is_read_again_once_there_is_a_configuration() -> None:
+    """The list comes before the configuration and is never looked at again."""
+    server = TrackedServer(None)
+    server.tracker.note_listed(FIRST, 2)
+    server.slow_start = SLOW_START
+    server.tracker.note_listed(FIRST, 2)
+    assert server.find_rate() == 11.25
+
+
 def test_list_begins_a_slow_start_once() -> None:
     """Each new list makes the slow start of a server begin again."""
     server = TrackedServer()
