--- a/wagtaildale/calls/tests/cold_servers.py
+++ b/wagtaildale/calls/tests/cold_servers.py
@@ -89,11 +89,6 @@
         time.sleep(PAUSE_SECONDS)
         self.start()
 
-    def turn_cold(self) -> None:
-        """Count as started now, without an end."""
-        self.arrivals = []
-        self._started_at = time.monotonic()
-
     def find_most(self) -> int:
         """Find the most requests in one second since the last start."""
         times = tuple(self.arrivals)
