Slow start: one bound follows another without a gap, and a burst where none was sent

A false health answer with a short time left shortened a start that was seen; it counts as cold for the published time now, whatever is reported. A bound began with one token whatever had been sent before; it begins with the burst less the requests of the last second, so that a server at rest, which is in doubt but mostly warm, takes the first few at once.

--- a/wagtaildale/admission/rates.py
+++ b/wagtaildale/admission/rates.py
@@ -223,8 +223,8 @@
         now: current time, seconds.
     """
     if rate.find_rate(now) is None:
-        # What the server got in the last moment counts towards the bound.
-        rate.tokens = 1
+        # What the server got in the last second counts towards the bound.
+        rate.tokens = max(1, bound.burst - rate.recent_sends.count(now))
         rate.counted_at = now
     rate.refill(now)
     rate.slow_start = bound
--- a/wagtaildale/calls/owner/server_slow_start.py
+++ b/wagtaildale/calls/owner/server_slow_start.py
@@ -112,11 +112,11 @@
         Args:
             is_configured: whether a configuration is known.
         """
-        if is_configured:
-            self._is_unconfigured = False
-            self._gate.handle_server_message(SlowStartEnded())
+        if is_configured and self.is_applicable:
             self.note_unknown()
             self.ask()
+        elif is_configured:
+            self._gate.handle_server_message(SlowStartEnded())
         elif self._bounds.expects_slow_start and not self._is_unconfigured:
             self._is_unconfigured = True
             bound = build_unconfigured_bound(self._bounds, now=read_clock())
@@ -170,9 +170,9 @@
     def note_reported(self, left_seconds: float, *, asked_at: float) -> None:
         """Record what the server reports of itself.
 
-        Answers may be false: a server that was seen to start stays cold,
-        whatever it reports. An answer to a health check from before the bound
-        began tells nothing about what began it.
+        Answers may be false: a server that was seen to start counts as cold
+        for the published time, whatever it reports. An answer to a health
+        check from before the bound began tells nothing about what began it.
 
         Args:
             left_seconds: time until it is warm, seconds; 0 if it is.
@@ -181,10 +181,10 @@
         slow_start = self._read_slow_start()
         if slow_start is None or asked_at < self.record.begun_at:
             return
+        warm_at = self._started_at + slow_start.seconds
+        left_seconds = max(left_seconds, warm_at - read_clock())
         if left_seconds > 0:
             self._begin(slow_start, left_seconds, origin=SlowStartOrigin.server)
-        elif read_clock() < self._started_at + slow_start.seconds:
-            return
         elif self._rate.slow_start is not None:
             self._is_asked = False
             self._gate.handle_server_message(SlowStartEnded())
