--- a/wagtaildale/calls/tests/test_body_credits.py
+++ b/wagtaildale/calls/tests/test_body_credits.py
@@ -2,28 +2,24 @@
 
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING, Final
 
 import pytest
 from msgspec import json, structs
 
 from wagtaildale.calls.tests.pairs import (
-    TIMEOUT_SECONDS,
     Pair,
     build_run,
     wait_until,
 )
+from wagtaildale.calls.tests.raw_entries import RawEntry
 from wagtaildale.calls.wire.frames import (
-    PLAIN,
     Answered,
     BodyPiece,
     Failed,
     Frame,
-    FrameReader,
     Run,
     WindowUpdate,
-    encode_frame,
 )
 from wagtaildale.errors.codes import Code
 from wagtaildale.types import CallNumber, Outcome
@@ -37,22 +33,8 @@
 CALL: Final = CallNumber(1)
 
 
-class RawEntry:
-    """Connection of an entry whose messages a test scripts."""
-
-    def __init__(self, pair: Pair) -> None:
-        record = pair.owner_node.record
-        address = (record.host, record.owner_port)
-        self._sock = socket.create_connection(address, TIMEOUT_SECONDS)
-        self._sock.sendall(PLAIN)
-        self._reader = FrameReader()
-        self._frames: list[Frame] = []
-
-    def close(self) -> None:
-        self._sock.close()
-
-    def send(self, frame: Frame) -> None:
-        self._sock.sendall(encode_frame(frame))
+class UploadingEntry(RawEntry):
+    """An entry that sends a large request."""
 
     def begin(self, *, length: int = 100_000, remaining_ms: int = 4000) -> None:
         """Send a run message with the beginning of a body."""
@@ -71,12 +53,6 @@
             ),
         )
 
-    def receive(self) -> Frame:
-        """Receive the next message."""
-        while not self._frames:
-            self._frames = self._reader.feed(self._sock.recv(65536))
-        return self._frames.pop(0)
-
     def receive_end(self) -> Frame:
         """Receive the first message that is no credit."""
         frame = self.receive()
@@ -105,8 +81,8 @@
 
 
 @pytest.fixture
-def raw_entry(pair: Pair) -> Iterator[RawEntry]:
-    made = RawEntry(pair)
+def raw_entry(pair: Pair) -> Iterator[UploadingEntry]:
+    made = UploadingEntry(pair)
     yield made
     made.close()
 
@@ -123,7 +99,7 @@
 
 
 def test_no_slot_is_held_while_a_body_arrives(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: UploadingEntry
 ) -> None:
     """Uploads on a slow line hold all slots of an idle server."""
     raw_entry.begin()
@@ -133,7 +109,9 @@
     assert pair.ask('GET', '/files/1')[0].status == 200
 
 
-def test_body_on_credits_is_answered(pair: Pair, raw_entry: RawEntry) -> None:
+def test_body_on_credits_is_answered(
+    pair: Pair, raw_entry: UploadingEntry
+) -> None:
     raw_entry.begin()
     answer = raw_entry.send_rest()
     assert isinstance(answer, Answered)
@@ -141,7 +119,7 @@
 
 
 def test_body_that_cannot_cross_in_time_is_refused_before_it_is_sent(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: UploadingEntry
 ) -> None:
     """A body crosses a slow line for nothing."""
     raw_entry.begin(length=500_000, remaining_ms=50)
@@ -151,7 +129,9 @@
     assert refusal.fields.outcome is Outcome.not_run
 
 
-def test_body_longer_than_announced_is_refused(raw_entry: RawEntry) -> None:
+def test_body_longer_than_announced_is_refused(
+    raw_entry: UploadingEntry,
+) -> None:
     """A sender ignores its credits and the length that it announced."""
     raw_entry.begin(length=FIRST_BYTES + 10)
     raw_entry.receive()
@@ -163,7 +143,7 @@
 
 
 def test_entry_that_leaves_half_way_frees_the_line(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: UploadingEntry
 ) -> None:
     """The credits of an entry that died are never used again."""
     raw_entry.begin()
@@ -176,7 +156,7 @@
 
 
 def test_body_that_stops_half_way_ends_as_not_run(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: UploadingEntry
 ) -> None:
     """A caller stops sending, and its request stays for ever."""
     raw_entry.begin(remaining_ms=400)
--- a/wagtaildale/calls/tests/test_large_responses.py
+++ b/wagtaildale/calls/tests/test_large_responses.py
@@ -17,24 +17,21 @@
 )
 from wagtaildale.calls.tests.listeners import Listener
 from wagtaildale.calls.tests.pairs import (
-    TIMEOUT_SECONDS,
     Pair,
     build_run,
     wait_until,
 )
+from wagtaildale.calls.tests.raw_entries import RawEntry
 from wagtaildale.calls.wire.frames import (
-    PLAIN,
     Answered,
     BodyPiece,
     Cancel,
     Failed,
     Frame,
-    FrameReader,
     LoadReport,
     ResponseAborted,
     Run,
     WindowUpdate,
-    encode_frame,
 )
 from wagtaildale.errors.codes import Code
 from wagtaildale.testing.mesh import BACKEND_PORT
@@ -55,22 +52,8 @@
 CLASS: Final = 'casefiles/booking'
 
 
-class RawEntry:
-    """Connection of an entry whose messages a test scripts."""
-
-    def __init__(self, pair: Pair) -> None:
-        record = pair.owner_node.record
-        address = (record.host, record.owner_port)
-        self._sock = socket.create_connection(address, TIMEOUT_SECONDS)
-        self._sock.sendall(PLAIN)
-        self._reader = FrameReader()
-        self._frames: list[Frame] = []
-
-    def close(self) -> None:
-        self._sock.close()
-
-    def send(self, frame: Frame) -> None:
-        self._sock.sendall(encode_frame(frame))
+class DownloadingEntry(RawEntry):
+    """An entry that asks for large responses."""
 
     def ask(
         self,
@@ -96,9 +79,9 @@
 
     def receive(self) -> Frame:
         """Receive the next message that belongs to a call."""
-        frame = self._receive_any()
+        frame = super().receive()
         while isinstance(frame, LoadReport):
-            frame = self._receive_any()
+            frame = super().receive()
         return frame
 
     def receive_response(self, *, acknowledges: bool = True) -> list[Frame]:
@@ -114,13 +97,6 @@
         assert isinstance(frame, Answered | BodyPiece)
         self.send(WindowUpdate(frame.call, len(frame.body)))
 
-    def _receive_any(self) -> Frame:
-        while not self._frames:
-            chunk = self._sock.recv(65_536)
-            assert chunk, 'the owner has closed the connection'
-            self._frames = self._reader.feed(chunk)
-        return self._frames.pop(0)
-
 
 class ScriptedServer(Listener):
     """Sends the same bytes to each request and closes the connection."""
@@ -157,13 +133,15 @@
 
 
 @pytest.fixture
-def raw_entry(pair: Pair) -> Iterator[RawEntry]:
-    made = RawEntry(pair)
+def raw_entry(pair: Pair) -> Iterator[DownloadingEntry]:
+    made = DownloadingEntry(pair)
     yield made
     made.close()
 
 
-def test_response_leaves_in_pieces(pair: Pair, raw_entry: RawEntry) -> None:
+def test_response_leaves_in_pieces(
+    pair: Pair, raw_entry: DownloadingEntry
+) -> None:
     """A response that is split arrives short, twice or out of order."""
     raw_entry.ask()
     frames = raw_entry.receive_response()
@@ -180,7 +158,7 @@
 
 
 def test_slot_is_free_while_the_response_leaves(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
     """Downloads that wait for the line hold the slots of an idle server."""
     raw_entry.ask()
@@ -198,7 +176,7 @@
 
 
 def test_run_time_ends_when_the_server_is_done(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
     """A line that is busy makes its server look slow."""
     raw_entry.ask()
@@ -214,7 +192,7 @@
 def test_others_are_sent_as_before(bulk: bool, mbps: float) -> None:
     """Classes and nodes without the setting are slowed down."""
     pair = Pair(line_mbps=mbps)
-    raw_entry = RawEntry(pair)
+    raw_entry = DownloadingEntry(pair)
     raw_entry.ask(size=60_000, bulk=bulk)
     frames = raw_entry.receive_response()
     head = frames[0]
@@ -226,7 +204,9 @@
     pair.close()
 
 
-def test_small_response_overtakes_a_download(raw_entry: RawEntry) -> None:
+def test_small_response_overtakes_a_download(
+    raw_entry: DownloadingEntry,
+) -> None:
     """A lookup waits until the download before it has left."""
     raw_entry.ask(size=500_000)
     raw_entry.acknowledge(raw_entry.receive())
@@ -244,7 +224,7 @@
 
 
 def test_download_that_is_not_read_is_bounded(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
     """An entry that acknowledges nothing is sent a whole download."""
     sender = pair.owner_node.owner.response_sender
@@ -258,7 +238,7 @@
     sent = sum(each.unacknowledged for each in known.values())
     assert sent < bound + sender.line.use.piece_bytes
     # Another entry's download goes on once this one counts as not read.
-    other = RawEntry(pair)
+    other = DownloadingEntry(pair)
     other.ask(size=20_000)
     assert len(join_body(other.receive_response())) > 20_000
     other.close()
@@ -268,7 +248,7 @@
 
 @pytest.mark.parametrize('disconnects', [True, False])
 def test_entry_that_gives_up_frees_the_line(
-    pair: Pair, raw_entry: RawEntry, disconnects: bool
+    pair: Pair, raw_entry: DownloadingEntry, disconnects: bool
 ) -> None:
     """The bytes of callers that are gone keep others waiting."""
     raw_entry.ask()
@@ -286,7 +266,7 @@
 
 
 def test_request_is_refused_if_the_line_is_too_busy(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
     """A request runs, and its response arrives after its caller has left."""
     sender = pair.owner_node.owner.response_sender
@@ -319,7 +299,7 @@
 )
 @pytest.mark.parametrize('size', [SIZE // 2, 1000])
 def test_response_that_ends_early_is_not_complete(
-    pair: Pair, raw_entry: RawEntry, head: bytes, size: int
+    pair: Pair, raw_entry: DownloadingEntry, head: bytes, size: int
 ) -> None:
     """A server ends halfway, and a caller takes the half for the whole."""
     server = ScriptedServer(pair, b'HTTP/1.1 200 OK\r\n' + head + b'x' * size)
@@ -336,7 +316,7 @@
 
 @pytest.mark.parametrize('size', [0, 1000, 100_000])
 def test_response_of_unknown_length_arrives(
-    pair: Pair, raw_entry: RawEntry, size: int
+    pair: Pair, raw_entry: DownloadingEntry, size: int
 ) -> None:
     """Chunks whose end arrives alone leave the response open for ever."""
     chunk = b'%x\r\n%b\r\n' % (size, b'x' * size) if size else b''
@@ -352,7 +332,7 @@
 
 
 def test_response_that_ends_with_its_connection_arrives(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
     """The end of the connection is taken for a break."""
     server = ScriptedServer(pair, b'HTTP/1.1 200 OK\r\n\r\n' + b'x' * 100_000)
@@ -362,7 +342,7 @@
 
 
 def test_reading_pauses_beyond_the_memory_limit(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
     """A server sends faster than the line, and the node runs out of memory."""
     sender = pair.owner_node.owner.response_sender
@@ -377,7 +357,7 @@
 
 
 def test_many_downloads_at_once_arrive_unmixed(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
     """Pieces of one response reach the caller of another."""
     sizes = {CallNumber(1 + each): 5_000 * each for each in range(12)}
@@ -405,7 +385,7 @@
 
 
 def test_entries_are_notified_of_the_wait(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
     """Entries send downloads to a node whose line is full."""
     reports: list[LoadReport] = []
@@ -431,7 +411,9 @@
     pair.close()
 
 
-def test_planned_stop_sends_what_waits(pair: Pair, raw_entry: RawEntry) -> None:
+def test_planned_stop_sends_what_waits(
+    pair: Pair, raw_entry: DownloadingEntry
+) -> None:
     """A node that stops cuts off the downloads that wait for its line."""
     raw_entry.ask()
     frames = [raw_entry.receive()]
@@ -444,7 +426,7 @@
 
 
 def test_stored_answer_survives_a_failed_delivery(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
     """A repeat is refused although the answer to its key is known."""
     key = ((b'idempotency-key', b'k'),)
@@ -452,7 +434,7 @@
     assert is_followed(raw_entry.receive())
     raw_entry.send(Cancel(CALL))
     wait_until(lambda: not pair.owner_node.calls.active_calls)
-    other = RawEntry(pair)
+    other = DownloadingEntry(pair)
     other.ask(
         size=60_000, method=b'POST', headers=key, bulk=False, call=OTHER_CALL
     )
@@ -465,14 +447,16 @@
     other.close()
 
 
-def test_delivery_goes_on_after_the_deadline(raw_entry: RawEntry) -> None:
+def test_delivery_goes_on_after_the_deadline(
+    raw_entry: DownloadingEntry,
+) -> None:
     """A response that is nearly delivered is cut off at its deadline."""
     raw_entry.ask(size=500_000, remaining_ms=300)
     assert len(join_body(raw_entry.receive_response())) > 500_000
 
 
 def test_response_that_never_leaves_fails_as_unknown(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
     """A request that has run is reported as not run, and runs again."""
     sender = pair.owner_node.owner.response_sender
@@ -486,7 +470,7 @@
 
 
 def test_delivery_that_stalls_ends_after_the_deadline(
-    pair: Pair, raw_entry: RawEntry
+    pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
     """Callers that never read on fill the memory for all others."""
     raw_entry.ask(size=500_000, remaining_ms=300)
@@ -497,7 +481,7 @@
 
 
 def test_log_tells_how_long_a_response_waited(
-    pair: Pair, raw_entry: RawEntry, monkeypatch: pytest.MonkeyPatch
+    pair: Pair, raw_entry: DownloadingEntry, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A slow download can't be told from a slow server."""
     owner = pair.owner_node.owner
