Slow start: idle, as the field calls it, and one type of ticket

The review of a server at rest is that of an idle one, in names and in origin=idle; the node's own requests get negative tickets instead of texts. No decision changes.

--- a/wagtaildale/admission/recent_sends.py
+++ b/wagtaildale/admission/recent_sends.py
@@ -12,11 +12,11 @@
 
 from msgspec import Struct, field
 
+from wagtaildale.admission.messages import TicketId
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from wagtaildale.admission.messages import TicketId
-
 WINDOW_SECONDS: Final = 1.0
 
 
@@ -32,7 +32,7 @@
             ticket.
     """
 
-    times: dict[TicketId | str, float] = field(default_factory=dict)
+    times: dict[TicketId, float] = field(default_factory=dict)
     probe_count: int = 0
 
     def note(self, ticket: TicketId | None, *, now: float) -> None:
@@ -44,9 +44,9 @@
         """
         self._forget_older(now)
         if ticket is None:
+            # Tickets of the gate are positive.
             self.probe_count += 1
-            self.times[f'probe {self.probe_count}'] = now
-            return
+            ticket = TicketId(-self.probe_count)
         self.times.pop(ticket, None)
         self.times[ticket] = now
 
--- a/wagtaildale/calls/owner/rest_review.py
+++ b/wagtaildale/calls/owner/idle_review.py
@@ -1,4 +1,4 @@
-"""Reviews whether a backend server may have restarted while it was at rest.
+"""Reviews whether a backend server may have restarted while it was idle.
 
 The end of a server shows in failed requests and closed connections. A server
 that ends and is back while nothing is sent to it is cold, and nothing but the
@@ -20,10 +20,10 @@
     from wagtaildale.calls.owner.server_slow_start import SlowStartTracker
 
 # A server cannot end and be back unnoticed within this time after it answered.
-REST_SECONDS: Final = 0.25
+IDLE_SECONDS: Final = 0.25
 
 
-class RestReview:
+class IdleReview:
     """Puts a server in doubt that may have restarted unnoticed."""
 
     def __init__(
@@ -57,7 +57,7 @@
             return
         now = read_clock()
         if self._may_have_restarted(now):
-            self._slow_start.note_unknown(origin=SlowStartOrigin.rest)
+            self._slow_start.note_unknown(origin=SlowStartOrigin.idle)
             self._doubted_at = now
             self._is_asked = False
         elif not self._is_asked and self._rate.recent_sends.count(now):
@@ -66,7 +66,7 @@
 
     def _may_have_restarted(self, now: float) -> bool:
         contact_at = self._find_contact()
-        if now - contact_at < REST_SECONDS:
+        if now - contact_at < IDLE_SECONDS:
             return False
         is_bounded = self._rate.find_slow_start(now) is not None
         return not is_bounded or self._doubted_at <= contact_at
--- a/wagtaildale/calls/owner/owner.py
+++ b/wagtaildale/calls/owner/owner.py
@@ -15,7 +15,7 @@
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.owner.body_collector import BodyCollector
 from wagtaildale.calls.owner.load_notifier import LoadNotifier
-from wagtaildale.calls.owner.rest_review import RestReview
+from wagtaildale.calls.owner.idle_review import IdleReview
 from wagtaildale.calls.owner.response_sender import ResponseSender
 from wagtaildale.calls.owner.server_feedback import FeedbackTracker
 from wagtaildale.calls.owner.server_targets import ServerTargets
@@ -149,7 +149,7 @@
         )
         self.targets.leaving.listeners.append(self.load_notifier.notify_leaving)
         self.pool.watch.listeners.append(self._on_watch_changed)
-        self._rest_review = RestReview(
+        self._idle_review = IdleReview(
             self.targets.slow_start,
             rate=gate.state.rate,
             find_contact=self.pool.find_contact,
@@ -207,7 +207,7 @@
                 forwarded_limit,
                 instance=fields.instance,
             )
-        self._rest_review.run()
+        self._idle_review.run()
 
     def build_answer_fields(
         self,
--- a/wagtaildale/calls/owner/server_slow_start.py
+++ b/wagtaildale/calls/owner/server_slow_start.py
@@ -36,7 +36,7 @@
         unconfigured: no configuration tells yet how servers start.
         unknown: the node has started, an evacuation has ended, or the server
             turned out to be another instance.
-        rest: it may have restarted while nothing was sent to it.
+        idle: it may have restarted while nothing was sent to it.
         started: it was down and is up.
         listed: the instance list.
         server: its answer to a health check.
@@ -44,7 +44,7 @@
 
     unconfigured = 'unconfigured'
     unknown = 'unknown'
-    rest = 'rest'
+    idle = 'idle'
     started = 'started'
     listed = 'list'
     server = 'server'
--- a/wagtaildale/calls/tests/test_cold_servers.py
+++ b/wagtaildale/calls/tests/test_cold_servers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from wagtaildale.calls.owner.rest_review import REST_SECONDS
+from wagtaildale.calls.owner.idle_review import IDLE_SECONDS
 from wagtaildale.calls.tests.cold_servers import TOLERATED, ColdPair
 from wagtaildale.calls.tests.pairs import wait_until
 
@@ -36,38 +36,38 @@
         assert 0 < pair.server.find_most() <= TOLERATED
 
 
-def test_server_that_restarted_while_at_rest_counts_as_cold(
+def test_server_that_restarted_while_idle_counts_as_cold(
     warm_pair: ColdPair,
 ) -> None:
     """A server that is back before anybody noticed gets its usual rate."""
     warm_pair.press(0.2)
-    time.sleep(2 * REST_SECONDS)
+    time.sleep(2 * IDLE_SECONDS)
     warm_pair.server.cold_seconds = 30
     warm_pair.server.restart()
     warm_pair.press(1.2)
     assert 0 < warm_pair.server.find_most() <= TOLERATED
 
 
-def test_warm_server_gets_its_usual_rate_after_a_rest(
+def test_warm_server_gets_its_usual_rate_after_idle_time(
     warm_pair: ColdPair,
 ) -> None:
-    """Each rest costs callers the rate of a warm server."""
+    """Each idle time costs callers the rate of a warm server."""
     warm_pair.press(0.2)
     warm_pair.server.end_connections()
-    time.sleep(2 * REST_SECONDS)
+    time.sleep(2 * IDLE_SECONDS)
     warm_pair.press(0.5)
     wait_until(lambda: warm_pair.count_ends() == 2)
     assert len(warm_pair.server.arrivals) > 2 * TOLERATED
 
 
-def test_server_at_rest_is_not_asked_for_each_request(
+def test_idle_server_is_not_asked_for_each_request(
     warm_pair: ColdPair,
 ) -> None:
     """A quiet server gets a health check with every request."""
     asked = warm_pair.server.health_checks
     for number in range(4):
         warm_pair.server.end_connections()
-        time.sleep(REST_SECONDS)
+        time.sleep(IDLE_SECONDS)
         assert warm_pair.ask(f'r{number}').startswith(ANSWERED)
     assert warm_pair.server.health_checks <= asked + 1
 
