Slow start: a question to a server is not given up before it is answered

Callers of a warm server were held to a cold one's rate for up to a second or for what an old list says: the review of idle servers put a server in doubt that had been asked already and not answered yet, which dropped the pending answer as older than the bound; and a list that prolonged the bound ended the asking. A server that is being asked is now left alone by the review, and the list does not stop the questions. note_unknown asks by itself again, so that no caller of it can forget to; its test has its old call back. What decides that a server may have restarted is a function that reads neither clock nor socket.

Found in reading the diff.

--- a/wagtaildale/calls/owner/idle_review.py
+++ b/wagtaildale/calls/owner/idle_review.py
@@ -19,7 +19,7 @@
     from wagtaildale.admission.rates import RateLimit
     from wagtaildale.calls.owner.server_slow_start import SlowStartTracker
 
-# A server cannot end and be back unnoticed within this time after it answered.
+# A busy server that closes each connection has shorter gaps between answers.
 IDLE_SECONDS: Final = 0.25
 
 
@@ -53,20 +53,39 @@
         The server is asked only once requests follow each other, since a
         single one does no harm.
         """
-        if not self._slow_start.is_applicable:
+        slow_start = self._slow_start
+        if not slow_start.starts_slowly or slow_start.is_in_doubt:
             return
         now = read_clock()
-        if self._may_have_restarted(now):
-            self._slow_start.note_unknown(origin=SlowStartOrigin.idle)
+        if may_have_restarted(
+            contact_at=self._find_contact(),
+            doubted_at=self._find_doubt(now),
+            now=now,
+        ):
+            slow_start.note_unknown(origin=SlowStartOrigin.idle, asks=False)
             self._doubted_at = now
             self._is_asked = False
         elif not self._is_asked and self._rate.recent_sends.count(now):
             self._is_asked = True
-            self._slow_start.ask()
+            slow_start.ask()
 
-    def _may_have_restarted(self, now: float) -> bool:
-        contact_at = self._find_contact()
-        if now - contact_at < IDLE_SECONDS:
-            return False
+    def _find_doubt(self, now: float) -> float:
         is_bounded = self._rate.find_slow_start(now) is not None
-        return not is_bounded or self._doubted_at <= contact_at
+        return self._doubted_at if is_bounded else -inf
+
+
+def may_have_restarted(
+    *, contact_at: float, doubted_at: float, now: float
+) -> bool:
+    """Tell whether a server may have restarted since it was last doubted.
+
+    Args:
+        contact_at: until when the server process is known to have run, seconds.
+        doubted_at: since when it counts as cold for this reason, seconds;
+            negative infinity if it does not.
+        now: current time, seconds.
+
+    Returns:
+        Whether it was idle for long enough, and is not in doubt for that yet.
+    """
+    return now - contact_at >= IDLE_SECONDS and doubted_at <= contact_at
--- a/wagtaildale/calls/owner/server_review.py
+++ b/wagtaildale/calls/owner/server_review.py
@@ -96,7 +96,6 @@
         else:
             # The servers may have been restarted meanwhile.
             self._owner.targets.slow_start.note_unknown()
-            self._owner.targets.slow_start.ask()
             kind = EventKind.evacuation_ended
         self._recorder.record(
             kind,
--- a/wagtaildale/calls/owner/server_slow_start.py
+++ b/wagtaildale/calls/owner/server_slow_start.py
@@ -93,7 +93,7 @@
         self._started_at = -inf
 
     @property
-    def is_applicable(self) -> bool:
+    def starts_slowly(self) -> bool:
         """Whether servers of the service are known to start slowly."""
         return self._read_slow_start() is not None
 
@@ -112,9 +112,8 @@
         Args:
             is_configured: whether a configuration is known.
         """
-        if is_configured and self.is_applicable:
+        if is_configured and self.starts_slowly:
             self.note_unknown()
-            self.ask()
         elif is_configured:
             self._gate.handle_server_message(SlowStartEnded())
         elif self._bounds.expects_slow_start and not self._is_unconfigured:
@@ -132,16 +131,23 @@
             )
 
     def note_unknown(
-        self, *, origin: SlowStartOrigin = SlowStartOrigin.unknown
+        self,
+        *,
+        origin: SlowStartOrigin = SlowStartOrigin.unknown,
+        asks: bool = True,
     ) -> None:
         """Record that the server may have started without notice.
 
         Args:
             origin: what casts the doubt.
+            asks: whether the server is asked at once; if not, ``ask`` does.
         """
         slow_start = self._read_slow_start()
-        if slow_start is not None:
-            self._begin(slow_start, slow_start.seconds, origin=origin)
+        if slow_start is None:
+            return
+        self._begin(slow_start, slow_start.seconds, origin=origin)
+        if asks:
+            self.ask()
 
     def ask(self) -> None:
         """Ask the server whether it is cold, until it answers."""
@@ -206,7 +212,8 @@
         self._apply(bound, origin=origin)
 
     def _apply(self, bound: SlowStartBound, *, origin: SlowStartOrigin) -> None:
-        self._is_asked = False
+        # The list lags, so it does not answer what the server was asked.
+        self._is_asked = self._is_asked and origin is SlowStartOrigin.listed
         has_started = origin is SlowStartOrigin.started
         self._gate.handle_server_message(
             SlowStartBegan(bound=bound, has_started=has_started)
--- a/wagtaildale/calls/owner/server_targets.py
+++ b/wagtaildale/calls/owner/server_targets.py
@@ -199,7 +199,6 @@
             self.note_identified(reported)
             # A refusal does not state whether the server is still cold.
             self.slow_start.note_unknown()
-            self.slow_start.ask()
         self._notify_denial()
 
     def note_identified(self, instance: InstanceId) -> None:
--- a/wagtaildale/calls/tests/test_server_slow_start.py
+++ b/wagtaildale/calls/tests/test_server_slow_start.py
@@ -67,7 +67,7 @@
 def test_server_that_may_have_started_is_asked() -> None:
     """A node that starts beside a cold server takes it for a warm one."""
     server = TrackedServer()
-    server.tracker.review_configuration(is_configured=True)
+    server.tracker.note_unknown()
     assert server.find_rate() == 11.25
     assert server.probes == 1
 
