--- a/wagtaildale/calls/tests/test_large_responses.py
+++ b/wagtaildale/calls/tests/test_large_responses.py
@@ -2,41 +2,39 @@
 
 from __future__ import annotations
 
-import socket
 import time
 from typing import TYPE_CHECKING, Final
 
 import pytest
-from msgspec import structs
 
-from standins.backend_thread import BackendThread
 from wagtaildale.admission.outgoing_line import (
     MAX_RESPONSE_BYTES,
     ResponseId,
     ResponseLimits,
 )
-from wagtaildale.calls.tests.listeners import Listener
+from wagtaildale.calls.tests.downloads import (
+    CALL,
+    SIZE,
+    DownloadingEntry,
+    ScriptedServer,
+    is_followed,
+    join_body,
+)
 from wagtaildale.calls.tests.pairs import (
     Pair,
-    build_run,
     wait_until,
 )
-from wagtaildale.calls.tests.raw_entries import RawEntry
 from wagtaildale.calls.wire.frames import (
     Answered,
     BodyPiece,
     Cancel,
     Failed,
-    Frame,
     LoadReport,
     ResponseAborted,
-    Run,
-    WindowUpdate,
 )
 from wagtaildale.errors.codes import Code
-from wagtaildale.testing.mesh import BACKEND_PORT
 from wagtaildale.timers.service import read_clock
-from wagtaildale.types import CallNumber, Outcome, RequestId
+from wagtaildale.types import CallNumber, Outcome
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -45,86 +43,10 @@
 
 # A response of 200,000 bytes takes 0.18 s.
 LINE_MBPS: Final = 10.0
-SIZE: Final = 200_000
-UNUSED_PORT: Final = BACKEND_PORT + 1000
-CALL: Final = CallNumber(1)
 OTHER_CALL: Final = CallNumber(2)
 CLASS: Final = 'casefiles/booking'
 
 
-class DownloadingEntry(RawEntry):
-    """An entry that asks for large responses."""
-
-    def ask(
-        self,
-        *,
-        size: int = SIZE,
-        bulk: bool = True,
-        call: CallNumber = CALL,
-        method: bytes = b'GET',
-        within_ms: int = 4000,
-        remaining_ms: int = 4000,
-        headers: tuple[tuple[bytes, bytes], ...] = (),
-    ) -> None:
-        """Send a request whose response has somewhat more bytes than size."""
-        run = build_run(idempotent=method == b'GET', remaining_ms=remaining_ms)
-        fields = structs.replace(
-            run.fields,
-            bulk=bulk,
-            within_ms=within_ms,
-            request_id=RequestId(f'r{call}'),
-        )
-        target = b'/photos/%d' % size
-        self.send(Run(call, fields, method, target, headers, b'', False, 0))
-
-    def receive(self) -> Frame:
-        """Receive the next message that belongs to a call."""
-        frame = super().receive()
-        while isinstance(frame, LoadReport):
-            frame = super().receive()
-        return frame
-
-    def receive_response(self, *, acknowledges: bool = True) -> list[Frame]:
-        """Receive messages up to the last one of a response."""
-        frames = [self.receive()]
-        while is_followed(frames[-1]):
-            if acknowledges:
-                self.acknowledge(frames[-1])
-            frames.append(self.receive())
-        return frames
-
-    def acknowledge(self, frame: Frame) -> None:
-        assert isinstance(frame, Answered | BodyPiece)
-        self.send(WindowUpdate(frame.call, len(frame.body)))
-
-
-class ScriptedServer(Listener):
-    """Sends the same bytes to each request and closes the connection."""
-
-    def __init__(self, pair: Pair, response: bytes) -> None:
-        host = pair.owner_node.record.host
-        pair.backend.close()
-        pair.backend = BackendThread('b', host=host, port=UNUSED_PORT)
-        self._response = response
-        super().__init__((host, BACKEND_PORT))
-
-    def answer(self, sock: socket.socket) -> None:
-        if sock.recv(65_536):
-            sock.sendall(self._response)
-
-
-def is_followed(frame: Frame) -> bool:
-    return isinstance(frame, Answered | BodyPiece) and frame.more
-
-
-def join_body(frames: list[Frame]) -> bytes:
-    bodies: list[bytes] = []
-    for frame in frames:
-        assert isinstance(frame, Answered | BodyPiece)
-        bodies.append(frame.body)
-    return b''.join(bodies)
-
-
 @pytest.fixture
 def pair() -> Iterator[Pair]:
     made = Pair(line_mbps=LINE_MBPS)
