Review case 4: pipelined downloads are cut half way

Cause: an answer that waited behind an earlier one on a pipelined connection gets no further credit once its turn comes, so that an answer above 262,144 bytes stops for good and is cut after the deadline.

--- /dev/null
+++ b/review/harness_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the scripts in ``review/4`` to ``review/8``."""
--- /dev/null
+++ b/review/harness_2/clients.py
@@ -0,0 +1,132 @@
+"""A client that may send requests before the first is answered."""
+
+from __future__ import annotations
+
+import socket
+import time
+from typing import Final, NamedTuple
+
+from review.harness_2.deployments import HOST, OUTBOUND_PORT
+
+READ_BYTES: Final = 65_536
+MILLISECONDS: Final = 1000
+CONNECT_S: Final = 1.0
+HEAD_END: Final = b'\r\n\r\n'
+
+
+class ClientAnswer(NamedTuple):
+    """What a client received for one request.
+
+    Attributes:
+        status: status; 0 if no head came.
+        headers: headers by name in lower case.
+        body: bytes of the body that came.
+        is_complete: whether all of it came.
+        is_closed: whether the node closed the connection instead.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_complete: bool
+    is_closed: bool
+
+
+class Client:
+    """One connection to the outbound address of a machine."""
+
+    def __init__(self, host: str, *, limit_s: float) -> None:
+        """Connect.
+
+        Args:
+            host: address of the machine.
+            limit_s: the client's time limit for each request.
+        """
+        self._sock = socket.create_connection((host, OUTBOUND_PORT), CONNECT_S)
+        self._limit_s = limit_s
+        self._buffer = b''
+        self._is_closed = False
+        self._ends_at = time.monotonic() + limit_s
+
+    def send(
+        self, method: str, path: str, *, request_id: str, body: bytes = b''
+    ) -> None:
+        """Send a request.
+
+        Args:
+            method: HTTP method.
+            path: path.
+            request_id: id of the request.
+            body: body of the request.
+        """
+        lines = [
+            f'{method} {path} HTTP/1.1',
+            f'Host: {HOST}',
+            f'X-Request-Id: {request_id}',
+            'X-Deadline-Ms: {0}'.format(round(self._limit_s * MILLISECONDS)),
+        ]
+        if body:
+            lines.append(f'Content-Length: {len(body)}')
+        self._ends_at = time.monotonic() + self._limit_s
+        self._sock.sendall('\r\n'.join((*lines, '', '')).encode() + body)
+
+    def receive(self) -> ClientAnswer:
+        """Receive the next answer, until the time limit.
+
+        Returns:
+            What came.
+        """
+        while HEAD_END not in self._buffer:
+            if not self._read():
+                return ClientAnswer(
+                    status=0,
+                    headers={},
+                    body=b'',
+                    is_complete=False,
+                    is_closed=self._is_closed,
+                )
+        head, _end, rest = self._buffer.partition(HEAD_END)
+        self._buffer = rest
+        status_line, *lines = head.decode('latin-1').split('\r\n')
+        headers = dict(map(_split_header, lines))
+        length = int(headers.get('content-length', '0'))
+        body = self._receive_body(length)
+        return ClientAnswer(
+            status=int(status_line.split(' ')[1]),
+            headers=headers,
+            body=body,
+            is_complete=len(body) == length,
+            is_closed=self._is_closed,
+        )
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
+
+    def _receive_body(self, length: int) -> bytes:
+        may_come = True
+        while may_come and len(self._buffer) < length:
+            may_come = self._read()
+        body = self._buffer[:length]
+        self._buffer = self._buffer[length:]
+        return body
+
+    def _read(self) -> bool:
+        left_s = self._ends_at - time.monotonic()
+        if left_s <= 0 or self._is_closed:
+            return False
+        self._sock.settimeout(left_s)
+        try:
+            chunk = self._sock.recv(READ_BYTES)
+        except TimeoutError:
+            return False
+        except OSError:
+            chunk = b''
+        self._is_closed = not chunk
+        self._buffer += chunk
+        return bool(chunk)
+
+
+def _split_header(line: str) -> tuple[str, str]:
+    name, _colon, text = line.partition(':')
+    return name.lower(), text.strip()
