--- a/review/harness_2/cases.py
+++ b/review/harness_2/cases.py
@@ -4,12 +4,14 @@
 
 import os
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from itertools import cycle
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
 from review.harness_2.deployments import (
     APP_PORT,
+    FIRST_ZONE,
     Deployment,
     make_configuration,
     make_entry,
@@ -46,10 +48,10 @@
         Returns:
             Ids of the requests that were run.
         """
-        runs = self.list_runs()
-        for run in runs:
-            deployment.note(str(run))
-        return {each.request_id for each in runs}
+        for upstream in self.upstreams:
+            for run in upstream.runs:
+                deployment.note(run.describe(upstream.instance))
+        return {each.request_id for each in self.list_runs()}
 
 
 def has_trouble() -> bool:
@@ -67,6 +69,7 @@
     *,
     instances: int,
     make_answer: Callable[[Run], Answer],
+    zones: Sequence[str] = (FIRST_ZONE,),
 ) -> Service:
     """Start one service and publish the configuration.
 
@@ -75,22 +78,23 @@
         rules: rules of the first configuration.
         instances: number of machines.
         make_answer: makes the answers of the upstreams.
+        zones: zones of the machines, in turn.
 
     Returns:
         The service, all of whose nodes are ready.
     """
     hosts = [make_host(FIRST_HOST + number) for number in range(instances)]
-    store = deployment.store
     service = rules[0]['action']['service']
-    store.write('op/config', make_configuration(1, rules, [service]))
-    upstreams = []
-    for host in hosts:
-        instance = f'i-{host}'
-        store.write(f'servers/{instance}', make_entry(host, service=service))
-        upstreams.append(
-            Upstream(host, APP_PORT, instance=instance, make_answer=make_answer)
+    deployment.store.write('op/config', make_configuration(1, rules, [service]))
+    for host, zone in zip(hosts, cycle(zones)):
+        deployment.store.write(
+            f'servers/i-{host}', make_entry(host, service=service, zone=zone)
         )
-        deployment.start_node(host, service=service, seeds=hosts)
+        deployment.start_node(host, service=service, seeds=hosts, zone=zone)
+    upstreams = [
+        Upstream(each, APP_PORT, instance=f'i-{each}', make_answer=make_answer)
+        for each in hosts
+    ]
     for started in hosts:
         deployment.wait_until_ready(started)
     return Service(hosts=hosts, upstreams=upstreams)
--- a/review/harness_2/clients.py
+++ b/review/harness_2/clients.py
@@ -11,6 +11,7 @@
 READ_BYTES: Final = 65_536
 MILLISECONDS: Final = 1000
 CONNECT_S: Final = 1.0
+SHORTEST_S: Final = 0.001
 HEAD_END: Final = b'\r\n\r\n'
 
 
@@ -46,6 +47,7 @@
         self._limit_s = limit_s
         self._buffer = b''
         self._is_closed = False
+        self._has_failed = False
         self._ends_at = time.monotonic() + limit_s
 
     def send(
@@ -59,16 +61,43 @@
             request_id: id of the request.
             body: body of the request.
         """
+        self.send_head(method, path, request_id=request_id, length=len(body))
+        self.send_bytes(body)
+
+    def send_head(
+        self, method: str, path: str, *, request_id: str, length: int
+    ) -> None:
+        """Send the head of a request.
+
+        Args:
+            method: HTTP method.
+            path: path.
+            request_id: id of the request.
+            length: length of its body.
+        """
         lines = [
             f'{method} {path} HTTP/1.1',
             f'Host: {HOST}',
             f'X-Request-Id: {request_id}',
             'X-Deadline-Ms: {0}'.format(round(self._limit_s * MILLISECONDS)),
         ]
-        if body:
-            lines.append(f'Content-Length: {len(body)}')
+        if length:
+            lines.append(f'Content-Length: {length}')
         self._ends_at = time.monotonic() + self._limit_s
-        self._sock.sendall('\r\n'.join((*lines, '', '')).encode() + body)
+        self.send_bytes('\r\n'.join((*lines, '', '')).encode())
+
+    def send_bytes(self, piece: bytes) -> None:
+        """Send bytes, until the time limit or until the node closes.
+
+        Args:
+            piece: the bytes.
+        """
+        self._sock.settimeout(max(SHORTEST_S, self._ends_at - time.monotonic()))
+        try:
+            self._sock.sendall(piece)
+        except OSError:
+            # What the node answered is read next.
+            self._has_failed = True
 
     def receive(self) -> ClientAnswer:
         """Receive the next answer, until the time limit.
@@ -87,22 +116,24 @@
                 )
         head, _end, rest = self._buffer.partition(HEAD_END)
         self._buffer = rest
-        status_line, *lines = head.decode('latin-1').split('\r\n')
-        headers = dict(map(_split_header, lines))
+        return self._receive_rest(head.decode('latin-1').split('\r\n'))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
+
+    def _receive_rest(self, lines: list[str]) -> ClientAnswer:
+        headers = dict(map(_split_header, lines[1:]))
         length = int(headers.get('content-length', '0'))
         body = self._receive_body(length)
         return ClientAnswer(
-            status=int(status_line.split(' ')[1]),
+            status=int(lines[0].split(' ')[1]),
             headers=headers,
             body=body,
             is_complete=len(body) == length,
             is_closed=self._is_closed,
         )
 
-    def close(self) -> None:
-        """Close the connection."""
-        self._sock.close()
-
     def _receive_body(self, length: int) -> bytes:
         may_come = True
         while may_come and len(self._buffer) < length:
--- a/review/harness_2/deployments.py
+++ b/review/harness_2/deployments.py
@@ -22,7 +22,8 @@
 INBOUND_PORT: Final = 8146
 OUTBOUND_PORT: Final = 8147
 CONTROL_PORT: Final = 8529
-ZONE: Final = 'derby'
+FIRST_ZONE: Final = 'derby'
+ZONES: Final = (FIRST_ZONE, 'coventry')
 HOST: Final = 'mesh.example'
 PATIENCE_S: Final = 20.0
 STATUS_OK: Final = 200
@@ -102,9 +103,9 @@
     return {
         'version': f'{version:08x}',
         'limits': {
-            'maxHeaderBytes': 8192,
-            'maxBodyBytes': 1048576,
-            'headerTimeoutMs': 5000,
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 67108864,
+            'headerTimeoutMs': 3000,
             'idleTimeoutMs': 15000,
         },
         'listeners': [{'host': HOST, 'rules': rules}],
@@ -115,21 +116,21 @@
     }
 
 
-def make_entry(host: str, *, service: str, state: str = 'ready') -> Any:
+def make_entry(host: str, *, service: str, zone: str = FIRST_ZONE) -> Any:
     """Make the entry of an upstream in the store.
 
     Args:
         host: address of its machine.
         service: service that it runs.
-        state: what it reports.
+        zone: zone of its machine.
 
     Returns:
         The entry.
     """
     return {
         'address': f'{host}:{APP_PORT}',
-        'info': {'service': service, 'version': 'v1', 'zone': ZONE, 'slots': 9},
-        'status': {'state': state, 'sequence': 7, 'coldLeftMs': 0},
+        'info': {'service': service, 'version': 'v1', 'zone': zone, 'slots': 9},
+        'status': {'state': 'ready', 'sequence': 7, 'coldLeftMs': 0},
         'born': 1_790_000_000_000,
     }
 
@@ -247,9 +248,9 @@
             'instanceClass': 'sidecar',
             'serves': ['sidecar', 'control_plane'],
             'ip': host,
-            'zone': ZONE,
+            'zone': FIRST_ZONE,
             'region': 'midlands',
-            'zones': {ZONE: 'midlands'},
+            'zones': dict.fromkeys(ZONES, 'midlands'),
             'listenAddrs': {
                 'inbound': f'{host}:{INBOUND_PORT}',
                 'outbound': f'{host}:{OUTBOUND_PORT}',
--- a/review/harness_2/stores.py
+++ b/review/harness_2/stores.py
@@ -13,6 +13,8 @@
 STATUS_OK: Final = 200
 STATUS_BUSY: Final = 503
 STATUS_UNKNOWN: Final = 404
+STATUS_GONE: Final = 410
+HISTORY_S: Final = 20.0
 MILLISECONDS: Final = 1000
 
 
@@ -21,6 +23,8 @@
 
     Attributes:
         is_down: whether every call gets 503.
+
+    It drops changes after ``HISTORY_S``; a watch from before gets 410.
     """
 
     def __init__(self, host: str) -> None:
@@ -31,6 +35,7 @@
         """
         self.is_down = False
         self._changes: list[dict[str, Any]] = []
+        self._written_at: list[float] = []
         self._changed = threading.Condition()
         self._server = _Server((host, 0), _Connection)
         self._server.store = self
@@ -63,6 +68,7 @@
                 change['value'] = b64encode(encoded).decode()
                 change['lease'] = 0
             self._changes.append(change)
+            self._written_at.append(time.monotonic())
             self._changed.notify_all()
 
     def list_items(self) -> dict[str, dict[str, Any]]:
@@ -95,6 +101,9 @@
         if url.path == '/kv-range':
             return STATUS_OK, self._read_range(prefix)
         if url.path == '/kv-watch':
+            after = int(query['after'])
+            if self._is_dropped(after):
+                return STATUS_GONE, {}
             return STATUS_OK, self._watch(prefix, query)
         return STATUS_UNKNOWN, {}
 
@@ -113,6 +122,11 @@
             revision = len(self._changes)
         return {'items': found, 'hasMore': False, 'storeRevision': revision}
 
+    def _is_dropped(self, after: int) -> bool:
+        if after >= len(self._changes):
+            return False
+        return time.monotonic() - self._written_at[after] > HISTORY_S
+
     def _watch(self, prefix: str, query: dict[str, str]) -> dict[str, Any]:
         after = int(query['after'])
         end = time.monotonic() + int(query['waitMs']) / MILLISECONDS
--- a/review/harness_2/upstreams.py
+++ b/review/harness_2/upstreams.py
@@ -11,19 +11,42 @@
 
 STATUS_OK: Final = 200
 STATUS_FOREIGN: Final = 421
-MILLISECONDS: Final = 1000
+READ_BYTES: Final = 65_536
 
 
 class Run(NamedTuple):
-    """One request that an upstream began to work on."""
+    """One request that an upstream began to work on.
+
+    Attributes:
+        at: when it began, seconds since 1970.
+        request_id: id of the request.
+        method: HTTP method.
+        path: path and query.
+        caller_service: service that is named as the caller.
+        body: bytes of the body that came; more may follow.
+    """
 
     at: float
     request_id: str
     method: str
     path: str
-    body: bytes
     caller_service: str
-    is_foreign: bool
+    body: bytearray
+
+    def describe(self, instance: str) -> str:
+        """Describe the run for the record.
+
+        Args:
+            instance: upstream that ran it.
+
+        Returns:
+            One line.
+        """
+        return (
+            f'upstream {instance} runs {self.request_id} {self.method}'
+            f' {self.path} from {self.caller_service} at {self.at:.3f},'
+            f' {len(self.body)} bytes of body'
+        )
 
 
 class Answer(NamedTuple):
@@ -98,12 +121,12 @@
 
     def _process(self) -> None:
         upstream = self.server.upstream
-        body = self.rfile.read(int(self.headers.get('Content-Length', 0)))
         if self.path == '/health':
             self._answer(STATUS_OK, b'ok')
             return
         expected = self.headers.get('X-Expected-Instance')
         if expected not in {None, upstream.instance}:
+            self._read_body(bytearray())
             self._answer(STATUS_FOREIGN, b'')
             return
         run = Run(
@@ -111,15 +134,26 @@
             request_id=self.headers.get('X-Request-Id', ''),
             method=self.command,
             path=self.path,
-            body=body,
             caller_service=self.headers.get('X-Caller-Service', ''),
-            is_foreign=False,
+            body=bytearray(),
         )
         upstream.runs.append(run)
+        if not self._read_body(run.body):
+            self.close_connection = True
+            return
         answer = upstream.make_answer(run)
         time.sleep(answer.after_s)
         self._answer(STATUS_OK, answer.body)
 
+    def _read_body(self, body: bytearray) -> bool:
+        length = int(self.headers.get('Content-Length', 0))
+        while len(body) < length:
+            piece = self.rfile.read1(min(READ_BYTES, length - len(body)))
+            if not piece:
+                return False
+            body += piece
+        return True
+
     def _answer(self, status: int, body: bytes) -> None:
         upstream = self.server.upstream
         self.send_response(status)
