Review case 8: downloads of slow readers are reset

Cause: TCP_USER_TIMEOUT of 3 s on the connections of callers ends those whose window stays closed, though the caller is alive and reads on later.

Adds the case.

--- a/review/harness_2/clients.py
+++ b/review/harness_2/clients.py
@@ -12,6 +12,7 @@
 MILLISECONDS: Final = 1000
 CONNECT_S: Final = 1.0
 SHORTEST_S: Final = 0.001
+PAUSE_AFTER_BYTES: Final = 100_000
 HEAD_END: Final = b'\r\n\r\n'
 
 
@@ -48,6 +49,7 @@
         self._buffer = b''
         self._is_closed = False
         self._has_failed = False
+        self._pause_s = float(0)
         self._ends_at = time.monotonic() + limit_s
 
     def send(
@@ -99,12 +101,17 @@
             # What the node answered is read next.
             self._has_failed = True
 
-    def receive(self) -> ClientAnswer:
+    def receive(self, *, pause_s: float = 0) -> ClientAnswer:
         """Receive the next answer, until the time limit.
 
+        Args:
+            pause_s: time for which nothing is read in the middle of the body,
+                seconds.
+
         Returns:
             What came.
         """
+        self._pause_s = pause_s
         while HEAD_END not in self._buffer:
             if not self._read():
                 return ClientAnswer(
@@ -137,6 +144,9 @@
     def _receive_body(self, length: int) -> bytes:
         may_come = True
         while may_come and len(self._buffer) < length:
+            if self._pause_s and len(self._buffer) > PAUSE_AFTER_BYTES:
+                time.sleep(self._pause_s)
+                self._pause_s = 0
             may_come = self._read()
         body = self._buffer[:length]
         self._buffer = self._buffer[length:]
