Review case 5: a stopping node cuts a booking that takes longer than most

Cause of the new one: what a stopping node still passes on is chosen by an estimate that one answer in a hundred exceeds.

--- a/review/5/script.py
+++ b/review/5/script.py
@@ -1,17 +1,21 @@
-"""Configurations in quick succession that no node reads any more.
+"""Bookings that a stopping node takes and cuts, though their upstream works.
 
-The operator publishes a configuration of 3,240 routes and changes it in two
-storms some seconds apart. With ``TROUBLE=0`` only the last version of each
-storm is written.
+One node of three, the only one of its zone, gets SIGTERM. Its clients go on to
+send. One booking in a hundred takes longer than the others; those that come
+3.1 s after the signal are among them. With ``TROUBLE=0`` there is no SIGTERM.
 """
 
 from __future__ import annotations
 
+import signal
 import sys
+import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import closing
+from functools import partial
 from pathlib import Path
-from typing import Any, Final
+from typing import Final, NamedTuple
 
 from review.harness_2.cases import (
     Service,
@@ -21,133 +25,155 @@
 )
 from review.harness_2.clients import Client
 from review.harness_2.deployments import ZONES, Deployment, make_rule
-from review.harness_2.deployments import make_configuration as make_published
 from review.harness_2.upstreams import Answer, Run
 
-# As on a grown site: 1,600 routes, and 1,640 more by the largest big_config.
-IDLE_ROUTES: Final = 3240
-INSTANCES: Final = 4
-STORMS: Final = 2
-# As on the sites: a change each 0.06 s for 1.5 s.
+ZONES_OF_NODES: Final = (*ZONES, ZONES[-1])
+WORK_S: Final = 1.0
+LONG_WORK_S: Final = 2.4
+# One booking in a hundred, as ``tail`` is in the site files.
+LONG_EVERY: Final = 100
+LONG_FIRST: Final = 20
+MOST_LONG_LATE: Final = 1
+TIMEOUT_MS: Final = 4000
+GOAL_MS: Final = 2000
+LIMIT_S: Final = 5.0
 GAP_S: Final = 0.06
-VERSIONS: Final = 25
-FIRST_VERSION: Final = 2
-# Bound of the rule, applyMs, and a margin.
-APPLY_S: Final = 2.0
-MARGIN_S: Final = 0.3
-CHECK_S: Final = 4.0
-CHECK_GAP_S: Final = 0.5
-LIMIT_S: Final = 1.0
-STATUS_OK: Final = 200
-STATUS_UNKNOWN: Final = 404
+CALM_S: Final = 12.0
+STOP_S: Final = 8.0
+# A request counts if it is sent later than this after the SIGTERM.
+COUNTED_AFTER_S: Final = 3.0
+LONG_AFTER_S: Final = 3.05
+CLIENTS: Final = 200
+NEVER: Final = float('inf')
 
 
-def make_rules(version: int) -> list[dict[str, Any]]:
-    """Make the rules of a version.
+class Outcome(NamedTuple):
+    """What a client got for a booking."""
 
-    Args:
-        version: the version; it adds a route that is named after it.
+    request_id: str
+    sent_s: float
+    ended_s: float
+    status: int
+    is_complete: bool
+    is_closed: bool
 
-    Returns:
-        The rules.
-    """
-    idle = [make_rule(f'idle-{number:06d}') for number in range(IDLE_ROUTES)]
-    return [make_rule('lookup'), make_rule(f'added-{version}'), *idle]
 
+class Works:
+    """Draws how long each booking takes.
 
-def make_configuration(version: int) -> dict[str, Any]:
-    """Make a version.
-
-    Args:
-        version: number of the version.
-
-    Returns:
-        The configuration.
+    Attributes:
+        long_after: moment from which the next bookings are long ones.
     """
-    return make_published(version, make_rules(version), ['booking'])
 
+    def __init__(self) -> None:
+        """Start without any booking."""
+        self.long_after = NEVER
+        self._lock = threading.Lock()
+        self._count = 0
+        self._late_count = 0
 
-def make_answer(run: Run) -> Answer:
-    """Make the answer of a sound upstream.
+    def make_answer(self, run: Run) -> Answer:
+        """Make the answer of a sound upstream.
 
-    Args:
-        run: the request.
+        Args:
+            run: the request.
 
-    Returns:
-        The answer.
-    """
-    return Answer(b'ok')
+        Returns:
+            The answer.
+        """
+        with self._lock:
+            self._count += 1
+            is_long = self._count % LONG_EVERY == LONG_FIRST
+            if time.monotonic() > self.long_after:
+                is_long = self._late_count < MOST_LONG_LATE
+                self._late_count += 1
+        return Answer(b'booked', LONG_WORK_S if is_long else WORK_S)
 
 
-def publish(deployment: Deployment, first: int) -> int:
-    """Write the versions of a storm.
+def book(
+    deployment: Deployment, host: str, begun_at: float, number: int
+) -> Outcome | None:
+    """Send one booking on a connection of its own.
 
     Args:
-        deployment: the deployment.
-        first: first version.
+        deployment: takes the record.
+        host: address of the client's machine.
+        begun_at: moment of the SIGTERM.
+        number: number of the booking.
 
     Returns:
-        The last version, which the store has acknowledged.
+        What came of it; None if the node took no connection.
     """
-    versions = [make_configuration(first + step) for step in range(VERSIONS)]
-    begun_at = time.monotonic()
-    for step, version in enumerate(versions):
-        is_last = step == VERSIONS - 1
-        if has_trouble() or is_last:
-            due_at = begun_at + step * GAP_S
-            time.sleep(max(0, due_at - time.monotonic()))
-            deployment.store.write('op/config', version)
-    deployment.note(f'version {first + VERSIONS - 1} acknowledged')
-    return first + VERSIONS - 1
+    request_id = f'booking-{number}'
+    sent_s = time.monotonic() - begun_at
+    try:
+        client = Client(host, limit_s=LIMIT_S)
+    except OSError:
+        return None
+    with closing(client):
+        client.send('POST', f'/book/{number}', request_id=request_id)
+        answer = client.receive()
+    outcome = Outcome(
+        request_id=request_id,
+        sent_s=sent_s,
+        ended_s=time.monotonic() - begun_at,
+        status=answer.status,
+        is_complete=answer.is_complete,
+        is_closed=answer.is_closed,
+    )
+    deployment.note(str(outcome))
+    return outcome
 
 
-def count_stale(deployment: Deployment, service: Service, version: int) -> int:
-    """Ask all nodes for the route that a version has added.
+def send_evenly(
+    deployment: Deployment, host: str, *, seconds: float, first: int
+) -> list[Outcome]:
+    """Send bookings at a steady rate and wait for all answers.
 
     Args:
         deployment: takes the record.
-        service: the nodes.
-        version: version that was acknowledged just now.
+        host: address of the clients' machine.
+        seconds: time for which they are sent.
+        first: number of the first one.
 
     Returns:
-        Number of requests, sent later than the bound, that got 404.
+        What came of them.
     """
-    acked_at = time.monotonic()
-    time.sleep(APPLY_S + MARGIN_S)
-    stale = 0
-    while time.monotonic() < acked_at + APPLY_S + CHECK_S:
-        for host in service.hosts:
-            at = time.monotonic() - acked_at
-            status = probe(host, version)
-            deployment.note(
-                f'{at:.2f} s after the ack of {version}, {host}: {status}'
-            )
-            stale += status == STATUS_UNKNOWN
-        time.sleep(CHECK_GAP_S)
-    return stale
+    begun_at = time.monotonic()
+    ask = partial(book, deployment, host, begun_at)
+    with ThreadPoolExecutor(CLIENTS) as executor:
+        started = []
+        while time.monotonic() < begun_at + seconds:
+            started.append(executor.submit(ask, first + len(started)))
+            time.sleep(GAP_S)
+    outcomes = [each.result() for each in started]
+    return [each for each in outcomes if each is not None]
 
 
-def probe(host: str, version: int) -> int:
-    """Ask a node for the route that a version has added.
+def list_lost(outcomes: list[Outcome], service: Service) -> list[Outcome]:
+    """List the bookings that count as lost.
 
     Args:
-        host: address of the machine.
-        version: the version.
+        outcomes: what came of the bookings after the SIGTERM.
+        service: the upstreams, which were sound all the while.
 
     Returns:
-        Status of the answer.
+        Those that were sent late enough and passed on, and whose connection
+        ended without an answer before their time limit.
     """
-    with closing(Client(host, limit_s=LIMIT_S)) as client:
-        client.send(
-            'GET',
-            f'/added-{version}/1',
-            request_id=f'probe-{version}-{time.monotonic_ns()}',
-        )
-        return client.receive().status
+    run_ids = {run.request_id for run in service.list_runs()}
+    return [
+        each
+        for each in outcomes
+        if each.sent_s > COUNTED_AFTER_S
+        and each.is_closed
+        and not each.is_complete
+        and each.request_id in run_ids
+    ]
 
 
-def run_storms(deployment: Deployment) -> bool:
-    """Publish the storms and check each.
+def run_stop(deployment: Deployment) -> bool:
+    """Stop one node while its clients send bookings.
 
     Args:
         deployment: the deployment.
@@ -155,27 +181,37 @@
     Returns:
         Whether the rule was broken.
     """
+    works = Works()
     service = start_service(
         deployment,
-        make_rules(1),
-        instances=INSTANCES,
-        make_answer=make_answer,
-        zones=ZONES,
+        [
+            make_rule(
+                'book', kind='unsafe', timeoutMs=TIMEOUT_MS, goalMs=GOAL_MS
+            )
+        ],
+        instances=len(ZONES_OF_NODES),
+        make_answer=works.make_answer,
+        zones=ZONES_OF_NODES,
+    )
+    host = service.hosts[0]
+    calm = send_evenly(deployment, host, seconds=CALM_S, first=0)
+    deployment.note(f'{len(calm)} bookings before the stop')
+    works.long_after = time.monotonic() + LONG_AFTER_S
+    if has_trouble():
+        deployment.signal_node(host, signal.SIGTERM)
+    outcomes = send_evenly(
+        deployment, host, seconds=STOP_S, first=len(calm) + 1
     )
-    stale = 0
-    for storm in range(STORMS):
-        version = publish(deployment, FIRST_VERSION + storm * VERSIONS)
-        stale += count_stale(deployment, service, version)
-    for host in service.hosts:
-        for line in deployment.read_log(host).splitlines():
-            if 'source-failed' in line:
-                deployment.note(f'log of {host}: {line}')
+    service.note_runs(deployment)
+    lost = list_lost(outcomes, service)
+    for each in lost:
+        deployment.note(f'LOST: {each}')
     deployment.note(
-        f'CONFIG: {stale} requests got 404 on a route of a version that was'
-        f' acknowledged more than {APPLY_S + MARGIN_S} s before'
+        f'{len(outcomes)} bookings after the SIGTERM, {len(lost)} of those that'
+        f' were sent more than {COUNTED_AFTER_S} s after it are lost'
     )
-    return stale > 0
+    return bool(lost)
 
 
 if __name__ == '__main__':
-    sys.exit(run_case(Path(__file__).parent, run_storms))
+    sys.exit(run_case(Path(__file__).parent, run_stop))
--- a/review/harness_2/deployments.py
+++ b/review/harness_2/deployments.py
@@ -217,6 +217,16 @@
             time.sleep(0.1)
         self.note(f'node {host} is ready')
 
+    def signal_node(self, host: str, number: int) -> None:
+        """Send a signal to a node.
+
+        Args:
+            host: address of its machine.
+            number: number of the signal.
+        """
+        self._nodes[host].send_signal(number)
+        self.note(f'node {host} gets signal {number}')
+
     def read_log(self, host: str) -> str:
         """Read what a node wrote.
 
