Review case 5: two rules of one name let bookings run twice

Cause: classes are kept by service and rule name, so that the rule of one host decides whether a request of another host may be repeated.

--- a/review/5/script.py
+++ b/review/5/script.py
@@ -1,21 +1,22 @@
-"""Bookings that a stopping node takes and cuts, though their upstream works.
+"""Bookings that run twice because a lookup's rule has the same name.
 
-One node of three, the only one of its zone, gets SIGTERM. Its clients go on to
-send. One booking in a hundred takes longer than the others; those that come
-3.1 s after the signal are among them. With ``TROUBLE=0`` there is no SIGTERM.
+A version of the configuration gives two hosts a rule named "default": that of
+the public site is ``safe``, that of the desk is ``unsafe``. One upstream of
+three runs some requests and loses the answer. With ``TROUBLE=0`` the two rules
+have different names, and all else is the same.
 """
 
 from __future__ import annotations
 
-import signal
+import random
 import sys
 import threading
-import time
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import closing
 from functools import partial
 from pathlib import Path
-from typing import Final, NamedTuple
+from typing import Final
 
 from review.harness_2.cases import (
     Service,
@@ -24,56 +25,39 @@
     start_service,
 )
 from review.harness_2.clients import Client
-from review.harness_2.deployments import ZONES, Deployment, make_rule
+from review.harness_2.deployments import Deployment, make_rule
 from review.harness_2.upstreams import Answer, Run
 
-ZONES_OF_NODES: Final = (*ZONES, ZONES[-1])
-WORK_S: Final = 1.0
-LONG_WORK_S: Final = 2.4
-# One booking in a hundred, as ``tail`` is in the site files.
-LONG_EVERY: Final = 100
-LONG_FIRST: Final = 20
-MOST_LONG_LATE: Final = 1
-TIMEOUT_MS: Final = 4000
-GOAL_MS: Final = 2000
-LIMIT_S: Final = 5.0
-GAP_S: Final = 0.06
-CALM_S: Final = 12.0
-STOP_S: Final = 8.0
-# A request counts if it is sent later than this after the SIGTERM.
-COUNTED_AFTER_S: Final = 3.0
-LONG_AFTER_S: Final = 3.05
-CLIENTS: Final = 200
-NEVER: Final = float('inf')
-
-
-class Outcome(NamedTuple):
-    """What a client got for a booking."""
-
-    request_id: str
-    sent_s: float
-    ended_s: float
-    status: int
-    is_complete: bool
-    is_closed: bool
-
-
-class Works:
-    """Draws how long each booking takes.
+DESK: Final = 'desk.example'
+PUBLIC: Final = 'public.example'
+INSTANCES: Final = 3
+REQUESTS: Final = 1200
+CLIENTS: Final = 12
+# One upstream of three loses the answer of one request in ten.
+LOST_SHARE: Final = 0.1
+WORK_S: Final = 0.03
+LIMIT_S: Final = 1.5
+TIMEOUT_MS: Final = 800
+VERSION: Final = 2
+SEED: Final = 1
+BOOKINGS: Final = '/book/'
+
+
+class Upstreams:
+    """What the upstreams answer.
 
     Attributes:
-        long_after: moment from which the next bookings are long ones.
+        losing: upstream that loses answers.
     """
 
     def __init__(self) -> None:
-        """Start without any booking."""
-        self.long_after = NEVER
+        """Start with a seeded draw."""
+        self.losing = ''
+        self._random = random.Random(SEED)
         self._lock = threading.Lock()
-        self._count = 0
-        self._late_count = 0
 
     def make_answer(self, run: Run) -> Answer:
-        """Make the answer of a sound upstream.
+        """Make an answer, or lose it.
 
         Args:
             run: the request.
@@ -81,99 +65,84 @@
         Returns:
             The answer.
         """
+        if run.instance != self.losing:
+            return Answer(b'done', WORK_S)
         with self._lock:
-            self._count += 1
-            is_long = self._count % LONG_EVERY == LONG_FIRST
-            if time.monotonic() > self.long_after:
-                is_long = self._late_count < MOST_LONG_LATE
-                self._late_count += 1
-        return Answer(b'booked', LONG_WORK_S if is_long else WORK_S)
+            is_lost = self._random.random() < LOST_SHARE
+        return Answer(b'done', WORK_S, is_lost=is_lost)
 
 
-def book(
-    deployment: Deployment, host: str, begun_at: float, number: int
-) -> Outcome | None:
-    """Send one booking on a connection of its own.
+def publish(deployment: Deployment, services: list[str]) -> None:
+    """Publish a configuration with two hosts.
 
     Args:
-        deployment: takes the record.
-        host: address of the client's machine.
-        begun_at: moment of the SIGTERM.
-        number: number of the booking.
-
-    Returns:
-        What came of it; None if the node took no connection.
+        deployment: the deployment.
+        services: names of the services.
     """
-    request_id = f'booking-{number}'
-    sent_s = time.monotonic() - begun_at
-    try:
-        client = Client(host, limit_s=LIMIT_S)
-    except OSError:
-        return None
-    with closing(client):
-        client.send('POST', f'/book/{number}', request_id=request_id)
-        answer = client.receive()
-    outcome = Outcome(
-        request_id=request_id,
-        sent_s=sent_s,
-        ended_s=time.monotonic() - begun_at,
-        status=answer.status,
-        is_complete=answer.is_complete,
-        is_closed=answer.is_closed,
-    )
-    deployment.note(str(outcome))
-    return outcome
-
-
-def send_evenly(
-    deployment: Deployment, host: str, *, seconds: float, first: int
-) -> list[Outcome]:
-    """Send bookings at a steady rate and wait for all answers.
+    hosts = {
+        DESK: ('/book/', 'unsafe'),
+        PUBLIC: ('/look/', 'safe'),
+    }
+    listeners = []
+    for host, (prefix, kind) in hosts.items():
+        name = 'default' if has_trouble() else f'default-{kind}'
+        rule = make_rule(name, kind=kind, timeoutMs=TIMEOUT_MS)
+        rule['match'] = {'prefix': prefix}
+        listeners.append({'host': host, 'rules': [rule]})
+    deployment.publish(VERSION, listeners, services)
+
+
+def send(host: str, number: int) -> tuple[str, int]:
+    """Send a booking or a lookup on a connection of its own.
 
     Args:
-        deployment: takes the record.
-        host: address of the clients' machine.
-        seconds: time for which they are sent.
-        first: number of the first one.
+        host: address of the client's machine.
+        number: number of the request; every second one is a booking.
 
     Returns:
-        What came of them.
+        Id of the request and status of the answer.
     """
-    begun_at = time.monotonic()
-    ask = partial(book, deployment, host, begun_at)
-    with ThreadPoolExecutor(CLIENTS) as executor:
-        started = []
-        while time.monotonic() < begun_at + seconds:
-            started.append(executor.submit(ask, first + len(started)))
-            time.sleep(GAP_S)
-    outcomes = [each.result() for each in started]
-    return [each for each in outcomes if each is not None]
+    is_booking = number % 2 == 0
+    method, path = ('POST', BOOKINGS) if is_booking else ('GET', '/look/')
+    request_id = f'{"booking" if is_booking else "lookup"}-{number}'
+    authority = DESK if is_booking else PUBLIC
+    client = Client(host, limit_s=LIMIT_S, authority=authority)
+    with closing(client):
+        client.send(method, f'{path}{number}', request_id=request_id)
+        return request_id, client.receive().status
 
 
-def list_lost(outcomes: list[Outcome], service: Service) -> list[Outcome]:
-    """List the bookings that count as lost.
+def judge(
+    deployment: Deployment, answers: dict[str, int], service: Service
+) -> bool:
+    """Judge by the rule TWICE.
 
     Args:
-        outcomes: what came of the bookings after the SIGTERM.
-        service: the upstreams, which were sound all the while.
+        deployment: takes the record.
+        answers: status of each request.
+        service: the upstreams.
 
     Returns:
-        Those that were sent late enough and passed on, and whose connection
-        ended without an answer before their time limit.
+        Whether the rule was broken.
     """
-    run_ids = {run.request_id for run in service.list_runs()}
-    return [
-        each
-        for each in outcomes
-        if each.sent_s > COUNTED_AFTER_S
-        and each.is_closed
-        and not each.is_complete
-        and each.request_id in run_ids
-    ]
+    service.note_runs(deployment)
+    runs = Counter(
+        run.request_id
+        for run in service.list_runs()
+        if run.path.startswith(BOOKINGS)
+    )
+    twice = [name for name, count in runs.items() if count > 1]
+    for name in twice:
+        deployment.note(f'TWICE: {name} ran {runs[name]} times')
+    deployment.note(
+        f'{Counter(answers.values())}; {len(twice)} of {len(runs)} bookings'
+        ' ran more than once'
+    )
+    return bool(twice)
 
 
-def run_stop(deployment: Deployment) -> bool:
-    """Stop one node while its clients send bookings.
+def run_requests(deployment: Deployment) -> bool:
+    """Send bookings and lookups.
 
     Args:
         deployment: the deployment.
@@ -181,37 +150,22 @@
     Returns:
         Whether the rule was broken.
     """
-    works = Works()
+    upstreams = Upstreams()
     service = start_service(
         deployment,
-        [
-            make_rule(
-                'book', kind='unsafe', timeoutMs=TIMEOUT_MS, goalMs=GOAL_MS
-            )
-        ],
-        instances=len(ZONES_OF_NODES),
-        make_answer=works.make_answer,
-        zones=ZONES_OF_NODES,
-    )
-    host = service.hosts[0]
-    calm = send_evenly(deployment, host, seconds=CALM_S, first=0)
-    deployment.note(f'{len(calm)} bookings before the stop')
-    works.long_after = time.monotonic() + LONG_AFTER_S
-    if has_trouble():
-        deployment.signal_node(host, signal.SIGTERM)
-    outcomes = send_evenly(
-        deployment, host, seconds=STOP_S, first=len(calm) + 1
-    )
-    service.note_runs(deployment)
-    lost = list_lost(outcomes, service)
-    for each in lost:
-        deployment.note(f'LOST: {each}')
-    deployment.note(
-        f'{len(outcomes)} bookings after the SIGTERM, {len(lost)} of those that'
-        f' were sent more than {COUNTED_AFTER_S} s after it are lost'
+        [make_rule('first')],
+        instances=INSTANCES,
+        make_answer=upstreams.make_answer,
     )
-    return bool(lost)
+    upstreams.losing = service.upstreams[-1].instance
+    publish(deployment, ['booking'])
+    deployment.wait_for_route(service.hosts, PUBLIC, '/look/0')
+    with ThreadPoolExecutor(CLIENTS) as executor:
+        answers = dict(
+            executor.map(partial(send, service.hosts[0]), range(REQUESTS))
+        )
+    return judge(deployment, answers, service)
 
 
 if __name__ == '__main__':
-    sys.exit(run_case(Path(__file__).parent, run_stop))
+    sys.exit(run_case(Path(__file__).parent, run_requests))
--- a/review/harness_2/cases.py
+++ b/review/harness_2/cases.py
@@ -48,10 +48,10 @@
         Returns:
             Ids of the requests that were run.
         """
-        for upstream in self.upstreams:
-            for run in upstream.runs:
-                deployment.note(run.describe(upstream.instance))
-        return {each.request_id for each in self.list_runs()}
+        runs = self.list_runs()
+        for run in runs:
+            deployment.note(run.describe())
+        return {each.request_id for each in runs}
 
 
 def has_trouble() -> bool:
--- a/review/harness_2/clients.py
+++ b/review/harness_2/clients.py
@@ -37,15 +37,19 @@
 class Client:
     """One connection to the outbound address of a machine."""
 
-    def __init__(self, host: str, *, limit_s: float) -> None:
+    def __init__(
+        self, host: str, *, limit_s: float, authority: str = HOST
+    ) -> None:
         """Connect.
 
         Args:
             host: address of the machine.
             limit_s: the client's time limit for each request.
+            authority: what it sends as ``Host``.
         """
         self._sock = socket.create_connection((host, OUTBOUND_PORT), CONNECT_S)
         self._limit_s = limit_s
+        self._authority = authority
         self._buffer = b''
         self._is_closed = False
         self._has_failed = False
@@ -79,7 +83,7 @@
         """
         lines = [
             f'{method} {path} HTTP/1.1',
-            f'Host: {HOST}',
+            f'Host: {self._authority}',
             f'X-Request-Id: {request_id}',
             'X-Deadline-Ms: {0}'.format(round(self._limit_s * MILLISECONDS)),
         ]
--- a/review/harness_2/deployments.py
+++ b/review/harness_2/deployments.py
@@ -26,6 +26,7 @@
 ZONES: Final = (FIRST_ZONE, 'coventry')
 HOST: Final = 'mesh.example'
 PATIENCE_S: Final = 20.0
+POLL_S: Final = 0.1
 STATUS_OK: Final = 200
 NETWORKS: Final = 200
 FIRST_NETWORK: Final = 20
@@ -90,11 +91,11 @@
 def make_configuration(
     version: int, rules: list[dict[str, Any]], services: list[str]
 ) -> dict[str, Any]:
-    """Make a published configuration.
+    """Make a published configuration with one host.
 
     Args:
         version: its version.
-        rules: rules of the only host.
+        rules: rules of the host.
         services: names of the services.
 
     Returns:
@@ -214,9 +215,44 @@
         while not self._is_ready(host):
             if time.monotonic() > end:
                 raise TimeoutError(f'{host} is not ready')
-            time.sleep(0.1)
+            time.sleep(POLL_S)
         self.note(f'node {host} is ready')
 
+    def publish(
+        self, version: int, listeners: list[dict[str, Any]], services: list[str]
+    ) -> None:
+        """Write a configuration with several hosts.
+
+        Args:
+            version: its version.
+            listeners: the hosts with their rules.
+            services: names of the services.
+        """
+        configuration = make_configuration(version, [], services)
+        self.store.write('op/config', {**configuration, 'listeners': listeners})
+
+    def wait_for_route(
+        self, hosts: list[str], authority: str, path: str
+    ) -> None:
+        """Wait until all nodes have a route.
+
+        Args:
+            hosts: addresses of the machines.
+            authority: host of the route.
+            path: path on the route.
+
+        Raises:
+            TimeoutError: if one of them has it not in time.
+        """
+        end = time.monotonic() + PATIENCE_S
+        for host in hosts:
+            while (
+                read_status(host, OUTBOUND_PORT, path, authority) != STATUS_OK
+            ):
+                if time.monotonic() > end:
+                    raise TimeoutError(f'{host} has no route {path}')
+                time.sleep(POLL_S)
+
     def signal_node(self, host: str, number: int) -> None:
         """Send a signal to a node.
 
@@ -298,18 +334,23 @@
             return False
 
 
-def read_status(host: str, port: int, path: str) -> int:
+def read_status(host: str, port: int, path: str, authority: str = HOST) -> int:
     """Send a GET request on a connection of its own.
 
     Args:
         host: address of the machine.
         port: port.
         path: path.
+        authority: what is sent as ``Host``.
 
     Returns:
         Status of the answer.
     """
     connection = HTTPConnection(host, port, timeout=1)
     with closing(connection):
-        connection.request('GET', path)
+        connection.request(
+            'GET',
+            path,
+            headers={'Host': authority, 'X-Request-Id': f'{time.time_ns():x}'},
+        )
         return connection.getresponse().status
--- a/review/harness_2/upstreams.py
+++ b/review/harness_2/upstreams.py
@@ -23,6 +23,7 @@
         method: HTTP method.
         path: path and query.
         caller_service: service that is named as the caller.
+        instance: upstream that runs it.
         body: bytes of the body that came; more may follow.
     """
 
@@ -31,29 +32,34 @@
     method: str
     path: str
     caller_service: str
+    instance: str
     body: bytearray
 
-    def describe(self, instance: str) -> str:
+    def describe(self) -> str:
         """Describe the run for the record.
 
-        Args:
-            instance: upstream that ran it.
-
         Returns:
             One line.
         """
         return (
-            f'upstream {instance} runs {self.request_id} {self.method}'
+            f'upstream {self.instance} runs {self.request_id} {self.method}'
             f' {self.path} from {self.caller_service} at {self.at:.3f},'
             f' {len(self.body)} bytes of body'
         )
 
 
 class Answer(NamedTuple):
-    """What an upstream answers, and when."""
+    """What an upstream answers, and when.
+
+    Attributes:
+        body: the whole body.
+        after_s: time that the work takes, seconds.
+        is_lost: whether the connection ends in place of the answer.
+    """
 
     body: bytes
     after_s: float = 0
+    is_lost: bool = False
 
 
 class Upstream:
@@ -135,6 +141,7 @@
             method=self.command,
             path=self.path,
             caller_service=self.headers.get('X-Caller-Service', ''),
+            instance=upstream.instance,
             body=bytearray(),
         )
         upstream.runs.append(run)
@@ -143,6 +150,9 @@
             return
         answer = upstream.make_answer(run)
         time.sleep(answer.after_s)
+        if answer.is_lost:
+            self.close_connection = True
+            return
         self._answer(STATUS_OK, answer.body)
 
     def _read_body(self, body: bytearray) -> bool:
