--- a/standins/deployment/entries.py
+++ b/standins/deployment/entries.py
@@ -162,8 +162,8 @@
         'limits': {
             'cpuShare': 0.86,
             'cpuCores': 1,
-            'memoryMb': 300,
-            'maxFds': 4100,
+            'memoryMb': deployment.memory_mb,
+            'maxFds': deployment.max_fds,
             'linkMbps': 1000.0,
         },
         'heartbeatMs': deployment.heartbeat_ms,
--- a/standins/deployment/model.py
+++ b/standins/deployment/model.py
@@ -88,6 +88,8 @@
         heartbeat_ms: interval between two writes of a server to its entry.
         drain_ms: time after which no request may reach a leaving server.
         resets_when_full: whether a full server resets the connection.
+        memory_mb: memory of a machine for its node, megabytes.
+        max_fds: most descriptors of a node.
     """
 
     name: str
@@ -102,6 +104,8 @@
     heartbeat_ms: int
     drain_ms: int = 2000
     resets_when_full: bool = False
+    memory_mb: int = 300
+    max_fds: int = 4100
 
     @property
     def services(self) -> tuple[str, ...]:
--- a/standins/deployment/profiles.py
+++ b/standins/deployment/profiles.py
@@ -1,4 +1,4 @@
-"""The three small deployments of the users."""
+"""The three small deployments of the users, and one of two machines."""
 
 from __future__ import annotations
 
@@ -265,6 +265,45 @@
     heartbeat_ms=1500,
 )
 
+# Its callers wait longer than any test lasts, so that nothing ends by itself.
+TWO_NODES: Final = Deployment(
+    name='two-nodes',
+    zones=('zone-a',),
+    machines=(('records', 'records'),),
+    classes=(
+        WorkClass(
+            name='lookup',
+            service='records',
+            kind=RequestKind.safe,
+            goal_ms=1000,
+            deadline_ms=120_000,
+            timeout_ms=120_000,
+            work_ms=5,
+            weight=1,
+        ),
+        WorkClass(
+            name='booking',
+            service='records',
+            kind=RequestKind.unsafe,
+            goal_ms=1000,
+            deadline_ms=120_000,
+            timeout_ms=120_000,
+            work_ms=5,
+            weight=1,
+        ),
+    ),
+    slots=6,
+    queue=24,
+    speeds=(1,),
+    per_second=100,
+    clients=50,
+    heartbeat_ms=1500,
+)
+
 DEPLOYMENTS: Final = MappingProxyType(
     {each.name: each for each in (PDP_GATES, STARTNUMMER, HAILMARK)},
 )
+# Those that a backend server can be started for.
+ALL_DEPLOYMENTS: Final = MappingProxyType(
+    {**DEPLOYMENTS, TWO_NODES.name: TWO_NODES},
+)
--- a/standins/deployment/server.py
+++ b/standins/deployment/server.py
@@ -27,7 +27,7 @@
     ArrivalEnd,
     ServerPlan,
 )
-from standins.deployment.profiles import DEPLOYMENTS
+from standins.deployment.profiles import ALL_DEPLOYMENTS
 
 if TYPE_CHECKING:
     from standins.deployment.model import WorkClass
@@ -56,7 +56,7 @@
             plan: how the server is started.
         """
         self.plan = plan
-        self.deployment = DEPLOYMENTS[plan.deployment]
+        self.deployment = ALL_DEPLOYMENTS[plan.deployment]
         self.is_leaving = False
         self.waiting = 0
         self.running = 0
@@ -124,6 +124,12 @@
         """Id of the request; empty if it has none."""
         return self.headers.get(b'x-request-id', b'').decode()
 
+    @property
+    def answer_bytes(self) -> int:
+        """Least size of the answer, which the fourth part of the path tells."""
+        parts = self.target.decode().split('/')
+        return int(parts[3]) if len(parts) > 4 else 0
+
     @property
     def seconds_left(self) -> float:
         """Seconds for which the caller waits."""
@@ -167,6 +173,8 @@
             self._transport.abort()
 
     def on_message_begin(self) -> None:
+        if self._idle is not None:
+            self._idle.cancel()
         self._request = Request()
 
     def on_url(self, url: bytes) -> None:
@@ -176,8 +184,6 @@
         self._request.headers[name.lower()] = text
 
     def on_message_complete(self) -> None:
-        if self._idle is not None:
-            self._idle.cancel()
         request = self._request
         if request.target.decode() == HEALTH_PATH:
             status = UNAVAILABLE if self._server.is_leaving else OK
@@ -260,6 +266,7 @@
         server = self._server
         instance = server.plan.instance.encode()
         body = b'%b %b' % (instance, request.request_id.encode())
+        body = body.ljust(request.answer_bytes)
         seal = blake2b(body, digest_size=SEAL_BYTES).hexdigest().encode()
         if server.is_leaving:
             extra += CLOSE
