--- /dev/null
+++ b/wagtaildale/calls/http/caller_connection.py
@@ -0,0 +1,314 @@
+"""One connection of a caller: its requests and the order of their responses."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Final
+
+from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.http.error_responses import build_error_response
+from wagtaildale.calls.http.exchanges import Exchange
+from wagtaildale.calls.http.parsing import MessageParser
+from wagtaildale.calls.http.pending_input import PendingInput, peek_input
+from wagtaildale.calls.http.responses import ResponseWriter
+from wagtaildale.errors.codes import Code
+from wagtaildale.reactor.stream import Stream
+from wagtaildale.timers.service import read_clock
+
+if TYPE_CHECKING:
+    import socket
+
+    from wagtaildale.calls.http.callers import CallerPort
+    from wagtaildale.calls.http.parsing import Message
+
+# Requests of one connection in progress at once; further ones stay unread.
+MAX_PIPELINED_REQUESTS: Final = 16
+
+
+class CallerConnection:
+    """One connection of a caller.
+
+    Pipelined requests are answered in parallel; their responses are sent in the
+    order of the requests.
+    """
+
+    def __init__(self, port: CallerPort, sock: socket.socket) -> None:
+        """Create the connection for an accepted socket.
+
+        Args:
+            port: port that accepted it.
+            sock: socket of the connection.
+        """
+        self._port = port
+        self._stream = Stream(port.loop, sock, self)
+        self._parser = MessageParser(
+            parses_requests=True,
+            max_head_bytes=port.read_limits().max_head_bytes,
+        )
+        self._exchanges: deque[Exchange] = deque()
+        self._incoming: Exchange | None = None
+        self._failure: CallFailed | None = None
+        self._is_parsing_paused = False
+        self._has_answered = False
+        self._is_finishing = False
+        self._last_activity_at = read_clock()
+
+    @property
+    def active_calls(self) -> int:
+        """Number of requests in progress.
+
+        Unsent output counts as one request: otherwise the node would consider a
+        long response to a slow reader done, and end before it is sent.
+        """
+        return len(self._exchanges) or int(self._stream.unsent_bytes > 0)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether output waits for the caller to read."""
+        return self._stream.is_full
+
+    def closes_after(self, exchange: Exchange) -> bool:
+        """Check whether a response is the last one of the connection.
+
+        It is not if later requests are already in progress: closing would lose
+        their responses.
+
+        Args:
+            exchange: exchange whose response is written.
+
+        Returns:
+            Whether the response tells the caller that the connection closes.
+        """
+        message = exchange.message
+        is_closing = self._port.is_draining or not message.keep_alive
+        return self._exchanges[-1] is exchange and (
+            is_closing or not message.is_complete or self._failure is not None
+        )
+
+    def set_reading(self, *, enabled: bool) -> None:
+        """Start or stop to read from the socket.
+
+        Args:
+            enabled: whether to read.
+        """
+        if enabled:
+            self._stream.resume()
+        else:
+            self._stream.pause()
+
+    def send_in_turn(self, exchange: Exchange, output: bytes) -> None:
+        """Send a part of a response, or defer it until its turn.
+
+        Args:
+            exchange: exchange that the response belongs to.
+            output: bytes to send.
+        """
+        if self._exchanges and self._exchanges[0] is exchange:
+            self._stream.send(output)
+        else:
+            exchange.defer(output)
+
+    def advance(self) -> None:
+        """Remove finished exchanges and send output of the next one."""
+        while self._exchanges and self._exchanges[0].is_done:
+            done = self._exchanges.popleft()
+            self._has_answered = True
+            self._last_activity_at = read_clock()
+            if done.announces_close or done.is_aborted:
+                self._finish(aborted=done.is_aborted)
+                return
+            if self._exchanges:
+                self._stream.send(self._exchanges[0].take_deferred())
+        self._continue()
+
+    def refuse(self, failure: CallFailed) -> None:
+        """Send an error once earlier requests are answered, then close.
+
+        Args:
+            failure: reason for the refusal.
+        """
+        if self._failure is not None:
+            return
+        self._failure = failure
+        if not self._exchanges:
+            self._send_failure(failure)
+
+    def check_timeouts(self, now: float) -> None:
+        """Refuse a head that takes too long; close an idle connection.
+
+        Args:
+            now: current time, seconds on the monotonic clock.
+        """
+        if self.active_calls or self._failure is not None:
+            return
+        limits = self._port.read_limits()
+        if self._parser.has_more():
+            if now - self._last_activity_at > limits.head_timeout_seconds:
+                self.refuse(CallFailed(Code.head_timed_out))
+        elif now - self._last_activity_at > limits.idle_timeout_seconds:
+            self._finish_unless_input_pending()
+
+    def close_idle(self) -> None:
+        """Close if no request is in progress.
+
+        A connection without any response so far is kept: the caller has just
+        connected and is about to send its request.
+        """
+        is_active = self.active_calls or self._failure is not None
+        if self._has_answered and not is_active:
+            self._finish_unless_input_pending()
+
+    def close_now(self) -> None:
+        """Close at once."""
+        self._stream.close()
+        self._detach()
+
+    def on_open(self) -> None:
+        """Do nothing: accepted connections are open from the start."""
+
+    def on_bytes(self, chunk: bytes) -> None:
+        """Parse bytes of requests.
+
+        Args:
+            chunk: bytes that were read.
+        """
+        if self._failure is not None or self._is_finishing:
+            return
+        if not self._parser.has_more():
+            self._last_activity_at = read_clock()
+        try:
+            self._parser.feed(chunk)
+        except CallFailed as failure:
+            self._process_messages()
+            self.refuse(failure)
+            return
+        self._process_messages()
+
+    def on_end(self) -> None:
+        """Treat a caller that sends no more as disconnected."""
+        if self._is_finishing:
+            # The caller may still read; if it does not, sending fails.
+            return
+        if not self._exchanges and self._failure is None:
+            self._finish()
+            return
+        self.on_lost(OSError('the caller disconnected'))
+
+    def on_lost(self, error: OSError) -> None:
+        """Release a lost connection.
+
+        Args:
+            error: error of the socket.
+        """
+        self._stream.close()
+        self._detach()
+
+    def on_drained(self) -> None:
+        """Continue to write, or finish, once all output is sent."""
+        self._last_activity_at = read_clock()
+        if self._is_finishing:
+            self._finish()
+        elif self._exchanges and self._exchanges[0].receiver is not None:
+            self._exchanges[0].receiver.on_writable()
+
+    def _process_messages(self) -> None:
+        while not self._is_ending():
+            message = self._parser.peek()
+            if message is None:
+                return
+            if (
+                self._incoming is None
+                and self.active_calls >= MAX_PIPELINED_REQUESTS
+            ):
+                self._is_parsing_paused = True
+                self._stream.pause()
+                return
+            self._process_message(message)
+            if not message.is_complete:
+                return
+            self._parser.drop()
+            self._incoming = None
+
+    def _continue(self) -> None:
+        if self._exchanges:
+            self._resume_parsing()
+            return
+        failure = self._failure
+        if failure is None:
+            self._continue_idle()
+        else:
+            self._send_failure(failure)
+
+    def _continue_idle(self) -> None:
+        # Pipelined requests are not started while the node stops.
+        if self._port.is_draining and self._parser.has_more():
+            self._finish()
+        else:
+            self._resume_parsing()
+
+    def _resume_parsing(self) -> None:
+        if self._is_parsing_paused:
+            self._is_parsing_paused = False
+            self._stream.resume()
+            self._process_messages()
+
+    def _process_message(self, message: Message) -> None:
+        if self._incoming is None:
+            exchange = Exchange(message, connection=self)
+            self._exchanges.append(exchange)
+            self._incoming = exchange
+            self._port.request_handler.handle_request(exchange)
+        elif self._incoming.receiver is not None:
+            self._incoming.receiver.on_body()
+
+    def _is_ending(self) -> bool:
+        # Requests that follow one that asks to close, or one whose response has
+        # announced the close, are ignored. While the node drains, no further
+        # pipelined requests are started: a caller that always has another one
+        # in progress would never let the node stop.
+        if self._stream.is_closed or self._is_finishing:
+            return True
+        if self._incoming is not None or not self._exchanges:
+            return False
+        last = self._exchanges[-1]
+        return (
+            self._port.is_draining
+            or last.announces_close
+            or not last.message.keep_alive
+        )
+
+    def _send_failure(self, failure: CallFailed) -> None:
+        head, body = build_error_response(failure)
+        writer = ResponseWriter(b'GET', closes_connection=True)
+        self._stream.send(writer.begin(head, body=body, more=False))
+        self._finish()
+
+    def _finish_unless_input_pending(self) -> None:
+        # Closing now would lose a request that has arrived on the idle
+        # connection but is not read yet. It is read and answered first.
+        if peek_input(self._stream) is not PendingInput.bytes_came:
+            self._finish()
+
+    def _finish(self, *, aborted: bool = False) -> None:
+        self._is_finishing = True
+        if aborted:
+            self._stream.close()
+        elif self._stream.unsent_bytes:
+            # Closing now would cut off the response to a slow reader. The
+            # connection closes once all of it is sent.
+            self._drop_exchanges()
+            return
+        else:
+            self._stream.finish()
+        self._detach()
+
+    def _detach(self) -> None:
+        self._port.forget(self)
+        self._drop_exchanges()
+
+    def _drop_exchanges(self) -> None:
+        pending = tuple(self._exchanges)
+        self._exchanges.clear()
+        for exchange in pending:
+            if exchange.receiver is not None:
+                exchange.receiver.on_caller_gone()
--- a/wagtaildale/calls/http/exchanges.py
+++ b/wagtaildale/calls/http/exchanges.py
@@ -8,7 +8,7 @@
 from wagtaildale.calls.http.responses import ResponseHead, ResponseWriter
 
 if TYPE_CHECKING:
-    from wagtaildale.calls.http.callers import CallerConnection
+    from wagtaildale.calls.http.caller_connection import CallerConnection
     from wagtaildale.calls.http.parsing import Message
 
 
