Memory: one account of what a process holds for its callers

What callers saw: some hundred clients that send large bodies or heads of many short lines, each within the limits, made a node hold 220 to 713 MB on a machine of 100 MB in the tests; on the users' machines such a process is killed, and all its callers lose their connections.

Cause: each connection has limits, and their sum has none. A head of 8 KB in lines of four bytes takes about 280 KB as parsed lines, and a body was held up to three times: at the entry, in the run message and, after it was sent, at the idle connection to the backend server.

Change: connections and the calls at an owner are charged to one account for heads, parsed lines, bodies and unsent output, as these are taken in. An owner refuses as overloaded, and the entry tries another one. A run's body is dropped once it was sent.

--- a/wagtaildale/assembly.py
+++ b/wagtaildale/assembly.py
@@ -190,6 +190,7 @@
             reserves=settings.calls.reserves,
             hedges=settings.calls.hedges,
             line_mbps=limits.line_mbps,
+            memory_mb=limits.memory_mb,
         ),
         dependencies=CallsTaskDependencies(
             identity=parts.identity,
--- a/wagtaildale/calls/backend/backend_connection.py
+++ b/wagtaildale/calls/backend/backend_connection.py
@@ -11,7 +11,7 @@
 import errno
 from typing import TYPE_CHECKING, Final, Protocol
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.http.heads import (
@@ -176,6 +176,9 @@
         self._request = request
         self._receiver = receiver
         self._stream.send(self._write_request(request))
+        if request.body:
+            # An idle connection must not keep the body of its last request.
+            self._request = structs.replace(request, body=b'')
 
     def send_piece(self, piece: bytes, *, more: bool) -> None:
         """Send another piece of the request's body.
--- a/wagtaildale/calls/entry/attempt.py
+++ b/wagtaildale/calls/entry/attempt.py
@@ -161,6 +161,11 @@
             call.request.body, is_collected=peer.collects_bodies
         )
 
+    @property
+    def has_sent_body(self) -> bool:
+        """Whether all of the request's body was sent."""
+        return self._body.is_sent
+
     def start(self) -> None:
         """Send the first message."""
         self.target.upstream.note_begun(read_clock())
--- a/wagtaildale/calls/entry/bodies.py
+++ b/wagtaildale/calls/entry/bodies.py
@@ -6,17 +6,13 @@
 
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.http.parsing import UNKNOWN_LENGTH
-from wagtaildale.calls.owner.body_collector import MAX_COLLECTED_BYTES
 from wagtaildale.errors.codes import Code
 
 if TYPE_CHECKING:
     from wagtaildale.calls.http.exchanges import Exchange
 
-# A body of up to this size is kept, so that it can be sent to another upstream
-# again. A larger one is forwarded as it arrives, once.
-MAX_REPLAYABLE_BYTES: Final = MAX_COLLECTED_BYTES
-# An attempt begins once this much of the body has arrived. The time to read
-# the rest then overlaps with sending.
+# An attempt of a larger body begins once this much of it has arrived. The time
+# to read the rest then overlaps with sending.
 MIN_READ_BYTES: Final = 65_536
 # Reading from the caller of a larger body stops above this number of bytes that
 # wait to be forwarded.
@@ -25,24 +21,32 @@
 
 
 class RequestBody:
-    """A body that is kept while it is small, and streamed otherwise.
+    """A body that is received whole before it is sent, unless it is too large.
+
+    An unfinished body takes no slot of a backend server and nothing of the
+    line to it: its caller may leave it unfinished. A larger body is forwarded
+    as it arrives, once.
 
     Attributes:
         is_replayable: whether the whole body can be sent again.
     """
 
-    def __init__(self, exchange: Exchange, *, limit: int) -> None:
+    def __init__(
+        self, exchange: Exchange, *, limit: int, max_collected_bytes: int
+    ) -> None:
         """Read the bytes of the body that arrived with the head.
 
         Args:
             exchange: exchange of the request.
             limit: largest body in bytes.
+            max_collected_bytes: largest body that is received whole.
 
         Raises:
             CallFailed: if the announced length is above the limit.
         """
         self._exchange = exchange
         self._limit = limit
+        self._max_collected_bytes = max_collected_bytes
         self._buffer = bytearray()
         self._dropped = 0
         self.is_replayable = True
@@ -62,11 +66,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether an attempt may begin.
-
-        A body of unknown length is read first as far as it is kept, so that
-        owners know the length of what they receive.
-        """
+        """Whether an attempt may begin."""
         if self.is_complete or not self.is_replayable:
             return True
         return self.length != UNKNOWN_LENGTH and self.size > MIN_READ_BYTES
@@ -86,7 +86,8 @@
         self._buffer += self._exchange.message.take_body()
         if self.size > self._limit:
             raise _make_too_large_error(self._limit)
-        if self.size > MAX_REPLAYABLE_BYTES:
+        self._exchange.kept_bytes = len(self._buffer)
+        if self.size > self._max_collected_bytes:
             self.is_replayable = False
             if len(self._buffer) > MAX_BUFFERED_BYTES:
                 self._exchange.set_reading(enabled=False)
@@ -116,9 +117,15 @@
             self._drop(start + len(piece))
         return piece
 
+    def discard(self) -> None:
+        """Free what is kept; the body cannot be sent again."""
+        self.is_replayable = False
+        self._drop(len(self._buffer))
+
     def _drop(self, size: int) -> None:
         self._buffer = self._buffer[size:]
         self._dropped += size
+        self._exchange.kept_bytes = len(self._buffer)
         if not self.is_complete and len(self._buffer) < MAX_BUFFERED_BYTES:
             self._exchange.set_reading(enabled=True)
 
--- a/wagtaildale/calls/entry/entry_call.py
+++ b/wagtaildale/calls/entry/entry_call.py
@@ -16,7 +16,7 @@
 from wagtaildale.calls.entry.report import CallReport
 from wagtaildale.calls.entry.routed_call import RoutedCall, route_call
 from wagtaildale.calls.entry.suspected_call import find_suspect, mark_harmful
-from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.failures import CallFailed, make_memory_failure
 from wagtaildale.calls.http.error_responses import build_error_response
 from wagtaildale.calls.http.responses import ResponseHead
 from wagtaildale.errors.codes import Code
@@ -151,6 +151,18 @@
             self._running[0].send_credit(self._uncredited_bytes)
             self._uncredited_bytes = 0
 
+    def give_up(self) -> None:
+        """Refuse the request if it has not run; see ``ExchangeReceiver``.
+
+        Of a request that may run, only the copy of its body is freed.
+        """
+        if self._is_over or self._exchange.has_response_begun:
+            return
+        if not self._is_passed_on():
+            self._fail(make_memory_failure())
+        elif all(attempt.has_sent_body for attempt in self._running):
+            self.request.body.discard()
+
     def note_owner_state(self, attempt: Attempt, answer: AnswerFields) -> None:
         """Record the state an owner reports; see ``AttemptReceiver``.
 
@@ -271,7 +283,9 @@
             target=exchange.message.target,
             headers=routed.headers,
             body=RequestBody(
-                exchange, limit=parts.read_limits().max_body_bytes
+                exchange,
+                limit=parts.read_limits().max_body_bytes,
+                max_collected_bytes=parts.owner.memory.max_collected_bytes,
             ),
             needs_reservation=parts.reserves and not work_class.idempotent,
         )
@@ -483,11 +497,13 @@
 
     def _end_unsent(self) -> None:
         """Reject the request if it has not run: its time is over."""
-        has_run = self._may_have_run or any(
+        if not self._is_passed_on():
+            self._fail(CallFailed(Code.stopping))
+
+    def _is_passed_on(self) -> bool:
+        return self._may_have_run or any(
             attempt.is_run_sent for attempt in self._running
         )
-        if not has_run:
-            self._fail(CallFailed(Code.stopping))
 
     def _fail_unless_attempts_run(self, failure: CallFailed) -> None:
         # An attempt that is still running, even a silent one, may succeed.
@@ -540,6 +556,8 @@
     def _end(self) -> None:
         self._is_over = True
         self._entry.forget(self)
+        if self._request is not None:
+            self._request.body.discard()
         for alarm in self._alarms:
             alarm.cancel()
         running = self._running
--- a/wagtaildale/calls/failures.py
+++ b/wagtaildale/calls/failures.py
@@ -10,10 +10,11 @@
 
 from typing import TYPE_CHECKING
 
+from wagtaildale.admission.memory import MEMORY_RETRY_SECONDS
+from wagtaildale.errors.codes import Code
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
-    from wagtaildale.errors.codes import Code
     from wagtaildale.telemetry.events import Inputs
 
 
@@ -67,3 +68,19 @@
             running the request.
         """
         return {'ends': self.crash_count} if self.crash_count else {}
+
+
+def make_memory_failure(code: Code = Code.memory_full) -> CallFailed:
+    """Make the failure of a request that the process has no memory for.
+
+    Args:
+        code: numbered result code.
+
+    Returns:
+        The failure, with outcome ``not_run``.
+    """
+    return CallFailed(
+        code,
+        detail='what is held for callers fills the memory',
+        retry_after=MEMORY_RETRY_SECONDS,
+    )
--- a/wagtaildale/calls/http/caller_connection.py
+++ b/wagtaildale/calls/http/caller_connection.py
@@ -5,7 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.failures import CallFailed, make_memory_failure
 from wagtaildale.calls.http.error_responses import build_error_response
 from wagtaildale.calls.http.exchanges import Exchange
 from wagtaildale.calls.http.parsing import MessageParser
@@ -23,13 +23,15 @@
 
 # Requests of one connection in progress at once; further ones stay unread.
 MAX_PIPELINED_REQUESTS: Final = 16
+# Memory of a connection beside its requests.
+CONNECTION_BYTES: Final = 8192
 
 
 class CallerConnection:
     """One connection of a caller.
 
     Pipelined requests are answered in parallel; their responses are sent in the
-    order of the requests.
+    order of the requests. A ``Holder`` of memory.
     """
 
     def __init__(self, port: CallerPort, sock: socket.socket) -> None:
@@ -52,6 +54,8 @@
         self._has_answered = False
         self._is_finishing = False
         self._last_activity_at = read_clock()
+        self._holding = port.memory.open(self, now=self._last_activity_at)
+        self._holding.resize(CONNECTION_BYTES)
 
     @property
     def active_calls(self) -> int:
@@ -120,6 +124,7 @@
             if self._exchanges:
                 self._stream.send(self._exchanges[0].take_deferred())
         self._continue()
+        self._update_holding()
 
     def refuse(self, failure: CallFailed) -> None:
         """Send an error once earlier requests are answered, then close.
@@ -130,9 +135,20 @@
         if self._failure is not None:
             return
         self._failure = failure
+        if self._incoming is None:
+            self._parser.clear()
         if not self._exchanges:
             self._send_failure(failure)
 
+    def give_up(self) -> None:
+        """Refuse what has not run; see ``Holder``."""
+        for exchange in reversed(tuple(self._exchanges)):
+            if exchange.receiver is not None:
+                exchange.receiver.give_up()
+        if self._incoming is None and self._parser.has_more():
+            self.refuse(make_memory_failure())
+        self._update_holding()
+
     def check_timeouts(self, now: float) -> None:
         """Refuse a head that takes too long; close an idle connection.
 
@@ -174,15 +190,20 @@
         """
         if self._failure is not None or self._is_finishing:
             return
+        now = read_clock()
+        self._holding.progress_at = now
         if not self._parser.has_more():
-            self._last_activity_at = read_clock()
+            self._last_activity_at = now
         try:
             self._parser.feed(chunk)
         except CallFailed as failure:
             self._process_messages()
             self.refuse(failure)
             return
+        self._update_holding()
+        self._port.memory.relieve(now=now)
         self._process_messages()
+        self._update_holding()
 
     def on_end(self) -> None:
         """Treat a caller that sends no more as disconnected."""
@@ -206,29 +227,49 @@
     def on_drained(self) -> None:
         """Continue to write, or finish, once all output is sent."""
         self._last_activity_at = read_clock()
+        self._update_holding()
         if self._is_finishing:
             self._finish()
         elif self._exchanges and self._exchanges[0].receiver is not None:
             self._exchanges[0].receiver.on_writable()
 
+    def _update_holding(self) -> None:
+        of_exchanges = sum(each.held_bytes for each in self._exchanges)
+        of_output = self._stream.unsent_bytes
+        self._holding.resize(
+            CONNECTION_BYTES
+            + self._parser.held_bytes
+            + of_exchanges
+            + of_output
+        )
+
     def _process_messages(self) -> None:
-        while not self._is_ending():
+        while self._may_process():
             message = self._parser.peek()
-            if message is None:
-                return
-            if (
-                self._incoming is None
-                and self.active_calls >= MAX_PIPELINED_REQUESTS
-            ):
-                self._is_parsing_paused = True
-                self._stream.pause()
+            if message is None or self._pause_if_full():
                 return
             self._process_message(message)
-            if not message.is_complete:
+            has_ended = self._is_finishing or self._failure is not None
+            if has_ended or not message.is_complete:
                 return
             self._parser.drop()
             self._incoming = None
 
+    def _may_process(self) -> bool:
+        begins_request = self._incoming is None
+        if begins_request and self._failure is not None:
+            return False
+        return not self._is_ending()
+
+    def _pause_if_full(self) -> bool:
+        if self._incoming is not None:
+            return False
+        if self.active_calls < MAX_PIPELINED_REQUESTS:
+            return False
+        self._is_parsing_paused = True
+        self._stream.pause()
+        return True
+
     def _continue(self) -> None:
         if self._exchanges:
             self._resume_parsing()
@@ -254,6 +295,9 @@
 
     def _process_message(self, message: Message) -> None:
         if self._incoming is None:
+            if not self._port.memory.admits(self._holding.size):
+                self.refuse(make_memory_failure())
+                return
             exchange = Exchange(message, connection=self)
             self._exchanges.append(exchange)
             self._incoming = exchange
@@ -305,6 +349,8 @@
     def _detach(self) -> None:
         self._port.forget(self)
         self._drop_exchanges()
+        self._parser.clear()
+        self._holding.close()
 
     def _drop_exchanges(self) -> None:
         pending = tuple(self._exchanges)
--- a/wagtaildale/calls/http/callers.py
+++ b/wagtaildale/calls/http/callers.py
@@ -6,10 +6,12 @@
 
 from msgspec import Struct
 
+from wagtaildale.admission.memory import MemoryAccount, find_memory_limit
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.http.caller_connection import CallerConnection
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.acceptor import Acceptor
+from wagtaildale.settings.model import MEMORY_MB
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
@@ -54,6 +56,7 @@
         loop: event loop of the connections.
         request_handler: answers the requests.
         read_limits: returns the limits that are in force.
+        memory: account of what the process holds for its callers.
         is_draining: whether connections close once their requests are
             answered.
     """
@@ -64,6 +67,8 @@
         *,
         request_handler: RequestHandler,
         read_limits: Callable[[], CallerLimits],
+        memory: MemoryAccount | None = None,
+        max_unread_bytes: int = 0,
     ) -> None:
         """Prepare the port; ``bind`` opens it.
 
@@ -71,13 +76,20 @@
             loop: event loop of the connections.
             request_handler: answers the requests.
             read_limits: returns the limits that are in force.
+            memory: account of what the process holds for its callers; one
+                of usual size if left out.
+            max_unread_bytes: most bytes that wait unread on a connection; 0
+                to leave that to the kernel.
         """
         self.loop = loop
         self.request_handler = request_handler
         self.read_limits = read_limits
+        self.memory = memory or MemoryAccount(find_memory_limit(MEMORY_MB))
         self.is_draining = False
         self._connections: set[CallerConnection] = set()
-        self._acceptor = Acceptor(loop, on_accept=self._accept)
+        self._acceptor = Acceptor(
+            loop, on_accept=self._accept, max_unread_bytes=max_unread_bytes
+        )
 
     @property
     def open_connections(self) -> int:
--- a/wagtaildale/calls/http/error_responses.py
+++ b/wagtaildale/calls/http/error_responses.py
@@ -62,6 +62,7 @@
         Code.request_harmful,
         Code.rate_limited,
         Code.stopping,
+        Code.memory_full,
     ),
 )
 
--- a/wagtaildale/calls/http/exchanges.py
+++ b/wagtaildale/calls/http/exchanges.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Final, Protocol
 
 from wagtaildale.calls.http.heads import CONTINUE_RESPONSE
 from wagtaildale.calls.http.responses import ResponseHead, ResponseWriter
@@ -12,6 +12,10 @@
     from wagtaildale.calls.http.parsing import Message
 
 
+# Memory of a request in progress beside its bytes.
+EXCHANGE_BYTES: Final = 4096
+
+
 class ExchangeReceiver(Protocol):
     """Receives the events of a request that is being answered."""
 
@@ -24,6 +28,9 @@
     def on_writable(self) -> None:
         """Handle that all output has been sent to the caller."""
 
+    def give_up(self) -> None:
+        """Refuse the request if it has not run; the memory is full."""
+
 
 class RequestHandler(Protocol):
     """Answers the requests of a port."""
@@ -50,6 +57,7 @@
         has_response_begun: whether a part of the response was written.
         is_done: whether all of the response was written.
         is_aborted: whether the connection must close after what was written.
+        kept_bytes: bytes of the request's body that the receiver keeps.
         announces_close: whether the response tells the caller that the
             connection closes.
     """
@@ -72,10 +80,20 @@
         self.is_done = False
         self.is_aborted = False
         self.announces_close = False
+        self.kept_bytes = 0
         self._connection = connection
         self._writer: ResponseWriter | None = None
         self._deferred = bytearray()
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request and its response take, bytes."""
+        # The connection's parser holds an incomplete message.
+        message = self.message
+        of_message = message.held_bytes if message.is_complete else 0
+        held = EXCHANGE_BYTES + of_message + self.kept_bytes
+        return held + len(self._deferred)
+
     @property
     def is_full(self) -> bool:
         """Whether the writer must wait for ``on_writable``."""
--- a/wagtaildale/calls/http/parsing.py
+++ b/wagtaildale/calls/http/parsing.py
@@ -16,6 +16,9 @@
 
 CONTENT_LENGTH: Final = b'content-length'
 UNKNOWN_LENGTH: Final = -1
+# Memory of a message without headers, and of a header beside its text.
+MESSAGE_BYTES: Final = 1024
+HEADER_BYTES: Final = 140
 
 Header = tuple[bytes, bytes]
 
@@ -31,6 +34,7 @@
         pieces: pieces of the body that were not taken yet.
         has_head: whether all headers have arrived.
         head_bytes: size of target and headers so far.
+        body_bytes: size of the pieces that were not taken yet.
         is_complete: whether the end of the body has arrived.
         keep_alive: whether the connection may carry another message.
         length: announced length of the body in bytes, or ``UNKNOWN_LENGTH``.
@@ -38,6 +42,7 @@
     """
 
     __slots__ = (
+        'body_bytes',
         'has_head',
         'head_bytes',
         'headers',
@@ -60,11 +65,22 @@
         self.pieces: deque[bytes] = deque()
         self.has_head = False
         self.head_bytes = 0
+        self.body_bytes = 0
         self.is_complete = False
         self.keep_alive = False
         self.length = UNKNOWN_LENGTH
         self.is_chunked = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the message takes, bytes."""
+        return (
+            MESSAGE_BYTES
+            + HEADER_BYTES * len(self.headers)
+            + self.head_bytes
+            + self.body_bytes
+        )
+
     def find(self, name: bytes) -> bytes | None:
         """Find a header.
 
@@ -90,6 +106,7 @@
             return b''
         body = pieces[0] if len(pieces) == 1 else b''.join(pieces)
         pieces.clear()
+        self.body_bytes = 0
         return body
 
 
@@ -116,6 +133,13 @@
             else httptools.HttpResponseParser(self)
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the messages that were not removed yet, bytes."""
+        return self._pending_head_bytes + sum(
+            message.held_bytes for message in self._messages
+        )
+
     def feed(self, chunk: bytes) -> None:
         """Parse more bytes.
 
@@ -152,6 +176,11 @@
         """Remove the next message, which has been processed."""
         self._messages.popleft()
 
+    def clear(self) -> None:
+        """Remove all messages; the parser is not used any more."""
+        self._messages.clear()
+        self._pending_head_bytes = 0
+
     def has_more(self) -> bool:
         """Check whether anything of another message has arrived.
 
@@ -201,6 +230,7 @@
             message.length = int(length)
         message.is_chunked = message.find(b'transfer-encoding') is not None
         message.has_head = True
+        self._pending_head_bytes = 0
 
     def on_body(self, piece: bytes) -> None:
         """Append a piece of the body.
@@ -208,7 +238,9 @@
         Args:
             piece: bytes as received, without chunk sizes.
         """
-        self._messages[-1].pieces.append(piece)
+        message = self._messages[-1]
+        message.pieces.append(piece)
+        message.body_bytes += len(piece)
 
     def on_message_complete(self) -> None:
         """Finish the message."""
--- a/wagtaildale/calls/owner/backend_messages.py
+++ b/wagtaildale/calls/owner/backend_messages.py
@@ -4,8 +4,11 @@
 
 from typing import TYPE_CHECKING, Final
 
+from msgspec import structs
+
 from wagtaildale.calls.backend.backend_connection import BackendRequest
 from wagtaildale.calls.wire.windows import SendWindow
+from wagtaildale.suspects.fingerprints import BODY_BYTES
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
@@ -106,6 +109,20 @@
     )
 
 
+def keep_identity(run: Run) -> Run:
+    """Reduce a run message to what identifies its request.
+
+    Args:
+        run: run message as the entry sent it.
+
+    Returns:
+        The message with only the beginning of a long body.
+    """
+    if len(run.body) <= BODY_BYTES:
+        return run
+    return structs.replace(run, body=run.body[:BODY_BYTES])
+
+
 def _build_call_headers(
     owner: Owner,
     run: Run,
--- a/wagtaildale/calls/owner/backend_run.py
+++ b/wagtaildale/calls/owner/backend_run.py
@@ -16,6 +16,7 @@
     BackendResponse,
     build_request,
     find_not_run_evidence,
+    keep_identity,
 )
 from wagtaildale.calls.owner.idempotency_guard import IdempotencyGuard
 from wagtaildale.calls.owner.server_feedback import (
@@ -109,12 +110,14 @@
             times: times of the call.
         """
         self._call = call
-        self._run_message = run
+        # What identifies the request stays; its body goes once it is sent.
+        self._run_message = keep_identity(run)
+        self._body = run.body
         self._owner = owner
         self._replies = replies
         self._paced = replies.paced
         self._times = times
-        self._idempotency = IdempotencyGuard(run, owner.replays)
+        self._idempotency = IdempotencyGuard(self._run_message, owner.replays)
         self._connection: BackendConnection | None = None
         self._response: BackendResponse | None = None
         self._target = run.fields.instance
@@ -369,10 +372,11 @@
         )
         request = build_request(
             self._owner,
-            self._run_message,
+            structs.replace(self._run_message, body=self._body),
             deadline=self._times.deadline,
             instance=self._target,
         )
+        self._body = b''
         if not self._known_server_ends:
             self._owner.trials.note_begun(
                 self._run_message, abandon=self._abort
--- a/wagtaildale/calls/owner/body_collector.py
+++ b/wagtaildale/calls/owner/body_collector.py
@@ -18,6 +18,7 @@
     has_room,
 )
 from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.http.parsing import HEADER_BYTES
 from wagtaildale.errors.codes import Code
 from wagtaildale.timers.service import read_clock
 
@@ -29,6 +30,8 @@
 # A larger body is streamed to the backend server as it arrives.
 MAX_COLLECTED_BYTES: Final = 524_288
 MILLISECONDS: Final = 1000
+# Memory of a request at its owner beside its headers and body.
+REQUEST_BYTES: Final = 4096
 
 
 class BodySender(Protocol):
@@ -209,15 +212,23 @@
         if self._is_complete:
             self.close()
 
-    def build_run(self) -> Run:
-        """Build the run message with all that has arrived.
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request takes, bytes."""
+        of_headers = HEADER_BYTES * len(self._run.headers)
+        return REQUEST_BYTES + of_headers + len(self._bytes)
+
+    def take_run(self) -> Run:
+        """Build the run message with all that has arrived, and free that.
 
         Returns:
             The message; pieces may follow if the body is not complete.
         """
+        body = bytes(self._bytes)
+        self._bytes = bytearray()
         return structs.replace(
             self._run,
-            body=bytes(self._bytes),
+            body=body,
             more=not self._is_complete,
         )
 
--- a/wagtaildale/calls/owner/owner.py
+++ b/wagtaildale/calls/owner/owner.py
@@ -36,6 +36,7 @@
 )
 
 if TYPE_CHECKING:
+    from wagtaildale.admission.memory import MemoryAccount
     from collections.abc import Callable
 
     from wagtaildale.admission.gate import Gate
@@ -80,6 +81,7 @@
         targets: resolver of the instance that runs a request.
         trials: admission of requests suspected of ending servers.
         collector: receiver of request bodies that come in pieces.
+        memory: account of what the process holds for callers.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         find_record: Callable[[InstanceId], InstanceRecord | None],
         trials: SuspectTrials,
         conditions: ServerConditions,
+        memory: MemoryAccount,
         line_mbps: float = 0,
     ) -> None:
         """Create the owner of a backend server.
@@ -112,6 +115,7 @@
             find_record: lookup of an instance's record in the list.
             trials: admission of requests suspected of ending servers.
             conditions: conditions under which the server gets requests.
+            memory: account of what the process holds for callers.
             line_mbps: bandwidth of the node's line, megabits per second; 0 if
                 not known.
         """
@@ -120,6 +124,7 @@
         self.gate = gate
         self.invariants = invariants
         self.dialect = dialect
+        self.memory = memory
         self.ledger = RunLedger()
         self.replays = ReplayCache()
         self._stray_count = 0
--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -13,7 +13,7 @@
 from wagtaildale.admission.messages import Refused, RequestArrived
 from wagtaildale.admission.server_messages import RequestSent
 from wagtaildale.admission.starts import estimate_start
-from wagtaildale.calls.failures import CallFailed
+from wagtaildale.calls.failures import CallFailed, make_memory_failure
 from wagtaildale.calls.owner.backend_run import BackendRun
 from wagtaildale.calls.owner.body_collector import (
     ReceivedBody,
@@ -69,7 +69,7 @@
 class OwnerCall:
     """One call at its owner.
 
-    A ``RunReceiver``, a ``BodySender`` and a ``WaitingCall``.
+    A ``RunReceiver``, a ``BodySender``, a ``WaitingCall`` and a ``Holder``.
 
     Attributes:
         state: current state of the call.
@@ -106,6 +106,7 @@
         self._ticket: TicketId | None = None
         self._body: ReceivedBody | None = None
         self._run: BackendRun | None = None
+        self._holding = owner.memory.open(self, now=self._times.arrived_at)
         self._alarm: Alarm | None = None
         self._start_alarm: Alarm | None = None
 
@@ -135,8 +136,13 @@
         self._times.transit_seconds = delay
         self._body = ReceivedBody(frame, collector=self._owner.collector)
         fields = subtract_delay(frame.fields, delay=delay)
+        if self._fields is None:
+            self._fields = fields
+        self._hold(self._body)
         if fields.lease:
             self._redeem_lease(fields)
+        elif self._is_refused_for_memory():
+            return
         elif self._body.is_collectable:
             self._receive_body(self._body, fields)
         else:
@@ -158,6 +164,7 @@
         except CallFailed as failure:
             self._fail(failure)
             return
+        self._hold(self._body)
         if self.state is CallState.receiving and self._body.is_complete:
             self.state = CallState.waiting
             self._enqueue(self.fields)
@@ -211,6 +218,11 @@
         """
         self._fail(failure)
 
+    def give_up(self) -> None:
+        """Refuse a call that waits; see ``Holder``."""
+        if self._body is not None and self.state in UNADMITTED_STATES:
+            self._fail(make_memory_failure(Code.overloaded))
+
     def on_run_sent(self) -> None:
         """Count the request while the server is cold; see ``RunReceiver``."""
         if self._ticket is not None:
@@ -293,6 +305,19 @@
             ),
         )
 
+    # Memory
+
+    def _hold(self, body: ReceivedBody) -> None:
+        now = read_clock()
+        self._holding.progress_at = now
+        self._holding.resize(body.held_bytes)
+        self._owner.memory.relieve(now=now)
+
+    def _is_refused_for_memory(self) -> bool:
+        if not self._owner.memory.admits(self._holding.size):
+            self._fail(make_memory_failure(Code.overloaded))
+        return self.state is CallState.over
+
     # Body
 
     def _receive_body(self, body: ReceivedBody, fields: CallFields) -> None:
@@ -463,7 +488,7 @@
             self._replies.stop_pacing()
         self._run = BackendRun(
             self,
-            body.build_run(),
+            body.take_run(),
             owner=self._owner,
             replies=self._replies,
             times=self._times,
@@ -551,6 +576,7 @@
 
     def _close(self) -> None:
         self.state = CallState.over
+        self._holding.close()
         self._owner.targets.waiting_calls.discard(self)
         if self._alarm is not None:
             self._alarm.cancel()
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.admission.gate import Gate
+from wagtaildale.admission.memory import MemoryAccount, find_memory_limit
 from wagtaildale.admission.state import make_admission
 from wagtaildale.calls.entry.budgets import RetryLimits, compute_retry_limits
 from wagtaildale.calls.entry.caller_retries import CallerRetries
@@ -66,6 +67,7 @@
 
     Attributes:
         loop: event loop of all connections.
+        memory: account of what the process holds for its callers.
         owner: owner of the local backend server.
         entry: sends callers' requests to upstreams.
         caller_port: port that callers connect to.
@@ -89,6 +91,7 @@
         self._dependencies = dependencies
         self._fleet_size = FleetSize()
         self.loop = Loop(on_defect=self._note_defect, on_late=self._note_late)
+        self.memory = MemoryAccount(find_memory_limit(settings.memory_mb))
         gate = Gate(make_admission(settings.slots), alarms=self.loop.alarms)
         self.owner = Owner(
             dependencies.identity,
@@ -117,6 +120,7 @@
                 is_evacuated=self._is_evacuated,
                 read_list_version=self._read_list_version,
             ),
+            memory=self.memory,
             line_mbps=settings.line_mbps,
         )
         probe = self._make_identity_probe()
@@ -145,6 +149,7 @@
             self.loop,
             request_handler=self.entry,
             read_limits=self.read_limits,
+            memory=self.memory,
         )
         self.peer_port = PeerPort(self.owner, recorder=dependencies.recorder)
         self.owner.load_notifier.listeners.append(
@@ -156,6 +161,7 @@
             self.loop,
             request_handler=ReadinessHandler(self._read_state),
             read_limits=lambda: READY_LIMITS,
+            memory=self.memory,
         )
 
     @property
--- a/wagtaildale/calls/task_settings.py
+++ b/wagtaildale/calls/task_settings.py
@@ -11,7 +11,7 @@
 from wagtaildale.invariants import Invariants
 from wagtaildale.routing.choice import Chooser
 from wagtaildale.routing.view import ViewHolder
-from wagtaildale.settings.model import BoundSettings
+from wagtaildale.settings.model import MEMORY_MB, BoundSettings
 from wagtaildale.suspects.snapshots import SuspectsHolder
 from wagtaildale.telemetry.events import EventRecorder
 from wagtaildale.telemetry.tallies import Tallies
@@ -61,6 +61,7 @@
         hedges: whether slow idempotent requests get a second attempt.
         line_mbps: bandwidth of the node's line, megabits per second; 0 if not
             known.
+        memory_mb: memory of the process, megabytes.
     """
 
     service: ServiceName
@@ -77,3 +78,4 @@
     reserves: bool = True
     hedges: bool = True
     line_mbps: float = 0
+    memory_mb: int = MEMORY_MB
--- a/wagtaildale/errors/codes.py
+++ b/wagtaildale/errors/codes.py
@@ -73,6 +73,7 @@
     rate_limited = 4028
     evacuated = 4029
     stopping = 4030
+    memory_full = 4031
 
     address_in_use = 5001
     drain_bound_passed = 5002
@@ -143,6 +144,7 @@
         Code.rate_limited: 'servers take no more requests a second',
         Code.evacuated: 'operators have evacuated the data centre',
         Code.stopping: 'the node would end before its answer is there',
+        Code.memory_full: 'the node has no memory left for it',
         Code.address_in_use: 'a listening address cannot be bound',
         Code.drain_bound_passed: 'work in flight outlived the drain bound',
         Code.invariant_broken: 'an invariant does not hold: a defect',
--- a/wagtaildale/platform/settings.py
+++ b/wagtaildale/platform/settings.py
@@ -180,6 +180,7 @@
         ),
         limits=LimitSettings(
             connections=descriptors // DESCRIPTORS_PER_CONNECTION,
+            memory_mb=platform_file.limits.memory_mb,
             drain_seconds=bounds.stop_seconds - STOP_MARGIN_SECONDS,
             announce_seconds=ANNOUNCE_SECONDS,
             linger_seconds=ANNOUNCE_SECONDS,
--- a/wagtaildale/reactor/acceptor.py
+++ b/wagtaildale/reactor/acceptor.py
@@ -51,6 +51,7 @@
         loop: Loop,
         *,
         on_accept: Callable[[socket.socket], None],
+        max_unread_bytes: int = 0,
     ) -> None:
         """Create an acceptor; ``bind`` opens the port.
 
@@ -58,12 +59,19 @@
             loop: loop that waits for connections.
             on_accept: function that is called with each new socket, whose
                 options are set.
+            max_unread_bytes: most bytes that wait unread on a connection; 0
+                to leave that to the kernel.
         """
         self._loop = loop
         self._on_accept = on_accept
         self._is_open = False
         self._is_watching = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        if max_unread_bytes:
+            # Accepted connections inherit it.
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, max_unread_bytes
+            )
 
     @property
     def is_closed(self) -> bool:
--- a/wagtaildale/settings/model.py
+++ b/wagtaildale/settings/model.py
@@ -28,6 +28,7 @@
 MIN_HEAD_BYTES: Final = 1024
 BODY_BYTES: Final = 67_108_864
 CONNECTIONS: Final = 512
+MEMORY_MB: Final = 300
 SLOTS: Final = 10
 DRAIN_SECONDS: Final = 30.0
 LONGEST_DRAIN_SECONDS: Final = 600
@@ -96,6 +97,8 @@
         head_bytes: largest request head, bytes.
         body_bytes: largest request body, bytes.
         connections: most connections of callers at once.
+        memory_mb: memory of the process, megabytes. Bounds what it holds for
+            its callers.
         drain_seconds: longest wait of a planned stop for work in flight,
             seconds.
         announce_seconds: part of these in which callers are still served but
@@ -111,6 +114,7 @@
     head_bytes: Annotated[int, Meta(ge=MIN_HEAD_BYTES)] = HEAD_BYTES
     body_bytes: Annotated[int, Meta(ge=0)] = BODY_BYTES
     connections: Annotated[int, Meta(ge=1, le=MAX_CONNECTIONS)] = CONNECTIONS
+    memory_mb: Annotated[int, Meta(ge=1)] = MEMORY_MB
     drain_seconds: Annotated[float, Meta(gt=0, le=LONGEST_DRAIN_SECONDS)] = (
         DRAIN_SECONDS
     )
