Bodies: one that is unfinished holds no slot and no share of a line

What callers saw: beside fourteen clients that stop one byte short of the end of a body of 1 MiB, no ordinary request was served until their time limits, 100 s in the test.

Cause: an attempt began once 64 KB of a body had arrived. A body over 512 KB took a slot of a backend server at once, a shorter one a place among the transfers to its owner, for as long as its caller pleased.

Change: a body is received whole before anything of it is sent, up to an eighth of the memory for callers (8.8 MB on a machine of 300 MB, whose account is 71 MB). It stays replayable up to that size. A larger one is forwarded as it arrives, as before, and holds a slot.

--- a/wagtaildale/calls/entry/bodies.py
+++ b/wagtaildale/calls/entry/bodies.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.http.parsing import UNKNOWN_LENGTH
 from wagtaildale.errors.codes import Code
 
 if TYPE_CHECKING:
@@ -69,7 +68,8 @@
         """Whether an attempt may begin."""
         if self.is_complete or not self.is_replayable:
             return True
-        return self.length != UNKNOWN_LENGTH and self.size > MIN_READ_BYTES
+        is_large = self.length > self._max_collected_bytes
+        return is_large and self.size > MIN_READ_BYTES
 
     @property
     def length(self) -> int:
