Callers' port: bytes that wait unread are bounded by the memory

What callers saw: beside a crowd that sends faster than a node can parse, the bytes that wait unread in the kernel took 40 to 55 MB for 500 connections, on a machine of 100 MB; they count as memory of the process.

Cause: the kernel's own receive buffer of a connection, 64 KB and growing, whatever the number of connections.

--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -7,7 +7,11 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.admission.gate import Gate
-from wagtaildale.admission.memory import MemoryAccount, find_memory_limit
+from wagtaildale.admission.memory import (
+    MemoryAccount,
+    find_memory_limit,
+    find_unread_limit,
+)
 from wagtaildale.admission.state import make_admission
 from wagtaildale.calls.entry.budgets import RetryLimits, compute_retry_limits
 from wagtaildale.calls.entry.caller_retries import CallerRetries
@@ -150,6 +154,10 @@
             request_handler=self.entry,
             read_limits=self.read_limits,
             memory=self.memory,
+            max_unread_bytes=find_unread_limit(
+                settings.memory_mb,
+                max_connections=settings.limits.max_connections,
+            ),
         )
         self.peer_port = PeerPort(self.owner, recorder=dependencies.recorder)
         self.owner.load_notifier.listeners.append(
