Ports: connections that do nothing give way to new ones

What callers saw: 500 connections that send nothing took all places for callers until their idle time; every ordinary caller got 503. A process held 533 descriptors where its machine allows 400.

Cause: the port accepted everything and refused what was beyond its limit, but a refused connection keeps its descriptor for up to a second. The port for nodes had no limit at all. Which connection was there first decided.

Change: at its limit, the port closes connections on which nothing has arrived, then idle ones, then those whose unfinished request has stopped; an eighth more descriptors serve refusals, the oldest of which are closed. At the port for nodes, what sends no frame gives way once a quarter as many as callers may have are open.

The tests of the port fail before in all three cases.

--- a/wagtaildale/calls/http/caller_connection.py
+++ b/wagtaildale/calls/http/caller_connection.py
@@ -71,6 +71,23 @@
         """Whether output waits for the caller to read."""
         return self._stream.is_full
 
+    @property
+    def is_replaceable(self) -> bool:
+        """Whether another connection may take its place: nothing runs."""
+        if self._is_refused or self._is_finishing:
+            return False
+        return not self.active_calls or self._incoming is not None
+
+    @property
+    def replacement_order(self) -> tuple[bool, bool, float]:
+        """Order in which others take its place, the first one first.
+
+        Connections on which nothing has arrived go first, then idle ones,
+        then those whose request has not progressed for longest.
+        """
+        has_input = self._parser.has_more()
+        return has_input, self._has_answered, self._holding.progress_at
+
     def closes_after(self, exchange: Exchange) -> bool:
         """Check whether a response is the last one of the connection.
 
@@ -86,7 +103,7 @@
         message = exchange.message
         is_closing = self._port.is_draining or not message.keep_alive
         return self._exchanges[-1] is exchange and (
-            is_closing or not message.is_complete or self._failure is not None
+            is_closing or not message.is_complete or self._is_refused
         )
 
     def set_reading(self, *, enabled: bool) -> None:
@@ -132,7 +149,7 @@
         Args:
             failure: reason for the refusal.
         """
-        if self._failure is not None:
+        if self._is_refused:
             return
         self._failure = failure
         if self._incoming is None:
@@ -140,6 +157,13 @@
         if not self._exchanges:
             self._send_failure(failure)
 
+    def make_room(self) -> None:
+        """Close, for another connection, if nothing has run."""
+        if self._parser.has_more():
+            self.give_up()
+        else:
+            self._finish_unless_input_pending()
+
     def give_up(self) -> None:
         """Refuse what has not run; see ``Holder``."""
         for exchange in reversed(tuple(self._exchanges)):
@@ -155,7 +179,7 @@
         Args:
             now: current time, seconds on the monotonic clock.
         """
-        if self.active_calls or self._failure is not None:
+        if self.active_calls or self._is_refused:
             return
         limits = self._port.read_limits()
         if self._parser.has_more():
@@ -170,7 +194,7 @@
         A connection without any response so far is kept: the caller has just
         connected and is about to send its request.
         """
-        is_active = self.active_calls or self._failure is not None
+        is_active = self.active_calls or self._is_refused
         if self._has_answered and not is_active:
             self._finish_unless_input_pending()
 
@@ -188,7 +212,7 @@
         Args:
             chunk: bytes that were read.
         """
-        if self._failure is not None or self._is_finishing:
+        if self._is_refused or self._is_finishing:
             return
         now = read_clock()
         self._holding.progress_at = now
@@ -233,6 +257,10 @@
         elif self._exchanges and self._exchanges[0].receiver is not None:
             self._exchanges[0].receiver.on_writable()
 
+    @property
+    def _is_refused(self) -> bool:
+        return self._failure is not None
+
     def _update_holding(self) -> None:
         of_exchanges = sum(each.held_bytes for each in self._exchanges)
         of_output = self._stream.unsent_bytes
@@ -249,7 +277,7 @@
             if message is None or self._pause_if_full():
                 return
             self._process_message(message)
-            has_ended = self._is_finishing or self._failure is not None
+            has_ended = self._is_finishing or self._is_refused
             if has_ended or not message.is_complete:
                 return
             self._parser.drop()
@@ -257,7 +285,7 @@
 
     def _may_process(self) -> bool:
         begins_request = self._incoming is None
-        if begins_request and self._failure is not None:
+        if begins_request and self._is_refused:
             return False
         return not self._is_ending()
 
@@ -347,7 +375,7 @@
         self._detach()
 
     def _detach(self) -> None:
-        self._port.forget(self)
+        self._port.forget(self, self._stream)
         self._drop_exchanges()
         self._parser.clear()
         self._holding.close()
--- a/wagtaildale/calls/http/callers.py
+++ b/wagtaildale/calls/http/callers.py
@@ -11,6 +11,7 @@
 from wagtaildale.calls.http.caller_connection import CallerConnection
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.acceptor import Acceptor
+from wagtaildale.reactor.lingering import LingeringStreams
 from wagtaildale.settings.model import MEMORY_MB
 from wagtaildale.timers.service import read_clock
 
@@ -24,9 +25,16 @@
     from wagtaildale.calls.http.exchanges import RequestHandler
     from wagtaildale.errors.faults import Fault
     from wagtaildale.reactor.loop import Loop
+    from wagtaildale.reactor.stream import Stream
 
 # Interval between checks for idle connections and incomplete heads.
 TIMEOUT_CHECK_SECONDS: Final = 1.0
+# Descriptors for refusals beyond the largest number of connections, as a part
+# of it: their callers are to read the response.
+REFUSAL_SHARE: Final = 0.125
+# Quiet connections that are closed together, as a part of the largest number,
+# so that they are not searched for each new one.
+CLOSED_SHARE: Final = 0.03125
 
 
 class CallerLimits(Struct, frozen=True, kw_only=True):
@@ -87,6 +95,7 @@
         self.memory = memory or MemoryAccount(find_memory_limit(MEMORY_MB))
         self.is_draining = False
         self._connections: set[CallerConnection] = set()
+        self._lingering = LingeringStreams()
         self._acceptor = Acceptor(
             loop, on_accept=self._accept, max_unread_bytes=max_unread_bytes
         )
@@ -149,23 +158,49 @@
         self._acceptor.close_now()
         for connection in tuple(self._connections):
             connection.close_now()
+        self._lingering.close_all()
 
-    def forget(self, connection: CallerConnection) -> None:
-        """Remove a closed connection.
+    def forget(self, connection: CallerConnection, stream: Stream) -> None:
+        """Remove a connection that is closed or lingers.
 
         Args:
             connection: connection of this port.
+            stream: its stream.
         """
         self._connections.discard(connection)
+        self._lingering.add(stream)
 
     def _accept(self, sock: socket.socket) -> None:
+        most = self.read_limits().max_connections
+        if self._open_sockets >= most and not self._make_room(most):
+            # Nothing of it was read, so its caller may go elsewhere.
+            sock.close()
+            return
         connection = CallerConnection(self, sock)
         self._connections.add(connection)
-        if len(self._connections) > self.read_limits().max_connections:
+        if len(self._connections) > most:
             connection.refuse(
                 CallFailed(Code.overloaded, detail='too many connections'),
             )
 
+    @property
+    def _open_sockets(self) -> int:
+        return len(self._connections) + len(self._lingering)
+
+    def _make_room(self, most: int) -> bool:
+        if len(self._connections) >= most:
+            self._close_quiet(most)
+        with_refusals = round(most * (1 + REFUSAL_SHARE))
+        if self._open_sockets < with_refusals:
+            return True
+        return self._lingering.close_oldest()
+
+    def _close_quiet(self, most: int) -> None:
+        quiet = [each for each in self._connections if each.is_replaceable]
+        quiet.sort(key=lambda each: each.replacement_order)
+        for connection in quiet[: 1 + int(most * CLOSED_SHARE)]:
+            connection.make_room()
+
     def _check_timeouts(self) -> None:
         now = read_clock()
         for connection in tuple(self._connections):
--- a/wagtaildale/calls/owner/sessions.py
+++ b/wagtaildale/calls/owner/sessions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.owner.call_table import CallTable
@@ -28,6 +28,8 @@
     from wagtaildale.errors.faults import Fault
     from wagtaildale.telemetry.events import EventRecorder
 
+MAX_UNKNOWN_SESSIONS: Final = 128
+
 
 class PeerPort:
     """The port where the owner accepts connections of other nodes.
@@ -38,16 +40,27 @@
         acceptor: listens on the port.
     """
 
-    def __init__(self, owner: Owner, *, recorder: EventRecorder) -> None:
+    def __init__(
+        self,
+        owner: Owner,
+        *,
+        recorder: EventRecorder,
+        max_unknown: int = MAX_UNKNOWN_SESSIONS,
+    ) -> None:
         """Prepare the port; ``bind`` opens it.
 
         Args:
             owner: owner of the backend server.
             recorder: records an event for invalid frames.
+            max_unknown: most connections on which no frame has arrived. Nodes
+                send one as soon as they connect; what sends none takes no
+                descriptors from them.
         """
         self.owner = owner
         self.recorder = recorder
+        self._max_unknown = max_unknown
         self._sessions: set[PeerSession] = set()
+        self._unknown: dict[PeerSession, None] = {}
         self.acceptor = Acceptor(owner.loop, on_accept=self._accept)
         owner.load_notifier.listeners.append(self._send_load)
 
@@ -104,13 +117,26 @@
             session: session of this port.
         """
         self._sessions.discard(session)
+        self.note_known(session)
+
+    def note_known(self, session: PeerSession) -> None:
+        """Note that a node is at the other end of a connection.
+
+        Args:
+            session: session of this port.
+        """
+        self._unknown.pop(session, None)
 
     def _send_load(self, load: LoadReport) -> None:
         for session in tuple(self._sessions):
             session.send_load(load)
 
     def _accept(self, sock: socket.socket) -> None:
-        self._sessions.add(PeerSession(self, sock))
+        session = PeerSession(self, sock)
+        self._sessions.add(session)
+        self._unknown[session] = None
+        if len(self._unknown) > self._max_unknown:
+            next(iter(self._unknown)).close()
 
 
 class PeerSession:
@@ -208,6 +234,7 @@
             self._writer = FrameWriter(compressed=compressed)
             chunk = chunk[1:]
         for frame in self._reader.feed(chunk):
+            self._port.note_known(self)
             self.calls.handle_frame(frame)
 
     def _send(self, frame: ToEntry) -> None:
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -57,6 +57,9 @@
 # How long a caller from another thread waits for the loop to run a submitted
 # function; far longer than one iteration of the loop.
 SUBMIT_WAIT_SECONDS: Final = 0.5
+# Part of the connections of callers that others may hold at the port for
+# nodes without being one.
+UNKNOWN_DIVISOR: Final = 4
 READY_HEAD_BYTES: Final = 8192
 READY_CONNECTIONS: Final = 64
 READY_LIMITS: Final = CallerLimits(
@@ -159,7 +162,11 @@
                 max_connections=settings.limits.max_connections,
             ),
         )
-        self.peer_port = PeerPort(self.owner, recorder=dependencies.recorder)
+        self.peer_port = PeerPort(
+            self.owner,
+            recorder=dependencies.recorder,
+            max_unknown=settings.limits.max_connections // UNKNOWN_DIVISOR,
+        )
         self.owner.load_notifier.listeners.append(
             partial(
                 self.entry.parts.listener.note_load, settings.owner_address
--- a/wagtaildale/calls/tests/test_callers.py
+++ b/wagtaildale/calls/tests/test_callers.py
@@ -44,7 +44,9 @@
 class PortHarness(ManualLoop):
     """A port that answers all requests at once with the same body."""
 
-    def __init__(self, *, idle_seconds: float) -> None:
+    def __init__(
+        self, *, idle_seconds: float, max_connections: int = 512
+    ) -> None:
         super().__init__()
         self.body = b'hi'
         self.answered_requests = 0
@@ -52,6 +54,7 @@
             max_head_bytes=8192,
             max_body_bytes=8192,
             idle_timeout_seconds=idle_seconds,
+            max_connections=max_connections,
         )
         self.port = CallerPort(
             self.loop,
@@ -219,3 +222,30 @@
         response = harness.read_response(sock, size=READ_BYTES)
     assert response.count(b'HTTP/1.1 200') == 1
     assert harness.answered_requests == 1
+
+
+@pytest.fixture
+def small_port() -> Iterator[PortHarness]:
+    created = PortHarness(idle_seconds=TIMEOUT_SECONDS, max_connections=8)
+    yield created
+    created.close()
+    assert not created.defects
+
+
+@pytest.mark.parametrize('sent', [b'', REQUEST[:-2], REQUEST])
+def test_caller_takes_the_place_of_a_quiet_connection(
+    small_port: PortHarness, sent: bytes
+) -> None:
+    """Connections that do nothing would keep all others out."""
+    others = [small_port.connect() for _number in range(8)]
+    for other in others:
+        other.sendall(sent)
+    # What was sent has arrived; one step accepts, the next ones read.
+    for _step in range(20):
+        small_port.loop.step(0)
+    with small_port.connect() as caller:
+        caller.sendall(REQUEST)
+        response = small_port.read_response(caller, size=1)
+    assert response.startswith(b'HTTP/1.1 200 OK')
+    for other in others:
+        other.close()
--- a/wagtaildale/reactor/stream.py
+++ b/wagtaildale/reactor/stream.py
@@ -10,6 +10,8 @@
 from wagtaildale.reactor.loop import READABLE, WRITABLE
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wagtaildale.reactor.loop import Loop
     from wagtaildale.timers.alarms import Alarm
 
@@ -63,6 +65,7 @@
     Attributes:
         sock: socket of the connection.
         is_closed: whether the stream is closed.
+        on_closed: function that is called when the stream is closed.
     """
 
     def __init__(
@@ -83,6 +86,7 @@
         """
         self.sock = sock
         self.is_closed = False
+        self.on_closed: Callable[[], object] | None = None
         self._loop = loop
         self._receiver = receiver
         self._descriptor = sock.fileno()
@@ -178,6 +182,8 @@
         self.sock.close()
         if self._linger_alarm is not None:
             self._linger_alarm.cancel()
+        if self.on_closed is not None:
+            self.on_closed()
 
     def _on_events(self, events: int) -> None:
         if not self._is_open:
