Malformed bodies: rejected with 400 at once

What callers saw: a request whose body turns out malformed after a sound head (a bad chunk size, too much data in a chunk, bare line feeds) got nothing for its whole time limit, then 503. Until then it held what it had sent.

Cause: the connection noted the failure and waited for the request in progress, which waited for the rest of its body.

Change: the request is told that its body has failed, and ends with 400; with outcome 'unknown' if a part was passed on. Requests before it on the connection are answered as before.

--- a/wagtaildale/calls/entry/entry_call.py
+++ b/wagtaildale/calls/entry/entry_call.py
@@ -136,6 +136,18 @@
         elif not self.attempts.tried:
             self._start_if_ready()
 
+    def on_body_failed(self, failure: CallFailed) -> None:
+        """Fail at once: the body never completes; see ``ExchangeReceiver``.
+
+        Args:
+            failure: what is wrong with the body.
+        """
+        if self._is_over or self._exchange.has_response_begun:
+            return
+        if self._is_passed_on():
+            failure.outcome = Outcome.unknown
+        self._fail(failure)
+
     def on_caller_gone(self) -> None:
         """Cancel all attempts: the caller closed its connection."""
         if self._is_over:
--- a/wagtaildale/calls/http/caller_connection.py
+++ b/wagtaildale/calls/http/caller_connection.py
@@ -222,7 +222,7 @@
             self._parser.feed(chunk)
         except CallFailed as failure:
             self._process_messages()
-            self.refuse(failure)
+            self._refuse_rest(failure)
             return
         self._update_holding()
         self._port.memory.relieve(now=now)
@@ -261,6 +261,12 @@
     def _is_refused(self) -> bool:
         return self._failure is not None
 
+    def _refuse_rest(self, failure: CallFailed) -> None:
+        self.refuse(failure)
+        incoming = self._incoming
+        if incoming is not None and incoming.receiver is not None:
+            incoming.receiver.on_body_failed(failure)
+
     def _update_holding(self) -> None:
         of_exchanges = sum(each.held_bytes for each in self._exchanges)
         of_output = self._stream.unsent_bytes
--- a/wagtaildale/calls/http/exchanges.py
+++ b/wagtaildale/calls/http/exchanges.py
@@ -8,6 +8,7 @@
 from wagtaildale.calls.http.responses import ResponseHead, ResponseWriter
 
 if TYPE_CHECKING:
+    from wagtaildale.calls.failures import CallFailed
     from wagtaildale.calls.http.caller_connection import CallerConnection
     from wagtaildale.calls.http.parsing import Message
 
@@ -22,6 +23,13 @@
     def on_body(self) -> None:
         """Handle more of the request's body, or its end."""
 
+    def on_body_failed(self, failure: CallFailed) -> None:
+        """Handle a body whose rest cannot be read.
+
+        Args:
+            failure: what is wrong with it.
+        """
+
     def on_caller_gone(self) -> None:
         """Handle a caller that has disconnected."""
 
--- /dev/null
+++ b/wagtaildale/calls/tests/test_malformed_requests.py
@@ -0,0 +1,41 @@
+"""Tests of requests that turn out to be malformed."""
+
+from __future__ import annotations
+
+import pytest
+
+from wagtaildale.calls.tests.pairs import Pair, send_raw_request
+
+HEAD = (
+    b'POST /bookings HTTP/1.1\r\nhost: m\r\ntransfer-encoding: chunked\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'zz\r\nx\r\n0\r\n\r\n',
+        b'-1\r\nx\r\n0\r\n\r\n',
+        b'1\r\nxyz\r\n0\r\n\r\n',
+        b'1\nx\n0\n\n',
+    ],
+)
+@pytest.mark.parametrize('sent_before', [b'', b'4\r\nwxyz\r\n'])
+def test_malformed_body_is_rejected_at_once(
+    pair: Pair, body: bytes, sent_before: bytes
+) -> None:
+    """The rest of a malformed body never comes: its caller waited in vain."""
+    answer = send_raw_request(pair.entry_node.entry, HEAD + sent_before + body)
+    assert answer.startswith(b'HTTP/1.1 400')
+    assert b'connection: close' in answer
+    assert not pair.backend.counts.runs
+
+
+def test_request_before_a_malformed_body_is_answered(pair: Pair) -> None:
+    """A pipelined request has nothing to do with the one behind it."""
+    answer = send_raw_request(
+        pair.entry_node.entry,
+        b'GET /files/1 HTTP/1.1\r\nhost: m\r\n\r\n' + HEAD + b'zz\r\n',
+    )
+    assert answer.startswith(b'HTTP/1.1 200')
+    assert answer.count(b'HTTP/1.1 400') == 1
