Backend servers: an answer with an impossible status is none

What callers saw: an answer with status 000 or 099 left them waiting until their time limit; one with 600 or 999 was passed on to them as an answer.

Cause: each status under 200 counted as an interim answer, which another one follows, and nothing bounded the status above.

Change: a status outside 100 to 599, and 101, which nothing here asks for, ends the request at once like bytes that are no answer: outcome unknown, the connection closed, idempotent requests tried elsewhere.

--- a/wagtaildale/calls/backend/backend_connection.py
+++ b/wagtaildale/calls/backend/backend_connection.py
@@ -50,7 +50,11 @@
 # Subtracted from the server's Keep-Alive timeout, so that no request is sent
 # while the server closes the connection.
 IDLE_MARGIN_SECONDS: Final = 1.0
+FIRST_INTERIM_STATUS: Final = 100
 FIRST_FINAL_STATUS: Final = 200
+LAST_STATUS: Final = 599
+# Upgrades are never asked for, so nothing follows this one.
+SWITCHING_PROTOCOLS: Final = 101
 KEEP_ALIVE: Final = b'keep-alive'
 TIMEOUT_PREFIX: Final = b'timeout='
 
@@ -284,21 +288,25 @@
         )
 
     def _process_messages(self) -> None:
+        message = self._find_answer()
+        if message is None or self._receiver is None:
+            return
+        if message.is_complete:
+            self._finish()
+        else:
+            self._receiver.on_body()
+
+    def _find_answer(self) -> Message | None:
         message = self._parser.peek()
         while message is not None and self._message is None:
             if self._accept(message):
                 break
             message.take_body()
-            if not message.is_complete:
-                return
+            if self._receiver is None or not message.is_complete:
+                return None
             self._parser.drop()
             message = self._parser.peek()
-        if message is None or self._receiver is None:
-            return
-        if message.is_complete:
-            self._finish()
-        else:
-            self._receiver.on_body()
+        return message
 
     def _accept(self, message: Message) -> bool:
         # Discards a response that names another request. When a response
@@ -307,6 +315,9 @@
         request = self._request
         assert request is not None
         assert self._receiver is not None
+        if not _is_possible(message.status):
+            self._fail(Code.backend_cut, f'status {message.status:03}')
+            return False
         if message.status < FIRST_FINAL_STATUS or message is self._stray:
             return False
         echoed = message.find(self._pool.request_id_field)
@@ -380,6 +391,12 @@
         return head + body
 
 
+def _is_possible(status: int) -> bool:
+    if status == SWITCHING_PROTOCOLS:
+        return False
+    return FIRST_INTERIM_STATUS <= status <= LAST_STATUS
+
+
 def _read_idle_seconds(message: Message) -> float:
     keep_alive = message.find(KEEP_ALIVE) or b''
     start = keep_alive.find(TIMEOUT_PREFIX)
--- a/wagtaildale/calls/tests/test_backend_connection.py
+++ b/wagtaildale/calls/tests/test_backend_connection.py
@@ -188,3 +188,30 @@
     bench.answer(bench.accept(), receiver, answer)
     assert receiver.statuses == [200]
     assert not bench.defects
+
+
+@pytest.mark.parametrize(
+    'status', [b'000', b'001', b'099', b'101', b'600', b'999', b'1000', b'20']
+)
+def test_answer_with_an_impossible_status_fails_at_once(
+    bench: Bench, status: bytes
+) -> None:
+    """A caller would get it as an answer, or wait until its deadline."""
+    receiver = bench.send_request()
+    server = bench.accept()
+    bench.step_until(lambda: is_readable(server))
+    server.sendall(ANSWER.replace(b'200', status))
+    bench.step_until(receiver.has_outcome)
+    assert not receiver.statuses
+    assert receiver.failures[0].outcome is Outcome.unknown
+    server.close()
+
+
+def test_interim_answers_are_skipped(bench: Bench) -> None:
+    receiver = bench.send_request()
+    server = bench.accept()
+    bench.step_until(lambda: is_readable(server))
+    server.sendall(b'HTTP/1.1 103 Early Hints\r\n\r\n' + ANSWER)
+    bench.step_until(receiver.has_outcome)
+    assert receiver.statuses == [200]
+    server.close()
