Heads: pipelined heads of one read are no longer one large head

What callers saw: requests that are sent one behind the other, over 8 KB together, got 413 when a read of the node ended within a head, although each was far below the limit.

Cause: all bytes of a read counted to the incomplete head at its end, the complete requests before it included. Such a connection also processed what it had parsed without charging for it: a crowd of 500 clients that pipeline heads of short lines made a node of 100 MB take 154 to 169 MB.

Change: only what follows the last complete head and its body counts. Input is charged before anything of it is processed, also when the rest of it is refused.

The new test fails before with 413.

--- a/wagtaildale/calls/http/caller_connection.py
+++ b/wagtaildale/calls/http/caller_connection.py
@@ -218,15 +218,12 @@
         self._holding.progress_at = now
         if not self._parser.has_more():
             self._last_activity_at = now
-        try:
-            self._parser.feed(chunk)
-        except CallFailed as failure:
-            self._process_messages()
-            self._refuse_rest(failure)
-            return
+        failure = self._parse(chunk)
         self._update_holding()
         self._port.memory.relieve(now=now)
         self._process_messages()
+        if failure is not None:
+            self._refuse_rest(failure)
         self._update_holding()
 
     def on_end(self) -> None:
@@ -261,6 +258,13 @@
     def _is_refused(self) -> bool:
         return self._failure is not None
 
+    def _parse(self, chunk: bytes) -> CallFailed | None:
+        try:
+            self._parser.feed(chunk)
+        except CallFailed as failure:
+            return failure
+        return None
+
     def _refuse_rest(self, failure: CallFailed) -> None:
         self.refuse(failure)
         incoming = self._incoming
--- a/wagtaildale/calls/http/parsing.py
+++ b/wagtaildale/calls/http/parsing.py
@@ -15,6 +15,7 @@
 from wagtaildale.errors.codes import Code
 
 CONTENT_LENGTH: Final = b'content-length'
+END_OF_HEAD: Final = b'\r\n\r\n'
 UNKNOWN_LENGTH: Final = -1
 # Memory of a message without headers, and of a header beside its text.
 MESSAGE_BYTES: Final = 1024
@@ -127,6 +128,7 @@
         self._of_requests = parses_requests
         self._max_head_bytes = max_head_bytes
         self._pending_head_bytes = 0
+        self._fed_body_bytes = 0
         self._parser: Any = (
             httptools.HttpRequestParser(self)
             if parses_requests
@@ -149,6 +151,7 @@
         Raises:
             CallFailed: if they are not valid HTTP or the head is too large.
         """
+        self._fed_body_bytes = 0
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
@@ -160,7 +163,7 @@
                 Code.request_malformed,
                 detail=str(error),
             ) from None
-        self._check_head(len(chunk))
+        self._check_head(chunk)
 
     def peek(self) -> Message | None:
         """Return the next message without removing it.
@@ -241,19 +244,20 @@
         message = self._messages[-1]
         message.pieces.append(piece)
         message.body_bytes += len(piece)
+        self._fed_body_bytes += len(piece)
 
     def on_message_complete(self) -> None:
         """Finish the message."""
         self._messages[-1].is_complete = True
 
-    def _check_head(self, size: int) -> None:
+    def _check_head(self, chunk: bytes) -> None:
         if not self._messages:
             return
         latest = self._messages[-1]
         if not latest.has_head:
             # The callbacks do not count a header that is still incomplete; the
             # number of bytes read limits it.
-            self._pending_head_bytes += size
+            self._pending_head_bytes += self._count_head_bytes(chunk)
         if (
             max(self._pending_head_bytes, latest.head_bytes)
             > self._max_head_bytes
@@ -266,3 +270,11 @@
                     f'head exceeds the limit of {self._max_head_bytes} bytes'
                 ),
             )
+
+    def _count_head_bytes(self, chunk: bytes) -> int:
+        # The head that is incomplete begins after the end of the one before
+        # it, and after that one's body.
+        begin = chunk.rfind(END_OF_HEAD) + len(END_OF_HEAD)
+        if begin < len(END_OF_HEAD):
+            begin = 0
+        return max(0, len(chunk) - begin - self._fed_body_bytes)
--- a/wagtaildale/calls/tests/test_malformed_requests.py
+++ b/wagtaildale/calls/tests/test_malformed_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 
 from wagtaildale.calls.tests.pairs import Pair, send_raw_request
@@ -39,3 +41,16 @@
     )
     assert answer.startswith(b'HTTP/1.1 200')
     assert answer.count(b'HTTP/1.1 400') == 1
+
+
+def test_pipelined_heads_may_end_anywhere_in_a_read(pair: Pair) -> None:
+    """Heads of one read counted as one head, and together were too large."""
+    head = b'GET /files/1 HTTP/1.1\r\nhost: m\r\nx-a: %b\r\n' % (b'y' * 900)
+    last = head + b'connection: close\r\n\r\n'
+    requests = (head + b'\r\n') * 9 + last
+    with socket.create_connection(pair.entry_node.entry, 5) as sock:
+        sock.sendall(requests[:-30])
+        first = sock.recv(1)
+        sock.sendall(requests[-30:])
+        answer = first + b''.join(iter(lambda: sock.recv(65536), b''))
+    assert answer.count(b'HTTP/1.1 200') == 10
