Overload: entries learn at once that it is over

What callers saw: for up to ten seconds after a crowd had gone, every request to the service was rejected with 4028, 'admits 0% of requests'.

Cause: an owner tells its entries which share of their requests to send when requests arrive or end there. Entries that hold back all of them give it no occasion, so the last share held until it had aged: five seconds in full, and five more by and by.

Change: while a share is announced, the owner looks again after the shortest interval between two announcements.

--- a/wagtaildale/admission/gate.py
+++ b/wagtaildale/admission/gate.py
@@ -43,6 +43,7 @@
 
     Attributes:
         state: slots and queue of the backend server.
+        alarms: alarms of the task that the gate belongs to.
     """
 
     def __init__(self, state: AdmissionState, *, alarms: Alarms) -> None:
@@ -53,7 +54,7 @@
             alarms: alarms of the task that the gate belongs to.
         """
         self.state = state
-        self._alarms = alarms
+        self.alarms = alarms
         self._callbacks: dict[TicketId, Callable[[Verdict], None]] = {}
         self._last_ticket = 0
         self._alarm: Alarm | None = None
@@ -103,7 +104,7 @@
         """
         ends_at = read_clock() + seconds
         self._dispatch(LeaseGranted(ticket=ticket, ends_at=ends_at))
-        self._alarms.set_at(ends_at, self._advance_time)
+        self.alarms.set_at(ends_at, self._advance_time)
 
     def redeem(self, ticket: TicketId) -> Verdict:
         """Start the run for which a slot is held.
@@ -167,7 +168,7 @@
             return
         if alarm is not None:
             alarm.cancel()
-        self._alarm = self._alarms.set_at(next_at, self._advance_time)
+        self._alarm = self.alarms.set_at(next_at, self._advance_time)
 
     def _advance_time(self) -> None:
         self._dispatch(TimePassed())
--- a/wagtaildale/calls/owner/load_notifier.py
+++ b/wagtaildale/calls/owner/load_notifier.py
@@ -5,7 +5,11 @@
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.admission.capacity import compute_pass_share
-from wagtaildale.admission.shares import ALL_PASS, PassShare
+from wagtaildale.admission.shares import (
+    ALL_PASS,
+    ANNOUNCE_INTERVAL_SECONDS,
+    PassShare,
+)
 from wagtaildale.calls.owner.pace_steps import PaceSteps
 from wagtaildale.calls.wire.fields import UNKNOWN_RATE, encode_rate
 from wagtaildale.calls.wire.frames import LoadReport
@@ -19,6 +23,7 @@
     from wagtaildale.admission.incoming_line import LineState
     from wagtaildale.routing.leaving_servers import LeavingServer
     from wagtaildale.telemetry.events import EventRecorder
+    from wagtaildale.timers.alarms import Alarm
     from wagtaildale.types import InstanceId
 
 PERCENT: Final = 100
@@ -92,6 +97,7 @@
         self._line_steps = (LineSteps(), LineSteps())
         self._pace_steps = PaceSteps(recorder)
         self._gate = gate
+        self._alarm: Alarm | None = None
         self._instance = instance
         self._recorder = recorder
 
@@ -102,11 +108,14 @@
         demand = self._gate.state.demand
         if (
             self._pace_steps.update(self._gate.state.pace, now=now)
-            or demand.update_announcement(self._compute_share(now), now=now)
+            or demand.update_announcement(
+                compute_pass_share(self._gate.state, now=now), now=now
+            )
             or percent
             or _update_line_steps(self._line_steps, self._read_lines(), now)
         ):
             self._notify_listeners(self._describe_load(percent))
+        self._plan_notification()
 
     def notify_leaving(self, _leaving_server: LeavingServer) -> None:
         """Notify entries that the backend server is leaving.
@@ -160,9 +169,18 @@
         Returns:
             The share for each rank; None if all requests may be sent.
         """
-        share = self._compute_share(read_clock())
+        share = compute_pass_share(self._gate.state, now=read_clock())
         return None if share == ALL_PASS else share
 
+    def _plan_notification(self) -> None:
+        # Without requests nothing else tells entries that the overload is over.
+        is_set = self._alarm is not None and self._alarm.is_set
+        if is_set or self._gate.state.demand.announced == ALL_PASS:
+            return
+        self._alarm = self._gate.alarms.set(
+            ANNOUNCE_INTERVAL_SECONDS, self.notify_changes
+        )
+
     def _update_slowness(self, now: float) -> int:
         slowness = self._gate.state.slowness
         if not slowness.update_announcement(now=now):
@@ -175,9 +193,6 @@
         self._recorder.record(kind, inputs={'slowness_percent': percent})
         return percent
 
-    def _compute_share(self, now: float) -> PassShare:
-        return compute_pass_share(self._gate.state, now=now)
-
     def _describe_load(self, slowness_percent: int) -> LoadReport:
         state = self._gate.state
         incoming, outgoing = self._read_lines()
