Administration: few connections at once, and none that stays silent

What operators saw: 1,500 connections that send nothing to the port of administration and metrics took 710 to 894 descriptors, and a thread each.

Change: sixteen connections have a thread at once, further ones are closed unread; one on which nothing arrives for two seconds is closed.

test_connections_leave_descriptors[9464-1500]: 710 descriptors of 400 before, passes now.

--- a/standins/tests/test_crowds.py
+++ b/standins/tests/test_crowds.py
@@ -9,6 +9,7 @@
 
 from standins.deployment.model import (
     ADMIN_PORT,
+    CONTROL_PORT,
     ENTRY_PORT,
     OWNER_PORT,
     READY_PORT,
@@ -32,6 +33,7 @@
     from pathlib import Path
 
 FEW_DESCRIPTORS: Final = 400
+CROWDED: Final = 1500
 
 
 def assert_borne(outcome: CrowdOutcome, *, max_fds: int = MAX_FDS) -> None:
@@ -50,10 +52,21 @@
     assert_borne(asyncio.run(run_crowd(CROWDS[name], tmp_path)))
 
 
-@pytest.mark.parametrize('port', [ENTRY_PORT, OWNER_PORT, READY_PORT])
-def test_connections_leave_descriptors(port: int, tmp_path: Path) -> None:
+@pytest.mark.parametrize(
+    ('port', 'clients'),
+    [
+        (ENTRY_PORT, MANY),
+        (OWNER_PORT, MANY),
+        (READY_PORT, MANY),
+        (ADMIN_PORT, CROWDED),
+        (CONTROL_PORT, MANY),
+    ],
+)
+def test_connections_leave_descriptors(
+    port: int, clients: int, tmp_path: Path
+) -> None:
     """Connections that send nothing take all descriptors of a node."""
-    crowd = Crowd(clients=MANY, build=send_nothing, port=port)
+    crowd = Crowd(clients=clients, build=send_nothing, port=port)
     outcome = asyncio.run(run_crowd(crowd, tmp_path, max_fds=FEW_DESCRIPTORS))
     assert_borne(outcome, max_fds=FEW_DESCRIPTORS)
 
--- a/wagtaildale/admin/server.py
+++ b/wagtaildale/admin/server.py
@@ -9,9 +9,9 @@
 from msgspec import Struct, json
 from werkzeug.exceptions import Forbidden, HTTPException, Unauthorized
 from werkzeug.routing import Map, Rule
-from werkzeug.serving import make_server
 from werkzeug.wrappers import Request, Response
 
+from wagtaildale.admin.bounded_server import AdminRequestHandler, BoundedServer
 from wagtaildale.admin.endpoints import ENDPOINTS, RequestContext, show_ready
 from wagtaildale.admin.fleet import FleetReporter
 from wagtaildale.admin.model import ReadyReport
@@ -71,11 +71,11 @@
         self._fleet = FleetReporter(node)
         self._authenticator = authenticator
         host, port = listener.getsockname()
-        self._server = make_server(
+        self._server = BoundedServer(
             host,
             port,
             self,
-            threaded=True,
+            AdminRequestHandler,
             fd=listener.fileno(),
         )
         # Last: metrics can be registered only once, and making the server may
