Heads: what two readers understand differently is rejected with 400

What callers saw: a request with two Host fields, two request ids, another host in its target than in Host, an encoding before 'chunked', or CONNECT was passed on, and each reader chose for itself; with an empty or very long request id it ran and got 502 at its time limit, as no answer matched.

Change: such a head gets 400 at once and the connection closes. A request id has 1 to 200 bytes where callers choose it; those of the users' pages have 16. A target with the host that Host names is served as before.

Six of the tests fail before; 'identity' and 'xchunked' got 400 already since malformed bodies end at once.

--- a/wagtaildale/calls/entry/routed_call.py
+++ b/wagtaildale/calls/entry/routed_call.py
@@ -40,7 +40,7 @@
 REQUEST_ID_BYTES: Final = 16
 MILLISECONDS: Final = 1000
 HOST_FIELD: Final = b'host'
-# Longer values from callers are truncated to these sizes.
+# Longer values from callers are truncated to this size.
 MAX_IDEMPOTENCY_KEY_BYTES: Final = 200
 MAX_REQUEST_ID_BYTES: Final = 200
 MAX_NUMBER_DIGITS: Final = 9
@@ -225,12 +225,25 @@
 
 
 def _find_request_id(message: Message, dialect: Dialect) -> RequestId:
-    given = message.find(dialect.request_id)
+    given = message.find_all(dialect.request_id)
     if dialect.accepts_request_id and given:
-        return RequestId(given[:MAX_REQUEST_ID_BYTES].decode('latin-1'))
+        return RequestId(_check_request_id(given).decode('latin-1'))
     return RequestId(os.urandom(REQUEST_ID_BYTES).hex())
 
 
+def _check_request_id(given: list[bytes]) -> bytes:
+    # The answer names the id, so that a changed one would match no answer.
+    if len(given) > 1 or not 0 < len(given[0]) <= MAX_REQUEST_ID_BYTES:
+        raise CallFailed(
+            Code.request_malformed,
+            detail=(
+                f'got {len(given)} request ids, the first of {len(given[0])} '
+                f'bytes; expected one of 1 to {MAX_REQUEST_ID_BYTES}'
+            ),
+        )
+    return given[0]
+
+
 def _build_forwarded_headers(
     parts: EntryParts, message: Message
 ) -> HeaderPairs:
--- a/wagtaildale/calls/http/caller_connection.py
+++ b/wagtaildale/calls/http/caller_connection.py
@@ -10,6 +10,7 @@
 from wagtaildale.calls.http.exchanges import Exchange
 from wagtaildale.calls.http.parsing import MessageParser
 from wagtaildale.calls.http.pending_input import PendingInput, peek_input
+from wagtaildale.calls.http.request_checks import check_request
 from wagtaildale.calls.http.responses import ResponseWriter
 from wagtaildale.errors.codes import Code
 from wagtaildale.reactor.stream import READ_BYTES, Stream
@@ -372,8 +373,10 @@
 
     def _process_message(self, message: Message) -> None:
         if self._incoming is None:
-            if not self._port.memory.admits(self._holding.size):
-                self.refuse(make_memory_failure())
+            try:
+                self._check_message(message)
+            except CallFailed as failure:
+                self.refuse(failure)
                 return
             exchange = Exchange(message, connection=self)
             self._exchanges.append(exchange)
@@ -385,6 +388,11 @@
         else:
             self._incoming.receiver.on_body()
 
+    def _check_message(self, message: Message) -> None:
+        if not self._port.memory.admits(self._holding.size):
+            raise make_memory_failure()
+        check_request(message)
+
     def _is_ending(self) -> bool:
         # Requests that follow one that asks to close, or one whose response has
         # announced the close, are ignored. While the node drains, no further
--- a/wagtaildale/calls/http/parsing.py
+++ b/wagtaildale/calls/http/parsing.py
@@ -103,6 +103,17 @@
                 return header_value
         return None
 
+    def find_all(self, name: bytes) -> list[bytes]:
+        """Find all headers of a name.
+
+        Args:
+            name: name in lower case.
+
+        Returns:
+            Their values in the order in which they were sent.
+        """
+        return [header[1] for header in self.headers if header[0] == name]
+
     def take_body(self) -> bytes:
         """Remove and return what has arrived of the body.
 
--- a/wagtaildale/calls/tests/test_dialect.py
+++ b/wagtaildale/calls/tests/test_dialect.py
@@ -213,3 +213,16 @@
     answer = send_request(node, start=b'POST /bookings')
     assert answer.startswith(b'HTTP/1.1 502')
     assert b'xx' not in answer
+
+
+@pytest.mark.parametrize(
+    'more', [b'x-request-id: other\r\n', b'x-request-id:\r\n']
+)
+def test_second_request_id_is_rejected(
+    node: MeshNode, backend: ScriptedBackend, more: bytes
+) -> None:
+    """Each reader would choose another id, and no answer would match."""
+    node.publish(MESH_TEXT)
+    answer = send_request(node, more)
+    assert answer.startswith(b'HTTP/1.1 400')
+    assert not backend.heads
--- a/wagtaildale/calls/tests/test_malformed_requests.py
+++ b/wagtaildale/calls/tests/test_malformed_requests.py
@@ -54,3 +54,36 @@
         sock.sendall(requests[-30:])
         answer = first + b''.join(iter(lambda: sock.recv(65536), b''))
     assert answer.count(b'HTTP/1.1 200') == 10
+
+
+@pytest.mark.parametrize(
+    'request_bytes',
+    [
+        b'CONNECT /files/1 HTTP/1.1\r\nhost: m\r\n\r\n',
+        b'GET /files/1 HTTP/1.1\r\nhost: m\r\nhost: n\r\n\r\n',
+        b'GET http://n/files/1 HTTP/1.1\r\nhost: m\r\n\r\n',
+        b'GET /files/1 HTTP/1.1\r\nhost: m\r\n'
+        b'transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n',
+        b'GET /files/1 HTTP/1.1\r\nhost: m\r\n'
+        b'transfer-encoding: identity\r\n\r\n',
+        b'GET /files/1 HTTP/1.1\r\nhost: m\r\n'
+        b'transfer-encoding: xchunked\r\n\r\n',
+    ],
+)
+def test_ambiguous_head_is_rejected_at_once(
+    pair: Pair, request_bytes: bytes
+) -> None:
+    """Upstreams would read the request in another way, or wait for its body."""
+    answer = send_raw_request(pair.entry_node.entry, request_bytes)
+    assert answer.startswith(b'HTTP/1.1 400')
+    assert not pair.backend.counts.runs
+
+
+def test_target_with_its_host_is_served(pair: Pair) -> None:
+    """Some clients send every request as to a proxy."""
+    answer = send_raw_request(
+        pair.entry_node.entry,
+        b'GET http://m/files/1 HTTP/1.1\r\nhost: m\r\n'
+        b'connection: close\r\n\r\n',
+    )
+    assert answer.startswith(b'HTTP/1.1 200')
