Heads: callers cannot strip the request id or the host

What callers saw: 'Connection: X-Request-Id' made nodes forward the request without its id; upstreams ran it, twice if it may run twice, no answer matched, and the caller got 502 at its time limit.

Cause: each name in Connection counted as a field of one connection.

Change: the fields that nodes themselves read, or that servers need, are kept.

The new test fails before.

--- a/wagtaildale/calls/entry/routed_call.py
+++ b/wagtaildale/calls/entry/routed_call.py
@@ -251,7 +251,9 @@
     rewritten = dialect.rewritten_fields
     headers = [
         each
-        for each in select_forwarded_headers(message)
+        for each in select_forwarded_headers(
+            message, kept=frozenset((HOST_FIELD, dialect.request_id))
+        )
         if each[0] not in rewritten
     ]
     if dialect.caller_service is not None:
--- a/wagtaildale/calls/http/heads.py
+++ b/wagtaildale/calls/http/heads.py
@@ -32,16 +32,20 @@
         b'upgrade',
     ),
 )
+NOTHING_KEPT: Final[frozenset[bytes]] = frozenset()
 REASON_PHRASES: Final = MappingProxyType(
     {status.value: status.phrase for status in HTTPStatus},
 )
 
 
-def select_forwarded_headers(message: Message) -> list[Header]:
+def select_forwarded_headers(
+    message: Message, *, kept: frozenset[bytes] = NOTHING_KEPT
+) -> list[Header]:
     """Select the headers of a message that are forwarded to the next hop.
 
     Args:
         message: received message.
+        kept: names of headers that the sender cannot declare as hop-by-hop.
 
     Returns:
         Its headers without hop-by-hop headers and without internal ones.
@@ -61,6 +65,7 @@
     connection_options = {
         name.strip().lower() for name in connection_header.split(b',')
     }
+    connection_options -= kept
     return [header for header in headers if header[0] not in connection_options]
 
 
--- a/wagtaildale/calls/tests/test_dialect.py
+++ b/wagtaildale/calls/tests/test_dialect.py
@@ -226,3 +226,16 @@
     answer = send_request(node, more)
     assert answer.startswith(b'HTTP/1.1 400')
     assert not backend.heads
+
+
+def test_caller_cannot_strip_the_request_id(
+    node: MeshNode, backend: ScriptedBackend
+) -> None:
+    """An upstream without the id runs the request, and no answer matches."""
+    node.publish(MESH_TEXT)
+    extra = b'connection: close, X-Request-Id, Host, X-Other\r\nx-other: 1\r\n'
+    answer = send_request(node, extra)
+    assert answer.startswith(b'HTTP/1.1 200')
+    assert b'x-request-id: %b' % REQUEST_ID in backend.heads[0]
+    assert b'host: ' in backend.heads[0]
+    assert b'x-other' not in backend.heads[0]
