--- a/wagtaildale/admission/memory.py
+++ b/wagtaildale/admission/memory.py
@@ -121,6 +121,7 @@
     Attributes:
         limit_bytes: most bytes to hold.
         held_bytes: bytes held now.
+        given_up: how often a holder was asked to give up.
 
     Example:
         >>> account = MemoryAccount(1_000_000)
@@ -136,6 +137,7 @@
         """
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
+        self.given_up = 0
         self._holdings: set[Holding] = set()
         self._searched_at_bytes = 0
 
@@ -198,6 +200,7 @@
         for holding in self._list_by_weight(now):
             if self.held_bytes <= target:
                 return
+            self.given_up += 1
             holding.give_up()
         step = int(self.limit_bytes * SEARCH_STEP_SHARE)
         self._searched_at_bytes = self.held_bytes + step
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -33,6 +33,7 @@
         _add_platform_gauges,
         _add_backend_gauges,
         _add_line_gauges,
+        _add_memory_gauges,
     ):
         add_gauges(metrics, node)
     for kind in DocumentKind:
@@ -97,6 +98,28 @@
     )
 
 
+def _add_memory_gauges(metrics: Metrics, node: Node) -> None:
+    memory = node.calls.memory
+    metrics.add_gauge(
+        'wagtaildale.callers.held',
+        lambda: memory.held_bytes,
+        unit='By',
+        description='Memory that is held for callers.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.callers.limit',
+        lambda: memory.limit_bytes,
+        unit='By',
+        description='Most memory that is held for callers.',
+    )
+    metrics.add_gauge(
+        'wagtaildale.callers.given_up',
+        lambda: memory.given_up,
+        unit='{connection}',
+        description='Times that a full memory took away what had not run.',
+    )
+
+
 def _add_backend_gauges(metrics: Metrics, node: Node) -> None:
     metrics.add_gauge(
         'wagtaildale.backend.running',
