Memory: a large request is served beside unfinished ones

What callers would see: unfinished bodies that hold three quarters of the memory for callers keep every request of more than 32 KB out, until their time limits; 4031 for all.

Cause: a large request begins only below three quarters, and requests are given up only above the whole.

Change: before a large request is refused, those are given up that hold much and have stopped, down to five eighths.

--- a/wagtaildale/admission/memory.py
+++ b/wagtaildale/admission/memory.py
@@ -191,14 +191,30 @@
         Args:
             now: current time, seconds.
         """
-        target = self.limit_bytes * (1 - FREED_SHARE)
-        if not self.is_full:
+        if self.is_full:
+            self._free(1 - FREED_SHARE, now=now)
+        else:
             self._searched_at_bytes = 0
-            return
+
+    def make_room(self, size: int, *, now: float) -> bool:
+        """Let holders give up until a request may begin.
+
+        Args:
+            size: bytes that it holds.
+            now: current time, seconds.
+
+        Returns:
+            Whether the request may begin.
+        """
+        if not self.admits(size):
+            self._free(LARGE_SHARE - FREED_SHARE, now=now)
+        return self.admits(size)
+
+    def _free(self, share: float, *, now: float) -> None:
         if self.held_bytes < self._searched_at_bytes:
             return
         for holding in self._list_by_weight(now):
-            if self.held_bytes <= target:
+            if self.held_bytes <= self.limit_bytes * share:
                 return
             self.given_up += 1
             holding.give_up()
--- a/wagtaildale/calls/http/caller_connection.py
+++ b/wagtaildale/calls/http/caller_connection.py
@@ -377,6 +377,7 @@
                 self._check_message(message)
             except CallFailed as failure:
                 self.refuse(failure)
+            if self._is_refused:
                 return
             exchange = Exchange(message, connection=self)
             self._exchanges.append(exchange)
@@ -389,7 +390,9 @@
             self._incoming.receiver.on_body()
 
     def _check_message(self, message: Message) -> None:
-        if not self._port.memory.admits(self._holding.size):
+        holding = self._holding
+        memory = self._port.memory
+        if not memory.make_room(holding.size, now=holding.progress_at):
             raise make_memory_failure()
         check_request(message)
 
--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -314,7 +314,10 @@
         self._owner.memory.relieve(now=now)
 
     def _is_refused_for_memory(self) -> bool:
-        if not self._owner.memory.admits(self._holding.size):
+        holding = self._holding
+        if not self._owner.memory.make_room(
+            holding.size, now=holding.progress_at
+        ):
             self._fail(make_memory_failure(Code.overloaded))
         return self.state is CallState.over
 
