Uploads: reading goes on after one that is too large to collect

Cause: the body stops the reading of its connection while much of it waits, and only a body that is incomplete started it again. If all of it had arrived meanwhile, nobody did.

Change: whoever stopped the reading starts it again.

--- a/wagtaildale/calls/entry/bodies.py
+++ b/wagtaildale/calls/entry/bodies.py
@@ -48,6 +48,7 @@
         self._max_collected_bytes = max_collected_bytes
         self._buffer = bytearray()
         self._dropped = 0
+        self._is_paused = False
         self.is_replayable = True
         if exchange.message.length > limit:
             raise _make_too_large_error(limit)
@@ -90,6 +91,7 @@
         if self.size > self._max_collected_bytes:
             self.is_replayable = False
             if len(self._buffer) > MAX_BUFFERED_BYTES:
+                self._is_paused = True
                 self._exchange.set_reading(enabled=False)
 
     def peek(self) -> bytes:
@@ -126,7 +128,9 @@
         self._buffer = self._buffer[size:]
         self._dropped += size
         self._exchange.kept_bytes = len(self._buffer)
-        if not self.is_complete and len(self._buffer) < MAX_BUFFERED_BYTES:
+        if self._is_paused and len(self._buffer) < MAX_BUFFERED_BYTES:
+            # Also after the end of the body: the next request follows it.
+            self._is_paused = False
             self._exchange.set_reading(enabled=True)
 
 
--- a/wagtaildale/calls/tests/test_full_memory.py
+++ b/wagtaildale/calls/tests/test_full_memory.py
@@ -15,6 +15,7 @@
     wait_until,
 )
 from wagtaildale.errors.codes import Code
+from wagtaildale.testing.builders import SLOTS
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -26,6 +27,7 @@
     % BODY_BYTES
     + bytes(BODY_BYTES)
 )
+LOOKUP: Final = b'GET /files/1 HTTP/1.1\r\nhost: m\r\n\r\n'
 
 
 @pytest.fixture
@@ -94,3 +96,20 @@
     assert crowded.backend.counts.runs == 1
     for upload in uploads:
         upload.close()
+
+
+def test_request_behind_an_upload_that_is_too_large_to_collect(
+    pair: Pair,
+) -> None:
+    """All of the upload waits for a slot, and reading never goes on."""
+    memory = pair.entry_node.calls.memory
+    memory.limit_bytes = 6 * LIMIT
+    size = memory.max_collected_bytes + 1
+    for _slot in range(SLOTS):
+        pair.owner_node.hold_slot(lease_seconds=0.3)
+    head = UPLOAD.replace(b'%d' % BODY_BYTES, b'%d' % size)
+    with connect(pair) as sock:
+        sock.sendall(head[: head.index(b'\r\n\r\n') + 4] + bytes(size))
+        assert sock.recv(65536).startswith(b'HTTP/1.1 200')
+        sock.sendall(LOOKUP)
+        assert sock.recv(65536).startswith(b'HTTP/1.1 200')
