Heads: the ends of lines count for the limit

What callers could do: a head of lines of one character was accepted up to four times the limit if it came in one read; it takes 1 MB when parsed.

Cause: names and values counted, colons and ends of lines did not.

Change: three bytes more for each line, which each line has at least. The new test fails before.

--- a/wagtaildale/calls/http/parsing.py
+++ b/wagtaildale/calls/http/parsing.py
@@ -20,6 +20,8 @@
 # Memory of a message without headers, and of a header beside its text.
 MESSAGE_BYTES: Final = 1024
 HEADER_BYTES: Final = 140
+# A colon and the end of the line; a space after the colon is optional.
+LINE_BYTES: Final = 3
 # Headers and pieces of bodies in one read; ordinary requests have fewer.
 DENSE_PARTS: Final = 256
 
@@ -243,7 +245,7 @@
         message = self._messages[-1]
         if not message.has_head:
             message.headers.append((name.lower(), header_value))
-            message.head_bytes += len(name) + len(header_value)
+            message.head_bytes += len(name) + len(header_value) + LINE_BYTES
 
     def on_headers_complete(self) -> None:
         """Finish the head."""
--- a/wagtaildale/calls/tests/test_malformed_requests.py
+++ b/wagtaildale/calls/tests/test_malformed_requests.py
@@ -87,3 +87,10 @@
         b'connection: close\r\n\r\n',
     )
     assert answer.startswith(b'HTTP/1.1 200')
+
+
+def test_short_lines_count_with_their_ends(pair: Pair) -> None:
+    """A head of very short lines was accepted far above the limit."""
+    request = b'GET /files/1 HTTP/1.1\r\nhost: m\r\n' + b'a:\r\n' * 2100
+    answer = send_raw_request(pair.entry_node.entry, request + b'\r\n')
+    assert answer.startswith(b'HTTP/1.1 413')
