--- a/wagtaildale/admission/memory.py
+++ b/wagtaildale/admission/memory.py
@@ -37,10 +37,9 @@
 # Counted beside the time without progress, so that the size decides between
 # holders that have all just progressed.
 MIN_STALL_SECONDS: Final = 0.1
-# Growth of a full account after which holders are searched again in vain.
+# Change of the account after which holders are searched again if the last
+# search has freed too little.
 SEARCH_STEP_SHARE: Final = 0.015625
-
-
 # Time in which large requests are given up or end.
 MEMORY_RETRY_SECONDS: Final = 0.5
 
@@ -139,7 +138,8 @@
         self.held_bytes = 0
         self.given_up = 0
         self._holdings: set[Holding] = set()
-        self._searched_at_bytes = 0
+        # Held when the last search had freed too little.
+        self._searched_at_bytes = -limit_bytes
 
     @property
     def is_full(self) -> bool:
@@ -193,8 +193,6 @@
         """
         if self.is_full:
             self._free(1 - FREED_SHARE, now=now)
-        else:
-            self._searched_at_bytes = 0
 
     def make_room(self, size: int, *, now: float) -> bool:
         """Let holders give up until a request may begin.
@@ -211,15 +209,15 @@
         return self.admits(size)
 
     def _free(self, share: float, *, now: float) -> None:
-        if self.held_bytes < self._searched_at_bytes:
+        step = self.limit_bytes * SEARCH_STEP_SHARE
+        if abs(self.held_bytes - self._searched_at_bytes) < step:
             return
         for holding in self._list_by_weight(now):
             if self.held_bytes <= self.limit_bytes * share:
                 return
             self.given_up += 1
             holding.give_up()
-        step = int(self.limit_bytes * SEARCH_STEP_SHARE)
-        self._searched_at_bytes = self.held_bytes + step
+        self._searched_at_bytes = self.held_bytes
 
     def _list_by_weight(self, now: float) -> list[Holding]:
         return sorted(
--- a/wagtaildale/calls/http/exchanges.py
+++ b/wagtaildale/calls/http/exchanges.py
@@ -12,7 +12,6 @@
     from wagtaildale.calls.http.caller_connection import CallerConnection
     from wagtaildale.calls.http.parsing import Message
 
-
 # Memory of a request in progress beside its bytes.
 EXCHANGE_BYTES: Final = 4096
 
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -116,7 +116,7 @@
         'wagtaildale.callers.given_up',
         lambda: memory.given_up,
         unit='{connection}',
-        description='Times that a full memory took away what had not run.',
+        description='Connections and calls asked to free what had not run.',
     )
 
 
