Uploads: what arrives before a run counts for the window of the rest

What callers saw: a body of over 512 KB that waited for a slot was never complete at its backend server. It held the slot until its time limit, 504; beside a crowd of them, whole bodies all, ordinary callers got 4008 for as long as the crowd stayed.

Cause: an entry may send 256 KB beyond what the owner has acknowledged. The owner acknowledged pieces that it passed on during the run, but not those that had come before it; when these fill the window, nothing else is sent.

Change: what came before the run is acknowledged once it is passed on.

The new test fails before (504).

--- a/wagtaildale/calls/owner/backend_run.py
+++ b/wagtaildale/calls/owner/backend_run.py
@@ -376,13 +376,21 @@
             deadline=self._times.deadline,
             instance=self._target,
         )
-        self._body = b''
         if not self._known_server_ends:
             self._owner.trials.note_begun(
                 self._run_message, abandon=self._abort
             )
         self._call.on_run_sent()
         self._connection = self._owner.pool.send_request(request, self)
+        self._acknowledge_begin()
+
+    def _acknowledge_begin(self) -> None:
+        # What arrived before the run counts for the entry's window as well.
+        if self._run_message.more:
+            self._unacknowledged_bytes += len(self._body)
+            if self._connection is not None and not self._connection.is_full:
+                self.on_writable()
+        self._body = b''
 
     def _forward(self) -> None:
         response = self._response
--- a/wagtaildale/calls/tests/test_full_memory.py
+++ b/wagtaildale/calls/tests/test_full_memory.py
@@ -113,3 +113,11 @@
         assert sock.recv(65536).startswith(b'HTTP/1.1 200')
         sock.sendall(LOOKUP)
         assert sock.recv(65536).startswith(b'HTTP/1.1 200')
+
+
+def test_large_body_that_waited_for_a_slot_arrives(pair: Pair) -> None:
+    """What came before the run is never acknowledged, and the rest waits."""
+    for _slot in range(SLOTS):
+        pair.owner_node.hold_slot(lease_seconds=0.05)
+    response, _text = pair.ask('GET', '/files/1', bytes(1_000_000))
+    assert response.status == 200
