Ready: a node whose memory for callers is full stays ready

What operators would see: a node whose callers' requests fill the account answers 503 to its readiness check, and the platform takes it out.

Cause: the port of the readiness check shared the account of the callers.

Change: it has a small one of its own. The new test fails before.

--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -62,6 +62,7 @@
 UNKNOWN_DIVISOR: Final = 4
 READY_HEAD_BYTES: Final = 8192
 READY_CONNECTIONS: Final = 64
+READY_MEMORY_BYTES: Final = 4_000_000
 READY_LIMITS: Final = CallerLimits(
     max_head_bytes=READY_HEAD_BYTES,
     max_body_bytes=0,
@@ -176,7 +177,7 @@
             self.loop,
             request_handler=ReadinessHandler(self._read_state),
             read_limits=lambda: READY_LIMITS,
-            memory=self.memory,
+            memory=MemoryAccount(READY_MEMORY_BYTES),
         )
 
     @property
--- a/wagtaildale/calls/tests/test_full_memory.py
+++ b/wagtaildale/calls/tests/test_full_memory.py
@@ -16,6 +16,7 @@
 )
 from wagtaildale.errors.codes import Code
 from wagtaildale.testing.builders import SLOTS
+from wagtaildale.testing.mesh import READY_PORT
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -121,3 +122,14 @@
         pair.owner_node.hold_slot(lease_seconds=0.05)
     response, _text = pair.ask('GET', '/files/1', bytes(1_000_000))
     assert response.status == 200
+
+
+def test_node_with_a_full_memory_is_ready(crowded: Pair) -> None:
+    """The platform would take the node out and send its callers elsewhere."""
+    node = crowded.entry_node
+    node.calls.memory.limit_bytes = 0
+    assert crowded.ask('GET', '/files/1')[0].status == 503
+    address = (node.record.host, READY_PORT)
+    with socket.create_connection(address, TIMEOUT_SECONDS) as sock:
+        sock.sendall(b'GET /ready HTTP/1.1\r\nhost: m\r\n\r\n')
+        assert sock.recv(65536).startswith(b'HTTP/1.1 200')
--- a/wagtaildale/testing/mesh.py
+++ b/wagtaildale/testing/mesh.py
@@ -45,6 +45,7 @@
 STOP_TIMEOUT_SECONDS: Final = 5.0
 MAX_CONNECTIONS: Final = 32
 MAX_HEAD_BYTES: Final = 8192
+READY_PORT: Final = 8089
 MAX_BODY_BYTES: Final = 4_000_000
 FAR_DEADLINE_SECONDS: Final = 1e12
 
@@ -204,6 +205,7 @@
         data_centre=record.data_centre,
         entry_address=Address(record.host, record.entry_port),
         owner_address=Address(record.host, record.owner_port),
+        ready_address=Address(record.host, READY_PORT),
         backend_address=Address(record.host, BACKEND_PORT),
         slots=slots,
         limits=CallerLimits(
