--- a/wagtaildale/calls/tests/test_malformed_requests.py
+++ b/wagtaildale/calls/tests/test_malformed_requests.py
@@ -94,3 +94,13 @@
     request = b'GET /files/1 HTTP/1.1\r\nhost: m\r\n' + b'a:\r\n' * 2100
     answer = send_raw_request(pair.entry_node.entry, request + b'\r\n')
     assert answer.startswith(b'HTTP/1.1 413')
+
+
+def test_target_with_its_host_in_another_case_is_served(pair: Pair) -> None:
+    """Names of hosts are the same in upper and lower case."""
+    answer = send_raw_request(
+        pair.entry_node.entry,
+        b'GET http://M/files/1 HTTP/1.1\r\nhost: m\r\n'
+        b'connection: close\r\n\r\n',
+    )
+    assert answer.startswith(b'HTTP/1.1 200')
