Take a target and a Host that differ in case or usual port for the same host

Callers that send the whole URL got 400 where its host was written in another case than Host, or only one of them had the port that the scheme implies: compared the bytes. Names of hosts have no case and the port of a scheme may be left out (RFC 9110, 4.2.3), so both are normalised before the comparison.

--- a/wagtaildale/calls/http/request_checks.py
+++ b/wagtaildale/calls/http/request_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.failures import CallFailed
@@ -15,6 +16,7 @@
 CHUNKED: Final = b'chunked'
 CONNECT: Final = b'CONNECT'
 SCHEME_END: Final = b'://'
+DEFAULT_PORTS: Final = MappingProxyType({b'http': b':80', b'https': b':443'})
 
 
 def check_request(message: Message) -> None:
@@ -42,9 +44,17 @@
 def _check_authority(message: Message, hosts: list[bytes]) -> None:
     scheme, separator, rest = message.target.partition(SCHEME_END)
     authority = rest.partition(b'/')[0].partition(b'?')[0]
-    if separator and scheme.isalpha() and hosts != [authority]:
+    if not separator or not scheme.isalpha():
+        return
+    port = DEFAULT_PORTS.get(scheme.lower(), b'')
+    named = [_normalise_host(each, default_port=port) for each in hosts]
+    if named != [_normalise_host(authority, default_port=port)]:
         raise _make_failure('target and Host name different hosts')
 
 
+def _normalise_host(host: bytes, *, default_port: bytes) -> bytes:
+    return host.lower().removesuffix(default_port)
+
+
 def _make_failure(detail: str) -> CallFailed:
     return CallFailed(Code.request_malformed, detail=detail)
--- a/wagtaildale/calls/tests/test_malformed_requests.py
+++ b/wagtaildale/calls/tests/test_malformed_requests.py
@@ -104,3 +104,13 @@
         b'connection: close\r\n\r\n',
     )
     assert answer.startswith(b'HTTP/1.1 200')
+
+
+def test_target_with_the_usual_port_of_its_scheme_is_served(pair: Pair) -> None:
+    """A host with the port that its scheme implies is the same host."""
+    answer = send_raw_request(
+        pair.entry_node.entry,
+        b'GET http://m:80/files/1 HTTP/1.1\r\nhost: m\r\n'
+        b'connection: close\r\n\r\n',
+    )
+    assert answer.startswith(b'HTTP/1.1 200')
