Answers: what a caller does not read keeps no slot

What callers saw: with all slots of a server taken by answers whose callers read late or not at all, ordinary requests were refused at once (4008, 4009, 4028) although the server was idle.

Cause: an owner stopped reading an answer from its server as soon as the entry's window of 256 KB was used up, and the slot was held until the caller had read the rest or was reset after 3 s.

Change: the owner reads on, up to an eighth of the account of what is held for callers and only while that admits large ones, and charges it to the call. The slot is free once the answer is read; the rest leaves as the entry has room, also after the deadline as long as it moves. A piece is now at most what the window allows. What is received for an entry is a module of its own.

--- a/wagtaildale/calls/owner/backend_messages.py
+++ b/wagtaildale/calls/owner/backend_messages.py
@@ -7,7 +7,6 @@
 from msgspec import structs
 
 from wagtaildale.calls.backend.backend_connection import BackendRequest
-from wagtaildale.calls.wire.windows import SendWindow
 from wagtaildale.suspects.fingerprints import BODY_BYTES
 from wagtaildale.timers.service import read_clock
 
@@ -22,39 +21,6 @@
 MISDIRECTED_STATUS: Final = 421
 
 
-class BackendResponse:
-    """A response that is being received and forwarded to the entry.
-
-    Attributes:
-        message: the response as parsed so far.
-        buffer: bytes of the body that are received but not forwarded yet.
-        is_started: whether the head was forwarded.
-        window: flow-control window granted by the entry.
-    """
-
-    def __init__(self, message: Message) -> None:
-        """Create the response once its head is received.
-
-        Args:
-            message: the response; its body is read from it as it arrives.
-        """
-        self.message = message
-        self.buffer = bytearray()
-        self.is_started = False
-        self.window = SendWindow()
-
-    def drain_buffer(self) -> bytes:
-        """Empty the buffer and count its bytes against the window.
-
-        Returns:
-            The buffered bytes; may be empty.
-        """
-        drained = bytes(self.buffer)
-        self.buffer.clear()
-        self.window.note_sent(len(drained))
-        return drained
-
-
 def find_not_run_evidence(owner: Owner, message: Message) -> bytes | None:
     """Find evidence in a response that the request did not run.
 
--- a/wagtaildale/calls/owner/backend_run.py
+++ b/wagtaildale/calls/owner/backend_run.py
@@ -7,13 +7,10 @@
 
 from msgspec import structs
 
-from wagtaildale.admission.replay_cache import StoredAnswer
 from wagtaildale.calls.backend.server_end_detector import InterruptedRun
 from wagtaildale.calls.failures import CallFailed
-from wagtaildale.calls.http.heads import select_forwarded_headers
 from wagtaildale.calls.owner.backend_messages import (
     MISDIRECTED_STATUS,
-    BackendResponse,
     build_request,
     find_not_run_evidence,
     keep_identity,
@@ -28,8 +25,10 @@
 from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
+    from wagtaildale.admission.replay_cache import StoredAnswer
     from wagtaildale.calls.backend.backend_connection import BackendConnection
     from wagtaildale.calls.http.parsing import Message
+    from wagtaildale.calls.owner.backend_response import BackendResponse
     from wagtaildale.calls.owner.call_times import CallTimes
     from wagtaildale.calls.owner.owner import Owner
     from wagtaildale.calls.owner.replies import ReplyWriter
@@ -50,8 +49,18 @@
     def on_run_sent(self) -> None:
         """Handle that the request is being sent to the backend server."""
 
+    def open_response(self, message: Message) -> BackendResponse:
+        """Begin to receive the response.
+
+        Args:
+            message: its head.
+
+        Returns:
+            The response, charged to the call.
+        """
+
     def on_run_read(self, status: int) -> None:
-        """Handle that a paced response was read to its end.
+        """Handle that a response was read to its end before it was sent.
 
         Its delivery goes on.
 
@@ -178,6 +187,17 @@
             self._response.window.add_credit(count)
             self._forward()
 
+    def check_progress(self) -> bool:
+        """Tell whether more of the response was sent since the last check.
+
+        Returns:
+            Whether a piece was sent; since the beginning, at the first check.
+        """
+        if self._paced is not None:
+            return self._paced.check_progress()
+        response = self._response
+        return response is not None and response.check_progress()
+
     def close(self) -> None:
         """Stop the run and ignore everything that arrives later."""
         self._is_over = True
@@ -206,7 +226,7 @@
         Args:
             message: the response.
         """
-        self._response = BackendResponse(message)
+        self._response = self._call.open_response(message)
         if message.status != MISDIRECTED_STATUS:
             owner = self._owner
             owner.targets.apply_feedback(
@@ -220,7 +240,7 @@
         response = self._response
         if response is None:
             return
-        response.buffer += response.message.take_body()
+        response.receive()
         is_complete = response.message.is_complete
         if is_complete:
             # The pool has reused or closed the connection.
@@ -408,12 +428,28 @@
         else:
             self._forward_refusal(message)
             return
-        if message.is_complete and not response.buffer:
-            self._connection = None
-            self._owner.trials.note_answered(self._run_message)
+        self._read_on(response)
+
+    def _read_on(self, response: BackendResponse) -> None:
+        message = response.message
+        if response.is_exhausted:
+            if not self._is_read:
+                self._owner.trials.note_answered(self._run_message)
             self._call.on_run_finished(message.status)
+            return
+        response.charge()
+        if message.is_complete:
+            if not self._is_read:
+                self._note_read(message)
         elif self._connection is not None:
-            self._connection.set_reading(is_wanted=response.window.is_open)
+            self._connection.set_reading(is_wanted=self._has_room(response))
+
+    def _has_room(self, response: BackendResponse) -> bool:
+        if response.window.is_open:
+            return True
+        memory = self._owner.memory
+        size = len(response.buffer)
+        return size < memory.max_collected_bytes and memory.admits(size)
 
     def _is_refusal(self, response: BackendResponse) -> bool:
         if response.is_started:
@@ -449,11 +485,7 @@
         self, response: BackendResponse, paced: PacedResponse
     ) -> None:
         message = response.message
-        self._head = StoredAnswer(
-            status=message.status,
-            headers=tuple(select_forwarded_headers(message)),
-            body=b'',
-        )
+        self._head = response.build_answer(b'')
         answer = structs.replace(self._head, body=bytes(response.buffer))
         self._idempotency.settle(answer if message.is_complete else None)
         paced.begin(
@@ -463,23 +495,20 @@
         )
 
     def _forward_piece(self, response: BackendResponse) -> None:
-        complete = response.message.is_complete
-        if response.window.is_open and (response.buffer or complete):
-            self._replies.send_body(response.drain_buffer(), more=not complete)
+        if response.is_sendable:
+            piece = response.take_piece()
+            more = not response.is_exhausted
+            self._replies.send_body(piece, more=more)
 
     def _start_answer(self, response: BackendResponse) -> None:
-        message = response.message
-        answer = StoredAnswer(
-            status=message.status,
-            headers=tuple(select_forwarded_headers(message)),
-            body=response.drain_buffer(),
-        )
-        self._idempotency.settle(answer if message.is_complete else None)
+        answer = response.build_answer(response.take_piece())
+        is_whole = response.is_exhausted
+        self._idempotency.settle(answer if is_whole else None)
         self._replies.send_response(
             self._run_message.fields,
             answer,
-            more=not message.is_complete,
-            length=message.length,
+            more=not is_whole,
+            length=response.message.length,
         )
 
     def _forward_refusal(self, message: Message) -> None:
--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -14,6 +14,7 @@
 from wagtaildale.admission.server_messages import RequestSent
 from wagtaildale.admission.starts import estimate_start
 from wagtaildale.calls.failures import CallFailed, make_memory_failure
+from wagtaildale.calls.owner.backend_response import BackendResponse
 from wagtaildale.calls.owner.backend_run import BackendRun
 from wagtaildale.calls.owner.body_collector import (
     ReceivedBody,
@@ -39,6 +40,7 @@
 
 if TYPE_CHECKING:
     from wagtaildale.admission.messages import TicketId, Verdict
+    from wagtaildale.calls.http.parsing import Message
     from wagtaildale.calls.owner.owner import Owner
     from wagtaildale.calls.owner.replies import EntryChannel
     from wagtaildale.calls.wire.fields import CallFields
@@ -232,6 +234,17 @@
         slow_start = self._owner.targets.slow_start
         self._slow_start_inputs = slow_start.record.note_sent()
 
+    def open_response(self, message: Message) -> BackendResponse:
+        """Charge the call for its response; see ``RunReceiver``.
+
+        Args:
+            message: head of the response.
+
+        Returns:
+            The response.
+        """
+        return BackendResponse(message, holding=self._holding)
+
     def on_run_read(self, status: int) -> None:
         """Free the slot while the response is delivered; see ``RunReceiver``.
 
@@ -501,13 +514,11 @@
     # Ends
 
     def _time_out(self) -> None:
-        paced = self._replies.paced
-        if paced is not None and self.state is CallState.delivering:
-            if paced.check_progress():
-                self._alarm = self._owner.loop.alarms.set(
-                    DELIVERY_CHECK_SECONDS, self._time_out
-                )
-                return
+        if self._delivers_on():
+            self._alarm = self._owner.loop.alarms.set(
+                DELIVERY_CHECK_SECONDS, self._time_out
+            )
+            return
         has_run = self.state in RUN_STATES
         self._fail(
             CallFailed(
@@ -516,6 +527,11 @@
             ),
         )
 
+    def _delivers_on(self) -> bool:
+        if self._run is None or self.state is not CallState.delivering:
+            return False
+        return self._run.check_progress()
+
     def _fail(self, failure: CallFailed, *, is_duplicate: bool = False) -> None:
         state = self.state
         if state is CallState.over:
