Pipelined answers: one that waited its turn is sent to its end

Cause: credit for the rest was given only once the bytes that had waited for their turn were written by a later event. Where the kernel took them at once, no such event came, and the owner waited for ever.

Change: the receiver of an answer whose turn it is learns at once that it may go on if nothing of it waits.

The new test, whose caller has a large buffer, fails without the change.

--- a/wagtaildale/calls/http/caller_connection.py
+++ b/wagtaildale/calls/http/caller_connection.py
@@ -144,7 +144,7 @@
                 self._finish(aborted=done.is_aborted)
                 return
             if self._exchanges:
-                self._stream.send(self._exchanges[0].take_deferred())
+                self._send_deferred(self._exchanges[0])
         self._continue()
         self._update_holding()
 
@@ -348,6 +348,12 @@
         self._stream.pause()
         return True
 
+    def _send_deferred(self, exchange: Exchange) -> None:
+        self._stream.send(exchange.take_deferred())
+        if exchange.receiver is not None and not self._stream.unsent_bytes:
+            # Without bytes that wait, no ``on_drained`` follows.
+            exchange.receiver.on_writable()
+
     def _continue(self) -> None:
         if self._exchanges:
             self._resume_parsing()
--- a/wagtaildale/calls/tests/test_unread_answers.py
+++ b/wagtaildale/calls/tests/test_unread_answers.py
@@ -2,19 +2,30 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from typing import TYPE_CHECKING, Final
 
 import pytest
 
 from wagtaildale.calls.tests.downloads import DownloadingEntry, join_body
-from wagtaildale.calls.tests.pairs import Pair, wait_until
+from wagtaildale.calls.tests.pairs import TIMEOUT_SECONDS, Pair, wait_until
+from wagtaildale.testing.builders import MESH_TEXT
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 # More than a window.
 SIZE: Final = 600_000
+PHOTOS: Final = """
+[[services.classes]]
+name = "photos"
+methods = ["GET"]
+path = "/photos/{size}"
+idempotent = true
+target = { within_ms = 800, percent = 99 }
+deadline_ms = 2000
+"""
 DEADLINE_MS: Final = 300
 MILLISECONDS: Final = 1000
 
@@ -27,6 +38,13 @@
     assert not pair.owner_node.invariants.broken
 
 
+def read_answer(sock: socket.socket) -> bytes:
+    answer = b''
+    while piece := sock.recv(65_536):
+        answer += piece
+    return answer
+
+
 def test_slot_is_free_while_the_caller_reads(
     pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
@@ -53,3 +71,24 @@
     raw_entry.acknowledge(frames[0])
     frames += raw_entry.receive_response()
     assert len(join_body(frames)) > SIZE
+
+
+def test_answer_behind_another_one_arrives_whole(pair: Pair) -> None:
+    """A pipelined download stops once it has used up the entry's window."""
+    pair.entry_node.publish(MESH_TEXT + PHOTOS)
+    pair.backend.faults.service_ms = 300
+    first = b'GET /files/1 HTTP/1.1\r\nhost: m\r\n\r\n'
+    last = (
+        b'GET /photos/%d HTTP/1.1\r\nhost: m\r\nconnection: close\r\n\r\n'
+        % SIZE
+    )
+    with socket.socket() as sock:
+        # The kernel takes all that has waited at once.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * SIZE)
+        sock.settimeout(TIMEOUT_SECONDS)
+        sock.connect(pair.entry_node.entry)
+        sock.sendall(first)
+        wait_until(lambda: pair.backend.counts.runs == 1)
+        pair.backend.faults.service_ms = 0
+        sock.sendall(last)
+        assert len(read_answer(sock)) > SIZE
