Memory: what a caller has not read is charged as it is buffered

What callers saw: nothing at once; the account took an answer of which 466,039 bytes waited for their caller for 13,476 bytes, so unread answers could fill a process beyond its bound.

Cause: the size of a connection was updated when bytes came, an answer ended or all was sent, never as pieces of an answer were added.

Change: each piece that is not the last one updates it; the last one did.

Test: test_unread_answer_is_charged fails without the change.

--- a/wagtaildale/calls/http/caller_connection.py
+++ b/wagtaildale/calls/http/caller_connection.py
@@ -132,6 +132,8 @@
             self._stream.send(output)
         else:
             exchange.defer(output)
+        if not exchange.is_done:
+            self._update_holding()
 
     def advance(self) -> None:
         """Remove finished exchanges and send output of the next one."""
--- a/wagtaildale/calls/tests/test_unread_answers.py
+++ b/wagtaildale/calls/tests/test_unread_answers.py
@@ -10,6 +10,7 @@
 
 from wagtaildale.calls.tests.downloads import DownloadingEntry, join_body
 from wagtaildale.calls.tests.pairs import TIMEOUT_SECONDS, Pair, wait_until
+from wagtaildale.calls.wire.windows import WINDOW_BYTES
 from wagtaildale.testing.builders import MESH_TEXT
 
 if TYPE_CHECKING:
@@ -24,8 +25,10 @@
 path = "/photos/{size}"
 idempotent = true
 target = { within_ms = 800, percent = 99 }
-deadline_ms = 2000
+deadline_ms = 60000
 """
+# More than the kernel takes.
+MAX_SIZE: Final = 30_000_000
 DEADLINE_MS: Final = 300
 MILLISECONDS: Final = 1000
 
@@ -92,3 +95,15 @@
         pair.backend.faults.service_ms = 0
         sock.sendall(last)
         assert len(read_answer(sock)) > SIZE
+
+
+def test_unread_answer_is_charged(pair: Pair) -> None:
+    """What waits for callers to read is missing in the account."""
+    memory = pair.entry_node.calls.memory
+    pair.entry_node.publish(MESH_TEXT + PHOTOS)
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(pair.entry_node.entry)
+        sock.sendall(b'GET /photos/%d HTTP/1.1\r\nhost: m\r\n\r\n' % MAX_SIZE)
+        wait_until(lambda: memory.held_bytes > WINDOW_BYTES)
+    wait_until(lambda: not memory.held_bytes)
