Answers: one that its caller does not read gives way to others

What callers saw: answers that can't be held, because they are long or memory is short, kept all slots of a server until their deadline, and ordinary requests were refused; connections that don't read kept their node's memory.

Change: an answer of which nothing has left for a second is cut if others need its slot (one waits, or has found none since) or if the account admits nothing large. The entry closes connections that don't read by the same measure, and takes in nothing more for them while memory is short. In calm nothing is cut.

Tests: test_unread_answers_give_way_to_others[1000000] and test_unread_connection_gives_way_where_memory_is_short fail without the change; test_answer_waits_for_its_caller_in_calm guards the other side.

--- a/wagtaildale/admission/memory.py
+++ b/wagtaildale/admission/memory.py
@@ -34,6 +34,9 @@
 UNREAD_SHARE: Final = 0.2
 MIN_UNREAD_BYTES: Final = 8192
 MAX_UNREAD_BYTES: Final = 262_144
+# An answer of which its caller has taken nothing for this time gives way where
+# memory is short.
+UNREAD_SECONDS: Final = 1.0
 # Counted beside the time without progress, so that the size decides between
 # holders that have all just progressed.
 MIN_STALL_SECONDS: Final = 0.1
--- a/wagtaildale/admission/queue.py
+++ b/wagtaildale/admission/queue.py
@@ -53,6 +53,8 @@
     waiting = _build_queued(state, message, now)
     ahead = _count_ahead(state, waiting, now)
     may_start = state.can_run(waiting, now) and not ahead
+    if not may_start:
+        state.missed_at = now
     if _misses_free_slot(state, message, may_start=may_start, now=now):
         return [refuse_overloaded(state, waiting, now)]
     state.note_target_seconds(message.within_ms / MILLISECONDS)
--- a/wagtaildale/admission/state.py
+++ b/wagtaildale/admission/state.py
@@ -92,6 +92,7 @@
         demand: request rate before entries hold any request back.
         adaptive: whether the limit is adjusted to observed run times.
         lowered_at: when the limit was last lowered, seconds.
+        missed_at: when a request last found no free slot, seconds.
         draining: whether new requests are refused.
     """
 
@@ -112,6 +113,7 @@
     demand: Demand = field(default_factory=Demand)
     adaptive: bool = True
     lowered_at: float = 0
+    missed_at: float = -inf
     draining: bool = False
 
     @property
--- a/wagtaildale/calls/http/caller_connection.py
+++ b/wagtaildale/calls/http/caller_connection.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Final
 
+from wagtaildale.admission.memory import UNREAD_SECONDS
 from wagtaildale.calls.failures import CallFailed, make_memory_failure
 from wagtaildale.calls.http.error_responses import build_error_response
 from wagtaildale.calls.http.exchanges import Exchange
@@ -72,7 +73,13 @@
 
     @property
     def is_full(self) -> bool:
-        """Whether output waits for the caller to read."""
+        """Whether output waits for the caller to read.
+
+        Where memory is short, nothing more comes in until all is sent.
+        """
+        unsent = self._stream.unsent_bytes
+        if unsent and not self._port.memory.admits(unsent):
+            return True
         return self._stream.is_full
 
     @property
@@ -183,9 +190,14 @@
     def check_timeouts(self, now: float) -> None:
         """Refuse a head that takes too long; close an idle connection.
 
+        One that does not read gives way where memory is short.
+
         Args:
             now: current time, seconds on the monotonic clock.
         """
+        if self._is_in_the_way(now):
+            self._finish(aborted=True)
+            return
         if self.active_calls or self._is_refused:
             return
         limits = self._port.read_limits()
@@ -267,6 +279,12 @@
     def _is_refused(self) -> bool:
         return self._failure is not None
 
+    def _is_in_the_way(self, now: float) -> bool:
+        unsent = self._stream.unsent_bytes
+        if not unsent or self._port.memory.admits(unsent):
+            return False
+        return now - self._stream.sent_at >= UNREAD_SECONDS
+
     def _parse(self, chunk: bytes) -> CallFailed | None:
         try:
             self._parser.feed(chunk)
--- a/wagtaildale/calls/owner/backend_response.py
+++ b/wagtaildale/calls/owner/backend_response.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from wagtaildale.admission.memory import UNREAD_SECONDS
 from wagtaildale.admission.replay_cache import StoredAnswer
 from wagtaildale.calls.http.heads import select_forwarded_headers
 from wagtaildale.calls.owner.body_collector import REQUEST_BYTES
 from wagtaildale.calls.wire.windows import SendWindow
+from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
     from wagtaildale.admission.memory import Holding
@@ -25,6 +27,8 @@
         buffer: bytes of the body that are received but not forwarded yet.
         is_started: whether the head was forwarded.
         window: flow-control window granted by the entry.
+        progress_at: time at which the entry last took a piece or had room for
+            one, seconds.
     """
 
     def __init__(self, message: Message, *, holding: Holding) -> None:
@@ -39,6 +43,7 @@
         self.is_started = False
         self.window = SendWindow()
         self._holding = holding
+        self.progress_at = read_clock()
         self._sent_pieces = 0
         self._checked_pieces = 0
 
@@ -69,8 +74,24 @@
         self.buffer = self.buffer[size:]
         self.window.note_sent(len(piece))
         self._sent_pieces += 1
+        self.progress_at = read_clock()
         return piece
 
+    def add_credit(self, count: int) -> None:
+        """Count bytes that the entry has forwarded.
+
+        Args:
+            count: number of bytes.
+        """
+        self.window.add_credit(count)
+        self.progress_at = read_clock()
+
+    @property
+    def is_unread(self) -> bool:
+        """Whether the entry has had no room for some time."""
+        is_stopped = self.is_started and not self.window.is_open
+        return is_stopped and read_clock() - self.progress_at >= UNREAD_SECONDS
+
     def build_answer(self, body: bytes) -> StoredAnswer:
         """Build the answer that is forwarded.
 
@@ -98,4 +119,5 @@
 
     def charge(self) -> None:
         """Charge the call for what is held of the response."""
+        self._holding.progress_at = self.progress_at
         self._holding.resize(REQUEST_BYTES + len(self.buffer))
--- a/wagtaildale/calls/owner/backend_run.py
+++ b/wagtaildale/calls/owner/backend_run.py
@@ -28,10 +28,10 @@
     from wagtaildale.admission.replay_cache import StoredAnswer
     from wagtaildale.calls.backend.backend_connection import BackendConnection
     from wagtaildale.calls.http.parsing import Message
-    from wagtaildale.calls.owner.backend_response import BackendResponse
     from wagtaildale.calls.owner.call_times import CallTimes
     from wagtaildale.calls.owner.owner import Owner
     from wagtaildale.calls.owner.replies import ReplyWriter
+    from wagtaildale.calls.owner.response_flow import FlowReceiver, ResponseFlow
     from wagtaildale.calls.owner.response_sender import PacedResponse
     from wagtaildale.calls.owner.server_listing import ServerListing
     from wagtaildale.calls.wire.frames import BodyPiece, Run
@@ -49,14 +49,17 @@
     def on_run_sent(self) -> None:
         """Handle that the request is being sent to the backend server."""
 
-    def open_response(self, message: Message) -> BackendResponse:
+    def open_flow(
+        self, message: Message, *, receiver: FlowReceiver
+    ) -> ResponseFlow:
         """Begin to receive the response.
 
         Args:
             message: its head.
+            receiver: the run.
 
         Returns:
-            The response, charged to the call.
+            The flow of the response, charged to the call.
         """
 
     def on_run_read(self, status: int) -> None:
@@ -68,6 +71,9 @@
             status: HTTP status.
         """
 
+    def on_run_unread(self) -> None:
+        """Cut a response that its caller does not read."""
+
     def on_run_finished(self, status: int) -> None:
         """Handle the end of a run whose whole response was forwarded.
 
@@ -97,7 +103,8 @@
 class BackendRun:
     """Runs a request and forwards its answer.
 
-    A ``BackendReceiver``, and a ``PieceWriter`` of a paced response.
+    A ``BackendReceiver``, a ``FlowReceiver``, and a ``PieceWriter`` of a paced
+    response.
     """
 
     def __init__(
@@ -128,7 +135,7 @@
         self._times = times
         self._idempotency = IdempotencyGuard(self._run_message, owner.replays)
         self._connection: BackendConnection | None = None
-        self._response: BackendResponse | None = None
+        self._flow: ResponseFlow | None = None
         self._target = run.fields.instance
         self._listing: ServerListing | None = None
         self._unacknowledged_bytes = 0
@@ -143,7 +150,7 @@
         """Whether the head of the answer was forwarded."""
         if self._paced is not None:
             return self._paced.is_started
-        return self._response is not None and self._response.is_started
+        return self._flow is not None and self._flow.response.is_started
 
     @property
     def listing(self) -> ServerListing | None:
@@ -183,8 +190,8 @@
         """
         if self._paced is not None:
             self._paced.note_acknowledged(count)
-        elif self._response is not None:
-            self._response.window.add_credit(count)
+        elif self._flow is not None:
+            self._flow.response.add_credit(count)
             self._forward()
 
     def check_progress(self) -> bool:
@@ -195,12 +202,14 @@
         """
         if self._paced is not None:
             return self._paced.check_progress()
-        response = self._response
-        return response is not None and response.check_progress()
+        flow = self._flow
+        return flow is not None and flow.response.check_progress()
 
     def close(self) -> None:
         """Stop the run and ignore everything that arrives later."""
         self._is_over = True
+        if self._flow is not None:
+            self._flow.close()
         self._owner.trials.release(self._run_message)
         connection = self._connection
         self._connection = None
@@ -226,7 +235,7 @@
         Args:
             message: the response.
         """
-        self._response = self._call.open_response(message)
+        self._flow = self._call.open_flow(message, receiver=self)
         if message.status != MISDIRECTED_STATUS:
             owner = self._owner
             owner.targets.apply_feedback(
@@ -237,9 +246,9 @@
 
     def on_body(self) -> None:
         """Buffer the received part of the body and forward it when ready."""
-        response = self._response
-        if response is None:
+        if self._flow is None:
             return
+        response = self._flow.response
         response.receive()
         is_complete = response.message.is_complete
         if is_complete:
@@ -302,18 +311,43 @@
             self._replies.send_body(piece, more=more)
             return
         self._head = None
-        assert self._response is not None
+        assert self._flow is not None
         self._replies.send_response(
             self._run_message.fields,
             structs.replace(head, body=piece),
             more=more,
-            length=self._response.message.length,
+            length=self._flow.response.message.length,
         )
 
     def on_delivered(self) -> None:
         """End the run of a paced response; see ``PieceWriter``."""
-        assert self._response is not None
-        self._call.on_run_finished(self._response.message.status)
+        assert self._flow is not None
+        self._call.on_run_finished(self._flow.response.message.status)
+
+    def set_reading(self, *, is_wanted: bool) -> None:
+        """Resume or pause reading of the response; see ``FlowReceiver``.
+
+        Args:
+            is_wanted: whether to read.
+        """
+        if self._connection is not None:
+            self._connection.set_reading(is_wanted=is_wanted)
+
+    def on_read(self) -> None:
+        """Free the slot; see ``FlowReceiver``."""
+        assert self._flow is not None
+        self._note_read(self._flow.response.message)
+
+    def on_sent(self) -> None:
+        """End the run; see ``FlowReceiver``."""
+        assert self._flow is not None
+        if not self._is_read:
+            self._owner.trials.note_answered(self._run_message)
+        self._call.on_run_finished(self._flow.response.message.status)
+
+    def on_unread(self) -> None:
+        """Cut the response; see ``FlowReceiver``."""
+        self._call.on_run_unread()
 
     def on_room(self) -> None:
         """Continue to read the response; see ``PieceWriter``."""
@@ -413,58 +447,37 @@
         self._body = b''
 
     def _forward(self) -> None:
-        response = self._response
-        if response is None or self._is_over:
+        flow = self._flow
+        if flow is None or self._is_over:
             return
-        message = response.message
-        if self._paced is not None and not self._is_refusal(response):
-            self._forward_paced(response, self._paced)
+        response = flow.response
+        if self._paced is not None and not self._is_refusal(flow):
+            self._forward_paced(flow, self._paced)
             return
         if response.is_started:
-            self._forward_piece(response)
-        elif find_not_run_evidence(self._owner, message) is None:
+            flow.send_piece()
+        elif find_not_run_evidence(self._owner, response.message) is None:
             response.is_started = True
-            self._start_answer(response)
+            self._start_answer(flow)
         else:
-            self._forward_refusal(message)
+            self._forward_refusal(response.message)
             return
-        self._read_on(response)
+        flow.read_on()
 
-    def _read_on(self, response: BackendResponse) -> None:
-        message = response.message
-        if response.is_exhausted:
-            if not self._is_read:
-                self._owner.trials.note_answered(self._run_message)
-            self._call.on_run_finished(message.status)
-            return
-        response.charge()
-        if message.is_complete:
-            if not self._is_read:
-                self._note_read(message)
-        elif self._connection is not None:
-            self._connection.set_reading(is_wanted=self._has_room(response))
-
-    def _has_room(self, response: BackendResponse) -> bool:
-        if response.window.is_open:
-            return True
-        memory = self._owner.memory
-        size = len(response.buffer)
-        return size < memory.max_collected_bytes and memory.admits(size)
-
-    def _is_refusal(self, response: BackendResponse) -> bool:
+    def _is_refusal(self, flow: ResponseFlow) -> bool:
+        response = flow.response
         if response.is_started:
             return False
         return find_not_run_evidence(self._owner, response.message) is not None
 
-    def _forward_paced(
-        self, response: BackendResponse, paced: PacedResponse
-    ) -> None:
+    def _forward_paced(self, flow: ResponseFlow, paced: PacedResponse) -> None:
         if self._is_read:
             return
+        response = flow.response
         message = response.message
         if not response.is_started:
             response.is_started = True
-            self._begin_paced(response, paced)
+            self._begin_paced(flow, paced)
         if message.is_complete:
             self._note_read(message)
         piece = bytes(response.buffer)
@@ -481,9 +494,8 @@
         self._owner.trials.release(self._run_message)
         self._call.on_run_read(message.status)
 
-    def _begin_paced(
-        self, response: BackendResponse, paced: PacedResponse
-    ) -> None:
+    def _begin_paced(self, flow: ResponseFlow, paced: PacedResponse) -> None:
+        response = flow.response
         message = response.message
         self._head = response.build_answer(b'')
         answer = structs.replace(self._head, body=bytes(response.buffer))
@@ -494,13 +506,8 @@
             is_error=message.status >= SERVER_ERROR_STATUS,
         )
 
-    def _forward_piece(self, response: BackendResponse) -> None:
-        if response.is_sendable:
-            piece = response.take_piece()
-            more = not response.is_exhausted
-            self._replies.send_body(piece, more=more)
-
-    def _start_answer(self, response: BackendResponse) -> None:
+    def _start_answer(self, flow: ResponseFlow) -> None:
+        response = flow.response
         answer = response.build_answer(response.take_piece())
         is_whole = response.is_exhausted
         self._idempotency.settle(answer if is_whole else None)
--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -31,6 +31,7 @@
 from wagtaildale.calls.owner.call_times import CallTimes
 from wagtaildale.calls.owner.latest_start import ENTRY_ENDS_DETAIL, LatestStart
 from wagtaildale.calls.owner.replies import ReplyWriter
+from wagtaildale.calls.owner.response_flow import ResponseFlow
 from wagtaildale.calls.wire.transit import subtract_delay
 from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariant
@@ -43,6 +44,7 @@
     from wagtaildale.calls.http.parsing import Message
     from wagtaildale.calls.owner.owner import Owner
     from wagtaildale.calls.owner.replies import EntryChannel
+    from wagtaildale.calls.owner.response_flow import FlowReceiver
     from wagtaildale.calls.wire.fields import CallFields
     from wagtaildale.calls.wire.frames import (
         BodyPiece,
@@ -234,16 +236,24 @@
         slow_start = self._owner.targets.slow_start
         self._slow_start_inputs = slow_start.record.note_sent()
 
-    def open_response(self, message: Message) -> BackendResponse:
+    def open_flow(
+        self, message: Message, *, receiver: FlowReceiver
+    ) -> ResponseFlow:
         """Charge the call for its response; see ``RunReceiver``.
 
         Args:
             message: head of the response.
+            receiver: the run.
 
         Returns:
-            The response.
+            The flow of the response.
         """
-        return BackendResponse(message, holding=self._holding)
+        return ResponseFlow(
+            BackendResponse(message, holding=self._holding),
+            receiver=receiver,
+            owner=self._owner,
+            replies=self._replies,
+        )
 
     def on_run_read(self, status: int) -> None:
         """Free the slot while the response is delivered; see ``RunReceiver``.
@@ -256,6 +266,16 @@
         self._release_slot(find_ending(status))
         self._ticket = None
 
+    def on_run_unread(self) -> None:
+        """Cut an answer that is not read; see ``RunReceiver``."""
+        self._fail(
+            CallFailed(
+                Code.caller_gone,
+                outcome=Outcome.unknown,
+                detail='the caller does not read the answer',
+            ),
+        )
+
     def on_run_finished(self, status: int) -> None:
         """End a call that was answered; see ``RunReceiver``.
 
--- a/wagtaildale/calls/tests/test_unread_answers.py
+++ b/wagtaildale/calls/tests/test_unread_answers.py
@@ -8,10 +8,13 @@
 
 import pytest
 
+from wagtaildale.admission.memory import UNREAD_SECONDS
 from wagtaildale.calls.tests.downloads import DownloadingEntry, join_body
 from wagtaildale.calls.tests.pairs import TIMEOUT_SECONDS, Pair, wait_until
+from wagtaildale.calls.wire.frames import Answered
 from wagtaildale.calls.wire.windows import WINDOW_BYTES
-from wagtaildale.testing.builders import MESH_TEXT
+from wagtaildale.testing.builders import MESH_TEXT, SLOTS
+from wagtaildale.types import CallNumber
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -27,8 +30,12 @@
 target = { within_ms = 800, percent = 99 }
 deadline_ms = 60000
 """
-# More than the kernel takes.
 MAX_SIZE: Final = 30_000_000
+SMALL_BUFFER_BYTES: Final = 4096
+LITTLE: Final = 1_000_000
+CROWD: Final = 16
+FAR_MS: Final = 60_000
+OTHER_CALL: Final = CallNumber(99)
 DEADLINE_MS: Final = 300
 MILLISECONDS: Final = 1000
 
@@ -48,6 +55,16 @@
     return answer
 
 
+def open_unread(pair: Pair) -> socket.socket:
+    """Ask for more than the kernel takes, and don't read it."""
+    pair.entry_node.publish(MESH_TEXT + PHOTOS)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    sock.connect(pair.entry_node.entry)
+    sock.sendall(b'GET /photos/%d HTTP/1.1\r\nhost: m\r\n\r\n' % MAX_SIZE)
+    return sock
+
+
 def test_slot_is_free_while_the_caller_reads(
     pair: Pair, raw_entry: DownloadingEntry
 ) -> None:
@@ -97,13 +114,56 @@
         assert len(read_answer(sock)) > SIZE
 
 
+@pytest.mark.parametrize('limit_bytes', [LITTLE, 4 * LITTLE])
+def test_unread_answers_give_way_to_others(
+    pair: Pair, raw_entry: DownloadingEntry, limit_bytes: int
+) -> None:
+    """Answers that can't be held keep all slots until their deadline."""
+    pair.owner_node.calls.memory.limit_bytes = limit_bytes
+    for number in range(1, CROWD + 1):
+        raw_entry.ask(
+            size=SIZE,
+            bulk=False,
+            call=CallNumber(number),
+            remaining_ms=FAR_MS,
+            within_ms=FAR_MS,
+        )
+    state = pair.owner_node.gate.state
+    wait_until(lambda: len(state.running) >= SLOTS - state.reserved_slots)
+    raw_entry.ask(bulk=False, call=OTHER_CALL, remaining_ms=FAR_MS)
+    frame = raw_entry.receive()
+    while getattr(frame, 'call', None) != OTHER_CALL:
+        frame = raw_entry.receive()
+    assert isinstance(frame, Answered)
+
+
+def test_answer_waits_for_its_caller_in_calm(
+    pair: Pair, raw_entry: DownloadingEntry
+) -> None:
+    """An answer that can't be held is cut although nobody needs its slot."""
+    pair.owner_node.calls.memory.limit_bytes = LITTLE
+    raw_entry.ask(size=SIZE, bulk=False, remaining_ms=FAR_MS)
+    frames = [raw_entry.receive()]
+    time.sleep(2 * UNREAD_SECONDS)
+    raw_entry.acknowledge(frames[0])
+    frames += raw_entry.receive_response()
+    assert len(join_body(frames)) > SIZE
+
+
 def test_unread_answer_is_charged(pair: Pair) -> None:
     """What waits for callers to read is missing in the account."""
     memory = pair.entry_node.calls.memory
-    pair.entry_node.publish(MESH_TEXT + PHOTOS)
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        sock.connect(pair.entry_node.entry)
-        sock.sendall(b'GET /photos/%d HTTP/1.1\r\nhost: m\r\n\r\n' % MAX_SIZE)
+    with open_unread(pair):
         wait_until(lambda: memory.held_bytes > WINDOW_BYTES)
     wait_until(lambda: not memory.held_bytes)
+
+
+def test_unread_connection_gives_way_where_memory_is_short(
+    pair: Pair,
+) -> None:
+    """Callers that don't read keep the memory of their node."""
+    memory = pair.entry_node.calls.memory
+    with open_unread(pair):
+        wait_until(lambda: memory.held_bytes > WINDOW_BYTES)
+        memory.limit_bytes = WINDOW_BYTES
+        wait_until(lambda: not memory.held_bytes)
--- a/wagtaildale/reactor/stream.py
+++ b/wagtaildale/reactor/stream.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final, Protocol
 
 from wagtaildale.reactor.loop import READABLE, WRITABLE
+from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -66,6 +67,8 @@
         sock: socket of the connection.
         is_closed: whether the stream is closed.
         on_closed: function that is called when the stream is closed.
+        sent_at: time at which buffered bytes were last sent, or began to wait,
+            seconds.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         self.sock = sock
         self.is_closed = False
         self.on_closed: Callable[[], object] | None = None
+        self.sent_at = float(0)
         self._loop = loop
         self._receiver = receiver
         self._descriptor = sock.fileno()
@@ -128,6 +132,8 @@
         if self._is_open and not self._unsent:
             sent = self._try_send(chunk)
         if sent < len(chunk) and self._can_send():
+            if not self._unsent:
+                self.sent_at = read_clock()
             self._unsent += chunk[sent:]
             self._update_events()
 
@@ -227,6 +233,7 @@
         if not self._can_send():
             return
         self._unsent = self._unsent[sent:]
+        self.sent_at = read_clock()
         if not self._unsent:
             self._update_events()
             self._receiver.on_drained()
