Run times: the time of callers that read late does not count

What callers saw: a server whose callers read long answers late was taken for a slow one; its concurrency limit sank (from 4 to 3.61 in a trial), and ordinary requests were refused because of the times it seemed to need.

Cause: the time in which an owner did not read an answer on, for want of room, counted as time of the run.

Change: pauses are measured and subtracted.

Test: test_time_of_the_caller_does_not_count_for_the_server fails without it.

--- a/wagtaildale/calls/owner/backend_run.py
+++ b/wagtaildale/calls/owner/backend_run.py
@@ -330,6 +330,10 @@
         Args:
             is_wanted: whether to read.
         """
+        if is_wanted:
+            self._times.pauses.end()
+        else:
+            self._times.pauses.begin()
         if self._connection is not None:
             self._connection.set_reading(is_wanted=is_wanted)
 
--- a/wagtaildale/calls/owner/call_times.py
+++ b/wagtaildale/calls/owner/call_times.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.timers.service import read_clock
@@ -13,6 +14,36 @@
 MILLISECONDS: Final = 1000
 
 
+class RunPauses:
+    """Time in which a server waited for the caller to read the response."""
+
+    def __init__(self) -> None:
+        """Start without pauses."""
+        self._began_at = inf
+        self._seconds = float(0)
+
+    def begin(self) -> None:
+        """Record that the response is not read on."""
+        self._began_at = min(self._began_at, read_clock())
+
+    def end(self) -> None:
+        """Record that the response is read on."""
+        if self._began_at < inf:
+            self._seconds = self.measure(read_clock())
+            self._began_at = inf
+
+    def measure(self, until: float) -> float:
+        """Measure all pauses.
+
+        Args:
+            until: time up to which they count, seconds.
+
+        Returns:
+            Duration in seconds.
+        """
+        return self._seconds + max(0, until - self._began_at)
+
+
 class CallTimes:
     """Timestamps of one call, in seconds on the clock.
 
@@ -22,7 +53,8 @@
         run_started_at: time at which the request was sent to the backend
             server; ``arrived_at`` until then.
         run_ended_at: time at which the backend server was done with the
-            response; None until then, and if the response is not paced.
+            response; None until then.
+        pauses: time in which the server waited for the caller.
         transit_seconds: time that the last message was delayed in transit.
     """
 
@@ -32,6 +64,7 @@
         self.deadline = self.arrived_at
         self.run_started_at = self.arrived_at
         self.run_ended_at: float | None = None
+        self.pauses = RunPauses()
         self.transit_seconds = float(0)
 
     @property
@@ -71,16 +104,17 @@
         return read_clock() - self.arrived_at
 
     def measure_run(self) -> float:
-        """Measure the time since the request was sent to the server.
+        """Measure the time that the server had for the request so far.
 
         Returns:
-            Duration in seconds; counted from the arrival of the call if the
+            Duration in seconds, without the time in which the server waited
+            for the caller to read; counted from the arrival of the call if the
             request was not sent.
         """
         ended_at = self.run_ended_at
         if ended_at is None:
             ended_at = read_clock()
-        return ended_at - self.run_started_at
+        return ended_at - self.run_started_at - self.pauses.measure(ended_at)
 
     def measure_until_now(self) -> float:
         """Measure the time since the request was sent, with its delivery.
@@ -121,7 +155,7 @@
 
         Returns:
             Milliseconds since the server was done with the response; nothing
-            if the response was not paced.
+            if it was sent while it was read.
         """
         if self.run_ended_at is None:
             return {}
--- a/wagtaildale/calls/tests/test_unread_answers.py
+++ b/wagtaildale/calls/tests/test_unread_answers.py
@@ -150,6 +150,21 @@
     assert len(join_body(frames)) > SIZE
 
 
+def test_time_of_the_caller_does_not_count_for_the_server(
+    pair: Pair, raw_entry: DownloadingEntry
+) -> None:
+    """Callers that read late make their server look slow."""
+    pair.owner_node.calls.memory.limit_bytes = LITTLE
+    raw_entry.ask(size=SIZE, bulk=False, remaining_ms=FAR_MS)
+    frames = [raw_entry.receive()]
+    time.sleep(UNREAD_SECONDS)
+    raw_entry.acknowledge(frames[0])
+    frames += raw_entry.receive_response()
+    state = pair.owner_node.gate.state
+    wait_until(lambda: not state.running)
+    assert state.service_seconds < UNREAD_SECONDS / 2
+
+
 def test_unread_answer_is_charged(pair: Pair) -> None:
     """What waits for callers to read is missing in the account."""
     memory = pair.entry_node.calls.memory
