Callers' port: bytes that wait to be sent in the kernel are bounded

What callers saw: nothing at once; a connection that does not read took 2.8 MB of the kernel's memory, and a crowd of 500 more than a machine has.

Cause: only what waits to be read was bounded; Linux lets the buffer for sending grow by itself.

Change: the limit that a connection has for what waits unread holds for what waits to be sent, too.

--- a/wagtaildale/admission/memory.py
+++ b/wagtaildale/admission/memory.py
@@ -29,11 +29,11 @@
 LARGE_SHARE: Final = 0.75
 # A body of up to this part of the account is received whole before it is sent.
 COLLECTED_SHARE: Final = 0.125
-# Part of the process's memory that bytes may take which have arrived on all
-# connections of callers and were not read.
-UNREAD_SHARE: Final = 0.2
-MIN_UNREAD_BYTES: Final = 8192
-MAX_UNREAD_BYTES: Final = 262_144
+# Part of the process's memory that bytes may take which wait in the kernel, on
+# all connections of callers, to be read; as many may wait to be sent.
+WAITING_SHARE: Final = 0.2
+MIN_WAITING_BYTES: Final = 8192
+MAX_WAITING_BYTES: Final = 262_144
 # An answer of which its caller has taken nothing for this time gives way where
 # memory is short.
 UNREAD_SECONDS: Final = 1.0
@@ -243,15 +243,15 @@
     return max(MIN_LIMIT_BYTES, int(rest * CALLER_SHARE))
 
 
-def find_unread_limit(memory_mb: int, *, max_connections: int) -> int:
-    """Find how much may wait unread on a connection of a caller.
+def find_waiting_limit(memory_mb: int, *, max_connections: int) -> int:
+    """Find how much may wait in the kernel on a connection of a caller.
 
     Args:
         memory_mb: memory of the process, megabytes.
         max_connections: most connections of callers.
 
     Returns:
-        Bytes for the receive buffer of each connection.
+        Bytes to be read, and bytes to be sent, on each connection.
     """
-    share = memory_mb * BYTES_PER_MEGABYTE * UNREAD_SHARE / max_connections
-    return min(MAX_UNREAD_BYTES, max(MIN_UNREAD_BYTES, int(share)))
+    share = memory_mb * BYTES_PER_MEGABYTE * WAITING_SHARE / max_connections
+    return min(MAX_WAITING_BYTES, max(MIN_WAITING_BYTES, int(share)))
--- a/wagtaildale/admission/tests/test_memory.py
+++ b/wagtaildale/admission/tests/test_memory.py
@@ -8,11 +8,11 @@
 
 from wagtaildale.admission.memory import (
     MIN_LIMIT_BYTES,
-    MIN_UNREAD_BYTES,
+    MIN_WAITING_BYTES,
     SMALL_BYTES,
     MemoryAccount,
     find_memory_limit,
-    find_unread_limit,
+    find_waiting_limit,
 )
 
 if TYPE_CHECKING:
@@ -112,8 +112,8 @@
 @pytest.mark.parametrize('memory_mb', [1, 64, 200, 300, 552])
 def test_limits_leave_most_of_the_memory_to_the_process(memory_mb: int) -> None:
     limit = find_memory_limit(memory_mb)
-    unread = find_unread_limit(memory_mb, max_connections=2000)
+    unread = find_waiting_limit(memory_mb, max_connections=2000)
     assert limit >= MIN_LIMIT_BYTES
-    assert unread >= MIN_UNREAD_BYTES
+    assert unread >= MIN_WAITING_BYTES
     if memory_mb >= 200:
         assert limit + 2000 * unread < memory_mb * 1_000_000 / 2
--- a/wagtaildale/calls/http/callers.py
+++ b/wagtaildale/calls/http/callers.py
@@ -76,7 +76,7 @@
         request_handler: RequestHandler,
         read_limits: Callable[[], CallerLimits],
         memory: MemoryAccount | None = None,
-        max_unread_bytes: int = 0,
+        max_waiting_bytes: int = 0,
     ) -> None:
         """Prepare the port; ``bind`` opens it.
 
@@ -86,8 +86,8 @@
             read_limits: returns the limits that are in force.
             memory: account of what the process holds for its callers; one
                 of usual size if left out.
-            max_unread_bytes: most bytes that wait unread on a connection; 0
-                to leave that to the kernel.
+            max_waiting_bytes: most bytes that wait in the kernel on a
+                connection; 0 to leave that to the kernel.
         """
         self.loop = loop
         self.request_handler = request_handler
@@ -97,7 +97,7 @@
         self._connections: set[CallerConnection] = set()
         self._lingering = LingeringStreams()
         self._acceptor = Acceptor(
-            loop, on_accept=self._accept, max_unread_bytes=max_unread_bytes
+            loop, on_accept=self._accept, max_waiting_bytes=max_waiting_bytes
         )
 
     @property
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -10,7 +10,7 @@
 from wagtaildale.admission.memory import (
     MemoryAccount,
     find_memory_limit,
-    find_unread_limit,
+    find_waiting_limit,
 )
 from wagtaildale.admission.state import make_admission
 from wagtaildale.calls.entry.budgets import RetryLimits, compute_retry_limits
@@ -158,7 +158,7 @@
             request_handler=self.entry,
             read_limits=self.read_limits,
             memory=self.memory,
-            max_unread_bytes=find_unread_limit(
+            max_waiting_bytes=find_waiting_limit(
                 settings.memory_mb,
                 max_connections=settings.limits.max_connections,
             ),
--- a/wagtaildale/reactor/acceptor.py
+++ b/wagtaildale/reactor/acceptor.py
@@ -51,7 +51,7 @@
         loop: Loop,
         *,
         on_accept: Callable[[socket.socket], None],
-        max_unread_bytes: int = 0,
+        max_waiting_bytes: int = 0,
     ) -> None:
         """Create an acceptor; ``bind`` opens the port.
 
@@ -59,19 +59,17 @@
             loop: loop that waits for connections.
             on_accept: function that is called with each new socket, whose
                 options are set.
-            max_unread_bytes: most bytes that wait unread on a connection; 0
-                to leave that to the kernel.
+            max_waiting_bytes: most bytes that wait in the kernel on a
+                connection to be read or to be sent; 0 to leave that to the
+                kernel.
         """
         self._loop = loop
         self._on_accept = on_accept
         self._is_open = False
         self._is_watching = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        if max_unread_bytes:
-            # Accepted connections inherit it.
-            self._sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, max_unread_bytes
-            )
+        if max_waiting_bytes:
+            _limit_waiting(self._sock, max_waiting_bytes)
 
     @property
     def is_closed(self) -> bool:
@@ -145,6 +143,12 @@
             self._on_accept(sock)
 
 
+def _limit_waiting(sock: socket.socket, max_bytes: int) -> None:
+    # Accepted connections inherit both limits.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, max_bytes)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, max_bytes)
+
+
 def _drop_handshakes(sock: socket.socket) -> None:
     code = b''.join(BPF_INSTRUCTION.pack(*step) for step in DROP_SYN)
     buffer = ctypes.create_string_buffer(code)
