Callers: one that pauses as it reads is not reset after 3 s

Cause: callers' connections had the kernel's timeout that is meant for nodes that are gone. Linux counts a peer that is alive but has no room as well.

Change: on callers' connections the timeout is as long as an idle connection stays open.

--- a/wagtaildale/calls/http/callers.py
+++ b/wagtaildale/calls/http/callers.py
@@ -32,6 +32,8 @@
 # Descriptors for refusals beyond the largest number of connections, as a part
 # of it: their callers are to read the response.
 REFUSAL_SHARE: Final = 0.125
+# As long as an idle connection stays open: a caller may pause as it reads.
+UNREAD_TIMEOUT_MS: Final = 60_000
 # Quiet connections that are closed together, as a part of the largest number,
 # so that they are not searched for each new one.
 CLOSED_SHARE: Final = 0.03125
@@ -97,7 +99,10 @@
         self._connections: set[CallerConnection] = set()
         self._lingering = LingeringStreams()
         self._acceptor = Acceptor(
-            loop, on_accept=self._accept, max_waiting_bytes=max_waiting_bytes
+            loop,
+            on_accept=self._accept,
+            max_waiting_bytes=max_waiting_bytes,
+            timeout_ms=UNREAD_TIMEOUT_MS,
         )
 
     @property
--- a/wagtaildale/calls/tests/test_unread_answers.py
+++ b/wagtaildale/calls/tests/test_unread_answers.py
@@ -13,6 +13,7 @@
 from wagtaildale.calls.tests.pairs import TIMEOUT_SECONDS, Pair, wait_until
 from wagtaildale.calls.wire.frames import Answered
 from wagtaildale.calls.wire.windows import WINDOW_BYTES
+from wagtaildale.reactor.stream import UNACKNOWLEDGED_TIMEOUT_MS
 from wagtaildale.testing.builders import MESH_TEXT, SLOTS
 from wagtaildale.types import CallNumber
 
@@ -182,3 +183,14 @@
         wait_until(lambda: memory.held_bytes > WINDOW_BYTES)
         memory.limit_bytes = WINDOW_BYTES
         wait_until(lambda: not memory.held_bytes)
+
+
+def test_caller_that_pauses_gets_its_whole_answer(pair: Pair) -> None:
+    """The kernel resets callers that read nothing for 3 s."""
+    with open_unread(pair) as sock:
+        time.sleep(1 + UNACKNOWLEDGED_TIMEOUT_MS / MILLISECONDS)
+        received = 0
+        while received < MAX_SIZE:
+            piece = sock.recv(65_536)
+            assert piece
+            received += len(piece)
--- a/wagtaildale/reactor/acceptor.py
+++ b/wagtaildale/reactor/acceptor.py
@@ -12,7 +12,10 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
 from wagtaildale.reactor.loop import READABLE
-from wagtaildale.reactor.stream import set_socket_options
+from wagtaildale.reactor.stream import (
+    UNACKNOWLEDGED_TIMEOUT_MS,
+    set_socket_options,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,6 +55,7 @@
         *,
         on_accept: Callable[[socket.socket], None],
         max_waiting_bytes: int = 0,
+        timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
     ) -> None:
         """Create an acceptor; ``bind`` opens the port.
 
@@ -62,7 +66,10 @@
             max_waiting_bytes: most bytes that wait in the kernel on a
                 connection to be read or to be sent; 0 to leave that to the
                 kernel.
+            timeout_ms: time after which the kernel ends a connection whose
+                peer reads nothing, milliseconds.
         """
+        self._timeout_ms = timeout_ms
         self._loop = loop
         self._on_accept = on_accept
         self._is_open = False
@@ -139,7 +146,7 @@
                 # No connection is left in the queue, or the client has
                 # already closed the next one.
                 return
-            set_socket_options(sock)
+            set_socket_options(sock, timeout_ms=self._timeout_ms)
             self._on_accept(sock)
 
 
--- a/wagtaildale/reactor/stream.py
+++ b/wagtaildale/reactor/stream.py
@@ -346,16 +346,20 @@
     return stream
 
 
-def set_socket_options(sock: socket.socket) -> None:
+def set_socket_options(
+    sock: socket.socket, *, timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS
+) -> None:
     """Set the options that every connection has.
 
     Args:
         sock: new socket.
+        timeout_ms: time after which the kernel ends a connection whose peer
+            acknowledges nothing, or has no room for more, milliseconds.
     """
     sock.setblocking(False)
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, timeout_ms)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
