Answers: unread ones keep at most half of the slots from others

What callers saw: behind a crowd of 500 clients that ask for answers of 5 MB and don't read them, an ordinary caller was refused for 7.6 s (4009, then 4008).

Cause: each such answer kept its slot for a second, and all slots had one; the requests in the queue moved on at 5 or 6 a second.

Change: where answers that can't be read on have more than half of the slots, and others wait, the oldest beyond that give way after 0.25 s.

--- a/standins/tests/crowds.py
+++ b/standins/tests/crowds.py
@@ -27,6 +27,7 @@
 PIPELINED_REQUESTS: Final = 40
 PIPELINED_BODY_BYTES: Final = 60_000
 ANSWER_BYTES: Final = 1_000_000
+LONG_ANSWER_BYTES: Final = 5_000_000
 SEND_SECONDS: Final = 20.0
 # Keeps the kernel from holding what the client does not read.
 SMALL_BUFFER_BYTES: Final = 4096
@@ -237,8 +238,12 @@
 
 def send_lookups_of_large_answers(number: int) -> Pieces:
     """Ask for several large answers at once."""
-    path = f'/lookup/5/{ANSWER_BYTES}/'
-    yield (build_head(number, path=path) + END_OF_HEAD) * 4
+    return _send_lookups(number, size=ANSWER_BYTES)
+
+
+def send_lookups_of_long_answers(number: int) -> Pieces:
+    """Ask for several answers that a node with little memory can't hold."""
+    return _send_lookups(number, size=LONG_ANSWER_BYTES)
 
 
 def send_nothing(number: int) -> Pieces:
@@ -264,6 +269,11 @@
     return kinds[number % len(kinds)](number)
 
 
+def _send_lookups(number: int, *, size: int) -> Pieces:
+    path = f'/lookup/5/{size}/'
+    yield (build_head(number, path=path) + END_OF_HEAD) * 4
+
+
 def _send_chunks(number: int, *, path: str) -> Pieces:
     chunk = b'%x\r\n%b\r\n' % (CHUNK_BYTES, bytes(CHUNK_BYTES))
     head = build_head(number, CHUNKED, path=path) + END_OF_HEAD
@@ -300,5 +310,20 @@
             build=send_lookups_of_large_answers,
             reads=False,
         ),
+        'few-unread-answers': Crowd(
+            clients=FEW,
+            build=send_lookups_of_large_answers,
+            reads=False,
+        ),
+        'unread-long-answers': Crowd(
+            clients=MANY,
+            build=send_lookups_of_long_answers,
+            reads=False,
+        ),
+        'few-unread-long-answers': Crowd(
+            clients=FEW,
+            build=send_lookups_of_long_answers,
+            reads=False,
+        ),
     },
 )
--- a/wagtaildale/calls/owner/backend_response.py
+++ b/wagtaildale/calls/owner/backend_response.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from wagtaildale.admission.memory import UNREAD_SECONDS
 from wagtaildale.admission.replay_cache import StoredAnswer
 from wagtaildale.calls.http.heads import select_forwarded_headers
 from wagtaildale.calls.owner.body_collector import REQUEST_BYTES
@@ -87,10 +86,9 @@
         self.progress_at = read_clock()
 
     @property
-    def is_unread(self) -> bool:
-        """Whether the entry has had no room for some time."""
-        is_stopped = self.is_started and not self.window.is_open
-        return is_stopped and read_clock() - self.progress_at >= UNREAD_SECONDS
+    def is_stopped(self) -> bool:
+        """Whether the entry has no room for more of it."""
+        return self.is_started and not self.window.is_open
 
     def build_answer(self, body: bytes) -> StoredAnswer:
         """Build the answer that is forwarded.
--- a/wagtaildale/calls/owner/owner.py
+++ b/wagtaildale/calls/owner/owner.py
@@ -16,6 +16,7 @@
 from wagtaildale.calls.owner.body_collector import BodyCollector
 from wagtaildale.calls.owner.load_notifier import LoadNotifier
 from wagtaildale.calls.owner.idle_review import IdleReview
+from wagtaildale.calls.owner.response_flow import WaitingFlows
 from wagtaildale.calls.owner.response_sender import ResponseSender
 from wagtaildale.calls.owner.server_feedback import FeedbackTracker
 from wagtaildale.calls.owner.server_targets import ServerTargets
@@ -82,6 +83,7 @@
         trials: admission of requests suspected of ending servers.
         collector: receiver of request bodies that come in pieces.
         memory: account of what the process holds for callers.
+        waiting_flows: responses that keep a slot until they are read.
     """
 
     def __init__(
@@ -125,6 +127,7 @@
         self.invariants = invariants
         self.dialect = dialect
         self.memory = memory
+        self.waiting_flows = WaitingFlows()
         self.ledger = RunLedger()
         self.replays = ReplayCache()
         self._stray_count = 0
--- a/wagtaildale/calls/owner/response_flow.py
+++ b/wagtaildale/calls/owner/response_flow.py
@@ -10,6 +10,9 @@
 
 from typing import TYPE_CHECKING, Final, Protocol
 
+from wagtaildale.admission.memory import UNREAD_SECONDS
+from wagtaildale.timers.service import read_clock
+
 if TYPE_CHECKING:
     from wagtaildale.calls.owner.backend_response import BackendResponse
     from wagtaildale.calls.owner.owner import Owner
@@ -18,6 +21,8 @@
 
 # Between checks whether a response that waits for its caller has room.
 ROOM_CHECK_SECONDS: Final = 0.25
+# Part of the slots that such responses may keep from others.
+KEPT_SHARE: Final = 0.5
 
 
 class FlowReceiver(Protocol):
@@ -40,6 +45,44 @@
         """Cut the response: its caller does not read it, and others wait."""
 
 
+class WaitingFlows:
+    """Responses that keep a slot until their callers read on, oldest first."""
+
+    def __init__(self) -> None:
+        """Start without responses."""
+        self._flows: dict[ResponseFlow, None] = {}
+
+    def add(self, flow: ResponseFlow) -> None:
+        """Add a response that can't be read on.
+
+        Args:
+            flow: the response.
+        """
+        self._flows.setdefault(flow)
+
+    def discard(self, flow: ResponseFlow) -> None:
+        """Remove a response that is read on or has ended.
+
+        Args:
+            flow: the response.
+        """
+        self._flows.pop(flow, None)
+
+    def is_too_many(self, flow: ResponseFlow, *, slots: int) -> bool:
+        """Tell whether a response has to give way to the newer ones.
+
+        Args:
+            flow: the response.
+            slots: slots of the server.
+
+        Returns:
+            Whether it is one of the oldest beyond the part of the slots that
+            they may keep.
+        """
+        surplus = len(self._flows) - int(slots * KEPT_SHARE)
+        return flow in tuple(self._flows)[: max(0, surplus)]
+
+
 class ResponseFlow:
     """A response between its server and its entry.
 
@@ -88,7 +131,7 @@
         if response.message.is_complete:
             self._note_read()
         else:
-            self._receiver.set_reading(is_wanted=self._has_room())
+            self._set_reading(is_wanted=self._has_room())
         # Without credit of the entry, nothing else tells that there is room.
         if response.buffer and (self._alarm is None or not self._alarm.is_set):
             self._alarm = self._owner.loop.alarms.set(
@@ -97,10 +140,19 @@
 
     def close(self) -> None:
         """Stop to check for room."""
+        self._owner.waiting_flows.discard(self)
         if self._alarm is not None:
             self._alarm.cancel()
 
+    def _set_reading(self, *, is_wanted: bool) -> None:
+        if is_wanted:
+            self._owner.waiting_flows.discard(self)
+        else:
+            self._owner.waiting_flows.add(self)
+        self._receiver.set_reading(is_wanted=is_wanted)
+
     def _note_read(self) -> None:
+        self._owner.waiting_flows.discard(self)
         if not self._is_read:
             self._is_read = True
             self._receiver.on_read()
@@ -113,14 +165,30 @@
         return size < memory.max_collected_bytes and memory.admits(size)
 
     def _check_room(self) -> None:
-        if self.response.is_unread and self._is_in_the_way():
+        if self._is_in_the_way():
             self._receiver.on_unread()
         else:
             self.read_on()
 
     def _is_in_the_way(self) -> bool:
-        if not self._owner.memory.admits(len(self.response.buffer)):
-            return True
+        response = self.response
+        if not response.is_stopped:
+            return False
+        unread_seconds = read_clock() - response.progress_at
+        if unread_seconds >= UNREAD_SECONDS:
+            return self._is_memory_short() or self._is_slot_needed()
+        is_old = self._owner.waiting_flows.is_too_many(
+            self, slots=self._owner.gate.state.slots
+        )
+        is_unread = unread_seconds >= ROOM_CHECK_SECONDS
+        return is_old and is_unread and self._is_slot_needed()
+
+    def _is_memory_short(self) -> bool:
+        return not self._owner.memory.admits(len(self.response.buffer))
+
+    def _is_slot_needed(self) -> bool:
+        if self._is_read:
+            return False
         state = self._owner.gate.state
-        is_needed = state.queue or state.missed_at >= self.response.progress_at
-        return not self._is_read and bool(is_needed)
+        has_missed = state.missed_at >= self.response.progress_at
+        return has_missed or bool(state.queue)
