Memory: unread answers give way as soon as a lookup needs the room

Cause: in a full account, unread connections were closed by a check each second, and only after a second; a search for room passed them over.

Change: that search closes a connection of whose output nothing has left for 0.25 s, the heaviest first.

The crowd unread-medium-answers is new; test_lookup_is_served_beside_unread_answers fails without the change (2 of 2).

--- a/standins/tests/crowds.py
+++ b/standins/tests/crowds.py
@@ -27,6 +27,7 @@
 PIPELINED_REQUESTS: Final = 40
 PIPELINED_BODY_BYTES: Final = 60_000
 ANSWER_BYTES: Final = 1_000_000
+MEDIUM_ANSWER_BYTES: Final = 200_000
 LONG_ANSWER_BYTES: Final = 5_000_000
 SEND_SECONDS: Final = 20.0
 # Keeps the kernel from holding what the client does not read.
@@ -269,6 +270,12 @@
     return kinds[number % len(kinds)](number)
 
 
+def send_lookups_of_medium_answers(number: int) -> Pieces:
+    """Ask for many answers that go to the entry at once."""
+    yield from _send_lookups(number, size=MEDIUM_ANSWER_BYTES)
+    yield from _send_lookups(number, size=MEDIUM_ANSWER_BYTES)
+
+
 def _send_lookups(number: int, *, size: int) -> Pieces:
     path = f'/lookup/5/{size}/'
     yield (build_head(number, path=path) + END_OF_HEAD) * 4
@@ -315,6 +322,11 @@
             build=send_lookups_of_large_answers,
             reads=False,
         ),
+        'unread-medium-answers': Crowd(
+            clients=MANY,
+            build=send_lookups_of_medium_answers,
+            reads=False,
+        ),
         'unread-long-answers': Crowd(
             clients=MANY,
             build=send_lookups_of_long_answers,
--- a/wagtaildale/admission/memory.py
+++ b/wagtaildale/admission/memory.py
@@ -4,8 +4,9 @@
 leave them unfinished. Each request is legal, and all together are more than the
 machine has. Everything that is held for a caller is charged to one account as
 it is taken in. Once the account is full, requests that have not run are given
-up, first those that hold much and have not progressed for long. Ordinary
-requests hold little, so they are served beside such a crowd.
+up, and answers that nobody reads, first those that hold much and have not
+progressed for long. Ordinary requests hold little, so they are served beside
+such a crowd.
 
 Uses no clock and no socket: callers pass the current time.
 """
@@ -37,6 +38,8 @@
 # An answer of which its caller has taken nothing for this time gives way where
 # memory is short.
 UNREAD_SECONDS: Final = 1.0
+# The same where the account is full and others are to be served.
+URGENT_UNREAD_SECONDS: Final = 0.25
 # Counted beside the time without progress, so that the size decides between
 # holders that have all just progressed.
 MIN_STALL_SECONDS: Final = 0.1
@@ -53,7 +56,8 @@
     def give_up(self) -> None:
         """Free what is held for requests that have not run, if there are any.
 
-        Their callers get a response that says so.
+        Their callers get a response that says so. Connections whose callers
+        have stopped to read are closed.
         """
 
 
--- a/wagtaildale/calls/http/caller_connection.py
+++ b/wagtaildale/calls/http/caller_connection.py
@@ -5,7 +5,10 @@
 from collections import deque
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.admission.memory import UNREAD_SECONDS
+from wagtaildale.admission.memory import (
+    UNREAD_SECONDS,
+    URGENT_UNREAD_SECONDS,
+)
 from wagtaildale.calls.failures import CallFailed, make_memory_failure
 from wagtaildale.calls.http.error_responses import build_error_response
 from wagtaildale.calls.http.exchanges import Exchange
@@ -179,7 +182,10 @@
             self._finish_unless_input_pending()
 
     def give_up(self) -> None:
-        """Refuse what has not run; see ``Holder``."""
+        """Refuse what has not run, close if unread; see ``Holder``."""
+        if self._measure_unread(read_clock()) >= URGENT_UNREAD_SECONDS:
+            self._finish(aborted=True)
+            return
         for exchange in reversed(tuple(self._exchanges)):
             if exchange.receiver is not None:
                 exchange.receiver.give_up()
@@ -280,10 +286,14 @@
         return self._failure is not None
 
     def _is_in_the_way(self, now: float) -> bool:
-        unsent = self._stream.unsent_bytes
-        if not unsent or self._port.memory.admits(unsent):
+        if self._port.memory.admits(self._stream.unsent_bytes):
             return False
-        return now - self._stream.sent_at >= UNREAD_SECONDS
+        return self._measure_unread(now) >= UNREAD_SECONDS
+
+    def _measure_unread(self, now: float) -> float:
+        if not self._stream.unsent_bytes:
+            return 0
+        return now - self._stream.sent_at
 
     def _parse(self, chunk: bytes) -> CallFailed | None:
         try:
--- a/wagtaildale/calls/tests/test_unread_answers.py
+++ b/wagtaildale/calls/tests/test_unread_answers.py
@@ -8,7 +8,10 @@
 
 import pytest
 
-from wagtaildale.admission.memory import UNREAD_SECONDS
+from wagtaildale.admission.memory import (
+    UNREAD_SECONDS,
+    URGENT_UNREAD_SECONDS,
+)
 from wagtaildale.calls.tests.downloads import DownloadingEntry, join_body
 from wagtaildale.calls.tests.pairs import TIMEOUT_SECONDS, Pair, wait_until
 from wagtaildale.calls.wire.frames import Answered
@@ -185,6 +188,16 @@
         wait_until(lambda: not memory.held_bytes)
 
 
+def test_lookup_is_served_beside_unread_answers(pair: Pair) -> None:
+    """Callers that don't read fill the memory, and lookups are refused."""
+    memory = pair.entry_node.calls.memory
+    with open_unread(pair):
+        wait_until(lambda: memory.held_bytes > WINDOW_BYTES)
+        memory.limit_bytes = WINDOW_BYTES
+        time.sleep(URGENT_UNREAD_SECONDS)
+        assert pair.ask('GET', '/files/1')[0].status == 200
+
+
 def test_caller_that_pauses_gets_its_whole_answer(pair: Pair) -> None:
     """The kernel resets callers that read nothing for 3 s."""
     with open_unread(pair) as sock:
