Stand-ins: idle onward connections end with their server

Cause: the stand-in of a backend server kept idle connections of its onward calls and never closed them. They were collected later, in some other test.

Change: they are closed with the server.

Test: test_idle_connections_end_with_the_server makes warnings errors and fails without the change.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -142,6 +142,7 @@
         """Stop listening and abort all connections."""
         if self._server is not None:
             self._server.close()
+        self.chained_caller.close()
         for transport in tuple(self.transports):
             transport.abort()
 
--- a/standins/chained_calls.py
+++ b/standins/chained_calls.py
@@ -46,6 +46,12 @@
         self._port = port
         self._idle: list[Connection] = []
 
+    def close(self) -> None:
+        """Close the idle connections."""
+        for _reader, writer in self._idle:
+            writer.close()
+        self._idle.clear()
+
     async def call(
         self, remaining_calls: int, headers: dict[bytes, bytes]
     ) -> None:
