Answers: one whose window is used up exactly is checked for room, too

Cause: the check was set only if bytes of the answer were left in the owner. One that had been sent up to the last byte of the window while memory was full kept its slot without a check until its deadline. Found by reading; an answer has to fit exactly, and no run showed it.

--- a/wagtaildale/calls/owner/response_flow.py
+++ b/wagtaildale/calls/owner/response_flow.py
@@ -133,7 +133,7 @@
         else:
             self._set_reading(is_wanted=self._has_room())
         # Without credit of the entry, nothing else tells that there is room.
-        if response.buffer and (self._alarm is None or not self._alarm.is_set):
+        if response.is_stopped and not self._is_checking:
             self._alarm = self._owner.loop.alarms.set(
                 ROOM_CHECK_SECONDS, self._check_room
             )
@@ -144,6 +144,10 @@
         if self._alarm is not None:
             self._alarm.cancel()
 
+    @property
+    def _is_checking(self) -> bool:
+        return self._alarm is not None and self._alarm.is_set
+
     def _set_reading(self, *, is_wanted: bool) -> None:
         if is_wanted:
             self._owner.waiting_flows.discard(self)
