Trailers: a line without an end is limited as a head is

What callers saw: 500 clients that send a short chunked body and then a trailer line of 1 MB without an end took 397 MB of a node with 100 MB.

Cause: the parser keeps an incomplete line, and only the bytes of heads were counted.

Change: bytes without any piece of a body after a head are counted, charged, and limited as a head; requests get 413, responses count as none.

The flow of a response got its checks in order.

--- a/standins/tests/crowds.py
+++ b/standins/tests/crowds.py
@@ -215,6 +215,13 @@
     yield from repeat(b'a: b\r\n', TRAILER_LINES)
 
 
+def send_open_trailer(number: int) -> Pieces:
+    """Send a short body in chunks, then a trailer line without an end."""
+    yield build_head(number, CHUNKED) + END_OF_HEAD
+    yield b'1\r\nx\r\n0\r\na: '
+    yield from repeat(b'b' * TURN_BYTES, BODY_BYTES // TURN_BYTES)
+
+
 def send_short_lines(number: int) -> Pieces:
     """Send a head of many short lines, without its end."""
     yield _build_long_head(number, 'a:')
@@ -305,6 +312,7 @@
         'unsafe-chunks': Crowd(clients=MANY, build=send_large_unsafe_chunks),
         'small-chunks': Crowd(clients=MANY, build=send_small_chunks),
         'trailers': Crowd(clients=MANY, build=send_trailers),
+        'open-trailers': Crowd(clients=MANY, build=send_open_trailer),
         'open-heads': Crowd(clients=1500, build=send_short_lines),
         'short-lines': Crowd(clients=1500, build=send_whole_short_lines),
         'odd-lines': Crowd(clients=2500, build=send_odd_lines),
--- a/wagtaildale/calls/http/parsing.py
+++ b/wagtaildale/calls/http/parsing.py
@@ -149,6 +149,7 @@
         self._max_head_bytes = max_head_bytes
         self._pending_head_bytes = 0
         self._fed_body_bytes = 0
+        self._has_fed_head = False
         self._parser: Any = (
             httptools.HttpRequestParser(self)
             if parses_requests
@@ -175,9 +176,11 @@
             chunk: bytes that were read.
 
         Raises:
-            CallFailed: if they are not valid HTTP or the head is too large.
+            CallFailed: if they are not valid HTTP or the head or a trailer is
+                too large.
         """
         self._fed_body_bytes = 0
+        self._has_fed_head = False
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
@@ -261,6 +264,7 @@
             message.length = int(length)
         message.is_chunked = message.find(b'transfer-encoding') is not None
         message.has_head = True
+        self._has_fed_head = True
         self._pending_head_bytes = 0
 
     def on_body(self, piece: bytes) -> None:
@@ -286,6 +290,8 @@
             # The callbacks do not count a header that is still incomplete; the
             # number of bytes read limits it.
             self._pending_head_bytes += self._count_head_bytes(chunk)
+        elif not latest.is_complete:
+            self._check_trailer(chunk)
         if (
             max(self._pending_head_bytes, latest.head_bytes)
             > self._max_head_bytes
@@ -299,6 +305,21 @@
                 ),
             )
 
+    def _check_trailer(self, chunk: bytes) -> None:
+        # Between pieces of a body are only sizes of chunks, and behind the last
+        # one a trailer; the parser holds a line of it until it ends.
+        if self._fed_body_bytes or self._has_fed_head:
+            self._pending_head_bytes = 0
+            return
+        self._pending_head_bytes += len(chunk)
+        if self._pending_head_bytes > self._max_head_bytes:
+            raise CallFailed(
+                Code.request_too_large,
+                detail=(
+                    f'trailer exceeds the limit of {self._max_head_bytes} bytes'
+                ),
+            )
+
     def _count_head_bytes(self, chunk: bytes) -> int:
         # The head that is incomplete begins after the end of the one before
         # it, and after that one's body.
--- a/wagtaildale/calls/owner/response_flow.py
+++ b/wagtaildale/calls/owner/response_flow.py
@@ -133,10 +133,8 @@
         else:
             self._set_reading(is_wanted=self._has_room())
         # Without credit of the entry, nothing else tells that there is room.
-        if response.is_stopped and not self._is_checking:
-            self._alarm = self._owner.loop.alarms.set(
-                ROOM_CHECK_SECONDS, self._check_room
-            )
+        if response.is_stopped:
+            self._check_room_later()
 
     def close(self) -> None:
         """Stop to check for room."""
@@ -144,9 +142,11 @@
         if self._alarm is not None:
             self._alarm.cancel()
 
-    @property
-    def _is_checking(self) -> bool:
-        return self._alarm is not None and self._alarm.is_set
+    def _check_room_later(self) -> None:
+        if self._alarm is None or not self._alarm.is_set:
+            self._alarm = self._owner.loop.alarms.set(
+                ROOM_CHECK_SECONDS, self._check_room
+            )
 
     def _set_reading(self, *, is_wanted: bool) -> None:
         if is_wanted:
@@ -180,16 +180,14 @@
             return False
         unread_seconds = read_clock() - response.progress_at
         if unread_seconds >= UNREAD_SECONDS:
-            return self._is_memory_short() or self._is_slot_needed()
+            has_memory = self._owner.memory.admits(len(response.buffer))
+            return not has_memory or self._is_slot_needed()
         is_old = self._owner.waiting_flows.is_too_many(
             self, slots=self._owner.gate.state.slots
         )
         is_unread = unread_seconds >= ROOM_CHECK_SECONDS
         return is_old and is_unread and self._is_slot_needed()
 
-    def _is_memory_short(self) -> bool:
-        return not self._owner.memory.admits(len(self.response.buffer))
-
     def _is_slot_needed(self) -> bool:
         if self._is_read:
             return False
--- a/wagtaildale/calls/tests/test_malformed_requests.py
+++ b/wagtaildale/calls/tests/test_malformed_requests.py
@@ -114,3 +114,13 @@
         b'connection: close\r\n\r\n',
     )
     assert answer.startswith(b'HTTP/1.1 200')
+
+
+def test_trailer_line_without_an_end_is_rejected(pair: Pair) -> None:
+    """The parser keeps such a line as long as it goes on."""
+    trailer = b'1\r\nx\r\n0\r\na: ' + b'b' * 500_000
+    with socket.create_connection(pair.entry_node.entry, 5) as sock:
+        sock.sendall(HEAD)
+        sock.sendall(trailer)
+        assert sock.recv(65_536).startswith(b'HTTP/1.1 413')
+    assert not pair.backend.counts.runs
