--- a/standins/tests/crowds.py
+++ b/standins/tests/crowds.py
@@ -23,6 +23,8 @@
 HEAD_BYTES: Final = 8_000
 SMALL_CHUNKS: Final = 40_000
 SMALL_CHUNKS_PER_TURN: Final = 1_000
+LINE_BYTES: Final = 65_000
+LONG_LINES: Final = 90
 TRAILER_LINES: Final = 500
 PIPELINED_REQUESTS: Final = 40
 PIPELINED_BODY_BYTES: Final = 60_000
@@ -237,6 +239,12 @@
     yield _build_long_head(number, '~: \xe9') + END_OF_HEAD
 
 
+def send_long_lines(number: int) -> Pieces:
+    """Send a head of long lines, without its end."""
+    yield build_head(number)
+    yield from repeat(b'a: ' + b'b' * LINE_BYTES + END_OF_HEAD, LONG_LINES)
+
+
 def send_pipelined_bodies(number: int) -> Pieces:
     """Send many bodies one behind the other, the last one without its end."""
     whole = build_body(number, size=PIPELINED_BODY_BYTES, missing=0)
--- a/standins/tests/test_crowds.py
+++ b/standins/tests/test_crowds.py
@@ -25,6 +25,7 @@
     CROWDS,
     MANY,
     Crowd,
+    send_long_lines,
     send_nothing,
     send_short_lines,
 )
@@ -76,3 +77,10 @@
     """Heads without an end at the ports beside that of callers."""
     crowd = Crowd(clients=MANY, build=send_short_lines, port=port)
     assert_borne(asyncio.run(run_crowd(crowd, tmp_path)))
+
+
+@pytest.mark.parametrize('port', [ENTRY_PORT, READY_PORT, ADMIN_PORT])
+def test_long_lines_leave_memory(port: int, tmp_path: Path) -> None:
+    """Heads of the longest lines that a library takes, without an end."""
+    crowd = Crowd(clients=MANY, build=send_long_lines, port=port)
+    assert_borne(asyncio.run(run_crowd(crowd, tmp_path)))
