Class names: the service of a qualified name is found whatever its own name

What callers saw: nothing yet; an owner beside a service whose name has a slash took calls to it for calls to another one and ran none, as the name was cut at its first slash.

Cause: "service/class" was put together in four places and taken apart in three.

Change: one module names classes with their service, and finds the service before the last slash; names of classes have none.

--- a/wagtaildale/admin/endpoints.py
+++ b/wagtaildale/admin/endpoints.py
@@ -12,6 +12,7 @@
 from msgspec import Struct, structs
 from werkzeug.exceptions import Forbidden, RequestEntityTooLarge
 
+from wagtaildale.configuration.qualified_names import find_service
 from wagtaildale.admin.model import (
     DrainReport,
     Explanation,
@@ -111,7 +112,7 @@
         method=arguments.get('method', 'GET'),
         path=arguments.get('path', '/'),
     )
-    service = explanation.work_class.partition('/')[0]
+    service = find_service(explanation.work_class)
     view = node.parts.view.current
     if explanation.found and not context.scope.covers(service, view=view):
         raise Forbidden
--- a/wagtaildale/admin/reports.py
+++ b/wagtaildale/admin/reports.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Final
 
+from wagtaildale.configuration.qualified_names import qualify_class
 from wagtaildale.admin.line_reports import (
     describe_outgoing_line,
     report_outgoing_line,
@@ -115,7 +116,7 @@
         path=path,
         version=view.version,
         found=True,
-        work_class=f'{match.service}/{work_class.name}',
+        work_class=qualify_class(match.service, work_class.name),
         template=match.template,
         idempotent=work_class.idempotent,
         within_ms=work_class.within_ms,
@@ -173,7 +174,7 @@
     if view.table is None:
         return {}
     return {
-        f'{match.service}/{match.work_class.name}': match.work_class
+        qualify_class(match.service, match.work_class.name): match.work_class
         for match in view.table.list_matches()
     }
 
--- a/wagtaildale/calls/entry/call_descriptions.py
+++ b/wagtaildale/calls/entry/call_descriptions.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from wagtaildale.configuration.qualified_names import qualify_class
 from wagtaildale.admission.shares import ALL_PASS, PARTS_PER_WHOLE
 from wagtaildale.calls.wire.fields import (
     NO_START_LIMIT,
@@ -114,7 +115,7 @@
     Returns:
         Names of the service and the class, joined by a slash.
     """
-    return f'{routed.service}/{routed.match.work_class.name}'
+    return qualify_class(routed.service, routed.match.work_class.name)
 
 
 def describe_call(
--- a/wagtaildale/calls/entry/report.py
+++ b/wagtaildale/calls/entry/report.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+from wagtaildale.configuration.qualified_names import qualify_class
 from wagtaildale.calls.entry.attempts import Obstacle
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
@@ -61,7 +62,7 @@
             routed: the call with its route and class.
         """
         work_class = routed.match.work_class
-        self._class_name = f'{routed.match.service}/{work_class.name}'
+        self._class_name = qualify_class(routed.match.service, work_class.name)
         self._request_id = routed.request_id
         self._version = routed.view.version
         self._latency_target_seconds = work_class.within_ms / MILLISECONDS
--- a/wagtaildale/calls/owner/server_targets.py
+++ b/wagtaildale/calls/owner/server_targets.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from wagtaildale.configuration.qualified_names import find_service
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.owner.finish_check import FinishCheck
 from wagtaildale.calls.owner.server_identity import ServerIdentity
@@ -237,7 +238,7 @@
     ) -> bool:
         # An address may be reassigned to a server of another service, which
         # must not run requests meant for the previous one.
-        if fields.work_class.partition('/')[0] != self._service:
+        if find_service(fields.work_class) != self._service:
             return False
         record = self._find_record(target)
         return record is None or record.service == self._service
--- a/wagtaildale/calls/owner/suspect_trials.py
+++ b/wagtaildale/calls/owner/suspect_trials.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
+from wagtaildale.configuration.qualified_names import find_service
 from wagtaildale.calls.backend.server_end_detector import ServerEndDetector
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.owner.serial_runs import SerialRuns
@@ -21,7 +22,7 @@
     Standing,
     find_trial_delay,
 )
-from wagtaildale.types import Outcome, ServiceName
+from wagtaildale.types import Outcome
 
 if TYPE_CHECKING:
     from wagtaildale.calls.dialect import Dialect
@@ -246,7 +247,7 @@
             return
         allowed = list_allowed_upstreams(
             self._view.current,
-            ServiceName(fields.work_class.partition('/')[0]),
+            find_service(fields.work_class),
             fingerprint=fingerprint,
             judgement=judgement,
         )
