Rules of one name: each is a class of its own

Cause: a rule gave its name to its class, and the routing table finds classes by service and name: the class that was read last held for both routes, with its kind, target, timeout and rank. Known times, response sizes, hedge delays, overload and tallies are kept by the same name.

Ruled out: only learned values mixed up (calls were sent again after lost answers, not just hedged); the owner taking the kind from elsewhere (calls carry it, and other names held).

Change: a rule whose name others have, on another host or prefix or in another service of the version, names its class by host, and by prefix if needed, too. Other names and the hashes of their parts stay.

--- a/wagtaildale/platform/configuration.py
+++ b/wagtaildale/platform/configuration.py
@@ -22,11 +22,12 @@
 from wagtaildale.decoding.failures import DecodingFailure
 from wagtaildale.decoding.json_documents import decode_json
 from wagtaildale.errors.codes import Code
+from wagtaildale.platform.class_names import RuleKey, name_classes
 from wagtaildale.source.store import StoredDocument
 from wagtaildale.types import ClassName, ServiceName, TeamName, Version
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
 HEXADECIMAL: Final = 16
 VERSION_PATTERN: Final = '^[0-9a-fA-F]{1,8}$'
@@ -87,7 +88,8 @@
     """One route of a host.
 
     Attributes:
-        name: name of the rule, unique among all rules.
+        name: name of the rule; rules of other hosts or prefixes may have the
+            same.
         kind: ``safe`` if a request may run more than once, ``download`` if
             its response is also large; with any other, it runs at most once.
         goal_ms: target for the time to an answer, milliseconds.
@@ -117,6 +119,13 @@
     host: str
     rule: Rule
 
+    @property
+    def key(self) -> RuleKey:
+        """What identifies the rule."""
+        return RuleKey(
+            name=self.rule.name, host=self.host, prefix=self.rule.match.prefix
+        )
+
 
 class Cluster(Struct, frozen=True, kw_only=True, rename='camel'):
     """A service.
@@ -219,11 +228,14 @@
 
 
 def _encode_rule_pieces(published: PublishedConfiguration) -> dict[str, bytes]:
+    host_rules = tuple(_list_rules(published))
+    class_names = name_classes(each.key for each in host_rules)
     pieces: dict[str, list[HostRule]] = {}
-    for host_rule in _list_rules(published):
+    for host_rule in host_rules:
         pieces.setdefault(_name_piece(host_rule.rule), []).append(host_rule)
     return {
-        name: json.encode(_make_piece(rules)) for name, rules in pieces.items()
+        name: json.encode(_make_piece(rules, class_names))
+        for name, rules in pieces.items()
     }
 
 
@@ -233,13 +245,17 @@
     return f'{_find_service(rule.action)}{PIECE_SEPARATOR}{number}'
 
 
-def _make_piece(rules: list[HostRule]) -> Part:
+def _make_piece(
+    rules: list[HostRule], class_names: Mapping[RuleKey, ClassName]
+) -> Part:
     service = _find_service(rules[0].rule.action)
     return _make_part(
         service,
-        classes=tuple(_make_class(each.rule) for each in rules),
+        classes=tuple(
+            _make_class(each.rule, class_names[each.key]) for each in rules
+        ),
         routes=tuple(
-            _make_route(each.host, each.rule, service) for each in rules
+            _make_route(each, class_names[each.key], service) for each in rules
         ),
     )
 
@@ -278,9 +294,9 @@
     return action.split[0].service if action.split else action.service
 
 
-def _make_class(rule: Rule) -> WorkClass:
+def _make_class(rule: Rule, name: ClassName) -> WorkClass:
     return WorkClass(
-        name=ClassName(rule.name),
+        name=name,
         idempotent=rule.kind in IDEMPOTENT_KINDS,
         within_ms=rule.goal_ms,
         percent=PERCENT,
@@ -290,13 +306,16 @@
     )
 
 
-def _make_route(host: str, rule: Rule, service: str) -> Route:
+def _make_route(
+    host_rule: HostRule, work_class: ClassName, service: str
+) -> Route:
+    rule = host_rule.rule
     return Route(
         methods=(),
         path=rule.match.prefix,
         service=ServiceName(service),
-        work_class=ClassName(rule.name),
-        host=host,
+        work_class=work_class,
+        host=host_rule.host,
         split=tuple(
             Share(service=ServiceName(share.service), weight=share.weight)
             for share in rule.action.split
