Versions: two classes of one name in a service are a fault

Cause: only operators' files were checked for it.

Evidence: test_version_with_two_classes_of_one_name_is_rejected fails before.

--- a/wagtaildale/configuration/validation.py
+++ b/wagtaildale/configuration/validation.py
@@ -1,7 +1,7 @@
 """Validates a whole version.
 
-Every route needs a service and a class of the same version, and no two routes
-may match the same requests.
+Every route needs a service and a class of the same version, no two routes may
+match the same requests, and no two classes of a service may have one name.
 """
 
 from __future__ import annotations
@@ -14,13 +14,17 @@
 from result import Err, Ok, Result
 
 from wagtaildale.configuration.compiled import decode_part
+from wagtaildale.configuration.conflicts import (
+    find_conflicting_routes,
+    find_repeated_classes,
+    list_routes,
+)
 from wagtaildale.configuration.model import (
     LIMITS_ENTRY,
     PIECE_SEPARATOR,
     Part,
     PublishedLimits,
 )
-from wagtaildale.configuration.paths import is_rest_last, normalise_template
 from wagtaildale.decoding.json_documents import decode_json
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
@@ -29,7 +33,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
-    from wagtaildale.configuration.model import Route
     from wagtaildale.decoding.failures import DecodingFailure
 
 
@@ -62,7 +65,11 @@
     if isinstance(decoded, Err):
         return decoded
     parts = decoded.ok_value
-    faults = chain(_find_missing_targets(parts), _find_conflicts(parts))
+    faults = chain(
+        _find_missing_targets(parts),
+        find_conflicting_routes(parts),
+        find_repeated_classes(parts),
+    )
     first = next(faults, None)
     if first is None:
         return Ok(Configuration(parts=parts, limits=limits.ok_value))
@@ -127,17 +134,12 @@
     )
 
 
-def _list_routes(parts: Mapping[ServiceName, Part]) -> Iterator[Route]:
-    for part in parts.values():
-        yield from part.routes
-
-
 def _find_missing_targets(parts: Mapping[ServiceName, Part]) -> Iterator[Fault]:
     classes = {
         name: {work_class.name for work_class in part.classes}
         for name, part in parts.items()
     }
-    for route in _list_routes(parts):
+    for route in list_routes(parts):
         missing = [name for name in route.list_services() if name not in parts]
         known = classes.get(route.service)
         if missing or known is None:
@@ -156,27 +158,6 @@
             )
 
 
-def _find_conflicts(parts: Mapping[ServiceName, Part]) -> Iterator[Fault]:
-    used: set[tuple[str, str]] = set()
-    for route in _list_routes(parts):
-        matches = _list_matches(route)
-        if used & matches or not is_rest_last(route.path):
-            yield _make_fault(
-                Code.route_conflict,
-                route.path,
-                f'{route.service}/{route.work_class}',
-                'a path that no other route matches',
-            )
-        used |= matches
-
-
-def _list_matches(route: Route) -> set[tuple[str, str]]:
-    if route.host:
-        return {(route.host, route.path)}
-    template = normalise_template(route.path)
-    return {(method, template) for method in route.methods}
-
-
 def _describe_failure(
     failure: DecodingFailure, name: str, expected: str
 ) -> Fault:
--- a/wagtaildale/routing/tests/test_table.py
+++ b/wagtaildale/routing/tests/test_table.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import pytest
+from msgspec import json, structs
 
+from wagtaildale.configuration.compiled import decode_part
 from wagtaildale.configuration.validation import check_parts
+from wagtaildale.errors.codes import Code
 from wagtaildale.routing.table import RoutingTable
-from wagtaildale.testing.builders import MESH_TEXT, build_compiled
+from wagtaildale.testing.builders import MESH_TEXT, build_compiled, build_part
 
 ROUTES = f"""{MESH_TEXT}
 [[services.routes]]
@@ -53,3 +56,11 @@
     match = build_table().find(method, path)
     found = match.template if match else None
     assert found == template
+
+
+def test_version_with_two_classes_of_one_name_is_rejected() -> None:
+    """The kind of one of them was that of both, so that bookings repeated."""
+    part = decode_part(build_part()).unwrap()
+    repeated = structs.replace(part, classes=(*part.classes, *part.classes))
+    fault = check_parts({'casefiles': json.encode(repeated)}).unwrap_err()
+    assert fault.code is Code.name_twice
