Memory: what a call held is freed as it ends

What callers saw: six callers that read answers of 20 MB slowly, each cut at its time, made their node grow to 424 and 459 MB of 300, and it stayed there after they had left; bodies without an end of a faulty server did the same. A process that grows so is killed, and the requests of all its callers end with it.

Cause: a call and its run, a run and the flow of its answer, streams and their receivers, connections to servers and their parsers, and kept errors with their tracebacks refer to each other. What they hold (8.8 MB of an answer at 300 MB) stayed until a full collection, which is rare.

Ruled out: something that still refers to them (a collection frees all); the allocator alone (objects are left).

Change: whoever ends one of them drops what it holds and breaks the cycle. The stand-in of a server answers without an end if its path says so.

--- a/standins/deployment/server.py
+++ b/standins/deployment/server.py
@@ -42,6 +42,8 @@
 UNAVAILABLE: Final = 503
 TIMED_OUT: Final = 504
 SEAL_BYTES: Final = 8
+ENDLESS: Final = 'endless'
+ENDLESS_CHUNK: Final = b'10000\r\n%b\r\n' % bytes(0x10000)
 CLOSE: Final = b'Connection: close\r\n'
 NOT_EXECUTED: Final = b'X-Not-Executed: 1\r\n'
 
@@ -124,17 +126,26 @@
         """Id of the request; empty if it has none."""
         return self.headers.get(b'x-request-id', b'').decode()
 
+    @property
+    def is_endless(self) -> bool:
+        """Whether the answer has no end: the fourth part of the path says."""
+        return self._size == ENDLESS
+
     @property
     def answer_bytes(self) -> int:
         """Least size of the answer, which the fourth part of the path tells."""
-        parts = self.target.decode().split('/')
-        return int(parts[3]) if len(parts) > 4 else 0
+        return 0 if self.is_endless else int(self._size)
 
     @property
     def seconds_left(self) -> float:
         """Seconds for which the caller waits."""
         return int(self.headers.get(b'x-deadline-ms', b'1000')) / MILLISECONDS
 
+    @property
+    def _size(self) -> str:
+        parts = self.target.decode().split('/')
+        return parts[3] if len(parts) > 4 else '0'
+
 
 class Connection(asyncio.Protocol):
     """One connection; requests run one at a time."""
@@ -150,6 +161,14 @@
         self._request = Request()
         self._task: asyncio.Task[None] | None = None
         self._idle: asyncio.TimerHandle | None = None
+        self._may_write = asyncio.Event()
+        self._may_write.set()
+
+    def pause_writing(self) -> None:
+        self._may_write.clear()
+
+    def resume_writing(self) -> None:
+        self._may_write.set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast('asyncio.Transport', transport)
@@ -231,7 +250,10 @@
         finally:
             server.running -= 1
             server.slots.release()
-        self._respond(request, status)
+        if request.is_endless:
+            await self._respond_without_end(request)
+        else:
+            self._respond(request, status)
 
     async def _work(self, request: Request, deadline: float) -> int:
         _root, name, work_ms = request.target.decode().split('/')[:3]
@@ -296,6 +318,16 @@
         else:
             self._await_request()
 
+    async def _respond_without_end(self, request: Request) -> None:
+        self._transport.write(
+            b'HTTP/1.1 200 X\r\nX-Request-Id: %b\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n' % request.request_id.encode()
+        )
+        while not self._transport.is_closing():
+            self._transport.write(ENDLESS_CHUNK)
+            await self._may_write.wait()
+            await asyncio.sleep(0)
+
     def _await_request(self) -> None:
         loop = asyncio.get_running_loop()
         self._idle = loop.call_later(IDLE_SECONDS, self._transport.close)
--- a/standins/tests/crowded_fleet.py
+++ b/standins/tests/crowded_fleet.py
@@ -5,8 +5,9 @@
 import asyncio
 import time
 from contextlib import closing, suppress
+from functools import partial
 from http.client import HTTPConnection, HTTPException
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, Protocol
 
 from msgspec import Struct, structs
 
@@ -18,6 +19,7 @@
 from wagtaildale.testing.loopback import choose_network
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
     from standins.deployment.machines import Machine
@@ -33,6 +35,22 @@
 HOLD_SECONDS: Final = 1.0
 
 
+class ClientRun(Protocol):
+    """Clients that don't behave, at one node.
+
+    Attributes:
+        refused: number of clients, or of requests, that were answered.
+    """
+
+    refused: int
+
+    async def gather(self) -> None:
+        """Connect all clients, and wait until they are there."""
+
+    async def leave(self) -> None:
+        """Close all connections."""
+
+
 class CrowdOutcome(Struct, frozen=True, kw_only=True):
     """What was seen of a crowd.
 
@@ -42,7 +60,7 @@
         peak_descriptors: most descriptors of a node.
         beside: whether an ordinary request was answered beside the crowd.
         afterwards: whether one was answered after the crowd had gone.
-        refused: clients of the crowd that were answered.
+        refused: clients of the crowd, or requests, that were answered.
     """
 
     ended: tuple[str, ...]
@@ -68,6 +86,29 @@
         memory_mb: memory of each node, megabytes.
         max_fds: most descriptors of each node.
 
+    Returns:
+        What was seen.
+    """
+    return await run_clients(
+        partial(CrowdRun, crowd), folder, memory_mb=memory_mb, max_fds=max_fds
+    )
+
+
+async def run_clients(
+    make_run: Callable[[str], ClientRun],
+    folder: Path,
+    *,
+    memory_mb: int = MEMORY_MB,
+    max_fds: int = MAX_FDS,
+) -> CrowdOutcome:
+    """Let clients come to one of two nodes, and leave.
+
+    Args:
+        make_run: makes the clients of the node with an IP address.
+        folder: folder of settings and logs.
+        memory_mb: memory of each node, megabytes.
+        max_fds: most descriptors of each node.
+
     Returns:
         What was seen.
     """
@@ -77,12 +118,12 @@
     fleet = DeploymentFleet(deployment, network=choose_network(), folder=folder)
     with closing(fleet):
         await fleet.start()
-        return await _observe(crowd, fleet.machines)
+        run = make_run(fleet.machines[0].host)
+        return await _observe(run, fleet.machines)
 
 
-async def _observe(crowd: Crowd, machines: list[Machine]) -> CrowdOutcome:
+async def _observe(run: ClientRun, machines: list[Machine]) -> CrowdOutcome:
     host = machines[0].host
-    run = CrowdRun(crowd, host)
     usages = [_start_to_measure(each) for each in machines]
     await run.gather()
     await asyncio.sleep(HOLD_SECONDS)
--- a/wagtaildale/calls/backend/backend_connection.py
+++ b/wagtaildale/calls/backend/backend_connection.py
@@ -211,6 +211,9 @@
         """Close at once, which makes the server drop the running request."""
         self._connect_alarm.cancel()
         self._receiver = None
+        self._message = None
+        self._stray = None
+        self._parser.clear()
         self._stream.close()
         self._pool.discard(self)
 
--- a/wagtaildale/calls/entry/entry_call.py
+++ b/wagtaildale/calls/entry/entry_call.py
@@ -572,6 +572,7 @@
             self._request.body.discard()
         for alarm in self._alarms:
             alarm.cancel()
+        self._error_response = None
         running = self._running
         self._running = []
         for attempt in running:
--- a/wagtaildale/calls/http/caller_connection.py
+++ b/wagtaildale/calls/http/caller_connection.py
@@ -168,7 +168,8 @@
         """
         if self._is_refused:
             return
-        self._failure = failure
+        # Its traceback refers to the connection.
+        self._failure = failure.with_traceback(None)
         if self._incoming is None:
             self._parser.clear()
         if not self._exchanges:
@@ -476,6 +477,7 @@
     def _detach(self) -> None:
         self._port.forget(self, self._stream)
         self._drop_exchanges()
+        self._incoming = None
         self._parser.clear()
         self._holding.close()
 
--- a/wagtaildale/calls/http/parsing.py
+++ b/wagtaildale/calls/http/parsing.py
@@ -181,17 +181,9 @@
         """
         self._fed_body_bytes = 0
         self._has_fed_head = False
-        try:
-            self._parser.feed_data(chunk)
-        except httptools.HttpParserUpgrade:
-            # Protocol upgrades are not supported: the request itself is
-            # answered, and the connection closes after it.
-            self._messages[-1].keep_alive = False
-        except httptools.HttpParserError as error:
-            raise CallFailed(
-                Code.request_malformed,
-                detail=str(error),
-            ) from None
+        malformation = self._feed(chunk)
+        if malformation is not None:
+            raise CallFailed(Code.request_malformed, detail=malformation)
         self._check_head(chunk)
 
     def peek(self) -> Message | None:
@@ -282,6 +274,19 @@
         """Finish the message."""
         self._messages[-1].is_complete = True
 
+    def _feed(self, chunk: bytes) -> str | None:
+        # Returns what is wrong. The error itself would, as the context of
+        # another one, keep the connection in memory.
+        try:
+            self._parser.feed_data(chunk)
+        except httptools.HttpParserUpgrade:
+            # Protocol upgrades are not supported: the request itself is
+            # answered, and the connection closes after it.
+            self._messages[-1].keep_alive = False
+        except httptools.HttpParserError as error:
+            return str(error)
+        return None
+
     def _check_head(self, chunk: bytes) -> None:
         if not self._messages:
             return
--- a/wagtaildale/calls/owner/backend_run.py
+++ b/wagtaildale/calls/owner/backend_run.py
@@ -206,10 +206,15 @@
         return flow is not None and flow.response.check_progress()
 
     def close(self) -> None:
-        """Stop the run and ignore everything that arrives later."""
+        """Stop the run and ignore everything that arrives later.
+
+        What was received and not sent is dropped.
+        """
         self._is_over = True
         if self._flow is not None:
             self._flow.close()
+            self._flow = None
+        self._paced = None
         self._owner.trials.release(self._run_message)
         connection = self._connection
         self._connection = None
--- a/wagtaildale/calls/owner/owner_call.py
+++ b/wagtaildale/calls/owner/owner_call.py
@@ -556,7 +556,8 @@
         state = self.state
         if state is CallState.over:
             return
-        if self._run is not None and self._run.is_answering:
+        run = self._run
+        if run is not None and run.is_answering:
             self._replies.abort()
         else:
             self._replies.send_failure(self.fields, failure)
@@ -570,8 +571,8 @@
             Ending.failed if is_backend_fault else Ending.abandoned,
         )
         if state is CallState.running and not is_duplicate:
-            assert self._run is not None
-            self._run.update_duplicate_records(failure)
+            assert run is not None
+            run.update_duplicate_records(failure)
 
     def _record_failure(self, failure: CallFailed) -> None:
         has_run = self.state in RUN_STATES
@@ -622,7 +623,9 @@
         if self._start_alarm is not None:
             self._start_alarm.cancel()
         if self._run is not None:
+            # Call and run refer to each other.
             self._run.close()
+            self._run = None
         if self._body is not None:
             self._body.close()
         self._replies.stop_pacing()
--- a/wagtaildale/calls/owner/response_sender.py
+++ b/wagtaildale/calls/owner/response_sender.py
@@ -343,6 +343,7 @@
         """Give up what has not been sent."""
         self._pending = bytearray()
         self._sent_bytes = 0
+        self._writer = None
         self._sender.end(self._id)
 
     def _find_state(self) -> OutgoingResponse | None:
--- a/wagtaildale/reactor/stream.py
+++ b/wagtaildale/reactor/stream.py
@@ -156,7 +156,7 @@
         """
         if self.is_closed or self._linger_alarm is not None:
             return
-        self._receiver = _DiscardingReceiver(self)
+        self._receiver = _FinishingReceiver(self)
         self._linger_alarm = self._loop.alarms.set(LINGER_SECONDS, self.close)
         self._is_reading = True
         self._update_events()
@@ -188,8 +188,14 @@
         self.sock.close()
         if self._linger_alarm is not None:
             self._linger_alarm.cancel()
-        if self.on_closed is not None:
-            self.on_closed()
+        self._unsent = bytearray()
+        # Stream and receiver refer to each other; without this, what both hold
+        # stays in memory until the next collection of cycles.
+        self._receiver = _DISCARDING
+        on_closed = self.on_closed
+        self.on_closed = None
+        if on_closed is not None:
+            on_closed()
 
     def _on_events(self, events: int) -> None:
         if not self._is_open:
@@ -275,7 +281,8 @@
         # A peer may answer and close before it has read the whole request. Its
         # answer would be discarded because the rest cannot be sent, so the
         # received bytes are read first and then the connection counts as lost.
-        self._send_error = error
+        # Its traceback refers to the stream.
+        self._send_error = error.with_traceback(None)
         self._unsent.clear()
         self._update_events()
 
@@ -300,10 +307,7 @@
 
 
 class _DiscardingReceiver:
-    """Discards received bytes until the peer closes the connection."""
-
-    def __init__(self, stream: Stream) -> None:
-        self._stream = stream
+    """Discards everything: the receiver of a closed stream."""
 
     def on_open(self) -> None:
         """Do nothing."""
@@ -312,12 +316,28 @@
         """Discard the bytes."""
 
     def on_end(self) -> None:
-        if not self._stream.unsent_bytes:
-            self._stream.close()
+        """Do nothing."""
 
     def on_lost(self, error: OSError) -> None:
         """Do nothing: the stream is closed already."""
 
+    def on_drained(self) -> None:
+        """Do nothing."""
+
+
+_DISCARDING: Final = _DiscardingReceiver()
+
+
+class _FinishingReceiver(_DiscardingReceiver):
+    """Discards received bytes until the peer closes the connection."""
+
+    def __init__(self, stream: Stream) -> None:
+        self._stream = stream
+
+    def on_end(self) -> None:
+        if not self._stream.unsent_bytes:
+            self._stream.close()
+
     def on_drained(self) -> None:
         self._stream.end_sending()
 
