Stop: what arrives late counts with its deadline, as does what others can run

What callers saw: in a planned stop, in calm, bookings that were sent 3.0 to 3.9 s after SIGTERM were passed on, ran, and were cut without an answer at 5.3 s, where every second one took many times as long as its class ever had. Where several nodes stop one after the other, some were answered with an error at 4.7 s while their server was at work, as the node beside that server had ended.

Cause: a request was compared with what its class took so far, which says nothing when work becomes slow.

Ruled out: a wrong schedule (each cut request had passed the comparison); the end of the process being too early (what was sent before 3 s runs to the end).

Change: what arrives more than 3 s after the signal starts only if its caller gives up before the process ends. A stopping owner leaves a call whose deadline passes its end to another listed server, which costs the entry one more message. Rejecting all long calls from the signal on would cost callers without another node up to three seconds of service.

--- a/wagtaildale/calls/entry/entry_call.py
+++ b/wagtaildale/calls/entry/entry_call.py
@@ -65,6 +65,7 @@
         self._error_response: tuple[Attempt, Answered] | None = None
         self._status = 0
         self._is_over = False
+        self._arrived_at = read_clock()
 
     @property
     def request(self) -> OutgoingRequest:
@@ -106,6 +107,7 @@
                 format_class_name(self.routed)
             ),
             deadline=self.deadline,
+            arrived_at=self._arrived_at,
         )
         if latest_start == inf:
             return
--- a/wagtaildale/calls/owner/finish_check.py
+++ b/wagtaildale/calls/owner/finish_check.py
@@ -1,7 +1,13 @@
-"""Checks whether a run ends before the process of its owner does."""
+"""Checks whether a run ends before the process of its owner does.
+
+Load pattern: runs take many times as long as ever while nodes stop one after
+the other. What another server can run is therefore left to it unless the caller
+gives up before the end of this process.
+"""
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING, Final
 
 from wagtaildale.calls.answer_times import AnswerTimes
@@ -11,6 +17,8 @@
 from wagtaildale.timers.service import read_clock
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wagtaildale.calls.wire.fields import CallFields
 
 MILLISECONDS: Final = 1000
@@ -26,8 +34,14 @@
         stop_schedule: when this process ends, if it stops.
     """
 
-    def __init__(self) -> None:
-        """Start with a process that does not stop."""
+    def __init__(self, *, has_other_server: Callable[[], bool]) -> None:
+        """Start with a process that does not stop.
+
+        Args:
+            has_other_server: tells whether another server of the service is
+                listed.
+        """
+        self._has_other_server = has_other_server
         self.answer_times = AnswerTimes()
         self.stop_schedule = NOT_STOPPING
 
@@ -46,8 +60,9 @@
             return
         now = read_clock()
         latest_start = schedule.find_latest_start(
-            seconds=self.answer_times.find_bound(fields.work_class),
+            seconds=self._find_seconds(fields),
             deadline=now + fields.remaining_ms / MILLISECONDS,
+            arrived_at=now,
         )
         if now > latest_start:
             raise CallFailed(
@@ -55,3 +70,8 @@
                 detail='the process of the owner ends too soon',
                 retry_after=schedule.compute_retry_after(now),
             )
+
+    def _find_seconds(self, fields: CallFields) -> float:
+        if self._has_other_server():
+            return inf
+        return self.answer_times.find_bound(fields.work_class)
--- a/wagtaildale/calls/owner/server_targets.py
+++ b/wagtaildale/calls/owner/server_targets.py
@@ -42,11 +42,14 @@
         slow_start: tracker of whether the server is in slow start.
         is_evacuated: tells whether the server's data centre is evacuated.
         read_list_version: tells the version of the instance list.
+        has_other_server: tells whether another server of the service is
+            listed that does not leave.
     """
 
     slow_start: SlowStartTracker
     is_evacuated: Callable[[], bool]
     read_list_version: Callable[[], Version] = lambda: NO_VERSION
+    has_other_server: Callable[[], bool] = bool
 
 
 class ServerTargets:
@@ -96,7 +99,9 @@
         self.feedback = feedback
         self.denial_count = 0
         self.unlisted_count = 0
-        self.finish_check = FinishCheck()
+        self.finish_check = FinishCheck(
+            has_other_server=conditions.has_other_server
+        )
         self._read_list_version = conditions.read_list_version
         self._service = service
         self.is_evacuated = conditions.is_evacuated
--- a/wagtaildale/calls/stop_schedule.py
+++ b/wagtaildale/calls/stop_schedule.py
@@ -5,6 +5,10 @@
 rejecting all of them would leave callers that know no other node without
 service. So each is compared with what is left, at each moment at which it may
 be passed on.
+
+Load pattern: a class takes many times as long as it ever has while nodes stop.
+What its answers took says nothing then, so what arrives late in a stop counts
+with the time for which its caller waits, as does what another server can run.
 """
 
 from __future__ import annotations
@@ -24,10 +28,13 @@
 
     Attributes:
         callers_move_at: time by which callers that have another node use it.
+        estimates_until: time until which requests that arrive count with what
+            their class takes; later ones count with their deadline.
         ends_at: time at which the process ends and closes all connections.
     """
 
     callers_move_at: float = inf
+    estimates_until: float = inf
     ends_at: float = inf
 
     @property
@@ -35,21 +42,26 @@
         """Whether the process stops."""
         return self.ends_at < inf
 
-    def find_latest_start(self, *, seconds: float, deadline: float) -> float:
+    def find_latest_start(
+        self, *, seconds: float, deadline: float, arrived_at: float
+    ) -> float:
         """Find when the run of a request may start at the latest.
 
         Args:
             seconds: time from the start of the run to the whole answer;
                 infinite if unknown.
             deadline: time at which the caller gives up, seconds.
+            arrived_at: time at which the request arrived, seconds.
 
         Returns:
             Seconds on the monotonic clock; infinite if the caller gives up
-            before the process ends, and 0, long past, if the time is unknown.
+            before the process ends, and 0, long past, if it must not start.
         """
         answered_by = self.ends_at - DELIVERY_SECONDS
         if deadline <= answered_by:
             return inf
+        if arrived_at > self.estimates_until:
+            return 0
         return max(0, answered_by - seconds)
 
     def compute_retry_after(self, now: float) -> float:
--- a/wagtaildale/calls/task.py
+++ b/wagtaildale/calls/task.py
@@ -127,6 +127,7 @@
                 ),
                 is_evacuated=self._is_evacuated,
                 read_list_version=self._read_list_version,
+                has_other_server=self._has_other_server,
             ),
             memory=self.memory,
             line_mbps=settings.line_mbps,
@@ -400,6 +401,14 @@
     def _read_list_version(self) -> Version:
         return self._dependencies.view.current.instances_version
 
+    def _has_other_server(self) -> bool:
+        view = self._dependencies.view.current
+        own_host = self._settings.owner_address.host
+        return any(
+            record.host != own_host and not view.is_away(record)
+            for record in view.upstreams.get(self._settings.service, ())
+        )
+
     def _find_record(self, instance: InstanceId) -> InstanceRecord | None:
         return self._dependencies.view.current.records.get(instance)
 
--- a/wagtaildale/calls/tests/test_stop_schedule.py
+++ b/wagtaildale/calls/tests/test_stop_schedule.py
@@ -21,7 +21,11 @@
 from wagtaildale.types import InstanceId
 
 CLASS = 'casefiles/report'
-SCHEDULE = StopSchedule(callers_move_at=102.4, ends_at=105.3)
+EARLY = 102
+LATE = 103.5
+SCHEDULE = StopSchedule(
+    callers_move_at=102.4, estimates_until=103, ends_at=105.3
+)
 
 
 def build_attempts() -> Attempts:
@@ -36,7 +40,9 @@
 
 def test_work_that_fits_may_start_until_its_time_is_over() -> None:
     """Rejecting early leaves callers without another node unserved."""
-    latest = SCHEDULE.find_latest_start(seconds=2, deadline=108)
+    latest = SCHEDULE.find_latest_start(
+        seconds=2, deadline=108, arrived_at=EARLY
+    )
     assert latest == pytest.approx(105.3 - DELIVERY_SECONDS - 2)
 
 
@@ -47,13 +53,31 @@
 def test_deadline_before_the_end_needs_no_comparison(
     seconds: float, deadline: float, expected: float
 ) -> None:
-    latest = SCHEDULE.find_latest_start(seconds=seconds, deadline=deadline)
+    latest = SCHEDULE.find_latest_start(
+        seconds=seconds, deadline=deadline, arrived_at=EARLY
+    )
+    assert latest == pytest.approx(expected)
+
+
+@pytest.mark.parametrize(
+    ('deadline', 'expected'), [(108, 0), (105.25, 0), (105.1, inf)]
+)
+def test_late_request_counts_with_its_deadline(
+    deadline: float, expected: float
+) -> None:
+    """A request that takes longer than its class ever has is cut."""
+    latest = SCHEDULE.find_latest_start(
+        seconds=0.05, deadline=deadline, arrived_at=LATE
+    )
     assert latest == pytest.approx(expected)
 
 
 def test_nothing_is_limited_without_a_stop() -> None:
     assert not NOT_STOPPING.is_stopping
-    assert NOT_STOPPING.find_latest_start(seconds=2, deadline=108) == inf
+    latest = NOT_STOPPING.find_latest_start(
+        seconds=2, deadline=108, arrived_at=LATE
+    )
+    assert latest == inf
 
 
 @pytest.mark.parametrize(
--- a/wagtaildale/lifecycle/stop.py
+++ b/wagtaildale/lifecycle/stop.py
@@ -28,6 +28,9 @@
 # stays open at most while requests run here. A request that arrives at the end
 # of this share has the rest of the time for its answer.
 OPEN_PORT_SHARE: Final = 0.5
+# What arrives later than this in a stop is passed on only if its caller gives
+# up before the process ends.
+ESTIMATES_SECONDS: Final = 3.0
 
 
 class Stop:
@@ -106,6 +109,7 @@
         self._calls.begin_stop(
             StopSchedule(
                 callers_move_at=now + self._announce_seconds,
+                estimates_until=now + ESTIMATES_SECONDS,
                 ends_at=now + seconds,
             )
         )
--- a/wagtaildale/lifecycle/tests/test_remaining_time.py
+++ b/wagtaildale/lifecycle/tests/test_remaining_time.py
@@ -60,6 +60,8 @@
 AMPLE_SECONDS: Final = 60
 SCARCE_SECONDS: Final = 0.2
 SHORT_SECONDS: Final = 2.0
+# More than a request takes, and less than its caller waits.
+SOME_SECONDS: Final = 6.0
 LOOKUP: Final = ('GET', '/files/1')
 BOOKING: Final = ('POST', '/bookings')
 
@@ -243,3 +245,37 @@
     assert not upstream.ejection.is_leaving(read_clock())
     assert {json.decode(text)['by'] for _response, text in answers} == {'c'}
     assert stopping.runs == runs
+
+
+@pytest.mark.parametrize('request_line', [LOOKUP, BOOKING])
+def test_late_request_is_rejected_whatever_its_class_takes(
+    stopping: StoppingPair,
+    request_line: tuple[str, str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A request takes many times as long as its class ever has and is cut."""
+    monkeypatch.setattr('wagtaildale.lifecycle.stop.ESTIMATES_SECONDS', -1)
+    stopping.warm_up(request_line)
+    runs = stopping.runs
+    stopping.begin_stop(stopping.pair.entry_node, seconds=SOME_SECONDS)
+    assert_rejected_unrun(*stopping.ask(request_line))
+    assert stopping.runs == runs
+
+
+def test_stopping_owner_leaves_long_calls_to_another_server(
+    stopping: StoppingPair,
+) -> None:
+    """A run that takes many times as long as ever is cut with its owner."""
+    stopping.warm_up(LOOKUP)
+    runs = stopping.runs
+    pair = stopping.pair
+    other = build_record('c', host=make_host(3))
+    backend = BackendThread('c', host=other.host, port=BACKEND_PORT)
+    with backend, MeshNode(other) as other_node:
+        other_node.publish(MESH)
+        pair.owner_node.set_instances(pair.owner_node.record, other)
+        stopping.begin_stop(pair.owner_node, seconds=SOME_SECONDS)
+        pair.entry_node.set_instances(pair.owner_node.record, other)
+        answers = [stopping.ask(LOOKUP) for _request in range(4)]
+    assert {response.status for response, _text in answers} == {200}
+    assert stopping.runs == runs
