Versions: numbers that cannot be used are a fault

What callers saw: a version with a head or idle timeout of 400 digits was accepted, and each connection of a caller was reset from then on, at all nodes; requests of a route with such a timeout or target, a target of 2^64 or a split without any weight were never answered.

Cause: the decoder takes integers of any length, which overflow as seconds and in messages between nodes. Only the entries of servers had bounds.

Change: integers of configurations and parts have the bounds of entries, and a split needs a weight. The version is rejected, the one before stays in force.

--- a/wagtaildale/configuration/conflicts.py
+++ b/wagtaildale/configuration/conflicts.py
@@ -1,4 +1,4 @@
-"""Finds what two parts of one version both claim: requests or a name."""
+"""Finds what parts of one version claim both, or cannot mean."""
 
 from __future__ import annotations
 
@@ -77,6 +77,27 @@
                 )
 
 
+def find_unusable_splits(
+    parts: Mapping[ServiceName, Part],
+) -> Iterator[Fault]:
+    """Find split routes all of whose services have the weight 0.
+
+    Args:
+        parts: part of each service.
+
+    Yields:
+        A fault for each such route.
+    """
+    for route in list_routes(parts):
+        if route.split and not any(share.weight for share in route.split):
+            yield Fault(
+                code=Code.field_invalid,
+                where=route.path,
+                got='a split without any weight',
+                expected='a weight above 0 of one of its services',
+            )
+
+
 def _list_matches(route: Route) -> set[tuple[str, str]]:
     if route.host:
         return {(route.host, route.path)}
--- a/wagtaildale/configuration/model.py
+++ b/wagtaildale/configuration/model.py
@@ -11,6 +11,7 @@
 
 from msgspec import UNSET, Meta, Struct, UnsetType
 
+from wagtaildale.decoding.numbers import Integer, Natural, Positive
 from wagtaildale.types import ClassName, ServiceName, TeamName
 
 NAME_PATTERN: Final = '^[a-z][a-z0-9-]{0,62}$'
@@ -160,10 +161,10 @@
 
     name: ClassName
     idempotent: bool
-    within_ms: int
+    within_ms: Integer
     percent: float
-    deadline_ms: int
-    rank: int = DEFAULT_RANK
+    deadline_ms: Integer
+    rank: Integer = DEFAULT_RANK
     bulk: bool | UnsetType = UNSET
 
     @property
@@ -182,7 +183,7 @@
     """
 
     service: ServiceName
-    weight: Annotated[int, Meta(ge=0)]
+    weight: Natural
 
 
 class Route(Struct, frozen=True, kw_only=True):
@@ -211,7 +212,7 @@
     work_class: ClassName
     host: str = ''
     split: tuple[Share, ...] = ()
-    attempts: Annotated[int, Meta(ge=0)] = 0
+    attempts: Natural = 0
 
     def list_services(self) -> tuple[ServiceName, ...]:
         """List the services to which requests may be sent.
@@ -244,7 +245,7 @@
     team: TeamName
     classes: tuple[WorkClass, ...]
     routes: tuple[Route, ...]
-    connections: int = 0
+    connections: Integer = 0
     health_path: str = ''
     slow_start: SlowStart | UnsetType = UNSET
 
@@ -260,10 +261,10 @@
         idle_ms: longest time that a connection may be idle, milliseconds.
     """
 
-    head_bytes: Annotated[int, Meta(ge=1)]
-    body_bytes: Annotated[int, Meta(ge=0)]
-    head_ms: Annotated[int, Meta(ge=1)]
-    idle_ms: Annotated[int, Meta(ge=1)]
+    head_bytes: Positive
+    body_bytes: Natural
+    head_ms: Positive
+    idle_ms: Positive
 
 
 class Manifest(Struct, frozen=True, kw_only=True):
@@ -275,6 +276,6 @@
         parts: hexadecimal content hash of each service's part.
     """
 
-    version: Annotated[int, Meta(ge=1)]
+    version: Positive
     name: str
     parts: dict[str, HexDigest]
--- a/wagtaildale/configuration/validation.py
+++ b/wagtaildale/configuration/validation.py
@@ -17,6 +17,7 @@
 from wagtaildale.configuration.conflicts import (
     find_conflicting_routes,
     find_repeated_classes,
+    find_unusable_splits,
     list_routes,
 )
 from wagtaildale.configuration.model import (
@@ -69,6 +70,7 @@
         _find_missing_targets(parts),
         find_conflicting_routes(parts),
         find_repeated_classes(parts),
+        find_unusable_splits(parts),
     )
     first = next(faults, None)
     if first is None:
--- a/wagtaildale/membership/records.py
+++ b/wagtaildale/membership/records.py
@@ -8,6 +8,7 @@
 from msgspec import UNSET, Meta, Struct, UnsetType, json
 from result import Err, Ok, Result
 
+from wagtaildale.decoding.numbers import Natural
 from wagtaildale.decoding.addresses import LARGEST_PORT
 from wagtaildale.decoding.json_documents import decode_json
 from wagtaildale.errors.codes import Code
@@ -27,14 +28,11 @@
 
 RECORD_CACHE_SIZE: Final = 8192
 
-# Integers beyond this are no longer exact as floats, and beyond 64 bits they
-# cannot be sent to another node.
-LARGEST_INTEGER: Final = 9_007_199_254_740_991
 LARGEST_SLOT_COUNT: Final = 1_000_000
 
 Port = Annotated[int, Meta(ge=1, le=LARGEST_PORT)]
 SlotCount = Annotated[int, Meta(ge=0, le=LARGEST_SLOT_COUNT)]
-Milliseconds = Annotated[int, Meta(ge=0, le=LARGEST_INTEGER)]
+Milliseconds = Natural
 
 
 class InstanceRecord(Struct, frozen=True, kw_only=True):
--- a/wagtaildale/platform/configuration.py
+++ b/wagtaildale/platform/configuration.py
@@ -21,6 +21,7 @@
 )
 from wagtaildale.decoding.failures import DecodingFailure
 from wagtaildale.decoding.json_documents import decode_json
+from wagtaildale.decoding.numbers import Integer
 from wagtaildale.errors.codes import Code
 from wagtaildale.platform.class_names import RuleKey, name_classes
 from wagtaildale.source.store import StoredDocument
@@ -49,17 +50,17 @@
 class Limits(Struct, frozen=True, kw_only=True, rename='camel'):
     """Limits on the size and duration of callers' requests."""
 
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: int
-    idle_timeout_ms: int
+    max_header_bytes: Integer
+    max_body_bytes: Integer
+    header_timeout_ms: Integer
+    idle_timeout_ms: Integer
 
 
 class WeightedService(Struct, frozen=True, kw_only=True):
     """A service and its weight in a split route."""
 
     service: str
-    weight: int
+    weight: Integer
 
 
 class Match(Struct, frozen=True, kw_only=True):
@@ -78,8 +79,8 @@
         split: services among which the requests are split.
     """
 
-    timeout_ms: int
-    attempts: int
+    timeout_ms: Integer
+    attempts: Integer
     service: str = ''
     split: tuple[WeightedService, ...] = ()
 
@@ -100,8 +101,8 @@
 
     name: str
     kind: str
-    goal_ms: int
-    priority: int
+    goal_ms: Integer
+    priority: Integer
     match: Match
     action: Action
 
@@ -139,7 +140,7 @@
     """
 
     name: str
-    max_conns: int = 0
+    max_conns: Integer = 0
     health_path: str = ''
     cold_s: float = 0
     cold_per_s: float = 0
