--- a/wagtaildale/admin/endpoints.py
+++ b/wagtaildale/admin/endpoints.py
@@ -12,7 +12,6 @@
 from msgspec import Struct, structs
 from werkzeug.exceptions import Forbidden, RequestEntityTooLarge
 
-from wagtaildale.configuration.qualified_names import find_service
 from wagtaildale.admin.model import (
     DrainReport,
     Explanation,
@@ -29,6 +28,7 @@
 from wagtaildale.admin.reports import explain_request, report_node
 from wagtaildale.admin.scopes import BEARER, Scope
 from wagtaildale.admin.suspects import clear_suspect, report_suspects
+from wagtaildale.configuration.qualified_names import find_service
 
 if TYPE_CHECKING:
     from werkzeug.wrappers import Request
--- a/wagtaildale/admin/reports.py
+++ b/wagtaildale/admin/reports.py
@@ -6,7 +6,6 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.configuration.qualified_names import qualify_class
 from wagtaildale.admin.line_reports import (
     describe_outgoing_line,
     report_outgoing_line,
@@ -19,6 +18,7 @@
     Explanation,
     NodeReport,
 )
+from wagtaildale.configuration.qualified_names import qualify_class
 from wagtaildale.membership.state import get_topology
 from wagtaildale.timers.service import read_clock
 from wagtaildale.types import DocumentKind
--- a/wagtaildale/calls/entry/call_descriptions.py
+++ b/wagtaildale/calls/entry/call_descriptions.py
@@ -7,7 +7,6 @@
 
 from msgspec import Struct
 
-from wagtaildale.configuration.qualified_names import qualify_class
 from wagtaildale.admission.shares import ALL_PASS, PARTS_PER_WHOLE
 from wagtaildale.calls.wire.fields import (
     NO_START_LIMIT,
@@ -16,6 +15,7 @@
     decode_rate,
     encode_rate,
 )
+from wagtaildale.configuration.qualified_names import qualify_class
 from wagtaildale.routing.known_limits import ServerLimit
 from wagtaildale.routing.upstream import OwnerReport, UpstreamStatistics
 from wagtaildale.timers.service import read_clock
--- a/wagtaildale/calls/entry/report.py
+++ b/wagtaildale/calls/entry/report.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.configuration.qualified_names import qualify_class
 from wagtaildale.calls.entry.attempts import Obstacle
+from wagtaildale.configuration.qualified_names import qualify_class
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
--- a/wagtaildale/calls/owner/server_targets.py
+++ b/wagtaildale/calls/owner/server_targets.py
@@ -7,7 +7,6 @@
 
 from msgspec import Struct
 
-from wagtaildale.configuration.qualified_names import find_service
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.owner.finish_check import FinishCheck
 from wagtaildale.calls.owner.server_identity import ServerIdentity
@@ -19,6 +18,7 @@
 )
 from wagtaildale.calls.owner.server_slow_start import SlowStartTracker
 from wagtaildale.calls.owner.waiting_calls import WaitingCalls
+from wagtaildale.configuration.qualified_names import find_service
 from wagtaildale.errors.codes import Code
 from wagtaildale.telemetry.events import EventKind
 from wagtaildale.timers.service import read_clock
--- a/wagtaildale/calls/owner/suspect_trials.py
+++ b/wagtaildale/calls/owner/suspect_trials.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
-from wagtaildale.configuration.qualified_names import find_service
 from wagtaildale.calls.backend.server_end_detector import ServerEndDetector
 from wagtaildale.calls.failures import CallFailed
 from wagtaildale.calls.owner.serial_runs import SerialRuns
+from wagtaildale.configuration.qualified_names import find_service
 from wagtaildale.errors.codes import Code
 from wagtaildale.routing.suspected_requests import list_allowed_upstreams
 from wagtaildale.suspects.fingerprints import (
--- a/wagtaildale/membership/records.py
+++ b/wagtaildale/membership/records.py
@@ -8,9 +8,9 @@
 from msgspec import UNSET, Meta, Struct, UnsetType, json
 from result import Err, Ok, Result
 
-from wagtaildale.decoding.numbers import Natural
 from wagtaildale.decoding.addresses import LARGEST_PORT
 from wagtaildale.decoding.json_documents import decode_json
+from wagtaildale.decoding.numbers import Natural
 from wagtaildale.errors.codes import Code
 from wagtaildale.errors.faults import Fault
 from wagtaildale.types import (
--- a/wagtaildale/platform/instances.py
+++ b/wagtaildale/platform/instances.py
@@ -10,10 +10,10 @@
 from result import Err, Ok, Result
 
 from wagtaildale.calls.addresses import Address
-from wagtaildale.decoding.numbers import LARGEST_INTEGER
 from wagtaildale.decoding.addresses import decode_address
 from wagtaildale.decoding.failures import DecodingFailure
 from wagtaildale.decoding.json_documents import decode_json
+from wagtaildale.decoding.numbers import LARGEST_INTEGER
 from wagtaildale.errors.codes import Code
 from wagtaildale.membership.records import (
     LARGEST_SLOT_COUNT,
