Feed: changes too large for one answer are read page by page

Cause: an answer of over 4,000,000 bytes is refused. The feed kept its cursor and asked for the same changes and more again, until the store had dropped its history.

Ruled out: the entries themselves (none stops the list; 2,500 of the same in 3.6 MB are read).

--- a/wagtaildale/platform/tests/feeds.py
+++ b/wagtaildale/platform/tests/feeds.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from msgspec import Struct, json
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from wagtaildale.membership.records import InstanceRecord
 from wagtaildale.platform.store import PlatformStore
@@ -44,6 +44,8 @@
     ) -> Result[Answer, ReadFailure]:
         self.urls.append(url)
         answer = self._answers.pop(0)
+        if isinstance(answer, ReadFailure):
+            return Err(answer)
         headers: tuple[str, ...] = ()
         if isinstance(answer, EraAnswer):
             headers = (f'store-era: {answer.era}\r\n',)
--- a/wagtaildale/platform/tests/test_store.py
+++ b/wagtaildale/platform/tests/test_store.py
@@ -31,6 +31,7 @@
     read_feed,
 )
 from wagtaildale.source.feed import FeedReading
+from wagtaildale.source.platform import ReadFailure
 from wagtaildale.types import DocumentKind, ListedState, ServiceName
 
 CONFIGURATION = 'op/config'
@@ -246,6 +247,16 @@
     assert '/kv-range' in client.urls[2]
 
 
+def test_changes_too_large_for_one_answer_cause_a_full_read() -> None:
+    """Readers asked for the same changes until the history was dropped."""
+    page = build_page(build_item(FIRST, build_entry()), revision=30)
+    too_large = ReadFailure(code=Code.answer_too_large, detail='4 MB')
+    feed, client = build_feed(build_page(), too_large, page)
+    read_feed(feed)
+    assert set(list_instances(read_feed(feed))) == {'i-1'}
+    assert '/kv-range' in client.urls[2]
+
+
 @pytest.mark.parametrize('status', [429, 500, 503])
 def test_refused_read_is_a_failure(status: int) -> None:
     feed, _client = build_feed(status)
--- a/wagtaildale/source/curl.py
+++ b/wagtaildale/source/curl.py
@@ -97,9 +97,7 @@
         # would time out too, so the next read opens a new one.
         curl.setopt(pycurl.FRESH_CONNECT, int(failure is not None))
         if failure is not None:
-            return Err(
-                ReadFailure(code=Code.source_unreachable, detail=failure),
-            )
+            return Err(failure)
         return Ok(
             Answer(
                 status=int(curl.getinfo(pycurl.RESPONSE_CODE)),
@@ -146,7 +144,7 @@
         *,
         hold_seconds: float,
         idle_timeout_seconds: float,
-    ) -> str | None:
+    ) -> ReadFailure | None:
         """Run a transfer to its end.
 
         Returns:
@@ -163,12 +161,16 @@
                 if succeeded:
                     return None
                 if failed:
-                    return str(failed[0][-1])
+                    return _describe_failure(*failed[0][1:])
                 if received.byte_count > seen_bytes:
                     seen_bytes = received.byte_count
                     idle_at = read_clock() + idle_timeout_seconds
-        return (
-            f'no byte for {idle_timeout_seconds:.3f} s after {seen_bytes} bytes'
+        return ReadFailure(
+            code=Code.source_unreachable,
+            detail=(
+                f'no byte for {idle_timeout_seconds:.3f} s after'
+                f' {seen_bytes} bytes'
+            ),
         )
 
     def _step(self, idle_at: float) -> None:
@@ -204,6 +206,13 @@
             self._timer_at = read_clock() + timeout_ms / MILLISECONDS
 
 
+def _describe_failure(number: int, detail: str) -> ReadFailure:
+    code = Code.source_unreachable
+    if number == pycurl.E_FILESIZE_EXCEEDED:
+        code = Code.answer_too_large
+    return ReadFailure(code=code, detail=detail)
+
+
 def _find_actions(events: int) -> int:
     actions = 0
     if events & select.POLLIN:
--- a/wagtaildale/source/store.py
+++ b/wagtaildale/source/store.py
@@ -8,7 +8,7 @@
 
 from abc import ABC, abstractmethod
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct
 from result import Err, Ok, Result
@@ -137,6 +137,10 @@
         """
 
 
+# With these, no watch from the same revision can succeed.
+UNWATCHABLE_CODES: Final = frozenset((Code.history_gone, Code.answer_too_large))
+
+
 class StoreFeed(Feed):
     """Feed of both documents, from one watch over all keys of a store."""
 
@@ -159,7 +163,8 @@
 
         If the store has dropped the history after the last revision, a watch
         from that revision would miss changes; the store reports this, and
-        everything is read again at once.
+        everything is read again at once. So it is if the changes are too large
+        for one answer: each further watch would fail in the same way.
 
         Args:
             wait: longest time that the store holds the read open, seconds.
@@ -172,8 +177,8 @@
         watched = self._store.watch(revision=self._revision, wait=wait)
         changes = watched.and_then(partial(_check_era, held=self._era))
         if isinstance(changes, Err):
-            is_gone = changes.err_value.code is Code.history_gone
-            return self._read_all() if is_gone else changes
+            is_lost = changes.err_value.code in UNWATCHABLE_CODES
+            return self._read_all() if is_lost else changes
         reading = changes.ok_value
         if reading.era > self._era or reading.revision < self._revision:
             # The store was restored from an older copy, or was set up anew.
