--- a/standins/tests/crowded_fleet.py
+++ b/standins/tests/crowded_fleet.py
@@ -39,10 +39,10 @@
     """Clients that don't behave, at one node.
 
     Attributes:
-        refused: number of clients, or of requests, that were answered.
+        answered: number of clients, or of requests, that were answered.
     """
 
-    refused: int
+    answered: int
 
     async def gather(self) -> None:
         """Connect all clients, and wait until they are there."""
@@ -60,7 +60,7 @@
         peak_descriptors: most descriptors of a node.
         beside: whether an ordinary request was answered beside the crowd.
         afterwards: whether one was answered after the crowd had gone.
-        refused: clients of the crowd, or requests, that were answered.
+        answered: clients of the crowd, or requests, that were answered.
     """
 
     ended: tuple[str, ...]
@@ -68,7 +68,7 @@
     peak_descriptors: int
     beside: bool
     afterwards: bool
-    refused: int
+    answered: int
 
 
 async def run_crowd(
@@ -140,7 +140,7 @@
         peak_descriptors=max(each.peak_descriptors for each in usages),
         beside=beside,
         afterwards=afterwards,
-        refused=run.refused,
+        answered=run.answered,
     )
 
 
--- a/standins/tests/crowds.py
+++ b/standins/tests/crowds.py
@@ -59,7 +59,7 @@
     """The open connections of a crowd.
 
     Attributes:
-        refused: number of clients that got an answer or lost their connection.
+        answered: number of clients that got an answer or lost their connection.
     """
 
     def __init__(self, crowd: Crowd, host: str) -> None:
@@ -69,7 +69,7 @@
             crowd: the crowd.
             host: IP address that it connects to.
         """
-        self.refused = 0
+        self.answered = 0
         self._crowd = crowd
         self._host = host
         self._tasks: list[asyncio.Task[None]] = []
@@ -128,7 +128,7 @@
             return
         with suppress(OSError):
             if await reader.read(1):
-                self.refused += 1
+                self.answered += 1
             while await reader.read(TURN_BYTES):
                 await asyncio.sleep(0)
 
--- a/standins/tests/slow_readers.py
+++ b/standins/tests/slow_readers.py
@@ -25,19 +25,21 @@
         path: path of their requests.
         seconds: how long they go on, seconds.
         turn_bytes: bytes that each reads in a turn.
+        turn_seconds: pause between two turns, seconds.
     """
 
     clients: int
     path: str
     seconds: float = 8
     turn_bytes: int = TURN_BYTES
+    turn_seconds: float = TURN_SECONDS
 
 
 class SlowReaderRun:
     """The callers at one node.
 
     Attributes:
-        refused: number of answers that began.
+        answered: number of answers that began.
     """
 
     def __init__(self, readers: SlowReaders, host: str) -> None:
@@ -47,7 +49,7 @@
             readers: the callers.
             host: IP address that they connect to.
         """
-        self.refused = 0
+        self.answered = 0
         self._readers = readers
         self._host = host
         self._tasks: list[asyncio.Task[None]] = []
@@ -85,9 +87,9 @@
 
     async def _read_slowly(self, reader: asyncio.StreamReader) -> None:
         if await reader.read(1):
-            self.refused += 1
+            self.answered += 1
         while await reader.read(self._readers.turn_bytes):
-            await asyncio.sleep(TURN_SECONDS)
+            await asyncio.sleep(self._readers.turn_seconds)
 
     def _build_request(self, request_id: str) -> bytes:
         deadline_ms = round(DEADLINE_SECONDS * MILLISECONDS)
--- a/standins/tests/test_late_stops.py
+++ b/standins/tests/test_late_stops.py
@@ -13,7 +13,7 @@
 import pytest
 from msgspec import Struct, structs
 
-from standins.deployment.fleet import DeploymentFleet
+from standins.deployment.fleet import STATUS_OK, DeploymentFleet
 from standins.deployment.model import ENTRY_PORT, HOST_NAME
 from standins.deployment.profiles import TWO_NODES
 from wagtaildale.testing.loopback import choose_network
@@ -31,7 +31,7 @@
 DEADLINE_MS: Final = 6000
 GAP_SECONDS: Final = 0.1
 STOP_GAP_SECONDS: Final = 0.3
-ANSWERED: Final = frozenset((200, 503))
+ANSWERED: Final = frozenset((STATUS_OK, 503))
 ARRIVALS: Final = '*arrivals*'
 WARM_REQUESTS: Final = 12
 DEPLOYMENT: Final = structs.replace(
@@ -162,6 +162,7 @@
             )
         )
         ran = ''.join(each.read_text() for each in folder.glob(ARRIVALS))
+    assert any(each.status == STATUS_OK for each in chain(*bookings))
     return [each for each in chain(*bookings) if was_cut(each, ran)]
 
 
--- a/wagtaildale/calls/stop_schedule.py
+++ b/wagtaildale/calls/stop_schedule.py
@@ -7,8 +7,9 @@
 be passed on.
 
 Load pattern: a class takes many times as long as it ever has while nodes stop.
-What its answers took says nothing then, so what arrives late in a stop counts
-with the time for which its caller waits, as does what another server can run.
+What its answers took so far says nothing then. A request that arrives late in
+a stop, or that another server can run, is therefore passed on only if its
+caller gives up before the process ends.
 """
 
 from __future__ import annotations
--- a/wagtaildale/configuration/conflicts.py
+++ b/wagtaildale/configuration/conflicts.py
@@ -1,4 +1,4 @@
-"""Finds what parts of one version claim both, or cannot mean."""
+"""Finds routes and classes of one version that conflict or are unusable."""
 
 from __future__ import annotations
 
--- a/wagtaildale/source/store.py
+++ b/wagtaildale/source/store.py
@@ -163,8 +163,8 @@
 
         If the store has dropped the history after the last revision, a watch
         from that revision would miss changes; the store reports this, and
-        everything is read again at once. So it is if the changes are too large
-        for one answer: each further watch would fail in the same way.
+        everything is read again at once. The same is done if the changes are
+        too large for one answer, since each further watch would fail, too.
 
         Args:
             wait: longest time that the store holds the read open, seconds.
@@ -177,8 +177,8 @@
         watched = self._store.watch(revision=self._revision, wait=wait)
         changes = watched.and_then(partial(_check_era, held=self._era))
         if isinstance(changes, Err):
-            is_lost = changes.err_value.code in UNWATCHABLE_CODES
-            return self._read_all() if is_lost else changes
+            needs_all = changes.err_value.code in UNWATCHABLE_CODES
+            return self._read_all() if needs_all else changes
         reading = changes.ok_value
         if reading.era > self._era or reading.revision < self._revision:
             # The store was restored from an older copy, or was set up anew.
