Log: by which word, list and reader a node knows that a server leaves

A request that reaches a leaving server could not be traced: instances-applied gives a version and a reader, but not what the list said of a server. Now each instance that a list shows as leaving or no longer has is one line (instance-leaving: word, version, origin, reader), so that a node that was never told can be told from one that was told late.

--- a/wagtaildale/distribution/effects.py
+++ b/wagtaildale/distribution/effects.py
@@ -9,6 +9,7 @@
 from wagtaildale.distribution import messages
 from wagtaildale.distribution.checks import CHECKS
 from wagtaildale.distribution.dependencies import Counts, TaskDependencies
+from wagtaildale.distribution.listed_departures import list_departures
 from wagtaildale.distribution.state import (
     MILLISECONDS,
     NEVER,
@@ -125,6 +126,21 @@
         subject=document.digest.hex(),
         inputs=_describe_origin(effect, sender.state),
     )
+    if document.kind is DocumentKind.instances:
+        _record_departures(effect, sender)
+
+
+def _record_departures(
+    effect: messages.DocumentUpdated, sender: Sender
+) -> None:
+    origin = _describe_origin(effect, sender.state)
+    for departure in list_departures(effect.before, effect.document):
+        sender.dependencies.recorder.record(
+            EventKind.instance_leaving,
+            version=effect.document.version,
+            subject=departure.instance,
+            inputs={'word': departure.word.value, **origin},
+        )
 
 
 def _describe_origin(
--- a/wagtaildale/platform/tests/test_stores.py
+++ b/wagtaildale/platform/tests/test_stores.py
@@ -151,3 +151,17 @@
     wait_for_log_texts(logs, f'kind=instances-applied version={version}')
     store.restore(older_copy)
     wait_for_log_texts(logs, 'kind=platform-returned', 'held=i-2')
+
+
+def test_log_shows_by_which_word_a_server_leaves(
+    store: StandInStore,
+    logs: list[Path],
+) -> None:
+    """A late request cannot be traced to the word that came late."""
+    wait_for_log_texts(logs, 'kind=node-ready')
+    store.write(SECOND, build_listed(1, state='draining'))
+    version = make_version(Era(store.era), revision=store.revision)
+    wait_for_log_texts(
+        logs,
+        f'kind=instance-leaving version={version} subject=i-2 word=reported',
+    )
--- a/wagtaildale/telemetry/events.py
+++ b/wagtaildale/telemetry/events.py
@@ -33,6 +33,7 @@
     version_refused = 'version-refused'
     version_ignored = 'version-ignored'
     instances_applied = 'instances-applied'
+    instance_leaving = 'instance-leaving'
     entry_refused = 'entry-refused'
     lapsed_changed = 'lapsed-changed'
     platform_returned = 'platform-returned'
