Feedback: a header that can't be read hides no other

Cause: parse_feedback dropped the limit and the leaving of an answer if either could not be parsed, the pattern took nine digits after the point, and an empty limit removed the limit. Change: each header is parsed and applied by itself; a limit may have any number of digits after the point. Before the change 12 of the 13 new cases of test_server_feedback.py failed, now none.

--- a/wagtaildale/calls/owner/server_feedback.py
+++ b/wagtaildale/calls/owner/server_feedback.py
@@ -29,9 +29,9 @@
     from wagtaildale.routing.leaving_servers import LeavingServer
     from wagtaildale.telemetry.events import EventRecorder
 
-# Requests per second, as a decimal number with at most nine digits before and
-# after the point.
-RATE_PATTERN: Final = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?')
+# Requests per second, as a decimal number with at most nine digits before the
+# point; a quotient may have any number of digits after it.
+RATE_PATTERN: Final = re.compile(rb'[0-9]{1,9}(\.[0-9]+)?')
 # Running requests, waiting requests and slots; the pace in percent may follow.
 LOAD_PATTERN: Final = re.compile(rb'[0-9]{1,9}(,[0-9]{1,9}){2,3}')
 LEAVING_VALUE: Final = b'1'
@@ -45,18 +45,20 @@
     Attributes:
         per_second: requests per second that the server accepts from all
             nodes together; None if it sets no limit.
+        malformed: value of the rate limit's header if it could not be parsed,
+            otherwise None; like the two below, it affects no other header.
         is_leaving: whether the server announces that it is leaving.
-        malformed: value of a header that could not be parsed; empty if all
-            could.
+        malformed_leaving: value of the leaving header if it could not be
+            parsed.
         load: reported load; None if there is none or if it could not be
             parsed.
-        malformed_load: value of the load header if it could not be parsed;
-            the other headers apply nevertheless.
+        malformed_load: value of the load header if it could not be parsed.
     """
 
     per_second: float | None = None
+    malformed: bytes | None = None
     is_leaving: bool = False
-    malformed: bytes = b''
+    malformed_leaving: bytes | None = None
     load: ServerLoad | None = None
     malformed_load: bytes | None = None
 
@@ -72,24 +74,18 @@
         The feedback of the server.
     """
     limit = _find_header(message, dialect.rate_limit)
+    per_second = None if limit is None else _parse_rate(limit)
     leaving = _find_header(message, dialect.leaving)
+    is_leaving = leaving == LEAVING_VALUE
     load_text = _find_header(message, dialect.load)
     load = None if load_text is None else parse_load(load_text)
-    malformed_load = None if load else load_text
-    malformed = b''
-    if limit is not None and RATE_PATTERN.fullmatch(limit) is None:
-        malformed = limit
-    elif leaving is not None and leaving != LEAVING_VALUE:
-        malformed = leaving
-    if malformed:
-        return ServerFeedback(
-            malformed=malformed, load=load, malformed_load=malformed_load
-        )
     return ServerFeedback(
-        per_second=float(limit) if limit else None,
-        is_leaving=leaving == LEAVING_VALUE,
+        per_second=per_second,
+        malformed=limit if per_second is None else None,
+        is_leaving=is_leaving,
+        malformed_leaving=None if is_leaving else leaving,
         load=load,
-        malformed_load=malformed_load,
+        malformed_load=None if load else load_text,
     )
 
 
@@ -171,13 +167,16 @@
             instance: instance that answered.
             begun_at: time at which the request was sent, in seconds.
         """
-        if feedback.malformed:
-            # A malformed header neither sets nor removes a limit.
-            self.note_malformed(feedback.malformed)
-        else:
+        # A malformed header neither sets nor removes a limit.
+        if feedback.malformed is None:
             self._apply_limit(feedback, instance=instance, begun_at=begun_at)
-        if feedback.malformed_load is not None:
-            self.note_malformed(feedback.malformed_load)
+        for text in (
+            feedback.malformed,
+            feedback.malformed_leaving,
+            feedback.malformed_load,
+        ):
+            if text is not None:
+                self.note_malformed(text)
         if feedback.load is not None:
             self._gate.handle_server_message(LoadReported(load=feedback.load))
             self._notify_load_listeners(feedback.load)
@@ -275,5 +274,9 @@
         )
 
 
+def _parse_rate(text: bytes) -> float | None:
+    return float(text) if RATE_PATTERN.fullmatch(text) else None
+
+
 def _find_header(message: Message, name: bytes | None) -> bytes | None:
     return None if name is None else message.find(name)
--- a/wagtaildale/calls/tests/test_server_feedback.py
+++ b/wagtaildale/calls/tests/test_server_feedback.py
@@ -68,6 +68,42 @@
     )
 
 
+@pytest.mark.parametrize('digits', [10, 16, 17, 40])
+def test_limit_may_have_all_digits_of_a_quotient(digits: int) -> None:
+    """A limit of 16 / 3 is not kept, since it has too many digits."""
+    text = b'5.%b' % (b'3' * digits)
+    assert parse(b'Server-Limit: %b\r\n' % text) == ServerFeedback(
+        per_second=float(text)
+    )
+
+
+@pytest.mark.parametrize('limit', [b'x', b'', b'5,3', b'-1', b'1e9'])
+def test_malformed_limit_does_not_hide_that_the_server_leaves(
+    limit: bytes,
+) -> None:
+    """A leaving server gets requests since its limit cannot be parsed."""
+    extra = b'Server-Limit: %b\r\nServer-Leaving: 1\r\n' % limit
+    assert parse(extra) == ServerFeedback(is_leaving=True, malformed=limit)
+
+
+@pytest.mark.parametrize('leaving', [b'true', b'0', b''])
+def test_malformed_leaving_does_not_hide_the_limit(leaving: bytes) -> None:
+    """A limit is not kept since another word cannot be parsed."""
+    extra = b'Server-Limit: 5\r\nServer-Leaving: %b\r\n' % leaving
+    assert parse(extra) == ServerFeedback(
+        per_second=5, malformed_leaving=leaving
+    )
+
+
+def test_empty_limit_does_not_remove_the_limit() -> None:
+    """An empty header is taken for the end of a limit."""
+    tracker = FeedbackTracker(build_gate(), recorder=build_recorder())
+    for begun_at, extra in enumerate((b'2.5', b'')):
+        feedback = parse(b'Server-Limit: %b\r\n' % extra)
+        tracker.apply(feedback, instance=SERVER, begun_at=begun_at)
+    assert tracker.per_second == 2.5
+
+
 def test_changes_of_the_limit_are_logged() -> None:
     """Operators cannot see that a server reports a limit."""
     recorder = build_recorder()
