Lists: one that was read as a whole corrects another of its version

What callers saw: a server that had left was called for as long as it lived. Cause: the version of a list is the store's revision, also where its reader was not told of all changes up to it. Nodes keep the first list of a version, so the right list of the same revision, from a reader that was told, was refused (3003) until the store's next change. Change: a list says whether it was read as a whole. Of two lists of one version that one is taken, also by a pull and by digests; a configuration of a reused number is refused as before. The invariant that versions rise allows this one case: it asks the same function. Nodes of earlier builds leave the new fields out and ignore them.

--- a/wagtaildale/distribution/bodies.py
+++ b/wagtaildale/distribution/bodies.py
@@ -32,7 +32,12 @@
     DeltaOffered,
     OutlineOffered,
 )
-from wagtaildale.document.model import make_delta, make_outline
+from wagtaildale.document.model import (
+    Document,
+    is_superseded,
+    make_delta,
+    make_outline,
+)
 from wagtaildale.types import DocumentKind, InstanceId, NodeState, Version
 
 MAX_BATCH_BYTES: Final = 1_000_000
@@ -90,7 +95,12 @@
     for holding in holdings:
         _note_freshness(context, holding)
         _acknowledge_push(context, holding.kind, holding.version)
-        if holding.version > state.stores[holding.kind].held.version:
+        if is_superseded(
+            state.stores[holding.kind].held,
+            version=holding.version,
+            digest=holding.digest,
+            is_whole=holding.is_whole,
+        ):
             pull = request_delta(state, kind=holding.kind, peer=context.sender)
             effects.append(pull)
     state.pending_replies.pop(context.sender, None)
@@ -142,7 +152,7 @@
     state = context.state
     context.state.pushes.pop((context.sender, body.kind), None)
     store = state.stores[body.kind]
-    if body.version >= store.held.version:
+    if not _is_behind(body, store.held):
         return []
     base = store.find_document(body.version, body.digest)
     if base is None:
@@ -198,6 +208,13 @@
     )
 
 
+def _is_behind(pull: Pull, held: Document) -> bool:
+    if pull.version != held.version:
+        return pull.version < held.version
+    # Of two lists of one version, the whole one is right.
+    return held.is_whole and pull.digest != held.digest
+
+
 def _note_freshness(context: Context, holding: Holding) -> None:
     note_freshness(
         context.state,
--- a/wagtaildale/distribution/effects.py
+++ b/wagtaildale/distribution/effects.py
@@ -16,6 +16,7 @@
     DistributionState,
 )
 from wagtaildale.distribution.wire import Body
+from wagtaildale.document.model import is_superseded
 from wagtaildale.errors.codes import Code
 from wagtaildale.invariants import Invariant
 from wagtaildale.membership.news import AWAY_STATES
@@ -204,7 +205,12 @@
     transition = f'{effect.before.version} to {document.version}'
     rises = dependencies.invariants.check(
         Invariant.version_rises,
-        holds=document.version > effect.before.version,
+        holds=is_superseded(
+            effect.before,
+            version=document.version,
+            digest=document.digest,
+            is_whole=document.is_whole,
+        ),
         detail=transition,
     )
     whole = dependencies.invariants.check(
--- a/wagtaildale/distribution/state.py
+++ b/wagtaildale/distribution/state.py
@@ -231,6 +231,7 @@
             fresh.rank,
             fresh.reader,
             NO_DATA_CENTRE if is_listed else fresh.data_centre,
+            is_whole=held.is_whole,
         )
 
     def make_swap(self, now: float, *, is_reply: bool = False) -> Swap:
--- a/wagtaildale/distribution/wire.py
+++ b/wagtaildale/distribution/wire.py
@@ -46,6 +46,7 @@
         reader: instance of that reader; empty if unknown.
         data_centre: data centre of that reader; empty if unknown, or if the
             reader is listed.
+        is_whole: whether the version was read as a whole; see ``Outline``.
     """
 
     kind: DocumentKind
@@ -55,6 +56,7 @@
     rank: int
     reader: InstanceId = NO_INSTANCE
     data_centre: DataCentre = NO_DATA_CENTRE
+    is_whole: bool = False
 
 
 class Swap(Struct, frozen=True, array_like=True, tag=1):
--- a/wagtaildale/document/decisions.py
+++ b/wagtaildale/document/decisions.py
@@ -29,6 +29,7 @@
     apply_delta,
     assemble_document,
     digest_outline,
+    is_superseded,
 )
 from wagtaildale.document.state import PendingVersion, StoreState
 from wagtaildale.errors.codes import Code
@@ -64,7 +65,9 @@
     state: StoreState,
 ) -> list[StoreEffect]:
     delta = message.delta
-    effects = _decide_known_version(state, delta.version, delta.digest)
+    effects = _decide_known_version(
+        state, delta.version, delta.digest, is_whole=delta.is_whole
+    )
     if effects is not None:
         return effects
     held = state.held
@@ -83,7 +86,9 @@
 ) -> list[StoreEffect]:
     outline = message.outline
     digest = digest_outline(outline)
-    effects = _decide_known_version(state, outline.version, digest)
+    effects = _decide_known_version(
+        state, outline.version, digest, is_whole=outline.is_whole
+    )
     if effects is not None:
         return effects
     pending = state.pending
@@ -116,6 +121,8 @@
     state: StoreState,
     version: Version,
     digest: Digest,
+    *,
+    is_whole: bool,
 ) -> list[StoreEffect] | None:
     # Returns the effects for a version that is held, refused, older or reused,
     # and nothing for a version that is to be processed.
@@ -126,12 +133,12 @@
         return [_reject(state, version, Code.version_refused)]
     if version < held.version:
         return [_reject(state, version, Code.version_older)]
-    if version == held.version:
-        # The publisher used a version number twice, so that nodes may have
-        # different routes under one version. A node keeps the document that it
-        # received first, and changes only to a higher version.
-        return [_reject(state, version, Code.version_reused)]
-    return None
+    if is_superseded(held, version=version, digest=digest, is_whole=is_whole):
+        return None
+    # The publisher used a version number twice, so that nodes may have
+    # different routes under one version. A node keeps the document that it
+    # received first, and changes only to a higher version.
+    return [_reject(state, version, Code.version_reused)]
 
 
 def _reject(state: StoreState, version: Version, code: Code) -> Rejected:
--- a/wagtaildale/document/model.py
+++ b/wagtaildale/document/model.py
@@ -23,21 +23,24 @@
 NO_DIGEST: Final = Digest(b'')
 
 
-class Outline(Struct, frozen=True, kw_only=True):
+class Outline(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Names and content hashes of a document's entries, without the blobs.
 
     Attributes:
         kind: kind of the document.
         version: version of the document.
         entries: content hashes, by name.
+        is_whole: whether a reader read all entries from the platform at once;
+            otherwise it applied changes to what it had, and may lack one.
     """
 
     kind: DocumentKind
     version: Version
     entries: dict[str, Digest]
+    is_whole: bool = False
 
 
-class Delta(Struct, frozen=True, kw_only=True):
+class Delta(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Difference between one version of a document and a later one.
 
     Attributes:
@@ -49,6 +52,8 @@
         digest: digest of the resulting version.
         changed: new and changed blobs, by name.
         removed: names of removed entries.
+        is_whole: whether the resulting version was read as a whole; see
+            ``Outline``.
     """
 
     kind: DocumentKind
@@ -58,6 +63,7 @@
     digest: Digest
     changed: dict[str, bytes]
     removed: tuple[str, ...] = ()
+    is_whole: bool = False
 
 
 class Document(Struct, frozen=True, kw_only=True):
@@ -69,6 +75,7 @@
         digest: hash over version and entries.
         entries: content hashes, by name.
         blobs: contents, by name.
+        is_whole: whether it was read as a whole; see ``Outline``.
     """
 
     kind: DocumentKind
@@ -76,6 +83,7 @@
     digest: Digest
     entries: Mapping[str, Digest]
     blobs: Mapping[str, bytes]
+    is_whole: bool = False
 
 
 def make_empty(kind: DocumentKind) -> Document:
@@ -139,6 +147,7 @@
         digest=digest_outline(outline),
         entries=MappingProxyType(outline.entries),
         blobs=MappingProxyType(dict(blobs)),
+        is_whole=outline.is_whole,
     )
 
 
@@ -161,6 +170,31 @@
     return Digest(hasher.digest())
 
 
+def is_superseded(
+    held: Document, *, version: Version, digest: Digest, is_whole: bool
+) -> bool:
+    """Tell whether an offered version replaces the held one.
+
+    Of two instance lists of one version, the one that was read as a whole is
+    right: the other one lacks a change that its reader was never told. Numbers
+    of configurations are given by operators, who may have used one twice.
+
+    Args:
+        held: version in force.
+        version: offered version.
+        digest: digest of the offered version.
+        is_whole: whether the offered version was read as a whole.
+
+    Returns:
+        Whether the offered version is later, or corrects the held one.
+    """
+    if version != held.version:
+        return version > held.version
+    if held.kind is not DocumentKind.instances or digest == held.digest:
+        return False
+    return is_whole and not held.is_whole
+
+
 def make_outline(document: Document) -> Outline:
     """Make the outline of a document.
 
@@ -174,6 +208,7 @@
         kind=document.kind,
         version=document.version,
         entries=dict(document.entries),
+        is_whole=document.is_whole,
     )
 
 
@@ -199,6 +234,7 @@
             if base.entries.get(name) != digest
         },
         removed=tuple(base.entries.keys() - target.entries.keys()),
+        is_whole=target.is_whole,
     )
 
 
@@ -223,6 +259,11 @@
         entries[name] = hash_part(blob)
         blobs[name] = blob
     return assemble_document(
-        Outline(kind=delta.kind, version=delta.version, entries=entries),
+        Outline(
+            kind=delta.kind,
+            version=delta.version,
+            entries=entries,
+            is_whole=delta.is_whole,
+        ),
         blobs=blobs,
     )
