Feed: what watches tell is compared with the store

Cause: a feed trusted the revision of each answer and went on from it, and took a watch that failed for 'nothing new' and waited in the next one. Watches tell changes only, so what one leaves out never comes again. Class: what a node believes is never compared with what the store has. Change: the store counts every change, so an answer with fewer changes than revisions is followed by a full read at once; where nothing differs, the store merges changes and this waits for the next comparison. After every ten watches, and after a failed one, the entries of the list are read and compared in one call without the configuration; after six comparisons everything is. After a watch that was silent, no further one is asked for the changes. A difference is logged (source-contradicted, 3014) and counted. A read on request reads everything. store.py is parted: copy, documents, comparison, feed. Of the new test_comparisons.py 13 of 15 cases fail before, one of them since there were no comparisons to count. Two tests changed: an answer up to revision 10 had a change of revision 9, now of 10; after a refused watch the list is read before the watch goes on from the same cursor, still without the configuration.

--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -275,6 +275,16 @@
     return [message]
 
 
+@decide.register
+def _decide_source_contradicted(
+    message: messages.SourceContradicted,
+    state: DistributionState,
+    *,
+    now: float,
+) -> list[messages.Effect]:
+    return [message]
+
+
 @decide.register
 def _decide_ends(
     message: EndsNoted,
--- a/wagtaildale/distribution/dependencies.py
+++ b/wagtaildale/distribution/dependencies.py
@@ -26,6 +26,8 @@
         unsent: messages that no connection accepted.
         refused_entries: entries of the platform that were skipped, since
             they cannot be read.
+        contradictions: answers of the platform that contradict others, so
+            that all was read again.
         defects: messages whose handling ended by an unexpected error.
     """
 
@@ -35,6 +37,7 @@
     misdirected: int = 0
     unsent: int = 0
     refused_entries: int = 0
+    contradictions: int = 0
     defects: int = 0
 
 
--- a/wagtaildale/distribution/effects.py
+++ b/wagtaildale/distribution/effects.py
@@ -327,3 +327,17 @@
         subject=effect.kind.name,
         detail=effect.detail,
     )
+
+
+@execute.register
+def _record_contradiction(
+    effect: messages.SourceContradicted, sender: Sender
+) -> None:
+    sender.counts.contradictions += 1
+    sender.dependencies.recorder.record(
+        EventKind.source_contradicted,
+        code=Code.source_contradicted,
+        version=effect.version,
+        subject=DocumentKind.instances.name,
+        detail=effect.detail,
+    )
--- a/wagtaildale/distribution/messages.py
+++ b/wagtaildale/distribution/messages.py
@@ -85,6 +85,20 @@
     detail: str
 
 
+class SourceContradicted(Struct, frozen=True, kw_only=True):
+    """Answers of the platform contradict each other; it is read again.
+
+    This is both a message to the task and the effect that logs it.
+
+    Attributes:
+        version: version of the instance list that was read again.
+        detail: what the answers differ in.
+    """
+
+    version: Version
+    detail: str
+
+
 class Leave(Struct, frozen=True, kw_only=True):
     """This node begins its planned stop and leaves the fleet."""
 
@@ -251,4 +265,5 @@
     | PeerBehind
     | SourceChanged
     | EntryRefused
+    | SourceContradicted
 )
--- a/wagtaildale/errors/codes.py
+++ b/wagtaildale/errors/codes.py
@@ -44,6 +44,7 @@
     history_gone = 3011
     read_defect = 3012
     answer_too_large = 3013
+    source_contradicted = 3014
 
     request_malformed = 4001
     request_too_large = 4002
@@ -117,6 +118,7 @@
         Code.history_gone: 'the platform has dropped the changes asked for',
         Code.read_defect: 'reading the platform failed by a defect',
         Code.answer_too_large: 'an answer of the platform is over the limit',
+        Code.source_contradicted: 'answers of the platform contradict others',
         Code.request_malformed: 'the request is not valid HTTP',
         Code.request_too_large: 'head or body over the limit',
         Code.no_route: 'no class matches method and path',
--- a/wagtaildale/platform/__main__.py
+++ b/wagtaildale/platform/__main__.py
@@ -15,7 +15,7 @@
 from wagtaildale.platform.dialect import PLATFORM_DIALECT
 from wagtaildale.platform.settings import read_settings, translate_settings
 from wagtaildale.platform.store import PlatformStore
-from wagtaildale.source.store import StoreFeed
+from wagtaildale.source.store_feed import StoreFeed
 
 if TYPE_CHECKING:
     from wagtaildale.settings.model import Settings
--- a/wagtaildale/platform/store.py
+++ b/wagtaildale/platform/store.py
@@ -111,19 +111,17 @@
         Returns:
             The items, or why they were not read.
         """
-        entries: list[StoredEntry] = []
-        versions: list[Version] = []
-        has_more_pages = True
-        while has_more_pages:
-            after = quote(entries[-1].key, safe='') if entries else ''
-            response = self._call(f'/kv-range?prefix=&after={after}', 0, Page)
-            if isinstance(response, Err):
-                return response
-            page, era = response.ok_value
-            entries.extend(page.entries)
-            versions.append(make_version(era, revision=page.store_revision))
-            has_more_pages = page.has_more and bool(page.entries)
-        return _join_pages(entries, versions)
+        return self._read_pages()
+
+    def read_list(self) -> Result[StoreReading, ReadFailure]:
+        """Read the items behind the configuration; see ``Store``.
+
+        Returns:
+            All items of the instance list, or why they were not read.
+        """
+        # The keys of the list come behind that of the configuration, which is
+        # far larger than all others.
+        return self._read_pages(after_key=CONFIGURATION_KEY)
 
     def watch(
         self,
@@ -189,6 +187,23 @@
             return _build_configuration(entries)
         return Ok(self._build_instance_list(entries, version))
 
+    def _read_pages(
+        self, *, after_key: str = ''
+    ) -> Result[StoreReading, ReadFailure]:
+        entries: list[StoredEntry] = []
+        versions: list[Version] = []
+        has_more_pages = True
+        while has_more_pages:
+            after = quote(entries[-1].key if entries else after_key, safe='')
+            response = self._call(f'/kv-range?prefix=&after={after}', 0, Page)
+            if isinstance(response, Err):
+                return response
+            page, era = response.ok_value
+            entries.extend(page.entries)
+            versions.append(make_version(era, revision=page.store_revision))
+            has_more_pages = page.has_more and bool(page.entries)
+        return _join_pages(entries, versions)
+
     def _build_instance_list(
         self,
         entries: Mapping[str, StoreEntry],
--- a/wagtaildale/platform/tests/feeds.py
+++ b/wagtaildale/platform/tests/feeds.py
@@ -13,7 +13,7 @@
 from wagtaildale.source.curl import Answer
 from wagtaildale.source.feed import FeedReading
 from wagtaildale.source.platform import ReadFailure
-from wagtaildale.source.store import StoreFeed
+from wagtaildale.source.store_feed import StoreFeed
 from wagtaildale.types import DocumentKind
 
 
--- a/wagtaildale/platform/tests/test_stores.py
+++ b/wagtaildale/platform/tests/test_stores.py
@@ -23,7 +23,7 @@
 from wagtaildale.platform.tests.feeds import list_instances, read_feed
 from wagtaildale.platform.tests.stores import StandInStore
 from wagtaildale.settings.model import PlatformSettings
-from wagtaildale.source.store import StoreFeed
+from wagtaildale.source.store_feed import StoreFeed
 from wagtaildale.testing.loopback import make_host
 
 if TYPE_CHECKING:
--- a/wagtaildale/source/curl.py
+++ b/wagtaildale/source/curl.py
@@ -171,6 +171,7 @@
                 f'no byte for {idle_timeout_seconds:.3f} s after'
                 f' {seen_bytes} bytes'
             ),
+            is_silent=True,
         )
 
     def _step(self, idle_at: float) -> None:
--- a/wagtaildale/source/feed.py
+++ b/wagtaildale/source/feed.py
@@ -17,6 +17,7 @@
 from wagtaildale.decoding.failures import describe_error
 from wagtaildale.distribution.messages import (
     EntryRefused,
+    SourceContradicted,
     SourceConfirmed,
     SourceRead,
 )
@@ -49,11 +50,13 @@
             other nodes, and the state of the instance list that it sends
             them should not come from an older read.
         refused: entries that cannot be read and were not reported before.
+        contradicted: answers that contradict earlier ones.
     """
 
     changed: tuple[SourceRead, ...] = ()
     confirmed: tuple[SourceConfirmed, ...] = ()
     refused: tuple[EntryRefused, ...] = ()
+    contradicted: tuple[SourceContradicted, ...] = ()
 
 
 class Feed(ABC):
@@ -192,6 +195,7 @@
     *,
     version: Version,
     blobs: Mapping[str, bytes],
+    is_whole: bool = False,
 ) -> SourceRead:
     """Build the message for a version whose blobs were all read.
 
@@ -199,12 +203,15 @@
         kind: document that was read.
         version: version of the document.
         blobs: contents of the entries, by entry name.
+        is_whole: whether they were read as a whole; see ``Outline``.
 
     Returns:
         The outline with all its blobs.
     """
     entries = {name: hash_part(blob) for name, blob in blobs.items()}
-    outline = Outline(kind=kind, version=version, entries=entries)
+    outline = Outline(
+        kind=kind, version=version, entries=entries, is_whole=is_whole
+    )
     return SourceRead(outline=outline, blobs=tuple(blobs.values()))
 
 
--- a/wagtaildale/source/platform.py
+++ b/wagtaildale/source/platform.py
@@ -39,10 +39,13 @@
         code: result code, for instance of an unreachable platform, a refused
             read or an unreadable payload.
         detail: explanation for people.
+        is_silent: whether nothing came for too long, over a connection that
+            was there.
     """
 
     code: Code
     detail: str
+    is_silent: bool = False
 
 
 def make_read_failure(failure: DecodingFailure) -> ReadFailure:
--- a/wagtaildale/source/tasks.py
+++ b/wagtaildale/source/tasks.py
@@ -194,7 +194,7 @@
 
     def _read(self, feed: Feed) -> None:
         self._stopping.wait(self._buckets[False].take(now=read_clock()))
-        feed.restart()
+        feed.forget()
         self.reads += 1
         read = read_feed(feed, wait=0)
         if isinstance(read, Err):
@@ -247,7 +247,12 @@
 
 
 def _put_reading(outbox: Inbox[Any], reading: FeedReading) -> None:
-    for message in (*reading.refused, *reading.changed, *reading.confirmed):
+    for message in (
+        *reading.contradicted,
+        *reading.refused,
+        *reading.changed,
+        *reading.confirmed,
+    ):
         outbox.put(message)
 
 
--- a/wagtaildale/telemetry/events.py
+++ b/wagtaildale/telemetry/events.py
@@ -41,6 +41,7 @@
     reader_stepped_down = 'reader-stepped-down'
     source_failed = 'source-failed'
     source_recovered = 'source-recovered'
+    source_contradicted = 'source-contradicted'
     peer_suspected = 'peer-suspected'
     peer_refuted = 'peer-refuted'
     peer_dead = 'peer-dead'
--- a/wagtaildale/telemetry/gauges.py
+++ b/wagtaildale/telemetry/gauges.py
@@ -90,6 +90,12 @@
         unit='{entry}',
         description='Entries of the platform skipped as unreadable.',
     )
+    metrics.add_gauge(
+        'wagtaildale.platform.contradictions',
+        lambda: counts.contradictions,
+        unit='{answer}',
+        description='Answers of the platform that contradict others.',
+    )
     metrics.add_gauge(
         'wagtaildale.distribution.defects',
         lambda: counts.defects,
