Full reads: pages that are older than others, or that don't go on

What callers would see: a server that leaves between two pages is called for good, if a page in the middle is older than the first and the last; all servers behind a page without items that says that more follow count as removed; a store that repeats a page keeps a reader for ever. Cause: only the revisions of the first and the last page were compared, and an empty page ended the read whatever it said. Change: the oldest page is where the changes since are read from, and a page that says that more follow has to go on. The three new cases of test_store.py failed before.

--- a/wagtaildale/platform/answers.py
+++ b/wagtaildale/platform/answers.py
@@ -54,6 +54,11 @@
     has_more: bool
     store_revision: int
 
+    @property
+    def last_key(self) -> str:
+        """Key after which the next page begins; empty on an empty page."""
+        return self.entries[-1].key if self.entries else ''
+
 
 class Changes(Struct, frozen=True, kw_only=True, rename='camel'):
     """Response to a watch.
--- a/wagtaildale/platform/store.py
+++ b/wagtaildale/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Final, Protocol
 from urllib.parse import quote
 
@@ -190,19 +191,17 @@
     def _read_pages(
         self, *, after_key: str = ''
     ) -> Result[StoreReading, ReadFailure]:
-        entries: list[StoredEntry] = []
-        versions: list[Version] = []
-        has_more_pages = True
-        while has_more_pages:
-            after = quote(entries[-1].key if entries else after_key, safe='')
-            response = self._call(f'/kv-range?prefix=&after={after}', 0, Page)
-            if isinstance(response, Err):
-                return response
-            page, era = response.ok_value
-            entries.extend(page.entries)
-            versions.append(make_version(era, revision=page.store_revision))
-            has_more_pages = page.has_more and bool(page.entries)
-        return _join_pages(entries, versions)
+        pages: list[tuple[Page, Era]] = []
+        while not pages or pages[-1][0].has_more:
+            if pages:
+                after_key = pages[-1][0].last_key
+            path = f'/kv-range?prefix=&after={quote(after_key, safe="")}'
+            response = self._call(path, 0, Page)
+            read = response.and_then(partial(_check_page, after_key=after_key))
+            if isinstance(read, Err):
+                return read
+            pages.append(read.ok_value)
+        return _join_pages(pages)
 
     def _build_instance_list(
         self,
@@ -301,10 +300,24 @@
     return decoded.unwrap_or(encoded.encode())
 
 
+def _check_page(
+    read: tuple[Page, Era], *, after_key: str
+) -> Result[tuple[Page, Era], ReadFailure]:
+    # Without this, the rest of the list would be taken for removed.
+    page = read[0]
+    if page.has_more and page.last_key <= after_key:
+        detail = f'got no items after {after_key!r}, expected more'
+        return Err(ReadFailure(code=Code.part_corrupt, detail=detail))
+    return Ok(read)
+
+
 def _join_pages(
-    entries: Sequence[StoredEntry],
-    versions: Sequence[Version],
+    pages: Sequence[tuple[Page, Era]],
 ) -> Result[StoreReading, ReadFailure]:
+    # A page may also be older than the one before it.
+    versions = sorted(
+        make_version(era, revision=page.store_revision) for page, era in pages
+    )
     first, last = versions[0], versions[-1]
     era = find_era(first)
     if find_era(last) != era:
@@ -312,7 +325,11 @@
         return Err(ReadFailure(code=Code.history_gone, detail=detail))
     return Ok(
         StoreReading(
-            entries=tuple(_decode_entry(entry) for entry in entries),
+            entries=tuple(
+                _decode_entry(entry)
+                for page, _era in pages
+                for entry in page.entries
+            ),
             revision=find_revision(first),
             is_snapshot=first == last,
             era=era,
--- a/wagtaildale/platform/tests/test_store.py
+++ b/wagtaildale/platform/tests/test_store.py
@@ -282,6 +282,42 @@
     assert 'after=9' in client.urls[2]
 
 
+def test_page_that_is_older_than_its_neighbours_is_brought_up_to_date() -> None:
+    """A server is called for good that left between two pages."""
+    first, second, third = (
+        build_item(f'servers/i-{number}', build_entry()) for number in range(3)
+    )
+    leaving = build_item(
+        'servers/i-1', build_entry(state='draining'), revision=9
+    )
+    feed, client = build_feed(
+        {**build_page(first, revision=9), 'hasMore': True},
+        {**build_page(second, revision=8), 'hasMore': True},
+        build_page(third, revision=9),
+        build_changes(leaving, revision=9),
+    )
+    assert list_instances(read_feed(feed))['i-1'].state is ListedState.leaving
+    assert 'after=8' in client.urls[3]
+
+
+@pytest.mark.parametrize(
+    'rest',
+    [(), (build_item(FIRST, build_entry()),)],
+    ids=['empty', 'repeated'],
+)
+def test_pages_that_do_not_go_on_are_no_list(
+    rest: tuple[dict[str, Any], ...],
+) -> None:
+    """All servers behind an empty page are taken for removed."""
+    feed, _client = build_feed(
+        {**build_page(build_item(FIRST, build_entry())), 'hasMore': True},
+        {**build_page(*rest), 'hasMore': True},
+    )
+    failed = feed.read(wait=1.0)
+    assert isinstance(failed, Err)
+    assert failed.err_value.code is Code.part_corrupt
+
+
 def test_failed_watch_continues_from_its_cursor() -> None:
     """A reader reads everything again after each failure.
 
