Stand-ins: watches that leave out changes or stay silent, limits and words

Fault of the stand-in, by the code: a watch that timed out in the moment of a change named its revision and left it out.

--- a/standins/deployment/disturbances.py
+++ b/standins/deployment/disturbances.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import time
+from collections import Counter
 from typing import TYPE_CHECKING, Final
 
 from standins.deployment.verdict import Departure, Disturbance
@@ -25,6 +26,8 @@
 LONGEST_SERVICE_SECONDS: Final = 6.0
 LONGEST_RESTART_SECONDS: Final = 1.0
 LONGEST_OUTAGE_SECONDS: Final = 4.0
+SHORTEST_SILENCE_SECONDS: Final = 10.0
+LONGEST_SILENCE_SECONDS: Final = 30.0
 STORM_VERSIONS: Final = 25
 STORM_GAP_SECONDS: Final = 0.2
 
@@ -70,6 +73,8 @@
             (scenario.outage_gap, self._interrupt_store),
             (scenario.refuse_gap, self._refuse_some),
             (scenario.storm_gap, self._publish_storm),
+            (scenario.drop_gap, self._drop_history),
+            (scenario.silence_gap, self._silence_watches),
         )
         until = time.monotonic() + seconds
         repeated = (
@@ -94,9 +99,10 @@
         if machine is None:
             return
         machine.is_listed = False
-        await self._fleet.add_machine(
-            zone=machine.zone, service=machine.service
-        )
+        if self._scenario.replaces:
+            await self._fleet.add_machine(
+                zone=machine.zone, service=machine.service
+            )
         await self._leave(machine)
         drain_seconds = self._fleet.deployment.drain_ms / MILLISECONDS
         more_seconds = self._random.uniform(0, LONGEST_SERVICE_SECONDS)
@@ -109,6 +115,11 @@
         machine.signal_node(signal.SIGTERM)
 
     async def _leave(self, machine: Machine) -> None:
+        if self._random.random() < self._scenario.word_share:
+            machine.signal_server(signal.SIGUSR2)
+            return
+        if self._random.random() < self._scenario.hidden_share:
+            self._fleet.hide_next_change(machine)
         is_removed = self._random.random() < self._scenario.removed_share
         if is_removed:
             await self._fleet.remove_entry(machine)
@@ -128,6 +139,9 @@
 
     def _choose_leaving(self) -> Machine | None:
         listed = [each for each in self._fleet.machines if each.is_listed]
+        if not self._scenario.replaces:
+            left = Counter(each.service for each in listed)
+            listed = [each for each in listed if left[each.service] > 1]
         return self._random.choice(listed) if listed else None
 
     # Nodes
@@ -194,6 +208,18 @@
         self._fleet.store.refused_hosts.discard(machine.host)
         machine.end_disturbance()
 
+    async def _drop_history(self) -> None:
+        self._fleet.store.drop_history()
+
+    async def _silence_watches(self) -> None:
+        self._fleet.store.is_silent = True
+        await asyncio.sleep(
+            self._random.uniform(
+                SHORTEST_SILENCE_SECONDS, LONGEST_SILENCE_SECONDS
+            )
+        )
+        self._fleet.store.is_silent = False
+
     async def _publish_storm(self) -> None:
         for _version in range(STORM_VERSIONS):
             await self._fleet.publish_version()
--- a/standins/deployment/fleet.py
+++ b/standins/deployment/fleet.py
@@ -43,7 +43,12 @@
     """
 
     def __init__(
-        self, deployment: Deployment, *, network: str, folder: Path
+        self,
+        deployment: Deployment,
+        *,
+        network: str,
+        folder: Path,
+        names_limits: bool = False,
     ) -> None:
         """Describe the machines; nothing is started.
 
@@ -51,7 +56,9 @@
             deployment: deployment that runs.
             network: first three parts of the IP addresses.
             folder: folder of settings, logs and records.
+            names_limits: whether servers name rate limits.
         """
+        self._names_limits = names_limits
         self.deployment = deployment
         self.store = Store()
         self.machines: list[Machine] = []
@@ -91,7 +98,7 @@
         """
         machine = self._factory.make(zone=zone, service=service)
         self.machines.append(machine)
-        machine.start_server(self.deployment)
+        machine.start_server(self.deployment, names_limit=self._names_limits)
         await asyncio.to_thread(machine.wait_server)
         await self.store.listen(machine.host)
         self._write_settings(machine)
@@ -121,6 +128,14 @@
         """
         await self.store.remove(f'{ENTRY_PREFIX}{machine.instance}')
 
+    def hide_next_change(self, machine: Machine) -> None:
+        """Make watches leave out the next change of a server's entry.
+
+        Args:
+            machine: machine of the server.
+        """
+        self.store.hidden_keys.add(f'{ENTRY_PREFIX}{machine.instance}')
+
     async def publish_version(self) -> None:
         """Publish the next version of the configuration."""
         self._version += 1
--- a/standins/deployment/machines.py
+++ b/standins/deployment/machines.py
@@ -25,6 +25,7 @@
 # Folder of the checkout that nodes run from, to compare an earlier landing.
 CHECKOUT_VARIABLE: Final = 'DRAINS_CHECKOUT'
 ARRIVALS_NAME: Final = 'arrivals'
+WORD_NAME: Final = 'word'
 END_SECONDS: Final = 10.0
 
 
@@ -95,11 +96,14 @@
             )
         self.end_disturbance()
 
-    def start_server(self, deployment: Deployment) -> None:
+    def start_server(
+        self, deployment: Deployment, *, names_limit: bool = False
+    ) -> None:
         """Start the backend server under a new id.
 
         Args:
             deployment: deployment that it belongs to.
+            names_limit: whether it names a rate limit.
         """
         number = next(self._numbers)
         self.instance = 'i-{0}-{1}'.format(self.host.replace('.', '-'), number)
@@ -111,9 +115,11 @@
             speed=self._speed,
             slots=deployment.slots,
             seed=number,
+            names_limit=names_limit,
             arrivals_path=str(
                 self._folder / f'{self.instance}.{ARRIVALS_NAME}'
             ),
+            word_path=str(self._folder / f'{self.instance}.{WORD_NAME}'),
         )
         self.server = subprocess.Popen(
             [sys.executable, '-m', 'standins.deployment.server'],
--- a/standins/deployment/model.py
+++ b/standins/deployment/model.py
@@ -158,6 +158,9 @@
         slots: requests that it runs at once.
         seed: seed of its random choices.
         arrivals_path: file for the requests that reach it.
+        word_path: file for the first answer that says that it leaves.
+        names_limit: whether it names a rate limit; one server in three names
+            one that can't be read.
     """
 
     deployment: str
@@ -168,6 +171,22 @@
     slots: int
     seed: int
     arrivals_path: str
+    word_path: str
+    names_limit: bool = False
+
+
+class LeavingWord(Struct, frozen=True, kw_only=True):
+    """The first answer in which a server says that it leaves.
+
+    Attributes:
+        instance: id of the server.
+        host: IP address of its machine.
+        at: when the answer was sent, seconds on the monotonic clock.
+    """
+
+    instance: str
+    host: str
+    at: float
 
 
 class Burst(Struct, frozen=True, kw_only=True):
--- a/standins/deployment/run.py
+++ b/standins/deployment/run.py
@@ -11,11 +11,22 @@
 
 from standins.deployment.disturbances import Disturber
 from standins.deployment.fleet import STATUS_OK, DeploymentFleet
-from standins.deployment.machines import ARRIVALS_NAME, start_clients
-from standins.deployment.model import Arrival, Burst, ClientPlan, SentRequest
+from standins.deployment.machines import (
+    ARRIVALS_NAME,
+    WORD_NAME,
+    start_clients,
+)
+from standins.deployment.model import (
+    Arrival,
+    Burst,
+    ClientPlan,
+    LeavingWord,
+    SentRequest,
+)
 from standins.deployment.stop_verdict import LostRequest, find_lost_requests
 from standins.deployment.verdict import (
     Bounds,
+    Departure,
     Evidence,
     LateRequest,
     find_late_requests,
@@ -95,6 +106,7 @@
             deployment.adapt(patience=scenario.patience, slots=scenario.slots),
             network=plan.network,
             folder=plan.folder,
+            names_limits=scenario.names_limits,
         )
         self._disturber = Disturber(self._fleet, scenario, seed=plan.seed)
         self._clients: list[subprocess.Popen[bytes]] = []
@@ -172,8 +184,12 @@
         )
 
     def _gather_evidence(self, folder: Path) -> Evidence:
+        words = _read_all(folder, f'*.{WORD_NAME}', LeavingWord)
         return Evidence(
-            departures=self._disturber.departures,
+            departures=[
+                *self._disturber.departures,
+                *map(_make_departure, words),
+            ],
             arrivals=_read_all(folder, f'*.{ARRIVALS_NAME}', Arrival),
             sent={
                 each.request_id: each
@@ -186,6 +202,15 @@
         )
 
 
+def _make_departure(word: LeavingWord) -> Departure:
+    return Departure(
+        instance=word.instance,
+        host=word.host,
+        acked_at=word.at,
+        was_announced=True,
+    )
+
+
 def _list_bursts(
     factor: float, begun_at: float, ends_at: float
 ) -> tuple[Burst, ...]:
--- a/standins/deployment/scenarios.py
+++ b/standins/deployment/scenarios.py
@@ -30,6 +30,16 @@
         outage_gap: between two outages of the store.
         refuse_gap: between two nodes that the store turns away.
         storm_gap: between two series of configurations.
+        drop_gap: between two times at which the store drops its history.
+        silence_gap: between two times in which no watch is answered.
+        hidden_share: share of the leaving servers whose change watches leave
+            out.
+        word_share: share of the leaving servers that say so in their answers
+            only.
+        names_limits: whether servers name rate limits, some of which can't be
+            read.
+        replaces: whether a server that leaves is replaced by another; the new
+            node's first read tells all others of what has changed.
     """
 
     load: float = 1
@@ -46,6 +56,12 @@
     outage_gap: float = 0
     refuse_gap: float = 0
     storm_gap: float = 0
+    drop_gap: float = 0
+    silence_gap: float = 0
+    hidden_share: float = 0
+    word_share: float = 0
+    names_limits: bool = False
+    replaces: bool = True
 
 
 SCENARIOS: Final = MappingProxyType(
@@ -56,5 +72,17 @@
         'pauses': Scenario(pause_gap=1, stop_gap=3),
         'store': Scenario(refuse_gap=1, outage_gap=10, store_delay=0.1),
         'versions': Scenario(storm_gap=8, stop_gap=3),
+        'hidden': Scenario(hidden_share=1),
+        'silence': Scenario(silence_gap=40, leave_gap=3, replaces=False),
+        'words': Scenario(word_share=1, names_limits=True),
+        'incident': Scenario(
+            stop_gap=6,
+            outage_gap=20,
+            drop_gap=5,
+            storm_gap=15,
+            hidden_share=0.3,
+            word_share=0.3,
+            names_limits=True,
+        ),
     },
 )
--- a/standins/deployment/server.py
+++ b/standins/deployment/server.py
@@ -1,7 +1,8 @@
 """Stand-in of one backend server, as a process of its own.
 
 SIGUSR1 makes it leave: its health check fails and its responses ask callers to
-close their connections. SIGTERM ends it.
+close their connections. SIGUSR2 makes it say in its responses that it leaves.
+SIGTERM ends it.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
     HEALTH_PATH,
     Arrival,
     ArrivalEnd,
+    LeavingWord,
     ServerPlan,
 )
 from standins.deployment.profiles import ALL_DEPLOYMENTS
@@ -42,6 +44,8 @@
 UNAVAILABLE: Final = 503
 TIMED_OUT: Final = 504
 SEAL_BYTES: Final = 8
+# A quotient, one that can't be read, and a whole number.
+LIMITS: Final = (b'533.3333333333334', b'unknown', b'533')
 ENDLESS: Final = 'endless'
 ENDLESS_CHUNK: Final = b'10000\r\n%b\r\n' % bytes(0x10000)
 CLOSE: Final = b'Connection: close\r\n'
@@ -60,12 +64,16 @@
         self.plan = plan
         self.deployment = ALL_DEPLOYMENTS[plan.deployment]
         self.is_leaving = False
+        self.says_leaving = False
         self.waiting = 0
         self.running = 0
         self.connections: set[Connection] = set()
         self.random = random.Random(plan.seed)
         self.inner_caller = InnerCaller(plan.host, ENTRY_PORT)
         self.slots = asyncio.Semaphore(plan.slots)
+        self._has_said = False
+        number = int(plan.host.rpartition('.')[2])
+        self._limit = LIMITS[number % len(LIMITS)]
         self._arrivals = Path(plan.arrivals_path).open('ab', buffering=0)
 
     async def serve(self) -> None:
@@ -74,6 +82,7 @@
         is_over = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, is_over.set)
         loop.add_signal_handler(signal.SIGUSR1, self._leave)
+        loop.add_signal_handler(signal.SIGUSR2, self._say_leaving)
         listener = await loop.create_server(
             lambda: Connection(self),
             self.plan.host,
@@ -109,9 +118,37 @@
         slots = self.plan.slots
         return b'%d,%d,%d' % (self.running, self.waiting, slots)
 
+    def format_words(self) -> bytes:
+        """Format the headers that name a limit and that the server leaves.
+
+        Returns:
+            Header lines; none if the server says nothing.
+        """
+        words = b''
+        if self.plan.names_limit:
+            words += b'Server-Limit: %b\r\n' % self._limit
+        if self.says_leaving:
+            words += b'Server-Leaving: 1\r\n'
+            self._note_word()
+        return words
+
+    def _note_word(self) -> None:
+        if self._has_said:
+            return
+        self._has_said = True
+        word = LeavingWord(
+            instance=self.plan.instance,
+            host=self.plan.host,
+            at=time.monotonic(),
+        )
+        Path(self.plan.word_path).write_bytes(json.encode(word) + b'\n')
+
     def _leave(self) -> None:
         self.is_leaving = True
 
+    def _say_leaving(self) -> None:
+        self.says_leaving = True
+
 
 class Request:
     """A request as it is read from a connection."""
@@ -299,7 +336,7 @@
             b'X-Instance-Id: %b\r\n'
             b'X-Server-Load: %b\r\n'
             b'Keep-Alive: timeout=%d\r\n'
-            b'%b'
+            b'%b%b'
             b'Content-Length: %d\r\n\r\n%b'
             % (
                 status,
@@ -308,6 +345,7 @@
                 instance,
                 server.format_load(),
                 IDLE_SECONDS,
+                server.format_words(),
                 extra,
                 len(body),
                 body,
--- a/standins/deployment/store.py
+++ b/standins/deployment/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from base64 import b64encode
+from contextlib import suppress
 from functools import partial
 from typing import Any, Final
 from urllib.parse import parse_qs, urlsplit
@@ -22,6 +23,7 @@
 USUAL_DELAY_SECONDS: Final = 0.004
 FIRST_REVISION: Final = 100
 BACKLOG: Final = 512
+SILENCE_SECONDS: Final = 0.05
 
 Answer = tuple[int, dict[str, Any]]
 
@@ -32,10 +34,12 @@
     Attributes:
         at: time of the change, seconds on the monotonic clock.
         event: the change as watches return it.
+        is_hidden: whether watches leave it out.
     """
 
     at: float
     event: dict[str, Any]
+    is_hidden: bool = False
 
 
 class Store:
@@ -47,16 +51,22 @@
     Attributes:
         delay_seconds: time that each answer takes.
         refused_hosts: machines that get no answer.
+        is_silent: whether no watch is answered.
+        hidden_keys: keys whose next change watches leave out, although they
+            name its revision.
     """
 
     def __init__(self) -> None:
         """Create an empty store that does not listen yet."""
         self.delay_seconds = USUAL_DELAY_SECONDS
         self.refused_hosts: set[str] = set()
+        self.is_silent = False
+        self.hidden_keys: set[str] = set()
         self._changed = asyncio.Condition()
         self._revision = FIRST_REVISION
         self._present: dict[str, dict[str, Any]] = {}
         self._changes: list[Change] = []
+        self._dropped_revision = 0
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -103,6 +113,11 @@
             {'key': key, 'revision': self._revision, 'tombstone': True}
         )
 
+    def drop_history(self) -> None:
+        """Drop all changes; a watch from an earlier revision fails."""
+        self._changes.clear()
+        self._dropped_revision = self._revision
+
     def close(self) -> None:
         """Stop answering."""
         for server in self._servers:
@@ -112,10 +127,11 @@
 
     async def _note_change(self, change: dict[str, Any]) -> None:
         now = time.monotonic()
-        self._changes.append(Change(at=now, event=change))
-        self._changes = [
-            each for each in self._changes if each.at > now - HISTORY_SECONDS
-        ]
+        is_hidden = change['key'] in self.hidden_keys
+        self.hidden_keys.discard(change['key'])
+        self._changes.append(Change(at=now, event=change, is_hidden=is_hidden))
+        while self._changes[0].at <= now - HISTORY_SECONDS:
+            self._dropped_revision = self._changes.pop(0).event['revision']
         async with self._changed:
             self._changed.notify_all()
 
@@ -180,19 +196,22 @@
 
     async def _watch(self, query: dict[str, str]) -> Answer:
         after = int(query['after'])
-        first = self._changes[0].event['revision'] if self._changes else 0
-        if after + 1 < first:
+        while self.is_silent:
+            await asyncio.sleep(SILENCE_SECONDS)
+        if after < self._dropped_revision:
             return GONE, {}
         seconds = int(query['waitMs']) / MILLISECONDS
         async with self._changed:
-            try:
+            with suppress(TimeoutError):
                 async with asyncio.timeout(seconds):
                     await self._changed.wait_for(lambda: self._revision > after)
-            except TimeoutError:
-                return OK, {'events': [], 'storeRevision': self._revision}
-        events = [
+        # Also after the time-out: a change may have come in that moment.
+        events = self._list_events(after)
+        return OK, {'events': events, 'storeRevision': self._revision}
+
+    def _list_events(self, after: int) -> list[dict[str, Any]]:
+        return [
             each.event
             for each in self._changes
-            if each.event['revision'] > after
+            if each.event['revision'] > after and not each.is_hidden
         ]
-        return OK, {'events': events, 'storeRevision': self._revision}
--- a/standins/tests/test_drains.py
+++ b/standins/tests/test_drains.py
@@ -27,13 +27,15 @@
         (HAILMARK, 'waits'),
         (PDP_GATES, 'stops'),
         (STARTNUMMER, 'pauses'),
+        (PDP_GATES, 'hidden'),
+        (PDP_GATES, 'words'),
     ],
-    ids=['hailmark', 'pdp', 'startnummer'],
+    ids=['hailmark', 'pdp', 'startnummer', 'pdp-hidden', 'pdp-words'],
 )
 def test_servers_that_left_get_no_requests(
     deployment: Deployment, scenario: str, tmp_path: Path
 ) -> None:
-    """Requests reach servers whose entry says leaving or is removed."""
+    """Requests reach servers that have said in any way that they leave."""
     plan = RunPlan(
         scenario=SCENARIOS[scenario],
         seconds=SECONDS,
