Feed: changes that a comparison reads are counted, too

A configuration that the short watch of a comparison left out was lost until the next full read: only the list was compared. The new case of test_comparisons.py failed before.

--- a/wagtaildale/platform/tests/test_comparisons.py
+++ b/wagtaildale/platform/tests/test_comparisons.py
@@ -170,6 +170,16 @@
     assert 'i-1' not in list_usable(read_feed(feed))
 
 
+def test_configuration_that_a_comparison_passes_is_read_at_once(
+    store: SimulatedStore, feed: StoreFeed
+) -> None:
+    """A version is lost, since its change came beside a comparison."""
+    feed.restart()
+    write_configuration(store, hides=True)
+    kind = DocumentKind.configuration
+    assert find_version(read_feed(feed), kind) == LATER_VERSION
+
+
 def test_comparisons_of_an_unchanged_store_are_few_and_small(
     store: SimulatedStore, feed: StoreFeed
 ) -> None:
--- a/wagtaildale/source/list_comparison.py
+++ b/wagtaildale/source/list_comparison.py
@@ -6,10 +6,15 @@
 
 from result import Err, Ok, Result
 
-from wagtaildale.source.comparison import ReadKind, find_differences
+from wagtaildale.source.comparison import (
+    ReadKind,
+    count_missing_changes,
+    find_differences,
+)
 from wagtaildale.source.full_reads import (
     CopyUpdate,
     correct_list,
+    read_after_gap,
     read_again,
     read_all,
 )
@@ -54,6 +59,9 @@
     if copy.is_replaced(changes):
         return read_all(copy)
     copy.apply(changes)
+    missing = count_missing_changes(changes, after=copy.revision or 0)
+    if missing:
+        return read_after_gap(copy, changes, missing=missing)
     copy.revision = changes.revision
     return _compare(copy, reading, changes=(changes,))
 
