Readers: after an outage the first one reads soon

What callers would see: servers that leave after a long outage of the store get requests, and versions are late, for up to half a minute in a fleet of few nodes. Cause: the delay after a failed read doubled up to 30 s, for each reader alike; the store may have been back for long. Found while looking for silence that is taken for 'nothing new'.

--- a/standins/deployment/scenarios.py
+++ b/standins/deployment/scenarios.py
@@ -28,6 +28,7 @@
         pause_seconds: longest pause.
         store_delay: time that the store takes for an answer, seconds.
         outage_gap: between two outages of the store.
+        outage_seconds: longest outage.
         refuse_gap: between two nodes that the store turns away.
         storm_gap: between two series of configurations.
         drop_gap: between two times at which the store drops its history.
@@ -54,6 +55,7 @@
     pause_seconds: float = 2
     store_delay: float = USUAL_DELAY_SECONDS
     outage_gap: float = 0
+    outage_seconds: float = 4
     refuse_gap: float = 0
     storm_gap: float = 0
     drop_gap: float = 0
@@ -72,6 +74,7 @@
         'pauses': Scenario(pause_gap=1, stop_gap=3),
         'store': Scenario(refuse_gap=1, outage_gap=10, store_delay=0.1),
         'versions': Scenario(storm_gap=8, stop_gap=3),
+        'outage': Scenario(outage_gap=60, outage_seconds=30),
         'hidden': Scenario(hidden_share=1),
         'silence': Scenario(silence_gap=40, leave_gap=3, replaces=False),
         'words': Scenario(word_share=1, names_limits=True),
--- a/wagtaildale/assembly.py
+++ b/wagtaildale/assembly.py
@@ -25,6 +25,7 @@
 from wagtaildale.routing.choosers import make_chooser
 from wagtaildale.routing.view import ViewHolder
 from wagtaildale.settings.model import MAX_SLOTS, Settings
+from wagtaildale.source.pacing import RetryPacing
 from wagtaildale.source.tasks import FetchTask, WatchTask
 from wagtaildale.suspects.snapshots import SuspectsHolder
 from wagtaildale.telemetry.tallies import Tallies
@@ -132,7 +133,10 @@
             feed,
             outbox=parts.inbox,
             wait=parts.tuning.watch_seconds,
-            first_cap_seconds=parts.tuning.backoff_seconds,
+            pacing=RetryPacing(
+                first_cap_seconds=parts.tuning.backoff_seconds,
+                rank_cap_seconds=parts.tuning.rank_backoff_seconds,
+            ),
             gather_seconds=parts.tuning.gather_seconds,
         )
         for feed in parts.integration.make_feeds(parts.settings)
--- a/wagtaildale/distribution/tuning.py
+++ b/wagtaildale/distribution/tuning.py
@@ -46,6 +46,8 @@
         first_read_seconds: interval over which new nodes spread their first
             reads.
         backoff_seconds: maximum delay after a first failed read.
+        rank_backoff_seconds: maximum delay after any failed read, for each
+            reader up to a node's rank.
         gather_seconds: how long a reader waits for further changes after a
             change before it reads again.
         ask_peers_seconds: how long a new node asks only the seeds before it
@@ -83,6 +85,7 @@
     join_look_seconds: float = 0.05
     first_read_seconds: float = 3.0
     backoff_seconds: float = 0.5
+    rank_backoff_seconds: float = 2.5
     gather_seconds: float = 0
     ask_peers_seconds: float = 1.0
     alone_seconds: float = 2.0
@@ -106,6 +109,9 @@
 STEP_SHARE: Final = 0.02
 FIRST_READ_SHARE: Final = 0.05
 BACKOFF_SHARE: Final = 0.1
+# The first reader of a data centre reads so soon after the platform is back
+# that a version is in time.
+RANK_BACKOFF_SHARE: Final = 0.25
 # Changes come in series, such as a release or versions five times a second.
 # One read then fetches several of them.
 GATHER_SHARE: Final = 0.2
@@ -200,6 +206,7 @@
         look_seconds=LOOK_SHARE * apply_seconds,
         first_read_seconds=FIRST_READ_SHARE * apply_seconds,
         backoff_seconds=BACKOFF_SHARE * apply_seconds,
+        rank_backoff_seconds=RANK_BACKOFF_SHARE * apply_seconds,
         gather_seconds=GATHER_SHARE * apply_seconds,
         ask_peers_seconds=ASK_PEERS_SHARE * apply_seconds,
         peer_wait_seconds=PEER_WAIT_SHARE * apply_seconds,
--- a/wagtaildale/source/pacing.py
+++ b/wagtaildale/source/pacing.py
@@ -10,10 +10,31 @@
 import random
 from typing import Final
 
+from msgspec import Struct
+
 FIRST_CAP_SECONDS: Final = 0.5
 LAST_CAP_SECONDS: Final = 30.0
 
 
+class RetryPacing(Struct, frozen=True, kw_only=True):
+    """How long a reader waits after failed reads.
+
+    The first reader of a data centre reads soon after the platform is back; the
+    others leave it the calls.
+
+    Attributes:
+        first_cap_seconds: longest delay after the first failed read, seconds.
+        rank_cap_seconds: longest delay after any failed read, for each reader
+            up to a node's rank, seconds.
+    """
+
+    first_cap_seconds: float = FIRST_CAP_SECONDS
+    rank_cap_seconds: float = LAST_CAP_SECONDS
+
+
+USUAL_PACING: Final = RetryPacing()
+
+
 class TokenBucket:
     """Token bucket: a steady rate with bursts above it.
 
@@ -74,6 +95,17 @@
         self._first_cap_seconds = first_cap_seconds
         self._cap_seconds = first_cap_seconds
         self._last_cap_seconds = last_cap_seconds
+        self._longest_seconds = last_cap_seconds
+
+    def limit(self, last_cap_seconds: float) -> None:
+        """Change the longest delay.
+
+        Args:
+            last_cap_seconds: longest delay after any failure, seconds; never
+                longer than at the start.
+        """
+        self._last_cap_seconds = min(self._longest_seconds, last_cap_seconds)
+        self._cap_seconds = min(self._cap_seconds, self._last_cap_seconds)
 
     def draw(self) -> float:
         """Draw the delay after a further failure.
--- a/wagtaildale/source/tasks.py
+++ b/wagtaildale/source/tasks.py
@@ -17,7 +17,12 @@
 )
 from wagtaildale.errors.codes import Code
 from wagtaildale.source.feed import read_feed
-from wagtaildale.source.pacing import FIRST_CAP_SECONDS, Backoff, TokenBucket
+from wagtaildale.source.pacing import (
+    USUAL_PACING,
+    Backoff,
+    RetryPacing,
+    TokenBucket,
+)
 from wagtaildale.source.platform import Platform, ReadFailure, read_part
 from wagtaildale.timers.inbox import Inbox
 from wagtaildale.timers.service import read_clock
@@ -59,7 +64,7 @@
         *,
         outbox: Inbox[Any],
         wait: float,
-        first_cap_seconds: float = FIRST_CAP_SECONDS,
+        pacing: RetryPacing = USUAL_PACING,
         gather_seconds: float = 0,
     ) -> None:
         """Create a task that is not appointed yet.
@@ -68,18 +73,18 @@
             feed: feed to watch; used by this task only.
             outbox: inbox of the distribution task.
             wait: longest time that the platform holds a watch open, seconds.
-            first_cap_seconds: longest delay after the first failed read,
-                seconds.
+            pacing: how long it waits after failed reads.
             gather_seconds: time to wait for further changes after a change,
                 seconds.
         """
         self.inbox: Inbox[Watch | None] = Inbox()
         self.feed = feed
-        self.backoff = Backoff(first_cap_seconds=first_cap_seconds)
+        self.backoff = Backoff(first_cap_seconds=pacing.first_cap_seconds)
         self.reads = 0
         self.failed_reads = 0
         self._outbox = outbox
         self._wait = wait
+        self._rank_cap_seconds = pacing.rank_cap_seconds
         self._gather_seconds = gather_seconds
         self._gathered_seconds = float(0)
         self._appointed = False
@@ -109,6 +114,7 @@
         order = self.inbox.take(timeout=timeout)
         if order is not None:
             self._appointed = order.appointed
+            self.backoff.limit((order.rank + 1) * self._rank_cap_seconds)
         return self._appointed
 
     def _watch(self) -> None:
--- a/wagtaildale/source/tests/test_http.py
+++ b/wagtaildale/source/tests/test_http.py
@@ -11,7 +11,11 @@
 from wagtaildale.errors.codes import Code
 from wagtaildale.settings.model import PlatformSettings
 from wagtaildale.source.http import HttpPlatform
-from wagtaildale.source.pacing import Backoff, TokenBucket
+from wagtaildale.source.pacing import (
+    LAST_CAP_SECONDS,
+    Backoff,
+    TokenBucket,
+)
 from wagtaildale.testing.assertions import assert_err, assert_ok
 from wagtaildale.testing.builders import build_compiled, build_record
 
@@ -131,3 +135,14 @@
     assert 4 < max(drawn) <= 8
     backoff.reset()
     assert backoff.draw() <= 0.5
+
+
+def test_backoff_keeps_to_a_lower_limit() -> None:
+    """After a long outage the first reader waits for half a minute."""
+    backoff = Backoff()
+    drawn = [backoff.draw() for _failure in range(20)]
+    backoff.limit(1)
+    drawn = [backoff.draw() for _failure in range(200)]
+    assert 0.5 < max(drawn) <= 1
+    backoff.limit(100)
+    assert max(backoff.draw() for _failure in range(200)) <= LAST_CAP_SECONDS
