--- a/wagtaildale/platform/tests/test_cut_answers.py
+++ b/wagtaildale/platform/tests/test_cut_answers.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import socket
-import threading
+from contextlib import closing
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 import pytest
 from msgspec import json, structs
 
+from wagtaildale.calls.tests.listeners import Listener
 from wagtaildale.platform.store import PlatformStore
 from wagtaildale.platform.tests.builders import (
     build_entry,
@@ -18,9 +18,9 @@
 )
 from wagtaildale.platform.tests.feeds import build_page
 from wagtaildale.settings.model import PlatformSettings
-from wagtaildale.testing.closing import Closing
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Iterator
 
 READ_BYTES: Final = 65_536
@@ -38,7 +38,7 @@
 STEP: Final = 5
 
 
-class CuttingStore(Closing):
+class CuttingStore(Listener):
     """Sends the beginning of an answer and closes the connection.
 
     Attributes:
@@ -47,9 +47,7 @@
 
     def __init__(self) -> None:
         self.text = b''
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self._thread.start()
+        super().__init__(('127.0.0.1', 0))
 
     @property
     def url(self) -> str:
@@ -57,25 +55,14 @@
         host, port = self._listener.getsockname()
         return f'http://{host}:{port}'
 
-    def close(self) -> None:
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        self._thread.join()
-
-    def _serve(self) -> None:
-        while True:
-            try:
-                sock, _peer = self._listener.accept()
-            except OSError:
-                return
-            with sock:
-                sock.recv(READ_BYTES)
-                sock.sendall(self.text)
+    def answer(self, sock: socket.socket) -> None:
+        sock.recv(READ_BYTES)
+        sock.sendall(self.text)
 
 
 @pytest.fixture
 def cutting() -> Iterator[CuttingStore]:
-    with CuttingStore() as store:
+    with closing(CuttingStore()) as store:
         yield store
 
 
