Lists: each comparison is offered to the node, not only to its reader's copy

A node may hold a wrong list of a revision that a peer had pushed first; its own reader's right one of the same revision was refused, and its comparisons agreed with the store while the node did not. Found in reading the diff. Change: a comparison that agrees offers the list as read whole.

--- a/wagtaildale/distribution/decisions.py
+++ b/wagtaildale/distribution/decisions.py
@@ -176,6 +176,24 @@
     state: DistributionState,
     *,
     now: float,
+) -> list[messages.Effect]:
+    outline = message.outline
+    held = state.stores[outline.kind].held
+    if outline.is_whole and outline.entries == held.entries:
+        # A comparison has found nothing new. The list is not applied and sent
+        # on once more under the store's present revision.
+        confirmed = messages.SourceConfirmed(
+            kind=outline.kind, version=outline.version
+        )
+        return decide(confirmed, state, now=now)
+    return _offer_read(message, state, now=now)
+
+
+def _offer_read(
+    message: messages.SourceRead,
+    state: DistributionState,
+    *,
+    now: float,
 ) -> list[messages.Effect]:
     outline = message.outline
     kind = outline.kind
--- a/wagtaildale/distribution/tests/test_corrections.py
+++ b/wagtaildale/distribution/tests/test_corrections.py
@@ -9,6 +9,7 @@
 
 from wagtaildale.distribution import messages
 from wagtaildale.distribution.tests.networks import build_network
+from wagtaildale.distribution.wire import Push
 from wagtaildale.document.model import make_outline
 from wagtaildale.testing.builders import (
     build_configuration,
@@ -93,3 +94,20 @@
         for node in network.nodes.values()
     }
     assert held == {network.source.published[DocumentKind.configuration].digest}
+
+
+def test_comparison_that_finds_nothing_new_is_only_a_confirmation() -> None:
+    """Each comparison sends an unchanged list to all nodes."""
+    network = build_network()
+    network.settle()
+    network.sent.clear()
+    name = next(iter(network.nodes))
+    later = structs.replace(
+        build_instances(*network.records, version=9), is_whole=True
+    )
+    read_document(network, name, later)
+    network.flush()
+    assert not list_holders(network, later)
+    assert not network.sent[Push]
+    freshness = network.nodes[name].state.freshness[DocumentKind.instances]
+    assert freshness.confirmed_at == network.now
--- a/wagtaildale/source/list_comparison.py
+++ b/wagtaildale/source/list_comparison.py
@@ -18,6 +18,7 @@
     read_again,
     read_all,
 )
+from wagtaildale.types import DocumentKind
 
 if TYPE_CHECKING:
     from wagtaildale.source.platform import ReadFailure
@@ -78,5 +79,16 @@
     differing = find_differences(copy.pick_list(), read, later=later)
     if differing:
         return correct_list(copy, read, differing=differing)
-    changed = copy.list_kinds(each.key for each in told)
-    return Ok(CopyUpdate(kind=ReadKind.comparison, changed=changed))
+    # The list is offered even if no change was told: other nodes may have told
+    # this one another list of the same version.
+    changed = {
+        DocumentKind.instances,
+        *copy.list_kinds(each.key for each in told),
+    }
+    return Ok(
+        CopyUpdate(
+            kind=ReadKind.comparison,
+            changed=tuple(kind for kind in DocumentKind if kind in changed),
+            is_whole=True,
+        ),
+    )
