Comparisons: changes of several answers are read to their end first

Its answers hold no more than about a megabyte: a watch from 32 ended at 69 beside a list of 75, so the copy of 69 was compared with the list of 75. Each such line cost a full read; nothing wrong was applied. Change: an answer that ends before the list's revision is applied, and the next read compares. The new case of test_comparisons.py failed before.

--- a/wagtaildale/platform/tests/simulated_store.py
+++ b/wagtaildale/platform/tests/simulated_store.py
@@ -29,6 +29,7 @@
         hidden: revisions of changes that no watch returns.
         is_silent: whether no watch is answered.
         merges_changes: whether watches return only the last change of a key.
+        most_changes: most changes in an answer to a watch.
         urls: requested URLs, the latest last.
     """
 
@@ -36,6 +37,7 @@
         self.hidden: set[int] = set()
         self.is_silent = False
         self.merges_changes = False
+        self.most_changes = 1000
         self.urls: list[str] = []
         self._changes: list[dict[str, Any]] = []
 
@@ -90,14 +92,13 @@
         }
 
     def _read_changes(self, after: int) -> dict[str, Any]:
+        told = self._changes[after : after + self.most_changes]
         events = [
-            change
-            for change in self._changes[after:]
-            if change['revision'] not in self.hidden
+            change for change in told if change['revision'] not in self.hidden
         ]
         if self.merges_changes:
             events = list({each['key']: each for each in events}.values())
-        return {'events': events, 'storeRevision': self.revision}
+        return {'events': events, 'storeRevision': after + len(told)}
 
 
 def build_simulated_feed(store: SimulatedStore) -> StoreFeed:
--- a/wagtaildale/platform/tests/test_comparisons.py
+++ b/wagtaildale/platform/tests/test_comparisons.py
@@ -199,6 +199,20 @@
     assert sum(url.endswith(WHOLE_READ) for url in ranges) == 1
 
 
+def test_changes_of_several_answers_are_no_contradiction(
+    store: SimulatedStore, feed: StoreFeed
+) -> None:
+    """A list is compared that lacks the changes of the next answer."""
+    store.most_changes = 2
+    for _write in range(5):
+        store.write(SECOND, build_entry(address=OTHER_ADDRESS))
+    store.write(FIRST, None)
+    feed.restart()
+    readings = [read_feed(feed) for _read in range(4)]
+    assert not any(reading.contradicted for reading in readings)
+    assert 'i-1' not in list_usable(readings[2])
+
+
 def test_changes_beside_a_comparison_are_no_contradiction(
     store: SimulatedStore, feed: StoreFeed
 ) -> None:
--- a/wagtaildale/source/list_comparison.py
+++ b/wagtaildale/source/list_comparison.py
@@ -64,6 +64,10 @@
     if missing:
         return read_after_gap(copy, changes, missing=missing)
     copy.revision = changes.revision
+    if changes.revision < reading.revision:
+        # More changes than one answer holds: the next read compares.
+        changed = copy.list_kinds(each.key for each in changes.entries)
+        return Ok(CopyUpdate(kind=ReadKind.watch, changed=changed))
     return _compare(copy, reading, changes=(changes,))
 
 
