Inboxes close their descriptor; a test's proxy polls

Each node of a test left the eventfd of its inbox open, and the 98 new cases of test_cut_heads.py open two nodes each. Change: an inbox closes its eventfd when nothing refers to it; the proxy uses poll. test_inbox.py fails without the first; a process keeps its inboxes until it ends, so only tests and tools are concerned.

--- a/wagtaildale/calls/tests/pausable_proxies.py
+++ b/wagtaildale/calls/tests/pausable_proxies.py
@@ -9,7 +9,7 @@
 from wagtaildale.calls.tests.listeners import Listener
 from wagtaildale.calls.tests.pairs import TIMEOUT_SECONDS
 
-POLL_SECONDS = 0.02
+POLL_MILLISECONDS = 20
 
 
 class PausableProxy(Listener):
@@ -48,13 +48,13 @@
     def _forward(
         self, opposite_sides: dict[socket.socket, socket.socket]
     ) -> bool:
-        ready, _writable, _failed = select.select(
-            list(opposite_sides),
-            [],
-            [],
-            POLL_SECONDS,
-        )
-        for side in ready:
+        # Not ``select``, which cannot watch descriptors above 1,023.
+        poller = select.poll()
+        sides = {side.fileno(): side for side in opposite_sides}
+        for descriptor in sides:
+            poller.register(descriptor, select.POLLIN)
+        for descriptor, _events in poller.poll(POLL_MILLISECONDS):
+            side = sides[descriptor]
             # Input that arrives during a pause waits here.
             self._resumed.wait(TIMEOUT_SECONDS)
             piece = side.recv(65536)
--- a/wagtaildale/timers/inbox.py
+++ b/wagtaildale/timers/inbox.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+import weakref
 from queue import Empty, SimpleQueue
 from typing import Generic, TypeVar
 
@@ -28,6 +29,7 @@
         """Create an empty inbox."""
         self._queue: SimpleQueue[Message] = SimpleQueue()
         self._event = os.eventfd(0, os.EFD_NONBLOCK)
+        weakref.finalize(self, os.close, self._event)
 
     def fileno(self) -> int:
         """Return the file descriptor to poll.
