--- a/wagtaildale/document/model.py
+++ b/wagtaildale/document/model.py
@@ -30,8 +30,9 @@
         kind: kind of the document.
         version: version of the document.
         entries: content hashes, by name.
-        is_whole: whether a reader read all entries from the platform at once;
-            otherwise it applied changes to what it had, and may lack one.
+        is_whole: whether a reader has compared all entries with those of the
+            platform; otherwise it applied changes to what it had, and may lack
+            one.
     """
 
     kind: DocumentKind
