Feed: what was told beside a failed full read is offered by the next one

What callers would see: a version or an evacuation is never applied. An answer lacks a change, its other changes are in the feed's copy, the full read behind it fails, and the next one finds no difference to the copy: what no document has counts as known. Found in reading the diff, not seen in a run. Change: after such a failure everything is offered again. The new case of test_comparisons.py failed before.

--- a/wagtaildale/platform/tests/simulated_store.py
+++ b/wagtaildale/platform/tests/simulated_store.py
@@ -30,6 +30,7 @@
         is_silent: whether no watch is answered.
         merges_changes: whether watches return only the last change of a key.
         most_changes: most changes in an answer to a watch.
+        refuses_ranges: whether all reads but watches fail.
         urls: requested URLs, the latest last.
     """
 
@@ -38,6 +39,7 @@
         self.is_silent = False
         self.merges_changes = False
         self.most_changes = 1000
+        self.refuses_ranges = False
         self.urls: list[str] = []
         self._changes: list[dict[str, Any]] = []
 
@@ -74,6 +76,8 @@
         parts = urlsplit(url)
         after = parse_qs(parts.query).get('after', [''])[0]
         if parts.path == '/kv-range':
+            if self.refuses_ranges:
+                return Err(SILENCE)
             return _answer(self._read_range(after))
         if self.is_silent:
             return Err(SILENCE)
--- a/wagtaildale/platform/tests/test_comparisons.py
+++ b/wagtaildale/platform/tests/test_comparisons.py
@@ -180,6 +180,23 @@
     assert find_version(read_feed(feed), kind) == LATER_VERSION
 
 
+def test_changes_beside_a_failed_full_read_are_not_lost(
+    store: SimulatedStore, feed: StoreFeed
+) -> None:
+    """A version is never applied: the read behind its answer failed."""
+    write_configuration(store, hides=False)
+    store.write(FIRST, LEAVING, hides=True)
+    store.refuses_ranges = True
+    assert isinstance(feed.read(wait=1.0), Err)
+    feed.restart()
+    store.refuses_ranges = False
+    store.is_silent = True
+    reading = read_feed(feed)
+    kind = DocumentKind.configuration
+    assert find_version(reading, kind) == LATER_VERSION
+    assert 'i-1' not in list_usable(reading)
+
+
 def test_comparisons_of_an_unchanged_store_are_few_and_small(
     store: SimulatedStore, feed: StoreFeed
 ) -> None:
--- a/wagtaildale/source/full_reads.py
+++ b/wagtaildale/source/full_reads.py
@@ -88,6 +88,8 @@
     told = copy.entries
     loaded = copy.load()
     if isinstance(loaded, Err):
+        # The copy has changes that no document has: all is to be offered.
+        copy.revision = None
         return loaded
     differing = find_differences(told, copy.entries)
     if differing:
@@ -119,6 +121,7 @@
     detail = f'the list at {copy.revision} is not as watches told'
     loaded = copy.load()
     if isinstance(loaded, Err):
+        copy.revision = None
         return loaded
     is_whole = not find_differences(read, copy.pick_list())
     return Ok(_update_all(describe_keys(detail, differing), is_whole=is_whole))
